--- a/lab/cascades.py
+++ b/lab/cascades.py
@@ -18,10 +18,10 @@
 
 from standins.engine import is_good
 from standins.fleet import Fleet
-from walnutquay.daemon.authentication import key_hash
 from walnutquay.replay.traces import RequestKind, TraceRequest, words
 from walnutquay.replay.workloads import Workload, WorkloadGenerator
 from walnutquay.state.bills import decode_records
+from walnutquay.state.keys import key_hash
 
 CALLERS = 24
 SECONDS = 60.0
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,7 +19,7 @@
 import tomli_w
 
 from standins.link import Link
-from walnutquay.daemon.authentication import key_hash
+from walnutquay.state.keys import key_hash
 
 HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-of-the-stand-in-fleet"
--- a/walnutquay/coordination/chats.py
+++ b/walnutquay/coordination/chats.py
@@ -15,6 +15,7 @@
     EngineRefusalError,
     Engines,
 )
+from walnutquay.coordination.keyed import KeyedPath
 from walnutquay.coordination.outcomes import (
     ChatArrival,
     Outcome,
@@ -22,8 +23,7 @@
     Streamed,
     Whole,
 )
-from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.paths import RequestPath
+from walnutquay.coordination.pathparts import KeyedParts
 from walnutquay.coordination.planning import ChatPlanner
 from walnutquay.coordination.quality import AnswerQuality
 from walnutquay.coordination.turns import ChatTurn, PassedStream
@@ -41,7 +41,7 @@
 from walnutquay.transport.timers import monotonic
 
 
-class ChatPath(RequestPath):
+class ChatPath(KeyedPath):
     """Serves chat requests.
 
     :param parts: what it works with.
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        parts: PathParts,
+        parts: KeyedParts,
         engines: Engines,
         quality: AnswerQuality,
         planner: ChatPlanner,
--- /dev/null
+++ b/walnutquay/coordination/keyed.py
@@ -0,0 +1,143 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The path of requests to our own interface, which may carry idempotency keys."""
+
+from __future__ import annotations
+
+from walnutquay.coordination.admission import Grant
+from walnutquay.coordination.claims import ClaimResult
+from walnutquay.coordination.outcomes import Arrival, Outcome, Unknown, Whole
+from walnutquay.coordination.pathparts import KeyedParts
+from walnutquay.coordination.paths import STOPPING_RETRY, RequestPath
+from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.turns import Turn
+from walnutquay.state.claims import RepeatAction, RunState, fingerprint
+from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.requests import Received, Unclaimed, receive_keyed
+
+CLAIM_RETRY = 2.0
+IN_PROGRESS_RETRY = 1.0
+
+
+class KeyedPath(RequestPath):
+    """Claims a request's idempotency key before anything else is done for it.
+
+    :param parts: what it works with.
+    """
+
+    parts: KeyedParts
+
+    def __init__(self, parts: KeyedParts) -> None:
+        super().__init__(parts)
+        # Bills of callers who have gone are finished in the background.
+        self.background = Tasks()
+
+    async def begin(self, arrival: Arrival) -> Outcome:
+        """Run a request, after its key has been claimed where it has one.
+
+        :param arrival: the request.
+        """
+        if arrival.key:
+            return await self._serve_keyed(arrival)
+        return await super().begin(arrival)
+
+    def unready(self) -> Refusal | None:
+        """:returns: why this VM knows too little to serve, or None."""
+        if self.parts.configurations.ready:
+            return None
+        return Refusal(
+            RefusalCode.NOT_READY,
+            "this entry VM has no configuration yet",
+            STOPPING_RETRY,
+        )
+
+    def on_dispatch(self, turn: Turn, grant: Grant) -> None:
+        """:param turn: a request that is sent now.
+
+        :param grant: the endpoint.
+        """
+        if turn.arrival.key:
+            self.parts.claims.running(turn.arrival.request)
+
+    def on_not_started(self, turn: Turn, grant: Grant) -> None:
+        """:param turn: a request that an endpoint did not begin.
+
+        :param grant: the endpoint.
+        """
+        if turn.arrival.key:
+            self.parts.claims.pending(turn.arrival.request)
+
+    async def _serve_keyed(self, arrival: Arrival) -> Outcome:
+        stage = receive_keyed(arrival.request)
+        shut = self.shut()
+        if shut is not None:
+            reason = f"{shut.reason}; it was not asked whether the key has run"
+            return self._cannot_tell(stage, reason, shut.retry_after)
+        claims = self.parts.claims
+        result = await claims.acquire(
+            arrival.organisation.name,
+            arrival.key,
+            fingerprint(*arrival.identity()),
+            arrival.request,
+        )
+        if not result.granted:
+            return self._repeat(stage, result)
+        return await self._run_claimed(arrival, stage.granted())
+
+    async def _run_claimed(self, arrival: Arrival, stage: Received) -> Outcome:
+        claims = self.parts.claims
+        journey = stage.journey
+        outcome: Outcome | None = None
+        try:
+            outcome = await self.run(arrival, stage)
+            return outcome
+        finally:
+            # Also when the caller has gone, or something has failed here.
+            if isinstance(outcome, Whole):
+                claims.finish(arrival.request, RunState.ANSWERED, outcome.answer)
+            elif journey.may_have_run:
+                if claims.table.runs[arrival.request].state is RunState.RUNNING:
+                    claims.finish(arrival.request, RunState.UNKNOWN)
+            else:
+                claims.abandon(arrival.request)
+                self.background.spawn(claims.release(arrival.request))
+
+    def _cannot_tell(
+        self, stage: Unclaimed, reason: str, retry_after: float | None
+    ) -> Unknown:
+        return Unknown(
+            stage.unknown(),
+            reason,
+            RefusalCode.CLAIM_UNAVAILABLE.value,
+            503,
+            retry_after,
+        )
+
+    def _repeat(self, stage: Unclaimed, result: ClaimResult) -> Outcome:
+        """Answer a request whose key another one holds."""
+        if result.action is RepeatAction.GIVE_ANSWER and result.answer is not None:
+            stage.repeated()
+            return Whole(result.answer, replayed=True)
+        if result.action is RepeatAction.WAIT:
+            return Unknown(
+                stage.unknown(),
+                "a request with this idempotency key is under way",
+                RefusalCode.IN_PROGRESS.value,
+                409,
+                IN_PROGRESS_RETRY,
+            )
+        if result.action is RepeatAction.KEY_REUSED:
+            return Unknown(
+                stage.unknown(),
+                "this idempotency key was used for another request",
+                RefusalCode.KEY_REUSED.value,
+                422,
+            )
+        if result.action is RepeatAction.SAY_UNKNOWN:
+            return Unknown(
+                stage.unknown(),
+                "a request with this idempotency key was given to an endpoint, or "
+                "may have been, and its outcome cannot be told",
+            )
+        reason = f"the idempotency key cannot be claimed now: {result.reason}"
+        return self._cannot_tell(stage, reason, CLAIM_RETRY)
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/parts.py
@@ -19,7 +19,7 @@
 from walnutquay.coordination.leases import Lease
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.members import Members
-from walnutquay.coordination.pathparts import PathParts
+from walnutquay.coordination.pathparts import KeyedParts
 from walnutquay.coordination.pins import SessionPins
 from walnutquay.coordination.planning import ChatPlanner
 from walnutquay.coordination.platform import Platform
@@ -140,16 +140,16 @@
             context, self.members, self.mailroom, sealer, options.memory.pins
         )
         self.recorder = TraceRecorder()
-        path_parts = PathParts(
+        path_parts = KeyedParts(
             context,
-            self.configurations,
             self.admission,
             self.table,
+            RetryBudget(),
+            self.recorder,
+            self.configurations,
             self.claims,
             self.billing,
             self.health,
-            RetryBudget(),
-            self.recorder,
         )
         self.chats = ChatPath(
             path_parts,
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What the paths of chat requests and service calls have in common."""
+"""What the paths of all requests have in common, whichever way they came."""
 
 from __future__ import annotations
 
@@ -9,19 +9,15 @@
 from expression import Error, Result
 
 from walnutquay.coordination.admission import Grant, Need
-from walnutquay.coordination.claims import ClaimResult
 from walnutquay.coordination.outcomes import (
     Arrival,
     Outcome,
     Refused,
     Unknown,
-    Whole,
 )
 from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.tasks import Tasks
 from walnutquay.coordination.turns import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.claims import RepeatAction, RunState, fingerprint
 from walnutquay.state.events import EventKind
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import (
@@ -29,24 +25,19 @@
     Continuing,
     Dispatched,
     Received,
-    Unclaimed,
     Undispatched,
     receive,
-    receive_keyed,
 )
 from walnutquay.transport.timers import monotonic
 
 STOPPING_RETRY = 1.0
-CLAIM_RETRY = 2.0
-IN_PROGRESS_RETRY = 1.0
 
 
 class RequestPath(ABC):
     """Takes a request from its arrival to its outcome.
 
     Subclasses plan the request in :meth:`run`, and in :meth:`exchange` talk to
-    the endpoint; claims, places, retries, refusals and their events are the
-    same for all.
+    the endpoint; places, retries, refusals and their events are the same for all.
 
     :param parts: what it works with.
     """
@@ -58,8 +49,6 @@
         self.in_flight = 0
         # Set when the VM is stopping and takes no new requests.
         self.closed = False
-        # Bills of callers who have gone are finished in the background.
-        self.background = Tasks()
 
     async def serve(self, arrival: Arrival) -> Outcome:
         """Serve a request.
@@ -72,17 +61,25 @@
         outcome: Outcome | None = None
         try:
             self.context.timeline.emit(EventKind.RECEIVED, request=request)
-            if arrival.key:
-                outcome = await self._serve_keyed(arrival)
-            else:
-                outcome = await self._serve_unkeyed(arrival)
-            self._tell(arrival, outcome)
+            outcome = await self.begin(arrival)
+            self.tell(arrival, outcome)
             return outcome
         finally:
             self.in_flight -= 1
             self.parts.recorder.record(arrival, started, outcome)
             self.context.metrics.record("request", monotonic() - started)
 
+    async def begin(self, arrival: Arrival) -> Outcome:
+        """Run a request, unless this VM takes none now.
+
+        :param arrival: the request.
+        """
+        stage = receive(arrival.request)
+        shut = self.shut()
+        if shut is not None:
+            return self.refuse(stage, shut)
+        return await self.run(arrival, stage)
+
     @abstractmethod
     async def run(self, arrival: Arrival, stage: Received) -> Outcome:
         """Admit, dispatch and answer a request.
@@ -113,6 +110,51 @@
         :returns: why it may not run any more, or None.
         """
 
+    @abstractmethod
+    def unready(self) -> Refusal | None:
+        """:returns: why this VM knows too little to serve, or None."""
+
+    def need_of(self, turn: Turn) -> Need:
+        """:param turn: the request.
+
+        :returns: what it needs a place for now.
+        """
+        arrival = turn.arrival
+        return Need(
+            arrival.request,
+            arrival.organisation.name,
+            arrival.organisation.weight,
+            turn.target,
+            arrival.deadline,
+            turn.waiting_since,
+            turn.hint,
+            turn.tried,
+            turn.prefix,
+        )
+
+    def may_retry(self, turn: Turn) -> bool:
+        """Ask whether a request may be sent once more; what is granted is counted.
+
+        :param turn: the request.
+        """
+        return self.parts.retries.take()
+
+    def on_dispatch(self, turn: Turn, grant: Grant) -> None:
+        """Note that a request is sent now; the base has nothing to note.
+
+        :param turn: the request.
+        :param grant: the endpoint.
+        """
+        return
+
+    def on_not_started(self, turn: Turn, grant: Grant) -> None:
+        """Note that an endpoint did not begin; the base has nothing to note.
+
+        :param turn: the request.
+        :param grant: the endpoint.
+        """
+        return
+
     # Places and dispatches.
 
     async def attempts(self, turn: Turn, stage: Received | Continuing) -> Outcome:
@@ -168,19 +210,7 @@
 
     async def _place(self, turn: Turn) -> Result[Grant, Refusal]:
         """Get a place, and check that the request may still run."""
-        arrival = turn.arrival
-        need = Need(
-            arrival.request,
-            arrival.organisation.name,
-            arrival.organisation.weight,
-            turn.target,
-            arrival.deadline,
-            turn.waiting_since,
-            turn.hint,
-            turn.tried,
-            turn.prefix,
-        )
-        placed = await self.parts.admission.acquire(need)
+        placed = await self.parts.admission.acquire(self.need_of(turn))
         if placed.is_error():
             return placed
         refusal = self.still_allowed(turn)
@@ -193,8 +223,7 @@
         self, turn: Turn, stage: Admitted | Continuing, grant: Grant
     ) -> Dispatched:
         running = stage.dispatch(grant.name)
-        if turn.arrival.key:
-            self.parts.claims.running(turn.arrival.request)
+        self.on_dispatch(turn, grant)
         self.context.timeline.emit(
             EventKind.DISPATCHED,
             request=turn.arrival.request,
@@ -223,8 +252,7 @@
             turn.tried |= {grant.name}
         else:
             self.parts.admission.full(grant)
-        if turn.arrival.key:
-            self.parts.claims.pending(turn.arrival.request)
+        self.on_not_started(turn, grant)
         self.context.timeline.emit(
             EventKind.NOT_STARTED,
             request=turn.arrival.request,
@@ -246,7 +274,7 @@
             detail=str(error),
         )
         in_time = turn.arrival.deadline > monotonic()
-        if turn.repeatable and in_time and self.parts.retries.take():
+        if turn.repeatable and in_time and self.may_retry(turn):
             turn.tried |= {grant.name}
             self.context.metrics.count("retries")
             return running.go_on()
@@ -278,102 +306,20 @@
         """
         return Refused(stage.refuse(refusal))
 
-    def _shut(self) -> Refusal | None:
+    def shut(self) -> Refusal | None:
+        """:returns: why this VM takes no requests now, or None."""
         if self.closed:
             return Refusal(
                 RefusalCode.STOPPING, "this entry VM is stopping", STOPPING_RETRY
             )
-        if not self.parts.configurations.ready:
-            return Refusal(
-                RefusalCode.NOT_READY,
-                "this entry VM has no configuration yet",
-                STOPPING_RETRY,
-            )
-        return None
+        return self.unready()
 
-    async def _serve_unkeyed(self, arrival: Arrival) -> Outcome:
-        stage = receive(arrival.request)
-        shut = self._shut()
-        if shut is not None:
-            return self.refuse(stage, shut)
-        return await self.run(arrival, stage)
+    def tell(self, arrival: Arrival, outcome: Outcome) -> None:
+        """Count and log how a request ended.
 
-    async def _serve_keyed(self, arrival: Arrival) -> Outcome:
-        stage = receive_keyed(arrival.request)
-        shut = self._shut()
-        if shut is not None:
-            reason = f"{shut.reason}; it was not asked whether the key has run"
-            return self._cannot_tell(stage, reason, shut.retry_after)
-        claims = self.parts.claims
-        result = await claims.acquire(
-            arrival.organisation.name,
-            arrival.key,
-            fingerprint(*arrival.identity()),
-            arrival.request,
-        )
-        if not result.granted:
-            return self._repeat(stage, result)
-        return await self._run_claimed(arrival, stage.granted())
-
-    async def _run_claimed(self, arrival: Arrival, stage: Received) -> Outcome:
-        claims = self.parts.claims
-        journey = stage.journey
-        outcome: Outcome | None = None
-        try:
-            outcome = await self.run(arrival, stage)
-            return outcome
-        finally:
-            # Also when the caller has gone, or something has failed here.
-            if isinstance(outcome, Whole):
-                claims.finish(arrival.request, RunState.ANSWERED, outcome.answer)
-            elif journey.may_have_run:
-                if claims.table.runs[arrival.request].state is RunState.RUNNING:
-                    claims.finish(arrival.request, RunState.UNKNOWN)
-            else:
-                claims.abandon(arrival.request)
-                self.background.spawn(claims.release(arrival.request))
-
-    def _cannot_tell(
-        self, stage: Unclaimed, reason: str, retry_after: float | None
-    ) -> Unknown:
-        return Unknown(
-            stage.unknown(),
-            reason,
-            RefusalCode.CLAIM_UNAVAILABLE.value,
-            503,
-            retry_after,
-        )
-
-    def _repeat(self, stage: Unclaimed, result: ClaimResult) -> Outcome:
-        """Answer a request whose key another one holds."""
-        if result.action is RepeatAction.GIVE_ANSWER and result.answer is not None:
-            stage.repeated()
-            return Whole(result.answer, replayed=True)
-        if result.action is RepeatAction.WAIT:
-            return Unknown(
-                stage.unknown(),
-                "a request with this idempotency key is under way",
-                RefusalCode.IN_PROGRESS.value,
-                409,
-                IN_PROGRESS_RETRY,
-            )
-        if result.action is RepeatAction.KEY_REUSED:
-            return Unknown(
-                stage.unknown(),
-                "this idempotency key was used for another request",
-                RefusalCode.KEY_REUSED.value,
-                422,
-            )
-        if result.action is RepeatAction.SAY_UNKNOWN:
-            return Unknown(
-                stage.unknown(),
-                "a request with this idempotency key was given to an endpoint, or "
-                "may have been, and its outcome cannot be told",
-            )
-        reason = f"the idempotency key cannot be claimed now: {result.reason}"
-        return self._cannot_tell(stage, reason, CLAIM_RETRY)
-
-    def _tell(self, arrival: Arrival, outcome: Outcome) -> None:
+        :param arrival: the request.
+        :param outcome: how.
+        """
         request = arrival.request
         timeline = self.context.timeline
         if isinstance(outcome, Refused):
--- a/walnutquay/coordination/planning.py
+++ b/walnutquay/coordination/planning.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from walnutquay.coordination.outcomes import ChatArrival
-from walnutquay.coordination.pathparts import PathParts
+from walnutquay.coordination.pathparts import KeyedParts
 from walnutquay.coordination.pins import SessionPins
 from walnutquay.coordination.quality import AnswerQuality
 from walnutquay.coordination.turns import ChatTurn
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        parts: PathParts,
+        parts: KeyedParts,
         quality: AnswerQuality,
         sealer: PinSealer,
         pins: SessionPins,
--- a/walnutquay/coordination/services.py
+++ b/walnutquay/coordination/services.py
@@ -5,9 +5,9 @@
 from __future__ import annotations
 
 from walnutquay.coordination.admission import Grant
+from walnutquay.coordination.keyed import KeyedPath
 from walnutquay.coordination.outcomes import Outcome, ServiceArrival, Whole
-from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.paths import RequestPath
+from walnutquay.coordination.pathparts import KeyedParts
 from walnutquay.coordination.turns import ServiceTurn
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol import chat
@@ -26,14 +26,14 @@
 MAX_ANSWER = 32 << 20
 
 
-class ServicePath(RequestPath):
+class ServicePath(KeyedPath):
     """Serves calls of plain services.
 
     :param parts: what it works with.
     :param client: the connections to endpoints.
     """
 
-    def __init__(self, parts: PathParts, client: HttpClient) -> None:
+    def __init__(self, parts: KeyedParts, client: HttpClient) -> None:
         super().__init__(parts)
         self.client = client
 
--- a/walnutquay/daemon/authentication.py
+++ b/walnutquay/daemon/authentication.py
@@ -4,33 +4,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
 
 from walnutquay.state.configuration import Configuration
+from walnutquay.state.keys import bearer_key, key_hash
 from walnutquay.state.parts import Organisation
 
-SCHEME = "bearer "
-HASH_PREFIX = "sha256:"
-
-
-def bearer_key(header: str | None) -> str:
-    """:param header: an ``Authorization`` header.
-
-    :returns: the key in it; empty if there is none.
-    """
-    if header is None or not header.lower().startswith(SCHEME):
-        return ""
-    return header[len(SCHEME) :].strip()
-
-
-def key_hash(key: str) -> str:
-    """:param key: a key or token.
-
-    :returns: its hash, in the form that settings and configuration hold.
-    """
-    return HASH_PREFIX + hashlib.sha256(key.encode()).hexdigest()
-
 
 def caller_of(configuration: Configuration, header: str | None) -> Organisation | None:
     """:param configuration: what is in force.
--- a/walnutquay/exceptions.py
+++ b/walnutquay/exceptions.py
@@ -78,6 +78,10 @@
     """The object's version is not the one that the update named."""
 
 
+class HistoryGoneError(PlatformError):
+    """The platform no longer knows the changes since a revision: list again."""
+
+
 class TokenError(WalnutquayError):
     """A session token is forged, foreign or too old."""
 
--- /dev/null
+++ b/walnutquay/platform/feeds.py
@@ -0,0 +1,156 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Kinds of the platform's store, listed and watched as our own types."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import logbook
+
+from walnutquay.exceptions import MessageError
+from walnutquay.platform.names import (
+    CONFIGURATION_NAME,
+    KIND_CONFIGURATION,
+    KIND_INSTANCES,
+    KIND_ROLLOUTS,
+)
+from walnutquay.platform.records import (
+    decode_catalogue,
+    decode_instance,
+    decode_order,
+    encode_order_status,
+)
+from walnutquay.platform.store import MissingObjectError, StoreClient, StoredObject
+from walnutquay.state.catalogue import Catalogue
+from walnutquay.state.feeds import Change, Changes, Listing
+from walnutquay.state.instances import Instance
+from walnutquay.state.orders import OrderState, RolloutOrder
+
+log = logbook.Logger(__name__)
+
+Item = TypeVar("Item")
+
+
+class Feed(Generic[Item]):
+    """Lists and watches one kind of object.
+
+    :param store: the store's client.
+    :param kind: the kind.
+    :param decode: makes our type of an object.
+    """
+
+    def __init__(
+        self, store: StoreClient, kind: str, decode: Callable[[StoredObject], Item]
+    ) -> None:
+        self.store = store
+        self.kind = kind
+        self.decode = decode
+
+    async def list(self) -> Listing[Item]:
+        """:returns: all objects that can be read.
+
+        A kind of which nothing was ever stored may be unknown to the store;
+        that is an empty list.
+        """
+        try:
+            found, revision = await self.store.list(self.kind)
+        except MissingObjectError:
+            return Listing({}, 0)
+        items = {}
+        for stored in found:
+            item = self._decoded(stored)
+            if item is not None:
+                items[stored.name] = item
+        return Listing(items, revision)
+
+    async def watch(self, revision: int, seconds: float) -> Changes[Item]:
+        """:param revision: the revision after which changes count.
+
+        :param seconds: how long to wait for one.
+        :raises HistoryGoneError: if the kind must be listed again.
+        """
+        events, latest = await self.store.watch(self.kind, revision, seconds)
+        changes = []
+        for event in events:
+            item = None if event.deleted else self._decoded(event.stored)
+            # An object that cannot be read leaves what was known of it.
+            if item is not None or event.deleted:
+                changes.append(Change(event.stored.name, item))
+        return Changes(tuple(changes), latest)
+
+    def _decoded(self, stored: StoredObject) -> Item | None:
+        try:
+            return self.decode(stored)
+        except MessageError as error:
+            log.error("{}/{} is left out: {}", self.kind, stored.name, error)
+            return None
+
+
+def catalogue_feed(store: StoreClient) -> Feed[Catalogue]:
+    """:param store: the store's client.
+
+    :returns: the operator's configuration; other objects of its kind are no such.
+    """
+
+    def decode(stored: StoredObject) -> Catalogue:
+        if stored.name != CONFIGURATION_NAME:
+            raise MessageError(f"{stored.name} is not known here", step="decode")
+        return decode_catalogue(stored.spec)
+
+    return Feed(store, KIND_CONFIGURATION, decode)
+
+
+def instance_feed(store: StoreClient) -> Feed[Instance]:
+    """:param store: the store's client.
+
+    :returns: the running endpoints.
+    """
+    return Feed(store, KIND_INSTANCES, lambda s: decode_instance(s.name, s.spec))
+
+
+def order_feed(store: StoreClient) -> Feed[RolloutOrder]:
+    """:param store: the store's client.
+
+    :returns: the roll-out orders.
+    """
+    return Feed(
+        store,
+        KIND_ROLLOUTS,
+        lambda s: decode_order(s.name, s.revision, s.spec, s.status),
+    )
+
+
+class OrderDesk:
+    """Reads and answers roll-out orders.
+
+    :param store: the store's client.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+
+    async def read(self, name: str) -> RolloutOrder | None:
+        """:param name: an order's name.
+
+        :returns: it as it stands now, or None where there is none.
+        """
+        stored = await self.store.get(KIND_ROLLOUTS, name)
+        if stored is None:
+            return None
+        return decode_order(stored.name, stored.revision, stored.spec, stored.status)
+
+    async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
+        """Say where an order stands, if it is still as it was read.
+
+        :param order: the order.
+        :param state: what to say.
+        :returns: the order as it is then.
+        :raises PlatformConflictError: if it has changed.
+        """
+        status = encode_order_status(order, state)
+        stored = await self.store.write_status(
+            KIND_ROLLOUTS, order.name, status, order.revision
+        )
+        return decode_order(stored.name, stored.revision, stored.spec, stored.status)
--- /dev/null
+++ b/walnutquay/platform/names.py
@@ -0,0 +1,66 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Names of headers, paths and object kinds on the users' platform."""
+
+from __future__ import annotations
+
+# Headers of requests.
+REQUEST_ID = "Request-Id"
+# Milliseconds for which the caller still waits, not a point in time.
+TIME_LEFT = "Deadline"
+MODEL = "Model"
+# Tokens of the prompt and, behind a comma, the most that may be written.
+TOKENS = "Token-Count"
+# The parts of the prompt in order, each as ID:TOKENS; not a hash.
+PROMPT_PARTS = "Prefix-Hash"
+LAST_EVENT = "Last-Event-Id"
+SESSION = "Session"
+LENGTH_HINT = "Length-Hint"
+# Set by this router only.
+ORGANISATION = "Tenant"
+EXPECTED_INSTANCE = "Target-Instance"
+URGENCY = "Request-Priority"
+
+# Headers of answers.
+# The endpoint's signature under its answer.
+SEAL = "Reply-Seal"
+# Present where the endpoint did not begin the request and never will.
+NOT_RUN = "Not-Run"
+# Requests running, requests waiting and slots.
+LOAD = "Load"
+# The model's own opinion of its answer, 0 to 100.
+CONFIDENCE = "Confidence"
+RETRY_AFTER = "Retry-After"
+
+# What a caller may not set: it would reserve or move an engine's memory, name
+# an organisation, or choose an instance.
+OWN_HEADERS = frozenset(
+    {
+        "tenant",
+        "target-instance",
+        "request-priority",
+        "expect-version",
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-from",
+        "kv-fetch",
+    }
+)
+
+# The value of ``Model`` that leaves the choice to this router.
+ANY_MODEL = "*"
+
+READY_PATH = "/v1/ready"
+OBJECTS_PATH = "/v1/objects"
+
+# Kinds of objects in the store.
+KIND_CONFIGURATION = "config"
+CONFIGURATION_NAME = "main"
+KIND_INSTANCES = "servers"
+KIND_ROLLOUTS = "rollouts"
+# The entry VMs themselves; a kind of our own.
+KIND_VMS = "entry-vms"
+
+STATUS_MISDIRECTED = 421
+EVENT_STREAM = "text/event-stream"
--- /dev/null
+++ b/walnutquay/platform/store.py
@@ -0,0 +1,269 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Calls of the platform's metadata store, which speaks HTTP and JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+import orjson
+
+from walnutquay.exceptions import (
+    HistoryGoneError,
+    PlatformConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUnclearError,
+)
+from walnutquay.platform.names import OBJECTS_PATH
+from walnutquay.transport.client import limit_silence
+
+MILLISECONDS = 1000.0
+# The store answers in some 4 ms; one that has not by now is away, or the way is.
+CALL_SECONDS = 1.0
+# A call that waits for changes may answer so much later than it was asked to.
+WATCH_SLACK_SECONDS = 1.0
+CONNECT_SECONDS = 0.5
+JSON_TYPE = "application/json"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object of the store.
+
+    :param name: its name within its kind.
+    :param revision: the store's revision of its last change.
+    :param spec: its content; of the platform's kinds, what others wrote.
+    :param status: what has been said of it.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class StoredEvent:
+    """A change of an object.
+
+    :param stored: the object, as it was last where it was deleted.
+    :param deleted: whether it is gone.
+    """
+
+    stored: StoredObject
+    deleted: bool
+
+
+class StoreClient:
+    """Calls the store; one for each process.
+
+    :param address: its ``IP:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.base = f"http://{address}{OBJECTS_PATH}"
+        self.address = address
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=limit_silence)
+        self.session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def list(
+        self, kind: str, *, stale: bool = False
+    ) -> tuple[list[StoredObject], int]:
+        """List the objects of a kind, page by page.
+
+        :param kind: the kind.
+        :param stale: whether an answer that is seconds old will do.
+        :returns: the objects, and the revision of the first page: changes after
+            it may be in the later pages already, and watching from it shows them
+            once more.
+        """
+        found: list[StoredObject] = []
+        revision: int | None = None
+        after: str | None = None
+        while True:
+            query = {} if after is None else {"sinceRev": after}
+            if stale:
+                query["allowStale"] = "1"
+            body = await self._call("GET", kind, query=query)
+            found.extend(_stored(item) for item in body["items"])
+            if revision is None:
+                revision = int(body["asOf"])
+            if not body["truncated"]:
+                return found, revision
+            # Pages go on behind a name, whatever the parameter is called.
+            after = found[-1].name
+
+    async def watch(
+        self, kind: str, revision: int, seconds: float
+    ) -> tuple[list[StoredEvent], int]:
+        """Wait for changes of a kind.
+
+        :param kind: the kind.
+        :param revision: the revision after which changes count.
+        :param seconds: how long to wait for one.
+        :returns: the changes in order, and the revision to go on from.
+        :raises HistoryGoneError: if the store does not know them any more.
+        """
+        query = {"watch": str(revision), "waitMs": str(int(seconds * MILLISECONDS))}
+        limit = seconds + WATCH_SLACK_SECONDS
+        body = await self._call("GET", kind, query=query, limit=limit)
+        events = [
+            StoredEvent(_stored(event["object"]), bool(event.get("deleted")))
+            for event in body["events"]
+        ]
+        return events, int(body["asOf"])
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """:param kind: a kind.
+
+        :param name: an object's name.
+        :returns: the object, or None where there is none.
+        """
+        try:
+            return _stored(await self._call("GET", kind, name))
+        except MissingObjectError:
+            return None
+
+    async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
+        """Make an object.
+
+        :param kind: the kind.
+        :param name: its name.
+        :param spec: its content.
+        :raises PlatformConflictError: if it exists.
+        """
+        body = {"metadata": {"name": name}, "spec": spec}
+        return _stored(await self._call("POST", kind, body=body))
+
+    async def replace(
+        self, kind: str, name: str, spec: Any, revision: int
+    ) -> StoredObject:
+        """Replace an object's content.
+
+        :param kind: the kind.
+        :param name: its name.
+        :param spec: its new content.
+        :param revision: the revision that it must have.
+        :raises PlatformConflictError: if it has another.
+        """
+        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        return _stored(await self._call("PUT", kind, name, body=body))
+
+    async def write_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> StoredObject:
+        """Replace what is said of an object.
+
+        :param kind: the kind.
+        :param name: its name.
+        :param status: what to say.
+        :param revision: the revision that it must have.
+        :raises PlatformConflictError: if it has another.
+        """
+        body = {"metadata": {"name": name, "revision": revision}, "status": status}
+        return _stored(await self._call("PUT", kind, name, "status", body=body))
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object; one that is gone already is no error.
+
+        :param kind: the kind.
+        :param name: its name.
+        """
+        try:
+            await self._call("DELETE", kind, name)
+        except MissingObjectError:
+            return
+
+    async def _call(
+        self,
+        method: str,
+        *path: str,
+        query: Mapping[str, str] | None = None,
+        body: Any = None,
+        limit: float = CALL_SECONDS,
+    ) -> Any:
+        """Make one call.
+
+        :raises PlatformUnavailableError: if the store did nothing.
+        :raises PlatformUnclearError: if it may have done it.
+        """
+        place = "/".join(quote(part, safe="") for part in path)
+        step = method.lower()
+        timeout = aiohttp.ClientTimeout(total=limit, sock_connect=CONNECT_SECONDS)
+        try:
+            async with self.session.request(
+                method,
+                f"{self.base}/{place}",
+                params=query or None,
+                data=None if body is None else orjson.dumps(body),
+                headers={"Content-Type": JSON_TYPE} if body is not None else None,
+                timeout=timeout,
+            ) as answer:
+                content = await answer.read()
+                status = answer.status
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise PlatformUnavailableError(str(error), step=step, peer=place) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            reason = str(error) or type(error).__name__
+            raise PlatformUnclearError(reason, step=step, peer=place) from error
+        if status == 200 or status == 201:
+            return _decoded(content, step, place)
+        raise _failure(status, content, step, place)
+
+
+class MissingObjectError(PlatformError):
+    """There is no such object, or nothing of its kind yet."""
+
+
+def _decoded(content: bytes, step: str, place: str) -> Any:
+    try:
+        return orjson.loads(content) if content else None
+    except orjson.JSONDecodeError as error:
+        raise PlatformUnclearError(
+            f"the store's answer cannot be read: {error}", step=step, peer=place
+        ) from error
+
+
+def _failure(status: int, content: bytes, step: str, place: str) -> PlatformError:
+    """Give the meaning of a status that is no success."""
+    if status == 404:
+        return MissingObjectError("nothing is stored there", step=step, peer=place)
+    if status == 409:
+        return PlatformConflictError(
+            "another revision is stored", step=step, peer=place
+        )
+    if status == 410:
+        return HistoryGoneError("the history is gone", step=step, peer=place)
+    if status in (429, 503):
+        return PlatformUnavailableError(
+            f"the store refused the call ({status})", step=step, peer=place
+        )
+    if status >= 500:
+        return PlatformUnclearError(
+            f"the store failed ({status})", step=step, peer=place
+        )
+    text = content[:200].decode("utf-8", "replace")
+    return PlatformError(
+        f"the store did not take the call ({status}): {text}", step=step, peer=place
+    )
+
+
+def _stored(plain: Mapping[str, Any]) -> StoredObject:
+    metadata = plain["metadata"]
+    return StoredObject(
+        name=metadata["name"],
+        revision=int(metadata.get("revision") or 0),
+        spec=plain.get("spec"),
+        status=plain.get("status"),
+    )
--- a/walnutquay/state/ids.py
+++ b/walnutquay/state/ids.py
@@ -21,6 +21,7 @@
 EndpointName = NewType("EndpointName", str)
 SessionId = NewType("SessionId", str)
 RequestId = NewType("RequestId", str)
+RouteName = NewType("RouteName", str)
 Revision = NewType("Revision", int)
 
 # The revision of a VM that has no configuration yet.
--- a/walnutquay/state/parts.py
+++ b/walnutquay/state/parts.py
@@ -42,6 +42,8 @@
     """The plain services that it may call."""
     weight: Annotated[float, Field(gt=0.0)] = 1.0
     """Its weight in the fair share of a pool that is full."""
+    priority: int | None = None
+    """Its rank among organisations, 0 the most urgent; none leaves it to the route."""
     policy: Name | None = None
     """The policy program that orders its candidates; none keeps the given order."""
     on_withdrawn: OnWithdrawn = OnWithdrawn.REFUSE
--- /dev/null
+++ b/walnutquay/state/prompts.py
@@ -0,0 +1,46 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What a router knows of a prompt: its size, and which parts others share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other prompts may share.
+
+    :param name: what stands for its words.
+    :param tokens: its size.
+    """
+
+    name: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """The size of a prompt and its parts.
+
+    :param tokens: tokens to read.
+    :param most_written: the most tokens that may be written.
+    :param hint_written: the caller's guess of how many will be; 0 for none.
+    :param parts: its parts in order; the last is the request's own or its
+        session's, the others are shared.
+    """
+
+    tokens: int = 0
+    most_written: int = 0
+    hint_written: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def subject(self) -> str:
+        """What stands for the longest beginning that other prompts share."""
+        return self.parts[-2].name if len(self.parts) > 1 else ""
+
+    @property
+    def own_part(self) -> str:
+        """The part that only the prompts of one session share."""
+        return self.parts[-1].name if self.parts else ""
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import socket
+from collections.abc import Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from types import TracebackType
 
@@ -26,6 +27,31 @@
 HEADER_NOT_STARTED = "x-not-started"
 BEFORE_SENDING = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
+# A peer that acknowledges nothing for this long is out of reach; the system's own
+# limit is minutes.  Four lost packets in a row within a data centre take less.
+SILENCE_SECONDS = 2.0
+KEEPALIVE_PROBES = 2
+
+
+def limit_silence(info: aiohttp.AddrInfoType) -> socket.socket:
+    """Make a socket that notices soon when its peer has vanished.
+
+    :param info: family, kind and address, as aiohttp gives them.
+    """
+    family, kind, protocol, _, _ = info
+    made = socket.socket(family, kind, protocol)
+    try:
+        silence = int(SILENCE_SECONDS * 1000)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    except OSError:
+        made.close()
+        raise
+    return made
 
 
 class HttpClient:
@@ -37,12 +63,21 @@
     """
 
     def __init__(self) -> None:
-        kept = aiohttp.TCPConnector(limit=CONNECTIONS, keepalive_timeout=60)
-        fresh = aiohttp.TCPConnector(limit=CONNECTIONS, force_close=True)
+        kept = aiohttp.TCPConnector(
+            limit=CONNECTIONS, keepalive_timeout=60, socket_factory=limit_silence
+        )
+        fresh = aiohttp.TCPConnector(
+            limit=CONNECTIONS, force_close=True, socket_factory=limit_silence
+        )
         plain = {
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
-            "skip_auto_headers": ("user-agent", "accept-encoding", "content-type"),
+            "skip_auto_headers": (
+                "accept",
+                "accept-encoding",
+                "content-type",
+                "user-agent",
+            ),
         }
         self.kept = aiohttp.ClientSession(connector=kept, **plain)
         self.fresh = aiohttp.ClientSession(connector=fresh, **plain)
@@ -59,7 +94,7 @@
         *,
         peer: str,
         data: bytes | None = None,
-        headers: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | Iterable[tuple[str, str]] | None = None,
         timeout: float = 60.0,
         idle: float | None = None,
         repeatable: bool = True,
