--- a/walnutquay/coordination/admission.py
+++ b/walnutquay/coordination/admission.py
@@ -12,16 +12,12 @@
 
 from walnutquay.coordination.configurations import Configurations
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.places import Grant, Need
 from walnutquay.state.admission import PoolQueue, Waiting
 from walnutquay.state.configuration import Configuration
 from walnutquay.state.endpoints import FULL_SECONDS, EndpointTable, subset
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import (
-    EndpointName,
-    OrganisationName,
-    RequestId,
-    WorkKind,
-)
+from walnutquay.state.ids import RequestId
 from walnutquay.state.parts import Endpoint
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.transport.timers import monotonic
@@ -29,51 +25,6 @@
 NO_ENDPOINT_RETRY = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class Need:
-    """What a request needs a place for.
-
-    :param request: its id.
-    :param organisation: whose it is.
-    :param weight: the organisation's weight.
-    :param target: the version or service that is to run.
-    :param deadline: when the answer is due; monotonic seconds.
-    :param since: since when it has been looking for a place.
-    :param hint: the endpoint that is likely to have the prompt cached.
-    :param tried: endpoints that have failed this request.
-    :param prefix: what stands for the prompt's beginning; empty for none.
-    """
-
-    request: RequestId
-    organisation: OrganisationName
-    weight: float
-    target: str
-    deadline: float
-    since: float
-    hint: str = ""
-    tried: frozenset[str] = frozenset()
-    prefix: str = ""
-
-
-@dataclass(slots=True)
-class Grant:
-    """A place at an endpoint, to be given back with :meth:`Admission.release`.
-
-    :param endpoint: where.
-    :param started: since when; monotonic seconds.
-    :param work: the kind of work of the pool at that time.
-    """
-
-    endpoint: Endpoint
-    started: float
-    work: WorkKind
-
-    @property
-    def name(self) -> EndpointName:
-        """The endpoint's name."""
-        return EndpointName(self.endpoint.name)
-
-
 @dataclass(slots=True)
 class _Waiter:
     """A request that waits, and the future that its place comes by."""
--- a/walnutquay/coordination/chats.py
+++ b/walnutquay/coordination/chats.py
@@ -8,14 +8,13 @@
 
 import orjson
 
-from walnutquay.coordination.admission import Grant
 from walnutquay.coordination.engines import (
     EngineAnswer,
     EngineCall,
     EngineRefusalError,
     Engines,
 )
-from walnutquay.coordination.keyed import KeyedPath
+from walnutquay.coordination.keyed import KeyedParts, KeyedPath
 from walnutquay.coordination.outcomes import (
     ChatArrival,
     Outcome,
@@ -23,7 +22,7 @@
     Streamed,
     Whole,
 )
-from walnutquay.coordination.pathparts import KeyedParts
+from walnutquay.coordination.places import Grant
 from walnutquay.coordination.planning import ChatPlanner
 from walnutquay.coordination.quality import AnswerQuality
 from walnutquay.coordination.turns import ChatTurn, PassedStream
--- /dev/null
+++ b/walnutquay/coordination/following.py
@@ -0,0 +1,130 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Follows one kind of the store's objects: lists it once, then watches it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Generic, Protocol, TypeVar
+
+from walnutquay.coordination.context import Context
+from walnutquay.exceptions import HistoryGoneError, PlatformError
+from walnutquay.state.events import EventKind
+from walnutquay.state.feeds import Changes, Listing
+from walnutquay.transport.timers import monotonic
+
+# A watch that hears nothing is asked anew after this time.  A lost answer or a cut
+# is noticed only when it is overdue, and a change must be known 2 s after it.
+WATCH_SECONDS = 1.5
+# Pause after a failed call: the store is back in use soon after it returns, and
+# some ten VMs make few calls while it is away.
+RETRY_SECONDS = 0.25
+
+Item = TypeVar("Item")
+
+
+class Feed(Protocol[Item]):
+    """Lists and watches one kind of object."""
+
+    kind: str
+
+    async def list(self) -> Listing[Item]:
+        """:returns: all objects."""
+
+    async def watch(self, revision: int, seconds: float) -> Changes[Item]:
+        """:param revision: the revision after which changes count.
+
+        :param seconds: how long to wait for one.
+        """
+
+
+class Sink(Protocol[Item]):
+    """Takes in what a follower learns."""
+
+    def take_listing(self, listing: Listing[Item]) -> None:
+        """:param listing: all that there is."""
+
+    def take_changes(self, changes: Changes[Item]) -> None:
+        """:param changes: what has changed since."""
+
+    def on_return(self) -> None:
+        """Note that the store answers again after it did not."""
+
+
+class Follower(Generic[Item]):
+    """Keeps a sink up to date with one kind of object.
+
+    Run :meth:`run` as a task.
+
+    :param context: what this process shares.
+    :param feed: lists and watches the kind.
+    :param sink: takes in what is learnt.
+    """
+
+    def __init__(self, context: Context, feed: Feed[Item], sink: Sink[Item]) -> None:
+        self.context = context
+        self.feed = feed
+        self.sink = sink
+        # The store's revision that the sink is up to date with; None before the
+        # first list, and when the history since is gone.
+        self.revision: int | None = None
+        # When the store last answered, and since when it has not; monotonic.
+        self.confirmed_at = float("-inf")
+        self.failing_since: float | None = None
+
+    def age(self) -> float:
+        """:returns: seconds since the store last confirmed what is known."""
+        return monotonic() - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow the kind for ever."""
+        while True:
+            try:
+                await self.step()
+            except HistoryGoneError:
+                self.revision = None
+            except PlatformError as error:
+                self._failed(error)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def step(self) -> None:
+        """List, or wait for the next changes."""
+        if self.revision is None:
+            await self.relist()
+            return
+        changes = await self.feed.watch(self.revision, WATCH_SECONDS)
+        self._answered()
+        if changes.changes:
+            self.sink.take_changes(changes)
+        self.revision = max(self.revision, changes.revision)
+
+    async def relist(self) -> None:
+        """Read everything anew."""
+        listing = await self.feed.list()
+        self._answered()
+        if self.revision is not None and listing.revision < self.revision:
+            return
+        self.sink.take_listing(listing)
+        self.revision = listing.revision
+
+    def _answered(self) -> None:
+        self.confirmed_at = monotonic()
+        if self.failing_since is None:
+            return
+        seconds = self.confirmed_at - self.failing_since
+        self.failing_since = None
+        self.context.timeline.emit(
+            EventKind.PLATFORM_UP, detail=f"{self.feed.kind} after {seconds:.1f} s"
+        )
+        self.sink.on_return()
+
+    def _failed(self, error: PlatformError) -> None:
+        self.context.metrics.count(f"store_failures_{self.feed.kind}")
+        if self.failing_since is not None:
+            return
+        self.failing_since = monotonic()
+        age = "never" if self.confirmed_at < 0 else f"{self.age():.1f} s ago"
+        self.context.timeline.emit(
+            EventKind.PLATFORM_DOWN,
+            detail=f"{self.feed.kind}: {error}; last confirmed {age}",
+        )
--- a/walnutquay/coordination/keyed.py
+++ b/walnutquay/coordination/keyed.py
@@ -4,13 +4,18 @@
 
 from __future__ import annotations
 
-from walnutquay.coordination.admission import Grant
-from walnutquay.coordination.claims import ClaimResult
+from dataclasses import dataclass
+
+from walnutquay.coordination.billing import Billing
+from walnutquay.coordination.claims import ClaimResult, Claims
+from walnutquay.coordination.configurations import Configurations
+from walnutquay.coordination.health import VersionHealth
 from walnutquay.coordination.outcomes import Arrival, Outcome, Unknown, Whole
-from walnutquay.coordination.pathparts import KeyedParts
+from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.paths import STOPPING_RETRY, RequestPath
+from walnutquay.coordination.places import Grant
 from walnutquay.coordination.tasks import Tasks
-from walnutquay.coordination.turns import Turn
+from walnutquay.coordination.turn import Turn
 from walnutquay.state.claims import RepeatAction, RunState, fingerprint
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Received, Unclaimed, receive_keyed
@@ -19,6 +24,22 @@
 IN_PROGRESS_RETRY = 1.0
 
 
+@dataclass
+class KeyedParts(PathParts):
+    """The parts that requests to our own interface need besides.
+
+    :param configurations: what is in force.
+    :param claims: claims of idempotency keys.
+    :param billing: bill records.
+    :param health: brakes on versions.
+    """
+
+    configurations: Configurations
+    claims: Claims
+    billing: Billing
+    health: VersionHealth
+
+
 class KeyedPath(RequestPath):
     """Claims a request's idempotency key before anything else is done for it.
 
--- /dev/null
+++ b/walnutquay/coordination/knowledge.py
@@ -0,0 +1,273 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What this VM knows from the store: configuration, endpoints, roll-out orders.
+
+Nothing that is known is forgotten because the store is silent, and nothing goes
+back to an older state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from walnutquay.coordination.context import Context
+from walnutquay.coordination.following import Feed, Follower
+from walnutquay.coordination.tasks import Tasks
+from walnutquay.exceptions import PlatformError
+from walnutquay.state.catalogue import Catalogue
+from walnutquay.state.events import EventKind
+from walnutquay.state.feeds import Change, Changes, Listing
+from walnutquay.state.ids import EndpointName
+from walnutquay.state.instances import Instance, InstanceBook
+from walnutquay.state.orders import RolloutOrder
+from walnutquay.transport.timers import monotonic
+
+log = logbook.Logger(__name__)
+
+# Endpoints write their entries again within some two seconds of the store's
+# return; they may be used for so long, and no longer than two.
+OVERDUE_SECONDS = 1.9
+OVERDUE_CHECK_SECONDS = 0.1
+# A request that would be denied waits so long for the store to confirm that.
+CONFIRM_SECONDS = 0.4
+# What the store confirmed so short a time ago is not asked again.
+FRESH_SECONDS = 0.1
+
+
+class CatalogueSink:
+    """Takes in the operators' configuration.
+
+    :param context: what this process shares.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.current: Catalogue | None = None
+        # When the version in force came into force here; monotonic seconds.
+        self.taken_at = 0.0
+        self.listeners: list[Callable[[Catalogue], None]] = []
+
+    def take_listing(self, listing: Listing[Catalogue]) -> None:
+        """:param listing: all configurations: one, or none yet."""
+        for catalogue in listing.items.values():
+            self.take(catalogue)
+
+    def take_changes(self, changes: Changes[Catalogue]) -> None:
+        """:param changes: newer configurations, in order."""
+        for change in changes.changes:
+            if change.item is not None:
+                self.take(change.item)
+
+    def on_return(self) -> None:
+        """Note that the store is back, which changes nothing here."""
+        return
+
+    def take(self, catalogue: Catalogue) -> bool:
+        """Put a configuration in force, unless it is an older one.
+
+        :param catalogue: the configuration.
+        :returns: whether it is newer than the one in force.
+        """
+        if self.current is not None and catalogue.version <= self.current.version:
+            return False
+        self.current = catalogue
+        self.taken_at = monotonic()
+        self.context.timeline.emit(
+            EventKind.CONFIGURED,
+            version=str(catalogue.version),
+            detail=f"{len(catalogue.routes)} routes, "
+            f"{len(catalogue.organisations)} organisations",
+        )
+        for listener in self.listeners:
+            listener(catalogue)
+        return True
+
+
+class InstanceSink:
+    """Takes in the running endpoints.
+
+    :param context: what this process shares.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.book = InstanceBook(OVERDUE_SECONDS)
+        # Whether a whole list has ever been read.
+        self.listed = False
+        # Told of each instance that is new, leaving or gone.
+        self.listeners: list[Callable[[EndpointName, Instance | None], None]] = []
+
+    def take_listing(self, listing: Listing[Instance]) -> None:
+        """:param listing: all endpoints' entries."""
+        now = monotonic()
+        self.listed = True
+        for instance in listing.items.values():
+            self._put(instance, now)
+        for name in self.book.replace_all(listing.items.values(), now):
+            self._tell_gone(name, "not listed")
+
+    def take_changes(self, changes: Changes[Instance]) -> None:
+        """:param changes: entries that have changed, in order."""
+        now = monotonic()
+        for change in changes.changes:
+            self._take_change(change, now)
+
+    def on_return(self) -> None:
+        """Doubt deletions for a while: entries lapse while the store is away."""
+        self.book.doubt_deletions(monotonic())
+
+    def drop_overdue(self) -> None:
+        """Forget the endpoints whose entries have not come back."""
+        for name in self.book.drop_overdue(monotonic()):
+            self._tell_gone(name, "its entry did not come back")
+
+    def _take_change(self, change: Change[Instance], now: float) -> None:
+        if change.item is not None:
+            self._put(change.item, now)
+        elif self.book.remove(EndpointName(change.name), now):
+            self._tell_gone(EndpointName(change.name), "its entry was deleted")
+
+    def _put(self, instance: Instance, now: float) -> None:
+        before = self.book.known.get(instance.name)
+        self.book.put(instance, now)
+        if before == instance:
+            return
+        if before is None or instance.leaving != before.leaving:
+            state = "leaving" if instance.leaving else "ready"
+            self.context.timeline.emit(
+                EventKind.ENDPOINT_LEAVING
+                if instance.leaving
+                else EventKind.ENDPOINT_LISTED,
+                endpoint=instance.name,
+                version=instance.version,
+                detail=f"{instance.service} in {instance.hall} is {state}",
+            )
+        for listener in self.listeners:
+            listener(instance.name, instance)
+
+    def _tell_gone(self, name: EndpointName, reason: str) -> None:
+        self.context.timeline.emit(
+            EventKind.ENDPOINT_GONE, endpoint=name, detail=reason
+        )
+        for listener in self.listeners:
+            listener(name, None)
+
+
+class OrderSink:
+    """Takes in the operators' roll-out orders.
+
+    :param context: what this process shares.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.orders: dict[str, RolloutOrder] = {}
+        self.listed = False
+        self.listeners: list[Callable[[RolloutOrder], None]] = []
+
+    def take_listing(self, listing: Listing[RolloutOrder]) -> None:
+        """:param listing: all orders."""
+        self.listed = True
+        for name in [name for name in self.orders if name not in listing.items]:
+            del self.orders[name]
+        for order in listing.items.values():
+            self.take(order)
+
+    def take_changes(self, changes: Changes[RolloutOrder]) -> None:
+        """:param changes: orders that have changed, in order."""
+        for change in changes.changes:
+            if change.item is None:
+                self.orders.pop(change.name, None)
+            else:
+                self.take(change.item)
+
+    def on_return(self) -> None:
+        """Note that the store is back, which changes nothing here."""
+        return
+
+    def take(self, order: RolloutOrder) -> None:
+        """Take in an order, unless it is an older state of one that is known.
+
+        :param order: the order.
+        """
+        known = self.orders.get(order.name)
+        if known is not None and order.revision <= known.revision:
+            return
+        self.orders[order.name] = order
+        self.context.timeline.emit(
+            EventKind.ORDERED,
+            version=order.version,
+            detail=f"{order.service}: {order.state.value}, revision {order.revision}",
+        )
+        for listener in self.listeners:
+            listener(order)
+
+
+class Knowledge:
+    """All that this VM follows in the store.
+
+    :param context: what this process shares.
+    :param catalogues: the operators' configuration.
+    :param instances: the running endpoints.
+    :param orders: the roll-out orders.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        catalogues: Feed[Catalogue],
+        instances: Feed[Instance],
+        orders: Feed[RolloutOrder],
+    ) -> None:
+        self.context = context
+        self.catalogue = CatalogueSink(context)
+        self.instances = InstanceSink(context)
+        self.orders = OrderSink(context)
+        self.catalogue_follower = Follower(context, catalogues, self.catalogue)
+        self.instance_follower = Follower(context, instances, self.instances)
+        self.order_follower = Follower(context, orders, self.orders)
+        self.tasks = Tasks()
+        # The one confirmation that is under way, shared by all who wait for it.
+        self.confirming: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        for follower in self.followers():
+            self.tasks.forever(follower.feed.kind, follower.run)
+        self.context.timers.every(
+            "overdue endpoints", OVERDUE_CHECK_SECONDS, self.instances.drop_overdue
+        )
+
+    def stop(self) -> None:
+        """Follow no more; what is known stays."""
+        self.tasks.stop()
+
+    def followers(self) -> tuple[Follower, ...]:
+        """:returns: the followers, one for each kind."""
+        return (self.catalogue_follower, self.instance_follower, self.order_follower)
+
+    @property
+    def ready(self) -> bool:
+        """Whether enough is known to serve callers."""
+        return self.catalogue.current is not None and self.instances.listed
+
+    async def confirm(self) -> None:
+        """Ask the store for the newest configuration, but do not wait for long.
+
+        Called before a caller is told that a key or a route does not exist: the
+        caller may have learnt of it before this VM has.
+        """
+        if self.catalogue_follower.age() < FRESH_SECONDS:
+            return
+        if self.confirming is None or self.confirming.done():
+            self.confirming = self.tasks.spawn(self._confirm())
+        await asyncio.wait([self.confirming], timeout=CONFIRM_SECONDS)
+
+    async def _confirm(self) -> None:
+        try:
+            await self.catalogue_follower.relist()
+        except PlatformError as error:
+            log.warn("the configuration could not be confirmed: {}", error)
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/parts.py
@@ -16,10 +16,10 @@
 from walnutquay.coordination.endpoints import EndpointNews
 from walnutquay.coordination.engines import Engines
 from walnutquay.coordination.health import VersionHealth
+from walnutquay.coordination.keyed import KeyedParts
 from walnutquay.coordination.leases import Lease
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.members import Members
-from walnutquay.coordination.pathparts import KeyedParts
 from walnutquay.coordination.pins import SessionPins
 from walnutquay.coordination.planning import ChatPlanner
 from walnutquay.coordination.platform import Platform
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -8,7 +8,6 @@
 
 from expression import Error, Result
 
-from walnutquay.coordination.admission import Grant, Need
 from walnutquay.coordination.outcomes import (
     Arrival,
     Outcome,
@@ -16,7 +15,8 @@
     Unknown,
 )
 from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.turns import Turn
+from walnutquay.coordination.places import Grant, Need
+from walnutquay.coordination.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.state.events import EventKind
 from walnutquay.state.refusals import Refusal, RefusalCode
--- /dev/null
+++ b/walnutquay/coordination/places.py
@@ -0,0 +1,83 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What a request needs a place for, and the place that it gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+
+from walnutquay.state.ids import (
+    EndpointName,
+    OrganisationName,
+    RequestId,
+    WorkKind,
+)
+from walnutquay.state.instances import Instance
+from walnutquay.state.parts import Endpoint
+from walnutquay.state.refusals import Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a request needs a place for.
+
+    :param request: its id.
+    :param organisation: whose it is.
+    :param weight: the organisation's weight.
+    :param target: the version or service that is to run.
+    :param deadline: when the answer is due; monotonic seconds.
+    :param since: since when it has been looking for a place.
+    :param hint: the endpoint that is likely to have the prompt cached.
+    :param tried: endpoints that have failed this request.
+    :param prefix: what stands for the prompt's beginning; empty for none.
+    :param version: the version of a service's software; empty for any.
+    """
+
+    request: RequestId
+    organisation: OrganisationName
+    weight: float
+    target: str
+    deadline: float
+    since: float
+    hint: str = ""
+    tried: frozenset[str] = frozenset()
+    prefix: str = ""
+    version: str = ""
+
+
+@dataclass(slots=True)
+class Grant:
+    """A place at an endpoint, to be given back with :meth:`Admission.release`.
+
+    :param endpoint: where.
+    :param started: since when; monotonic seconds.
+    :param work: the kind of work of the pool at that time.
+    """
+
+    endpoint: Endpoint | Instance
+    started: float
+    work: WorkKind
+
+    @property
+    def name(self) -> EndpointName:
+        """The endpoint's name."""
+        return EndpointName(self.endpoint.name)
+
+
+class Places(Protocol):
+    """Gives out places at endpoints."""
+
+    async def acquire(self, need: Need) -> Result[Grant, Refusal]:
+        """:param need: what for.
+
+        :returns: a place, or why there is none.
+        """
+
+    def release(self, grant: Grant) -> None:
+        """:param grant: a place to give back."""
+
+    def full(self, grant: Grant) -> None:
+        """:param grant: a place that its endpoint did not have after all."""
--- a/walnutquay/coordination/planning.py
+++ b/walnutquay/coordination/planning.py
@@ -8,8 +8,8 @@
 
 from expression import Error, Ok, Result
 
+from walnutquay.coordination.keyed import KeyedParts
 from walnutquay.coordination.outcomes import ChatArrival
-from walnutquay.coordination.pathparts import KeyedParts
 from walnutquay.coordination.pins import SessionPins
 from walnutquay.coordination.quality import AnswerQuality
 from walnutquay.coordination.turns import ChatTurn
--- /dev/null
+++ b/walnutquay/coordination/routed.py
@@ -0,0 +1,451 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The path of requests on the operators' routes: plain calls and streams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Protocol
+
+import aiohttp
+
+from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.outcomes import Outcome, Streamed, Unknown, Whole
+from walnutquay.coordination.pathparts import PathParts
+from walnutquay.coordination.paths import RequestPath
+from walnutquay.coordination.places import Grant, Need
+from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
+from walnutquay.exceptions import EndpointError, NotStartedError
+from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
+from walnutquay.protocol.chat import StreamParser
+from walnutquay.protocol.streams import StreamProgress
+from walnutquay.state.admission import RetryBudget
+from walnutquay.state.claims import WholeAnswer
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import EndpointName, ServiceName
+from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.requests import Continuing, Dispatched, Received
+from walnutquay.state.sizing import ModelChoice
+from walnutquay.transport.client import READ_BYTES, Exchange, HttpClient
+from walnutquay.transport.timers import monotonic
+
+# An answer larger than this is not passed on.
+MAX_ANSWER = 32 << 20
+# A request that so many endpoints have turned away is refused, not sent on.
+MAX_REFUSALS = 2
+# When to come back where the chosen endpoints had no room.
+TURNED_AWAY_RETRY = 0.5
+# When to come back where this VM does not know enough yet.
+UNREADY_RETRY = 0.5
+CODE_TIMEOUT = "timeout"
+
+
+class Dialect(Protocol):
+    """Writes heads for endpoints and reads theirs."""
+
+    def encode_call(
+        self, head: CallHead, order: SendOrder
+    ) -> Sequence[tuple[str, str]]:
+        """:param head: the caller's head.
+
+        :param order: what we add.
+        """
+
+    def decode_answer(
+        self, status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
+    ) -> AnswerHead:
+        """:param status: the HTTP status.
+
+        :param headers: by name without regard to case.
+        :param raw: the same in order, as they came.
+        """
+
+
+class FailedAnswerError(EndpointError):
+    """The endpoint ran the request and answered that it failed.
+
+    :param answer: its answer, for callers where no other can be had.
+    """
+
+    def __init__(self, answer: WholeAnswer, *, peer: str) -> None:
+        super().__init__(f"it answered {answer.status}", step="answer", peer=peer)
+        self.answer = answer
+
+
+class VersionPolicy(Protocol):
+    """Says which version of a service serves a request, and learns how it went."""
+
+    def version_for(self, turn: RoutedTurn) -> str:
+        """:param turn: the request.
+
+        :returns: the only version to use; empty for any that may be.
+        """
+
+    def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+        """:param turn: the request.
+
+        :param grant: who answered.
+        :param seconds: until the answer's head, or that of its stream.
+        """
+
+    def failed(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: the request.
+
+        :param grant: who ran it and failed.
+        """
+
+
+class RoutedPath(RequestPath):
+    """Serves requests on the operators' routes.
+
+    :param parts: what it works with.
+    :param knowledge: what is known from the store.
+    :param client: the connections to endpoints.
+    :param dialect: writes and reads heads.
+    :param models: chooses among models by size.
+    :param versions: chooses among versions while one is rolled out.
+    :param budget: makes the retry budget of a service.
+    """
+
+    def __init__(
+        self,
+        parts: PathParts,
+        knowledge: Knowledge,
+        client: HttpClient,
+        dialect: Dialect,
+        models: ModelChoice,
+        versions: VersionPolicy,
+        budget: Callable[[], RetryBudget],
+    ) -> None:
+        super().__init__(parts)
+        self.knowledge = knowledge
+        self.client = client
+        self.dialect = dialect
+        self.models = models
+        self.versions = versions
+        self.budget = budget
+        self.budgets: dict[ServiceName, RetryBudget] = {}
+
+    def unready(self) -> Refusal | None:
+        """:returns: why this VM knows too little to serve, or None."""
+        if self.knowledge.ready:
+            return None
+        return Refusal(
+            RefusalCode.NOT_READY,
+            "this entry VM does not know the configuration yet",
+            UNREADY_RETRY,
+        )
+
+    async def run(self, arrival: RoutedArrival, stage: Received) -> Outcome:
+        """Serve a request that may be run.
+
+        :param arrival: the request.
+        :param stage: its stage.
+        """
+        route = arrival.route
+        service = route.destination(self.context.rng.random())
+        chosen = route.models and arrival.head.any_model
+        turn = RoutedTurn(
+            arrival,
+            service,
+            self.models.first(route) if chosen else None,
+            StreamProgress(arrival.head.last_event),
+        )
+        self.budget_of(service).first_try()
+        return await self.attempts(turn, stage)
+
+    def budget_of(self, service: ServiceName) -> RetryBudget:
+        """:param service: a service.
+
+        :returns: this VM's share of the retries that it may get.
+        """
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = self.budget()
+        return budget
+
+    def may_retry(self, turn: RoutedTurn) -> bool:
+        """:param turn: a request that is to be sent once more."""
+        return self.budget_of(turn.service).take()
+
+    def need_of(self, turn: RoutedTurn) -> Need:
+        """:param turn: the request.
+
+        :returns: what it needs a place for now.
+        """
+        arrival = turn.arrival
+        return Need(
+            arrival.request,
+            arrival.organisation.name,
+            arrival.organisation.weight,
+            turn.target,
+            arrival.deadline,
+            turn.waiting_since,
+            turn.hint,
+            turn.tried,
+            turn.prefix,
+            self.versions.version_for(turn),
+        )
+
+    def still_allowed(self, turn: RoutedTurn) -> Refusal | None:
+        """:param turn: the request.
+
+        :returns: why it may not be sent any more, or None.
+        """
+        if turn.last_refusal is not None:
+            return turn.last_refusal
+        if turn.seconds_left() > 0:
+            return None
+        return Refusal(RefusalCode.DEADLINE, "the request's time is over")
+
+    def on_dispatch(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a request that is sent now.
+
+        :param grant: the endpoint.
+        """
+        turn.sends += 1
+
+    def on_not_started(self, turn: RoutedTurn, grant: Grant) -> None:
+        """Decide whether another endpoint may be asked.
+
+        :param turn: a request that an endpoint did not begin.
+        :param grant: the endpoint.
+        """
+        turn.sends -= 1
+        turn.refusals += 1
+        turn.tried |= {grant.name}
+        if turn.refusals > MAX_REFUSALS or not self.may_retry(turn):
+            turn.last_refusal = Refusal(
+                RefusalCode.NO_ENDPOINT,
+                f"{turn.refusals} endpoints of {turn.service} did not take it",
+                TURNED_AWAY_RETRY,
+            )
+
+    def count_failure(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a request that failed.
+
+        :param grant: the endpoint that failed it.
+        """
+        super().count_failure(turn, grant)
+        self.versions.failed(turn, grant)
+
+    async def give_up(
+        self, turn: RoutedTurn, running: Dispatched, error: EndpointError
+    ) -> Outcome:
+        """End a request whose last try has failed.
+
+        :param turn: the request.
+        :param running: its stage.
+        :param error: how it failed.
+        """
+        if turn.progress.begun:
+            running.unknown()
+            return Streamed(whole=False)
+        if isinstance(error, FailedAnswerError):
+            running.answered()
+            return Whole(error.answer)
+        if turn.seconds_left() <= 0:
+            reason = "no answer came in time"
+            return Unknown(running.unknown(), reason, CODE_TIMEOUT, 504)
+        return Unknown(running.unknown(), f"the endpoint failed: {error}")
+
+    async def no_place(
+        self, turn: RoutedTurn, stage: Received | Continuing, refusal: Refusal
+    ) -> Outcome:
+        """End a request for which there is no place.
+
+        :param turn: the request.
+        :param stage: its stage.
+        :param refusal: why.
+        """
+        if turn.progress.begun and isinstance(stage, Continuing):
+            stage.unknown()
+            return Streamed(whole=False)
+        return await super().no_place(turn, stage, refusal)
+
+    # One endpoint.
+
+    async def exchange(
+        self, turn: RoutedTurn, running: Dispatched, grant: Grant
+    ) -> Outcome | Received | Continuing:
+        """Talk to an endpoint.
+
+        :param turn: the request.
+        :param running: its stage.
+        :param grant: the endpoint.
+        """
+        started = monotonic()
+        async with self._send(turn, grant) as answer:
+            head = self._read_head(turn, grant, answer)
+            seconds = monotonic() - started
+            if head.status >= 500:
+                body = await _whole_body(answer, grant.name)
+                raise FailedAnswerError(_as_whole(head, body), peer=grant.name)
+            if turn.streamed and head.status == 200:
+                larger = self._larger_model(turn, grant, head)
+                if larger is not None:
+                    turn.model = larger
+                    return running.go_on()
+                await self._pass_stream(turn, head, answer, grant)
+                self._learn(turn, grant, seconds)
+                running.answered()
+                return Streamed(whole=True)
+            body = await _whole_body(answer, grant.name)
+        self._learn(turn, grant, seconds)
+        running.answered()
+        return Whole(_as_whole(head, body))
+
+    def _send(self, turn: RoutedTurn, grant: Grant) -> Exchange:
+        arrival = turn.arrival
+        left = turn.seconds_left()
+        order = SendOrder(
+            instance=grant.name,
+            organisation=arrival.organisation.name if arrival.keyed else None,
+            seconds_left=left,
+            model=turn.model_name,
+            last_event=turn.progress.last_event,
+        )
+        return self.client.request(
+            arrival.method,
+            grant.endpoint.address + arrival.target,
+            peer=grant.name,
+            data=arrival.body or None,
+            headers=self.dialect.encode_call(arrival.head, order),
+            timeout=max(0.01, left),
+            repeatable=arrival.route.repeatable,
+        )
+
+    def _read_head(
+        self, turn: RoutedTurn, grant: Grant, answer: aiohttp.ClientResponse
+    ) -> AnswerHead:
+        """Read an answer's head, and check that it is ours.
+
+        :raises NotStartedError: if the endpoint says that it did not begin.
+        :raises EndpointError: if the answer belongs to another request.
+        """
+        raw = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in answer.raw_headers
+        ]
+        head = self.dialect.decode_answer(answer.status, answer.headers, raw)
+        if head.running is not None:
+            load = head.running + head.waiting
+            self.parts.table.report(grant.name, load, "", monotonic())
+        if head.request and head.request != turn.arrival.head.request:
+            answer.close()
+            raise EndpointError(
+                "the answer belongs to another request", step="answer", peer=grant.name
+            )
+        if head.not_run:
+            raise NotStartedError(
+                f"the endpoint did not begin ({head.status})",
+                step="refused",
+                peer=grant.name,
+            )
+        return head
+
+    def _larger_model(
+        self, turn: RoutedTurn, grant: Grant, head: AnswerHead
+    ) -> int | None:
+        """Decide whether a larger model is to answer instead of this one."""
+        if turn.model is None or turn.progress.begun:
+            return None
+        larger = self.models.next(turn.arrival.route, turn.model, head.confidence)
+        if larger is None or not turn.repeatable or not self.may_retry(turn):
+            return None
+        self.context.metrics.count("escalated")
+        self.context.timeline.emit(
+            EventKind.ESCALATED,
+            request=turn.arrival.request,
+            endpoint=grant.name,
+            version=turn.arrival.route.models[larger],
+            detail=f"the smaller model's confidence was {head.confidence}",
+        )
+        return larger
+
+    def _learn(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+        kind = f"{turn.target}/{turn.arrival.route.name}/{turn.model}"
+        now = monotonic()
+        self.parts.table.succeeded(EndpointName(grant.name), kind, seconds, now)
+        self.versions.succeeded(turn, grant, seconds)
+
+    async def _pass_stream(
+        self,
+        turn: RoutedTurn,
+        head: AnswerHead,
+        answer: aiohttp.ClientResponse,
+        grant: Grant,
+    ) -> None:
+        """Pass whole events on to the caller until the stream has ended.
+
+        :raises EndpointError: if it ends early.
+        """
+        reply = turn.arrival.reply
+        assert reply is not None
+        watched = ConnectionEnd(answer)
+        parser = StreamParser()
+        if not turn.progress.begun:
+            turn.progress.begun = True
+            await reply.begin(head)
+        async for data in answer.content.iter_any():
+            events = [e for e in parser.feed(data) if turn.progress.accept(e)]
+            if events:
+                await reply.write(b"".join(events))
+        watched.check(grant.name)
+        if parser.buffer:
+            raise EndpointError(
+                "the stream ended within an event", step="stream", peer=grant.name
+            )
+
+
+class ConnectionEnd:
+    """Tells whether an answer that ends with its connection is whole.
+
+    Make it when the head has come; call :meth:`check` when the body has ended.
+
+    :param answer: the answer.
+    """
+
+    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+        framed = (
+            answer.headers.get("Content-Length") is not None
+            or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+            or answer.status in (204, 304)
+        )
+        connection = answer.connection
+        self.protocol = None if framed or connection is None else connection.protocol
+
+    def check(self, peer: str) -> None:
+        """:param peer: the endpoint's name, for errors.
+
+        :raises EndpointError: if the connection was reset, not closed.
+        """
+        if self.protocol is None:
+            return
+        failure = self.protocol.exception()
+        if isinstance(failure, OSError):
+            raise EndpointError(
+                "the connection was reset within the answer", step="answer", peer=peer
+            )
+
+
+async def _whole_body(answer: aiohttp.ClientResponse, peer: str) -> bytes:
+    """Read an answer's body.
+
+    :raises EndpointError: if it is not whole, or too large.
+    """
+    watched = ConnectionEnd(answer)
+    parts = []
+    size = 0
+    async for data in answer.content.iter_chunked(READ_BYTES):
+        size += len(data)
+        if size > MAX_ANSWER:
+            answer.close()
+            raise EndpointError("the answer is too large", step="answer", peer=peer)
+        parts.append(data)
+    watched.check(peer)
+    return b"".join(parts)
+
+
+def _as_whole(head: AnswerHead, body: bytes) -> WholeAnswer:
+    return WholeAnswer(head.status, head.content_type, body, head.headers)
--- /dev/null
+++ b/walnutquay/coordination/routedturn.py
@@ -0,0 +1,124 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""A routed request: as it came, and on its way."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from walnutquay.coordination.outcomes import Arrival
+from walnutquay.coordination.turn import Turn
+from walnutquay.protocol.calls import AnswerHead, CallHead
+from walnutquay.protocol.streams import StreamProgress
+from walnutquay.state.catalogue import Route, RouteKind
+from walnutquay.state.ids import ModelName, ServiceName, VersionName
+from walnutquay.state.refusals import Refusal
+from walnutquay.transport.timers import monotonic
+
+
+class RoutedReply(Protocol):
+    """The way back to the caller of a stream."""
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the status and the headers.
+
+        :param head: the first endpoint's.
+        """
+
+    async def write(self, data: bytes) -> None:
+        """Send whole events.
+
+        :param data: the events.
+        """
+
+
+@dataclass(slots=True)
+class RoutedArrival(Arrival):
+    """A request on one of the operators' routes.
+
+    :param head: its head.
+    :param method: the HTTP method.
+    :param target: path and query as they came.
+    :param route: its route.
+    :param catalogue_version: the version of the configuration that gave the route.
+    :param keyed: whether the organisation was found by a key.
+    :param reply: the way back for a stream.
+    """
+
+    head: CallHead = field(kw_only=True)
+    method: str = field(kw_only=True)
+    target: str = field(kw_only=True)
+    route: Route = field(kw_only=True)
+    catalogue_version: int = field(kw_only=True)
+    keyed: bool = True
+    reply: RoutedReply | None = None
+
+    @property
+    def priority(self) -> int:
+        """Its rank; the organisation's goes before the route's."""
+        own = self.organisation.priority
+        return self.route.priority if own is None else own
+
+
+@dataclass(slots=True)
+class RoutedTurn(Turn):
+    """A routed request on its way.
+
+    :param arrival: the request.
+    :param service: the service that serves it.
+    :param model: the index of the model that is asked; None where the caller
+        named it.
+    :param sends: how often it has been sent.
+    :param refusals: how many endpoints have said that they did not begin.
+    :param progress: how much of the answer the caller has.
+    :param version: the version of the service that is to run it; None for any.
+    :param last_refusal: why the last endpoint did not begin.
+    """
+
+    arrival: RoutedArrival
+    service: ServiceName
+    model: int | None
+    progress: StreamProgress
+    sends: int = 0
+    refusals: int = 0
+    version: VersionName | None = None
+    last_refusal: Refusal | None = None
+
+    @property
+    def target(self) -> str:
+        """The service's name."""
+        return self.service
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the route lets it run once more."""
+        route = self.arrival.route
+        return route.repeatable and self.sends < route.attempts
+
+    @property
+    def streamed(self) -> bool:
+        """Whether it is answered by a stream of events."""
+        return self.arrival.route.kind is RouteKind.STREAM
+
+    @property
+    def session(self) -> str:
+        """The session that it belongs to; empty if none is known."""
+        return self.arrival.head.session or self.arrival.head.prompt.own_part
+
+    @property
+    def prefix(self) -> str:
+        """The model, whose cache it is, and the subject of the prompt."""
+        subject = self.arrival.head.prompt.subject
+        return f"{self.model_name}\n{subject}" if subject else ""
+
+    @property
+    def model_name(self) -> ModelName | None:
+        """The model that is asked; None where the caller named it."""
+        if self.model is None:
+            return None
+        return self.arrival.route.models[self.model]
+
+    def seconds_left(self) -> float:
+        """:returns: seconds until the answer is due."""
+        return self.arrival.deadline - monotonic()
--- a/walnutquay/coordination/services.py
+++ b/walnutquay/coordination/services.py
@@ -4,10 +4,9 @@
 
 from __future__ import annotations
 
-from walnutquay.coordination.admission import Grant
-from walnutquay.coordination.keyed import KeyedPath
+from walnutquay.coordination.keyed import KeyedParts, KeyedPath
 from walnutquay.coordination.outcomes import Outcome, ServiceArrival, Whole
-from walnutquay.coordination.pathparts import KeyedParts
+from walnutquay.coordination.places import Grant
 from walnutquay.coordination.turns import ServiceTurn
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol import chat
--- a/walnutquay/coordination/turns.py
+++ b/walnutquay/coordination/turns.py
@@ -4,61 +4,21 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from dataclasses import dataclass, field, replace
 
-from walnutquay.coordination.outcomes import Arrival, ChatArrival, ServiceArrival
+from walnutquay.coordination.outcomes import ChatArrival, ServiceArrival
+from walnutquay.coordination.turn import Turn
 from walnutquay.protocol import chat
 from walnutquay.state.claims import WholeAnswer
 from walnutquay.state.parts import Version
 from walnutquay.state.requests import CostLine
 from walnutquay.state.routing import Plan
 from walnutquay.state.sessions import Pin
-from walnutquay.transport.timers import monotonic
 
 # Prices are those of so many tokens.
 TOKENS_PER_PRICE = 1000
 
 
-@dataclass(slots=True)
-class Turn(ABC):
-    """A request on its way to an outcome.
-
-    :param arrival: the request.
-    :param tried: endpoints that have failed it.
-    :param waiting_since: since when it has been looking for a place.
-    """
-
-    arrival: Arrival
-    tried: frozenset[str] = field(default=frozenset(), kw_only=True)
-    waiting_since: float = field(default_factory=monotonic, kw_only=True)
-
-    @property
-    @abstractmethod
-    def target(self) -> str:
-        """The version or service that is to run now."""
-
-    @property
-    @abstractmethod
-    def repeatable(self) -> bool:
-        """Whether it may be sent again after an endpoint has failed it."""
-
-    @property
-    def session(self) -> str:
-        """The session that it belongs to; empty if none."""
-        return ""
-
-    @property
-    def hint(self) -> str:
-        """The endpoint that is likely to have its prompt cached."""
-        return ""
-
-    @property
-    def prefix(self) -> str:
-        """What stands for the beginning of its prompt; empty if it has none."""
-        return ""
-
-
 @dataclass(slots=True)
 class ChatTurn(Turn):
     """A chat request on its way, with what has come of it so far.
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import signal
 import sys
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from walnutquay.coordination.parts import Parts
 from walnutquay.daemon.administration import AdministrationApi
 from walnutquay.daemon.callers import CallersApi
+from walnutquay.daemon.collector import tune_collector
 from walnutquay.logs import open_log
 from walnutquay.settings import Settings
 from walnutquay.state.events import EventKind
@@ -24,8 +24,6 @@
 log = logbook.Logger(__name__)
 
 SECONDS_PER_DAY = 86400.0
-# Objects that are made before the collector looks at the young ones.
-GC_THRESHOLD = 20_000
 
 
 class EntryDaemon:
@@ -101,17 +99,6 @@
         log.info("stopped")
 
 
-def tune_collector() -> None:
-    """Keep the garbage collector off what lives as long as the process.
-
-    A request makes some hundred objects and few cycles; with the default
-    threshold each request set off a collection.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-
-
 def announce_on_stdout(ports: dict[str, int]) -> None:
     """Print the ports as one line of JSON, for whoever started the daemon.
 
--- /dev/null
+++ b/walnutquay/daemon/gateway.py
@@ -0,0 +1,148 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The daemon that serves the platform's callers: it assembles, serves and stops."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import logbook
+import uvloop
+
+from walnutquay.coordination.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.pathparts import PathParts
+from walnutquay.coordination.recorder import TraceRecorder
+from walnutquay.coordination.routed import RoutedPath
+from walnutquay.coordination.routedplaces import RoutedPlaces
+from walnutquay.coordination.versions import AnyVersion
+from walnutquay.daemon.collector import tune_collector
+from walnutquay.daemon.gatewayapi import GatewayApi
+from walnutquay.logs import open_log
+from walnutquay.platform.calls import PlatformDialect
+from walnutquay.platform.feeds import catalogue_feed, instance_feed, order_feed
+from walnutquay.platform.store import StoreClient
+from walnutquay.settings import GatewayOptions, Settings, host_and_port
+from walnutquay.state.admission import RetryBudget
+from walnutquay.state.endpoints import EndpointTable
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.sizing import ModelChoice
+from walnutquay.transport.client import HttpClient
+
+log = logbook.Logger(__name__)
+
+# The platform asks each second and takes a VM out after two misses; callers are
+# still sent here for so long after the first "not ready".
+BALANCER_SECONDS = 3.2
+# What is left of the time to stop once requests must have ended.
+EXIT_SECONDS = 0.4
+# Repeated requests are kept to this part of what the platform allows, as its
+# spans and ours do not begin together.
+BUDGET_MARGIN = 0.8
+# Until more is known, so many VMs are taken to share the extra retries.
+ASSUMED_VMS = 7
+
+
+class GatewayDaemon:
+    """Runs one entry VM of the platform until it is told to stop.
+
+    :param settings: the daemon's settings.
+    """
+
+    def __init__(self, settings: Settings[GatewayOptions]) -> None:
+        options = settings.options
+        self.options = options
+        vm = VmName(options.vm.name)
+        hall = HallName(options.vm.hall)
+        timeline = Timeline(vm, options.memory.events, options.log.events)
+        self.context = Context(
+            vm, hall, new_incarnation(), timeline, region=options.vm.region
+        )
+        self.store = StoreClient(options.store.address)
+        self.knowledge = Knowledge(
+            self.context,
+            catalogue_feed(self.store),
+            instance_feed(self.store),
+            order_feed(self.store),
+        )
+        self.client = HttpClient()
+        self.path = self._make_path()
+        self.api = GatewayApi(self.context, self.knowledge, self.path)
+        self.stopping = asyncio.Event()
+
+    def _make_path(self) -> RoutedPath:
+        table = EndpointTable(self.context.hall, self.context.rng)
+        versions = AnyVersion()
+        places = RoutedPlaces(
+            self.context, self.knowledge.instances.book, table, versions.allowed
+        )
+        parts = PathParts(self.context, places, table, RetryBudget(), TraceRecorder())
+        return RoutedPath(
+            parts,
+            self.knowledge,
+            self.client,
+            PlatformDialect(),
+            ModelChoice(),
+            versions,
+            self._budget,
+        )
+
+    def _budget(self) -> RetryBudget:
+        promises = self.options.promises
+        return RetryBudget(
+            promises.retry_share * BUDGET_MARGIN,
+            promises.retry_extra * BUDGET_MARGIN / ASSUMED_VMS,
+        )
+
+    async def run(self) -> None:
+        """Serve until :attr:`stopping` is set, then stop as planned."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self.knowledge.start()
+        options = self.options
+        await self.api.ready_server.start(*host_and_port(options.ready.address))
+        await self.api.server.start(*host_and_port(options.callers.address))
+        self.context.timeline.emit(EventKind.STARTED)
+        tune_collector()
+        await self.stopping.wait()
+        await self._stop()
+
+    def _reload(self) -> None:
+        """Take SIGHUP: what the settings say is fixed for a process's life."""
+        self.context.timeline.emit(EventKind.RELOADED, detail="nothing changes here")
+
+    async def _stop(self) -> None:
+        """Stop without cutting a request."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.options.promises.stop_seconds - EXIT_SECONDS
+        self.context.timeline.emit(EventKind.STOPPING)
+        self.api.open = False
+        self.api.server.draining = True
+        await asyncio.sleep(BALANCER_SECONDS)
+        self.api.server.close_listener()
+        if not await self.api.server.idle(end - loop.time()):
+            log.error("{} requests did not end in time", self.api.server.in_flight)
+        self.context.timeline.emit(EventKind.STOPPED)
+        self.knowledge.stop()
+        self.context.timers.stop()
+        await self.api.server.stop()
+        await self.api.ready_server.stop()
+        await self.client.close()
+        await self.store.close()
+
+
+async def _serve(settings: Settings[GatewayOptions]) -> None:
+    await GatewayDaemon(settings).run()
+
+
+def run_gateway(settings: Settings[GatewayOptions]) -> None:
+    """Run the daemon in this process until it is told to stop.
+
+    :param settings: the daemon's settings.
+    """
+    open_log(settings.options.log, settings.options.vm.name)
+    uvloop.run(_serve(settings))
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -4,14 +4,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
 
 from walnutquay.exceptions import MessageError
 from walnutquay.platform import names
+from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
 from walnutquay.protocol.services import HOP_BY_HOP
-from walnutquay.state.ids import ModelName, OrganisationName, RequestId, SessionId
-from walnutquay.state.instances import Instance
+from walnutquay.state.ids import ModelName, RequestId, SessionId
 from walnutquay.state.keys import bearer_key
 from walnutquay.state.prompts import Prompt, PromptPart
 
@@ -19,60 +18,6 @@
 MAX_EVENT_ID = 1 << 62
 
 
-@dataclass(frozen=True, slots=True)
-class CallHead:
-    """The head of a caller's request.
-
-    :param request: the id of this try; empty where the caller sent none.
-    :param host: the host that it named.
-    :param key: the key that it presented; empty if none.
-    :param seconds_left: how long it still waits; None where it did not say.
-    :param model: the model that it named; empty if none.
-    :param any_model: whether it leaves the model to us.
-    :param prompt: its prompt's size and parts.
-    :param session: its session; empty if it named none.
-    :param last_event: the event after which a stream is to go on; None for a
-        stream from its beginning.
-    :param headers: those that are passed on as they came.
-    """
-
-    request: RequestId
-    host: str
-    key: str
-    seconds_left: float | None
-    model: ModelName
-    any_model: bool
-    prompt: Prompt
-    session: SessionId
-    last_event: int | None
-    headers: tuple[tuple[str, str], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """The head of an endpoint's answer.
-
-    :param status: the HTTP status.
-    :param request: the id that it answers; empty where it repeats none.
-    :param not_run: whether the endpoint says that it did not begin.
-    :param running: requests that it runs; None where it does not say.
-    :param waiting: requests that wait there.
-    :param slots: requests that it runs at once.
-    :param confidence: the model's own opinion of its answer, 0 to 100; None
-        where it gives none.
-    :param headers: those that are passed back as they came.
-    """
-
-    status: int
-    request: RequestId
-    not_run: bool
-    running: int | None
-    waiting: int
-    slots: int
-    confidence: float | None
-    headers: tuple[tuple[str, str], ...]
-
-
 def decode_call(headers: Mapping[str, str], raw: Iterable[tuple[str, str]]) -> CallHead:
     """:param headers: the request's headers, by name without regard to case.
 
@@ -141,34 +86,24 @@
     )
 
 
-def encode_call(
-    head: CallHead,
-    instance: Instance,
-    organisation: OrganisationName | None,
-    seconds_left: float,
-    model: ModelName | None,
-    last_event: int | None,
-) -> list[tuple[str, str]]:
+def encode_call(head: CallHead, order: SendOrder) -> list[tuple[str, str]]:
     """Write the head that an endpoint gets.
 
     :param head: the caller's.
-    :param instance: who is to run it.
-    :param organisation: whose request it is; None where keys are not used.
-    :param seconds_left: how long the endpoint may work on it.
-    :param model: the model to use, where we choose it.
-    :param last_event: the event after which to go on, if any was passed on.
+    :param order: what we add.
     """
+    left = max(1, int(order.seconds_left * MILLISECONDS))
     ours = [
         ("Host", head.host),
-        (names.TIME_LEFT, str(max(1, int(seconds_left * MILLISECONDS)))),
-        (names.EXPECTED_INSTANCE, instance.name),
+        (names.TIME_LEFT, str(left)),
+        (names.EXPECTED_INSTANCE, order.instance),
     ]
-    if organisation is not None:
-        ours.append((names.ORGANISATION, organisation))
-    if model is not None:
-        ours.append((names.MODEL, model))
-    if last_event is not None:
-        ours.append((names.LAST_EVENT, str(last_event)))
+    if order.organisation is not None:
+        ours.append((names.ORGANISATION, order.organisation))
+    if order.model is not None:
+        ours.append((names.MODEL, order.model))
+    if order.last_event is not None:
+        ours.append((names.LAST_EVENT, str(order.last_event)))
     replaced = {name.lower() for name, _ in ours}
     kept = [pair for pair in head.headers if pair[0].lower() not in replaced]
     return kept + ours
@@ -193,8 +128,11 @@
         waiting=int(load[1]) if known else 0,
         slots=int(load[2]) if known else 0,
         confidence=_confidence(confidence),
+        content_type=headers.get("Content-Type", ""),
         headers=tuple(
-            (name, value) for name, value in raw if name.lower() not in HOP_BY_HOP
+            (name, value)
+            for name, value in raw
+            if name.lower() not in HOP_BY_HOP and name.lower() != "content-type"
         ),
     )
 
@@ -204,3 +142,27 @@
         return float(text) if text else None
     except ValueError:
         return None
+
+
+class PlatformDialect:
+    """Writes and reads heads for the request path."""
+
+    def encode_call(
+        self, head: CallHead, order: SendOrder
+    ) -> Sequence[tuple[str, str]]:
+        """:param head: the caller's head.
+
+        :param order: what we add.
+        :returns: what the endpoint gets.
+        """
+        return encode_call(head, order)
+
+    def decode_answer(
+        self, status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
+    ) -> AnswerHead:
+        """:param status: the HTTP status.
+
+        :param headers: by name without regard to case.
+        :param raw: the same in order, as they came.
+        """
+        return decode_answer(status, headers, raw)
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -9,9 +9,16 @@
 from collections.abc import Iterator, Mapping
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Generic, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, SecretStr, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    SecretStr,
+    StringConstraints,
+    ValidationError,
+)
 
 from walnutquay.exceptions import SettingsError
 from walnutquay.state.checking import problems_of
@@ -22,6 +29,9 @@
 ENV_SEPARATOR = "__"
 SHORTEST_KEY = 16
 
+ListenAddress = Annotated[
+    str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
+]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Positive = Annotated[float, Field(gt=0.0)]
 NotNegative = Annotated[float, Field(ge=0.0)]
@@ -193,24 +203,91 @@
     memory: MemorySection = MemorySection()
 
 
-class Settings:
+class ListenerSection(Section):
+    """A place to listen at."""
+
+    address: ListenAddress
+    """IP number and port, as `IP:port`."""
+
+
+class StoreSection(Section):
+    """The platform's metadata store."""
+
+    address: ListenAddress
+    """IP number and port, as `IP:port`."""
+
+
+class PeerLinkSection(Section):
+    """What entry VMs tell each other."""
+
+    address: ListenAddress
+    """IP number and port to listen at, as `IP:port`."""
+
+
+class PromisesSection(Section):
+    """The limits that the platform's operators set for all its routers."""
+
+    drain_seconds: Positive = 2.0
+    """How long a leaving endpoint may still be sent requests."""
+    stop_seconds: Positive = 8.0
+    """From SIGTERM until the process is killed."""
+    retry_share: NotNegative = 0.9
+    """Repeated requests for each first one, over all VMs."""
+    retry_seconds: Positive = 10.0
+    """The span in which repeated requests are counted."""
+    retry_extra: NotNegative = 50.0
+    """Repeated requests that are allowed in that span besides."""
+    trial_share: Share = 0.15
+    """The share of a service's requests that a bad version may get."""
+    trial_extra: NotNegative = 30.0
+    """Requests that it may get besides."""
+    withdraw_seconds: Positive = 5.0
+    """From the fiftieth bad answer of a version until it gets no more requests."""
+    session_seconds: Positive = 5.0
+    """Requests of one session come within this time of each other."""
+
+
+class GatewayOptions(Section):
+    """All sections of the daemon that serves the platform's callers."""
+
+    vm: VmSection
+    callers: ListenerSection
+    ready: ListenerSection
+    metrics: ListenerSection
+    peers: PeerLinkSection
+    store: StoreSection
+    promises: PromisesSection = PromisesSection()
+    log: LogSection = LogSection()
+    memory: MemorySection = MemorySection()
+
+
+AnyOptions = TypeVar("AnyOptions", bound=Section)
+
+
+class Settings(Generic[AnyOptions]):
     """The settings of one daemon.
 
     Use :meth:`load`; then ``settings.options.callers.port`` and the like, and
     :meth:`origin` to learn where a value came from.
     """
 
-    def __init__(self, options: Options, origins: dict[str, str]) -> None:
+    def __init__(self, options: AnyOptions, origins: dict[str, str]) -> None:
         self.options = options
         # Where each value that is no default came from, by dotted key.
         self.origins = origins
 
     @classmethod
-    def load(cls, path: Path, environment: Mapping[str, str] | None = None) -> Settings:
+    def load(
+        cls,
+        path: Path,
+        environment: Mapping[str, str] | None = None,
+        model: type[AnyOptions] = Options,
+    ) -> Settings[AnyOptions]:
         """Read a file and the environment over it.
 
         :param path: a TOML file.
         :param environment: variables; those of this process if None.
+        :param model: the sections that the daemon has.
         :raises SettingsError: naming file, key and reason.
         """
         plain = _read_toml(path)
@@ -220,9 +297,9 @@
             _put(plain, key, value)
             origins[key] = f"${name}"
         try:
-            options = Options.model_validate(plain)
+            options = model.model_validate(plain)
         except ValidationError as error:
-            problems = problems_of(error, str(path), Options)
+            problems = problems_of(error, str(path), model)
             raise SettingsError("\n".join(map(str, problems))) from error
         return cls(options, origins)
 
@@ -240,6 +317,15 @@
             yield key, str(value), self.origin(key)
 
 
+def host_and_port(address: str) -> tuple[str, int]:
+    """:param address: an address, as `IP:port`.
+
+    :returns: its two parts.
+    """
+    host, _, port = address.partition(":")
+    return host, int(port)
+
+
 def _read_toml(path: Path) -> dict[str, Any]:
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
--- a/walnutquay/state/refusals.py
+++ b/walnutquay/state/refusals.py
@@ -13,6 +13,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    SLOW_BODY = "body_too_slow"
     NO_KEY = "invalid_api_key"
     NOT_ALLOWED = "not_allowed"
     UNKNOWN_MODEL = "model_not_found"
@@ -36,6 +37,7 @@
 STATUS_OF = {
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.BODY_TOO_LARGE: 413,
+    RefusalCode.SLOW_BODY: 408,
     RefusalCode.NO_KEY: 401,
     RefusalCode.NOT_ALLOWED: 403,
     RefusalCode.UNKNOWN_MODEL: 404,
--- /dev/null
+++ b/walnutquay/state/sizing.py
@@ -0,0 +1,35 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Which model of a cascade by size answers, and when a larger one is asked."""
+
+from __future__ import annotations
+
+from walnutquay.state.catalogue import Route
+
+# An answer whose model thinks less of it, of 100, is asked of the largest model.
+# Measured on two sites: the worth is flat for bounds from 45 to 65.
+ENOUGH_CONFIDENCE = 55.0
+
+
+class ModelChoice:
+    """Chooses among the models of routes that leave the choice to us."""
+
+    def first(self, route: Route) -> int:
+        """:param route: a route with models.
+
+        :returns: the index of the model to begin with.
+        """
+        return 0
+
+    def next(self, route: Route, index: int, confidence: float | None) -> int | None:
+        """Judge an answer by its model's own opinion, before any of it is sent.
+
+        :param route: the route.
+        :param index: the model that answers.
+        :param confidence: its opinion, 0 to 100; None where it gave none.
+        :returns: the model to ask instead, or None to keep the answer.
+        """
+        last = len(route.models) - 1
+        if confidence is None or confidence >= ENOUGH_CONFIDENCE or index >= last:
+            return None
+        return last
--- /dev/null
+++ b/walnutquay/transport/gateway.py
@@ -0,0 +1,108 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""An HTTP server that hands on requests as they came, by aiohttp.
+
+Sanic routes by path and decodes it; requests on the operators' routes must reach
+endpoints unaltered, and a broken answer must end with its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import logbook
+from aiohttp import web
+
+log = logbook.Logger(__name__)
+
+BACKLOG = 1024
+# How often the end of the requests under way is looked for at a stop.
+POLL_SECONDS = 0.02
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True)
+class GatewayLimits:
+    """What callers may send.
+
+    :param header: bytes of the request line, and of each header.
+    :param idle_seconds: seconds for which an idle connection is kept.
+    """
+
+    header: int = 16 << 10
+    idle_seconds: float = 15.0
+
+
+class GatewayServer:
+    """One listening port with one handler for all requests.
+
+    A handler is cancelled when its caller leaves.
+
+    :param handler: answers each request.
+    :param limits: what callers may send.
+    """
+
+    def __init__(self, handler: Handler, limits: GatewayLimits) -> None:
+        self.handler = handler
+        self.limits = limits
+        # Whether each connection ends with its next answer.
+        self.draining = False
+        # Requests that have been read and not answered.
+        self.in_flight = 0
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.web = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=limits.idle_seconds,
+            max_line_size=limits.header,
+            max_field_size=limits.header,
+        )
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        :param host: the IP number to listen at.
+        :param port: the port; 0 takes a free one.
+        """
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        self.port = listener.getsockname()[1]
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.web, sock=listener, backlog=BACKLOG)
+
+    def close_listener(self) -> None:
+        """Take no new connections; those that are open go on."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def stop(self) -> None:
+        """Close everything."""
+        self.close_listener()
+        await self.web.shutdown(0)
+
+    async def idle(self, seconds: float) -> bool:
+        """Wait until no request is under way.
+
+        :param seconds: how long to wait at the most.
+        :returns: whether all have ended.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while self.in_flight and loop.time() < end:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+        return not self.in_flight
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_flight += 1
+        try:
+            return await self.handler(request)
+        finally:
+            self.in_flight -= 1
