--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
 from walnutquay.coordination.context import Context
@@ -13,9 +14,14 @@
 from walnutquay.state.feeds import Changes, Listing
 from walnutquay.transport.timers import monotonic
 
-# A watch that hears nothing is asked anew after this time.  A lost answer or a cut
-# is noticed only when it is overdue, and a change must be known 2 s after it.
-WATCH_SECONDS = 1.5
+# One kind is watched with short waits: a lost answer or a cut is noticed only when
+# an answer is overdue, and a change must be known 2 s after it was made.
+PULSE_SECONDS = 2.0
+# The others are watched with long waits, for each call has its price; they are
+# asked anew when the first kind has found that the store was away.
+WATCH_SECONDS = 10.0
+# While the store does not answer, calls wait no longer than this for changes.
+PROBE_SECONDS = 0.3
 # Pause after a failed call: the store is back in use soon after it returns, and
 # some ten VMs make few calls while it is away.
 RETRY_SECONDS = 0.25
@@ -47,9 +53,6 @@
     def take_changes(self, changes: Changes[Item]) -> None:
         """:param changes: what has changed since."""
 
-    def on_return(self) -> None:
-        """Note that the store answers again after it did not."""
-
 
 class Follower(Generic[Item]):
     """Keeps a sink up to date with one kind of object.
@@ -59,12 +62,26 @@
     :param context: what this process shares.
     :param feed: lists and watches the kind.
     :param sink: takes in what is learnt.
+    :param seconds: how long one watch waits for a change.
+    :param on_return: called when the store answers again after it did not.
     """
 
-    def __init__(self, context: Context, feed: Feed[Item], sink: Sink[Item]) -> None:
+    def __init__(
+        self,
+        context: Context,
+        feed: Feed[Item],
+        sink: Sink[Item],
+        seconds: float,
+        on_return: Callable[[], None],
+    ) -> None:
         self.context = context
         self.feed = feed
         self.sink = sink
+        self.seconds = seconds
+        self.on_return = on_return
+        # The step that is under way, and whether it is to be given up for another.
+        self.running: asyncio.Task[None] | None = None
+        self.nudged = False
         # The store's revision that the sink is up to date with; None before the
         # first list, and when the history since is gone.
         self.revision: int | None = None
@@ -79,20 +96,34 @@
     async def run(self) -> None:
         """Follow the kind for ever."""
         while True:
+            self.nudged = False
+            self.running = asyncio.ensure_future(self.step())
             try:
-                await self.step()
+                await self.running
+            except asyncio.CancelledError:
+                if not self.nudged:
+                    self.running.cancel()
+                    raise
             except HistoryGoneError:
                 self.revision = None
             except PlatformError as error:
                 self._failed(error)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def nudge(self) -> None:
+        """Ask anew at once: the call under way may never be answered."""
+        if self.running is not None and not self.running.done():
+            self.nudged = True
+            self.running.cancel()
+
     async def step(self) -> None:
         """List, or wait for the next changes."""
         if self.revision is None:
             await self.relist()
             return
-        changes = await self.feed.watch(self.revision, WATCH_SECONDS)
+        failing = self.failing_since is not None
+        seconds = PROBE_SECONDS if failing else self.seconds
+        changes = await self.feed.watch(self.revision, seconds)
         self._answered()
         if changes.changes:
             self.sink.take_changes(changes)
@@ -116,7 +147,7 @@
         self.context.timeline.emit(
             EventKind.PLATFORM_UP, detail=f"{self.feed.kind} after {seconds:.1f} s"
         )
-        self.sink.on_return()
+        self.on_return()
 
     def _failed(self, error: PlatformError) -> None:
         self.context.metrics.count(f"store_failures_{self.feed.kind}")
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -14,7 +14,12 @@
 import logbook
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.following import Feed, Follower
+from walnutquay.coordination.following import (
+    PULSE_SECONDS,
+    WATCH_SECONDS,
+    Feed,
+    Follower,
+)
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.exceptions import PlatformError
 from walnutquay.state.catalogue import Catalogue
@@ -61,10 +66,6 @@
             if change.item is not None:
                 self.take(change.item)
 
-    def on_return(self) -> None:
-        """Note that the store is back, which changes nothing here."""
-        return
-
     def take(self, catalogue: Catalogue) -> bool:
         """Put a configuration in force, unless it is an older one.
 
@@ -115,7 +116,7 @@
         for change in changes.changes:
             self._take_change(change, now)
 
-    def on_return(self) -> None:
+    def doubt_deletions(self) -> None:
         """Doubt deletions for a while: entries lapse while the store is away."""
         self.book.doubt_deletions(monotonic())
 
@@ -184,10 +185,6 @@
             else:
                 self.take(change.item)
 
-    def on_return(self) -> None:
-        """Note that the store is back, which changes nothing here."""
-        return
-
     def take(self, order: RolloutOrder) -> None:
         """Take in an order, unless it is an older state of one that is known.
 
@@ -226,9 +223,19 @@
         self.catalogue = CatalogueSink(context)
         self.instances = InstanceSink(context)
         self.orders = OrderSink(context)
-        self.catalogue_follower = Follower(context, catalogues, self.catalogue)
-        self.instance_follower = Follower(context, instances, self.instances)
-        self.order_follower = Follower(context, orders, self.orders)
+        self.catalogue_follower = Follower(
+            context, catalogues, self.catalogue, PULSE_SECONDS, self._store_returned
+        )
+        self.instance_follower = Follower(
+            context,
+            instances,
+            self.instances,
+            WATCH_SECONDS,
+            self.instances.doubt_deletions,
+        )
+        self.order_follower = Follower(
+            context, orders, self.orders, WATCH_SECONDS, _nothing
+        )
         self.tasks = Tasks()
         # The one confirmation that is under way, shared by all who wait for it.
         self.confirming: asyncio.Task | None = None
@@ -241,6 +248,12 @@
             "overdue endpoints", OVERDUE_CHECK_SECONDS, self.instances.drop_overdue
         )
 
+    def _store_returned(self) -> None:
+        """Have the kinds with long waits asked anew."""
+        self.instances.doubt_deletions()
+        self.instance_follower.nudge()
+        self.order_follower.nudge()
+
     def stop(self) -> None:
         """Follow no more; what is known stays."""
         self.tasks.stop()
@@ -252,7 +265,11 @@
     @property
     def ready(self) -> bool:
         """Whether enough is known to serve callers."""
-        return self.catalogue.current is not None and self.instances.listed
+        return (
+            self.catalogue.current is not None
+            and self.instances.listed
+            and self.orders.listed
+        )
 
     async def confirm(self) -> None:
         """Ask the store for the newest configuration, but do not wait for long.
@@ -271,3 +288,7 @@
             await self.catalogue_follower.relist()
         except PlatformError as error:
             log.warn("the configuration could not be confirmed: {}", error)
+
+
+def _nothing() -> None:
+    """Do nothing: roll-out orders do not lapse."""
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -81,6 +81,12 @@
         :returns: the only version to use; empty for any that may be.
         """
 
+    def began(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: the request.
+
+        :param grant: who is sent it.
+        """
+
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
         """:param turn: the request.
 
@@ -204,6 +210,7 @@
         :param grant: the endpoint.
         """
         turn.sends += 1
+        self.versions.began(turn, grant)
 
     def on_not_started(self, turn: RoutedTurn, grant: Grant) -> None:
         """Decide whether another endpoint may be asked.
@@ -221,14 +228,6 @@
                 TURNED_AWAY_RETRY,
             )
 
-    def count_failure(self, turn: RoutedTurn, grant: Grant) -> None:
-        """:param turn: a request that failed.
-
-        :param grant: the endpoint that failed it.
-        """
-        super().count_failure(turn, grant)
-        self.versions.failed(turn, grant)
-
     async def give_up(
         self, turn: RoutedTurn, running: Dispatched, error: EndpointError
     ) -> Outcome:
@@ -280,6 +279,7 @@
             seconds = monotonic() - started
             if head.status >= 500:
                 body = await _whole_body(answer, grant.name)
+                self.versions.failed(turn, grant)
                 raise FailedAnswerError(_as_whole(head, body), peer=grant.name)
             if turn.streamed and head.status == 200:
                 larger = self._larger_model(turn, grant, head)
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -12,7 +12,7 @@
 from walnutquay.protocol.calls import AnswerHead, CallHead
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.catalogue import Route, RouteKind
-from walnutquay.state.ids import ModelName, ServiceName, VersionName
+from walnutquay.state.ids import ModelName, ServiceName
 from walnutquay.state.refusals import Refusal
 from walnutquay.transport.timers import monotonic
 
@@ -72,7 +72,7 @@
     :param sends: how often it has been sent.
     :param refusals: how many endpoints have said that they did not begin.
     :param progress: how much of the answer the caller has.
-    :param version: the version of the service that is to run it; None for any.
+    :param avoid_new: whether a version on trial has failed it.
     :param last_refusal: why the last endpoint did not begin.
     """
 
@@ -82,7 +82,7 @@
     progress: StreamProgress
     sends: int = 0
     refusals: int = 0
-    version: VersionName | None = None
+    avoid_new: bool = False
     last_refusal: Refusal | None = None
 
     @property
@@ -103,8 +103,8 @@
 
     @property
     def session(self) -> str:
-        """The session that it belongs to; empty if none is known."""
-        return self.arrival.head.session or self.arrival.head.prompt.own_part
+        """The session that it belongs to; empty if none."""
+        return self.arrival.head.session
 
     @property
     def prefix(self) -> str:
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -1,30 +1,372 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Which version of a service serves a request while one is rolled out."""
+"""Which version of a service serves a request, and what comes of new ones."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from typing import Protocol
+
+import logbook
+
+from walnutquay.coordination.context import Context
+from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.exceptions import PlatformConflictError, PlatformError
+from walnutquay.settings import PromisesSection
+from walnutquay.state.counts import LatestTable
+from walnutquay.state.events import EventKind
 from walnutquay.state.ids import ServiceName, VersionName
+from walnutquay.state.instances import Instance
+from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.pace import PaceTable
+from walnutquay.state.trials import (
+    Trial,
+    TrialCounts,
+    TrialReport,
+    Verdict,
+    falls_to_new,
+)
+from walnutquay.transport.timers import monotonic, unix_microseconds
+
+log = logbook.Logger(__name__)
+
+MICROSECONDS = 1_000_000
+# How often each trial is looked at.
+DECIDE_SECONDS = 0.25
+# How often VMs tell each other, through the store, what they have seen.  Each
+# exchange is two calls of each VM.
+EXCHANGE_SECONDS = 2.0
+# VMs write the same status at once; each waits up to so long for another's.
+FIRST_WRITE_SPREAD = 1.0
+# An answer that takes so many times as long as the old version's is a bad one.
+# The platform's slow versions take eight times as long.
+SLOW_FACTOR = 5.0
+# A session whose last request has ended may be that much over its time here.
+SESSION_MARGIN_SECONDS = 1.0
+MAX_SESSIONS = 20_000
+
+
+class Desk(Protocol):
+    """Reads and answers roll-out orders, and passes on what VMs have seen."""
+
+    async def read(self, name: str) -> RolloutOrder | None:
+        """:param name: an order's name."""
+
+    async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
+        """:param order: an order as it was read.
+
+        :param state: what to say of it.
+        """
+
+    async def share(self, report: TrialReport) -> None:
+        """:param report: what this VM has seen."""
+
+    async def reports(self) -> list[TrialReport]:
+        """:returns: what all VMs have seen."""
+
+
+@dataclass(slots=True)
+class SessionNote:
+    """Where a session was served last.
 
+    :param version: the version.
+    :param at: when its last request began or ended; monotonic seconds.
+    """
 
-class AnyVersion:
-    """Lets any version serve."""
+    version: str = ""
+    at: float = float("-inf")
+
+
+@dataclass(slots=True)
+class TrialTask:
+    """What this VM does about one trial.
+
+    :param trial: the trial.
+    :param write_at: when to write its first status, unless another has.
+    :param exchanged_at: when reports were last exchanged.
+    :param shared: what this VM has told last.
+    """
+
+    trial: Trial
+    write_at: float
+    exchanged_at: float = float("-inf")
+    shared: TrialCounts | None = None
+
+
+class VersionTrials:
+    """Chooses versions while one is rolled out, and decides the order.
+
+    :param context: what this process shares.
+    :param knowledge: the orders and the running endpoints.
+    :param desk: where orders are answered.
+    :param promises: the platform's limits.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        knowledge: Knowledge,
+        desk: Desk,
+        promises: PromisesSection,
+    ) -> None:
+        self.context = context
+        self.knowledge = knowledge
+        self.desk = desk
+        self.promises = promises
+        self.tasks: dict[ServiceName, TrialTask] = {}
+        # Versions that orders have made the ones to use, or have taken back.
+        self.done: dict[ServiceName, VersionName] = {}
+        self.withdrawn: dict[ServiceName, set[VersionName]] = {}
+        # Versions that ran before any order was known.
+        self.established: dict[ServiceName, set[VersionName]] = {}
+        self.sessions: LatestTable[str, SessionNote] = LatestTable(
+            MAX_SESSIONS, SessionNote
+        )
+        self.pace = PaceTable()
+        knowledge.orders.listeners.append(self.on_order)
+
+    def start(self) -> None:
+        """Begin to decide."""
+        self.context.timers.every("version trials", DECIDE_SECONDS, self.decide)
+
+    # What is known.
+
+    def on_order(self, order: RolloutOrder) -> None:
+        """Take in an order.
+
+        :param order: the order as it stands now.
+        """
+        task = self.tasks.get(order.service)
+        if order.state.ended:
+            self._ended(order, task)
+            return
+        known = task.trial.order.version if task is not None else None
+        if task is None or known != order.version:
+            self.tasks[order.service] = self._begin(order)
+            return
+        task.trial.order = order
+        if order.started is not None:
+            task.trial.started = order.started
+
+    def _begin(self, order: RolloutOrder) -> TrialTask:
+        self.withdrawn.get(order.service, set()).discard(order.version)
+        started = order.started if order.started is not None else _unix_seconds()
+        trial = Trial(order, started, self.promises.trial_share)
+        spread = self.context.rng.random() * FIRST_WRITE_SPREAD
+        return TrialTask(trial, monotonic() + spread)
+
+    def _ended(self, order: RolloutOrder, task: TrialTask | None) -> None:
+        if task is not None:
+            del self.tasks[order.service]
+        if order.state is OrderState.DONE:
+            self.done[order.service] = order.version
+            self.withdrawn.pop(order.service, None)
+        else:
+            self.withdrawn.setdefault(order.service, set()).add(order.version)
 
     def allowed(self, service: ServiceName) -> frozenset[VersionName] | None:
         """:param service: a service.
 
-        :returns: the versions that may be used; None for all.
+        :returns: the versions that requests may use which no trial has chosen for;
+            None for all.
         """
-        return None
+        running = self.knowledge.instances.book.versions_of(service)
+        blocked = set(self.withdrawn.get(service, ()))
+        task = self.tasks.get(service)
+        if task is not None:
+            blocked.add(task.trial.order.version)
+        known = self._established(service, running, blocked)
+        if len(running) < 2:
+            return None
+        done = self.done.get(service)
+        if done in running:
+            return frozenset((done,))
+        # A version that nobody has ordered waits for its order.
+        left = (running & known) - blocked
+        return frozenset(left) if left else None
+
+    def _established(
+        self, service: ServiceName, running: set[VersionName], blocked: set[VersionName]
+    ) -> set[VersionName]:
+        known = self.established.get(service)
+        if not known:
+            known = self.established[service] = running - blocked
+        return known
+
+    # Requests.
 
     def version_for(self, turn: RoutedTurn) -> str:
-        """:param turn: a request."""
-        return ""
+        """:param turn: a request that needs a place.
+
+        :returns: the only version to use; empty for those allowed.
+        """
+        task = self.tasks.get(turn.service)
+        if task is None or turn.avoid_new or task.trial.braked:
+            return ""
+        trial = task.trial
+        version = trial.order.version
+        if version not in self.knowledge.instances.book.versions_of(turn.service):
+            return ""
+        now = _unix_seconds()
+        session = turn.session or turn.arrival.request
+        new = falls_to_new(session, version, trial.share(now))
+        note = self.sessions.get(turn.session) if turn.session else None
+        if note is not None and self._is_recent(note):
+            if note.version == version:
+                new = True
+            elif not trial.may_move_sessions(now):
+                new = False
+        return version if new else ""
+
+    def _is_recent(self, note: SessionNote) -> bool:
+        age = monotonic() - note.at
+        return age < self.promises.session_seconds + SESSION_MARGIN_SECONDS
+
+    def began(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a request that is sent now.
+
+        :param grant: the endpoint.
+        """
+        self._note(turn, grant)
+
+    def _note(self, turn: RoutedTurn, grant: Grant) -> None:
+        if turn.session and isinstance(grant.endpoint, Instance):
+            note = self.sessions.touch(turn.session)
+            note.version = grant.endpoint.version
+            note.at = monotonic()
 
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
-        """:param turn: a request that was answered."""
+        """:param turn: a request that was answered.
+
+        :param grant: who answered.
+        :param seconds: until the answer's head.
+        """
+        self._note(turn, grant)
+        kind = f"{turn.service}/{turn.arrival.route.name}/{turn.model}"
+        trial = self._trial_of(grant)
+        if trial is None:
+            self.pace.learn(kind, seconds)
+            self._count(turn, grant, False)
+            return
+        ratio = self.pace.ratio(kind, seconds)
+        self._count(turn, grant, ratio is not None and ratio > SLOW_FACTOR)
 
     def failed(self, turn: RoutedTurn, grant: Grant) -> None:
-        """:param turn: a request that failed."""
+        """:param turn: a request whose endpoint answered that it failed.
+
+        :param grant: the endpoint.
+        """
+        self._note(turn, grant)
+        self._count(turn, grant, True)
+        if self._trial_of(grant) is not None:
+            turn.avoid_new = True
+
+    def _trial_of(self, grant: Grant) -> Trial | None:
+        """Give the trial of the version that an endpoint runs, if it is on trial."""
+        endpoint = grant.endpoint
+        assert isinstance(endpoint, Instance)
+        task = self.tasks.get(endpoint.service)
+        if task is None or task.trial.order.version != endpoint.version:
+            return None
+        return task.trial
+
+    def _count(self, turn: RoutedTurn, grant: Grant, bad: bool) -> None:
+        task = self.tasks.get(turn.service)
+        if task is None:
+            return
+        trial = task.trial
+        if self._trial_of(grant) is None:
+            trial.old = trial.old.with_answer(bad, grant.name)
+            return
+        trial.own = trial.own.with_answer(bad, grant.name)
+        if bad:
+            self._judge(trial)
+
+    # Decisions.
+
+    def _judge(self, trial: Trial) -> None:
+        if trial.braked or trial.verdict() is not Verdict.BAD:
+            return
+        trial.braked = True
+        counts = trial.counts()
+        self.context.timeline.emit(
+            EventKind.BRAKED,
+            version=trial.order.version,
+            detail=f"{trial.order.service}: {counts.bad} bad answers of "
+            f"{counts.good + counts.bad} by {len(counts.bad_endpoints)} endpoints",
+        )
+
+    async def decide(self) -> None:
+        """Look at each trial, and do what it needs."""
+        for task in list(self.tasks.values()):
+            try:
+                await self._decide(task)
+            except PlatformConflictError:
+                await self._read_again(task.trial.order)
+            except PlatformError as error:
+                log.warn("a trial's status could not be written yet: {}", error)
+
+    async def _decide(self, task: TrialTask) -> None:
+        trial = task.trial
+        order = trial.order
+        await self._exchange(task)
+        self._judge(trial)
+        now = _unix_seconds()
+        if trial.braked:
+            await self._answer(task, OrderState.WITHDRAWN)
+        elif trial.ready_to_end(now):
+            if monotonic() >= task.write_at:
+                await self._answer(task, OrderState.DONE)
+        elif order.state is OrderState.NEW and monotonic() >= task.write_at:
+            await self._answer(task, OrderState.RUNNING)
+            # The next status, too, is left to others for a while.
+            spread = self.context.rng.random() * FIRST_WRITE_SPREAD
+            done_in = order.seconds * (1.0 - trial.progress(now))
+            task.write_at = monotonic() + min(spread, done_in / 10)
+
+    async def _answer(self, task: TrialTask, state: OrderState) -> None:
+        order = task.trial.order
+        wanted = RolloutOrder(
+            order.name,
+            order.revision,
+            order.service,
+            order.version,
+            order.seconds,
+            state,
+            task.trial.started,
+        )
+        answered = await self.desk.answer(wanted, state)
+        self.knowledge.orders.take(answered)
+
+    async def _read_again(self, order: RolloutOrder) -> None:
+        try:
+            present = await self.desk.read(order.name)
+        except PlatformError as error:
+            log.warn("order {} could not be read again: {}", order.name, error)
+            return
+        if present is not None:
+            self.knowledge.orders.take(present)
+
+    async def _exchange(self, task: TrialTask) -> None:
+        """Tell the others what this VM has seen, and hear what they have."""
+        now = monotonic()
+        if now - task.exchanged_at < EXCHANGE_SECONDS:
+            return
+        task.exchanged_at = now
+        trial = task.trial
+        order = trial.order
+        if trial.own != (task.shared or TrialCounts()):
+            report = TrialReport(self.context.vm, order.name, order.version, trial.own)
+            await self.desk.share(report)
+            task.shared = trial.own
+        for report in await self.desk.reports():
+            mine = report.vm == self.context.vm
+            about_this = (report.order, report.version) == (order.name, order.version)
+            if about_this and not mine:
+                trial.told[report.vm] = report.counts
+
+
+def _unix_seconds() -> float:
+    return unix_microseconds() / MICROSECONDS
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -16,12 +16,17 @@
 from walnutquay.coordination.recorder import TraceRecorder
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.routedplaces import RoutedPlaces
-from walnutquay.coordination.versions import AnyVersion
+from walnutquay.coordination.versions import VersionTrials
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
 from walnutquay.logs import open_log
 from walnutquay.platform.calls import PlatformDialect
-from walnutquay.platform.feeds import catalogue_feed, instance_feed, order_feed
+from walnutquay.platform.feeds import (
+    OrderDesk,
+    catalogue_feed,
+    instance_feed,
+    order_feed,
+)
 from walnutquay.platform.store import StoreClient
 from walnutquay.settings import GatewayOptions, Settings, host_and_port
 from walnutquay.state.admission import RetryBudget
@@ -68,13 +73,16 @@
             order_feed(self.store),
         )
         self.client = HttpClient()
+        self.versions = VersionTrials(
+            self.context, self.knowledge, OrderDesk(self.store), options.promises
+        )
         self.path = self._make_path()
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.stopping = asyncio.Event()
 
     def _make_path(self) -> RoutedPath:
         table = EndpointTable(self.context.hall, self.context.rng)
-        versions = AnyVersion()
+        versions = self.versions
         places = RoutedPlaces(
             self.context, self.knowledge.instances.book, table, versions.allowed
         )
@@ -103,6 +111,7 @@
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.knowledge.start()
+        self.versions.start()
         options = self.options
         await self.api.ready_server.start(*host_and_port(options.ready.address))
         await self.api.server.start(*host_and_port(options.callers.address))
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -9,24 +9,28 @@
 
 import logbook
 
-from walnutquay.exceptions import MessageError
+from walnutquay.exceptions import MessageError, PlatformConflictError
 from walnutquay.platform.names import (
     CONFIGURATION_NAME,
     KIND_CONFIGURATION,
     KIND_INSTANCES,
     KIND_ROLLOUTS,
+    KIND_TRIALS,
 )
 from walnutquay.platform.records import (
     decode_catalogue,
     decode_instance,
     decode_order,
+    decode_trial_report,
     encode_order_status,
+    encode_trial_report,
 )
 from walnutquay.platform.store import MissingObjectError, StoreClient, StoredObject
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
 from walnutquay.state.instances import Instance
 from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.trials import TrialReport
 
 log = logbook.Logger(__name__)
 
@@ -141,6 +145,25 @@
             return None
         return decode_order(stored.name, stored.revision, stored.spec, stored.status)
 
+    async def share(self, report: TrialReport) -> None:
+        """Tell the other VMs what this one has seen of a trial.
+
+        :param report: what it has seen.
+        """
+        spec = encode_trial_report(report)
+        try:
+            await self.store.create(KIND_TRIALS, report.vm, spec)
+        except PlatformConflictError:
+            await self.store.replace(KIND_TRIALS, report.vm, spec, None)
+
+    async def reports(self) -> list[TrialReport]:
+        """:returns: what all VMs have seen of the trials under way."""
+        try:
+            found, _ = await self.store.list(KIND_TRIALS)
+        except MissingObjectError:
+            return []
+        return [decode_trial_report(stored.spec) for stored in found]
+
     async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
         """Say where an order stands, if it is still as it was read.
 
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -59,8 +59,8 @@
 CONFIGURATION_NAME = "main"
 KIND_INSTANCES = "servers"
 KIND_ROLLOUTS = "rollouts"
-# The entry VMs themselves; a kind of our own.
-KIND_VMS = "entry-vms"
+# Kinds of our own: what each entry VM has seen of versions on trial.
+KIND_TRIALS = "trial-reports"
 
 STATUS_MISDIRECTED = 421
 EVENT_STREAM = "text/event-stream"
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -24,11 +24,13 @@
     RouteName,
     ServiceName,
     VersionName,
+    VmName,
 )
 from walnutquay.state.instances import Instance
 from walnutquay.state.keys import key_hash
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.parts import Organisation
+from walnutquay.state.trials import TrialCounts, TrialReport
 
 MILLISECONDS = 1000.0
 # Where an object leaves a number out.
@@ -41,6 +43,8 @@
     "complete": OrderState.DONE,
     "rolled_back": OrderState.WITHDRAWN,
 }
+# A field of our own in an order's status: when it was first seen.
+STARTED_FIELD = "startedAt"
 ORDER_WORDS = {state: word for word, state in ORDER_STATES.items()}
 
 # A decoded JSON object, as the store holds it.
@@ -167,6 +171,7 @@
         # The status of an earlier order says nothing about this one.
         same = told.get("toVersion", version) == version
         word = told.get("state") if same else None
+        started = told.get(STARTED_FIELD) if same else None
         return RolloutOrder(
             name=name,
             revision=revision,
@@ -174,6 +179,7 @@
             version=VersionName(version),
             seconds=float(spec["durationS"]),
             state=ORDER_STATES.get(str(word), OrderState.NEW),
+            started=None if started is None else float(started),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MessageError(
@@ -187,4 +193,44 @@
     :param state: what to say of it.
     :returns: the status to write.
     """
-    return {"state": ORDER_WORDS[state], "toVersion": order.version}
+    status = {"state": ORDER_WORDS[state], "toVersion": order.version}
+    if order.started is not None:
+        status[STARTED_FIELD] = order.started
+    return status
+
+
+def decode_trial_report(spec: Plain) -> TrialReport:
+    """:param spec: what an entry VM has stored of a trial.
+
+    :raises MessageError: if it cannot be read.
+    """
+    try:
+        return TrialReport(
+            vm=VmName(spec["vm"]),
+            order=spec["order"],
+            version=VersionName(spec["version"]),
+            counts=TrialCounts(
+                int(spec["good"]),
+                int(spec["bad"]),
+                frozenset(EndpointName(name) for name in spec["badEndpoints"]),
+            ),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MessageError(
+            f"a report of a trial cannot be read: {error!r}", step="decode"
+        ) from error
+
+
+def encode_trial_report(report: TrialReport) -> dict[str, Any]:
+    """:param report: what this VM has seen of a trial.
+
+    :returns: what to store.
+    """
+    return {
+        "vm": report.vm,
+        "order": report.order,
+        "version": report.version,
+        "good": report.counts.good,
+        "bad": report.counts.bad,
+        "badEndpoints": sorted(report.counts.bad_endpoints),
+    }
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -24,9 +24,9 @@
 
 MILLISECONDS = 1000.0
 # The store answers in some 4 ms; one that has not by now is away, or the way is.
-CALL_SECONDS = 1.0
+CALL_SECONDS = 0.8
 # A call that waits for changes may answer so much later than it was asked to.
-WATCH_SLACK_SECONDS = 1.0
+WATCH_SLACK_SECONDS = 0.5
 CONNECT_SECONDS = 0.5
 JSON_TYPE = "application/json"
 
@@ -147,17 +147,20 @@
         return _stored(await self._call("POST", kind, body=body))
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int
+        self, kind: str, name: str, spec: Any, revision: int | None
     ) -> StoredObject:
         """Replace an object's content.
 
         :param kind: the kind.
         :param name: its name.
         :param spec: its new content.
-        :param revision: the revision that it must have.
+        :param revision: the revision that it must have; None for any.
         :raises PlatformConflictError: if it has another.
         """
-        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        metadata: dict[str, Any] = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": spec}
         return _stored(await self._call("PUT", kind, name, body=body))
 
     async def write_status(
--- a/walnutquay/state/orders.py
+++ b/walnutquay/state/orders.py
@@ -35,6 +35,8 @@
     :param version: the new version.
     :param seconds: in which it is to be decided.
     :param state: where it stands.
+    :param started: when an entry VM first saw it; seconds of Unix time, or None
+        where none has said so.
     """
 
     name: str
@@ -43,3 +45,4 @@
     version: VersionName
     seconds: float
     state: OrderState
+    started: float | None = None
--- /dev/null
+++ b/walnutquay/state/trials.py
@@ -0,0 +1,190 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""A new version on trial: who gets it, and whether it is good.
+
+In the first half of its time a new version gets few sessions, all of them new
+ones, so that a bad one harms few callers.  In the second half, if it is found
+good, it gets more and more and at last all; sessions only ever move towards it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import xxhash
+
+from walnutquay.state.ids import EndpointName, VersionName, VmName
+from walnutquay.state.orders import RolloutOrder
+
+# The share of new sessions in the first half, of what a bad version may get.  The
+# rest is left for the time in which it turns bad and is found out.
+FIRST_SHARE_OF_LIMIT = 0.65
+# When the second half begins to move sessions, as a part of the trial's time.
+# The platform counts a move to the new version as one too early up to the half.
+RAMP_START = 0.53
+# When all sessions have been moved.
+RAMP_END = 0.68
+# When the order may be called done: old streams have ended by then.
+DONE_AT = 0.84
+# A version of which so little is known by then is taken for what it seems.
+UNSURE_UNTIL = 0.6
+# Bad answers that condemn a version, if they are such a share of all.
+MIN_BAD = 3
+BAD_SHARE = 0.15
+# One endpoint may be ill by itself: so many are needed where only it fails.
+MIN_BAD_OF_ONE = 8
+# The old version's own bad answers, by which the new one's are excused.
+BASE_FACTOR = 2.0
+# Good answers after which a version without bad ones is trusted.
+MIN_GOOD = 8
+HASH_SPAN = float(1 << 64)
+
+
+class Verdict(Enum):
+    """What is thought of a version on trial."""
+
+    UNSURE = "unsure"
+    GOOD = "good"
+    BAD = "bad"
+
+
+@dataclass(frozen=True, slots=True)
+class TrialCounts:
+    """Answers of a version, as one VM or several have seen them.
+
+    :param good: answers that were good.
+    :param bad: answers that failed or were far too slow.
+    :param bad_endpoints: endpoints that gave the bad ones.
+    """
+
+    good: int = 0
+    bad: int = 0
+    bad_endpoints: frozenset[EndpointName] = frozenset()
+
+    def with_answer(self, bad: bool, endpoint: EndpointName) -> TrialCounts:
+        """:param bad: whether an answer was bad.
+
+        :param endpoint: who gave it.
+        :returns: the counts with it.
+        """
+        if not bad:
+            return TrialCounts(self.good + 1, self.bad, self.bad_endpoints)
+        return TrialCounts(self.good, self.bad + 1, self.bad_endpoints | {endpoint})
+
+    def __add__(self, other: TrialCounts) -> TrialCounts:
+        return TrialCounts(
+            self.good + other.good,
+            self.bad + other.bad,
+            self.bad_endpoints | other.bad_endpoints,
+        )
+
+    @property
+    def bad_share(self) -> float:
+        """The share of bad answers; 0 where there are none at all."""
+        return self.bad / (self.good + self.bad) if self.bad else 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class TrialReport:
+    """What one VM tells the others of a version on trial.
+
+    :param vm: the VM.
+    :param order: the order's name.
+    :param version: the new version.
+    :param counts: what it has seen.
+    """
+
+    vm: VmName
+    order: str
+    version: VersionName
+    counts: TrialCounts
+
+
+class Trial:
+    """One order to bring in a version, as one VM sees it.
+
+    :param order: the order.
+    :param started: when it began; seconds of Unix time.
+    :param share_limit: the share of requests that a bad version may get.
+    """
+
+    def __init__(self, order: RolloutOrder, started: float, share_limit: float) -> None:
+        self.order = order
+        self.started = started
+        self.share_limit = share_limit
+        # What this VM has seen of the new version, and of the old at that time.
+        self.own = TrialCounts()
+        self.old = TrialCounts()
+        # What the other VMs have told of the new version.
+        self.told: dict[str, TrialCounts] = {}
+        # Set when the version was found bad here: it is final.
+        self.braked = False
+
+    def progress(self, now: float) -> float:
+        """:param now: seconds of Unix time.
+
+        :returns: the part of the trial's time that is over.
+        """
+        return max(0.0, now - self.started) / max(1.0, self.order.seconds)
+
+    def counts(self) -> TrialCounts:
+        """:returns: what all VMs together have seen of the new version."""
+        total = self.own
+        for counts in self.told.values():
+            total = total + counts
+        return total
+
+    def verdict(self) -> Verdict:
+        """:returns: what is thought of the version now."""
+        if self.braked:
+            return Verdict.BAD
+        counts = self.counts()
+        limit = max(BAD_SHARE, BASE_FACTOR * self.old.bad_share)
+        needed = MIN_BAD if len(counts.bad_endpoints) > 1 else MIN_BAD_OF_ONE
+        if counts.bad >= needed and counts.bad_share >= limit:
+            return Verdict.BAD
+        return Verdict.GOOD if counts.good >= MIN_GOOD else Verdict.UNSURE
+
+    def share(self, now: float) -> float:
+        """:param now: seconds of Unix time.
+
+        :returns: the share of sessions that the new version gets.
+        """
+        if self.braked:
+            return 0.0
+        first = FIRST_SHARE_OF_LIMIT * self.share_limit
+        progress = self.progress(now)
+        verdict = self.verdict()
+        trusted = verdict is Verdict.GOOD or (
+            verdict is Verdict.UNSURE and progress >= UNSURE_UNTIL
+        )
+        if progress < RAMP_START or not trusted:
+            return first
+        part = (progress - RAMP_START) / (RAMP_END - RAMP_START)
+        return min(1.0, max(first, part))
+
+    def may_move_sessions(self, now: float) -> bool:
+        """:param now: seconds of Unix time.
+
+        :returns: whether sessions of the old version may move to the new one.
+        """
+        return self.progress(now) >= RAMP_START
+
+    def ready_to_end(self, now: float) -> bool:
+        """:param now: seconds of Unix time.
+
+        :returns: whether the order is done, as far as this VM can tell.
+        """
+        return self.share(now) >= 1.0 and self.progress(now) >= DONE_AT
+
+
+def falls_to_new(session: str, version: str, share: float) -> bool:
+    """Decide for a session; all VMs decide alike, and a larger share keeps its own.
+
+    :param session: the session, or the request where it has none.
+    :param version: the new version.
+    :param share: the share of sessions that it gets.
+    """
+    number = xxhash.xxh3_64_intdigest(f"{version}\n{session}".encode())
+    return number / HASH_SPAN < share
