--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -25,7 +25,7 @@
 from walnutquay.state.ids import EndpointName, ServiceName
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
-from walnutquay.state.sizing import ModelChoice
+from walnutquay.state.sizing import ModelChoice, urgency
 from walnutquay.transport.client import READ_BYTES, Exchange, HttpClient
 from walnutquay.transport.timers import monotonic
 
@@ -304,6 +304,7 @@
             seconds_left=left,
             model=turn.model_name,
             last_event=turn.progress.last_event,
+            urgency=urgency(arrival.head.prompt) if turn.streamed else None,
         )
         return self.client.request(
             arrival.method,
@@ -386,6 +387,9 @@
         parser = StreamParser()
         if not turn.progress.begun:
             turn.progress.begun = True
+            self.context.timeline.emit(
+                EventKind.BEGUN, request=turn.arrival.request, endpoint=grant.name
+            )
             await reply.begin(head)
         async for data in answer.content.iter_any():
             events = [e for e in parser.feed(data) if turn.progress.accept(e)]
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -104,6 +104,8 @@
         ours.append((names.MODEL, order.model))
     if order.last_event is not None:
         ours.append((names.LAST_EVENT, str(order.last_event)))
+    if order.urgency is not None:
+        ours.append((names.URGENCY, str(order.urgency)))
     replaced = {name.lower() for name, _ in ours}
     kept = [pair for pair in head.headers if pair[0].lower() not in replaced]
     return kept + ours
--- a/walnutquay/protocol/calls.py
+++ b/walnutquay/protocol/calls.py
@@ -77,6 +77,8 @@
     :param seconds_left: how long it may work.
     :param model: the model to use, where we choose it.
     :param last_event: the event after which to go on, if any was passed on.
+    :param urgency: its rank at the endpoint, 0 the most urgent, 9 the least; None
+        leaves it to the endpoint.
     """
 
     instance: str
@@ -84,3 +86,4 @@
     seconds_left: float
     model: ModelName | None
     last_event: int | None
+    urgency: int | None = None
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -38,6 +38,7 @@
     ENDPOINT_LISTED = "endpoint-listed"
     ENDPOINT_GONE = "endpoint-gone"
     ESCALATED = "escalated"
+    BEGUN = "begun"
     SHARES = "shares"
     CALLER_GONE = "caller-gone"
     PLATFORM_DOWN = "platform-down"
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -5,11 +5,28 @@
 from __future__ import annotations
 
 from walnutquay.state.catalogue import Route
+from walnutquay.state.prompts import Prompt
 
 # An answer whose model thinks less of it, of 100, is asked of the largest model.
 # Measured on two sites: the worth is flat for bounds from 45 to 65.
 ENOUGH_CONFIDENCE = 55.0
 
+# Prompts up to so many tokens go before longer ones at an endpoint, by rank.
+URGENCY_STEPS = ((1_000, 3), (4_000, 4), (12_000, 5), (24_000, 6))
+LEAST_URGENT = 7
+
+
+def urgency(prompt: Prompt) -> int:
+    """Rank a prompt by its size: a long one holds up all that wait behind it.
+
+    :param prompt: the prompt.
+    :returns: its rank, lower for shorter ones.
+    """
+    for tokens, rank in URGENCY_STEPS:
+        if prompt.tokens <= tokens:
+            return rank
+    return LEAST_URGENT
+
 
 class ModelChoice:
     """Chooses among the models of routes that leave the choice to us."""
