--- a/walnutquay/coordination/places.py
+++ b/walnutquay/coordination/places.py
@@ -18,6 +18,7 @@
 from walnutquay.state.instances import Instance
 from walnutquay.state.parts import Endpoint
 from walnutquay.state.refusals import Refusal
+from walnutquay.state.work import PromptWork
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     :param tried: endpoints that have failed this request.
     :param prefix: what stands for the prompt's beginning; empty for none.
     :param version: the version of a service's software; empty for any.
+    :param work: the reading of its prompt; None where it has none.
     """
 
     request: RequestId
@@ -46,6 +48,7 @@
     tried: frozenset[str] = frozenset()
     prefix: str = ""
     version: str = ""
+    work: PromptWork | None = None
 
 
 @dataclass(slots=True)
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.paths import RequestPath
 from walnutquay.coordination.places import Grant, Need
+from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
@@ -105,6 +106,7 @@
     """Serves requests on the operators' routes.
 
     :param parts: what it works with.
+    :param places: the places at endpoints, which learn how long reading takes.
     :param knowledge: what is known from the store.
     :param client: the connections to endpoints.
     :param dialect: writes and reads heads.
@@ -116,6 +118,7 @@
     def __init__(
         self,
         parts: PathParts,
+        places: RoutedPlaces,
         knowledge: Knowledge,
         client: HttpClient,
         dialect: Dialect,
@@ -124,6 +127,7 @@
         budget: Callable[[], RetryBudget],
     ) -> None:
         super().__init__(parts)
+        self.places = places
         self.knowledge = knowledge
         self.client = client
         self.dialect = dialect
@@ -191,6 +195,7 @@
             turn.tried,
             turn.prefix,
             self.versions.version_for(turn),
+            turn.work,
         )
 
     def still_allowed(self, turn: RoutedTurn) -> Refusal | None:
@@ -277,6 +282,7 @@
         async with self._send(turn, grant) as answer:
             head = self._read_head(turn, grant, answer)
             seconds = monotonic() - started
+            self.places.began(grant, seconds)
             if head.status >= 500:
                 body = await _whole_body(answer, grant.name)
                 self.versions.failed(turn, grant)
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -4,17 +4,18 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.places import Grant, Need
 from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.ids import ServiceName, VersionName, WorkKind
+from walnutquay.state.ids import EndpointName, ServiceName, VersionName, WorkKind
 from walnutquay.state.instances import Instance, InstanceBook
 from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.work import PromptWork, WorkTable, preferred_of
 from walnutquay.transport.timers import monotonic
 
 # When to come back where no endpoint runs: one that starts is listed within a second.
@@ -25,6 +26,26 @@
 AllowedVersions = Callable[[ServiceName], frozenset[VersionName] | None]
 
 
+# What an engine in another data hall counts as: bytes between halls have a price.
+OTHER_HALL_SECONDS = 0.03
+# What each running request delays the others by: steps take longer with more.
+RUNNING_SECONDS = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class ReadingNote:
+    """A prompt that an engine was sent.
+
+    :param work: the prompt.
+    :param wait: the seconds of reading that were known to be before it.
+    :param cached: whether its beginning was thought to be cached there.
+    """
+
+    work: PromptWork
+    wait: float
+    cached: bool
+
+
 class RoutedPlaces:
     """Gives out places at endpoints; endpoints have queues of their own.
 
@@ -45,6 +66,11 @@
         self.book = book
         self.table = table
         self.allowed = allowed
+        self.work = WorkTable()
+        # The prompts that were sent and whose answers have not begun, by grant.
+        self.reading: dict[int, ReadingNote] = {}
+        # Told of each prompt that is sent: engine, seconds, beginning.
+        self.listeners: list[Callable[[EndpointName, float, str], None]] = []
 
     def candidates(self, service: ServiceName, version: str = "") -> list[Instance]:
         """:param service: a service.
@@ -77,7 +103,10 @@
                 )
             )
         now = monotonic()
-        chosen = self.table.choose(left, now, need.hint, need.tried, need.prefix)
+        if need.work is not None:
+            chosen = self._for_prompt(left, need, need.work, now)
+        else:
+            chosen = self.table.choose(left, now, need.hint, need.tried)
         if chosen is None:
             chosen = self._least_loaded(left, now)
         if chosen is None:
@@ -88,10 +117,58 @@
                     FULL_RETRY,
                 )
             )
-        facts = self.table.of(chosen.name)
-        facts.in_flight += 1
-        work = WorkKind.PATIENT if need.prefix else WorkKind.QUICK
-        return Ok(Grant(chosen, now, work))
+        self.table.of(chosen.name).in_flight += 1
+        if need.work is None:
+            return Ok(Grant(chosen, now, WorkKind.QUICK))
+        return Ok(self._with_work(Grant(chosen, now, WorkKind.PATIENT), need.work))
+
+    def _with_work(self, grant: Grant, work: PromptWork) -> Grant:
+        """Note the reading that an engine is given."""
+        now = grant.started
+        wait = self.work.wait(grant.name, now)
+        seconds = self.work.reading(grant.name, work, now, False)
+        cached = self.work.has(grant.name, work.beginning, now)
+        self.reading[id(grant)] = ReadingNote(work, wait, cached)
+        self.work.add(grant.name, seconds, work.beginning, now)
+        for listener in self.listeners:
+            listener(grant.name, seconds, work.beginning)
+        return grant
+
+    def began(self, grant: Grant, seconds: float) -> None:
+        """Learn from an answer's beginning.
+
+        :param grant: the place.
+        :param seconds: since it was sent there.
+        """
+        note = self.reading.pop(id(grant), None)
+        if note is not None and note.wait <= 0 and not note.cached:
+            self.work.learn(note.work.model, note.work.tokens, seconds)
+
+    def _for_prompt(
+        self, left: list[Instance], need: Need, work: PromptWork, now: float
+    ) -> Instance | None:
+        """Choose the engine that is likely to have read a prompt first."""
+        open_ones = [
+            item
+            for item in self.table.usable(left, now, need.tried)
+            if self.table.of(item.name).full_until <= now
+        ]
+        if not open_ones:
+            return None
+        near = [item.name for item in open_ones if item.hall == self.context.hall]
+        preferred = preferred_of(
+            near or [item.name for item in open_ones], work.beginning
+        )
+
+        def seconds(item: Instance) -> float:
+            facts = self.table.of(item.name)
+            wait = self.work.wait(item.name, now)
+            reading = self.work.reading(item.name, work, now, item.name == preferred)
+            far = 0.0 if item.hall == self.context.hall else OTHER_HALL_SECONDS
+            running = facts.load(now) * RUNNING_SECONDS
+            return (wait + reading + running) * facts.slow_by(now) + far
+
+        return min(open_ones, key=seconds)
 
     def _least_loaded(self, left: list[Instance], now: float) -> Instance | None:
         """Choose where to queue; endpoints that have just refused are left out."""
@@ -106,16 +183,9 @@
 
     def release(self, grant: Grant) -> None:
         """:param grant: a place to give back."""
+        self.reading.pop(id(grant), None)
         self.table.of(grant.name).in_flight -= 1
 
     def full(self, grant: Grant) -> None:
         """:param grant: a place that its endpoint did not have after all."""
         self.table.full(grant.name, monotonic())
-
-    def forget(self) -> None:
-        """Forget what is known of endpoints that are gone."""
-        self.table.forget_except(self.book.known)
-
-    async def close(self) -> None:
-        """Nothing is kept open here."""
-        await asyncio.sleep(0)
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -14,6 +14,7 @@
 from walnutquay.state.catalogue import Route, RouteKind
 from walnutquay.state.ids import ModelName, ServiceName
 from walnutquay.state.refusals import Refusal
+from walnutquay.state.work import PromptWork
 from walnutquay.transport.timers import monotonic
 
 
@@ -107,10 +108,13 @@
         return self.arrival.head.session
 
     @property
-    def prefix(self) -> str:
-        """The model, whose cache it is, and the subject of the prompt."""
-        subject = self.arrival.head.prompt.subject
-        return f"{self.model_name}\n{subject}" if subject else ""
+    def work(self) -> PromptWork | None:
+        """The reading of its prompt; None where it has none."""
+        prompt = self.arrival.head.prompt
+        if not prompt.tokens:
+            return None
+        model = self.model_name or self.arrival.head.model
+        return PromptWork(model, prompt.tokens, prompt.subject, prompt.subject_tokens)
 
     @property
     def model_name(self) -> ModelName | None:
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -89,6 +89,7 @@
         parts = PathParts(self.context, places, table, RetryBudget(), TraceRecorder())
         return RoutedPath(
             parts,
+            places,
             self.knowledge,
             self.client,
             PlatformDialect(),
--- a/walnutquay/state/endpoints.py
+++ b/walnutquay/state/endpoints.py
@@ -271,6 +271,22 @@
         """
         self.of(name).full_until = now + FULL_SECONDS
 
+    def usable(
+        self, endpoints: list[Endpoint], now: float, tried: frozenset[str]
+    ) -> list[Endpoint]:
+        """Leave out those that are leaving, have failed the request, or are ejected.
+
+        :param endpoints: those that have the version or service.
+        :param now: monotonic seconds.
+        :param tried: endpoints that have failed this request.
+        """
+        staying = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.name not in tried and not self.is_leaving(endpoint)
+        ]
+        return self._not_ejected(staying, now)
+
     def choose(
         self,
         endpoints: list[Endpoint],
@@ -293,15 +309,9 @@
         :param prefix: what stands for the prompt's beginning; empty for none.
         :returns: the endpoint, or None where none has room.
         """
-        staying = [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.name not in tried and not self.is_leaving(endpoint)
-        ]
-        usable = self._not_ejected(staying, now)
         open_ones = [
             endpoint
-            for endpoint in usable
+            for endpoint in self.usable(endpoints, now, tried)
             if self.of(endpoint.name).has_place(endpoint.slots, now)
         ]
         if not open_ones:
--- a/walnutquay/state/prompts.py
+++ b/walnutquay/state/prompts.py
@@ -40,6 +40,11 @@
         """What stands for the longest beginning that other prompts share."""
         return self.parts[-2].name if len(self.parts) > 1 else ""
 
+    @property
+    def subject_tokens(self) -> int:
+        """Tokens of that beginning."""
+        return sum(part.tokens for part in self.parts[:-1])
+
     @property
     def own_part(self) -> str:
         """The part that only the prompts of one session share."""
