--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -5,11 +5,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Generic, Protocol, TypeVar
 
+import logbook
+
 from walnutquay.coordination.context import Context
-from walnutquay.exceptions import HistoryGoneError, PlatformError
+from walnutquay.exceptions import HistoryGoneError, MessageError, PlatformError
 from walnutquay.state.events import EventKind
 from walnutquay.state.feeds import Changes, Listing
 from walnutquay.transport.timers import monotonic
@@ -26,7 +28,11 @@
 # some ten VMs make few calls while it is away.
 RETRY_SECONDS = 0.25
 
+log = logbook.Logger(__name__)
+
 Item = TypeVar("Item")
+# Asks peers for newer knowledge of a kind than a revision; empty where none has it.
+AskPeers = Callable[[str, int], Awaitable[bytes]]
 
 
 class Feed(Protocol[Item]):
@@ -43,6 +49,15 @@
         :param seconds: how long to wait for one.
         """
 
+    def export(self, revision: int) -> bytes:
+        """:param revision: what a peer knows.
+
+        :returns: what is known here, if it is newer.
+        """
+
+    def read_export(self, data: bytes) -> Listing[Item]:
+        """:param data: what a peer has exported."""
+
 
 class Sink(Protocol[Item]):
     """Takes in what a follower learns."""
@@ -64,6 +79,7 @@
     :param sink: takes in what is learnt.
     :param seconds: how long one watch waits for a change.
     :param on_return: called when the store answers again after it did not.
+    :param ask_peers: asks the other VMs for newer knowledge of a kind.
     """
 
     def __init__(
@@ -73,12 +89,14 @@
         sink: Sink[Item],
         seconds: float,
         on_return: Callable[[], None],
+        ask_peers: AskPeers,
     ) -> None:
         self.context = context
         self.feed = feed
         self.sink = sink
         self.seconds = seconds
         self.on_return = on_return
+        self.ask_peers = ask_peers
         # The step that is under way, and whether it is to be given up for another.
         self.running: asyncio.Task[None] | None = None
         self.nudged = False
@@ -108,7 +126,27 @@
                 self.revision = None
             except PlatformError as error:
                 self._failed(error)
-                await asyncio.sleep(RETRY_SECONDS)
+                await asyncio.gather(self._hear_peers(), asyncio.sleep(RETRY_SECONDS))
+
+    async def _hear_peers(self) -> None:
+        """Take over what a peer knows that the store still serves."""
+        data = await self.ask_peers(self.feed.kind, self.revision or 0)
+        if not data:
+            return
+        try:
+            listing = self.feed.read_export(data)
+        except MessageError as error:
+            log.warn("a peer's knowledge is not taken over: {}", error)
+            return
+        if self.revision is not None and listing.revision <= self.revision:
+            return
+        self.context.metrics.count(f"relayed_{self.feed.kind}")
+        self.context.timeline.emit(
+            EventKind.RELAYED,
+            detail=f"{self.feed.kind}: revision {self.revision} to {listing.revision}",
+        )
+        self.sink.take_listing(listing)
+        self.revision = listing.revision
 
     def nudge(self) -> None:
         """Ask anew at once: the call under way may never be answered."""
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -17,6 +17,7 @@
 from walnutquay.coordination.following import (
     PULSE_SECONDS,
     WATCH_SECONDS,
+    AskPeers,
     Feed,
     Follower,
 )
@@ -210,6 +211,7 @@
     :param catalogues: the operators' configuration.
     :param instances: the running endpoints.
     :param orders: the roll-out orders.
+    :param ask_peers: asks the other VMs while the store does not answer.
     """
 
     def __init__(
@@ -218,13 +220,19 @@
         catalogues: Feed[Catalogue],
         instances: Feed[Instance],
         orders: Feed[RolloutOrder],
+        ask_peers: AskPeers,
     ) -> None:
         self.context = context
         self.catalogue = CatalogueSink(context)
         self.instances = InstanceSink(context)
         self.orders = OrderSink(context)
         self.catalogue_follower = Follower(
-            context, catalogues, self.catalogue, PULSE_SECONDS, self._store_returned
+            context,
+            catalogues,
+            self.catalogue,
+            PULSE_SECONDS,
+            self._store_returned,
+            ask_peers,
         )
         self.instance_follower = Follower(
             context,
@@ -232,9 +240,10 @@
             self.instances,
             WATCH_SECONDS,
             self.instances.doubt_deletions,
+            ask_peers,
         )
         self.order_follower = Follower(
-            context, orders, self.orders, WATCH_SECONDS, _nothing
+            context, orders, self.orders, WATCH_SECONDS, _nothing, ask_peers
         )
         self.tasks = Tasks()
         # The one confirmation that is under way, shared by all who wait for it.
@@ -262,6 +271,17 @@
         """:returns: the followers, one for each kind."""
         return (self.catalogue_follower, self.instance_follower, self.order_follower)
 
+    def export(self, kind: str, revision: int) -> bytes:
+        """:param kind: a kind of the store's objects.
+
+        :param revision: what a peer knows of it.
+        :returns: what is known here, if it is newer; else nothing.
+        """
+        for follower in self.followers():
+            if follower.feed.kind == kind:
+                return follower.feed.export(revision)
+        return b""
+
     @property
     def ready(self) -> bool:
         """Whether enough is known to serve callers."""
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -134,6 +134,16 @@
             listener(grant.name, seconds, work.beginning)
         return grant
 
+    def hear(self, name: EndpointName, seconds: float, beginning: str) -> None:
+        """Take in that another VM has sent a prompt.
+
+        :param name: the engine.
+        :param seconds: how long it will take to read it.
+        :param beginning: what it has cached from then on.
+        """
+        if name in self.book.known:
+            self.work.add(name, seconds, beginning, monotonic())
+
     def began(self, grant: Grant, seconds: float) -> None:
         """Learn from an answer's beginning.
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -10,8 +10,10 @@
 import logbook
 import uvloop
 
+from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.recorder import TraceRecorder
 from walnutquay.coordination.routed import RoutedPath
@@ -23,18 +25,23 @@
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.feeds import (
     OrderDesk,
+    VmRegister,
     catalogue_feed,
     instance_feed,
     order_feed,
 )
 from walnutquay.platform.store import StoreClient
+from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, WorkNews
+from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import GatewayOptions, Settings, host_and_port
 from walnutquay.state.admission import RetryBudget
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.ids import EndpointName, HallName, VmName
+from walnutquay.state.membership import Address
 from walnutquay.state.sizing import ModelChoice
 from walnutquay.transport.client import HttpClient
+from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
 
@@ -46,6 +53,8 @@
 # Repeated requests are kept to this part of what the platform allows, as its
 # spans and ours do not begin together.
 BUDGET_MARGIN = 0.8
+# Prompts that take an engine less time to read are not told to the other VMs.
+HEAVY_SECONDS = 0.03
 # Until more is known, so many VMs are taken to share the extra retries.
 ASSUMED_VMS = 7
 
@@ -66,12 +75,17 @@
             vm, hall, new_incarnation(), timeline, region=options.vm.region
         )
         self.store = StoreClient(options.store.address)
+        self.mailroom = Mailroom()
+        self.node = self._make_node()
+        self.circle = self._make_circle()
         self.knowledge = Knowledge(
             self.context,
             catalogue_feed(self.store),
             instance_feed(self.store),
             order_feed(self.store),
+            self._ask_peers,
         )
+        self.mailroom.on(AskKnown, self._known)
         self.client = HttpClient()
         self.versions = VersionTrials(
             self.context, self.knowledge, OrderDesk(self.store), options.promises
@@ -80,12 +94,54 @@
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.stopping = asyncio.Event()
 
+    def _make_node(self) -> PeerNode:
+        # This only keeps the packets of other fleets out: the platform gives its
+        # routers no secret, and its network is theirs alone.
+        key = f"walnutquay fleet of {self.options.store.address}"
+        return PeerNode(
+            self.context.vm,
+            self.context.incarnation,
+            PeerCodec([key.encode()]),
+            self.context.timeline.clock,
+            self.context.metrics,
+            self.mailroom.deliver,
+        )
+
+    def _make_circle(self) -> PeerCircle:
+        section = self.options.peers
+        own = Address(*host_and_port(section.address))
+        hosts = [seed.partition(":")[0] for seed in section.seeds.split(",") if seed]
+        seeds = [Address(host, own.port) for host in hosts]
+        register = VmRegister(self.store)
+        return PeerCircle(self.context, self.node, register, own, seeds)
+
+    async def _ask_peers(self, kind: str, revision: int) -> bytes:
+        answer = await self.circle.ask(AskKnown(kind, revision))
+        return answer.data if isinstance(answer, KnownIs) else b""
+
+    def _known(self, envelope: Envelope) -> KnownIs:
+        body = envelope.body
+        assert isinstance(body, AskKnown)
+        return KnownIs(self.knowledge.export(body.kind, body.revision))
+
+    def _tell_work(self, name: EndpointName, seconds: float, beginning: str) -> None:
+        if seconds >= HEAVY_SECONDS:
+            self.circle.tell(WorkNews(name, seconds, beginning))
+
+    def _hear_work(self, envelope: Envelope) -> None:
+        body = envelope.body
+        assert isinstance(body, WorkNews)
+        name = EndpointName(body.endpoint)
+        self.path.places.hear(name, body.seconds, body.beginning)
+
     def _make_path(self) -> RoutedPath:
         table = EndpointTable(self.context.hall, self.context.rng)
         versions = self.versions
         places = RoutedPlaces(
             self.context, self.knowledge.instances.book, table, versions.allowed
         )
+        places.listeners.append(self._tell_work)
+        self.mailroom.on(WorkNews, self._hear_work)
         parts = PathParts(self.context, places, table, RetryBudget(), TraceRecorder())
         return RoutedPath(
             parts,
@@ -102,7 +158,7 @@
         promises = self.options.promises
         return RetryBudget(
             promises.retry_share * BUDGET_MARGIN,
-            promises.retry_extra * BUDGET_MARGIN / ASSUMED_VMS,
+            promises.retry_extra * BUDGET_MARGIN / max(ASSUMED_VMS, self.circle.size),
         )
 
     async def run(self) -> None:
@@ -111,6 +167,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.node.start(*host_and_port(self.options.peers.address))
+        self.circle.start()
         self.knowledge.start()
         self.versions.start()
         options = self.options
@@ -138,6 +196,8 @@
             log.error("{} requests did not end in time", self.api.server.in_flight)
         self.context.timeline.emit(EventKind.STOPPED)
         self.knowledge.stop()
+        await self.circle.stop()
+        await self.node.stop()
         self.context.timers.stop()
         await self.api.server.stop()
         await self.api.ready_server.stop()
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -4,10 +4,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
 import logbook
+import orjson
 
 from walnutquay.exceptions import MessageError, PlatformConflictError
 from walnutquay.platform.names import (
@@ -16,6 +18,7 @@
     KIND_INSTANCES,
     KIND_ROLLOUTS,
     KIND_TRIALS,
+    KIND_VMS,
 )
 from walnutquay.platform.records import (
     decode_catalogue,
@@ -25,10 +28,17 @@
     encode_order_status,
     encode_trial_report,
 )
-from walnutquay.platform.store import MissingObjectError, StoreClient, StoredObject
+from walnutquay.platform.store import (
+    MissingObjectError,
+    StoreClient,
+    StoredEvent,
+    StoredObject,
+)
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
+from walnutquay.state.ids import VmName
 from walnutquay.state.instances import Instance
+from walnutquay.state.membership import Address
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.trials import TrialReport
 
@@ -51,6 +61,9 @@
         self.store = store
         self.kind = kind
         self.decode = decode
+        # What is known, as it is stored, to be passed on to peers.
+        self.objects: dict[str, StoredObject] = {}
+        self.revision = 0
 
     async def list(self) -> Listing[Item]:
         """:returns: all objects that can be read.
@@ -62,6 +75,10 @@
             found, revision = await self.store.list(self.kind)
         except MissingObjectError:
             return Listing({}, 0)
+        return self._listing(found, revision)
+
+    def _listing(self, found: list[StoredObject], revision: int) -> Listing[Item]:
+        self._remember(found, revision)
         items = {}
         for stored in found:
             item = self._decoded(stored)
@@ -69,6 +86,36 @@
                 items[stored.name] = item
         return Listing(items, revision)
 
+    def _remember(self, found: list[StoredObject], revision: int) -> None:
+        if revision >= self.revision:
+            self.objects = {stored.name: stored for stored in found}
+            self.revision = revision
+
+    def export(self, revision: int) -> bytes:
+        """Write what is known for a peer.
+
+        :param revision: the store's revision that the peer knows.
+        :returns: the list; empty where it is not newer.
+        """
+        if self.revision <= revision:
+            return b""
+        items = [dataclasses.asdict(stored) for stored in self.objects.values()]
+        return orjson.dumps({"revision": self.revision, "items": items})
+
+    def read_export(self, data: bytes) -> Listing[Item]:
+        """:param data: what a peer's :meth:`export` wrote.
+
+        :raises MessageError: if it is not that.
+        """
+        try:
+            plain = orjson.loads(data)
+            found = [StoredObject(**item) for item in plain["items"]]
+            return self._listing(found, int(plain["revision"]))
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise MessageError(
+                f"a peer's list cannot be read: {error!r}", step="decode"
+            ) from error
+
     async def watch(self, revision: int, seconds: float) -> Changes[Item]:
         """:param revision: the revision after which changes count.
 
@@ -78,12 +125,20 @@
         events, latest = await self.store.watch(self.kind, revision, seconds)
         changes = []
         for event in events:
+            self._remember_event(event)
             item = None if event.deleted else self._decoded(event.stored)
             # An object that cannot be read leaves what was known of it.
             if item is not None or event.deleted:
                 changes.append(Change(event.stored.name, item))
+        self.revision = max(self.revision, latest)
         return Changes(tuple(changes), latest)
 
+    def _remember_event(self, event: StoredEvent) -> None:
+        if event.deleted:
+            self.objects.pop(event.stored.name, None)
+        else:
+            self.objects[event.stored.name] = event.stored
+
     def _decoded(self, stored: StoredObject) -> Item | None:
         try:
             return self.decode(stored)
@@ -126,6 +181,43 @@
     )
 
 
+class VmRegister:
+    """The list of entry VMs, each of which writes its own entry.
+
+    :param store: the store's client.
+    """
+
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+
+    async def enter(self, vm: VmName, address: Address) -> None:
+        """Write a VM's entry.
+
+        :param vm: the VM.
+        :param address: where its peers reach it.
+        """
+        spec = {"host": address.host, "port": address.port}
+        try:
+            await self.store.create(KIND_VMS, vm, spec)
+        except PlatformConflictError:
+            await self.store.replace(KIND_VMS, vm, spec, None)
+
+    async def leave(self, vm: VmName) -> None:
+        """:param vm: a VM that stops."""
+        await self.store.delete(KIND_VMS, vm)
+
+    async def read(self) -> dict[VmName, Address]:
+        """:returns: where each VM is reached, as it was some seconds ago."""
+        try:
+            found, _ = await self.store.list(KIND_VMS, stale=True)
+        except MissingObjectError:
+            return {}
+        return {
+            VmName(stored.name): Address(stored.spec["host"], int(stored.spec["port"]))
+            for stored in found
+        }
+
+
 class OrderDesk:
     """Reads and answers roll-out orders.
 
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -59,7 +59,8 @@
 CONFIGURATION_NAME = "main"
 KIND_INSTANCES = "servers"
 KIND_ROLLOUTS = "rollouts"
-# Kinds of our own: what each entry VM has seen of versions on trial.
+# Kinds of our own: the entry VMs, and what each has seen of versions on trial.
+KIND_VMS = "entry-vms"
 KIND_TRIALS = "trial-reports"
 
 STATUS_MISDIRECTED = 421
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -168,6 +168,43 @@
     rows: tuple[TallyRow, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkNews(Message):
+    """Tells that an engine was sent a prompt.
+
+    :param endpoint: the engine.
+    :param seconds: how long it will take to read it.
+    :param beginning: what it has cached from then on; empty for nothing.
+    """
+
+    endpoint: str
+    seconds: float
+    beginning: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskKnown(Message):
+    """Asks what the receiver knows of one kind of the store's objects.
+
+    :param kind: the kind.
+    :param revision: the store's revision that the sender knows; only newer
+        knowledge is of use to it.
+    """
+
+    kind: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KnownIs(Message):
+    """Answers with a list of objects.
+
+    :param data: the list, as the store wrote it; empty where it is not newer.
+    """
+
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Failure(Message):
     """Answers that a call could not be carried out."""
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -26,6 +26,9 @@
     failure @19 :Text;
     copyPin @20 :PinProposal;
     tallies @21 :List(TallyRow);
+    work @22 :WorkNews;
+    askKnown @23 :KnownRevision;
+    known @24 :Data;
   }
 }
 
@@ -93,3 +96,14 @@
   good @3 :UInt32;
   bad @4 :UInt32;
 }
+
+struct WorkNews {
+  endpoint @0 :Text;
+  seconds @1 :Float32;
+  beginning @2 :Text;
+}
+
+struct KnownRevision {
+  kind @0 :Text;
+  revision @1 :UInt64;
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -181,6 +181,21 @@
     return {"tallies": [asdict(row) for row in body.rows]}
 
 
+@body_fields.register
+def _(body: m.WorkNews) -> dict[str, Any]:
+    return {"work": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.AskKnown) -> dict[str, Any]:
+    return {"askKnown": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.KnownIs) -> dict[str, Any]:
+    return {"known": body.data}
+
+
 @body_fields.register
 def _(body: m.Failure) -> dict[str, Any]:
     return {"failure": body.reason}
@@ -228,6 +243,9 @@
     "endpointLeaving": lambda r: m.EndpointLeaving(r.endpoint, r.incarnation),
     "versionBrake": lambda r: m.VersionBrake(str(r)),
     "tallies": _tallies,
+    "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning),
+    "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
+    "known": lambda r: m.KnownIs(bytes(r)),
     "failure": lambda r: m.Failure(str(r)),
 }
 
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -222,6 +222,9 @@
 
     address: ListenAddress
     """IP number and port to listen at, as `IP:port`."""
+    seeds: str = ""
+    """Addresses of some entry VMs, with commas between; their ports do not matter,
+    for all VMs listen for peers at the same port."""
 
 
 class PromisesSection(Section):
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -47,6 +47,7 @@
     ORDERED = "ordered"
     STARTED = "started"
     RELOADED = "reloaded"
+    RELAYED = "relayed"
     STOPPING = "stopping"
     STOPPED = "stopped"
 
