--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -38,6 +38,8 @@
 TURNED_AWAY_RETRY = 0.5
 # When to come back where this VM does not know enough yet.
 UNREADY_RETRY = 0.5
+# Timers of the client fire this much before the deadline at the most.
+TIMER_SECONDS = 0.02
 CODE_TIMEOUT = "timeout"
 
 
@@ -248,7 +250,7 @@
         if isinstance(error, FailedAnswerError):
             running.answered()
             return Whole(error.answer)
-        if turn.seconds_left() <= 0:
+        if turn.seconds_left() <= TIMER_SECONDS:
             reason = "no answer came in time"
             return Unknown(running.unknown(), reason, CODE_TIMEOUT, 504)
         return Unknown(running.unknown(), f"the endpoint failed: {error}")
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -26,8 +26,10 @@
 AllowedVersions = Callable[[ServiceName], frozenset[VersionName] | None]
 
 
-# What an engine in another data hall counts as: bytes between halls have a price.
-OTHER_HALL_SECONDS = 0.03
+# A wait grows harmful with its square, for only long ones make an answer late; an
+# engine in another data hall, to which bytes have a price, counts as much as a wait
+# of 0.55 s does.
+OTHER_HALL_HARM = 0.3
 # What each running request delays the others by: steps take longer with more.
 RUNNING_SECONDS = 0.002
 
@@ -170,15 +172,16 @@
             near or [item.name for item in open_ones], work.beginning
         )
 
-        def seconds(item: Instance) -> float:
+        def harm(item: Instance) -> float:
             facts = self.table.of(item.name)
             wait = self.work.wait(item.name, now)
             reading = self.work.reading(item.name, work, now, item.name == preferred)
-            far = 0.0 if item.hall == self.context.hall else OTHER_HALL_SECONDS
             running = facts.load(now) * RUNNING_SECONDS
-            return (wait + reading + running) * facts.slow_by(now) + far
+            seconds = (wait + reading + running) * facts.slow_by(now)
+            far = 0.0 if item.hall == self.context.hall else OTHER_HALL_HARM
+            return seconds * seconds + far
 
-        return min(open_ones, key=seconds)
+        return min(open_ones, key=harm)
 
     def _least_loaded(self, left: list[Instance], now: float) -> Instance | None:
         """Choose where to queue; endpoints that have just refused are left out."""
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -53,8 +53,9 @@
 # Repeated requests are kept to this part of what the platform allows, as its
 # spans and ours do not begin together.
 BUDGET_MARGIN = 0.8
-# Prompts that take an engine less time to read are not told to the other VMs.
-HEAVY_SECONDS = 0.03
+# Prompts that take an engine less time to read are not told to the other VMs: bytes
+# between data halls have a price, and these delay nobody for long.
+HEAVY_SECONDS = 0.08
 # Until more is known, so many VMs are taken to share the extra retries.
 ASSUMED_VMS = 7
 
--- a/walnutquay/state/work.py
+++ b/walnutquay/state/work.py
@@ -52,8 +52,10 @@
 
     @property
     def beginning(self) -> str:
-        """What an engine keeps: the beginning, read by this model."""
-        return f"{self.model}\n{self.subject}" if self.subject else ""
+        """What stands for what an engine keeps: the beginning, read by this model."""
+        if not self.subject:
+            return ""
+        return xxhash.xxh3_64_hexdigest(f"{self.model}\n{self.subject}".encode())
 
 
 class WorkTable:
