--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -27,7 +27,7 @@
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
 from walnutquay.state.sizing import ModelChoice, urgency
-from walnutquay.transport.client import READ_BYTES, Exchange, HttpClient
+from walnutquay.transport.client import READ_BYTES, ConnectionEnd, Exchange, HttpClient
 from walnutquay.transport.timers import monotonic
 
 # An answer larger than this is not passed on.
@@ -410,37 +410,6 @@
             )
 
 
-class ConnectionEnd:
-    """Tells whether an answer that ends with its connection is whole.
-
-    Make it when the head has come; call :meth:`check` when the body has ended.
-
-    :param answer: the answer.
-    """
-
-    def __init__(self, answer: aiohttp.ClientResponse) -> None:
-        framed = (
-            answer.headers.get("Content-Length") is not None
-            or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
-            or answer.status in (204, 304)
-        )
-        connection = answer.connection
-        self.protocol = None if framed or connection is None else connection.protocol
-
-    def check(self, peer: str) -> None:
-        """:param peer: the endpoint's name, for errors.
-
-        :raises EndpointError: if the connection was reset, not closed.
-        """
-        if self.protocol is None:
-            return
-        failure = self.protocol.exception()
-        if isinstance(failure, OSError):
-            raise EndpointError(
-                "the connection was reset within the answer", step="answer", peer=peer
-            )
-
-
 async def _whole_body(answer: aiohttp.ClientResponse, peer: str) -> bytes:
     """Read an answer's body.
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -47,7 +47,7 @@
 
 # The platform asks each second and takes a VM out after two misses; callers are
 # still sent here for so long after the first "not ready".
-BALANCER_SECONDS = 3.2
+BALANCER_SECONDS = 2.6
 # What is left of the time to stop once requests must have ended.
 EXIT_SECONDS = 0.4
 # Repeated requests are kept to this part of what the platform allows, as its
@@ -191,8 +191,10 @@
         self.context.timeline.emit(EventKind.STOPPING)
         self.api.open = False
         self.api.server.draining = True
+        self.api.server.close_idle()
         await asyncio.sleep(BALANCER_SECONDS)
         self.api.server.close_listener()
+        self.api.server.close_idle()
         if not await self.api.server.idle(end - loop.time()):
             log.error("{} requests did not end in time", self.api.server.in_flight)
         self.context.timeline.emit(EventKind.STOPPED)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -54,10 +54,12 @@
     """The way back to the caller of a stream.
 
     :param request: the caller's request.
+    :param server: whose connections end with their next answer at a stop.
     """
 
-    def __init__(self, request: web.BaseRequest) -> None:
+    def __init__(self, request: web.BaseRequest, server: GatewayServer) -> None:
         self.request = request
+        self.server = server
         self.response: web.StreamResponse | None = None
 
     async def begin(self, head: AnswerHead) -> None:
@@ -69,6 +71,8 @@
         if head.content_type:
             headers["Content-Type"] = head.content_type
         self.response = web.StreamResponse(status=head.status, headers=headers)
+        if self.server.draining:
+            self.response.force_close()
         await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
@@ -145,7 +149,7 @@
             raise
         if isinstance(outcome, Streamed):
             assert isinstance(arrival.reply, StreamReply)
-            return await arrival.reply.end(outcome.whole)
+            return self._finish(await arrival.reply.end(outcome.whole))
         return self._finish(self._response(outcome))
 
     async def _arrival(self, request: web.BaseRequest) -> RoutedArrival:
@@ -168,9 +172,14 @@
             route=route,
             catalogue_version=catalogue.version,
             keyed=bool(catalogue.organisations),
-            reply=StreamReply(request) if route.kind is RouteKind.STREAM else None,
+            reply=self._reply(request, route),
         )
 
+    def _reply(self, request: web.BaseRequest, route: Route) -> StreamReply | None:
+        if route.kind is not RouteKind.STREAM:
+            return None
+        return StreamReply(request, self.server)
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         catalogue = self.knowledge.catalogue.current
         most = (catalogue or Catalogue()).limits.body_bytes
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -9,13 +9,17 @@
 
 from __future__ import annotations
 
+import functools
+import os
 import socket
 from collections.abc import Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from types import TracebackType
+from typing import Any
 
 import aiohttp
 import orjson
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
@@ -23,6 +27,10 @@
 CONNECT_SECONDS = 1.0
 CONNECTIONS = 2048
 READ_BYTES = 1 << 16
+# Endpoints close idle connections too, and say after how long.
+KEEP_SECONDS = 60.0
+# Answers that have no body, whatever their headers say.
+BODILESS = (204, 304)
 # Endpoints say by this header that they did not begin the work they refuse.
 HEADER_NOT_STARTED = "x-not-started"
 BEFORE_SENDING = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -54,6 +62,86 @@
     return made
 
 
+class EndpointProtocol(ResponseHandler):
+    """An aiohttp connection that notices a reset which looks like an end.
+
+    libuv reports the end of a stream where data and a reset come together.  An
+    answer without a length would then seem whole.
+    """
+
+    # Whether the peer has reset the connection.
+    was_reset = False
+
+    def eof_received(self) -> None:
+        """Ask the socket itself how the connection ended."""
+        super().eof_received()
+        transport = self.transport
+        if transport is not None:
+            self.was_reset = _is_reset(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """:param exc: how the connection broke; None where it was closed."""
+        if isinstance(exc, OSError):
+            self.was_reset = True
+        super().connection_lost(exc)
+
+
+def _is_reset(bound: socket.socket | None) -> bool:
+    """Tell whether a socket whose stream has ended was reset."""
+    if bound is None:
+        return False
+    # The loop's own object offers no reading.
+    with socket.socket(fileno=os.dup(bound.fileno())) as copy:
+        try:
+            copy.setblocking(False)
+            if copy.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return True
+            copy.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return False
+
+
+def _connector(**options: Any) -> aiohttp.TCPConnector:
+    """Make a connector whose connections notice silence and resets."""
+    made = aiohttp.TCPConnector(
+        limit=CONNECTIONS, socket_factory=limit_silence, **options
+    )
+    # aiohttp offers no public way to a protocol of one's own.
+    made._factory = functools.partial(EndpointProtocol, loop=made._loop)
+    return made
+
+
+class ConnectionEnd:
+    """Tells whether an answer that ends with its connection is whole.
+
+    Make it when the head has come; call :meth:`check` when the body has ended.
+
+    :param answer: the answer.
+    """
+
+    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+        framed = (
+            answer.headers.get("Content-Length") is not None
+            or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+            or answer.status in BODILESS
+        )
+        connection = answer.connection
+        self.protocol = None if framed or connection is None else connection.protocol
+
+    def check(self, peer: str) -> None:
+        """:param peer: the endpoint's name, for errors.
+
+        :raises EndpointError: if the connection was reset, not closed.
+        """
+        if isinstance(self.protocol, EndpointProtocol) and self.protocol.was_reset:
+            raise EndpointError(
+                "the connection was reset within the answer", step="answer", peer=peer
+            )
+
+
 class HttpClient:
     """Calls endpoints; owns the connections to them.
 
@@ -63,12 +151,8 @@
     """
 
     def __init__(self) -> None:
-        kept = aiohttp.TCPConnector(
-            limit=CONNECTIONS, keepalive_timeout=60, socket_factory=limit_silence
-        )
-        fresh = aiohttp.TCPConnector(
-            limit=CONNECTIONS, force_close=True, socket_factory=limit_silence
-        )
+        kept = _connector(keepalive_timeout=KEEP_SECONDS)
+        fresh = _connector(force_close=True)
         plain = {
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -53,6 +53,8 @@
         self.draining = False
         # Requests that have been read and not answered.
         self.in_flight = 0
+        # The connections that they came by.
+        self.busy: set[web.RequestHandler] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
         self.web = web.Server(
@@ -83,6 +85,16 @@
             self.server.close()
             self.server = None
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way.
+
+        A request that crosses the close was not read, and its caller can tell.
+        """
+        for connection in self.web.connections:
+            if connection not in self.busy:
+                connection.close()
+                connection.force_close()
+
     async def stop(self) -> None:
         """Close everything."""
         self.close_listener()
@@ -102,7 +114,9 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_flight += 1
+        self.busy.add(request.protocol)
         try:
             return await self.handler(request)
         finally:
             self.in_flight -= 1
+            self.busy.discard(request.protocol)
