--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,247 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""A stand-in for an endpoint of the users' platform, in the test's own process.
+
+It speaks HTTP by hand, so that it can break answers as real endpoints do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+# Seconds for which a mute endpoint says nothing.
+MUTE_SECONDS = 60.0
+
+
+@dataclass
+class Seen:
+    """A request as the endpoint got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    # Whether its caller closed the connection before the answer had ended.
+    left: bool = False
+
+
+@dataclass
+class Behaviour:
+    """How one request is answered.
+
+    :param status: the HTTP status.
+    :param body: the body of a plain answer.
+    :param events: the events of a stream, whose ids are their numbers; None for a
+        plain answer.
+    :param first: the id of the first event; after the request's last one if None.
+    :param cut_after: events, or bytes of a plain body, after which the connection
+        is reset; None for a whole answer.
+    :param within: bytes of the next event that are sent before the cut.
+    :param framed: whether a plain answer says its length.
+    :param crossed: whether the answer carries another request's id.
+    :param not_run: whether it says that nothing was run.
+    :param mute: whether nothing is answered at all.
+    :param extra: whether a second answer follows the first.
+    :param headers: more headers.
+    :param pause: seconds between two events.
+    """
+
+    status: int = 200
+    body: bytes = b"done"
+    events: int | None = None
+    first: int | None = None
+    cut_after: int | None = None
+    within: int = 0
+    framed: bool = True
+    crossed: bool = False
+    not_run: bool = False
+    mute: bool = False
+    extra: bool = False
+    headers: dict[str, str] = field(default_factory=dict)
+    pause: float = 0.0
+
+
+class WorkerStandIn:
+    """One endpoint.
+
+    :param name: its instance name; requests for another get 421.
+    :param default: how requests are answered that no other behaviour waits for.
+    """
+
+    def __init__(self, name: str, default: Behaviour | None = None) -> None:
+        self.name = name
+        self.default = default or Behaviour()
+        # How the next requests are answered, one each.
+        self.next: deque[Behaviour] = deque()
+        # Chooses a behaviour by the request, where it returns one.
+        self.choose: Callable[[Seen], Behaviour | None] = lambda seen: None
+        # What was run, in order, and what was turned away.
+        self.runs: list[Seen] = []
+        self.turned_away: list[Seen] = []
+        self.connections = 0
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen at a free port."""
+        self.server = await asyncio.start_server(self._serve, host, 0)
+        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Close everything."""
+        if self.server is not None:
+            self.server.close()
+        for task in self.tasks:
+            task.cancel()
+
+    def spec(self, service: str, **more: object) -> dict[str, object]:
+        """:param service: the service that it runs.
+
+        :param more: fields that are not as usual.
+        :returns: its entry in the store.
+        """
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "hall-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+            **more,
+        }
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (EOFError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request.
+
+        :returns: whether the connection goes on.
+        """
+        seen = await _read_request(reader)
+        expected = seen.headers.get("target-instance", self.name)
+        if expected != self.name:
+            self.turned_away.append(seen)
+            head = f"Instance: {self.name}\r\nContent-Length: 0\r\n\r\n"
+            writer.write(b"HTTP/1.1 421 Misdirected Request\r\n" + head.encode())
+            return True
+        behaviour = self.choose(seen)
+        if behaviour is None:
+            behaviour = self.next.popleft() if self.next else self.default
+        (self.turned_away if behaviour.not_run else self.runs).append(seen)
+        if behaviour.mute:
+            await self._until_left(reader, seen)
+            return False
+        if behaviour.events is not None:
+            return await self._stream(reader, writer, seen, behaviour)
+        return await self._plain(writer, seen, behaviour)
+
+    async def _until_left(self, reader: asyncio.StreamReader, seen: Seen) -> None:
+        async with asyncio.timeout(MUTE_SECONDS):
+            seen.left = not await reader.read(1)
+
+    def _head(self, seen: Seen, behaviour: Behaviour, framing: str) -> bytes:
+        request = "another" if behaviour.crossed else seen.headers.get("request-id", "")
+        lines = [f"HTTP/1.1 {behaviour.status} X", f"Request-Id: {request}"]
+        if behaviour.not_run:
+            lines.append("Not-Run: 1")
+        else:
+            lines.append(f"Reply-Seal: seal-of-{self.name}")
+        lines += [f"{name}: {value}" for name, value in behaviour.headers.items()]
+        return "\r\n".join([*lines, framing, "", ""]).encode()
+
+    async def _plain(
+        self, writer: asyncio.StreamWriter, seen: Seen, behaviour: Behaviour
+    ) -> bool:
+        framing = f"Content-Length: {len(behaviour.body)}"
+        if not behaviour.framed:
+            framing = "Connection: close"
+        answer = self._head(seen, behaviour, framing) + behaviour.body
+        if behaviour.cut_after is not None:
+            left = len(behaviour.body) - behaviour.cut_after
+            writer.write(answer[: len(answer) - left])
+            await writer.drain()
+            _reset(writer)
+            return False
+        writer.write(answer)
+        if behaviour.extra:
+            writer.write(answer)
+        await writer.drain()
+        return behaviour.framed
+
+    async def _stream(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        seen: Seen,
+        behaviour: Behaviour,
+    ) -> bool:
+        assert behaviour.events is not None
+        head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+        writer.write(self._head(seen, behaviour, head))
+        first = behaviour.first or int(seen.headers.get("last-event-id", "0")) + 1
+        left = asyncio.ensure_future(reader.read(1))
+        for number in range(first, behaviour.events + 1):
+            event = f"id: {number}\ndata: word {number}\n\n".encode()
+            if behaviour.cut_after is not None and number > behaviour.cut_after:
+                if behaviour.within:
+                    writer.write(_chunk(event[: behaviour.within]))
+                await writer.drain()
+                _reset(writer)
+                return False
+            writer.write(_chunk(event))
+            await writer.drain()
+            await asyncio.wait([left], timeout=behaviour.pause or None) if (
+                behaviour.pause
+            ) else await asyncio.sleep(0)
+            if left.done():
+                seen.left = True
+                return False
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        left.cancel()
+        return False
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its peer sees a reset."""
+    bound = writer.get_extra_info("socket")
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    pairs = [line.split(":", 1) for line in lines]
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Seen(method, target, headers, body)
--- /dev/null
+++ b/tests/test_routed.py
@@ -0,0 +1,269 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The path of routed requests: what endpoints get, and what callers are told."""
+
+from __future__ import annotations
+
+import asyncio
+
+from standins.worker import Behaviour
+from tests.gatewaycase import GatewayCase, catalogue
+
+
+class PassingOnTest(GatewayCase):
+    """Requests reach endpoints unaltered, answers return unaltered."""
+
+    async def test_the_request_is_passed_on_as_it_came(self):
+        answer = await self.call(
+            "/unsafe/a%2Fb?x=%20y", b"\x00body", Tenant="org-b", Hold="h1", X_More="m"
+        )
+        self.assertEqual((answer.status, answer.body), (200, b"done"))
+        seen = [run for name in ("p1", "p2") for run in self.endpoints[name].runs]
+        self.assertEqual(len(seen), 1)
+        self.assertEqual(seen[0].method, "POST")
+        self.assertEqual(seen[0].target, "/unsafe/a%2Fb?x=%20y")
+        self.assertEqual(seen[0].body, b"\x00body")
+        self.assertEqual(seen[0].headers["host"], "app.example")
+        self.assertEqual(seen[0].headers["tenant"], "org-a")
+        self.assertEqual(seen[0].headers["x-more"], "m")
+        self.assertNotIn("authorization", seen[0].headers)
+        self.assertNotIn("hold", seen[0].headers)
+        self.assertLessEqual(int(seen[0].headers["deadline"]), 4000)
+
+    async def test_status_body_and_seal_return(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(status=409, body=b"conflict")
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual((answer.status, answer.body), (409, b"conflict"))
+        self.assertIn("Reply-Seal", answer.headers)
+
+    async def test_a_reused_address_is_not_run(self):
+        self.endpoints["p1"].name = "another"
+        self.endpoints["p2"].name = "yet-another"
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        self.assertNotIn("Reply-Seal", answer.headers)
+        self.assertEqual(self.runs(), 0)
+
+
+class RepeatingTest(GatewayCase):
+    """What may be repeated is; what may not never is."""
+
+    async def test_a_safe_request_is_tried_elsewhere(self):
+        self.endpoints["p1"].default = Behaviour(status=500)
+        for _ in range(4):
+            answer = await self.call("/safe/x")
+            self.assertEqual(answer.status, 200)
+
+    async def test_both_failing_the_endpoints_own_answer_returns(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(status=500, body=b"mine")
+        answer = await self.call("/safe/x")
+        self.assertEqual((answer.status, answer.body), (500, b"mine"))
+        self.assertEqual(self.runs(), 2)
+
+    async def test_an_unsafe_request_runs_once(self):
+        for fault in (
+            Behaviour(status=500),
+            Behaviour(cut_after=0),
+            Behaviour(cut_after=2, framed=False),
+            Behaviour(crossed=True),
+        ):
+            with self.subTest(fault=fault):
+                before = self.runs()
+                for name in ("p1", "p2"):
+                    self.endpoints[name].default = fault
+                answer = await self.call("/unsafe/x", b"b")
+                self.assertEqual(self.runs() - before, 1)
+                self.assertIn(answer.status, (500, 502))
+                self.assertEqual("Reply-Seal" in answer.headers, answer.status == 500)
+
+    async def test_what_was_not_run_goes_elsewhere(self):
+        self.endpoints["p1"].default = Behaviour(status=503, not_run=True)
+        for _ in range(3):
+            answer = await self.call("/unsafe/x", b"b")
+            self.assertEqual(answer.status, 200)
+
+    async def test_all_turning_away_is_a_true_refusal(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(status=503, not_run=True)
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b'"not_run"', answer.body)
+        self.assertEqual(self.runs(), 0)
+
+
+class WholeBodyTest(GatewayCase):
+    """An answer that broke off is never passed on as a whole one."""
+
+    workers = {"p1": "plain", "e1": "engine"}
+
+    async def test_a_reset_without_a_length_is_no_end(self):
+        self.endpoints["p1"].next.append(
+            Behaviour(body=b"0123456789", cut_after=4, framed=False)
+        )
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual(answer.status, 502)
+
+    async def test_a_close_without_a_length_is_one(self):
+        self.endpoints["p1"].next.append(Behaviour(body=b"0123456789", framed=False))
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual((answer.status, answer.body), (200, b"0123456789"))
+
+    async def test_a_second_answer_belongs_to_nobody(self):
+        self.endpoints["p1"].default = Behaviour(extra=True)
+        for _ in range(5):
+            answer = await self.call("/safe/x")
+            self.assertEqual((answer.status, answer.body), (200, b"done"))
+            self.assertEqual(answer.headers["Request-Id"], f"r{self.numbers}")
+
+
+class StreamTest(GatewayCase):
+    """Streams are passed on event by event, and taken up where they broke."""
+
+    workers = {"p1": "plain", "e1": "engine", "e2": "engine"}
+    prompt = {
+        "Model": "*",
+        "Token_Count": "100,50",
+        "Prefix_Hash": "aa:60,bb:40",
+        "Session": "s1",
+    }
+
+    def events(self, count: int, first: int = 1) -> bytes:
+        """:returns: the whole stream."""
+        return b"".join(
+            f"id: {n}\ndata: word {n}\n\n".encode() for n in range(first, count + 1)
+        )
+
+    async def test_a_whole_stream(self):
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=5)
+        answer = await self.call("/stream/x", b"b", **self.prompt)
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, self.events(5))
+
+    async def test_a_stream_that_breaks_within_an_event_goes_on_elsewhere(self):
+        broken = Behaviour(events=6, cut_after=3, within=9)
+        once = [broken]
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=6)
+            self.endpoints[name].choose = lambda seen: once.pop() if once else None
+        answer = await self.call("/stream/x", b"b", **self.prompt)
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body, self.events(6))
+        second = [r for n in ("e1", "e2") for r in self.endpoints[n].runs]
+        marks = {run.headers.get("last-event-id") for run in second}
+        self.assertEqual(marks, {None, "3"})
+
+    async def test_the_callers_own_mark_is_passed_on(self):
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=6)
+        answer = await self.call("/stream/x", b"b", Last_Event_Id="4", **self.prompt)
+        self.assertEqual(answer.body, self.events(6, 5))
+
+    async def test_one_that_may_not_be_resumed_ends_as_broken(self):
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=6, cut_after=3)
+        answer = await self.call("/once/x", b"b", Model="tiny")
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, self.events(3))
+        self.assertEqual(self.runs(), 1)
+
+    async def test_little_confidence_asks_the_largest_model(self):
+        def by_model(seen):
+            confident = seen.headers["model"] == "huge"
+            value = "90" if confident else "10"
+            return Behaviour(events=3, headers={"Confidence": value})
+
+        for name in ("e1", "e2"):
+            self.endpoints[name].choose = by_model
+        answer = await self.call("/stream/x", b"b", **self.prompt)
+        self.assertEqual(answer.headers["Confidence"], "90")
+        models = [
+            r.headers["model"] for n in ("e1", "e2") for r in self.endpoints[n].runs
+        ]
+        self.assertEqual(sorted(models), ["huge", "tiny"])
+
+    async def test_a_caller_who_leaves_stops_the_work(self):
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=1000, pause=0.05)
+        port = self.gateway.api.server.port
+        url = f"http://127.0.0.1:{port}/stream/x"
+        async with self.session.post(
+            url, data=b"b", headers=self.head(**self.prompt)
+        ) as answer:
+            await answer.content.readany()
+        await self.until(
+            lambda: any(r.left for n in ("e1", "e2") for r in self.endpoints[n].runs)
+        )
+
+
+class TimeTest(GatewayCase):
+    """A request whose time is over is answered then."""
+
+    async def test_a_mute_endpoint(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(mute=True)
+        answer = await self.call("/unsafe/x", b"b", Deadline="150")
+        self.assertEqual(answer.status, 504)
+
+
+class StopTest(GatewayCase):
+    """A planned stop cuts no request."""
+
+    async def test_streams_end_and_connections_close(self):
+        self.endpoints["e1"].default = Behaviour(events=20, pause=0.02)
+        stream = asyncio.ensure_future(self.call("/stream/x", b"b", Model="tiny"))
+        await self.call("/safe/x")
+        await self.until(lambda: self.runs("e1") == 1)
+        server = self.gateway.api.server
+        stopping = asyncio.ensure_future(self.gateway.drain())
+        answer = await stream
+        await stopping
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body.count(b"id:"), 20)
+        # The stream's own connection, begun before the stop, is closed as well.
+        await self.until(lambda: not server.web.connections)
+
+
+class ConfigurationTest(GatewayCase):
+    """The newest configuration is in force, also where a caller knows it first."""
+
+    async def test_a_key_that_is_new(self):
+        spec = catalogue(2)
+        spec["tenants"][0]["apiKeys"].append("new-key")
+        await self.store.put("config", "main", spec)
+        answer = await self.call("/safe/x", Authorization="Bearer new-key")
+        self.assertEqual(answer.status, 200)
+
+    async def test_a_key_that_is_taken_away(self):
+        spec = catalogue(2)
+        spec["tenants"] = spec["tenants"][1:]
+        await self.store.put("config", "main", spec)
+        knowledge = self.gateway.knowledge
+        await self.until(lambda: knowledge.catalogue.current.version == 2)
+        self.assertEqual((await self.call("/safe/x")).status, 401)
+        self.assertEqual((await self.call("/open/x")).status, 200)
+
+    async def test_an_older_version_changes_nothing(self):
+        await self.store.put("config", "main", catalogue(5))
+        knowledge = self.gateway.knowledge
+        await self.until(lambda: knowledge.catalogue.current.version == 5)
+        await self.store.put("config", "main", catalogue(4, routes=[]))
+        await knowledge.catalogue_follower.relist()
+        self.assertEqual(knowledge.catalogue.current.version, 5)
+
+
+class UnknownTest(GatewayCase):
+    """A VM that knows nothing yet says so, and denies nobody."""
+
+    configured = False
+
+    async def test_before_the_configuration(self):
+        answer = await self.call("/safe/x")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+        port = self.gateway.api.ready_server.port
+        async with self.session.get(f"http://127.0.0.1:{port}/v1/ready") as ready:
+            self.assertEqual(ready.status, 503)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -45,9 +45,6 @@
 
 log = logbook.Logger(__name__)
 
-# The platform asks each second and takes a VM out after two misses; callers are
-# still sent here for so long after the first "not ready".
-BALANCER_SECONDS = 2.6
 # What is left of the time to stop once requests must have ended.
 EXIT_SECONDS = 0.4
 # Repeated requests are kept to this part of what the platform allows, as its
@@ -168,35 +165,44 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self.node.start(*host_and_port(self.options.peers.address))
+        await self.start()
+        tune_collector()
+        await self.stopping.wait()
+        await self.drain()
+        await self.close()
+
+    async def start(self) -> None:
+        """Open all sockets and begin all duties."""
+        options = self.options
+        await self.node.start(*host_and_port(options.peers.address))
+        self.circle.own = Address(self.circle.own.host, self.node.port)
         self.circle.start()
         self.knowledge.start()
         self.versions.start()
-        options = self.options
         await self.api.ready_server.start(*host_and_port(options.ready.address))
         await self.api.server.start(*host_and_port(options.callers.address))
         self.context.timeline.emit(EventKind.STARTED)
-        tune_collector()
-        await self.stopping.wait()
-        await self._stop()
 
     def _reload(self) -> None:
         """Take SIGHUP: what the settings say is fixed for a process's life."""
         self.context.timeline.emit(EventKind.RELOADED, detail="nothing changes here")
 
-    async def _stop(self) -> None:
-        """Stop without cutting a request."""
+    async def drain(self) -> None:
+        """Stop serving without cutting a request."""
         loop = asyncio.get_running_loop()
         end = loop.time() + self.options.promises.stop_seconds - EXIT_SECONDS
         self.context.timeline.emit(EventKind.STOPPING)
         self.api.open = False
         self.api.server.draining = True
         self.api.server.close_idle()
-        await asyncio.sleep(BALANCER_SECONDS)
+        await asyncio.sleep(self.options.promises.balancer_seconds)
         self.api.server.close_listener()
         self.api.server.close_idle()
         if not await self.api.server.idle(end - loop.time()):
             log.error("{} requests did not end in time", self.api.server.in_flight)
+
+    async def close(self) -> None:
+        """End all duties and close all sockets."""
         self.context.timeline.emit(EventKind.STOPPED)
         self.knowledge.stop()
         await self.circle.stop()
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -232,6 +232,9 @@
 
     drain_seconds: Positive = 2.0
     """How long a leaving endpoint may still be sent requests."""
+    balancer_seconds: NotNegative = 2.6
+    """From SIGTERM until no new connections are taken: the platform asks each second
+    whether a VM is ready and takes it out after two misses."""
     stop_seconds: Positive = 8.0
     """From SIGTERM until the process is killed."""
     retry_share: NotNegative = 0.9
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -21,6 +21,8 @@
 BACKLOG = 1024
 # How often the end of the requests under way is looked for at a stop.
 POLL_SECONDS = 0.02
+# What is still under way when the server is closed; aiohttp takes 0 for no limit.
+SHUTDOWN_SECONDS = 0.05
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -98,7 +100,7 @@
     async def stop(self) -> None:
         """Close everything."""
         self.close_listener()
-        await self.web.shutdown(0)
+        await self.web.shutdown(SHUTDOWN_SECONDS)
 
     async def idle(self, seconds: float) -> bool:
         """Wait until no request is under way.
