--- a/standins/store.py
+++ b/standins/store.py
@@ -57,6 +57,8 @@
         self.forgotten = 0
         self.changed = asyncio.Condition()
         self.calls: Counter[str] = Counter()
+        # Watches that wait for a change.
+        self.waiting = 0
         # Faults: a status that every call gets; calls that hang; writes that are
         # done and not answered; seconds by which each answer is late.
         self.refuse: int | None = None
@@ -175,6 +177,7 @@
         async with self.changed:
             if after < self.forgotten:
                 return web.Response(status=410)
+            self.waiting += 1
             try:
                 async with asyncio.timeout(wait):
                     await self.changed.wait_for(
@@ -182,6 +185,8 @@
                     )
             except TimeoutError:
                 pass
+            finally:
+                self.waiting -= 1
             if self.forgotten > forgotten:
                 assert request.transport is not None
                 request.transport.abort()
--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -176,14 +176,17 @@
                 whole = False
             return Got(answer.status, answer.headers, data, whole)
 
-    async def raw(self, data: bytes) -> bytes:
+    async def raw(self, data: bytes, last: bool = False) -> bytes:
         """Send bytes as they are, and read until the connection ends.
 
-        The caller sends no more after them.
+        :param data: the bytes.
+        :param last: whether to tell at once that no more follow.
         """
         port = self.gateway.api.server.port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(data)
+        if last:
+            writer.write_eof()
         try:
             async with asyncio.timeout(WAIT_SECONDS):
                 return await reader.read()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,15 @@
 
 ROOT = Path(walnutquay.__file__).parent
 # From the lowest to the highest; modules beside them are free to use all.
-LAYERS = ("state", "protocol", "transport", "coordination", "daemon", "commands")
+LAYERS = (
+    "state",
+    "protocol",
+    "transport",
+    "platform",
+    "coordination",
+    "daemon",
+    "commands",
+)
 # What pure decisions must not touch.
 IMPURE = {"asyncio", "socket", "aiohttp", "sanic", "uvloop", "time", "os"}
 
--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,110 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Versions on trial: who gets them, and what is thought of them."""
+
+from __future__ import annotations
+
+import unittest
+
+from walnutquay.state.ids import EndpointName, ServiceName, VersionName
+from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.trials import (
+    RAMP_END,
+    RAMP_START,
+    Trial,
+    TrialCounts,
+    Verdict,
+    falls_to_new,
+)
+
+SECONDS = 100.0
+LIMIT = 0.15
+
+
+def trial() -> Trial:
+    """:returns: a trial that begins at 0."""
+    order = RolloutOrder(
+        "s", 1, ServiceName("s"), VersionName("v2"), SECONDS, OrderState.RUNNING
+    )
+    return Trial(order, 0.0, LIMIT)
+
+
+def answers(good: int, bad: int, *endpoints: str) -> TrialCounts:
+    """:returns: counts of so many answers."""
+    return TrialCounts(good, bad, frozenset(map(EndpointName, endpoints)))
+
+
+class VerdictTest(unittest.TestCase):
+    """What the counts of all VMs say."""
+
+    def test_nothing_known(self):
+        self.assertIs(trial().verdict(), Verdict.UNSURE)
+
+    def test_good(self):
+        found = trial()
+        found.own = answers(4, 0)
+        found.told["vm-2"] = answers(4, 0)
+        self.assertIs(found.verdict(), Verdict.GOOD)
+
+    def test_bad_over_several_vms(self):
+        found = trial()
+        found.own = answers(2, 1, "a")
+        found.told = {"vm-2": answers(3, 1, "b"), "vm-3": answers(2, 1, "b")}
+        self.assertIs(found.verdict(), Verdict.BAD)
+
+    def test_one_ill_endpoint_is_no_bad_version(self):
+        found = trial()
+        found.own = answers(9, 4, "a")
+        self.assertIs(found.verdict(), Verdict.GOOD)
+        found.own = answers(9, 9, "a")
+        self.assertIs(found.verdict(), Verdict.BAD)
+
+    def test_no_worse_than_the_old_one(self):
+        found = trial()
+        found.old = answers(85, 15, "x", "y")
+        found.own = answers(15, 4, "a", "b")
+        self.assertIs(found.verdict(), Verdict.GOOD)
+
+    def test_a_brake_is_final(self):
+        found = trial()
+        found.braked = True
+        found.own = answers(100, 0)
+        self.assertIs(found.verdict(), Verdict.BAD)
+        self.assertEqual(found.share(SECONDS), 0.0)
+
+
+class ShareTest(unittest.TestCase):
+    """How many sessions the new version gets."""
+
+    def test_few_in_the_first_half_however_good(self):
+        found = trial()
+        found.own = answers(1000, 0)
+        for now in (0.0, 25.0, 50.0):
+            self.assertLess(found.share(now), LIMIT)
+            self.assertFalse(found.may_move_sessions(now))
+
+    def test_all_in_the_end(self):
+        found = trial()
+        found.own = answers(1000, 0)
+        shares = [found.share(now) for now in range(101)]
+        self.assertEqual(shares, sorted(shares))
+        self.assertEqual(found.share(RAMP_END * SECONDS), 1.0)
+        self.assertFalse(found.ready_to_end(RAMP_END * SECONDS))
+        self.assertTrue(found.ready_to_end(0.9 * SECONDS))
+
+    def test_a_bad_one_never_grows(self):
+        found = trial()
+        found.own = answers(2, 3, "a", "b")
+        self.assertLess(found.share(0.9 * SECONDS), LIMIT)
+
+    def test_sessions_only_move_towards_it(self):
+        sessions = [f"session-{number}" for number in range(500)]
+        before: set[str] = set()
+        for share in (0.0, 0.1, 0.3, 0.6, 1.0):
+            new = {s for s in sessions if falls_to_new(s, "v2", share)}
+            self.assertLessEqual(before, new)
+            before = new
+        self.assertEqual(before, set(sessions))
+
+    def test_it_begins_late_enough(self):
+        self.assertGreater(RAMP_START, 0.5)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -8,7 +8,7 @@
 
 import logbook
 import orjson
-from aiohttp import web
+from aiohttp import HttpVersion10, web
 from multidict import CIMultiDict
 
 from walnutquay.coordination.context import Context
@@ -266,6 +266,8 @@
 
 
 def _read_head(request: web.BaseRequest) -> CallHead:
+    if request.version < HttpVersion10:
+        raise BadCallError(_bad("a request names a version of HTTP from 1.0"))
     hosts = request.headers.getall("Host", [])
     if len(hosts) != 1:
         raise BadCallError(_bad("a request names one host"))
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -21,6 +21,8 @@
 BACKLOG = 1024
 # How often the end of the requests under way is looked for at a stop.
 POLL_SECONDS = 0.02
+# A refused body is read on for so long, so that its sender gets the answer.
+LINGER_SECONDS = 1.0
 # What is still under way when the server is closed; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 0.05
 
@@ -64,6 +66,7 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=limits.idle_seconds,
+            lingering_time=LINGER_SECONDS,
             max_line_size=limits.header,
             max_field_size=limits.header,
         )
