--- a/walnutquay/coordination/context.py
+++ b/walnutquay/coordination/context.py
@@ -6,18 +6,15 @@
 
 import random
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import logbook
-
 from walnutquay.state.clock import HybridClock
-from walnutquay.state.events import Event, EventKind, EventRing
+from walnutquay.state.events import Event, EventKind, EventRing, Fact
 from walnutquay.state.ids import HallName, Incarnation, RequestId, SessionId, VmName
 from walnutquay.state.metrics import Metrics
 from walnutquay.transport.timers import TimerService, unix_microseconds
 
-log = logbook.Logger("walnutquay.events")
-
 RANDOM_BYTES = 6
 INCARNATION_DIGITS = 14
 
@@ -37,14 +34,16 @@
 
     :param vm: this VM's name.
     :param size: events to keep.
-    :param logged: whether events are logged as well.
+    :param log: logs each event too; None logs none.
     """
 
-    def __init__(self, vm: VmName, size: int, logged: bool = False) -> None:
+    def __init__(
+        self, vm: VmName, size: int, log: Callable[[Event], None] | None = None
+    ) -> None:
         self.vm = vm
         self.clock = HybridClock()
         self.ring = EventRing(size)
-        self.logged = logged
+        self.log = log
 
     def emit(
         self,
@@ -55,6 +54,7 @@
         version: str = "",
         endpoint: str = "",
         detail: str = "",
+        **facts: Fact,
     ) -> None:
         """Add an event.
 
@@ -64,12 +64,23 @@
         :param version: the version or service.
         :param endpoint: the endpoint or peer.
         :param detail: more, in words.
+        :param facts: what decided it, by name; ``docs/logs.md`` lists the names.
         """
         stamp = self.clock.tick(unix_microseconds())
-        event = Event(stamp, self.vm, kind, request, session, version, endpoint, detail)
+        event = Event(
+            stamp,
+            self.vm,
+            kind,
+            request,
+            session,
+            version,
+            endpoint,
+            detail,
+            tuple(facts.items()),
+        )
         self.ring.add(event)
-        if self.logged:
-            log.info("{}", kind.value, extra=event.plain())
+        if self.log is not None:
+            self.log(event)
 
 
 @dataclass
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/parts.py
@@ -15,6 +15,7 @@
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.endpoints import EndpointNews
 from walnutquay.coordination.engines import Engines
+from walnutquay.coordination.eventlog import EventLog
 from walnutquay.coordination.health import VersionHealth
 from walnutquay.coordination.keyed import KeyedParts
 from walnutquay.coordination.leases import Lease
@@ -35,6 +36,7 @@
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import Address, MemberNews
+from walnutquay.state.metrics import Metrics
 from walnutquay.state.sessions import PinSealer
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.peers import PeerNode
@@ -59,10 +61,12 @@
         self.settings = settings
         self.leaving = False
         vm = VmName(options.vm.name)
-        timeline = Timeline(vm, options.memory.events, options.log.events)
+        metrics = Metrics()
+        event_log = EventLog(metrics).take if options.log.events else None
+        timeline = Timeline(vm, options.memory.events, event_log)
         hall = HallName(options.vm.hall)
         self.context = Context(
-            vm, hall, new_incarnation(), timeline, region=options.vm.region
+            vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
         )
         # Set by the daemon once the administration API listens.
         self.administration_port = 0
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -12,6 +12,7 @@
 
 from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.eventlog import EventLog
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.pathparts import PathParts
@@ -21,7 +22,8 @@
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
-from walnutquay.logs import open_log
+from walnutquay.daemon.metricsapi import MetricsApi
+from walnutquay.logs import open_line_log
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.feeds import (
     OrderDesk,
@@ -39,8 +41,10 @@
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import EndpointName, HallName, VmName
 from walnutquay.state.membership import Address
+from walnutquay.state.metrics import Metrics
 from walnutquay.state.sizing import ModelChoice
 from walnutquay.transport.client import HttpClient
+from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
@@ -68,9 +72,11 @@
         self.options = options
         vm = VmName(options.vm.name)
         hall = HallName(options.vm.hall)
-        timeline = Timeline(vm, options.memory.events, options.log.events)
+        metrics = Metrics()
+        event_log = EventLog(metrics).take if options.log.events else None
+        timeline = Timeline(vm, options.memory.events, event_log)
         self.context = Context(
-            vm, hall, new_incarnation(), timeline, region=options.vm.region
+            vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
         )
         self.store = StoreClient(options.store.address)
         self.mailroom = Mailroom()
@@ -90,6 +96,9 @@
         )
         self.path = self._make_path()
         self.api = GatewayApi(self.context, self.knowledge, self.path)
+        self.metrics_api = MetricsApi(
+            self.context, self.knowledge, self.path, self.versions, self.circle
+        )
         self.stopping = asyncio.Event()
 
     def _make_node(self) -> PeerNode:
@@ -180,6 +189,7 @@
         self.knowledge.start()
         self.versions.start()
         await self.api.ready_server.start(*host_and_port(options.ready.address))
+        await self.metrics_api.server.start(*host_and_port(options.metrics.address))
         await self.api.server.start(*host_and_port(options.callers.address))
         self.context.timeline.emit(EventKind.STARTED)
 
@@ -210,12 +220,15 @@
         self.context.timers.stop()
         await self.api.server.stop()
         await self.api.ready_server.stop()
+        await self.metrics_api.server.stop()
         await self.client.close()
         await self.store.close()
 
 
-async def _serve(settings: Settings[GatewayOptions]) -> None:
-    await GatewayDaemon(settings).run()
+async def _serve(settings: Settings[GatewayOptions], writer: LineWriter) -> None:
+    daemon = GatewayDaemon(settings)
+    daemon.metrics_api.writer = writer
+    await daemon.run()
 
 
 def run_gateway(settings: Settings[GatewayOptions]) -> None:
@@ -223,5 +236,5 @@
 
     :param settings: the daemon's settings.
     """
-    open_log(settings.options.log, settings.options.vm.name)
-    uvloop.run(_serve(settings))
+    writer = open_line_log(settings.options.log, settings.options.vm.name)
+    uvloop.run(_serve(settings, writer))
--- /dev/null
+++ b/walnutquay/daemon/metricsapi.py
@@ -0,0 +1,116 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Counters, latencies and beliefs of one VM, in the usual text form."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+
+from aiohttp import web
+
+from walnutquay.coordination.circle import PeerCircle
+from walnutquay.coordination.context import Context
+from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.routed import RoutedPath
+from walnutquay.coordination.versions import VersionTrials
+from walnutquay.state.metrics import PERCENTILES, summary
+from walnutquay.transport.gateway import GatewayLimits, GatewayServer
+from walnutquay.transport.lines import LineWriter
+from walnutquay.transport.timers import monotonic
+
+PREFIX = "walnutquay"
+# An age that is not known is told as this; a number, for alarms to compare.
+UNKNOWN_AGE = -1.0
+HEADER_BYTES = 8 << 10
+PATH = "/metrics"
+
+
+class MetricsApi:
+    """Serves the figures of one VM.
+
+    :param context: what this process shares.
+    :param knowledge: what is known from the store.
+    :param path: the path of requests.
+    :param versions: the trials of versions.
+    :param circle: the other VMs.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        knowledge: Knowledge,
+        path: RoutedPath,
+        versions: VersionTrials,
+        circle: PeerCircle,
+    ) -> None:
+        self.context = context
+        self.knowledge = knowledge
+        self.path = path
+        self.versions = versions
+        self.circle = circle
+        # Where log lines go, if this process writes them.
+        self.writer: LineWriter | None = None
+        self.server = GatewayServer(self.handle, GatewayLimits(HEADER_BYTES))
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with all figures.
+
+        :param request: anybody's request.
+        """
+        if request.path != PATH:
+            return web.Response(status=404, text="not found\n")
+        return web.Response(text="\n".join(self.lines()) + "\n")
+
+    def lines(self) -> Iterator[str]:
+        """Yield the figures, a line each, in the text exposition format."""
+        metrics = self.context.metrics
+        for name, value in sorted(metrics.counters.items()):
+            yield f"{PREFIX}_{name}_total {value}"
+        for name, histogram in sorted(metrics.histograms.items()):
+            found = summary(histogram)
+            for percentile in PERCENTILES:
+                quantile = f'{{quantile="{percentile / 100:g}"}}'
+                value = found[f"p{percentile:g}"]
+                yield f"{PREFIX}_{name}_seconds{quantile} {value:.6f}"
+            yield f"{PREFIX}_{name}_seconds_count {found['count']:.0f}"
+        yield from self._beliefs()
+
+    def _beliefs(self) -> Iterator[str]:
+        catalogue = self.knowledge.catalogue.current
+        yield f"{PREFIX}_ready {int(self.knowledge.ready)}"
+        version = catalogue.version if catalogue else 0
+        yield f"{PREFIX}_configuration_version {version}"
+        for follower in self.knowledge.followers():
+            age = follower.age()
+            known = age if age != float("inf") else UNKNOWN_AGE
+            label = f'{{kind="{follower.feed.kind}"}}'
+            yield f"{PREFIX}_knowledge_age_seconds{label} {known:.3f}"
+        yield f"{PREFIX}_entry_vms {self.circle.size}"
+        yield f"{PREFIX}_requests_in_flight {self.path.in_flight}"
+        dropped = self.writer.dropped if self.writer is not None else 0
+        yield f"{PREFIX}_log_lines_dropped_total {dropped}"
+        yield from self._endpoints()
+        for service, budget in self.path.budgets.items():
+            yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
+        for service, task in self.versions.tasks.items():
+            counts = task.trial.counts()
+            label = f'{{service="{service}",version="{task.trial.order.version}"}}'
+            yield f"{PREFIX}_trial_good{label} {counts.good}"
+            yield f"{PREFIX}_trial_bad{label} {counts.bad}"
+
+    def _endpoints(self) -> Iterator[str]:
+        now = monotonic()
+        states: Counter[tuple[str, str]] = Counter()
+        for item in self.knowledge.instances.book.known.values():
+            facts = self.path.parts.table.of(item.name)
+            if item.leaving:
+                state = "leaving"
+            elif facts.ejected_until > now:
+                state = "ejected"
+            else:
+                state = "ready"
+            states[item.service, state] += 1
+        for (service, state), count in sorted(states.items()):
+            label = f'{{service="{service}",state="{state}"}}'
+            yield f"{PREFIX}_endpoints{label} {count}"
--- a/walnutquay/logs.py
+++ b/walnutquay/logs.py
@@ -10,6 +10,7 @@
 import orjson
 
 from walnutquay.settings import LogFormat, LogSection
+from walnutquay.transport.lines import LineWriter
 
 TEXT_FORMAT = (
     "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name:<7} "
@@ -45,6 +46,37 @@
         return orjson.dumps(line, default=str).decode()
 
 
+class LineHandler(logbook.Handler):
+    """Hands each record to a writer that never waits.
+
+    :param writer: the writer.
+    :param vm: this VM's name.
+    :param level: the least grave record that is written.
+    """
+
+    def __init__(self, writer: LineWriter, vm: str, level: str) -> None:
+        super().__init__(level)
+        self.writer = writer
+        self.formatter = JsonFormatter(vm)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """:param record: what is logged."""
+        self.writer.write(self.format(record).encode() + b"\n")
+
+
+def open_line_log(section: LogSection, vm: str) -> LineWriter:
+    """Send all logs of this process to standard output as lines of JSON.
+
+    :param section: the settings.
+    :param vm: this VM's name.
+    :returns: the writer, which counts the lines that it dropped.
+    """
+    logbook.set_datetime_format("utc")
+    writer = LineWriter(sys.stdout.fileno())
+    LineHandler(writer, vm, section.level.value).push_application()
+    return writer
+
+
 def open_log(section: LogSection, vm: str) -> logbook.Handler:
     """Send all logs of this process to standard error.
 
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -11,6 +11,9 @@
 
 from walnutquay.state.clock import Stamp
 
+# A value of a log line.
+Fact = str | int | float | bool | None
+
 
 class EventKind(Enum):
     """What can happen."""
@@ -41,6 +44,7 @@
     BEGUN = "begun"
     SHARES = "shares"
     CALLER_GONE = "caller-gone"
+    BROKEN = "broken"
     PLATFORM_DOWN = "platform-down"
     PLATFORM_UP = "platform-up"
     LEASE = "lease"
@@ -64,6 +68,7 @@
     :param version: the version or service.
     :param endpoint: the endpoint or peer.
     :param detail: more, in words.
+    :param facts: what decided it, by name, with its age or version.
     """
 
     stamp: Stamp
@@ -74,6 +79,7 @@
     version: str = ""
     endpoint: str = ""
     detail: str = ""
+    facts: tuple[tuple[str, Fact], ...] = ()
 
     def plain(self) -> dict[str, object]:
         """:returns: the event for JSON."""
@@ -86,6 +92,7 @@
             "version": self.version,
             "endpoint": self.endpoint,
             "detail": self.detail,
+            **dict(self.facts),
         }
 
 
