--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -6,13 +6,14 @@
 
 import unittest
 
-from walnutquay.state.ids import EndpointName, ServiceName, VersionName
+from walnutquay.state.ids import EndpointName, RouteName, ServiceName, VersionName
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.trials import (
     RAMP_END,
     RAMP_START,
     Trial,
     TrialCounts,
+    TrialTally,
     Verdict,
     falls_to_new,
 )
@@ -29,9 +30,12 @@
     return Trial(order, 0.0, LIMIT)
 
 
-def answers(good: int, bad: int, *endpoints: str) -> TrialCounts:
-    """:returns: counts of so many answers."""
-    return TrialCounts(good, bad, frozenset(map(EndpointName, endpoints)))
+def answers(good: int, bad: int, *endpoints: str, route: str = "r") -> TrialTally:
+    """:returns: counts of so many answers of one route."""
+    found = TrialTally()
+    counts = TrialCounts(good, bad, frozenset(map(EndpointName, endpoints)))
+    found.by_route[RouteName(route)] = counts
+    return found
 
 
 class VerdictTest(unittest.TestCase):
@@ -52,10 +56,22 @@
         found.told = {"vm-2": answers(3, 1, "b"), "vm-3": answers(2, 1, "b")}
         self.assertIs(found.verdict(), Verdict.BAD)
 
+    def test_bad_on_one_route_only(self):
+        found = trial()
+        found.own = answers(3, 3, "a", "b", route="r1")
+        found.own.by_route |= answers(30, 0, route="r2").by_route
+        self.assertIs(found.verdict(), Verdict.BAD)
+
+    def test_some_bad_answers_are_no_good_sign(self):
+        found = trial()
+        found.own = answers(20, 2, "a", "b")
+        self.assertIs(found.verdict(), Verdict.UNSURE)
+        self.assertLess(found.share(0.6 * SECONDS), LIMIT)
+
     def test_one_ill_endpoint_is_no_bad_version(self):
         found = trial()
         found.own = answers(9, 4, "a")
-        self.assertIs(found.verdict(), Verdict.GOOD)
+        self.assertIs(found.verdict(), Verdict.UNSURE)
         found.own = answers(9, 9, "a")
         self.assertIs(found.verdict(), Verdict.BAD)
 
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -23,7 +23,6 @@
 from walnutquay.state.pace import PaceTable
 from walnutquay.state.trials import (
     Trial,
-    TrialCounts,
     TrialReport,
     Verdict,
     falls_to_new,
@@ -92,7 +91,7 @@
     trial: Trial
     write_at: float
     exchanged_at: float = float("-inf")
-    shared: TrialCounts | None = None
+    shared: tuple = ()
 
 
 class VersionTrials:
@@ -278,9 +277,9 @@
             return
         trial = task.trial
         if self._trial_of(grant) is None:
-            trial.old = trial.old.with_answer(bad, grant.name)
+            trial.old.add(turn.arrival.route.name, bad, grant.name)
             return
-        trial.own = trial.own.with_answer(bad, grant.name)
+        trial.own.add(turn.arrival.route.name, bad, grant.name)
         if bad:
             self._judge(trial)
 
@@ -290,7 +289,7 @@
         if trial.braked or trial.verdict() is not Verdict.BAD:
             return
         trial.braked = True
-        counts = trial.counts()
+        counts = trial.tally().total()
         self.context.timeline.emit(
             EventKind.BRAKED,
             version=trial.order.version,
@@ -357,15 +356,16 @@
         task.exchanged_at = now
         trial = task.trial
         order = trial.order
-        if trial.own != (task.shared or TrialCounts()):
-            report = TrialReport(self.context.vm, order.name, order.version, trial.own)
+        seen = trial.own.frozen()
+        if seen != task.shared:
+            report = TrialReport(self.context.vm, order.name, order.version, seen)
             await self.desk.share(report)
-            task.shared = trial.own
+            task.shared = seen
         for report in await self.desk.reports():
             mine = report.vm == self.context.vm
             about_this = (report.order, report.version) == (order.name, order.version)
             if about_this and not mine:
-                trial.told[report.vm] = report.counts
+                trial.hear(report)
 
 
 def _unix_seconds() -> float:
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -94,7 +94,7 @@
         for service, budget in self.path.budgets.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
         for service, task in self.versions.tasks.items():
-            counts = task.trial.counts()
+            counts = task.trial.tally().total()
             label = f'{{service="{service}",version="{task.trial.order.version}"}}'
             yield f"{PREFIX}_trial_good{label} {counts.good}"
             yield f"{PREFIX}_trial_bad{label} {counts.bad}"
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -209,11 +209,7 @@
             vm=VmName(spec["vm"]),
             order=spec["order"],
             version=VersionName(spec["version"]),
-            counts=TrialCounts(
-                int(spec["good"]),
-                int(spec["bad"]),
-                frozenset(EndpointName(name) for name in spec["badEndpoints"]),
-            ),
+            counts=tuple(_route_counts(item) for item in spec["routes"]),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MessageError(
@@ -221,6 +217,12 @@
         ) from error
 
 
+def _route_counts(item: Plain) -> tuple[RouteName, TrialCounts]:
+    endpoints = frozenset(EndpointName(name) for name in item["badEndpoints"])
+    counts = TrialCounts(int(item["good"]), int(item["bad"]), endpoints)
+    return RouteName(item["route"]), counts
+
+
 def encode_trial_report(report: TrialReport) -> dict[str, Any]:
     """:param report: what this VM has seen of a trial.
 
@@ -230,7 +232,13 @@
         "vm": report.vm,
         "order": report.order,
         "version": report.version,
-        "good": report.counts.good,
-        "bad": report.counts.bad,
-        "badEndpoints": sorted(report.counts.bad_endpoints),
+        "routes": [
+            {
+                "route": route,
+                "good": counts.good,
+                "bad": counts.bad,
+                "badEndpoints": sorted(counts.bad_endpoints),
+            }
+            for route, counts in report.counts
+        ],
     }
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -9,12 +9,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
 import xxhash
 
-from walnutquay.state.ids import EndpointName, VersionName, VmName
+from walnutquay.state.ids import EndpointName, RouteName, VersionName, VmName
 from walnutquay.state.orders import RolloutOrder
 
 # The share of new sessions in the first half, of what a bad version may get.  The
@@ -28,7 +29,7 @@
 # When the order may be called done: old streams have ended by then.
 DONE_AT = 0.84
 # A version of which so little is known by then is taken for what it seems.
-UNSURE_UNTIL = 0.6
+UNSURE_UNTIL = 0.72
 # Bad answers that condemn a version, if they are such a share of all.
 MIN_BAD = 3
 BAD_SHARE = 0.15
@@ -36,8 +37,10 @@
 MIN_BAD_OF_ONE = 8
 # The old version's own bad answers, by which the new one's are excused.
 BASE_FACTOR = 2.0
-# Good answers after which a version without bad ones is trusted.
+# Good answers after which a version with hardly any bad ones is trusted.
 MIN_GOOD = 8
+# Bad answers of a version that is trusted may have this share, beyond the old one's.
+TRUSTED_BAD_SHARE = 0.04
 HASH_SPAN = float(1 << 64)
 
 
@@ -85,6 +88,50 @@
         return self.bad / (self.good + self.bad) if self.bad else 0.0
 
 
+class TrialTally:
+    """Answers of a version by route: some versions fail on one route only."""
+
+    def __init__(self) -> None:
+        self.by_route: dict[RouteName, TrialCounts] = {}
+
+    def add(self, route: RouteName, bad: bool, endpoint: EndpointName) -> None:
+        """:param route: the route of a request.
+
+        :param bad: whether its answer was bad.
+        :param endpoint: who gave it.
+        """
+        self.by_route[route] = self.of(route).with_answer(bad, endpoint)
+
+    def of(self, route: RouteName) -> TrialCounts:
+        """:param route: a route.
+
+        :returns: its counts.
+        """
+        return self.by_route.get(route, TrialCounts())
+
+    def total(self) -> TrialCounts:
+        """:returns: the counts of all routes together."""
+        total = TrialCounts()
+        for counts in self.by_route.values():
+            total = total + counts
+        return total
+
+    def merged(self, others: Iterable[TrialTally]) -> TrialTally:
+        """:param others: what other VMs have seen.
+
+        :returns: all together.
+        """
+        found = TrialTally()
+        for tally in (self, *others):
+            for route, counts in tally.by_route.items():
+                found.by_route[route] = found.of(route) + counts
+        return found
+
+    def frozen(self) -> tuple[tuple[RouteName, TrialCounts], ...]:
+        """:returns: the counts as they are now."""
+        return tuple(sorted(self.by_route.items()))
+
+
 @dataclass(frozen=True, slots=True)
 class TrialReport:
     """What one VM tells the others of a version on trial.
@@ -92,13 +139,13 @@
     :param vm: the VM.
     :param order: the order's name.
     :param version: the new version.
-    :param counts: what it has seen.
+    :param counts: what it has seen, by route.
     """
 
     vm: VmName
     order: str
     version: VersionName
-    counts: TrialCounts
+    counts: tuple[tuple[RouteName, TrialCounts], ...]
 
 
 class Trial:
@@ -114,10 +161,10 @@
         self.started = started
         self.share_limit = share_limit
         # What this VM has seen of the new version, and of the old at that time.
-        self.own = TrialCounts()
-        self.old = TrialCounts()
+        self.own = TrialTally()
+        self.old = TrialTally()
         # What the other VMs have told of the new version.
-        self.told: dict[str, TrialCounts] = {}
+        self.told: dict[VmName, TrialTally] = {}
         # Set when the version was found bad here: it is final.
         self.braked = False
 
@@ -128,23 +175,31 @@
         """
         return max(0.0, now - self.started) / max(1.0, self.order.seconds)
 
-    def counts(self) -> TrialCounts:
+    def hear(self, report: TrialReport) -> None:
+        """:param report: what another VM has seen."""
+        tally = TrialTally()
+        tally.by_route.update(report.counts)
+        self.told[report.vm] = tally
+
+    def tally(self) -> TrialTally:
         """:returns: what all VMs together have seen of the new version."""
-        total = self.own
-        for counts in self.told.values():
-            total = total + counts
-        return total
+        return self.own.merged(self.told.values())
 
     def verdict(self) -> Verdict:
         """:returns: what is thought of the version now."""
         if self.braked:
             return Verdict.BAD
-        counts = self.counts()
-        limit = max(BAD_SHARE, BASE_FACTOR * self.old.bad_share)
-        needed = MIN_BAD if len(counts.bad_endpoints) > 1 else MIN_BAD_OF_ONE
-        if counts.bad >= needed and counts.bad_share >= limit:
+        tally = self.tally()
+        total = tally.total()
+        if condemned(total, self.old.total()):
             return Verdict.BAD
-        return Verdict.GOOD if counts.good >= MIN_GOOD else Verdict.UNSURE
+        for route, counts in tally.by_route.items():
+            if condemned(counts, self.old.of(route)):
+                return Verdict.BAD
+        usual = BASE_FACTOR * self.old.total().bad_share
+        if total.good >= MIN_GOOD and total.bad_share <= TRUSTED_BAD_SHARE + usual:
+            return Verdict.GOOD
+        return Verdict.UNSURE
 
     def share(self, now: float) -> float:
         """:param now: seconds of Unix time.
@@ -161,7 +216,8 @@
         )
         if progress < RAMP_START or not trusted:
             return first
-        part = (progress - RAMP_START) / (RAMP_END - RAMP_START)
+        start = RAMP_START if verdict is Verdict.GOOD else UNSURE_UNTIL
+        part = (progress - start) / (RAMP_END - RAMP_START)
         return min(1.0, max(first, part))
 
     def may_move_sessions(self, now: float) -> bool:
@@ -179,6 +235,17 @@
         return self.share(now) >= 1.0 and self.progress(now) >= DONE_AT
 
 
+def condemned(counts: TrialCounts, old: TrialCounts) -> bool:
+    """Judge the answers of a new version beside those of the old one.
+
+    :param counts: the new version's.
+    :param old: the old version's.
+    """
+    limit = max(BAD_SHARE, BASE_FACTOR * old.bad_share)
+    needed = MIN_BAD if len(counts.bad_endpoints) > 1 else MIN_BAD_OF_ONE
+    return counts.bad >= needed and counts.bad_share >= limit
+
+
 def falls_to_new(session: str, version: str, share: float) -> bool:
     """Decide for a session; all VMs decide alike, and a larger share keeps its own.
 
