--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -199,6 +199,37 @@
         )
 
 
+class SilenceTest(GatewayCase):
+    """An endpoint that falls silent does not keep its callers."""
+
+    workers = {"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine"}
+
+    async def test_a_stream_goes_on_elsewhere(self):
+        silent = [Behaviour(events=8, cut_after=None, pause=30.0)]
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=8)
+            self.endpoints[name].choose = lambda seen: silent.pop() if silent else None
+        answer = await self.call("/stream/x", b"b", Model="tiny")
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body.count(b"id:"), 8)
+        self.assertEqual(self.runs("e1", "e2"), 2)
+        runs = self.endpoints["e1"].runs + self.endpoints["e2"].runs
+        await self.until(lambda: any(run.left for run in runs))
+
+    async def test_a_safe_call_is_answered_elsewhere(self):
+        self.endpoints["p1"].default = Behaviour(mute=True)
+        for _ in range(3):
+            answer = await self.call("/safe/x")
+            self.assertEqual(answer.status, 200)
+
+    async def test_an_unsafe_call_is_not(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(mute=True)
+        answer = await self.call("/unsafe/x", b"b", Deadline="1200")
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(self.runs("p1", "p2"), 1)
+
+
 class TimeTest(GatewayCase):
     """A request whose time is over is answered then."""
 
--- a/walnutquay/coordination/keyed.py
+++ b/walnutquay/coordination/keyed.py
@@ -16,6 +16,7 @@
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.coordination.turn import Turn
+from walnutquay.exceptions import NotStartedError
 from walnutquay.state.claims import RepeatAction, RunState, fingerprint
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Received, Unclaimed, receive_keyed
@@ -80,10 +81,11 @@
         if turn.arrival.key:
             self.parts.claims.running(turn.arrival.request)
 
-    def on_not_started(self, turn: Turn, grant: Grant) -> None:
+    def on_not_started(self, turn: Turn, grant: Grant, error: NotStartedError) -> None:
         """:param turn: a request that an endpoint did not begin.
 
         :param grant: the endpoint.
+        :param error: how that is known.
         """
         if turn.arrival.key:
             self.parts.claims.pending(turn.arrival.request)
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -28,6 +28,7 @@
     Undispatched,
     receive,
 )
+from walnutquay.transport.client import STEP_CONNECT, STEP_REACH
 from walnutquay.transport.timers import monotonic
 
 STOPPING_RETRY = 1.0
@@ -147,11 +148,21 @@
         """
         return
 
-    def on_not_started(self, turn: Turn, grant: Grant) -> None:
+    def on_not_started(self, turn: Turn, grant: Grant, error: NotStartedError) -> None:
         """Note that an endpoint did not begin; the base has nothing to note.
 
         :param turn: the request.
         :param grant: the endpoint.
+        :param error: how that is known.
+        """
+        return
+
+    def on_failed(self, turn: Turn, grant: Grant, error: EndpointError) -> None:
+        """Note that an endpoint failed; the base has nothing more to note.
+
+        :param turn: the request.
+        :param grant: the endpoint.
+        :param error: how it failed.
         """
         return
 
@@ -247,12 +258,12 @@
         self, turn: Turn, running: Dispatched, grant: Grant, error: NotStartedError
     ) -> Received | Continuing:
         """Look for another place: the endpoint did not begin."""
-        if error.step == "connect":
+        if error.step in (STEP_CONNECT, STEP_REACH):
             self.parts.table.failed(grant.name, monotonic(), turn.target)
             turn.tried |= {grant.name}
         else:
             self.parts.admission.full(grant)
-        self.on_not_started(turn, grant)
+        self.on_not_started(turn, grant, error)
         self.context.timeline.emit(
             EventKind.NOT_STARTED,
             request=turn.arrival.request,
@@ -266,6 +277,7 @@
     ) -> Outcome | Continuing:
         """Try another endpoint where that is allowed; else the end is unknown."""
         self.count_failure(turn, grant)
+        self.on_failed(turn, grant, error)
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -4,7 +4,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+import asyncio
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from typing import Protocol
 
 import aiohttp
@@ -27,19 +35,42 @@
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
 from walnutquay.state.sizing import ModelChoice, urgency
-from walnutquay.transport.client import READ_BYTES, ConnectionEnd, Exchange, HttpClient
+from walnutquay.transport.client import (
+    READ_BYTES,
+    STEP_CONNECT,
+    STEP_REACH,
+    STEP_SILENT,
+    ConnectionEnd,
+    Exchange,
+    HttpClient,
+    is_reachable,
+)
 from walnutquay.transport.timers import monotonic
 
 # An answer larger than this is not passed on.
 MAX_ANSWER = 32 << 20
 # A request that so many endpoints have turned away is refused, not sent on.
-MAX_REFUSALS = 2
+MAX_REFUSALS = 3
 # When to come back where the chosen endpoints had no room.
 TURNED_AWAY_RETRY = 0.5
 # When to come back where this VM does not know enough yet.
 UNREADY_RETRY = 0.5
 # Timers of the client fire this much before the deadline at the most.
 TIMER_SECONDS = 0.02
+# An answer that has not begun after so many times the time that its prompt should
+# take, and at least the least below, is looked for elsewhere.
+HEAD_FACTOR = 4.0
+MIN_STREAM_HEAD = 4.0
+# Plain calls of both users take some 0.1 s, and 1 in 100 more than 0.5 s.
+MIN_PLAIN_HEAD = 0.75
+# Retries that must be left for a wait to be given up.
+MIN_BUDGET = 2.0
+# How often a silent stream's endpoint is tried.  The longest good pause is 1.2 s.
+GAP_CHECK_SECONDS = 0.6
+# A stream that is silent for so long goes on elsewhere though its endpoint can be
+# reached.  Engines that read the longest prompts were silent for 3 s; callers leave
+# after 9.6 s.
+MUTE_SECONDS = 4.5
 CODE_TIMEOUT = "timeout"
 
 
@@ -178,6 +209,9 @@
 
     def may_retry(self, turn: RoutedTurn) -> bool:
         """:param turn: a request that is to be sent once more."""
+        if turn.prepaid:
+            turn.prepaid = False
+            return True
         return self.budget_of(turn.service).take()
 
     def need_of(self, turn: RoutedTurn) -> Need:
@@ -219,12 +253,19 @@
         turn.sends += 1
         self.versions.began(turn, grant)
 
-    def on_not_started(self, turn: RoutedTurn, grant: Grant) -> None:
+    def on_not_started(
+        self, turn: RoutedTurn, grant: Grant, error: NotStartedError
+    ) -> None:
         """Decide whether another endpoint may be asked.
 
         :param turn: a request that an endpoint did not begin.
         :param grant: the endpoint.
+        :param error: how that is known.
         """
+        if error.step in (STEP_CONNECT, STEP_REACH):
+            # Nothing arrived there, so the next arrival is no repeated one.
+            turn.prepaid = True
+            self.places.unreached(grant, error.step == STEP_REACH)
         turn.sends -= 1
         turn.refusals += 1
         turn.tried |= {grant.name}
@@ -235,6 +276,17 @@
                 TURNED_AWAY_RETRY,
             )
 
+    def on_failed(self, turn: RoutedTurn, grant: Grant, error: EndpointError) -> None:
+        """:param turn: a request that failed.
+
+        :param grant: the endpoint.
+        :param error: how it failed.
+        """
+        if error.step == STEP_SILENT:
+            # What was sent was never acknowledged: it has not arrived.
+            turn.prepaid = True
+            self.places.unreached(grant, silent=True)
+
     async def give_up(
         self, turn: RoutedTurn, running: Dispatched, error: EndpointError
     ) -> Outcome:
@@ -321,9 +373,42 @@
             data=arrival.body or None,
             headers=self.dialect.encode_call(arrival.head, order),
             timeout=max(0.01, left),
+            idle=self._head_limit(turn, grant),
             repeatable=arrival.route.repeatable,
         )
 
+    def _head_limit(self, turn: RoutedTurn, grant: Grant) -> float | None:
+        """Bound the wait for an answer's head, where another endpoint may be asked.
+
+        An endpoint can be silent for ever with its connection up.
+        """
+        if not turn.repeatable or self.budget_of(turn.service).left < MIN_BUDGET:
+            return None
+        usual = HEAD_FACTOR * self.places.expected(grant)
+        least = MIN_STREAM_HEAD if turn.streamed else MIN_PLAIN_HEAD
+        return max(least, usual)
+
+    async def _goes_on_elsewhere(
+        self, turn: RoutedTurn, grant: Grant, gap: float
+    ) -> bool:
+        """Decide whether a silent stream is to go on at another endpoint.
+
+        An engine that reads a long prompt is silent too, and is waited for; one
+        that cannot be reached any more is not.
+
+        :param turn: the request.
+        :param grant: the endpoint.
+        :param gap: seconds without an event.
+        """
+        if not turn.repeatable or self.budget_of(turn.service).left < 1.0:
+            return False
+        if gap < MUTE_SECONDS and await is_reachable(grant.endpoint.address):
+            return False
+        if gap < MUTE_SECONDS:
+            self.places.unreached(grant, silent=True)
+        turn.prepaid = self.budget_of(turn.service).take()
+        return turn.prepaid
+
     def _read_head(
         self, turn: RoutedTurn, grant: Grant, answer: aiohttp.ClientResponse
     ) -> AnswerHead:
@@ -399,7 +484,10 @@
                 EventKind.BEGUN, request=turn.arrival.request, endpoint=grant.name
             )
             await reply.begin(head)
-        async for data in answer.content.iter_any():
+        body = WatchedBody(
+            answer, lambda gap: self._goes_on_elsewhere(turn, grant, gap)
+        )
+        async for data in body:
             events = [e for e in parser.feed(data) if turn.progress.accept(e)]
             if events:
                 await reply.write(b"".join(events))
@@ -410,6 +498,41 @@
             )
 
 
+class WatchedBody:
+    """Yields the pieces of an answer's body, and asks what to do in long gaps.
+
+    :param answer: the answer.
+    :param on_gap: told each time how long the gap is by now; returns whether to
+        wait no longer.
+    """
+
+    def __init__(
+        self,
+        answer: aiohttp.ClientResponse,
+        on_gap: Callable[[float], Awaitable[bool]],
+    ) -> None:
+        self.answer = answer
+        self.on_gap = on_gap
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        while not self.answer.content.at_eof():
+            data = await self._next()
+            if data:
+                yield data
+
+    async def _next(self) -> bytes:
+        reading = asyncio.ensure_future(self.answer.content.readany())
+        began = monotonic()
+        try:
+            while not reading.done():
+                await asyncio.wait([reading], timeout=GAP_CHECK_SECONDS)
+                if not reading.done() and await self.on_gap(monotonic() - began):
+                    raise EndpointError("it fell silent", step="stream")
+            return reading.result()
+        finally:
+            reading.cancel()
+
+
 async def _whole_body(answer: aiohttp.ClientResponse, peer: str) -> bytes:
     """Read an answer's body.
 
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,11 +12,20 @@
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.places import Grant, Need
+from walnutquay.coordination.tasks import Tasks
 from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.ids import EndpointName, ServiceName, VersionName, WorkKind
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import (
+    EndpointName,
+    HallName,
+    ServiceName,
+    VersionName,
+    WorkKind,
+)
 from walnutquay.state.instances import Instance, InstanceBook
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.work import PromptWork, WorkTable, preferred_of
+from walnutquay.transport.client import is_reachable
 from walnutquay.transport.timers import monotonic
 
 # When to come back where no endpoint runs: one that starts is listed within a second.
@@ -30,6 +40,8 @@
 # engine in another data hall, to which bytes have a price, counts as much as a wait
 # of 0.55 s does.
 OTHER_HALL_HARM = 0.3
+# How often an endpoint is tried that could not be connected to.
+PROBE_SECONDS = 0.3
 # What each running request delays the others by: steps take longer with more.
 RUNNING_SECONDS = 0.002
 
@@ -69,6 +81,10 @@
         self.table = table
         self.allowed = allowed
         self.work = WorkTable()
+        # Endpoints that cannot be connected to, with the data hall that the way
+        # seems cut to; None where the endpoint itself refuses.
+        self.unreachable: dict[EndpointName, HallName | None] = {}
+        self.probes = Tasks()
         # The prompts that were sent and whose answers have not begun, by grant.
         self.reading: dict[int, ReadingNote] = {}
         # Told of each prompt that is sent: engine, seconds, beginning.
@@ -105,6 +121,7 @@
                 )
             )
         now = monotonic()
+        left = self._within_reach(left)
         if need.work is not None:
             chosen = self._for_prompt(left, need, need.work, now)
         else:
@@ -124,6 +141,50 @@
             return Ok(Grant(chosen, now, WorkKind.QUICK))
         return Ok(self._with_work(Grant(chosen, now, WorkKind.PATIENT), need.work))
 
+    def unreached(self, grant: Grant, silent: bool) -> None:
+        """Avoid an endpoint that could not be connected to, until it can be.
+
+        :param grant: the place.
+        :param silent: whether nothing answered at all; the way to its whole data
+            hall may be cut then, which is avoided too.
+        """
+        endpoint = grant.endpoint
+        assert isinstance(endpoint, Instance)
+        if endpoint.name in self.unreachable:
+            return
+        cut = silent and endpoint.hall != self.context.hall
+        self.unreachable[endpoint.name] = endpoint.hall if cut else None
+        self.context.timeline.emit(
+            EventKind.ENDPOINT_UNREACHED,
+            endpoint=endpoint.name,
+            detail=f"{endpoint.service} in {endpoint.hall}",
+            silent=silent,
+        )
+        self.probes.spawn(self._probe(endpoint))
+
+    async def _probe(self, endpoint: Instance) -> None:
+        """Try an endpoint again and again, so that no request has to."""
+        began = monotonic()
+        try:
+            while endpoint.name in self.book.known:
+                await asyncio.sleep(PROBE_SECONDS)
+                if await is_reachable(endpoint.address):
+                    break
+        finally:
+            del self.unreachable[endpoint.name]
+        self.context.timeline.emit(
+            EventKind.ENDPOINT_REACHED,
+            endpoint=endpoint.name,
+            detail=f"after {monotonic() - began:.1f} s",
+        )
+
+    def _within_reach(self, left: list[Instance]) -> list[Instance]:
+        """Leave out what seems cut off, unless nothing else is left."""
+        halls = set(self.unreachable.values())
+        near = [item for item in left if item.name not in self.unreachable]
+        fine = [item for item in near if item.hall not in halls]
+        return fine or near or left
+
     def _with_work(self, grant: Grant, work: PromptWork) -> Grant:
         """Note the reading that an engine is given."""
         now = grant.started
@@ -146,6 +207,16 @@
         if name in self.book.known:
             self.work.add(name, seconds, beginning, monotonic())
 
+    def expected(self, grant: Grant) -> float:
+        """:param grant: a place.
+
+        :returns: seconds in which the answer is likely to begin; 0 if not known.
+        """
+        note = self.reading.get(id(grant))
+        if note is None:
+            return 0.0
+        return note.wait + note.work.tokens * self.work.rate(note.work.model)
+
     def began(self, grant: Grant, seconds: float) -> None:
         """Learn from an answer's beginning.
 
@@ -194,6 +265,10 @@
             open_ones, key=lambda item: self.table.of(item.name).load(now) / item.slots
         )
 
+    def close(self) -> None:
+        """End all probes."""
+        self.probes.stop()
+
     def release(self, grant: Grant) -> None:
         """:param grant: a place to give back."""
         self.reading.pop(id(grant), None)
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -73,6 +73,7 @@
     :param sends: how often it has been sent.
     :param refusals: how many endpoints have said that they did not begin.
     :param progress: how much of the answer the caller has.
+    :param prepaid: whether its next retry is already counted.
     :param avoid_new: whether a version on trial has failed it.
     :param last_refusal: why the last endpoint did not begin.
     """
@@ -83,6 +84,7 @@
     progress: StreamProgress
     sends: int = 0
     refusals: int = 0
+    prepaid: bool = False
     avoid_new: bool = False
     last_refusal: Refusal | None = None
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -53,10 +53,12 @@
 EXIT_SECONDS = 0.4
 # Repeated requests are kept to this part of what the platform allows, as its
 # spans and ours do not begin together.
-BUDGET_MARGIN = 0.8
+BUDGET_MARGIN = 0.92
 # Prompts that take an engine less time to read are not told to the other VMs: bytes
 # between data halls have a price, and these delay nobody for long.
 HEAVY_SECONDS = 0.08
+# Retries of a service that a VM may make before any first try has added to them.
+FIRST_RETRIES = 2.0
 # Until more is known, so many VMs are taken to share the extra retries.
 ASSUMED_VMS = 7
 
@@ -163,10 +165,14 @@
 
     def _budget(self) -> RetryBudget:
         promises = self.options.promises
-        return RetryBudget(
+        vms = max(ASSUMED_VMS, self.circle.size)
+        budget = RetryBudget(
             promises.retry_share * BUDGET_MARGIN,
-            promises.retry_extra * BUDGET_MARGIN / max(ASSUMED_VMS, self.circle.size),
+            promises.retry_extra * BUDGET_MARGIN / vms,
         )
+        # A VM that starts again may have spent its extra retries just before.
+        budget.left = FIRST_RETRIES
+        return budget
 
     async def run(self) -> None:
         """Serve until :attr:`stopping` is set, then stop as planned."""
@@ -215,6 +221,7 @@
         """End all duties and close all sockets."""
         self.context.timeline.emit(EventKind.STOPPED)
         self.knowledge.stop()
+        self.path.places.close()
         await self.circle.stop()
         await self.node.stop()
         self.context.timers.stop()
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -40,6 +40,8 @@
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_LISTED = "endpoint-listed"
     ENDPOINT_GONE = "endpoint-gone"
+    ENDPOINT_UNREACHED = "endpoint-unreached"
+    ENDPOINT_REACHED = "endpoint-reached"
     ESCALATED = "escalated"
     BEGUN = "begun"
     SHARES = "shares"
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 import functools
 import os
 import socket
@@ -24,7 +26,9 @@
 
 from walnutquay.exceptions import EndpointError, NotStartedError
 
-CONNECT_SECONDS = 1.0
+# A connection within a region is up after some milliseconds; a lost packet of its
+# opening is sent again only a second later, when a new attempt would be up already.
+CONNECT_SECONDS = 0.3
 CONNECTIONS = 2048
 READ_BYTES = 1 << 16
 # Endpoints close idle connections too, and say after how long.
@@ -34,10 +38,16 @@
 # Endpoints say by this header that they did not begin the work they refuse.
 HEADER_NOT_STARTED = "x-not-started"
 BEFORE_SENDING = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+# The steps of errors before anything was sent: no answer at all from the other
+# side, or a refusal by it.
+STEP_REACH = "reach"
+STEP_CONNECT = "connect"
+# The step of an error after the other side has acknowledged nothing for a while.
+STEP_SILENT = "silent"
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 # A peer that acknowledges nothing for this long is out of reach; the system's own
 # limit is minutes.  Four lost packets in a row within a data centre take less.
-SILENCE_SECONDS = 2.0
+SILENCE_SECONDS = 1.0
 KEEPALIVE_PROBES = 2
 
 
@@ -62,6 +72,21 @@
     return made
 
 
+async def is_reachable(url: str) -> bool:
+    """Try whether a connection to an address can be made at all.
+
+    :param url: ``http://IP:port``.
+    """
+    place = URL(url)
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(place.host, place.port)
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return True
+
+
 class EndpointProtocol(ResponseHandler):
     """An aiohttp connection that notices a reset which looks like an end.
 
@@ -258,8 +283,12 @@
         :param error: the library's error.
         """
         reason = str(error) or type(error).__name__
+        if isinstance(error, aiohttp.ConnectionTimeoutError):
+            return NotStartedError(reason, step=STEP_REACH, peer=self.peer)
         if isinstance(error, BEFORE_SENDING):
-            return NotStartedError(reason, step="connect", peer=self.peer)
+            return NotStartedError(reason, step=STEP_CONNECT, peer=self.peer)
+        if getattr(error, "errno", None) == errno.ETIMEDOUT:
+            return EndpointError(reason, step=STEP_SILENT, peer=self.peer)
         return EndpointError(reason, step="exchange", peer=self.peer)
 
 
