--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -444,7 +444,10 @@
         """Decide whether a larger model is to answer instead of this one."""
         if turn.model is None or turn.progress.begun:
             return None
-        larger = self.models.next(turn.arrival.route, turn.model, head.confidence)
+        pressure = self.places.pressure(turn.service)
+        larger = self.models.next(
+            turn.arrival.route, turn.model, head.confidence, pressure
+        )
         if larger is None or not turn.repeatable or not self.may_retry(turn):
             return None
         self.context.metrics.count("escalated")
@@ -453,7 +456,9 @@
             request=turn.arrival.request,
             endpoint=grant.name,
             version=turn.arrival.route.models[larger],
-            detail=f"the smaller model's confidence was {head.confidence}",
+            detail="the smaller model thinks little of its answer",
+            confidence=head.confidence,
+            pressure=round(pressure, 3),
         )
         return larger
 
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -42,6 +42,8 @@
 OTHER_HALL_HARM = 0.3
 # How often an endpoint is tried that could not be connected to.
 PROBE_SECONDS = 0.3
+# Weight of a new reading of the pressure: some ten requests are looked back on.
+PRESSURE_WEIGHT = 0.1
 # What each running request delays the others by: steps take longer with more.
 RUNNING_SECONDS = 0.002
 
@@ -85,6 +87,8 @@
         # seems cut to; None where the endpoint itself refuses.
         self.unreachable: dict[EndpointName, HallName | None] = {}
         self.probes = Tasks()
+        # Smoothed seconds of reading before the least busy engine, by service.
+        self.pressures: dict[ServiceName, float] = {}
         # The prompts that were sent and whose answers have not begun, by grant.
         self.reading: dict[int, ReadingNote] = {}
         # Told of each prompt that is sent: engine, seconds, beginning.
@@ -207,6 +211,19 @@
         if name in self.book.known:
             self.work.add(name, seconds, beginning, monotonic())
 
+    def pressure(self, service: ServiceName) -> float:
+        """:param service: a service of engines.
+
+        :returns: seconds of reading before the least busy engine within reach.
+        """
+        now = monotonic()
+        engines = self._within_reach(self.candidates(service))
+        waits = [self.work.wait(item.name, now) for item in engines]
+        seconds = min(waits, default=0.0)
+        before = self.pressures.get(service, 0.0)
+        self.pressures[service] = before + PRESSURE_WEIGHT * (seconds - before)
+        return self.pressures[service]
+
     def expected(self, grant: Grant) -> float:
         """:param grant: a place.
 
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -11,6 +11,11 @@
 # Measured on two sites: the worth is flat for bounds from 45 to 65.
 ENOUGH_CONFIDENCE = 55.0
 
+# So much reading before every engine is usual on a calm day.
+CALM_PRESSURE_SECONDS = 0.2
+# With so much more before every engine, the most urgent routes ask no larger
+# model any more; the others give way at a half and a third of it.
+FULL_PRESSURE_SECONDS = 5.0
 # Prompts up to so many tokens go before longer ones at an endpoint, by rank.
 URGENCY_STEPS = ((1_000, 3), (4_000, 4), (12_000, 5), (24_000, 6))
 LEAST_URGENT = 7
@@ -38,15 +43,34 @@
         """
         return 0
 
-    def next(self, route: Route, index: int, confidence: float | None) -> int | None:
+    def next(
+        self, route: Route, index: int, confidence: float | None, pressure: float
+    ) -> int | None:
         """Judge an answer by its model's own opinion, before any of it is sent.
 
         :param route: the route.
         :param index: the model that answers.
         :param confidence: its opinion, 0 to 100; None where it gave none.
+        :param pressure: seconds of reading before the least busy engine.
         :returns: the model to ask instead, or None to keep the answer.
         """
         last = len(route.models) - 1
-        if confidence is None or confidence >= ENOUGH_CONFIDENCE or index >= last:
+        if confidence is None or index >= last:
+            return None
+        if confidence >= enough_confidence(route.priority, pressure):
             return None
         return last
+
+
+def enough_confidence(priority: int, pressure: float) -> float:
+    """Give the confidence below which the largest model is asked.
+
+    When engines are busy, a run of the largest model costs others their time; the
+    least urgent routes give way first.
+
+    :param priority: the route's rank, 0 the most urgent.
+    :param pressure: seconds of reading before the least busy engine.
+    """
+    excess = max(0.0, pressure - CALM_PRESSURE_SECONDS)
+    part = 1.0 - (1 + priority) * excess / FULL_PRESSURE_SECONDS
+    return ENOUGH_CONFIDENCE * max(0.0, part)
