--- a/walnutquay/commands/gateway.py
+++ b/walnutquay/commands/gateway.py
@@ -4,12 +4,15 @@
 
 from __future__ import annotations
 
+import socket
+import tomllib
 from pathlib import Path
 
 import click
 
 from walnutquay.commands.output import fail
 from walnutquay.exceptions import SettingsError
+from walnutquay.transport.listeners import listen
 
 
 @click.command()
@@ -23,6 +26,7 @@
 )
 def gateway(path: Path) -> None:
     """Serve the platform's callers until SIGTERM."""
+    listeners = open_listeners(path)
     from walnutquay.daemon.gateway import run_gateway
     from walnutquay.settings import GatewayOptions, Settings
 
@@ -30,4 +34,21 @@
         settings = Settings.load(path, model=GatewayOptions)
     except SettingsError as error:
         fail(error.reason)
-    run_gateway(settings)
+    run_gateway(settings, listeners)
+
+
+def open_listeners(path: Path) -> dict[str, socket.socket]:
+    """Listen for callers before anything large is imported.
+
+    Settings that cannot be used open nothing; whoever checks them says why.
+
+    :param path: the settings.
+    :returns: the sockets by address.
+    """
+    try:
+        plain = tomllib.loads(path.read_text(encoding="utf-8"))
+        address = plain["callers"]["address"]
+        host, _, port = address.partition(":")
+        return {address: listen(host, int(port))}
+    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+        return {}
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -39,6 +39,8 @@
 OVERDUE_CHECK_SECONDS = 0.1
 # A request that would be denied waits so long for the store to confirm that.
 CONFIRM_SECONDS = 0.4
+# How often it is looked whether enough is known, right after a start.
+READY_POLL_SECONDS = 0.01
 # What the store confirmed so short a time ago is not asked again.
 FRESH_SECONDS = 0.1
 
@@ -291,6 +293,15 @@
             and self.orders.listed
         )
 
+    async def wait_ready(self, seconds: float) -> None:
+        """Wait until enough is known, but not for long.
+
+        :param seconds: how long at the most.
+        """
+        end = monotonic() + seconds
+        while not self.ready and monotonic() < end:  # noqa: ASYNC110
+            await asyncio.sleep(READY_POLL_SECONDS)
+
     async def confirm(self) -> None:
         """Ask the store for the newest configuration, but do not wait for long.
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -6,6 +6,9 @@
 
 import asyncio
 import signal
+import socket
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import logbook
 import uvloop
@@ -45,6 +48,7 @@
 from walnutquay.state.sizing import ModelChoice
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.lines import LineWriter
+from walnutquay.transport.listeners import listen
 from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
@@ -67,9 +71,15 @@
     """Runs one entry VM of the platform until it is told to stop.
 
     :param settings: the daemon's settings.
+    :param listeners: sockets that listen already, by address.
     """
 
-    def __init__(self, settings: Settings[GatewayOptions]) -> None:
+    def __init__(
+        self,
+        settings: Settings[GatewayOptions],
+        listeners: Mapping[str, socket.socket] = MappingProxyType({}),
+    ) -> None:
+        self.listeners = dict(listeners)
         options = settings.options
         self.options = options
         vm = VmName(options.vm.name)
@@ -194,11 +204,18 @@
         self.circle.start()
         self.knowledge.start()
         self.versions.start()
-        await self.api.ready_server.start(*host_and_port(options.ready.address))
-        await self.metrics_api.server.start(*host_and_port(options.metrics.address))
-        await self.api.server.start(*host_and_port(options.callers.address))
+        await self.api.ready_server.start(self.listener(options.ready.address))
+        await self.metrics_api.server.start(self.listener(options.metrics.address))
+        await self.api.server.start(self.listener(options.callers.address))
         self.context.timeline.emit(EventKind.STARTED)
 
+    def listener(self, address: str) -> socket.socket:
+        """:param address: where to listen, as `IP:port`.
+
+        :returns: the socket that is open there already, or a new one.
+        """
+        return self.listeners.pop(address, None) or listen(*host_and_port(address))
+
     def _reload(self) -> None:
         """Take SIGHUP: what the settings say is fixed for a process's life."""
         self.context.timeline.emit(EventKind.RELOADED, detail="nothing changes here")
@@ -232,16 +249,23 @@
         await self.store.close()
 
 
-async def _serve(settings: Settings[GatewayOptions], writer: LineWriter) -> None:
-    daemon = GatewayDaemon(settings)
+async def _serve(
+    settings: Settings[GatewayOptions],
+    writer: LineWriter,
+    listeners: Mapping[str, socket.socket],
+) -> None:
+    daemon = GatewayDaemon(settings, listeners)
     daemon.metrics_api.writer = writer
     await daemon.run()
 
 
-def run_gateway(settings: Settings[GatewayOptions]) -> None:
+def run_gateway(
+    settings: Settings[GatewayOptions], listeners: Mapping[str, socket.socket]
+) -> None:
     """Run the daemon in this process until it is told to stop.
 
     :param settings: the daemon's settings.
+    :param listeners: sockets that listen already, by address.
     """
     writer = open_line_log(settings.options.log, settings.options.vm.name)
-    uvloop.run(_serve(settings, writer))
+    uvloop.run(_serve(settings, writer, listeners))
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -35,6 +35,9 @@
 JSON_TYPE = "application/json"
 # A body that is sent must have come within this time of its head.
 BODY_SECONDS = 10.0
+# Right after its start a VM knows the configuration within some 20 ms; callers who
+# were connected before are not sent away for that.
+STARTING_SECONDS = 0.3
 # The port for readiness gets short requests only.
 READY_HEADER_BYTES = 8 << 10
 
@@ -206,6 +209,7 @@
         self, request: web.BaseRequest, head: CallHead
     ) -> tuple[Route, Organisation, Catalogue]:
         """Find the route and the caller; before denying them, ask the store again."""
+        await self.knowledge.wait_ready(STARTING_SECONDS)
         refusal = self.path.unready()
         if refusal is not None:
             raise BadCallError(refusal)
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -16,9 +16,10 @@
 import logbook
 from aiohttp import web
 
+from walnutquay.transport.listeners import BACKLOG
+
 log = logbook.Logger(__name__)
 
-BACKLOG = 1024
 # How often the end of the requests under way is looked for at a stop.
 POLL_SECONDS = 0.02
 # A refused body is read on for so long, so that its sender gets the answer.
@@ -71,15 +72,12 @@
             max_field_size=limits.header,
         )
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen.
+    async def start(self, listener: socket.socket) -> None:
+        """Serve.
 
-        :param host: the IP number to listen at.
-        :param port: the port; 0 takes a free one.
+        :param listener: a socket that listens; see
+            :mod:`walnutquay.transport.listeners`.
         """
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
         self.port = listener.getsockname()[1]
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(self.web, sock=listener, backlog=BACKLOG)
