--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -60,6 +60,7 @@
         "models": [{"name": "tiny", "cost": 0.01}, {"name": "huge", "cost": 0.2}],
     }
     stream = {"sticky": True, "resumable": True, "gapAimMs": 1000, "attempts": 3}
+    stream["timeoutMs"] = 9000
     return {
         "version": version,
         "routes": [
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -12,6 +12,7 @@
     Arrival,
     Outcome,
     Refused,
+    Streamed,
     Unknown,
 )
 from walnutquay.coordination.pathparts import PathParts
@@ -341,6 +342,9 @@
         elif isinstance(outcome, Unknown):
             self.context.metrics.count(f"unknown_{outcome.code}")
             timeline.emit(EventKind.UNKNOWN, request=request, detail=outcome.code)
+        elif isinstance(outcome, Streamed) and not outcome.whole:
+            self.context.metrics.count("broken")
+            timeline.emit(EventKind.BROKEN, request=request)
         else:
             self.context.metrics.count("answered")
             timeline.emit(EventKind.ANSWERED, request=request)
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -146,12 +146,14 @@
             self.tasks[order.service] = self._begin(order)
             return
         task.trial.order = order
-        if order.started is not None:
-            task.trial.started = order.started
 
     def _begin(self, order: RolloutOrder) -> TrialTask:
         self.withdrawn.get(order.service, set()).discard(order.version)
-        started = order.started if order.started is not None else _unix_seconds()
+        elapsed = 0.0
+        if order.started is not None:
+            # Others have seen it before; their time of day may differ from ours.
+            elapsed = min(max(0.0, _unix_seconds() - order.started), order.seconds)
+        started = monotonic() - elapsed
         trial = Trial(order, started, self.promises.trial_share)
         spread = self.context.rng.random() * FIRST_WRITE_SPREAD
         return TrialTask(trial, monotonic() + spread)
@@ -208,7 +210,7 @@
         version = trial.order.version
         if version not in self.knowledge.instances.book.versions_of(turn.service):
             return ""
-        now = _unix_seconds()
+        now = monotonic()
         session = turn.session or turn.arrival.request
         new = falls_to_new(session, version, trial.share(now))
         note = self.sessions.get(turn.session) if turn.session else None
@@ -312,7 +314,7 @@
         order = trial.order
         await self._exchange(task)
         self._judge(trial)
-        now = _unix_seconds()
+        now = monotonic()
         if trial.braked:
             await self._answer(task, OrderState.WITHDRAWN)
         elif trial.ready_to_end(now):
@@ -334,7 +336,7 @@
             order.version,
             order.seconds,
             state,
-            task.trial.started,
+            _unix_seconds() - (monotonic() - task.trial.started),
         )
         answered = await self.desk.answer(wanted, state)
         self.knowledge.orders.take(answered)
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -152,7 +152,7 @@
     """One order to bring in a version, as one VM sees it.
 
     :param order: the order.
-    :param started: when it began; seconds of Unix time.
+    :param started: when it began; monotonic seconds, as the time of day may jump.
     :param share_limit: the share of requests that a bad version may get.
     """
 
@@ -169,7 +169,7 @@
         self.braked = False
 
     def progress(self, now: float) -> float:
-        """:param now: seconds of Unix time.
+        """:param now: monotonic seconds.
 
         :returns: the part of the trial's time that is over.
         """
@@ -202,7 +202,7 @@
         return Verdict.UNSURE
 
     def share(self, now: float) -> float:
-        """:param now: seconds of Unix time.
+        """:param now: monotonic seconds.
 
         :returns: the share of sessions that the new version gets.
         """
@@ -221,14 +221,14 @@
         return min(1.0, max(first, part))
 
     def may_move_sessions(self, now: float) -> bool:
-        """:param now: seconds of Unix time.
+        """:param now: monotonic seconds.
 
         :returns: whether sessions of the old version may move to the new one.
         """
         return self.progress(now) >= RAMP_START
 
     def ready_to_end(self, now: float) -> bool:
-        """:param now: seconds of Unix time.
+        """:param now: monotonic seconds.
 
         :returns: whether the order is done, as far as this VM can tell.
         """
