--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -298,3 +298,43 @@
         port = self.gateway.api.ready_server.port
         async with self.session.get(f"http://127.0.0.1:{port}/v1/ready") as ready:
             self.assertEqual(ready.status, 503)
+
+
+class TrialTest(GatewayCase):
+    """A new version is braked also where only its events come slowly."""
+
+    workers = {"p1": "plain", "e1": "engine", "e2": "engine"}
+
+    async def test_slow_events(self):
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=8, pause=0.01)
+        for _ in range(8):
+            await self.call("/stream/x", b"b", Model="tiny")
+        for name in ("n1", "n2"):
+            worker = await self.add_worker(name, "engine", version="v2")
+            worker.default = Behaviour(events=8, pause=0.1)
+        order = {"service": "engine", "toVersion": "v2", "durationS": 600}
+        await self.store.put("rollouts", "engine", order)
+        trials = self.gateway.versions.tasks
+        await self.until(lambda: "engine" in trials and self.listed("n1", "n2"))
+        trial = trials["engine"].trial
+        number = 0
+        while not trial.braked and number < 200:
+            number += 1
+            await self.call("/stream/x", b"b", Model="tiny", Session=f"s{number}")
+        self.assertTrue(trial.braked)
+        await self.until(
+            lambda: (self.rollout().status or {}).get("state") == "rolled_back"
+        )
+        before = self.runs("n1", "n2")
+        for _ in range(20):
+            await self.call("/stream/x", b"b", Model="tiny")
+        self.assertEqual(self.runs("n1", "n2"), before)
+
+    def listed(self, *names: str) -> bool:
+        """:returns: whether the gateway knows these endpoints."""
+        return set(names) <= set(self.gateway.knowledge.instances.book.known)
+
+    def rollout(self):
+        """:returns: the order as it is stored now."""
+        return self.store.kinds["rollouts"]["engine"]
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -65,6 +65,8 @@
 MIN_PLAIN_HEAD = 0.75
 # Retries that must be left for a wait to be given up.
 MIN_BUDGET = 2.0
+# The pauses that a stream's pace is judged by.
+JUDGED_EVENTS = 3
 # How often a silent stream's endpoint is tried.  The longest good pause is 1.2 s.
 GAP_CHECK_SECONDS = 0.6
 # A stream that is silent for so long goes on elsewhere though its endpoint can be
@@ -128,6 +130,22 @@
         :param seconds: until the answer's head, or that of its stream.
         """
 
+    def paced(
+        self, turn: RoutedTurn, grant: Grant, seconds: float, pause: float
+    ) -> None:
+        """:param turn: the request.
+
+        :param grant: who answers.
+        :param seconds: until the answer's head.
+        :param pause: the mean time between its first events.
+        """
+
+    def ended(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: the request, which was judged before.
+
+        :param grant: who answered.
+        """
+
     def failed(self, turn: RoutedTurn, grant: Grant) -> None:
         """:param turn: the request.
 
@@ -346,8 +364,8 @@
                 if larger is not None:
                     turn.model = larger
                     return running.go_on()
-                await self._pass_stream(turn, head, answer, grant)
-                self._learn(turn, grant, seconds)
+                judged = await self._pass_stream(turn, head, answer, grant, seconds)
+                self._learn(turn, grant, seconds, judged)
                 running.answered()
                 return Streamed(whole=True)
             body = await _whole_body(answer, grant.name)
@@ -462,11 +480,16 @@
         )
         return larger
 
-    def _learn(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+    def _learn(
+        self, turn: RoutedTurn, grant: Grant, seconds: float, judged: bool = False
+    ) -> None:
         kind = f"{turn.target}/{turn.arrival.route.name}/{turn.model}"
         now = monotonic()
         self.parts.table.succeeded(EndpointName(grant.name), kind, seconds, now)
-        self.versions.succeeded(turn, grant, seconds)
+        if judged:
+            self.versions.ended(turn, grant)
+        else:
+            self.versions.succeeded(turn, grant, seconds)
 
     async def _pass_stream(
         self,
@@ -474,9 +497,16 @@
         head: AnswerHead,
         answer: aiohttp.ClientResponse,
         grant: Grant,
-    ) -> None:
+        seconds: float,
+    ) -> bool:
         """Pass whole events on to the caller until the stream has ended.
 
+        :param turn: the request.
+        :param head: the answer's head.
+        :param answer: the answer.
+        :param grant: who answers.
+        :param seconds: until the head.
+        :returns: whether its first events were enough to judge its pace.
         :raises EndpointError: if it ends early.
         """
         reply = turn.arrival.reply
@@ -489,6 +519,9 @@
                 EventKind.BEGUN, request=turn.arrival.request, endpoint=grant.name
             )
             await reply.begin(head)
+        began = monotonic()
+        passed = 0
+        judged = False
         body = WatchedBody(
             answer, lambda gap: self._goes_on_elsewhere(turn, grant, gap)
         )
@@ -496,11 +529,17 @@
             events = [e for e in parser.feed(data) if turn.progress.accept(e)]
             if events:
                 await reply.write(b"".join(events))
+            passed += len(events)
+            if passed > JUDGED_EVENTS and not judged:
+                judged = True
+                pause = (monotonic() - began) / (passed - 1)
+                self.versions.paced(turn, grant, seconds, pause)
         watched.check(grant.name)
         if parser.buffer:
             raise EndpointError(
                 "the stream ended within an event", step="stream", peer=grant.name
             )
+        return judged
 
 
 class WatchedBody:
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -22,9 +22,9 @@
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.pace import PaceTable
 from walnutquay.state.trials import (
+    Measure,
     Trial,
     TrialReport,
-    Verdict,
     falls_to_new,
 )
 from walnutquay.transport.timers import monotonic, unix_microseconds
@@ -37,11 +37,15 @@
 # How often VMs tell each other, through the store, what they have seen.  Each
 # exchange is two calls of each VM.
 EXCHANGE_SECONDS = 2.0
+# The same while the new version gets more and more: a bad one is to be found soon.
+RAMP_EXCHANGE_SECONDS = 0.5
 # VMs write the same status at once; each waits up to so long for another's.
 FIRST_WRITE_SPREAD = 1.0
 # An answer that takes so many times as long as the old version's is a bad one.
 # The platform's slow versions take eight times as long.
 SLOW_FACTOR = 5.0
+# The same for the pauses between events, which vary less than the wait for the first.
+SLOW_PAUSE_FACTOR = 2.5
 # A session whose last request has ended may be that much over its time here.
 SESSION_MARGIN_SECONDS = 1.0
 MAX_SESSIONS = 20_000
@@ -239,20 +243,52 @@
             note.at = monotonic()
 
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
-        """:param turn: a request that was answered.
+        """:param turn: a request that was answered, or a short stream.
 
         :param grant: who answered.
         :param seconds: until the answer's head.
         """
         self._note(turn, grant)
-        kind = f"{turn.service}/{turn.arrival.route.name}/{turn.model}"
-        trial = self._trial_of(grant)
-        if trial is None:
-            self.pace.learn(kind, seconds)
-            self._count(turn, grant, False)
-            return
+        slow = self._is_slow("head", turn, grant, seconds)
+        self._count(turn, grant, Measure.SLOW, slow)
+        self._count(turn, grant, Measure.FAILED, False)
+
+    def paced(
+        self, turn: RoutedTurn, grant: Grant, seconds: float, pause: float
+    ) -> None:
+        """Judge a stream by its first events: some versions are slow only then.
+
+        :param turn: the request.
+        :param grant: who answers.
+        :param seconds: until the answer's head.
+        :param pause: the mean time between its first events.
+        """
+        late = self._is_slow("head", turn, grant, seconds)
+        slow = self._is_slow("pause", turn, grant, pause, SLOW_PAUSE_FACTOR)
+        self._count(turn, grant, Measure.SLOW, late or slow)
+        self._count(turn, grant, Measure.FAILED, False)
+
+    def _is_slow(
+        self,
+        measure: str,
+        turn: RoutedTurn,
+        grant: Grant,
+        seconds: float,
+        factor: float = SLOW_FACTOR,
+    ) -> bool:
+        """Compare a time with the old version's, which are learnt."""
+        kind = f"{measure}/{turn.service}/{turn.arrival.route.name}/{turn.model}"
         ratio = self.pace.ratio(kind, seconds)
-        self._count(turn, grant, ratio is not None and ratio > SLOW_FACTOR)
+        if self._trial_of(grant) is None:
+            self.pace.learn(kind, seconds)
+        return ratio is not None and ratio > factor
+
+    def ended(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a stream that has ended and was judged before.
+
+        :param grant: who answered.
+        """
+        self._note(turn, grant)
 
     def failed(self, turn: RoutedTurn, grant: Grant) -> None:
         """:param turn: a request whose endpoint answered that it failed.
@@ -260,7 +296,7 @@
         :param grant: the endpoint.
         """
         self._note(turn, grant)
-        self._count(turn, grant, True)
+        self._count(turn, grant, Measure.FAILED, True)
         if self._trial_of(grant) is not None:
             turn.avoid_new = True
 
@@ -273,30 +309,29 @@
             return None
         return task.trial
 
-    def _count(self, turn: RoutedTurn, grant: Grant, bad: bool) -> None:
+    def _count(
+        self, turn: RoutedTurn, grant: Grant, measure: Measure, bad: bool
+    ) -> None:
         task = self.tasks.get(turn.service)
         if task is None:
             return
         trial = task.trial
-        if self._trial_of(grant) is None:
-            trial.old.add(turn.arrival.route.name, bad, grant.name)
-            return
-        trial.own.add(turn.arrival.route.name, bad, grant.name)
-        if bad:
+        tally = trial.old if self._trial_of(grant) is None else trial.own
+        tally.add((measure, turn.arrival.route.name), bad, grant.name)
+        if bad and tally is trial.own:
             self._judge(trial)
 
     # Decisions.
 
     def _judge(self, trial: Trial) -> None:
-        if trial.braked or trial.verdict() is not Verdict.BAD:
+        if trial.braked or not trial.is_bad(monotonic()):
             return
         trial.braked = True
-        counts = trial.tally().total()
         self.context.timeline.emit(
             EventKind.BRAKED,
             version=trial.order.version,
-            detail=f"{trial.order.service}: {counts.bad} bad answers of "
-            f"{counts.good + counts.bad} by {len(counts.bad_endpoints)} endpoints",
+            detail=trial.order.service,
+            **_facts(trial),
         )
 
     async def decide(self) -> None:
@@ -315,6 +350,7 @@
         await self._exchange(task)
         self._judge(trial)
         now = monotonic()
+        trial.advance(now)
         if trial.braked:
             await self._answer(task, OrderState.WITHDRAWN)
         elif trial.ready_to_end(now):
@@ -353,7 +389,9 @@
     async def _exchange(self, task: TrialTask) -> None:
         """Tell the others what this VM has seen, and hear what they have."""
         now = monotonic()
-        if now - task.exchanged_at < EXCHANGE_SECONDS:
+        ramping = task.trial.ramping(now)
+        period = RAMP_EXCHANGE_SECONDS if ramping else EXCHANGE_SECONDS
+        if now - task.exchanged_at < period:
             return
         task.exchanged_at = now
         trial = task.trial
@@ -368,6 +406,26 @@
             about_this = (report.order, report.version) == (order.name, order.version)
             if about_this and not mine:
                 trial.hear(report)
+        self.context.timeline.emit(
+            EventKind.SHARES,
+            version=order.version,
+            detail=order.service,
+            share=round(trial.share(now), 3),
+            **_facts(trial),
+        )
+
+
+def _facts(trial: Trial) -> dict[str, int]:
+    """Give a trial's counts for the log."""
+    found = {}
+    for measure in Measure:
+        new = trial.tally().total(measure)
+        old = trial.old.total(measure)
+        found[f"{measure.value}"] = new.bad
+        found[f"{measure.value}_of"] = new.bad + new.good
+        found[f"old_{measure.value}"] = old.bad
+        found[f"old_{measure.value}_of"] = old.bad + old.good
+    return found
 
 
 def _unix_seconds() -> float:
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -15,6 +15,7 @@
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.state.metrics import PERCENTILES, summary
+from walnutquay.state.trials import Measure
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.timers import monotonic
@@ -94,10 +95,12 @@
         for service, budget in self.path.budgets.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
         for service, task in self.versions.tasks.items():
-            counts = task.trial.tally().total()
-            label = f'{{service="{service}",version="{task.trial.order.version}"}}'
-            yield f"{PREFIX}_trial_good{label} {counts.good}"
-            yield f"{PREFIX}_trial_bad{label} {counts.bad}"
+            label = f'service="{service}",version="{task.trial.order.version}"'
+            for measure in Measure:
+                counts = task.trial.tally().total(measure)
+                labels = f'{{{label},measure="{measure.value}"}}'
+                yield f"{PREFIX}_trial_good{labels} {counts.good}"
+                yield f"{PREFIX}_trial_bad{labels} {counts.bad}"
 
     def _endpoints(self) -> Iterator[str]:
         now = monotonic()
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -30,7 +30,7 @@
 from walnutquay.state.keys import key_hash
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.parts import Organisation
-from walnutquay.state.trials import TrialCounts, TrialReport
+from walnutquay.state.trials import Measure, Subject, TrialCounts, TrialReport
 
 MILLISECONDS = 1000.0
 # Where an object leaves a number out.
@@ -209,7 +209,7 @@
             vm=VmName(spec["vm"]),
             order=spec["order"],
             version=VersionName(spec["version"]),
-            counts=tuple(_route_counts(item) for item in spec["routes"]),
+            counts=tuple(_subject_counts(item) for item in spec["routes"]),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MessageError(
@@ -217,10 +217,10 @@
         ) from error
 
 
-def _route_counts(item: Plain) -> tuple[RouteName, TrialCounts]:
+def _subject_counts(item: Plain) -> tuple[Subject, TrialCounts]:
     endpoints = frozenset(EndpointName(name) for name in item["badEndpoints"])
     counts = TrialCounts(int(item["good"]), int(item["bad"]), endpoints)
-    return RouteName(item["route"]), counts
+    return (Measure(item["measure"]), RouteName(item["route"])), counts
 
 
 def encode_trial_report(report: TrialReport) -> dict[str, Any]:
@@ -234,11 +234,12 @@
         "version": report.version,
         "routes": [
             {
+                "measure": measure.value,
                 "route": route,
                 "good": counts.good,
                 "bad": counts.bad,
                 "badEndpoints": sorted(counts.bad_endpoints),
             }
-            for route, counts in report.counts
+            for (measure, route), counts in report.counts
         ],
     }
