--- a/lab/reference.py
+++ b/lab/reference.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from enum import Enum
 from pathlib import Path
 from typing import Any
@@ -11,7 +12,7 @@
 from pydantic import BaseModel
 from pydantic_core import PydanticUndefined
 
-from walnutquay.settings import Options
+from walnutquay.settings import GatewayOptions, Options, Section
 from walnutquay.state.configuration import PART_MODELS
 
 PAGE = Path(__file__).parent.parent / "docs" / "reference.md"
@@ -40,13 +41,21 @@
     return "\n".join(lines) + "\n"
 
 
-def page() -> str:
-    """:returns: the page."""
-    pieces = [HEAD, "## Settings of the daemon\n"]
-    for name, field in Options.model_fields.items():
+def _sections(options: type[Section], known: tuple[str, ...]) -> Iterator[str]:
+    """Yield the tables of sections, without those told of already."""
+    for name, field in options.model_fields.items():
         section = field.annotation
         assert isinstance(section, type)
-        pieces.append(f"### `[{name}]`\n\n{section.__doc__}\n\n{_table(section)}")
+        if name in known and section is Options.model_fields[name].annotation:
+            continue
+        yield f"### `[{name}]`\n\n{section.__doc__}\n\n{_table(section)}"
+
+
+def page() -> str:
+    """:returns: the page."""
+    pieces = [HEAD, "## Settings of `walnutquay entry`\n", *_sections(Options, ())]
+    pieces.append("## Settings of `walnutquay gateway`, where they are others\n")
+    pieces.extend(_sections(GatewayOptions, tuple(Options.model_fields)))
     pieces.append("## Configuration of the fleet\n")
     for name, model in PART_MODELS.items():
         pieces.append(f"### `[[{name}]]`\n\n{model.__doc__}\n\n{_table(model)}")
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -4,28 +4,22 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import (
-    AsyncIterator,
-    Awaitable,
-    Callable,
-    Iterable,
-    Mapping,
-    Sequence,
-)
-from typing import Protocol
+from collections.abc import Callable
+from dataclasses import replace
 
 import aiohttp
 
+from walnutquay.coordination.bodies import WatchedBody, whole_body
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.outcomes import Outcome, Streamed, Unknown, Whole
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.paths import RequestPath
 from walnutquay.coordination.places import Grant, Need
 from walnutquay.coordination.routedplaces import RoutedPlaces
+from walnutquay.coordination.routedports import Dialect, VersionPolicy
 from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
+from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.protocol.chat import StreamParser
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.admission import RetryBudget
@@ -36,7 +30,6 @@
 from walnutquay.state.requests import Continuing, Dispatched, Received
 from walnutquay.state.sizing import ModelChoice, urgency
 from walnutquay.transport.client import (
-    READ_BYTES,
     STEP_CONNECT,
     STEP_REACH,
     STEP_SILENT,
@@ -47,8 +40,6 @@
 )
 from walnutquay.transport.timers import monotonic
 
-# An answer larger than this is not passed on.
-MAX_ANSWER = 32 << 20
 # A request that so many endpoints have turned away is refused, not sent on.
 MAX_REFUSALS = 3
 # When to come back where the chosen endpoints had no room.
@@ -67,8 +58,6 @@
 MIN_BUDGET = 2.0
 # The pauses that a stream's pace is judged by.
 JUDGED_EVENTS = 3
-# How often a silent stream's endpoint is tried.  The longest good pause is 1.2 s.
-GAP_CHECK_SECONDS = 0.6
 # A stream that is silent for so long goes on elsewhere though its endpoint can be
 # reached.  Engines that read the longest prompts were silent for 3 s; callers leave
 # after 9.6 s.
@@ -76,27 +65,6 @@
 CODE_TIMEOUT = "timeout"
 
 
-class Dialect(Protocol):
-    """Writes heads for endpoints and reads theirs."""
-
-    def encode_call(
-        self, head: CallHead, order: SendOrder
-    ) -> Sequence[tuple[str, str]]:
-        """:param head: the caller's head.
-
-        :param order: what we add.
-        """
-
-    def decode_answer(
-        self, status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
-    ) -> AnswerHead:
-        """:param status: the HTTP status.
-
-        :param headers: by name without regard to case.
-        :param raw: the same in order, as they came.
-        """
-
-
 class FailedAnswerError(EndpointError):
     """The endpoint ran the request and answered that it failed.
 
@@ -108,51 +76,6 @@
         self.answer = answer
 
 
-class VersionPolicy(Protocol):
-    """Says which version of a service serves a request, and learns how it went."""
-
-    def version_for(self, turn: RoutedTurn) -> str:
-        """:param turn: the request.
-
-        :returns: the only version to use; empty for any that may be.
-        """
-
-    def began(self, turn: RoutedTurn, grant: Grant) -> None:
-        """:param turn: the request.
-
-        :param grant: who is sent it.
-        """
-
-    def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
-        """:param turn: the request.
-
-        :param grant: who answered.
-        :param seconds: until the answer's head, or that of its stream.
-        """
-
-    def paced(
-        self, turn: RoutedTurn, grant: Grant, seconds: float, pause: float
-    ) -> None:
-        """:param turn: the request.
-
-        :param grant: who answers.
-        :param seconds: until the answer's head.
-        :param pause: the mean time between its first events.
-        """
-
-    def ended(self, turn: RoutedTurn, grant: Grant) -> None:
-        """:param turn: the request, which was judged before.
-
-        :param grant: who answered.
-        """
-
-    def failed(self, turn: RoutedTurn, grant: Grant) -> None:
-        """:param turn: the request.
-
-        :param grant: who ran it and failed.
-        """
-
-
 class RoutedPath(RequestPath):
     """Serves requests on the operators' routes.
 
@@ -237,20 +160,8 @@
 
         :returns: what it needs a place for now.
         """
-        arrival = turn.arrival
-        return Need(
-            arrival.request,
-            arrival.organisation.name,
-            arrival.organisation.weight,
-            turn.target,
-            arrival.deadline,
-            turn.waiting_since,
-            turn.hint,
-            turn.tried,
-            turn.prefix,
-            self.versions.version_for(turn),
-            turn.work,
-        )
+        version = self.versions.version_for(turn)
+        return replace(super().need_of(turn), version=version, work=turn.work)
 
     def still_allowed(self, turn: RoutedTurn) -> Refusal | None:
         """:param turn: the request.
@@ -356,7 +267,7 @@
             seconds = monotonic() - started
             self.places.began(grant, seconds)
             if head.status >= 500:
-                body = await _whole_body(answer, grant.name)
+                body = await whole_body(answer, grant.name)
                 self.versions.failed(turn, grant)
                 raise FailedAnswerError(_as_whole(head, body), peer=grant.name)
             if turn.streamed and head.status == 200:
@@ -368,7 +279,7 @@
                 self._learn(turn, grant, seconds, judged)
                 running.answered()
                 return Streamed(whole=True)
-            body = await _whole_body(answer, grant.name)
+            body = await whole_body(answer, grant.name)
         self._learn(turn, grant, seconds)
         running.answered()
         return Whole(_as_whole(head, body))
@@ -542,58 +453,5 @@
         return judged
 
 
-class WatchedBody:
-    """Yields the pieces of an answer's body, and asks what to do in long gaps.
-
-    :param answer: the answer.
-    :param on_gap: told each time how long the gap is by now; returns whether to
-        wait no longer.
-    """
-
-    def __init__(
-        self,
-        answer: aiohttp.ClientResponse,
-        on_gap: Callable[[float], Awaitable[bool]],
-    ) -> None:
-        self.answer = answer
-        self.on_gap = on_gap
-
-    async def __aiter__(self) -> AsyncIterator[bytes]:
-        while not self.answer.content.at_eof():
-            data = await self._next()
-            if data:
-                yield data
-
-    async def _next(self) -> bytes:
-        reading = asyncio.ensure_future(self.answer.content.readany())
-        began = monotonic()
-        try:
-            while not reading.done():
-                await asyncio.wait([reading], timeout=GAP_CHECK_SECONDS)
-                if not reading.done() and await self.on_gap(monotonic() - began):
-                    raise EndpointError("it fell silent", step="stream")
-            return reading.result()
-        finally:
-            reading.cancel()
-
-
-async def _whole_body(answer: aiohttp.ClientResponse, peer: str) -> bytes:
-    """Read an answer's body.
-
-    :raises EndpointError: if it is not whole, or too large.
-    """
-    watched = ConnectionEnd(answer)
-    parts = []
-    size = 0
-    async for data in answer.content.iter_chunked(READ_BYTES):
-        size += len(data)
-        if size > MAX_ANSWER:
-            answer.close()
-            raise EndpointError("the answer is too large", step="answer", peer=peer)
-        parts.append(data)
-    watched.check(peer)
-    return b"".join(parts)
-
-
 def _as_whole(head: AnswerHead, body: bytes) -> WholeAnswer:
     return WholeAnswer(head.status, head.content_type, body, head.headers)
--- /dev/null
+++ b/walnutquay/coordination/routedports.py
@@ -0,0 +1,78 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What the path of routed requests asks of others: heads, and versions."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Protocol
+
+from walnutquay.coordination.places import Grant
+from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
+
+
+class Dialect(Protocol):
+    """Writes heads for endpoints and reads theirs."""
+
+    def encode_call(
+        self, head: CallHead, order: SendOrder
+    ) -> Sequence[tuple[str, str]]:
+        """:param head: the caller's head.
+
+        :param order: what we add.
+        """
+
+    def decode_answer(
+        self, status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
+    ) -> AnswerHead:
+        """:param status: the HTTP status.
+
+        :param headers: by name without regard to case.
+        :param raw: the same in order, as they came.
+        """
+
+
+class VersionPolicy(Protocol):
+    """Says which version of a service serves a request, and learns how it went."""
+
+    def version_for(self, turn: RoutedTurn) -> str:
+        """:param turn: the request.
+
+        :returns: the only version to use; empty for any that may be.
+        """
+
+    def began(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: the request.
+
+        :param grant: who is sent it.
+        """
+
+    def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+        """:param turn: the request.
+
+        :param grant: who answered.
+        :param seconds: until the answer's head, or that of its stream.
+        """
+
+    def paced(
+        self, turn: RoutedTurn, grant: Grant, seconds: float, pause: float
+    ) -> None:
+        """:param turn: the request.
+
+        :param grant: who answers.
+        :param seconds: until the answer's head.
+        :param pause: the mean time between its first events.
+        """
+
+    def ended(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: the request, which was judged before.
+
+        :param grant: who answered.
+        """
+
+    def failed(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: the request.
+
+        :param grant: who ran it and failed.
+        """
