Keep our own interface's values in the platform's real store, through its one client

Cause: coordination/platform.py and its stand-in spoke an object protocol of our own invention; with the users' store there were two clients of the platform.

Change: platform/values.py maps a value's name to a kind of ours and an object's name, its JSON to the content, the revision to the version. coordination/platform.py keeps the rate, the counters and the note whether the platform is up. The stand-in process serves standins/store.py, which learnt rates, stale lists, late writes and callers that it turns away. Found by a test that failed first: the store keeps the revision of an object that a write does not change, so lease renewals were invisible and a second VM took a lease that was held; a lease now counts its writes.

--- a/lab/claimways.py
+++ b/lab/claimways.py
@@ -20,8 +20,9 @@
 
 from standins.fleet import FLEET_KEY, HOST, Fleet
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.platform import ABSENT, Platform
+from walnutquay.coordination.platform import Platform
 from walnutquay.exceptions import PeerError, PlatformError
+from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import AskRun, Envelope, RunIs
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import PlatformSection
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -69,7 +69,7 @@
         if request.path.startswith(self.spared):
             return await handler(request)
         await self.thawed.wait()
-        if request.headers.get("x-vm", "") in self.faults.cut:
+        if request.headers.get("user-agent", "") in self.faults.cut:
             return _break(request)
         if self.faults.delay:
             await asyncio.sleep(self.faults.delay)
--- a/standins/store.py
+++ b/standins/store.py
@@ -4,20 +4,28 @@
 
 It speaks what the users publish: ``/v1/objects/KIND[/NAME[/status]]`` with lists in
 pages, watches, revisions as conditions of writes, 410 for history that is gone,
-429 beyond the rates.  Faults are attributes that tests set.
+429 beyond the rates.  Faults are attributes that tests set.  A test may run it in
+its own process; :mod:`standins.platform` serves it as a process.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+import json
+import math
+import time
+from collections import Counter, deque
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import unquote
 
 from aiohttp import web
 
 PAGE = 500
 MAX_WAIT_SECONDS = 30.0
+# Bytes of an object's content, and of the body of a call around it.
+MAX_VALUE = 1 << 20
+MAX_BODY = 4 << 20
 
 
 @dataclass
@@ -41,14 +49,44 @@
         return {"metadata": metadata, "spec": self.spec, "status": self.status}
 
 
+class RateLimit:
+    """Counts calls in the last second.
+
+    :param per_second: calls that are allowed.
+    """
+
+    def __init__(self, per_second: float) -> None:
+        self.per_second = per_second
+        self.times: deque[float] = deque()
+
+    def exceeded(self) -> bool:
+        """:returns: whether this call is one too many; it is then not counted."""
+        now = time.monotonic()
+        while self.times and self.times[0] <= now - 1.0:
+            self.times.popleft()
+        if len(self.times) >= self.per_second:
+            return True
+        self.times.append(now)
+        return False
+
+
 class StoreStandIn:
-    """The store, in the test's own process.
+    """The store.
 
     :param page: objects on one page of a list.
+    :param writes: writes a second that are allowed.
+    :param reads: reads a second that are allowed, watches among them.
     """
 
-    def __init__(self, page: int = PAGE) -> None:
+    def __init__(
+        self,
+        page: int = PAGE,
+        writes: float = math.inf,
+        reads: float = math.inf,
+    ) -> None:
         self.page = page
+        self.writes = RateLimit(writes)
+        self.reads = RateLimit(reads)
         self.kinds: dict[str, dict[str, Stored]] = {}
         self.revision = 0
         # What has happened: revision, kind, object, whether it was deleted.
@@ -60,19 +98,25 @@
         # Watches that wait for a change.
         self.waiting = 0
         # Faults: a status that every call gets; calls that hang; writes that are
-        # done and not answered; seconds by which each answer is late.
+        # done and not answered; seconds by which each answer is late; seconds by
+        # which writes are done late; callers that are reset, by their name.
         self.refuse: int | None = None
         self.silent = False
         self.lose_writes = 0
         self.late_seconds = 0.0
+        self.late_writes_seconds = 0.0
+        self.turned_away: set[str] = set()
+        self.late_tasks: set[asyncio.Task[None]] = set()
+        # What lists that may be old show: objects by kind, and the revision.
+        self.stale_view: tuple[dict[str, dict[str, Stored]], int] | None = None
+        self.app = web.Application(client_max_size=MAX_BODY)
+        self.app.router.add_route("*", "/v1/objects/{path:.+}", self.handle)
         self.runner: web.AppRunner | None = None
         self.address = ""
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen at a free port."""
-        app = web.Application()
-        app.router.add_route("*", "/v1/objects/{path:.+}", self.handle)
-        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self.runner = web.AppRunner(self.app, shutdown_timeout=0.1)
         await self.runner.setup()
         site = web.TCPSite(self.runner, host, 0)
         await site.start()
@@ -116,6 +160,11 @@
             self.forgotten = self.revision
             self.changed.notify_all()
 
+    def keep_stale_view(self) -> None:
+        """Show lists that may be old as things are now, whatever comes."""
+        kinds = {kind: dict(objects) for kind, objects in self.kinds.items()}
+        self.stale_view = (kinds, self.revision)
+
     # Calls.
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
@@ -123,34 +172,60 @@
 
         :param request: the call.
         """
-        kind, _, rest = request.match_info["path"].partition("/")
+        kind, rest = _split(request)
         watching = "watch" in request.query
         self.calls[f"{request.method} {kind}{' watch' if watching else ''}"] += 1
         if self.silent:
             await asyncio.sleep(MAX_WAIT_SECONDS)
         if self.refuse is not None:
             return web.Response(status=self.refuse)
+        if request.headers.get("user-agent") in self.turned_away:
+            return _broken(request)
+        limit = self.reads if request.method == "GET" else self.writes
+        if limit.exceeded():
+            self.calls["refused"] += 1
+            return web.Response(status=429, headers={"Retry-After": "1"})
         if self.late_seconds:
             await asyncio.sleep(self.late_seconds)
         if request.method == "GET":
             answer = await self._read(request, kind, rest, watching)
         else:
+            await request.read()
+            if self.late_writes_seconds:
+                return await self._change_late(request, kind, rest)
             answer = await self._change(request, kind, rest)
             if self.lose_writes:
                 self.lose_writes -= 1
-                assert request.transport is not None
-                request.transport.abort()
+                return _broken(request)
         return answer
 
+    async def _change_late(
+        self, request: web.Request, kind: str, rest: str
+    ) -> web.Response:
+        """Carry a write out long after its caller has given it up."""
+        seconds = self.late_writes_seconds
+
+        async def change() -> None:
+            await asyncio.sleep(seconds)
+            await self._change(request, kind, rest)
+
+        task = asyncio.ensure_future(change())
+        self.late_tasks.add(task)
+        task.add_done_callback(self.late_tasks.discard)
+        return _broken(request)
+
     async def _read(
         self, request: web.Request, kind: str, name: str, watching: bool
     ) -> web.Response:
-        objects = self.kinds.get(kind, {})
+        objects, revision = self.kinds.get(kind, {}), self.revision
         if name:
-            stored = objects.get(name)
+            stored = objects.get(unquote(name))
             return _json(stored.plain()) if stored else web.Response(status=404)
         if watching:
             return await self._watch(request, kind)
+        if "allowStale" in request.query and self.stale_view is not None:
+            kinds, revision = self.stale_view
+            objects = kinds.get(kind, {})
         after = request.query.get("sinceRev", "")
         names = [name for name in sorted(objects) if name > after]
         shown = names[: self.page]
@@ -158,7 +233,7 @@
             {
                 "items": [objects[name].plain() for name in shown],
                 "truncated": len(names) > len(shown),
-                "asOf": self.revision,
+                "asOf": revision,
             }
         )
 
@@ -188,15 +263,17 @@
             finally:
                 self.waiting -= 1
             if self.forgotten > forgotten:
-                assert request.transport is not None
-                request.transport.abort()
+                return _broken(request)
             return _json({"events": events(), "asOf": self.revision})
 
     async def _change(self, request: web.Request, kind: str, rest: str) -> web.Response:
         name, _, part = rest.partition("/")
-        body = await request.json() if request.can_read_body else {}
+        text = await request.read()
+        if len(text) > MAX_VALUE:
+            return web.Response(status=413)
+        body = json.loads(text) if text else {}
         metadata = body.get("metadata") or {}
-        name = name or metadata["name"]
+        name = unquote(name) or metadata["name"]
         async with self.changed:
             stored = self.kinds.get(kind, {}).get(name)
             if request.method == "POST":
@@ -206,8 +283,8 @@
                 return _json(self.kinds[kind][name].plain())
             if stored is None:
                 return web.Response(status=404)
-            expected = metadata.get("revision")
-            if expected is not None and expected != stored.revision:
+            expected = metadata.get("revision", request.query.get("revision"))
+            if expected is not None and int(expected) != stored.revision:
                 return _json(stored.plain(), 409)
             if request.method == "DELETE":
                 del self.kinds[kind][name]
@@ -222,5 +299,19 @@
             return _json(self.kinds[kind][name].plain())
 
 
+def _split(request: web.Request) -> tuple[str, str]:
+    """:returns: a call's kind, and what stands behind it, as escaped in the path."""
+    path = request.rel_url.raw_path.removeprefix("/v1/objects/")
+    kind, _, rest = path.partition("/")
+    return kind, rest
+
+
+def _broken(request: web.Request) -> web.Response:
+    """Reset a call's connection; the answer that is returned reaches nobody."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
 def _json(value: Any, status: int = 200) -> web.Response:
     return web.json_response(value, status=status)
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -16,13 +16,13 @@
 from tests.interleavings import CrashedError, Scheduler
 from walnutquay.coordination.context import Context, Timeline
 from walnutquay.coordination.mailroom import Mailroom
-from walnutquay.coordination.platform import Stored
 from walnutquay.exceptions import (
     PeerError,
     PlatformConflictError,
     PlatformUnavailableError,
     PlatformUnclearError,
 )
+from walnutquay.platform.values import Stored
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.state.clock import Stamp
 from walnutquay.state.ids import HallName, Incarnation, VmName
@@ -41,17 +41,22 @@
     scheduler: Scheduler
     objects: dict[str, tuple[int, bytes]] = field(default_factory=dict)
     late: set[asyncio.Task] = field(default_factory=set)
+    # Counts all changes; an object's version is the count at its last change.
+    revision: int = 0
 
     def put(self, name: str, value: bytes | None, expected: int) -> int:
-        """Carry a conditional write out."""
-        version = self.objects.get(name, (0, b""))[0]
+        """Carry a conditional write out; without a change the version stays."""
+        version, present = self.objects.get(name, (0, None))
         if version != expected:
             raise PlatformConflictError("another version", peer=name)
+        if value == present:
+            return version
+        self.revision += 1
         if value is None:
             del self.objects[name]
         else:
-            self.objects[name] = (version + 1, value)
-        return version + 1
+            self.objects[name] = (self.revision, value)
+        return self.revision
 
     async def land(self, name: str, value: bytes | None, expected: int) -> None:
         """Carry a write out late, long after its caller has given it up."""
--- a/walnutquay/coordination/acceptance.py
+++ b/walnutquay/coordination/acceptance.py
@@ -53,7 +53,7 @@
     """Has operators' changes accepted by the platform.
 
     :param context: what this process shares.
-    :param platform: the object service.
+    :param platform: the store of values.
     :param configurations: what is in force here.
     """
 
--- a/walnutquay/coordination/billing.py
+++ b/walnutquay/coordination/billing.py
@@ -14,13 +14,14 @@
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.members import Members
-from walnutquay.coordination.platform import ABSENT, Platform
+from walnutquay.coordination.platform import Platform
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.exceptions import (
     PeerError,
     PlatformConflictError,
     PlatformError,
 )
+from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import BillCopy, BillStored, BillTaken, Envelope
 from walnutquay.state.bills import (
     BillLog,
@@ -62,7 +63,7 @@
     """Makes bill records and sees to it that each is stored once.
 
     :param context: what this process shares.
-    :param platform: the object service.
+    :param platform: the store of values.
     :param members: the other VMs.
     :param mailroom: where copies come from.
     """
--- a/walnutquay/coordination/claims.py
+++ b/walnutquay/coordination/claims.py
@@ -13,13 +13,14 @@
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.members import Members
-from walnutquay.coordination.platform import ABSENT, Platform
+from walnutquay.coordination.platform import Platform
 from walnutquay.exceptions import (
     PeerError,
     PlatformConflictError,
     PlatformError,
     PlatformUnclearError,
 )
+from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import AskRun, Envelope, RunIs
 from walnutquay.state.claims import (
     CLAIM_PREFIX,
@@ -75,7 +76,7 @@
     """Asks for claims, and answers for those that this VM holds.
 
     :param context: what this process shares.
-    :param platform: the object service.
+    :param platform: the store of values.
     :param members: the other VMs.
     :param mailroom: where peers' questions come from.
     :param hours: hours for which a key is remembered.
--- a/walnutquay/coordination/configurations.py
+++ b/walnutquay/coordination/configurations.py
@@ -19,13 +19,14 @@
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.members import Members
 from walnutquay.coordination.partstore import PartStore
-from walnutquay.coordination.platform import Platform, Stored
+from walnutquay.coordination.platform import Platform
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.exceptions import (
     ConfigurationError,
     PeerError,
     PlatformError,
 )
+from walnutquay.platform.values import Stored
 from walnutquay.protocol.messages import AskHead, AskPart, Envelope, HeadIs, PartIs
 from walnutquay.state.configuration import (
     Configuration,
@@ -55,7 +56,7 @@
     """Holds the configuration that is in force on this VM.
 
     :param context: what this process shares.
-    :param platform: the object service.
+    :param platform: the store of values.
     :param members: the other VMs.
     :param mailroom: where peers' questions come from.
     """
--- a/walnutquay/coordination/leases.py
+++ b/walnutquay/coordination/leases.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import logbook
 
 from walnutquay.coordination.context import Context
@@ -28,7 +30,7 @@
     """One duty's lease.
 
     :param context: what this process shares.
-    :param platform: the object service.
+    :param platform: the store of values.
     :param members: the other VMs.
     :param duty: the duty's name.
     :param seconds: how long the lease runs.
@@ -96,6 +98,7 @@
         held = self.view.held(asked_at)
         if self.view.version < 0:
             await self._look()
+        self.value = replace(self.value, writes=self.value.writes + 1)
         version = await self.platform.write(
             self.name, self.value.encode(), self.view.version
         )
--- a/walnutquay/coordination/members.py
+++ b/walnutquay/coordination/members.py
@@ -12,7 +12,6 @@
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.mailroom import Mailroom
-from walnutquay.coordination.platform import HEADER_VM
 from walnutquay.exceptions import EndpointError, PeerError
 from walnutquay.protocol.messages import Envelope, Heartbeat, Message
 from walnutquay.state.events import EventKind
@@ -67,7 +66,7 @@
         self.own = own
         self.counter = 0
         self.table = MemberTable(context.vm, context.rng)
-        self.session = aiohttp.ClientSession(headers={HEADER_VM: context.vm})
+        self.session = aiohttp.ClientSession(headers={"User-Agent": context.vm})
         self.list_read_at = float("-inf")
         # Whom to tell of newer news of a VM, and whether it came from that VM
         # itself; and whom to tell of the endpoints on the list.
--- a/walnutquay/coordination/partstore.py
+++ b/walnutquay/coordination/partstore.py
@@ -7,8 +7,9 @@
 import asyncio
 from collections.abc import Mapping
 
-from walnutquay.coordination.platform import ABSENT, Platform
+from walnutquay.coordination.platform import Platform
 from walnutquay.exceptions import PlatformConflictError, PlatformUnclearError
+from walnutquay.platform.values import ABSENT
 from walnutquay.state.configuration import part_hash
 
 PART_PREFIX = "config/parts/"
@@ -20,7 +21,7 @@
 class PartStore:
     """Reads and writes parts; a part never changes, for its name is its hash.
 
-    :param platform: the object service.
+    :param platform: the store of values.
     """
 
     def __init__(self, platform: Platform) -> None:
--- a/walnutquay/exceptions.py
+++ b/walnutquay/exceptions.py
@@ -63,13 +63,21 @@
 
 
 class PlatformError(WalnutquayError):
-    """The base of what can go wrong with the platform's object service."""
+    """The base of what can go wrong with the platform's store."""
 
 
 class PlatformUnavailableError(PlatformError):
     """The platform did not take the call: nothing changed there."""
 
 
+class PlatformBusyError(PlatformUnavailableError):
+    """The platform is there and takes no more calls at present."""
+
+
+class MissingObjectError(PlatformError):
+    """There is no such object, or nothing of its kind yet."""
+
+
 class PlatformUnclearError(PlatformError):
     """The call was sent and its answer is lost: it may have taken effect."""
 
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -11,7 +11,11 @@
 import logbook
 import orjson
 
-from walnutquay.exceptions import MessageError, PlatformConflictError
+from walnutquay.exceptions import (
+    MessageError,
+    MissingObjectError,
+    PlatformConflictError,
+)
 from walnutquay.platform.names import (
     CONFIGURATION_NAME,
     KIND_CONFIGURATION,
@@ -28,12 +32,7 @@
     encode_order_status,
     encode_trial_report,
 )
-from walnutquay.platform.store import (
-    MissingObjectError,
-    StoreClient,
-    StoredEvent,
-    StoredObject,
-)
+from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
 from walnutquay.state.ids import VmName
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -62,5 +62,7 @@
 # Kinds of our own: the entry VMs, and what each has seen of versions on trial.
 KIND_VMS = "entry-vms"
 KIND_TRIALS = "trial-reports"
+# Begins the kinds that hold values of our own interface.
+OWN_KIND_PREFIX = "walnutquay-"
 
 STATUS_MISDIRECTED = 421
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -14,6 +14,8 @@
 
 from walnutquay.exceptions import (
     HistoryGoneError,
+    MissingObjectError,
+    PlatformBusyError,
     PlatformConflictError,
     PlatformError,
     PlatformUnavailableError,
@@ -63,14 +65,24 @@
     """Calls the store; one for each process.
 
     :param address: its ``IP:port``.
+    :param caller: the name that this process gives in ``User-Agent``.
+    :param call_seconds: how long a call may take; a watch takes its wait on top.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        caller: str = "walnutquay",
+        call_seconds: float = CALL_SECONDS,
+    ) -> None:
         self.base = f"http://{address}{OBJECTS_PATH}"
         self.address = address
+        self.call_seconds = call_seconds
         connector = aiohttp.TCPConnector(limit=0, socket_factory=limit_silence)
         self.session = aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            headers={"User-Agent": caller},
         )
 
     async def close(self) -> None:
@@ -177,14 +189,17 @@
         body = {"metadata": {"name": name, "revision": revision}, "status": status}
         return _stored(await self._call("PUT", kind, name, "status", body=body))
 
-    async def delete(self, kind: str, name: str) -> None:
+    async def delete(self, kind: str, name: str, revision: int | None = None) -> None:
         """Remove an object; one that is gone already is no error.
 
         :param kind: the kind.
         :param name: its name.
+        :param revision: the revision that it must have; None for any.
+        :raises PlatformConflictError: if it has another.
         """
+        query = None if revision is None else {"revision": str(revision)}
         try:
-            await self._call("DELETE", kind, name)
+            await self._call("DELETE", kind, name, query=query)
         except MissingObjectError:
             return
 
@@ -194,7 +209,7 @@
         *path: str,
         query: Mapping[str, str] | None = None,
         body: Any = None,
-        limit: float = CALL_SECONDS,
+        limit: float | None = None,
     ) -> Any:
         """Make one call.
 
@@ -203,7 +218,9 @@
         """
         place = "/".join(quote(part, safe="") for part in path)
         step = method.lower()
-        timeout = aiohttp.ClientTimeout(total=limit, sock_connect=CONNECT_SECONDS)
+        timeout = aiohttp.ClientTimeout(
+            total=limit or self.call_seconds, sock_connect=CONNECT_SECONDS
+        )
         try:
             async with self.session.request(
                 method,
@@ -225,10 +242,6 @@
         raise _failure(status, content, step, place)
 
 
-class MissingObjectError(PlatformError):
-    """There is no such object, or nothing of its kind yet."""
-
-
 def _decoded(content: bytes, step: str, place: str) -> Any:
     try:
         return orjson.loads(content) if content else None
@@ -248,7 +261,9 @@
         )
     if status == 410:
         return HistoryGoneError("the history is gone", step=step, peer=place)
-    if status in (429, 503):
+    if status == 429:
+        return PlatformBusyError("the store's rate is used up", step=step, peer=place)
+    if status == 503:
         return PlatformUnavailableError(
             f"the store refused the call ({status})", step=step, peer=place
         )
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -112,10 +112,10 @@
 
 
 class PlatformSection(Section):
-    """The platform's object service and list of VMs."""
+    """The platform's store and list of VMs."""
 
     url: str
-    """`http://IP:port` of the object service."""
+    """`http://IP:port` of the store."""
     vm_list_url: str
     """`http://IP:port/vms` of the list of VMs."""
     calls_per_second: Positive = 40.0
--- a/walnutquay/state/leases.py
+++ b/walnutquay/state/leases.py
@@ -26,15 +26,19 @@
     :param vm: the holder; empty once it has been given back.
     :param incarnation: the holder's incarnation.
     :param seconds: how long the lease runs from each renewal.
+    :param writes: how often its holder has written it.  The platform leaves an
+        object's version as it is where a write changes nothing, and others see a
+        renewal by the version alone.
     """
 
     vm: VmName
     incarnation: Incarnation
     seconds: float
+    writes: int = 0
 
     def encode(self) -> bytes:
         """:returns: the value as it is stored."""
-        return orjson.dumps([self.vm, self.incarnation, self.seconds])
+        return orjson.dumps([self.vm, self.incarnation, self.seconds, self.writes])
 
     @classmethod
     def decode(cls, data: bytes) -> LeaseValue:
