Tell what VMs have seen of a version on trial by datagrams, not through the store

Change: TrialNews between VMs; the store keeps orders and their status only. Fleets of more than 30 VMs tell less often.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,12 +13,22 @@
 
 import uvloop  # noqa: E402
 
-from walnutquay.exceptions import PeerError  # noqa: E402
+from walnutquay.exceptions import MessageError, PeerError  # noqa: E402
 from walnutquay.protocol import messages as m  # noqa: E402
-from walnutquay.protocol.peer import PeerCodec  # noqa: E402
-from walnutquay.state.clock import HybridClock  # noqa: E402
+from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
+from walnutquay.state.clock import HybridClock, Stamp  # noqa: E402
+from walnutquay.state.ids import (  # noqa: E402
+    EndpointName,
+    RouteName,
+    VersionName,
+)
 from walnutquay.state.membership import Address  # noqa: E402
 from walnutquay.state.metrics import Metrics  # noqa: E402
+from walnutquay.state.trials import (  # noqa: E402
+    Measure,
+    TrialCounts,
+    TrialReport,
+)
 from walnutquay.transport.peers import PeerNode  # noqa: E402
 
 KEY = b"a-key-of-the-whole-fleet"
@@ -32,6 +42,30 @@
     raise ValueError("not taken")
 
 
+class TrialNewsTest(unittest.TestCase):
+    """What VMs tell each other of versions on trial."""
+
+    def sealed(self, word: str) -> bytes:
+        """:returns: news with a measure, as they are sent."""
+        counts = TrialCounts(3, 2, frozenset({EndpointName("i-1")}))
+        subject = (Measure(word), RouteName("r"))
+        report = TrialReport("order", VersionName("v2"), ((subject, counts),))
+        envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), m.TrialNews(report))
+        return PeerCodec([KEY]).encode(envelope)
+
+    def test_there_and_back(self):
+        report = PeerCodec([KEY]).decode(self.sealed("failed")).body.report
+        counts = TrialCounts(3, 2, frozenset({EndpointName("i-1")}))
+        self.assertEqual(report.counts, (((Measure.FAILED, "r"), counts),))
+        self.assertEqual((report.order, report.version), ("order", "v2"))
+
+    def test_a_measure_that_is_not_known_is_no_message(self):
+        codec = PeerCodec([KEY])
+        data = self.sealed("failed")[SEAL_BYTES:].replace(b"failed", b"faster")
+        with self.assertRaises(MessageError):
+            codec.decode(codec._seal(KEY, data) + data)
+
+
 class PeerNodeTest(unittest.TestCase):
     """Calls end with an answer or a PeerError, whatever becomes of a stream."""
 
--- a/walnutquay/coordination/circle.py
+++ b/walnutquay/coordination/circle.py
@@ -108,6 +108,14 @@
         for address in addresses:
             self.node.send(address, body)
 
+    def tell_all(self, body: Message) -> None:
+        """Send a message that may be lost to every other VM.
+
+        :param body: the message.
+        """
+        for address in self.addresses():
+            self.node.send(address, body)
+
     async def ask(self, body: Message) -> Message | None:
         """Ask some peers, one after the other, until one answers.
 
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -14,10 +14,11 @@
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
 from walnutquay.exceptions import PlatformConflictError, PlatformError
+from walnutquay.protocol.messages import Envelope, Message, TrialNews
 from walnutquay.settings import PromisesSection
 from walnutquay.state.counts import LatestTable
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import ServiceName, VersionName
+from walnutquay.state.ids import ServiceName, VersionName, VmName
 from walnutquay.state.instances import Instance
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.pace import PaceTable
@@ -34,11 +35,12 @@
 MICROSECONDS = 1_000_000
 # How often each trial is looked at.
 DECIDE_SECONDS = 0.25
-# How often VMs tell each other, through the store, what they have seen.  Each
-# exchange is two calls of each VM.
-EXCHANGE_SECONDS = 2.0
+# How often VMs tell each other what they have seen.
+TELL_SECONDS = 2.0
 # The same while the new version gets more and more: a bad one is to be found soon.
-RAMP_EXCHANGE_SECONDS = 0.5
+RAMP_TELL_SECONDS = 0.5
+# In fleets of more VMs than this each tells less often: every VM hears all others.
+VMS_AT_FULL_RATE = 30
 # VMs write the same status at once; each waits up to so long for another's.
 FIRST_WRITE_SPREAD = 1.0
 # An answer that takes so many times as long as the old version's is a bad one.
@@ -52,7 +54,7 @@
 
 
 class Desk(Protocol):
-    """Reads and answers roll-out orders, and passes on what VMs have seen."""
+    """Reads and answers roll-out orders."""
 
     async def read(self, name: str) -> RolloutOrder | None:
         """:param name: an order's name."""
@@ -63,12 +65,6 @@
         :param state: what to say of it.
         """
 
-    async def share(self, report: TrialReport) -> None:
-        """:param report: what this VM has seen."""
-
-    async def reports(self) -> list[TrialReport]:
-        """:returns: what all VMs have seen."""
-
 
 @dataclass(slots=True)
 class SessionNote:
@@ -88,14 +84,25 @@
 
     :param trial: the trial.
     :param write_at: when to write its first status, unless another has.
-    :param exchanged_at: when reports were last exchanged.
-    :param shared: what this VM has told last.
+    :param told_at: when this VM has last told what it has seen.
+    :param told: what it has told then.
     """
 
     trial: Trial
     write_at: float
-    exchanged_at: float = float("-inf")
-    shared: tuple = ()
+    told_at: float = float("-inf")
+    told: tuple = ()
+
+
+class Peers(Protocol):
+    """The other entry VMs."""
+
+    @property
+    def size(self) -> int:
+        """How many VMs there are, this one among them."""
+
+    def tell_all(self, body: Message) -> None:
+        """:param body: a message to all of them; it may be lost."""
 
 
 class VersionTrials:
@@ -104,6 +111,7 @@
     :param context: what this process shares.
     :param knowledge: the orders and the running endpoints.
     :param desk: where orders are answered.
+    :param peers: who else sees answers of the versions.
     :param promises: the platform's limits.
     """
 
@@ -112,11 +120,13 @@
         context: Context,
         knowledge: Knowledge,
         desk: Desk,
+        peers: Peers,
         promises: PromisesSection,
     ) -> None:
         self.context = context
         self.knowledge = knowledge
         self.desk = desk
+        self.peers = peers
         self.promises = promises
         self.tasks: dict[ServiceName, TrialTask] = {}
         # Versions that orders have made the ones to use, or have taken back.
@@ -347,7 +357,7 @@
     async def _decide(self, task: TrialTask) -> None:
         trial = task.trial
         order = trial.order
-        await self._exchange(task)
+        self._tell_others(task)
         self._judge(trial)
         now = monotonic()
         trial.advance(now)
@@ -386,26 +396,21 @@
         if present is not None:
             self.knowledge.orders.take(present)
 
-    async def _exchange(self, task: TrialTask) -> None:
-        """Tell the others what this VM has seen, and hear what they have."""
+    def _tell_others(self, task: TrialTask) -> None:
+        """Tell the others what this VM has seen, if it is time and there is news."""
         now = monotonic()
-        ramping = task.trial.ramping(now)
-        period = RAMP_EXCHANGE_SECONDS if ramping else EXCHANGE_SECONDS
-        if now - task.exchanged_at < period:
-            return
-        task.exchanged_at = now
         trial = task.trial
-        order = trial.order
+        period = RAMP_TELL_SECONDS if trial.ramping(now) else TELL_SECONDS
+        crowd = max(1.0, self.peers.size / VMS_AT_FULL_RATE)
+        if now - task.told_at < period * crowd:
+            return
+        task.told_at = now
         seen = trial.own.frozen()
-        if seen != task.shared:
-            report = TrialReport(self.context.vm, order.name, order.version, seen)
-            await self.desk.share(report)
-            task.shared = seen
-        for report in await self.desk.reports():
-            mine = report.vm == self.context.vm
-            about_this = (report.order, report.version) == (order.name, order.version)
-            if about_this and not mine:
-                trial.hear(report)
+        if seen == task.told:
+            return
+        task.told = seen
+        order = trial.order
+        self.peers.tell_all(TrialNews(TrialReport(order.name, order.version, seen)))
         self.context.timeline.emit(
             EventKind.SHARES,
             version=order.version,
@@ -414,6 +419,19 @@
             **_facts(trial),
         )
 
+    def hear(self, envelope: Envelope) -> None:
+        """Take in what another VM has seen of a trial.
+
+        :param envelope: its message.
+        """
+        body = envelope.body
+        assert isinstance(body, TrialNews)
+        report = body.report
+        for task in self.tasks.values():
+            order = task.trial.order
+            if (report.order, report.version) == (order.name, order.version):
+                task.trial.hear(VmName(envelope.vm), report)
+
 
 def _facts(trial: Trial) -> dict[str, int]:
     """Give a trial's counts for the log."""
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -36,7 +36,13 @@
     order_feed,
 )
 from walnutquay.platform.store import StoreClient
-from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, WorkNews
+from walnutquay.protocol.messages import (
+    AskKnown,
+    Envelope,
+    KnownIs,
+    TrialNews,
+    WorkNews,
+)
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import GatewayOptions, Settings, host_and_port
 from walnutquay.state.admission import RetryBudget
@@ -104,8 +110,13 @@
         self.mailroom.on(AskKnown, self._known)
         self.client = HttpClient()
         self.versions = VersionTrials(
-            self.context, self.knowledge, OrderDesk(self.store), options.promises
+            self.context,
+            self.knowledge,
+            OrderDesk(self.store),
+            self.circle,
+            options.promises,
         )
+        self.mailroom.on(TrialNews, self.versions.hear)
         self.path = self._make_path()
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.metrics_api = MetricsApi(
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -21,16 +21,13 @@
     KIND_CONFIGURATION,
     KIND_INSTANCES,
     KIND_ROLLOUTS,
-    KIND_TRIALS,
     KIND_VMS,
 )
 from walnutquay.platform.records import (
     decode_catalogue,
     decode_instance,
     decode_order,
-    decode_trial_report,
     encode_order_status,
-    encode_trial_report,
 )
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
 from walnutquay.state.catalogue import Catalogue
@@ -39,7 +36,6 @@
 from walnutquay.state.instances import Instance
 from walnutquay.state.membership import Address
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trials import TrialReport
 
 log = logbook.Logger(__name__)
 
@@ -236,25 +232,6 @@
             return None
         return decode_order(stored.name, stored.revision, stored.spec, stored.status)
 
-    async def share(self, report: TrialReport) -> None:
-        """Tell the other VMs what this one has seen of a trial.
-
-        :param report: what it has seen.
-        """
-        spec = encode_trial_report(report)
-        try:
-            await self.store.create(KIND_TRIALS, report.vm, spec)
-        except PlatformConflictError:
-            await self.store.replace(KIND_TRIALS, report.vm, spec, None)
-
-    async def reports(self) -> list[TrialReport]:
-        """:returns: what all VMs have seen of the trials under way."""
-        try:
-            found, _ = await self.store.list(KIND_TRIALS)
-        except MissingObjectError:
-            return []
-        return [decode_trial_report(stored.spec) for stored in found]
-
     async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
         """Say where an order stands, if it is still as it was read.
 
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -59,9 +59,8 @@
 CONFIGURATION_NAME = "main"
 KIND_INSTANCES = "servers"
 KIND_ROLLOUTS = "rollouts"
-# Kinds of our own: the entry VMs, and what each has seen of versions on trial.
+# A kind of our own: the entry VMs.
 KIND_VMS = "entry-vms"
-KIND_TRIALS = "trial-reports"
 # Begins the kinds that hold values of our own interface.
 OWN_KIND_PREFIX = "walnutquay-"
 
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -24,13 +24,11 @@
     RouteName,
     ServiceName,
     VersionName,
-    VmName,
 )
 from walnutquay.state.instances import Instance
 from walnutquay.state.keys import key_hash
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.parts import Organisation
-from walnutquay.state.trials import Measure, Subject, TrialCounts, TrialReport
 
 MILLISECONDS = 1000.0
 # Where an object leaves a number out.
@@ -197,49 +195,3 @@
     if order.started is not None:
         status[STARTED_FIELD] = order.started
     return status
-
-
-def decode_trial_report(spec: Plain) -> TrialReport:
-    """:param spec: what an entry VM has stored of a trial.
-
-    :raises MessageError: if it cannot be read.
-    """
-    try:
-        return TrialReport(
-            vm=VmName(spec["vm"]),
-            order=spec["order"],
-            version=VersionName(spec["version"]),
-            counts=tuple(_subject_counts(item) for item in spec["routes"]),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise MessageError(
-            f"a report of a trial cannot be read: {error!r}", step="decode"
-        ) from error
-
-
-def _subject_counts(item: Plain) -> tuple[Subject, TrialCounts]:
-    endpoints = frozenset(EndpointName(name) for name in item["badEndpoints"])
-    counts = TrialCounts(int(item["good"]), int(item["bad"]), endpoints)
-    return (Measure(item["measure"]), RouteName(item["route"])), counts
-
-
-def encode_trial_report(report: TrialReport) -> dict[str, Any]:
-    """:param report: what this VM has seen of a trial.
-
-    :returns: what to store.
-    """
-    return {
-        "vm": report.vm,
-        "order": report.order,
-        "version": report.version,
-        "routes": [
-            {
-                "measure": measure.value,
-                "route": route,
-                "good": counts.good,
-                "bad": counts.bad,
-                "badEndpoints": sorted(counts.bad_endpoints),
-            }
-            for (measure, route), counts in report.counts
-        ],
-    }
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -10,6 +10,7 @@
 from walnutquay.state.clock import Stamp
 from walnutquay.state.membership import MemberNews
 from walnutquay.state.tallies import TallyRow
+from walnutquay.state.trials import TrialReport
 
 
 class Message:
@@ -182,6 +183,16 @@
     beginning: str
 
 
+@dataclass(frozen=True, slots=True)
+class TrialNews(Message):
+    """Tells what the sender has seen of a version on trial.
+
+    :param report: its counts, all of them each time: news that are lost do no harm.
+    """
+
+    report: TrialReport
+
+
 @dataclass(frozen=True, slots=True)
 class AskKnown(Message):
     """Asks what the receiver knows of one kind of the store's objects.
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -29,6 +29,7 @@
     work @22 :WorkNews;
     askKnown @23 :KnownRevision;
     known @24 :Data;
+    trial @25 :TrialNews;
   }
 }
 
@@ -107,3 +108,18 @@
   kind @0 :Text;
   revision @1 :UInt64;
 }
+
+# What the sender has seen of a version on trial; measures are words.
+struct TrialNews {
+  order @0 :Text;
+  version @1 :Text;
+  rows @2 :List(TrialRow);
+}
+
+struct TrialRow {
+  measure @0 :Text;
+  route @1 :Text;
+  good @2 :UInt32;
+  bad @3 :UInt32;
+  badEndpoints @4 :List(Text);
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -17,9 +17,17 @@
 from walnutquay.protocol import messages as m
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
-from walnutquay.state.ids import HallName, Incarnation, VmName
+from walnutquay.state.ids import (
+    EndpointName,
+    HallName,
+    Incarnation,
+    RouteName,
+    VersionName,
+    VmName,
+)
 from walnutquay.state.membership import Address, MemberNews
 from walnutquay.state.tallies import TallyRow
+from walnutquay.state.trials import Measure, TrialCounts, TrialReport
 
 schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
@@ -186,6 +194,22 @@
     return {"work": asdict(body)}
 
 
+@body_fields.register
+def _(body: m.TrialNews) -> dict[str, Any]:
+    report = body.report
+    rows = [
+        {
+            "measure": measure.value,
+            "route": route,
+            "good": counts.good,
+            "bad": counts.bad,
+            "badEndpoints": sorted(counts.bad_endpoints),
+        }
+        for (measure, route), counts in report.counts
+    ]
+    return {"trial": {"order": report.order, "version": report.version, "rows": rows}}
+
+
 @body_fields.register
 def _(body: m.AskKnown) -> dict[str, Any]:
     return {"askKnown": asdict(body)}
@@ -226,6 +250,19 @@
     )
 
 
+def _trial(reader: Any) -> m.TrialNews:
+    counts = tuple(
+        (
+            (Measure(row.measure), RouteName(row.route)),
+            TrialCounts(
+                row.good, row.bad, frozenset(map(EndpointName, row.badEndpoints))
+            ),
+        )
+        for row in reader.rows
+    )
+    return m.TrialNews(TrialReport(reader.order, VersionName(reader.version), counts))
+
+
 READERS: dict[str, Callable[[Any], m.Message]] = {
     "heartbeat": _heartbeat,
     "askHead": lambda r: m.AskHead(),
@@ -244,6 +281,7 @@
     "versionBrake": lambda r: m.VersionBrake(str(r)),
     "tallies": _tallies,
     "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning),
+    "trial": _trial,
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
     "failure": lambda r: m.Failure(str(r)),
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -161,13 +161,11 @@
 class TrialReport:
     """What one VM tells the others of a version on trial.
 
-    :param vm: the VM.
     :param order: the order's name.
     :param version: the new version.
     :param counts: what it has seen, by measure and route.
     """
 
-    vm: VmName
     order: str
     version: VersionName
     counts: tuple[tuple[Subject, TrialCounts], ...]
@@ -203,11 +201,15 @@
         """
         return max(0.0, now - self.started) / max(1.0, self.order.seconds)
 
-    def hear(self, report: TrialReport) -> None:
-        """:param report: what another VM has seen."""
+    def hear(self, vm: VmName, report: TrialReport) -> None:
+        """Take in what another VM has seen.
+
+        :param vm: the VM.
+        :param report: its counts; they stand in place of those that it told before.
+        """
         tally = TrialTally()
         tally.by_subject.update(report.counts)
-        self.told[report.vm] = tally
+        self.told[vm] = tally
 
     def tally(self) -> TrialTally:
         """:returns: what all VMs together have seen of the new version."""
