Relay the store's changes in large fleets; watch entries at most five times a second

Change: coordination/relaying.py. In fleets of more than 12 VMs two of each data hall watch the store, the others wait for changes at them, and watch it themselves where no watcher answers. Entries that lapse with the store are doubted there too. A VM that is to deny a caller asks for what changed, not for the whole list. The register of VMs says the data hall.

--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -9,6 +9,7 @@
 from tests.gatewaycase import KEY, GatewayCase, catalogue
 from walnutquay.state.ids import EndpointName, HallName, ServiceName, VersionName
 from walnutquay.state.instances import Instance, InstanceBook
+from walnutquay.state.membership import VmPlace
 
 
 def instance(name: str, leaving: bool = False) -> Instance:
@@ -89,8 +90,8 @@
     async def test_a_new_configuration(self):
         second = await self.add_gateway("vm-2")
         first = self.gateway
-        address = first.circle.own
-        second.circle.known = {first.context.vm: address}
+        place = VmPlace(first.circle.own, first.context.hall)
+        second.circle.known = {first.context.vm: place}
         # From now on the store does not answer the second VM.
         second.store.base = "http://127.0.0.1:9/v1/objects"
         second.knowledge.catalogue_follower.nudge()
--- /dev/null
+++ b/tests/test_relaying.py
@@ -0,0 +1,219 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Changes of the store that reach VMs which do not watch it themselves."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from tests.gatewaycase import GatewayCase, catalogue
+from walnutquay.coordination import relaying
+from walnutquay.coordination.relaying import SMALL_FLEET, WATCHERS, Watchers
+from walnutquay.daemon.gateway import GatewayDaemon
+from walnutquay.exceptions import HistoryGoneError, PeerError
+from walnutquay.platform.feeds import KEPT_BATCHES, Batch, Feed
+from walnutquay.platform.store import StoredEvent, StoredObject
+from walnutquay.protocol.messages import ChangesAre
+from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.membership import Address, VmPlace
+from walnutquay.state.metrics import Metrics
+
+HALLS = ("h1", "h2", "h3")
+PER_HALL = 6
+
+
+def fleet(count: int = PER_HALL) -> dict[VmName, VmPlace]:
+    """:returns: so many VMs in each data hall."""
+    return {
+        VmName(f"{hall}-{number}"): VmPlace(Address(hall, number), HallName(hall))
+        for hall in HALLS
+        for number in range(count)
+    }
+
+
+class FakeNode:
+    """Answers for the VMs that are up; notes who was asked."""
+
+    def __init__(self) -> None:
+        self.answers: dict[Address, ChangesAre] = {}
+        self.asked: list[str] = []
+
+    async def call(self, address, body, limit, peer):
+        """As the real one."""
+        self.asked.append(peer)
+        if address not in self.answers:
+            raise PeerError("no answer", peer=peer)
+        return self.answers[address]
+
+
+def watchers(vm: str, known: dict[VmName, VmPlace]) -> Watchers:
+    """:returns: the watchers as one VM sees them."""
+    context = SimpleNamespace(
+        vm=VmName(vm),
+        hall=HallName(vm[:2]),
+        rng=random.Random(1),
+        metrics=Metrics(),
+    )
+    circle = SimpleNamespace(known=known, size=len(known), node=FakeNode())
+    return Watchers(context, circle)
+
+
+class WatchersTest(unittest.IsolatedAsyncioTestCase):
+    """Who watches, and who is asked."""
+
+    def watching(self, known: dict[VmName, VmPlace]) -> list[VmName]:
+        """:returns: the VMs that take themselves for watchers."""
+        return [vm for vm in known if watchers(vm, known).includes_this()]
+
+    def test_all_of_a_small_fleet(self):
+        known = fleet(SMALL_FLEET // len(HALLS))
+        self.assertEqual(self.watching(known), list(known))
+
+    def test_some_of_each_hall_of_a_large_one(self):
+        found = self.watching(fleet())
+        for hall in HALLS:
+            in_hall = [vm for vm in found if vm.startswith(hall)]
+            self.assertEqual(len(in_hall), WATCHERS)
+
+    def follower(self) -> tuple[Watchers, list[VmName], dict[VmName, VmPlace]]:
+        """:returns: a VM that does not watch, the watchers of its hall, the fleet."""
+        known = fleet()
+        near = [vm for vm in self.watching(known) if vm.startswith("h1")]
+        vm = next(vm for vm in known if vm.startswith("h1") and vm not in near)
+        return watchers(vm, known), near, known
+
+    async def test_one_that_is_silent_is_left_out_and_another_takes_its_place(self):
+        found, near, known = self.follower()
+        node = found.circle.node
+        for vm, place in known.items():
+            if vm not in near:
+                node.answers[place.address] = ChangesAre(direct=vm.startswith("h2"))
+        await found.ask("servers", 1, 0.0)
+        self.assertEqual(set(node.asked[:WATCHERS]), set(near))
+        node.asked.clear()
+        await found.ask("servers", 1, 0.0)
+        self.assertFalse(set(node.asked) & set(near))
+
+    async def test_one_that_the_store_serves_is_believed(self):
+        found, _, known = self.follower()
+        node = found.circle.node
+        for vm, place in known.items():
+            node.answers[place.address] = ChangesAre(failing=vm.startswith("h1"))
+        answer = await found.ask("servers", 1, 0.0)
+        self.assertFalse(answer.failing)
+        self.assertEqual(len(node.asked), WATCHERS + 1)
+
+    async def test_one_that_hears_from_others_only_is_no_source(self):
+        found, _, known = self.follower()
+        for place in known.values():
+            found.circle.node.answers[place.address] = ChangesAre(direct=False)
+        self.assertIsNone(await found.ask("servers", 1, 0.0))
+
+
+class ExportTest(unittest.TestCase):
+    """Changes that are passed on are whole, or said not to be."""
+
+    def feed(self) -> Feed:
+        """:returns: a feed without a store."""
+        return Feed(None, "servers", lambda stored: stored)
+
+    def batch(self, revision: int, deleted: bool = False) -> Batch:
+        """:returns: a change of one object."""
+        stored = StoredObject(f"i-{revision}", revision, {"n": revision})
+        return Batch(revision, (StoredEvent(stored, deleted),))
+
+    def test_there_and_back(self):
+        source, target = self.feed(), self.feed()
+        for revision in (3, 5, 8):
+            source._changes(self.batch(revision, deleted=revision == 5))
+        changes = target.read_changes(source.export_changes(3))
+        self.assertEqual([change.name for change in changes.changes], ["i-5", "i-8"])
+        self.assertIsNone(changes.changes[0].item)
+        self.assertEqual(changes.revision, 8)
+        # What was taken over can be passed on in turn.
+        self.assertEqual(target.export_changes(3), source.export_changes(3))
+
+    def test_changes_that_are_not_kept_any_more(self):
+        source = self.feed()
+        for revision in range(1, KEPT_BATCHES + 3):
+            source._changes(self.batch(revision))
+        self.assertEqual(source.batches_since, 2)
+        with self.assertRaises(HistoryGoneError):
+            source.export_changes(1)
+        source.export_changes(2)
+
+
+class RelayedFeedTest(GatewayCase):
+    """Three VMs of one data hall, of which two watch."""
+
+    async def asyncSetUp(self) -> None:
+        for name, value in (("SMALL_FLEET", 1), ("POLL_SECONDS", 0.3)):
+            patch = mock.patch.object(relaying, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+        for name in ("vm-2", "vm-3"):
+            await self.add_gateway(name)
+        known = {
+            gateway.context.vm: VmPlace(gateway.circle.own, gateway.context.hall)
+            for gateway in self.gateways
+        }
+        for gateway in self.gateways:
+            gateway.circle.tasks.stop()
+            gateway.circle.known = dict(known)
+        self.follower = next(g for g in self.gateways if not self.watches(g))
+        for gateway in self.gateways:
+            for follower in gateway.knowledge.followers():
+                follower.nudge()
+        feeds = [f.feed for f in self.follower.knowledge.followers()]
+        await self.until(lambda: not any(feed.watching for feed in feeds))
+
+    def watches(self, gateway: GatewayDaemon) -> bool:
+        """:returns: whether a VM takes itself for a watcher."""
+        return gateway.knowledge.instance_follower.feed.watchers.includes_this()
+
+    async def test_changes_reach_it_without_calls_of_its_own(self):
+        self.follower.store.base = "http://127.0.0.1:9/v1/objects"
+        await self.store.put("config", "main", catalogue(2))
+        await self.store.remove("servers", "p1")
+        knowledge = self.follower.knowledge
+        await self.until(lambda: knowledge.catalogue.current.version == 2)
+        await self.until(lambda: "p1" not in knowledge.instances.book.known)
+        self.assertIsNone(knowledge.catalogue_follower.failing_since)
+
+    async def test_without_watchers_it_watches_itself(self):
+        for gateway in self.gateways:
+            if gateway is not self.follower:
+                await gateway.node.stop()
+        await self.store.put("config", "main", catalogue(2))
+        knowledge = self.follower.knowledge
+        await self.until(lambda: knowledge.catalogue.current.version == 2)
+
+    async def test_entries_that_lapse_with_the_store_are_doubted_here_too(self):
+        self.store.refuse = 503
+        followers = [f for g in self.gateways for f in g.knowledge.followers()]
+        for follower in followers:
+            # Watches that the store holds already would still be answered.
+            follower.nudge()
+        await self.until(lambda: all(f.failing_since is not None for f in followers))
+        await self.store.remove("servers", "p1")
+        self.store.refuse = None
+        book = self.follower.knowledge.instances.book
+        await self.until(lambda: "p1" in book.overdue)
+        self.assertIn("p1", book.known)
+
+    async def test_a_watcher_that_knows_too_little_sends_the_whole_list(self):
+        for gateway in self.gateways:
+            for follower in gateway.knowledge.followers():
+                follower.feed.direct.batches_since = 10**6
+        self.follower.store.base = "http://127.0.0.1:9/v1/objects"
+        await self.store.put("config", "main", catalogue(2))
+        await self.store.remove("servers", "p1")
+        knowledge = self.follower.knowledge
+        await self.until(lambda: knowledge.catalogue.current.version == 2)
+        await self.until(lambda: "p1" not in knowledge.instances.book.known)
+        self.assertIn("p2", knowledge.instances.book.known)
+        self.assertIsNone(knowledge.catalogue_follower.failing_since)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,13 +16,18 @@
 )
 from walnutquay.platform.feeds import OrderDesk, VmRegister, instance_feed
 from walnutquay.platform.store import StoreClient
-from walnutquay.state.ids import VmName
-from walnutquay.state.membership import Address
+from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.membership import Address, VmPlace
 from walnutquay.state.orders import OrderState
 
 SPEC = {"service": "s", "address": "127.0.0.1:1", "zone": "h", "version": "v1"}
 
 
+def place(port: int) -> VmPlace:
+    """:returns: where a VM is that listens at a port."""
+    return VmPlace(Address("127.0.0.1", port), HallName("h"))
+
+
 class StoreCase(unittest.IsolatedAsyncioTestCase):
     """Starts a store with small pages and a client."""
 
@@ -150,7 +155,7 @@
     async def test_a_vm_enters_itself_again(self):
         register = VmRegister(self.client)
         for port in (1, 2):
-            await register.enter(VmName("vm-1"), Address("127.0.0.1", port))
-        self.assertEqual(await register.read(), {"vm-1": Address("127.0.0.1", 2)})
+            await register.enter(VmName("vm-1"), place(port))
+        self.assertEqual(await register.read(), {"vm-1": place(2)})
         await register.leave(VmName("vm-1"))
         self.assertEqual(await register.read(), {})
--- a/walnutquay/coordination/circle.py
+++ b/walnutquay/coordination/circle.py
@@ -16,7 +16,7 @@
 from walnutquay.protocol.messages import Message
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import VmName
-from walnutquay.state.membership import Address
+from walnutquay.state.membership import Address, VmPlace
 from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
@@ -27,8 +27,8 @@
 ASKED = 3
 # Peers that a message is sent to; in larger fleets, some drawn anew each time.
 TOLD = 12
-# All VMs start at once, and the list of them is read again when they have.
-FIRST_READ_SECONDS = 1.5
+# All VMs start within 0.3 s, and the list of them is read when they have.
+FIRST_READ_SECONDS = 0.8
 READ_SECONDS = 10.0
 RETRY_SECONDS = 1.0
 
@@ -36,17 +36,17 @@
 class Register(Protocol):
     """The list of entry VMs."""
 
-    async def enter(self, vm: VmName, address: Address) -> None:
+    async def enter(self, vm: VmName, place: VmPlace) -> None:
         """:param vm: this VM.
 
-        :param address: where its peers reach it.
+        :param place: where its peers reach it.
         """
 
     async def leave(self, vm: VmName) -> None:
         """:param vm: this VM."""
 
-    async def read(self) -> dict[VmName, Address]:
-        """:returns: where each VM is reached."""
+    async def read(self) -> dict[VmName, VmPlace]:
+        """:returns: where each VM is."""
 
 
 class PeerCircle:
@@ -72,7 +72,7 @@
         self.register = register
         self.own = own
         self.seeds = [address for address in seeds if address != own]
-        self.known: dict[VmName, Address] = {}
+        self.known: dict[VmName, VmPlace] = {}
         self.tasks = Tasks()
 
     def start(self) -> None:
@@ -89,7 +89,9 @@
 
     def addresses(self) -> list[Address]:
         """:returns: where the other VMs are reached."""
-        others = [a for vm, a in self.known.items() if vm != self.context.vm]
+        others = [
+            place.address for vm, place in self.known.items() if vm != self.context.vm
+        ]
         return others or list(self.seeds)
 
     @property
@@ -145,13 +147,14 @@
     async def _enter(self) -> None:
         while True:
             try:
-                await self.register.enter(self.context.vm, self.own)
+                place = VmPlace(self.own, self.context.hall)
+                await self.register.enter(self.context.vm, place)
                 return
             except PlatformError as error:
                 log.debug("this VM is not in the list yet: {}", error)
                 await asyncio.sleep(RETRY_SECONDS)
 
-    def _take(self, listed: dict[VmName, Address]) -> None:
+    def _take(self, listed: dict[VmName, VmPlace]) -> None:
         if listed == self.known:
             return
         came = sorted(listed.keys() - self.known.keys())
--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -24,6 +24,10 @@
 WATCH_SECONDS = 10.0
 # While the store does not answer, calls wait no longer than this for changes.
 PROBE_SECONDS = 0.3
+# Endpoints' entries and orders are watched anew no sooner than so long after the call
+# before: while a fleet starts each call would bring one entry.  A tenth of the time in
+# which a leaving endpoint still has to be served.
+WATCH_GAP_SECONDS = 0.2
 # Pause after a failed call: the store is back in use soon after it returns, and
 # some ten VMs make few calls while it is away.
 RETRY_SECONDS = 0.25
@@ -78,6 +82,7 @@
     :param feed: lists and watches the kind.
     :param sink: takes in what is learnt.
     :param seconds: how long one watch waits for a change.
+    :param gap: seconds from the beginning of one call to that of the next at the least.
     :param on_return: called when the store answers again after it did not.
     :param ask_peers: asks the other VMs for newer knowledge of a kind.
     """
@@ -90,6 +95,7 @@
         seconds: float,
         on_return: Callable[[], None],
         ask_peers: AskPeers,
+        gap: float = 0.0,
     ) -> None:
         self.context = context
         self.feed = feed
@@ -97,6 +103,8 @@
         self.seconds = seconds
         self.on_return = on_return
         self.ask_peers = ask_peers
+        self.gap = gap
+        self.asked_at = float("-inf")
         # The step that is under way, and whether it is to be given up for another.
         self.running: asyncio.Task[None] | None = None
         self.nudged = False
@@ -106,6 +114,10 @@
         # When the store last answered, and since when it has not; monotonic.
         self.confirmed_at = float("-inf")
         self.failing_since: float | None = None
+        # The revision up to which something has changed, for those who wait here.
+        self.changed_revision = 0
+        # Set, and replaced, whenever something changes or the store goes or returns.
+        self.stepped = asyncio.Event()
 
     def age(self) -> float:
         """:returns: seconds since the store last confirmed what is known."""
@@ -159,13 +171,28 @@
         if self.revision is None:
             await self.relist()
             return
+        await asyncio.sleep(self.asked_at + self.gap - monotonic())
+        self.asked_at = monotonic()
         failing = self.failing_since is not None
-        seconds = PROBE_SECONDS if failing else self.seconds
+        await self._watch(PROBE_SECONDS if failing else self.seconds)
+
+    async def refresh(self) -> None:
+        """Take in at once what has changed, beside the step that is under way."""
+        if self.revision is None:
+            await self.relist()
+        else:
+            await self._watch(0.0)
+
+    async def _watch(self, seconds: float) -> None:
+        assert self.revision is not None
         changes = await self.feed.watch(self.revision, seconds)
         self._answered()
         if changes.changes:
             self.sink.take_changes(changes)
-        self.revision = max(self.revision, changes.revision)
+            self._changed(changes.revision)
+        # A list may have been read meanwhile, or be needed since.
+        if self.revision is not None:
+            self.revision = max(self.revision, changes.revision)
 
     async def relist(self) -> None:
         """Read everything anew."""
@@ -174,8 +201,18 @@
         if self.revision is not None and listing.revision < self.revision:
             return
         self.sink.take_listing(listing)
+        self._changed(listing.revision)
         self.revision = listing.revision
 
+    def _changed(self, revision: int) -> None:
+        self.changed_revision = max(self.changed_revision, revision)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Let those who wait for a step look again."""
+        self.stepped.set()
+        self.stepped = asyncio.Event()
+
     def _answered(self) -> None:
         self.confirmed_at = monotonic()
         if self.failing_since is None:
@@ -186,12 +223,14 @@
             EventKind.PLATFORM_UP, detail=f"{self.feed.kind} after {seconds:.1f} s"
         )
         self.on_return()
+        self._wake()
 
     def _failed(self, error: PlatformError) -> None:
         self.context.metrics.count(f"store_failures_{self.feed.kind}")
         if self.failing_since is not None:
             return
         self.failing_since = monotonic()
+        self._wake()
         age = "never" if self.confirmed_at < 0 else f"{self.age():.1f} s ago"
         self.context.timeline.emit(
             EventKind.PLATFORM_DOWN,
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -16,13 +16,14 @@
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.following import (
     PULSE_SECONDS,
+    WATCH_GAP_SECONDS,
     WATCH_SECONDS,
     AskPeers,
     Feed,
     Follower,
 )
 from walnutquay.coordination.tasks import Tasks
-from walnutquay.exceptions import PlatformError
+from walnutquay.exceptions import HistoryGoneError, PlatformError
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.events import EventKind
 from walnutquay.state.feeds import Change, Changes, Listing
@@ -41,7 +42,8 @@
 CONFIRM_SECONDS = 0.4
 # How often it is looked whether enough is known, right after a start.
 READY_POLL_SECONDS = 0.01
-# What the store confirmed so short a time ago is not asked again.
+# What the store confirmed so short a time ago is not asked again: changes come within
+# some 10 ms, and callers may use them once they are acknowledged.
 FRESH_SECONDS = 0.1
 
 
@@ -119,9 +121,12 @@
         for change in changes.changes:
             self._take_change(change, now)
 
-    def doubt_deletions(self) -> None:
-        """Doubt deletions for a while: entries lapse while the store is away."""
-        self.book.doubt_deletions(monotonic())
+    def doubt_deletions(self, ago: float = 0.0) -> None:
+        """Doubt deletions for a while: entries lapse while the store is away.
+
+        :param ago: seconds since the store has returned.
+        """
+        self.book.doubt_deletions(monotonic() - ago)
 
     def drop_overdue(self) -> None:
         """Forget the endpoints whose entries have not come back."""
@@ -241,13 +246,22 @@
             instances,
             self.instances,
             WATCH_SECONDS,
-            self.instances.doubt_deletions,
+            self._entries_return,
             ask_peers,
+            WATCH_GAP_SECONDS,
         )
         self.order_follower = Follower(
-            context, orders, self.orders, WATCH_SECONDS, _nothing, ask_peers
+            context,
+            orders,
+            self.orders,
+            WATCH_SECONDS,
+            _nothing,
+            ask_peers,
+            WATCH_GAP_SECONDS,
         )
         self.tasks = Tasks()
+        # When the store last returned after a time of silence; monotonic seconds.
+        self.returned_at = float("-inf")
         # The one confirmation that is under way, shared by all who wait for it.
         self.confirming: asyncio.Task | None = None
 
@@ -261,10 +275,15 @@
 
     def _store_returned(self) -> None:
         """Have the kinds with long waits asked anew."""
-        self.instances.doubt_deletions()
+        self._entries_return()
         self.instance_follower.nudge()
         self.order_follower.nudge()
 
+    def _entries_return(self) -> None:
+        """Expect that entries which lapsed with the store come back soon."""
+        self.returned_at = monotonic()
+        self.instances.doubt_deletions()
+
     def stop(self) -> None:
         """Follow no more; what is known stays."""
         self.tasks.stop()
@@ -315,6 +334,14 @@
         await asyncio.wait([self.confirming], timeout=CONFIRM_SECONDS)
 
     async def _confirm(self) -> None:
+        try:
+            await self.catalogue_follower.refresh()
+        except HistoryGoneError:
+            await self._confirm_by_list()
+        except PlatformError as error:
+            log.warn("the configuration could not be confirmed: {}", error)
+
+    async def _confirm_by_list(self) -> None:
         try:
             await self.catalogue_follower.relist()
         except PlatformError as error:
--- /dev/null
+++ b/walnutquay/coordination/relaying.py
@@ -0,0 +1,259 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Changes of the store's objects, passed on from VMs that watch it to the others.
+
+Calls to the store have a price, and its rates are those of the whole fleet.  In a
+large fleet a few VMs of each data hall watch the store, and the others wait for
+changes at them.  A VM that finds no such peer watches the store itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Generic, Protocol, TypeVar
+
+import logbook
+
+from walnutquay.coordination.circle import PeerCircle
+from walnutquay.coordination.context import Context
+from walnutquay.coordination.following import Feed, Follower
+from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.exceptions import (
+    HistoryGoneError,
+    PeerError,
+    PlatformUnavailableError,
+)
+from walnutquay.protocol.messages import AskChanges, ChangesAre, Envelope
+from walnutquay.state.feeds import Changes, Listing
+from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.membership import rendezvous
+from walnutquay.transport.timers import monotonic
+
+log = logbook.Logger(__name__)
+
+# Up to so many VMs each watches the store itself: on the users' sites of 7 VMs that
+# is a price of some 0.01 a day.
+SMALL_FLEET = 12
+# VMs of each data hall that watch the store: one may be lost or frozen.
+WATCHERS = 2
+# Watchers of other data halls that are asked where the own ones have no answer.
+FAR_WATCHERS = 1
+# How long a watcher waits for a change before it answers that there is none.
+POLL_SECONDS = 1.0
+# A watcher answers so much later at the most; else another is asked, so that a change
+# is known well within the two seconds that the platform allows at the least.
+ANSWER_SECONDS = 0.4
+# A VM that did not answer is left out of the choice of watchers for so long.
+SILENT_SECONDS = 3.0
+# Every VM ranks alike by this.
+DUTY = "watch the store"
+
+Item = TypeVar("Item")
+
+
+class ChangeFeed(Feed[Item], Protocol[Item]):
+    """A feed whose changes can be passed on."""
+
+    def export_changes(self, revision: int) -> bytes:
+        """:param revision: the store's revision that a peer knows.
+
+        :returns: what has changed since.
+        """
+
+    def read_changes(self, data: bytes) -> Changes[Item]:
+        """:param data: the changes that a peer has exported."""
+
+    def read_whole(self, data: bytes) -> Changes[Item]:
+        """:param data: the list that a peer has exported."""
+
+
+class Watchers:
+    """Knows which VMs watch the store, and asks them for changes.
+
+    :param context: what this process shares.
+    :param circle: the other VMs.
+    """
+
+    def __init__(self, context: Context, circle: PeerCircle) -> None:
+        self.context = context
+        self.circle = circle
+        # Until when VMs that did not answer are left out; monotonic seconds.
+        self.silent_until: dict[VmName, float] = {}
+
+    def includes_this(self) -> bool:
+        """:returns: whether this VM is to watch the store itself."""
+        if self.circle.size <= SMALL_FLEET:
+            return True
+        return self.context.vm in self._of(self.context.hall)[:WATCHERS]
+
+    def _of(self, hall: HallName) -> list[VmName]:
+        """Rank the VMs of a data hall for the duty."""
+        now = monotonic()
+        names = [
+            vm
+            for vm, place in self.circle.known.items()
+            if place.hall == hall and self.silent_until.get(vm, 0.0) <= now
+        ]
+        if hall == self.context.hall and self.context.vm not in names:
+            names.append(self.context.vm)
+        return [VmName(name) for name in rendezvous(DUTY, names)]
+
+    def _asked(self) -> list[VmName]:
+        """Give whom to ask, the nearest first."""
+        near = self._of(self.context.hall)[:WATCHERS]
+        halls = {place.hall for place in self.circle.known.values()}
+        others = sorted(halls - {self.context.hall})
+        far = [vm for hall in others for vm in self._of(hall)[:1]]
+        self.context.rng.shuffle(far)
+        found = [vm for vm in near if vm != self.context.vm]
+        return found + far[:FAR_WATCHERS]
+
+    async def ask(self, kind: str, revision: int, seconds: float) -> ChangesAre | None:
+        """Wait for changes at a watcher that has them from the store.
+
+        :param kind: the kind of objects.
+        :param revision: the revision that is known here.
+        :param seconds: how long to wait for a change.
+        :returns: its answer; one that failed only if all do; None if none answers.
+        """
+        failing = None
+        for vm in self._asked():
+            # Whether the others have an answer from the store is told at once.
+            wait = seconds if failing is None else 0.0
+            answer = await self._ask_one(vm, AskChanges(kind, revision, wait))
+            if answer is None or not answer.direct:
+                continue
+            if not answer.failing:
+                return answer
+            failing = answer
+        return failing
+
+    async def _ask_one(self, vm: VmName, question: AskChanges) -> ChangesAre | None:
+        place = self.circle.known.get(vm)
+        if place is None:
+            return None
+        limit = question.seconds + ANSWER_SECONDS
+        try:
+            answer = await self.circle.node.call(place.address, question, limit, vm)
+        except PeerError as error:
+            self.context.metrics.count("watchers_silent")
+            self.silent_until[vm] = monotonic() + SILENT_SECONDS
+            log.debug("a watcher of the store does not answer: {}", error)
+            return None
+        return answer if isinstance(answer, ChangesAre) else None
+
+
+class RelayedFeed(Generic[Item]):
+    """A feed that hears of changes from a watcher, where this VM is none itself.
+
+    :param direct: the feed of the store.
+    :param watchers: who watches the store.
+    :param on_returned: told, before the changes, how many seconds ago the store
+        returned to the watcher that sends them.
+    """
+
+    def __init__(
+        self,
+        direct: ChangeFeed[Item],
+        watchers: Watchers,
+        on_returned: Callable[[float], None] = lambda ago: None,
+    ) -> None:
+        self.direct = direct
+        self.watchers = watchers
+        self.on_returned = on_returned
+        self.kind = direct.kind
+        # Whether the store itself was watched last.
+        self.watching = True
+
+    async def list(self) -> Listing[Item]:
+        """:returns: all objects, from the store itself."""
+        return await self.direct.list()
+
+    async def watch(self, revision: int, seconds: float) -> Changes[Item]:
+        """:param revision: the revision after which changes count.
+
+        :param seconds: how long to wait for one.
+        :raises HistoryGoneError: if the kind must be listed again.
+        :raises PlatformError: if the store does not answer, here or at the watchers.
+        """
+        self.watching = self.watchers.includes_this()
+        if not self.watching:
+            wait = min(seconds, POLL_SECONDS)
+            answer = await self.watchers.ask(self.kind, revision, wait)
+            if answer is not None:
+                return self._read(answer)
+            self.watching = True
+        return await self.direct.watch(revision, seconds)
+
+    def _read(self, answer: ChangesAre) -> Changes[Item]:
+        if answer.failing:
+            raise PlatformUnavailableError(
+                "the store does not answer its watchers", step="watch", peer=self.kind
+            )
+        if math.isfinite(answer.returned):
+            self.on_returned(answer.returned)
+        if answer.whole:
+            return self.direct.read_whole(answer.data)
+        return self.direct.read_changes(answer.data)
+
+    def export(self, revision: int) -> bytes:
+        """:param revision: what a peer knows.
+
+        :returns: what is known here, if it is newer.
+        """
+        return self.direct.export(revision)
+
+    def read_export(self, data: bytes) -> Listing[Item]:
+        """:param data: what a peer has exported."""
+        return self.direct.read_export(data)
+
+
+class RelayDesk:
+    """Answers VMs that wait here for changes of the store.
+
+    :param knowledge: follows the kinds of objects, by relayed feeds.
+    """
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        self.knowledge = knowledge
+        self.followers = {
+            follower.feed.kind: follower for follower in knowledge.followers()
+        }
+
+    async def answer(self, envelope: Envelope) -> ChangesAre:
+        """Wait for changes, and pass them on.
+
+        :param envelope: the question.
+        """
+        question = envelope.body
+        assert isinstance(question, AskChanges)
+        follower = self.followers[question.kind]
+        feed = follower.feed
+        assert isinstance(feed, RelayedFeed)
+        if not feed.watching:
+            return ChangesAre(direct=False)
+        await self._wait(follower, question)
+        if follower.failing_since is not None or follower.revision is None:
+            return ChangesAre(failing=True)
+        returned = monotonic() - self.knowledge.returned_at
+        try:
+            data = feed.direct.export_changes(question.revision)
+        except HistoryGoneError:
+            data = feed.direct.export(question.revision)
+            return ChangesAre(data, whole=True, returned=returned)
+        return ChangesAre(data, returned=returned)
+
+    async def _wait(self, follower: Follower, question: AskChanges) -> None:
+        """Wait until something changes, the store goes or returns, or time is over."""
+        failing = follower.failing_since
+        try:
+            async with asyncio.timeout(question.seconds):
+                while (
+                    follower.changed_revision <= question.revision
+                    and follower.failing_since == failing
+                ):
+                    await follower.stepped.wait()
+        except TimeoutError:
+            return
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -20,6 +20,7 @@
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.recorder import TraceRecorder
+from walnutquay.coordination.relaying import RelayDesk, RelayedFeed, Watchers
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.versions import VersionTrials
@@ -37,6 +38,7 @@
 )
 from walnutquay.platform.store import StoreClient
 from walnutquay.protocol.messages import (
+    AskChanges,
     AskKnown,
     Envelope,
     KnownIs,
@@ -100,14 +102,9 @@
         self.mailroom = Mailroom()
         self.node = self._make_node()
         self.circle = self._make_circle()
-        self.knowledge = Knowledge(
-            self.context,
-            catalogue_feed(self.store),
-            instance_feed(self.store),
-            order_feed(self.store),
-            self._ask_peers,
-        )
+        self.knowledge = self._make_knowledge()
         self.mailroom.on(AskKnown, self._known)
+        self.mailroom.on(AskChanges, RelayDesk(self.knowledge).answer)
         self.client = HttpClient()
         self.versions = VersionTrials(
             self.context,
@@ -145,6 +142,20 @@
         register = VmRegister(self.store)
         return PeerCircle(self.context, self.node, register, own, seeds)
 
+    def _make_knowledge(self) -> Knowledge:
+        watchers = Watchers(self.context, self.circle)
+        return Knowledge(
+            self.context,
+            RelayedFeed(catalogue_feed(self.store), watchers),
+            RelayedFeed(
+                instance_feed(self.store),
+                watchers,
+                lambda ago: self.knowledge.instances.doubt_deletions(ago),
+            ),
+            RelayedFeed(order_feed(self.store), watchers),
+            self._ask_peers,
+        )
+
     async def _ask_peers(self, kind: str, revision: int) -> bytes:
         answer = await self.circle.ask(AskKnown(kind, revision))
         return answer.data if isinstance(answer, KnownIs) else b""
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import deque
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -12,6 +13,7 @@
 import orjson
 
 from walnutquay.exceptions import (
+    HistoryGoneError,
     MessageError,
     MissingObjectError,
     PlatformConflictError,
@@ -32,16 +34,31 @@
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.ids import VmName
+from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.instances import Instance
-from walnutquay.state.membership import Address
+from walnutquay.state.membership import Address, VmPlace
 from walnutquay.state.orders import OrderState, RolloutOrder
 
 log = logbook.Logger(__name__)
 
+# Batches of changes that are kept to be passed on; a peer is some seconds behind.
+KEPT_BATCHES = 200
+
 Item = TypeVar("Item")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes that came together.
+
+    :param revision: the store's revision that they lead to.
+    :param events: the changes.
+    """
+
+    revision: int
+    events: tuple[StoredEvent, ...]
+
+
 class Feed(Generic[Item]):
     """Lists and watches one kind of object.
 
@@ -59,6 +76,9 @@
         # What is known, as it is stored, to be passed on to peers.
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
+        # The last changes, and the revision after which none is missing of them.
+        self.batches: deque[Batch] = deque(maxlen=KEPT_BATCHES)
+        self.batches_since = 0
 
     async def list(self) -> Listing[Item]:
         """:returns: all objects that can be read.
@@ -85,6 +105,8 @@
         if revision >= self.revision:
             self.objects = {stored.name: stored for stored in found}
             self.revision = revision
+            self.batches.clear()
+            self.batches_since = revision
 
     def export(self, revision: int) -> bytes:
         """Write what is known for a peer.
@@ -118,15 +140,76 @@
         :raises HistoryGoneError: if the kind must be listed again.
         """
         events, latest = await self.store.watch(self.kind, revision, seconds)
+        return self._changes(Batch(latest, tuple(events)))
+
+    def _changes(self, batch: Batch) -> Changes[Item]:
+        """Remember changes, and give them as our own types."""
         changes = []
-        for event in events:
+        for event in batch.events:
             self._remember_event(event)
             item = None if event.deleted else self._decoded(event.stored)
             # An object that cannot be read leaves what was known of it.
             if item is not None or event.deleted:
                 changes.append(Change(event.stored.name, item))
-        self.revision = max(self.revision, latest)
-        return Changes(tuple(changes), latest)
+        if batch.events:
+            self._keep(batch)
+        self.revision = max(self.revision, batch.revision)
+        return Changes(tuple(changes), batch.revision)
+
+    def _keep(self, batch: Batch) -> None:
+        if len(self.batches) == KEPT_BATCHES:
+            self.batches_since = self.batches[0].revision
+        self.batches.append(batch)
+
+    def export_changes(self, revision: int) -> bytes:
+        """Write for a peer what has changed since a revision.
+
+        :param revision: the store's revision that the peer knows.
+        :raises HistoryGoneError: if changes since then are not known here.
+        """
+        if revision < self.batches_since:
+            raise HistoryGoneError(
+                "the changes since are not known", step="export", peer=self.kind
+            )
+        events = [
+            dataclasses.asdict(event)
+            for batch in self.batches
+            if batch.revision > revision
+            for event in batch.events
+        ]
+        return orjson.dumps({"revision": self.revision, "events": events})
+
+    def read_changes(self, data: bytes) -> Changes[Item]:
+        """:param data: what a peer's :meth:`export_changes` wrote.
+
+        :raises MessageError: if it is not that.
+        """
+        try:
+            plain = orjson.loads(data)
+            events = tuple(
+                StoredEvent(StoredObject(**event["stored"]), event["deleted"])
+                for event in plain["events"]
+            )
+            return self._changes(Batch(int(plain["revision"]), events))
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise MessageError(
+                f"a peer's changes cannot be read: {error!r}", step="decode"
+            ) from error
+
+    def read_whole(self, data: bytes) -> Changes[Item]:
+        """Take a peer's list for the changes that lead to it.
+
+        :param data: what a peer's :meth:`export` wrote; empty where it is not newer.
+        :raises MessageError: if it is not that.
+        """
+        if not data:
+            return Changes((), 0)
+        before = set(self.objects)
+        listing = self.read_export(data)
+        gone = sorted(before - set(self.objects))
+        changes = [Change(name, item) for name, item in listing.items.items()]
+        changes.extend(Change(name, None) for name in gone)
+        return Changes(tuple(changes), listing.revision)
 
     def _remember_event(self, event: StoredEvent) -> None:
         if event.deleted:
@@ -185,13 +268,14 @@
     def __init__(self, store: StoreClient) -> None:
         self.store = store
 
-    async def enter(self, vm: VmName, address: Address) -> None:
+    async def enter(self, vm: VmName, place: VmPlace) -> None:
         """Write a VM's entry.
 
         :param vm: the VM.
-        :param address: where its peers reach it.
+        :param place: where its peers reach it.
         """
-        spec = {"host": address.host, "port": address.port}
+        address = place.address
+        spec = {"host": address.host, "port": address.port, "hall": place.hall}
         try:
             await self.store.create(KIND_VMS, vm, spec)
         except PlatformConflictError:
@@ -201,14 +285,17 @@
         """:param vm: a VM that stops."""
         await self.store.delete(KIND_VMS, vm)
 
-    async def read(self) -> dict[VmName, Address]:
+    async def read(self) -> dict[VmName, VmPlace]:
         """:returns: where each VM is reached, as it was some seconds ago."""
         try:
             found, _ = await self.store.list(KIND_VMS, stale=True)
         except MissingObjectError:
             return {}
         return {
-            VmName(stored.name): Address(stored.spec["host"], int(stored.spec["port"]))
+            VmName(stored.name): VmPlace(
+                Address(stored.spec["host"], int(stored.spec["port"])),
+                HallName(stored.spec["hall"]),
+            )
             for stored in found
         }
 
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from walnutquay.state.claims import RunState, WholeAnswer
@@ -216,6 +217,40 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class AskChanges(Message):
+    """Asks a VM that watches the store for changes of one kind of its objects.
+
+    :param kind: the kind.
+    :param revision: the store's revision that the sender knows.
+    :param seconds: how long the receiver may wait for a change.
+    """
+
+    kind: str
+    revision: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ChangesAre(Message):
+    """Answers with changes.
+
+    :param data: the changes or the list, as the store wrote them; empty for none.
+    :param direct: whether the sender hears of them from the store itself.
+    :param failing: whether the store does not answer the sender.
+    :param whole: whether this is a whole list, for the sender does not know all
+        changes since the revision that was asked for.
+    :param returned: seconds since the store answered the sender again after a time
+        in which it did not; infinite where it always did.
+    """
+
+    data: bytes = b""
+    direct: bool = True
+    failing: bool = False
+    whole: bool = False
+    returned: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Failure(Message):
     """Answers that a call could not be carried out."""
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -30,6 +30,8 @@
     askKnown @23 :KnownRevision;
     known @24 :Data;
     trial @25 :TrialNews;
+    askChanges @26 :KnownChanges;
+    changes @27 :Changes;
   }
 }
 
@@ -123,3 +125,18 @@
   bad @3 :UInt32;
   badEndpoints @4 :List(Text);
 }
+
+struct KnownChanges {
+  kind @0 :Text;
+  revision @1 :UInt64;
+  seconds @2 :Float32;
+}
+
+# Whoever does not follow the store itself, or has no answer from it, says so.
+struct Changes {
+  data @0 :Data;
+  direct @1 :Bool;
+  failing @2 :Bool;
+  whole @3 :Bool;
+  returned @4 :Float32;
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -215,6 +215,16 @@
     return {"askKnown": asdict(body)}
 
 
+@body_fields.register
+def _(body: m.AskChanges) -> dict[str, Any]:
+    return {"askChanges": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.ChangesAre) -> dict[str, Any]:
+    return {"changes": asdict(body)}
+
+
 @body_fields.register
 def _(body: m.KnownIs) -> dict[str, Any]:
     return {"known": body.data}
@@ -284,6 +294,10 @@
     "trial": _trial,
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
+    "askChanges": lambda r: m.AskChanges(r.kind, r.revision, r.seconds),
+    "changes": lambda r: m.ChangesAre(
+        bytes(r.data), r.direct, r.failing, r.whole, r.returned
+    ),
     "failure": lambda r: m.Failure(str(r)),
 }
 
--- a/walnutquay/state/instances.py
+++ b/walnutquay/state/instances.py
@@ -59,7 +59,7 @@
 
         :param now: monotonic seconds.
         """
-        self.doubt_until = now + self.overdue_seconds
+        self.doubt_until = max(self.doubt_until, now + self.overdue_seconds)
 
     def put(self, instance: Instance, now: float) -> None:
         """Take in an instance's entry.
--- a/walnutquay/state/membership.py
+++ b/walnutquay/state/membership.py
@@ -42,6 +42,18 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class VmPlace:
+    """Where a VM is.
+
+    :param address: where it listens to its peers.
+    :param hall: the data hall that it stands in.
+    """
+
+    address: Address
+    hall: HallName
+
+
 @dataclass(frozen=True, slots=True)
 class MemberNews:
     """What a VM says of itself, or is passed on of it.
