Explain failed requests from log lines: trace show, failures and changes

Cause: lines named endpoints and outcomes without what decided them, and nothing read them back.

Change: received, dispatched, refused and ended lines carry their inputs with age or version (docs/OPERATIONS.md lists all, a test compares with the code); late answers are kept whole under load like failed ones. walnutquay/history reads lines of many VMs: the way of a request with what its VM believed, failed and late requests by cause, a picture, changes of a span. A test follows requests through a failing endpoint and a killed VM by the lines of separate processes.

--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,323 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Requests explained from log lines, made up and of separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+import orjson
+import tomli_w
+from click.testing import CliRunner
+
+from standins.worker import Behaviour
+from tests.gatewaycase import GatewayCase
+from walnutquay.cmdline import main
+from walnutquay.history.beliefs import Beliefs
+from walnutquay.history.causes import Cause, CauseFinder
+from walnutquay.history.lines import LogLine, read_files, read_line
+from walnutquay.history.report import judge
+from walnutquay.history.requests import histories
+from walnutquay.state.clock import Stamp
+from walnutquay.state.events import Event, EventKind
+
+HOST = "127.0.0.1"
+START_SECONDS = 20.0
+
+
+def line(kind: str, at: float = 0.0, request: str = "r", **more) -> LogLine:
+    """:returns: a line; times are seconds."""
+    facts = {k: v for k, v in more.items() if k not in LogLine.__slots__}
+    known = {k: v for k, v in more.items() if k in LogLine.__slots__}
+    fields = {"vm": "vm-1", **known}
+    moment = (int(at * 1_000_000), 0)
+    return LogLine(
+        at=moment, kind=EventKind(kind), request=request, facts=facts, **fields
+    )
+
+
+RECEIVED = line("received", 1.0, route="a", aim_ms=500)
+SENT = line("dispatched", 1.0, version="s", endpoint="i-1", runs="v2", slots=8)
+SENT_BUSY = line("dispatched", 1.0, endpoint="i-1", slots=8, load=2, reading_ms=900)
+CONNECT = line("not-started", 1.1, endpoint="i-1", detail="connect")
+TURNED_AWAY = line("not-started", 1.1, endpoint="i-1", detail="refused")
+ERROR = line("failed", 1.2, version="s", endpoint="i-1", status=500, step="answer")
+RESET = line("failed", 1.2, version="s", endpoint="i-1", step="exchange")
+NO_PLACE = line("refused", 1.3, detail="no_endpoint_available")
+DENIED = line("refused", 1.3, detail="invalid_api_key", configuration=4)
+UNKNOWN = line("outcome-unknown", 1.3, detail="outcome_unknown")
+LATE = line("answered", 2.0, status=200, late=True)
+LATE_BY_PAUSE = line("answered", 9.0, status=200, late=True, longest_pause_ms=1500)
+BEGUN = line("begun", 1.2)
+ORDER = line("ordered", 0.1, "", version="v2", detail="s: running, revision 3")
+RESTART = line("started", 5.0, "")
+OLD = line("configured", 0.2, "", version="4")
+NEW = line("configured", 0.9, "", version="5", vm="vm-2")
+
+# what the logs have -> why the request failed or was late
+CASES = [
+    ([RECEIVED, SENT, line("answered", 1.1, status=200, late=False)], None),
+    ([RECEIVED, SENT, RESTART], Cause.VM_LOST),
+    ([RECEIVED, SENT], Cause.UNTOLD),
+    ([RECEIVED, line("refused", 1.0, detail="not_ready")], Cause.VM_STARTING),
+    ([RECEIVED, line("refused", 1.0, detail="stopping")], Cause.VM_STOPPING),
+    ([RECEIVED, line("refused", 1.0, detail="body_too_large")], Cause.CALLER),
+    ([OLD, DENIED], Cause.NOT_ALLOWED),
+    ([OLD, NEW, DENIED], Cause.OLD_KNOWLEDGE),
+    ([RECEIVED, NO_PLACE], Cause.NO_ENDPOINT),
+    ([RECEIVED, line("refused", 1.3, detail="queue_full")], Cause.ENDPOINTS_FULL),
+    ([RECEIVED, SENT, CONNECT, NO_PLACE], Cause.ENDPOINTS_UNREACHED),
+    ([RECEIVED, SENT, TURNED_AWAY, NO_PLACE], Cause.ENDPOINTS_FULL),
+    ([RECEIVED, SENT, ERROR, UNKNOWN], Cause.ENDPOINT_ERROR),
+    (
+        [RECEIVED, SENT, ERROR, line("answered", 1.3, status=500)],
+        Cause.ENDPOINT_ERROR,
+    ),
+    ([ORDER, RECEIVED, SENT, ERROR, UNKNOWN], Cause.NEW_VERSION),
+    ([RECEIVED, SENT, RESET, UNKNOWN], Cause.ENDPOINT_LOST),
+    ([RECEIVED, SENT, BEGUN, RESET, line("broken", 1.4)], Cause.ENDPOINT_LOST),
+    ([RECEIVED, SENT, line("outcome-unknown", 2.0, detail="timeout")], Cause.NO_TIME),
+    ([RECEIVED, SENT, line("caller-gone", 2.0)], Cause.CALLER_LEFT),
+    ([RECEIVED, SENT, RESET, SENT, LATE], Cause.LATE_AFTER_FAILURE),
+    ([RECEIVED, SENT_BUSY, LATE], Cause.LATE_BUSY),
+    ([RECEIVED, SENT, line("escalated", 1.4), SENT, LATE], Cause.LATE_LARGER),
+    ([RECEIVED, SENT, LATE], Cause.LATE_ENDPOINT),
+    ([RECEIVED, SENT, BEGUN, LATE_BY_PAUSE], Cause.LATE_PAUSE),
+]
+
+
+class CauseTest(unittest.TestCase):
+    """Each cause has lines by which it is known."""
+
+    def test_table(self):
+        for lines, expected in CASES:
+            with self.subTest(expected=expected, lines=[o.kind.value for o in lines]):
+                history = histories(lines)["r"]
+                found = CauseFinder(Beliefs(lines)).find(history)
+                self.assertIs(found.cause if found else None, expected)
+
+    def test_no_cause_is_forgotten(self):
+        self.assertEqual({cause for _, cause in CASES if cause}, set(Cause))
+
+
+class BeliefTest(unittest.TestCase):
+    """What a VM believed is put together up to a time, and no further."""
+
+    LINES = (
+        line("started", 0.0, ""),
+        line("configured", 1.0, "", version="4"),
+        line("platform-down", 2.0, "", detail="servers"),
+        line("endpoint-listed", 3.0, "", endpoint="i-1"),
+        line("endpoint-unreached", 4.0, "", endpoint="i-1"),
+        line("platform-up", 5.0, ""),
+        line("started", 6.0, ""),
+    )
+
+    def test_over_time(self):
+        beliefs = Beliefs(self.LINES)
+        early, late = (
+            beliefs.at("vm-1", (3_500_000, 0)),
+            beliefs.at("vm-1", (5_500_000, 0)),
+        )
+        self.assertIsNotNone(early.store)
+        self.assertEqual(early.state_of("i-1"), "listed")
+        self.assertIsNone(late.store)
+        self.assertEqual(late.state_of("i-1"), "not reached")
+        self.assertEqual(late.configuration.version, "4")
+
+    def test_a_new_process_knows_nothing(self):
+        belief = Beliefs(self.LINES).at("vm-1", (7_000_000, 0))
+        self.assertIsNone(belief.configuration)
+        self.assertEqual(belief.endpoints, {})
+
+    def test_changes_of_a_span(self):
+        found = Beliefs(self.LINES).changes(2.0, 4.0)
+        kinds = [one.kind for one in found]
+        self.assertEqual(kinds, [self.LINES[n].kind for n in (2, 3, 4)])
+
+
+class ReadTest(unittest.TestCase):
+    """Lines are read as they were written; others are counted, not guessed at."""
+
+    def test_there_and_back(self):
+        event = Event(
+            Stamp(7, 1), "vm-1", EventKind.FAILED, "r", facts=(("step", "answer"),)
+        )
+        data = b"collector: " + orjson.dumps({"level": "INFO", **event.plain()})
+        found = read_line(data)
+        assert found is not None
+        self.assertEqual(
+            (found.at, found.kind, found.request, found.facts),
+            ((7, 1), EventKind.FAILED, "r", {"step": "answer"}),
+        )
+
+    def test_what_is_no_event(self):
+        for data in (b"", b"text", b"{", b"[1]", b'{"message":"x"}', b'{"at":1}'):
+            with self.subTest(data):
+                self.assertIsNone(read_line(data))
+
+
+class GatewayProcess:
+    """An entry VM as a process of its own, its lines in a file.
+
+    :param name: the VM's name.
+    :param folder: where its settings and its lines go.
+    :param store: the store's address.
+    """
+
+    def __init__(self, name: str, folder: Path, store: str) -> None:
+        self.log = folder / f"{name}.json"
+        self.settings = folder / f"{name}.toml"
+        self.ports = [_free_port() for _ in range(4)]
+        names = ("callers", "ready", "metrics", "peers")
+        sections = {
+            name: {"address": f"{HOST}:{port}"}
+            for name, port in zip(names, self.ports, strict=True)
+        }
+        plain = {
+            "vm": {"name": name, "hall": "hall-a"},
+            "store": {"address": store},
+            "promises": {"balancer_seconds": 0.0},
+            "log": {"format": "json", "events": True},
+            **sections,
+        }
+        self.settings.write_text(tomli_w.dumps(plain), encoding="utf-8")
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start it; its lines are added to those of its earlier starts."""
+        command = (sys.executable, "-m", "walnutquay", "gateway")
+        with self.log.open("ab") as file:
+            self.process = await asyncio.create_subprocess_exec(
+                *command, "--settings", str(self.settings), stdout=file
+            )
+
+    def kill(self) -> None:
+        """Kill it at once, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            os.kill(self.process.pid, signal.SIGKILL)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+class ProcessesTest(GatewayCase):
+    """A request is followed through a fault by the lines of separate processes."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.vms = [
+            GatewayProcess(name, Path(folder.name), self.store.address)
+            for name in ("front-1", "front-2")
+        ]
+        for vm in self.vms:
+            await vm.start()
+            self.addAsyncCleanup(self.end, vm)
+            await self.until_ready(vm)
+
+    async def end(self, vm: GatewayProcess) -> None:
+        """Kill a VM and wait for its end."""
+        vm.kill()
+        await vm.process.wait()
+
+    async def until_ready(self, vm: GatewayProcess) -> None:
+        """Wait until a VM would serve callers."""
+        async with asyncio.timeout(START_SECONDS):
+            while not await self.is_ready(vm):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self, vm: GatewayProcess) -> bool:
+        """:returns: whether a VM would serve callers."""
+        try:
+            url = f"http://{HOST}:{vm.ports[1]}/v1/ready"
+            async with self.session.get(url) as answer:
+                return answer.status == 200
+        except OSError:
+            return False
+
+    async def send(self, vm: GatewayProcess, path: str, **headers: str) -> int:
+        """:returns: the status of a request to a VM; 0 where it was lost."""
+        url = f"http://{HOST}:{vm.ports[0]}{path}"
+        try:
+            async with self.session.post(
+                url, data=b"b", headers=self.head(**headers)
+            ) as answer:
+                await answer.read()
+                return answer.status
+        except (OSError, aiohttp.ClientError):
+            return 0
+
+    def tell(self, *words: str) -> str:
+        """:returns: what a command prints about the lines of all VMs."""
+        logs = [str(vm.log) for vm in self.vms]
+        result = CliRunner().invoke(main, ["trace", *words, *logs])
+        self.assertEqual(result.exit_code, 0, result.output)
+        return result.output
+
+    async def until_logged(self, request: str, kind: EventKind) -> None:
+        """Wait until a request has a line; they are written without waiting."""
+        logs = [vm.log for vm in self.vms]
+
+        def is_logged() -> bool:
+            return any(
+                one.request == request and one.kind is kind
+                for one in read_files(logs).lines
+            )
+
+        await self.until(is_logged)
+
+    async def test_an_endpoint_that_failed(self):
+        for worker in self.endpoints.values():
+            worker.default = Behaviour(status=500)
+        status = await self.send(self.vms[0], "/unsafe/x", Request_Id="lost-one")
+        self.assertEqual(status, 500)
+        await self.until_logged("lost-one", EventKind.ANSWERED)
+        told = self.tell("show", "lost-one")
+        self.assertIn(Cause.ENDPOINT_ERROR.value, told)
+        self.assertIn("configuration 1, in force for", told)
+        self.assertIn("was listed at its line failed", told)
+        self.assertIn("lost-one  front-1", self.tell("failures"))
+
+    async def test_a_vm_that_was_killed(self):
+        for worker in self.endpoints.values():
+            worker.default = Behaviour(mute=True)
+        first = self.vms[0]
+        sending = asyncio.ensure_future(
+            self.send(first, "/unsafe/x", Request_Id="cut-off")
+        )
+        await self.until_logged("cut-off", EventKind.DISPATCHED)
+        await self.end(first)
+        self.assertEqual(await sending, 0)
+        await first.start()
+        await self.until_ready(first)
+        self.assertIn(Cause.VM_LOST.value, self.tell("show", "cut-off"))
+        judged = judge(read_files([vm.log for vm in self.vms]).lines)
+        causes = {
+            one.finding.cause
+            for one in judged
+            if one.finding is not None and one.history.request == "cut-off"
+        }
+        self.assertEqual(causes, {Cause.VM_LOST})
+
+    async def test_a_picture_and_the_changes_of_a_time(self):
+        await self.send(self.vms[1], "/unsafe/x", Request_Id="fine-one")
+        await self.until_logged("fine-one", EventKind.ANSWERED)
+        picture = self.vms[0].log.with_suffix(".png")
+        self.tell("failures", "--picture", str(picture))
+        self.assertTrue(picture.read_bytes().startswith(b"\x89PNG"))
+        lines = read_files([self.vms[1].log]).lines
+        span = ("--from", str(lines[0].seconds), "--to", str(lines[-1].seconds))
+        self.assertIn("configured", self.tell("changes", *span))
--- a/walnutquay/commands/trace.py
+++ b/walnutquay/commands/trace.py
@@ -13,6 +13,7 @@
 import orjson
 
 from walnutquay.commands.client import Fleet, fleet_command
+from walnutquay.commands.history import changes, failures, show
 from walnutquay.commands.output import fail
 from walnutquay.exceptions import WalnutquayError
 from walnutquay.replay.traces import write_trace
@@ -24,7 +25,12 @@
 
 @click.group()
 def trace() -> None:
-    """Record a trace of a fleet's requests, or make one from a seed."""
+    """Follow requests: from VMs' log lines, or as traces to be replayed."""
+
+
+trace.add_command(show)
+trace.add_command(changes)
+trace.add_command(failures)
 
 
 @trace.command()
--- a/walnutquay/coordination/eventlog.py
+++ b/walnutquay/coordination/eventlog.py
@@ -3,8 +3,8 @@
 """Bounds how many events are logged, and keeps failed requests whole.
 
 Each event is logged at once while no more come than the limit.  Beyond it, the
-events of a request wait until it has ended: one that failed is logged whole, of
-one that went well the lines are only counted.
+events of a request wait until it has ended: one that failed or was answered late is
+logged whole, of one that went well the lines are only counted.
 """
 
 from __future__ import annotations
@@ -33,6 +33,14 @@
 )
 
 
+def is_late(event: Event) -> bool:
+    """:param event: an event.
+
+    :returns: whether it ends a request with an answer that came too late.
+    """
+    return event.kind in WELL_ENDED and ("late", True) in event.facts
+
+
 class EventLog:
     """Logs events, with a bound.
 
@@ -55,7 +63,7 @@
         if not event.request:
             self._write(event)
             return
-        if event.kind in BADLY_ENDED:
+        if event.kind in BADLY_ENDED or is_late(event):
             for earlier in self.held.pop(event.request, ()):
                 self._write(earlier)
             self._write(event)
--- a/walnutquay/coordination/outcomes.py
+++ b/walnutquay/coordination/outcomes.py
@@ -41,6 +41,10 @@
     :param deadline: when the answer is due; monotonic seconds.
     :param key: the caller's idempotency key; empty if none.
     :param request_class: the caller's class of request.
+    :param longest_pause: the longest time between two events that went to the
+        caller; seconds.
+    :param first_at: when the first of them went there; monotonic seconds.
+    :param passed_at: when the last of them went there; monotonic seconds.
     """
 
     request: RequestId
@@ -49,11 +53,33 @@
     deadline: float
     key: str = ""
     request_class: str = "default"
+    longest_pause: float = 0.0
+    first_at: float | None = None
+    passed_at: float | None = None
 
     def identity(self) -> tuple[bytes, ...]:
         """:returns: what tells this request from another under the same key."""
         return (self.body,)
 
+    def passed(self, now: float) -> None:
+        """Note that events go to the caller.
+
+        :param now: monotonic seconds.
+        """
+        if self.passed_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.passed_at)
+        self.passed_at = now
+
+    def is_late(self, now: float) -> bool:
+        """Tell whether an answer that is whole now comes too late to be of full use.
+
+        :param now: monotonic seconds.
+        :returns: the base knows of no objective.
+        """
+        return False
+
 
 @dataclass(slots=True)
 class ChatArrival(Arrival):
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -14,12 +14,13 @@
     Refused,
     Streamed,
     Unknown,
+    Whole,
 )
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.places import Grant, Need
 from walnutquay.coordination.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.events import EventKind
+from walnutquay.state.events import EventKind, Facts
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import (
     Admitted,
@@ -33,6 +34,9 @@
 from walnutquay.transport.timers import monotonic
 
 STOPPING_RETRY = 1.0
+MILLISECONDS = 1000.0
+# The status of a stream that went to the caller whole.
+OK = 200
 
 
 class RequestPath(ABC):
@@ -62,9 +66,11 @@
         request = arrival.request
         outcome: Outcome | None = None
         try:
-            self.context.timeline.emit(EventKind.RECEIVED, request=request)
+            self.context.timeline.emit(
+                EventKind.RECEIVED, request=request, **self.facts_received(arrival)
+            )
             outcome = await self.begin(arrival)
-            self.tell(arrival, outcome)
+            self.tell(arrival, outcome, monotonic() - started)
             return outcome
         finally:
             self.in_flight -= 1
@@ -141,6 +147,25 @@
         """
         return self.parts.retries.take()
 
+    def facts_received(self, arrival: Arrival) -> Facts:
+        """Tell of a request, for the log; the base has nothing to tell.
+
+        :param arrival: the request.
+        """
+        return {}
+
+    def facts_dispatched(self, turn: Turn, grant: Grant) -> Facts:
+        """Tell what made a request go where it goes; the base has nothing to tell.
+
+        :param turn: the request.
+        :param grant: the endpoint.
+        """
+        return {}
+
+    def facts_known(self) -> Facts:
+        """:returns: how old what this VM knows is; nothing in the base."""
+        return {}
+
     def on_dispatch(self, turn: Turn, grant: Grant) -> None:
         """Note that a request is sent now; the base has nothing to note.
 
@@ -242,6 +267,7 @@
             session=turn.session,
             version=turn.target,
             endpoint=grant.name,
+            **self.facts_dispatched(turn, grant),
         )
         return running
 
@@ -270,6 +296,8 @@
             request=turn.arrival.request,
             endpoint=grant.name,
             detail=error.step,
+            reason=error.reason,
+            after_ms=_ms_since(grant.started),
         )
         return running.not_started(error)
 
@@ -285,6 +313,9 @@
             version=turn.target,
             endpoint=grant.name,
             detail=str(error),
+            step=error.step,
+            status=error.status,
+            after_ms=_ms_since(grant.started),
         )
         in_time = turn.arrival.deadline > monotonic()
         if turn.repeatable and in_time and self.may_retry(turn):
@@ -327,24 +358,54 @@
             )
         return self.unready()
 
-    def tell(self, arrival: Arrival, outcome: Outcome) -> None:
+    def tell(self, arrival: Arrival, outcome: Outcome, seconds: float) -> None:
         """Count and log how a request ended.
 
         :param arrival: the request.
         :param outcome: how.
+        :param seconds: since it came.
         """
         request = arrival.request
+        took_ms = round(seconds * MILLISECONDS)
         timeline = self.context.timeline
         if isinstance(outcome, Refused):
-            code = outcome.proof.refusal.code.value
+            refusal = outcome.proof.refusal
+            code = refusal.code.value
             self.context.metrics.count(f"refused_{code}")
-            timeline.emit(EventKind.REFUSED, request=request, detail=code)
+            timeline.emit(
+                EventKind.REFUSED,
+                request=request,
+                detail=code,
+                reason=refusal.reason,
+                retry_after=refusal.retry_after,
+                took_ms=took_ms,
+                **self.facts_known(),
+            )
         elif isinstance(outcome, Unknown):
             self.context.metrics.count(f"unknown_{outcome.code}")
-            timeline.emit(EventKind.UNKNOWN, request=request, detail=outcome.code)
+            timeline.emit(
+                EventKind.UNKNOWN,
+                request=request,
+                detail=outcome.code,
+                reason=outcome.reason,
+                took_ms=took_ms,
+                **self.facts_known(),
+            )
         elif isinstance(outcome, Streamed) and not outcome.whole:
             self.context.metrics.count("broken")
-            timeline.emit(EventKind.BROKEN, request=request)
+            timeline.emit(EventKind.BROKEN, request=request, took_ms=took_ms)
         else:
             self.context.metrics.count("answered")
-            timeline.emit(EventKind.ANSWERED, request=request)
+            status = outcome.answer.status if isinstance(outcome, Whole) else OK
+            timeline.emit(
+                EventKind.ANSWERED,
+                request=request,
+                status=status,
+                took_ms=took_ms,
+                longest_pause_ms=round(arrival.longest_pause * MILLISECONDS),
+                late=arrival.is_late(monotonic()),
+            )
+
+
+def _ms_since(started: float) -> int:
+    return round((monotonic() - started) * MILLISECONDS)
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -15,6 +15,7 @@
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.paths import RequestPath
 from walnutquay.coordination.places import Grant, Need
+from walnutquay.coordination.routedfacts import RoutedFacts
 from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.routedports import Dialect, VersionPolicy
 from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
@@ -24,7 +25,7 @@
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.admission import RetryBudget
 from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.events import EventKind
+from walnutquay.state.events import EventKind, Facts
 from walnutquay.state.ids import EndpointName, ServiceName
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
@@ -73,6 +74,7 @@
 
     def __init__(self, answer: WholeAnswer, *, peer: str) -> None:
         super().__init__(f"it answered {answer.status}", step="answer", peer=peer)
+        self.status = answer.status
         self.answer = answer
 
 
@@ -109,6 +111,22 @@
         self.versions = versions
         self.budget = budget
         self.budgets: dict[ServiceName, RetryBudget] = {}
+        self.facts = RoutedFacts(knowledge, places, parts.table)
+
+    def facts_received(self, arrival: RoutedArrival) -> Facts:
+        """:param arrival: a request, for the log."""
+        return self.facts.received(arrival)
+
+    def facts_dispatched(self, turn: RoutedTurn, grant: Grant) -> Facts:
+        """:param turn: a request that is sent now, for the log.
+
+        :param grant: the endpoint.
+        """
+        return self.facts.dispatched(turn, grant)
+
+    def facts_known(self) -> Facts:
+        """:returns: how old what this VM knows is."""
+        return self.facts.known()
 
     def unready(self) -> Refusal | None:
         """:returns: why this VM knows too little to serve, or None."""
@@ -439,6 +457,7 @@
         async for data in body:
             events = [e for e in parser.feed(data) if turn.progress.accept(e)]
             if events:
+                turn.arrival.passed(monotonic())
                 await reply.write(b"".join(events))
             passed += len(events)
             if passed > JUDGED_EVENTS and not judged:
--- /dev/null
+++ b/walnutquay/coordination/routedfacts.py
@@ -0,0 +1,96 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What decided about a routed request, as log lines tell it.
+
+Names and units of all facts stand in ``docs/OPERATIONS.md``.
+"""
+
+from __future__ import annotations
+
+import math
+
+from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.outcomes import Arrival
+from walnutquay.coordination.places import Grant
+from walnutquay.coordination.routedplaces import RoutedPlaces
+from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
+from walnutquay.state.endpoints import EndpointTable
+from walnutquay.state.events import Facts
+from walnutquay.state.instances import Instance
+from walnutquay.transport.timers import monotonic
+
+MILLISECONDS = 1000.0
+
+
+class RoutedFacts:
+    """Tells what this VM knew when it decided about a request.
+
+    :param knowledge: what is known from the store.
+    :param places: the places at endpoints.
+    :param table: what is known of endpoints' load and health.
+    """
+
+    def __init__(
+        self, knowledge: Knowledge, places: RoutedPlaces, table: EndpointTable
+    ) -> None:
+        self.knowledge = knowledge
+        self.places = places
+        self.table = table
+
+    def received(self, arrival: Arrival) -> Facts:
+        """:param arrival: a request as it came.
+
+        :returns: whose it is, what it asks for, and by when.
+        """
+        assert isinstance(arrival, RoutedArrival)
+        route = arrival.route
+        return {
+            "route": route.name,
+            "organisation": arrival.organisation.name,
+            "priority": arrival.priority,
+            "tokens": arrival.head.prompt.tokens,
+            "aim_ms": whole_ms(route.objective_seconds),
+            "pause_aim_ms": whole_ms(route.pause_seconds),
+            "left_ms": whole_ms(arrival.deadline - monotonic()),
+            "configuration": arrival.catalogue_version,
+        }
+
+    def dispatched(self, turn: RoutedTurn, grant: Grant) -> Facts:
+        """:param turn: a request that is sent now.
+
+        :param grant: the place that it got.
+        :returns: what is known of the endpoint, and how old that is.
+        """
+        endpoint = grant.endpoint
+        assert isinstance(endpoint, Instance)
+        now = monotonic()
+        facts = self.table.of(endpoint.name)
+        return {
+            "hall": endpoint.hall,
+            "runs": endpoint.version,
+            "model": turn.model_name,
+            "sends": turn.sends,
+            "load": facts.load(now),
+            "load_age_ms": whole_ms(now - facts.reported_at),
+            "slots": endpoint.slots,
+            "reading_ms": whole_ms(self.places.work.wait(endpoint.name, now)),
+            "list_age_ms": whole_ms(self.knowledge.instance_follower.age()),
+            "left_ms": whole_ms(turn.seconds_left()),
+        }
+
+    def known(self) -> Facts:
+        """:returns: how old what this VM knows is; for requests that it turns away."""
+        catalogue = self.knowledge.catalogue.current
+        return {
+            "configuration": catalogue.version if catalogue is not None else None,
+            "configuration_age_ms": whole_ms(self.knowledge.catalogue_follower.age()),
+            "list_age_ms": whole_ms(self.knowledge.instance_follower.age()),
+        }
+
+
+def whole_ms(seconds: float) -> int | None:
+    """:param seconds: a time or an age.
+
+    :returns: it in milliseconds; None where it is not known.
+    """
+    return round(seconds * MILLISECONDS) if math.isfinite(seconds) else None
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -43,6 +43,7 @@
     :param target: path and query as they came.
     :param route: its route.
     :param catalogue_version: the version of the configuration that gave the route.
+    :param came: when it came; monotonic seconds.
     :param keyed: whether the organisation was found by a key.
     :param reply: the way back for a stream.
     """
@@ -52,9 +53,20 @@
     target: str = field(kw_only=True)
     route: Route = field(kw_only=True)
     catalogue_version: int = field(kw_only=True)
+    came: float = field(default_factory=monotonic, kw_only=True)
     keyed: bool = True
     reply: RoutedReply | None = None
 
+    def is_late(self, now: float) -> bool:
+        """:param now: when its answer is whole; monotonic seconds.
+
+        :returns: whether its first part or a pause took longer than the route's aims.
+        """
+        first = now if self.first_at is None else self.first_at
+        if first - self.came > self.route.objective_seconds:
+            return True
+        return 0.0 < self.route.pause_seconds < self.longest_pause
+
     @property
     def priority(self) -> int:
         """Its rank; the organisation's goes before the route's."""
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -15,6 +15,7 @@
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.outcomes import Outcome, Refused, Streamed, Unknown, Whole
 from walnutquay.coordination.routed import RoutedPath
+from walnutquay.coordination.routedfacts import whole_ms
 from walnutquay.coordination.routedturn import RoutedArrival
 from walnutquay.exceptions import MessageError
 from walnutquay.platform import names
@@ -148,7 +149,11 @@
             outcome = await self.path.serve(arrival)
         except asyncio.CancelledError:
             self.context.metrics.count("callers_gone")
-            self.context.timeline.emit(EventKind.CALLER_GONE, request=arrival.request)
+            self.context.timeline.emit(
+                EventKind.CALLER_GONE,
+                request=arrival.request,
+                left_ms=whole_ms(arrival.deadline - monotonic()),
+            )
             raise
         if isinstance(outcome, Streamed):
             assert isinstance(arrival.reply, StreamReply)
@@ -174,6 +179,7 @@
             target=request.raw_path,
             route=route,
             catalogue_version=catalogue.version,
+            came=came,
             keyed=bool(catalogue.organisations),
             reply=self._reply(request, route),
         )
@@ -245,8 +251,10 @@
             EventKind.REFUSED,
             request=request.headers.get(names.REQUEST_ID, ""),
             version=str(catalogue.version) if catalogue else "",
-            detail=f"{refusal.code.value}: {refusal.reason}; configuration confirmed "
-            f"{self.knowledge.catalogue_follower.age():.2f} s ago",
+            detail=refusal.code.value,
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+            **self.path.facts_known(),
         )
         response = _refusal_response(refusal, request.headers.get(names.REQUEST_ID))
         if not request.content.at_eof():
--- a/walnutquay/exceptions.py
+++ b/walnutquay/exceptions.py
@@ -101,6 +101,9 @@
 class EndpointError(WalnutquayError):
     """An endpoint failed after it may have begun the work."""
 
+    # The status that it answered; None where it did not.
+    status: int | None = None
+
 
 class NotStartedError(EndpointError):
     """It is certain that the endpoint did not begin the work."""
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -13,6 +13,8 @@
 
 # A value of a log line.
 Fact = str | int | float | bool | None
+# Values of one line, by name.
+Facts = dict[str, Fact]
 
 
 class EventKind(Enum):
