walnutquay fleet shows a fleet's state from its metrics addresses

The text exposition format is read by prometheus-client; a VM that does not answer, is not ready, knows an older configuration, hears nothing of the store or has no ready endpoint of a service is pointed out.

--- a/walnutquay/cmdline.py
+++ b/walnutquay/cmdline.py
@@ -18,6 +18,7 @@
 MODULES = {
     "entry": "entry",
     "gateway": "gateway",
+    "fleet": "fleetstate",
     "check": "check",
     "apply": "administer",
     "get": "administer",
--- /dev/null
+++ b/walnutquay/commands/fleetstate.py
@@ -0,0 +1,201 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The command that shows a fleet's state from its metrics addresses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, field
+
+import aiohttp
+import click
+from prometheus_client.parser import text_string_to_metric_families
+
+from walnutquay.commands.output import fail, json_option, show
+
+# A VM answers within some milliseconds; one that has not by now is not reached.
+TIMEOUT_SECONDS = 2.0
+PREFIX = "walnutquay_"
+# What the counters of outcomes begin with.
+REFUSED = ("refused_", "denied_")
+UNKNOWN = ("unknown_", "broken")
+OLD_SECONDS = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class VmState:
+    """What one VM's figures say.
+
+    :param address: its metrics address.
+    :param reached: whether it answered.
+    :param ready: whether it knows enough to serve.
+    :param configuration: the version in force.
+    :param age: seconds since the store confirmed what is known, of the oldest kind.
+    :param vms: VMs that it knows, itself among them.
+    :param in_flight: requests without an outcome.
+    :param answered: requests answered since its start.
+    :param refused: requests refused or denied.
+    :param unknown: requests lost.
+    :param p99_seconds: the 99th percentile from arrival to outcome.
+    :param endpoints: endpoints by service and state, such as ``pool/ready``.
+    """
+
+    address: str
+    reached: bool = True
+    ready: bool = False
+    configuration: int = 0
+    age: float = 0.0
+    vms: int = 0
+    in_flight: int = 0
+    answered: int = 0
+    refused: int = 0
+    unknown: int = 0
+    p99_seconds: float = 0.0
+    endpoints: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One figure of the text exposition format.
+
+    :param name: its name without the program's.
+    :param labels: its labels.
+    :param value: its value.
+    """
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+def read_figures(text: str) -> list[Figure]:
+    """:param text: what a metrics address answers.
+
+    :raises ValueError: if it is not in the text exposition format.
+    """
+    return [
+        Figure(sample.name.removeprefix(PREFIX), sample.labels, sample.value)
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    ]
+
+
+def state_of(address: str, figures: Iterable[Figure]) -> VmState:
+    """:param address: where the figures come from.
+
+    :param figures: all figures of a VM.
+    """
+    figures = list(figures)
+    plain = {one.name: one.value for one in figures if not one.labels}
+    ages = [one.value for one in figures if one.name == "knowledge_age_seconds"]
+    slowest = [
+        one.value
+        for one in figures
+        if one.name == "request_seconds" and one.labels.get("quantile") == "0.99"
+    ]
+    endpoints = {
+        f"{one.labels['service']}/{one.labels['state']}": int(one.value)
+        for one in figures
+        if one.name == "endpoints"
+    }
+    return VmState(
+        address=address,
+        ready=plain.get("ready", 0.0) == 1.0,
+        configuration=int(plain.get("configuration_version", 0)),
+        age=max(ages, default=0.0),
+        vms=int(plain.get("entry_vms", 0)),
+        in_flight=int(plain.get("requests_in_flight", 0)),
+        answered=int(plain.get("answered_total", 0)),
+        refused=_sum(plain, REFUSED),
+        unknown=_sum(plain, UNKNOWN),
+        p99_seconds=max(slowest, default=0.0),
+        endpoints=endpoints,
+    )
+
+
+def _sum(plain: dict[str, float], beginnings: tuple[str, ...]) -> int:
+    return int(sum(v for name, v in plain.items() if name.startswith(beginnings)))
+
+
+def concerns(states: Iterable[VmState]) -> list[str]:
+    """:param states: the states of all VMs.
+
+    :returns: what an operator should look at, in words.
+    """
+    states = list(states)
+    found = [f"{one.address} does not answer" for one in states if not one.reached]
+    up = [one for one in states if one.reached]
+    found += [f"{one.address} is not ready" for one in up if not one.ready]
+    versions = sorted({one.configuration for one in up})
+    if len(versions) > 1:
+        found.append(f"configurations differ: {versions}")
+    for one in up:
+        if one.age > OLD_SECONDS:
+            found.append(f"{one.address} last heard of the store {one.age:.0f} s ago")
+        services = {name.partition("/")[0] for name in one.endpoints}
+        for service in sorted(services):
+            if not one.endpoints.get(f"{service}/ready"):
+                found.append(f"{one.address} has no ready endpoint of {service}")
+    return found
+
+
+def states_text(states: Iterable[VmState]) -> str:
+    """:param states: the states of all VMs.
+
+    :returns: them for people, a line each, and what to look at.
+    """
+    states = list(states)
+    text = [
+        f"{'address':<22}{'ready':>6}{'config':>8}{'age s':>7}{'VMs':>5}{'now':>6}"
+        f"{'answered':>10}{'refused':>9}{'lost':>7}{'p99 ms':>8}  endpoints"
+    ]
+    for one in states:
+        if not one.reached:
+            text.append(f"{one.address:<22}  does not answer")
+            continue
+        endpoints = " ".join(f"{k}={v}" for k, v in sorted(one.endpoints.items()))
+        text.append(
+            f"{one.address:<22}{'yes' if one.ready else 'no':>6}"
+            f"{one.configuration:>8}{one.age:>7.1f}{one.vms:>5}{one.in_flight:>6}"
+            f"{one.answered:>10}{one.refused:>9}{one.unknown:>7}"
+            f"{one.p99_seconds * 1000:>8.0f}  {endpoints}"
+        )
+    text += [f"look at: {words}" for words in concerns(states)]
+    return "\n".join(text)
+
+
+async def read_states(addresses: Iterable[str]) -> list[VmState]:
+    """:param addresses: metrics addresses, ``IP:port``.
+
+    :returns: the state of each, in order; one that does not answer is told as such.
+    """
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        reads = [_read_state(session, address) for address in addresses]
+        return list(await asyncio.gather(*reads))
+
+
+async def _read_state(session: aiohttp.ClientSession, address: str) -> VmState:
+    try:
+        async with session.get(f"http://{address}/metrics") as answer:
+            figures = read_figures(await answer.text())
+    except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+        click.echo(f"warning: {address}: {reason}", err=True)
+        return VmState(address, reached=False)
+    return state_of(address, figures)
+
+
+@click.command()
+@click.argument("addresses", nargs=-1, required=True)
+@json_option
+def fleet(addresses: tuple[str, ...], as_json: bool) -> None:
+    """Show the state of entry VMs on the users' platform.
+
+    ADDRESSES are the metrics addresses of all of them, IP:port.
+    """
+    states = asyncio.run(read_states(addresses))
+    show([asdict(one) for one in states] if as_json else states, as_json, states_text)
+    if not any(one.reached for one in states):
+        fail("no VM answers")
