Take from answers that begin what their engines have read

Reading times learnt too long during the fault made every engine seem busy, and they are learnt from idle engines only.

Change: a long prompt whose answer begins proves that all before it has been read.

--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -38,6 +38,24 @@
         self.assertAlmostEqual(table.reading(B, work, 1.0, False), whole)
         self.assertAlmostEqual(table.reading(A, work, 60.0, False), whole)
 
+    def test_a_beginning_answer_proves_what_has_been_read(self):
+        table = WorkTable()
+        table.add(A, 5.0, "", 0.0)
+        second = table.add(A, 1.0, "", 0.0)
+        table.add(A, 0.5, "", 0.1)
+        # Far sooner than was thought: only what came behind it is left.
+        table.has_read(A, second, 0.2)
+        self.assertAlmostEqual(table.wait(A, 0.2), 0.5)
+        table.has_read(A, second, 0.4)
+        self.assertAlmostEqual(table.wait(A, 0.4), 0.3)
+
+    def test_a_late_answer_takes_nothing_away(self):
+        table = WorkTable()
+        first = table.add(A, 1.0, "", 0.0)
+        table.add(A, 2.0, "", 0.0)
+        table.has_read(A, first, 2.5)
+        self.assertAlmostEqual(table.wait(A, 2.5), 0.5)
+
     def test_gone_engines_are_forgotten(self):
         table = WorkTable()
         table.add(A, 5.0, "", 0.0)
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -44,6 +44,10 @@
 PROBE_SECONDS = 0.3
 # Weight of a new reading of the pressure: some ten requests are looked back on.
 PRESSURE_WEIGHT = 0.1
+# Engines read shorter prompts before longer ones, so only a long one that has been
+# read proves that nothing before it is left.  The lengths at which its rank changes
+# stand in ``state/sizing.py``.
+LAST_READ_TOKENS = 4_000
 # What each running request delays the others by: steps take longer with more.
 RUNNING_SECONDS = 0.002
 
@@ -55,11 +59,13 @@
     :param work: the prompt.
     :param wait: the seconds of reading that were known to be before it.
     :param cached: whether its beginning was thought to be cached there.
+    :param mark: its place among all that the engine was given to read.
     """
 
     work: PromptWork
     wait: float
     cached: bool
+    mark: float
 
 
 class RoutedPlaces:
@@ -195,8 +201,8 @@
         wait = self.work.wait(grant.name, now)
         seconds = self.work.reading(grant.name, work, now, False)
         cached = self.work.has(grant.name, work.beginning, now)
-        self.reading[id(grant)] = ReadingNote(work, wait, cached)
-        self.work.add(grant.name, seconds, work.beginning, now)
+        mark = self.work.add(grant.name, seconds, work.beginning, now)
+        self.reading[id(grant)] = ReadingNote(work, wait, cached, mark)
         for listener in self.listeners:
             listener(grant.name, seconds, work.beginning)
         return grant
@@ -241,7 +247,11 @@
         :param seconds: since it was sent there.
         """
         note = self.reading.pop(id(grant), None)
-        if note is not None and note.wait <= 0 and not note.cached:
+        if note is None:
+            return
+        if note.work.tokens >= LAST_READ_TOKENS:
+            self.work.has_read(EndpointName(grant.name), note.mark, monotonic())
+        if note.wait <= 0 and not note.cached:
             self.work.learn(note.work.model, note.work.tokens, seconds)
 
     def _for_prompt(
--- a/walnutquay/state/work.py
+++ b/walnutquay/state/work.py
@@ -64,6 +64,8 @@
     def __init__(self) -> None:
         # When each engine will have read all that is known to be before it.
         self.busy_until: dict[EndpointName, float] = {}
+        # All reading that each engine was ever given; seconds.
+        self.given: dict[EndpointName, float] = {}
         # Seconds a token, by model.
         self.rates: dict[str, float] = {}
         # When each engine was last sent each beginning.
@@ -134,23 +136,40 @@
 
     def add(
         self, name: EndpointName, seconds: float, beginning: str, now: float
-    ) -> None:
+    ) -> float:
         """Note that an engine was sent a prompt.
 
         :param name: the engine.
         :param seconds: how long it will take to read it.
         :param beginning: what it has cached from then on; empty for nothing.
         :param now: monotonic seconds.
+        :returns: a mark for :meth:`has_read`.
         """
         self.busy_until[name] = now + self.wait(name, now) + seconds
+        mark = self.given[name] = self.given.get(name, 0.0) + seconds
         if beginning:
             times = self.sent.touch((name, beginning))
             times[:] = [now]
+        return mark
+
+    def has_read(self, name: EndpointName, mark: float, now: float) -> None:
+        """Note that an engine has read a prompt, and so all that was before it.
+
+        Without it a reading time that was learnt too long would never be put right:
+        every engine would seem busy, and times are learnt from idle ones only.
+
+        :param name: the engine.
+        :param mark: what :meth:`add` gave for the prompt.
+        :param now: monotonic seconds.
+        """
+        behind = max(0.0, self.given.get(name, 0.0) - mark)
+        self.busy_until[name] = min(self.busy_until.get(name, now), now + behind)
 
     def forget_except(self, names: set[EndpointName]) -> None:
         """:param names: the engines that there are."""
         for name in [name for name in self.busy_until if name not in names]:
             del self.busy_until[name]
+            self.given.pop(name, None)
 
 
 def preferred_of(names: list[EndpointName], beginning: str) -> EndpointName | None:
