Condemn a version by the share of sluggish answers, not by a few slow ones of a route

Change: answers of over 1.5 times the usual time are counted too. The version is bad from a share of 0.3 that is 2.5 deviations above the usual one; slow answers condemn by their total only.

--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -39,6 +39,21 @@
     return found
 
 
+def slow_answers(good: int, bad: int, *endpoints: str) -> TrialTally:
+    """:returns: counts of answers that were in time or far too slow."""
+    found = TrialTally()
+    counts = TrialCounts(good, bad, frozenset(map(EndpointName, endpoints)))
+    found.by_subject[Measure.SLOW, RouteName("r")] = counts
+    return found
+
+
+def sluggish_answers(good: int, bad: int) -> TrialTally:
+    """:returns: counts of answers that were as usual or somewhat slower."""
+    found = TrialTally()
+    found.by_subject[Measure.SLUGGISH, RouteName("r")] = TrialCounts(good, bad)
+    return found
+
+
 class VerdictTest(unittest.TestCase):
     """What the counts of all VMs say."""
 
@@ -97,6 +112,41 @@
         found.own = answers(9, 9, "a")
         self.assertIs(found.verdict(), Verdict.BAD)
 
+    def test_slow_answers_of_one_route_alone_are_no_slow_version(self):
+        found = trial()
+        found.own = slow_answers(9, 6, "a", "b")
+        self.assertIs(found.verdict(), Verdict.BAD)
+        found.own.by_subject[Measure.SLOW, RouteName("r2")] = TrialCounts(40)
+        self.assertIs(found.verdict(), Verdict.UNSURE)
+
+    def test_a_version_that_is_slow_in_part(self):
+        # sluggish answers of the new version, and of the old one, of how many
+        for bad, seen, old_bad, old_seen in (
+            (8, 21, 35, 233),
+            (18, 48, 6, 36),
+            (10, 20, 3, 45),
+        ):
+            with self.subTest(bad=bad, seen=seen):
+                found = trial()
+                found.own = sluggish_answers(seen - bad, bad)
+                found.old = sluggish_answers(old_seen - old_bad, old_bad)
+                self.assertIs(found.verdict(), Verdict.BAD)
+
+    def test_chance_and_busy_times_make_no_version_slow_in_part(self):
+        for bad, seen, old_bad, old_seen in (
+            (0, 11, 18, 268),
+            (3, 48, 45, 638),
+            (6, 21, 30, 268),
+            (8, 21, 90, 268),
+            (18, 143, 15, 124),
+            (5, 10, 0, 100),
+        ):
+            with self.subTest(bad=bad, seen=seen):
+                found = trial()
+                found.own = sluggish_answers(seen - bad, bad)
+                found.old = sluggish_answers(old_seen - old_bad, old_bad)
+                self.assertIs(found.verdict(), Verdict.UNSURE)
+
     def test_no_worse_than_the_old_one(self):
         found = trial()
         found.old = answers(85, 15, "x", "y")
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -46,6 +46,8 @@
 # An answer that takes so many times as long as the old version's is a bad one.
 # The platform's slow versions take eight times as long.
 SLOW_FACTOR = 5.0
+# One that takes so many times as long is sluggish.
+SLUGGISH_FACTOR = 1.5
 # The same for the pauses between events, which vary less than the wait for the first.
 SLOW_PAUSE_FACTOR = 2.5
 # A session whose last request has ended may be that much over its time here.
@@ -259,7 +261,7 @@
         :param seconds: until the answer's head.
         """
         self._note(turn, grant)
-        slow = self._is_slow("head", turn, grant, seconds)
+        slow = self._count_head(turn, grant, seconds)
         self._count(turn, grant, Measure.SLOW, slow)
         self._count(turn, grant, Measure.FAILED, False)
 
@@ -273,25 +275,32 @@
         :param seconds: until the answer's head.
         :param pause: the mean time between its first events.
         """
-        late = self._is_slow("head", turn, grant, seconds)
-        slow = self._is_slow("pause", turn, grant, pause, SLOW_PAUSE_FACTOR)
+        late = self._count_head(turn, grant, seconds)
+        slow = self._ratio("pause", turn, grant, pause) > SLOW_PAUSE_FACTOR
         self._count(turn, grant, Measure.SLOW, late or slow)
         self._count(turn, grant, Measure.FAILED, False)
 
-    def _is_slow(
-        self,
-        measure: str,
-        turn: RoutedTurn,
-        grant: Grant,
-        seconds: float,
-        factor: float = SLOW_FACTOR,
-    ) -> bool:
-        """Compare a time with the old version's, which are learnt."""
+    def _count_head(self, turn: RoutedTurn, grant: Grant, seconds: float) -> bool:
+        """Judge the time until an answer's head.
+
+        :returns: whether it was slow.
+        """
+        ratio = self._ratio("head", turn, grant, seconds)
+        self._count(turn, grant, Measure.SLUGGISH, ratio > SLUGGISH_FACTOR)
+        return ratio > SLOW_FACTOR
+
+    def _ratio(
+        self, measure: str, turn: RoutedTurn, grant: Grant, seconds: float
+    ) -> float:
+        """Compare a time with the old version's, which are learnt.
+
+        :returns: how many times as long it is; 0 where nothing is known yet.
+        """
         kind = f"{measure}/{turn.service}/{turn.arrival.route.name}/{turn.model}"
         ratio = self.pace.ratio(kind, seconds)
         if self._trial_of(grant) is None:
             self.pace.learn(kind, seconds)
-        return ratio is not None and ratio > factor
+        return ratio or 0.0
 
     def ended(self, turn: RoutedTurn, grant: Grant) -> None:
         """:param turn: a stream that has ended and was judged before.
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -30,8 +31,6 @@
 DONE_AT = 0.84
 # A version of which so little is known by then is taken for what it seems.
 UNSURE_UNTIL = 0.7
-# Bad answers that condemn a version, if they are a large share of all.
-MIN_BAD = 3
 # One endpoint may be ill by itself: so many are needed where only it fails.
 MIN_BAD_OF_ONE = 8
 # Bad answers that keep a version in doubt.
@@ -47,9 +46,25 @@
     """What answers are judged by."""
 
     FAILED = "failed"
+    # Many times as long as usual.
     SLOW = "slow"
+    # Somewhat longer than usual, as some answers of any version are.
+    SLUGGISH = "sluggish"
 
 
+# What a version has to have little of to be trusted.
+TRUSTED_BY = (Measure.FAILED, Measure.SLOW)
+
+# Bad answers that condemn a version, if they are a large share of all.
+MIN_BAD = 3
+# The share of sluggish answers that any version has: 0.13 to 0.17 on played calm days;
+# versions that are slow in part had 0.38 and 0.42.
+USUAL_SLUGGISH_SHARE = 0.15
+# Answers from which on the share is judged, the least share that condemns, and by how
+# many standard deviations it has to be above the usual one.
+MIN_SEEN = 12
+MIN_SLUGGISH_SHARE = 0.3
+SLUGGISH_DEVIATIONS = 2.5
 # The share of bad answers that condemns a version.  Times vary by themselves.
 BAD_SHARE = {Measure.FAILED: 0.15, Measure.SLOW: 0.25}
 # The share that a version which is trusted may have beyond the old one's.
@@ -220,24 +235,37 @@
         if self.braked:
             return Verdict.BAD
         tally = self.tally()
-        if any(self._condemned(tally, measure) for measure in Measure):
+        if self._fails(tally) or self._is_slow(tally):
             return Verdict.BAD
         if self.trusted:
             return Verdict.GOOD
-        trusted = all(self._harmless(tally, measure) for measure in Measure)
+        trusted = all(self._harmless(tally, measure) for measure in TRUSTED_BY)
         enough = tally.total(Measure.FAILED).good >= MIN_GOOD
         return Verdict.GOOD if trusted and enough else Verdict.UNSURE
 
-    def _condemned(self, tally: TrialTally, measure: Measure) -> bool:
-        """Whether the bad answers are too many, on all routes or on one."""
-        if condemned(measure, tally.total(measure), self.old.total(measure)):
+    def _fails(self, tally: TrialTally) -> bool:
+        """Whether too many answers fail, on all routes or on one."""
+        failed = Measure.FAILED
+        if condemned(failed, tally.total(failed), self.old.total(failed)):
             return True
         return any(
-            condemned(measure, counts, self.old.of(subject))
+            condemned(failed, counts, self.old.of(subject))
             for subject, counts in tally.by_subject.items()
-            if subject[0] is measure
+            if subject[0] is failed
         )
 
+    def _is_slow(self, tally: TrialTally) -> bool:
+        """Whether too many answers are slow, or more are sluggish than usual.
+
+        Of one route alone a few are slow by chance, as engines have little cached
+        when a version is new: on played calm days that took good versions back.
+        """
+        slow = Measure.SLOW
+        if condemned(slow, tally.total(slow), self.old.total(slow)):
+            return True
+        sluggish = Measure.SLUGGISH
+        return is_sluggish(tally.total(sluggish), self.old.total(sluggish))
+
     def _harmless(self, tally: TrialTally, measure: Measure) -> bool:
         """Whether there are hardly more bad answers than the old version gives."""
         usual = BASE_FACTOR * self.old.total(measure).bad_share
@@ -277,7 +305,7 @@
         if verdict is Verdict.BAD:
             return True
         late = self.progress(now) >= UNSURE_UNTIL
-        bad = sum(self.tally().total(measure).bad for measure in Measure)
+        bad = sum(self.tally().total(measure).bad for measure in TRUSTED_BY)
         doubtful = bad >= DOUBTFUL_BAD
         return late and verdict is Verdict.UNSURE and doubtful
 
@@ -330,6 +358,20 @@
     return counts.bad >= needed and counts.bad_share >= limit
 
 
+def is_sluggish(counts: TrialCounts, old: TrialCounts) -> bool:
+    """Judge whether more answers are sluggish than chance makes.
+
+    :param counts: the new version's.
+    :param old: the old version's, as this VM has seen them.
+    """
+    seen = counts.good + counts.bad
+    usual = max(USUAL_SLUGGISH_SHARE, old.bad_share)
+    if seen < MIN_SEEN or counts.bad_share < MIN_SLUGGISH_SHARE:
+        return False
+    deviation = math.sqrt(usual * (1.0 - usual) / seen)
+    return counts.bad_share - usual >= SLUGGISH_DEVIATIONS * deviation
+
+
 def falls_to_new(session: str, version: str, share: float) -> bool:
     """Decide for a session; all VMs decide alike, and a larger share keeps its own.
 
