Relay the store's changes in small fleets too, by one VM of each data hall

Change: from four VMs on one VM of each data hall watches (two from 13 on); the others ask it, and after 0.9 s without an answer another hall's.

--- a/walnutquay/coordination/relaying.py
+++ b/walnutquay/coordination/relaying.py
@@ -33,17 +33,17 @@
 
 log = logbook.Logger(__name__)
 
-# Up to so many VMs each watches the store itself: on the users' sites of 7 VMs that
-# is a price of some 0.01 a day.
-SMALL_FLEET = 12
-# VMs of each data hall that watch the store: one may be lost or frozen.
-WATCHERS = 2
+# Up to so many VMs each watches the store itself.
+SMALL_FLEET = 3
+# VMs of each data hall that watch the store, in fleets up to a size: where there are
+# many VMs, one may be lost or frozen without the others asking another hall's.
+WATCHERS_BY_SIZE = ((12, 1), (math.inf, 2))
 # Watchers of other data halls that are asked where the own ones have no answer.
 FAR_WATCHERS = 1
 # How long a watcher waits for a change before it answers that there is none.
-POLL_SECONDS = 1.0
-# A watcher answers so much later at the most; else another is asked, so that a change
-# is known well within the two seconds that the platform allows at the least.
+POLL_SECONDS = 0.5
+# A watcher answers so much later at the most; else another is asked: also where two in
+# a row are frozen a change is known within the two seconds that the platform allows.
 ANSWER_SECONDS = 0.4
 # A VM that did not answer is left out of the choice of watchers for so long.
 SILENT_SECONDS = 3.0
@@ -86,7 +86,13 @@
         """:returns: whether this VM is to watch the store itself."""
         if self.circle.size <= SMALL_FLEET:
             return True
-        return self.context.vm in self._of(self.context.hall)[:WATCHERS]
+        return self.context.vm in self._watching(self.context.hall)
+
+    def _watching(self, hall: HallName) -> list[VmName]:
+        """:returns: the VMs of a data hall that are to watch the store."""
+        size = self.circle.size
+        count = next(count for most, count in WATCHERS_BY_SIZE if size <= most)
+        return self._of(hall)[:count]
 
     def _of(self, hall: HallName) -> list[VmName]:
         """Rank the VMs of a data hall for the duty."""
@@ -102,7 +108,7 @@
 
     def _asked(self) -> list[VmName]:
         """Give whom to ask, the nearest first."""
-        near = self._of(self.context.hall)[:WATCHERS]
+        near = self._watching(self.context.hall)
         halls = {place.hall for place in self.circle.known.values()}
         others = sorted(halls - {self.context.hall})
         far = [vm for hall in others for vm in self._of(hall)[:1]]
