--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -7,9 +7,8 @@
 from walnutquay.state.catalogue import Route
 from walnutquay.state.prompts import Prompt
 
-# An answer whose model thinks less of it, of 100, is asked of the largest model.
-# An answer whose model thinks so much of it is kept.  On ten played days the mean worth
-# was 0.686 with 55, 0.694 with 48 (both with a full pressure of 2.5 s), 0.700 with 50.
+# An answer whose model thinks less of it, of 100, is asked of the largest model.  On ten
+# played days the mean worth was 0.686 with 55, 0.694 with 48 (both with a full pressure of 2.5 s), 0.700 with 50.
 ENOUGH_CONFIDENCE = 50.0
 
 # So much reading before every engine is usual on a calm day.
@@ -18,6 +17,7 @@
 # model any more; the others give way at a half and a third of it.  On the same days
 # 0.669 with 5 s, 0.686 with 2.5 s, 0.691 with 1.5 s (with 55 above).
 FULL_PRESSURE_SECONDS = 2.0
+
 # Prompts up to so many tokens go before longer ones at an endpoint, by rank.
 URGENCY_STEPS = ((1_000, 3), (4_000, 4), (12_000, 5), (24_000, 6))
 LEAST_URGENT = 7
