Mutations for the new mechanisms; a test that each listed mechanism is still there

One of the four passed all the same at first (entries that lapse with the store are doubted by followers): a follower's own poll told it of the return as well. Its proof is now a test of the relayed answer alone.

--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -263,9 +263,47 @@
         "in_time = self.held_until > 0",
         "tests.test_leases.InterleavingTest",
     ),
+    Mutation(
+        "leases: a renewal is seen though the platform keeps versions of what stays",
+        "coordination/leases.py",
+        "writes=self.value.writes + 1",
+        "writes=0",
+        "tests.test_leases.InterleavingTest",
+    ),
+    Mutation(
+        "relays: entries that lapse with the store are doubted by all",
+        "coordination/relaying.py",
+        "            self.on_returned(answer.returned)",
+        "            pass",
+        "tests.test_relaying.ReturnedStoreTest",
+    ),
+    Mutation(
+        "relays: a VM that hears from others only is no source",
+        "coordination/relaying.py",
+        "if answer is None or not answer.direct:",
+        "if answer is None:",
+        "tests.test_relaying.WatchersTest."
+        "test_one_that_hears_from_others_only_is_no_source",
+    ),
+    Mutation(
+        "roll-outs: versions that are slow in part are found",
+        "state/trials.py",
+        "counts.bad_share < MIN_SLUGGISH_SHARE",
+        "True",
+        "tests.test_trials.VerdictTest.test_a_version_that_is_slow_in_part",
+    ),
 ]
 
 
+def is_there(mutation: Mutation) -> bool:
+    """:param mutation: what to take out.
+
+    :returns: whether its text stands in the sources, once.
+    """
+    text = (ROOT / "walnutquay" / mutation.file).read_text(encoding="utf-8")
+    return text.count(mutation.old) == 1
+
+
 def fails(mutation: Mutation) -> bool:
     """Run a mutation's test on a copy of the tree.
 
--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,25 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The list of mechanisms to take out still fits the sources."""
+
+from __future__ import annotations
+
+import unittest
+
+from lab.mutations import MUTATIONS, is_there
+
+
+class MutationsTest(unittest.TestCase):
+    """Whoever moves a mechanism moves its entry, too."""
+
+    def test_each_mechanism_is_found_once(self):
+        for mutation in MUTATIONS:
+            with self.subTest(mutation.guarantee):
+                self.assertTrue(is_there(mutation), mutation.old)
+
+    def test_each_proof_is_found(self):
+        for mutation in MUTATIONS:
+            with self.subTest(mutation.guarantee):
+                found = unittest.defaultTestLoader.loadTestsFromName(mutation.test)
+                self.assertGreater(found.countTestCases(), 0)
+                self.assertNotIn("_FailedTest", str(found))
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 from types import SimpleNamespace
@@ -11,7 +12,7 @@
 
 from tests.gatewaycase import GatewayCase, catalogue
 from walnutquay.coordination import relaying
-from walnutquay.coordination.relaying import SMALL_FLEET, Watchers
+from walnutquay.coordination.relaying import SMALL_FLEET, RelayedFeed, Watchers
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.exceptions import HistoryGoneError, PeerError
 from walnutquay.platform.feeds import KEPT_BATCHES, Batch, Feed
@@ -150,6 +151,35 @@
         source.export_changes(2)
 
 
+class ReturnedStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Deletions right after the store's return are doubted before they are taken."""
+
+    async def test_the_return_is_told_before_the_changes(self):
+        told: list[str] = []
+
+        class DirectFeed:
+            kind = "servers"
+
+            def read_changes(self, data: bytes) -> None:
+                told.append(f"changes {data.decode()}")
+
+        class OneWatcher:
+            def includes_this(self) -> bool:
+                return False
+
+            async def ask(self, kind, revision, seconds) -> ChangesAre:
+                return ChangesAre(b"gone", returned=returned)
+
+        feed = RelayedFeed(
+            DirectFeed(), OneWatcher(), lambda ago: told.append(f"back for {ago}")
+        )
+        returned = 0.5
+        await feed.watch(3, 1.0)
+        returned = math.inf
+        await feed.watch(3, 1.0)
+        self.assertEqual(told, ["back for 0.5", "changes gone", "changes gone"])
+
+
 class RelayedFeedTest(GatewayCase):
     """Three VMs of one data hall, of which one watches."""
 
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -7,8 +7,9 @@
 from walnutquay.state.catalogue import Route
 from walnutquay.state.prompts import Prompt
 
-# An answer whose model thinks less of it, of 100, is asked of the largest model.  On ten
-# played days the mean worth was 0.686 with 55, 0.694 with 48 (both with a full pressure of 2.5 s), 0.700 with 50.
+# An answer whose model thinks less of it, of 100, is asked of the largest model.  On
+# ten played days the mean worth was 0.686 with 55 and 0.694 with 48, both with a full
+# pressure of 2.5 s, and 0.700 with 50 and what stands below.
 ENOUGH_CONFIDENCE = 50.0
 
 # So much reading before every engine is usual on a calm day.
