Doubt deletions only where no watcher of the store has answered meanwhile

The VM itself could reach the store, but the watcher of its hall and one other could not. Both said that the store did not serve them; then the third one answered. The VM took that for the store's return and doubted the deletion for 1.9 s, as if entries had lapsed with the store.

Ruled out: a late watch of the third watcher (it had the deletion after 5 ms), and lost datagrams (none are used here).

Change: a VM that hears of changes from watchers takes the store to have returned only where all of them had lost it, and only as a watcher says so itself; where the first ones answer that they lost it, the watchers of all halls are asked. Tests failed before: where only its watcher was cut off a deletion counts; the only one that the store serves is found.

--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -111,6 +111,21 @@
         self.assertFalse(answer.failing)
         self.assertEqual(len(node.asked), WATCHERS + 1)
 
+    async def test_the_only_one_that_the_store_serves_is_found(self):
+        found, _, known = self.follower()
+        node = found.circle.node
+        for served in ("h2", "h3"):
+            for vm, place in known.items():
+                lacks = not vm.startswith(served)
+                node.answers[place.address] = ChangesAre(failing=lacks)
+            answer = await found.ask("servers", 1, 0.0)
+            self.assertFalse(answer.failing, served)
+
+    async def test_after_silence_not_all_halls_are_waited_for(self):
+        found, near, _ = self.follower()
+        self.assertIsNone(await found.ask("servers", 1, 0.0))
+        self.assertEqual(len(found.circle.node.asked), len(near) + 1)
+
     async def test_one_that_hears_from_others_only_is_no_source(self):
         found, _, known = self.follower()
         for place in known.values():
@@ -239,6 +254,30 @@
         await self.until(lambda: "p1" in book.overdue)
         self.assertIn("p1", book.known)
 
+    async def test_where_only_its_watcher_was_cut_off_a_deletion_counts(self):
+        source = self.follower.knowledge.instance_follower.feed.watchers
+        answered = source.ask
+        cut = True
+
+        async def ask(kind, revision, seconds):
+            if cut:
+                return ChangesAre(failing=True)
+            return await answered(kind, revision, seconds)
+
+        source.ask = ask
+        knowledge = self.follower.knowledge
+        await self.until(
+            lambda: knowledge.instance_follower.failing_since is not None
+        )
+        await self.store.remove("servers", "p1")
+        cut = False
+        await self.until(lambda: knowledge.instance_follower.failing_since is None)
+        await self.until(
+            lambda: "p1" not in knowledge.instances.book.known
+            or "p1" in knowledge.instances.book.overdue
+        )
+        self.assertNotIn("p1", knowledge.instances.book.known)
+
     async def test_a_watcher_that_knows_too_little_sends_the_whole_list(self):
         for gateway in self.gateways:
             for follower in gateway.knowledge.followers():
--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -43,6 +43,8 @@
     """Lists and watches one kind of object."""
 
     kind: str
+    # Whether what it told last came from the store itself, not from another VM.
+    watching: bool
 
     async def list(self) -> Listing[Item]:
         """:returns: all objects."""
@@ -83,7 +85,7 @@
     :param sink: takes in what is learnt.
     :param seconds: how long one watch waits for a change.
     :param gap: seconds from the beginning of one call to that of the next at the least.
-    :param on_return: called when the store answers again after it did not.
+    :param on_return: called when the store itself answers again after it did not.
     :param ask_peers: asks the other VMs for newer knowledge of a kind.
     """
 
@@ -222,7 +224,8 @@
         self.context.timeline.emit(
             EventKind.PLATFORM_UP, detail=f"{self.feed.kind} after {seconds:.1f} s"
         )
-        self.on_return()
+        if self.feed.watching:
+            self.on_return()
         self._wake()
 
     def _failed(self, error: PlatformError) -> None:
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -284,6 +284,18 @@
         self.returned_at = monotonic()
         self.instances.doubt_deletions()
 
+    def watcher_returned(self, ago: float) -> None:
+        """Take in that the store has returned to the VM that watches it for this one.
+
+        If another watcher has answered meanwhile, only that VM was cut off: nothing
+        lapsed, and a deletion that is doubted then is served up to 0.4 s longer than
+        leaving endpoints may be.
+
+        :param ago: seconds since.
+        """
+        if self.instance_follower.failing_since is not None:
+            self.instances.doubt_deletions(ago)
+
     def stop(self) -> None:
         """Follow no more; what is known stays."""
         self.tasks.stop()
--- a/walnutquay/coordination/relaying.py
+++ b/walnutquay/coordination/relaying.py
@@ -38,7 +38,8 @@
 # VMs of each data hall that watch the store, in fleets up to a size: where there are
 # many VMs, one may be lost or frozen without the others asking another hall's.
 WATCHERS_BY_SIZE = ((12, 1), (math.inf, 2))
-# Watchers of other data halls that are asked where the own ones have no answer.
+# Watchers of other data halls that are asked where the own ones do not answer; those
+# of all halls are where each one answers that the store does not serve it.
 FAR_WATCHERS = 1
 # How long a watcher waits for a change before it answers that there is none.
 POLL_SECONDS = 0.5
@@ -106,15 +107,14 @@
             names.append(self.context.vm)
         return [VmName(name) for name in rendezvous(DUTY, names)]
 
-    def _asked(self) -> list[VmName]:
-        """Give whom to ask, the nearest first."""
+    def _asked(self) -> tuple[list[VmName], list[VmName]]:
+        """Give whom to ask: in this data hall, and in the others."""
         near = self._watching(self.context.hall)
         halls = {place.hall for place in self.circle.known.values()}
         others = sorted(halls - {self.context.hall})
         far = [vm for hall in others for vm in self._of(hall)[:1]]
         self.context.rng.shuffle(far)
-        found = [vm for vm in near if vm != self.context.vm]
-        return found + far[:FAR_WATCHERS]
+        return [vm for vm in near if vm != self.context.vm], far
 
     async def ask(self, kind: str, revision: int, seconds: float) -> ChangesAre | None:
         """Wait for changes at a watcher that has them from the store.
@@ -125,11 +125,16 @@
         :returns: its answer; one that failed only if all do; None if none answers.
         """
         failing = None
-        for vm in self._asked():
+        silent = False
+        near, far = self._asked()
+        for number, vm in enumerate(near + far):
+            if silent and number >= len(near) + FAR_WATCHERS:
+                break
             # Whether the others have an answer from the store is told at once.
             wait = seconds if failing is None else 0.0
             answer = await self._ask_one(vm, AskChanges(kind, revision, wait))
             if answer is None or not answer.direct:
+                silent = silent or answer is None
                 continue
             if not answer.failing:
                 return answer
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -150,7 +150,7 @@
             RelayedFeed(
                 instance_feed(self.store),
                 watchers,
-                lambda ago: self.knowledge.instances.doubt_deletions(ago),
+                lambda ago: self.knowledge.watcher_returned(ago),
             ),
             RelayedFeed(order_feed(self.store), watchers),
             self._ask_peers,
