Replace peers' connections that fell silent; tests for silence, leaving callers, readiness

Connections may go silent for good without a reset while new ones work. Cause found by reading: a call between VMs that got no answer ended by its time limit, but its stream stayed in use, so every later call to that VM failed too; these sockets had no keep-alive either. tests.test_peers' test_a_stream_that_fell_silent_is_replaced failed before. Now a stream by which nothing came during a call that ran out of time is replaced, and both ends have the limits of silence that HTTP connections have.

The other points had no test: store and endpoint connections that fall silent (their clients close what ran out of time), plain calls whose callers leave, readiness with an open port.

--- a/standins/link.py
+++ b/standins/link.py
@@ -4,7 +4,8 @@
 
 It forwards TCP and UDP from one port to another address.  Cut, it drops
 datagrams, ends open streams and takes none; the VM list of one data hall names
-the forwarders in place of the other halls' VMs.
+the forwarders in place of the other halls' VMs.  Its open streams can also fall
+silent for good, without an end, while new ones work.
 """
 
 from __future__ import annotations
@@ -32,6 +33,8 @@
         self.loss = 0.0
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
+        # Streams that carry nothing any more, by the writers of their two ends.
+        self.silenced: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen at a free port of the loopback."""
@@ -66,6 +69,10 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let the streams that are open carry nothing any more, and not end."""
+        self.silenced |= self.writers
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """:param data: a datagram.
 
@@ -94,6 +101,9 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
+                if writer in self.silenced:
+                    continue
                 writer.write(data)
                 await writer.drain()
-        writer.close()
+        if writer not in self.silenced:
+            writer.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,6 +13,7 @@
 
 import uvloop  # noqa: E402
 
+from standins.link import Link  # noqa: E402
 from walnutquay.exceptions import MessageError, PeerError  # noqa: E402
 from walnutquay.protocol import messages as m  # noqa: E402
 from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
@@ -139,6 +140,45 @@
 
         self.run_between(use)
 
+    def test_a_stream_that_fell_silent_is_replaced(self):
+        async def use(node: PeerNode, address: Address, other: PeerNode) -> None:
+            link = Link((HOST, other.port))
+            await link.start()
+            through = Address(HOST, link.port)
+            await node.call(through, m.AskPart("x"), 5.0)
+            link.silence()
+            with self.assertRaises(PeerError):
+                await node.call(through, m.AskPart("y"), 0.2)
+            got = await node.call(through, m.AskPart("z"), 5.0)
+            self.assertEqual(got, m.PartIs(b"z"))
+            link.stop()
+
+        self.run_between(use)
+
+    def test_a_stream_that_only_one_call_was_late_on_is_kept(self):
+        async def use(node: PeerNode, address: Address, other: PeerNode) -> None:
+            held = asyncio.Event()
+            answers = other.handler
+
+            async def hold(envelope: m.Envelope) -> m.Message | None:
+                if envelope.body == m.AskPart("held"):
+                    await held.wait()
+                return await answers(envelope)
+
+            other.handler = hold
+            await node.call(address, m.AskPart("x"), 5.0)
+            before = node.connections[address]
+            late = asyncio.ensure_future(node.call(address, m.AskPart("held"), 0.3))
+            while not late.done():
+                await node.call(address, m.AskPart("y"), 5.0)
+                await asyncio.sleep(0.01)
+            with self.assertRaises(PeerError):
+                await late
+            self.assertIs(node.connections[address], before)
+            held.set()
+
+        self.run_between(use)
+
     def test_a_peer_that_is_gone(self):
         async def use(node: PeerNode, address: Address, other: PeerNode) -> None:
             await node.call(address, m.AskPart("x"), 5.0)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -266,15 +266,15 @@
 
         source.ask = ask
         knowledge = self.follower.knowledge
-        await self.until(
-            lambda: knowledge.instance_follower.failing_since is not None
-        )
+        await self.until(lambda: knowledge.instance_follower.failing_since is not None)
         await self.store.remove("servers", "p1")
         cut = False
         await self.until(lambda: knowledge.instance_follower.failing_since is None)
         await self.until(
-            lambda: "p1" not in knowledge.instances.book.known
-            or "p1" in knowledge.instances.book.overdue
+            lambda: (
+                "p1" not in knowledge.instances.book.known
+                or "p1" in knowledge.instances.book.overdue
+            )
         )
         self.assertNotIn("p1", knowledge.instances.book.known)
 
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from standins.link import Link
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, catalogue
 
@@ -230,6 +231,92 @@
         self.assertEqual(self.runs("p1", "p2"), 1)
 
 
+class SilentConnectionTest(GatewayCase):
+    """Kept connections to an endpoint that fall silent while new ones work."""
+
+    workers = {"e1": "engine"}
+
+    async def test_a_safe_call_is_answered_all_the_same(self):
+        worker = await self.add_worker("p1", "plain")
+        host, _, port = worker.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        self.addCleanup(link.stop)
+        through = {**worker.spec("plain"), "address": f"{host}:{link.port}"}
+        await self.store.put("servers", "p1", through)
+        book = self.gateway.knowledge.instances.book
+        await self.until(
+            lambda: "p1" in book.known and str(link.port) in book.known["p1"].address
+        )
+        self.assertEqual((await self.call("/safe/x")).status, 200)
+        link.silence()
+        first = await self.call("/safe/x")
+        second = await self.call("/safe/x")
+        self.assertIn(200, (first.status, second.status))
+        self.assertEqual((await self.call("/unsafe/x", b"b")).status, 200)
+
+
+class LeavingCallerTest(GatewayCase):
+    """Endpoints stop working on what nobody waits for any more."""
+
+    async def test_plain_calls(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(mute=True)
+        port = self.gateway.api.server.port
+        for path in ("/safe/x", "/unsafe/x"):
+            with self.subTest(path=path):
+                before = self.runs("p1", "p2")
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                head = [f"GET {path} HTTP/1.1"]
+                head += [f"{name}: {value}" for name, value in self.head().items()]
+                writer.write("\r\n".join([*head, "", ""]).encode())
+                await self.until(lambda: self.runs("p1", "p2") > before)  # noqa: B023
+                writer.close()
+                runs = self.endpoints["p1"].runs + self.endpoints["p2"].runs
+                await self.until(lambda: all(run.left for run in runs))  # noqa: B023
+
+    async def test_one_that_waits_for_a_second_endpoint(self):
+        # The first endpoint fails as the caller leaves; no other may be asked then.
+        self.endpoints["p1"].default = Behaviour(mute=True)
+        self.endpoints["p2"].default = Behaviour(mute=True)
+        call = asyncio.ensure_future(self.call("/safe/x"))
+        await self.until(lambda: self.runs("p1", "p2") == 1)
+        call.cancel()
+        runs = self.endpoints["p1"].runs + self.endpoints["p2"].runs
+        await self.until(lambda: all(run.left for run in runs))
+        self.assertEqual(self.runs("p1", "p2"), 1)
+        await self.until(lambda: not self.gateway.path.in_flight)
+
+
+class ReadinessTest(GatewayCase):
+    """A VM that says it is ready takes connections at once."""
+
+    configured = False
+
+    async def test_the_first_ready_answer(self):
+        await self.store.put("config", "main", catalogue())
+        port = self.gateway.api.ready_server.port
+        url = f"http://127.0.0.1:{port}/v1/ready"
+        status = 0
+        async with asyncio.timeout(10):
+            while status != 200:
+                async with self.session.get(url) as ready:
+                    status = ready.status
+        answers = await asyncio.gather(*(self.call("/safe/x") for _ in range(8)))
+        self.assertEqual({answer.status for answer in answers}, {200})
+
+    async def test_not_ready_before_the_listener_closes(self):
+        await self.store.put("config", "main", catalogue())
+        await self.until(lambda: self.gateway.knowledge.ready)
+        port = self.gateway.api.ready_server.port
+        stopping = asyncio.ensure_future(self.gateway.drain())
+        await asyncio.sleep(0)
+        url = f"http://127.0.0.1:{port}/v1/ready"
+        async with self.session.get(url) as ready:
+            self.assertEqual(ready.status, 503)
+        await stopping
+
+
 class TimeTest(GatewayCase):
     """A request whose time is over is answered then."""
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -7,6 +7,7 @@
 import asyncio
 import unittest
 
+from standins.link import Link
 from standins.store import StoreStandIn
 from walnutquay.exceptions import (
     HistoryGoneError,
@@ -120,6 +121,21 @@
             await self.client.create("servers", "i-1", SPEC)
         self.assertIn("i-1", self.store.kinds["servers"])
 
+    async def test_a_connection_that_fell_silent_is_used_no_more(self):
+        await self.store.put("servers", "i-1", SPEC)
+        host, _, port = self.store.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        self.addCleanup(link.stop)
+        client = StoreClient(f"{host}:{link.port}", call_seconds=0.3)
+        self.addAsyncCleanup(client.close)
+        await client.list("servers")
+        link.silence()
+        with self.assertRaises(PlatformUnclearError):
+            await client.list("servers")
+        found, _ = await client.list("servers")
+        self.assertEqual([stored.name for stored in found], ["i-1"])
+
     async def test_silence_is_unclear(self):
         self.store.silent = True
         with self.assertRaises(PlatformUnclearError):
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -67,6 +67,9 @@
     :param decode: makes our type of an object.
     """
 
+    # What it tells always comes from the store itself.
+    watching = True
+
     def __init__(
         self, store: StoreClient, kind: str, decode: Callable[[StoredObject], Item]
     ) -> None:
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -22,7 +22,7 @@
     PlatformUnclearError,
 )
 from walnutquay.platform.names import OBJECTS_PATH
-from walnutquay.transport.client import limit_silence
+from walnutquay.transport.sockets import limited_socket
 
 MILLISECONDS = 1000.0
 # The store answers in some 4 ms; one that has not by now is away, or the way is.
@@ -78,7 +78,7 @@
         self.base = f"http://{address}{OBJECTS_PATH}"
         self.address = address
         self.call_seconds = call_seconds
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=limit_silence)
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=limited_socket)
         self.session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -25,6 +25,7 @@
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
+from walnutquay.transport.sockets import limited_socket
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
@@ -45,31 +46,6 @@
 # The step of an error after the other side has acknowledged nothing for a while.
 STEP_SILENT = "silent"
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
-# A peer that acknowledges nothing for this long is out of reach; the system's own
-# limit is minutes.  Four lost packets in a row within a data centre take less.
-SILENCE_SECONDS = 1.0
-KEEPALIVE_PROBES = 2
-
-
-def limit_silence(info: aiohttp.AddrInfoType) -> socket.socket:
-    """Make a socket that notices soon when its peer has vanished.
-
-    :param info: family, kind and address, as aiohttp gives them.
-    """
-    family, kind, protocol, _, _ = info
-    made = socket.socket(family, kind, protocol)
-    try:
-        silence = int(SILENCE_SECONDS * 1000)
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence)
-        made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    except OSError:
-        made.close()
-        raise
-    return made
 
 
 async def is_reachable(url: str) -> bool:
@@ -132,7 +108,7 @@
 def _connector(**options: Any) -> aiohttp.TCPConnector:
     """Make a connector whose connections notice silence and resets."""
     made = aiohttp.TCPConnector(
-        limit=CONNECTIONS, socket_factory=limit_silence, **options
+        limit=CONNECTIONS, socket_factory=limited_socket, **options
     )
     # aiohttp offers no public way to a protocol of one's own.
     made._factory = functools.partial(EndpointProtocol, loop=made._loop)
--- a/walnutquay/transport/peers.py
+++ b/walnutquay/transport/peers.py
@@ -18,7 +18,8 @@
 from walnutquay.state.clock import HybridClock
 from walnutquay.state.membership import Address
 from walnutquay.state.metrics import Metrics
-from walnutquay.transport.timers import unix_microseconds
+from walnutquay.transport.sockets import limit_silence
+from walnutquay.transport.timers import monotonic, unix_microseconds
 
 log = logbook.Logger(__name__)
 
@@ -57,6 +58,8 @@
         self.writer = writer
         self.waiting: dict[int, asyncio.Future[Message]] = {}
         self.task: asyncio.Task | None = None
+        # When an answer last came by it; monotonic seconds.
+        self.heard_at = monotonic()
 
 
 class PeerNode:
@@ -174,9 +177,16 @@
         number = next(self.numbers)
         future = asyncio.get_running_loop().create_future()
         connection.waiting[number] = future
+        asked_at = monotonic()
         try:
             self._write(connection.writer, body, number)
             return await future
+        except asyncio.CancelledError:
+            # The call's time is over.  A stream can fall silent for good without an
+            # end; unless something came by it meanwhile, the next call opens another.
+            if connection.heard_at <= asked_at:
+                self._drop(address, connection, EOFError("it fell silent"))
+            raise
         finally:
             connection.waiting.pop(number, None)
 
@@ -197,6 +207,7 @@
     async def _connect(self, address: Address) -> _Connection:
         async with asyncio.timeout(CONNECT_SECONDS):
             streams = await asyncio.open_connection(address.host, address.port)
+        limit_silence(streams[1].get_extra_info("socket"))
         connection = _Connection(*streams)
         self.connections[address] = connection
         connection.task = self._spawn(self._read_answers(address, connection))
@@ -206,6 +217,7 @@
         try:
             while True:
                 envelope = await self._read(connection.reader)
+                connection.heard_at = monotonic()
                 future = connection.waiting.get(envelope.call)
                 if future is not None and not future.done():
                     future.set_result(envelope.body)
@@ -226,6 +238,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the calls that come over one stream."""
+        limit_silence(writer.get_extra_info("socket"))
         self.serving.add(writer)
         try:
             while True:
--- /dev/null
+++ b/walnutquay/transport/sockets.py
@@ -0,0 +1,45 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Sockets that notice soon when the other side has fallen silent."""
+
+from __future__ import annotations
+
+import socket
+
+import aiohttp
+
+# A peer that acknowledges nothing for this long is out of reach; the system's own
+# limit is minutes.  Four lost packets in a row within a data centre take less.
+SILENCE_SECONDS = 1.0
+# Probes of an idle connection that go unanswered before it ends: with the second
+# before the first and that between two, it ends within 3 s.
+KEEPALIVE_PROBES = 2
+
+
+def limit_silence(made: socket.socket) -> None:
+    """Let a connection end whose other side acknowledges nothing any more.
+
+    :param made: its socket.
+    """
+    silence = int(SILENCE_SECONDS * 1000)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def limited_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """Make a socket whose silence is limited.
+
+    :param info: family, kind and address, as aiohttp gives them.
+    """
+    family, kind, protocol, _, _ = info
+    made = socket.socket(family, kind, protocol)
+    try:
+        limit_silence(made)
+    except OSError:
+        made.close()
+        raise
+    return made
