--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -9,6 +9,8 @@
 from standins.link import Link
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, catalogue
+from walnutquay.exceptions import EndpointError
+from walnutquay.transport.client import ConnectionEnd
 
 
 class PassingOnTest(GatewayCase):
@@ -107,6 +109,22 @@
         answer = await self.call("/unsafe/x", b"b")
         self.assertEqual(answer.status, 502)
 
+    async def test_a_reset_is_noticed_after_the_connection_is_let_go_of(self):
+        self.endpoints["p1"].default = Behaviour(
+            body=b"0123456789", cut_after=4, framed=False
+        )
+        url = f"http://{self.endpoints['p1'].address}/x"
+        headers = {"Request-Id": "r1", "Target-Instance": "p1"}
+        client = self.gateway.client
+        async with client.request("GET", url, peer="p1", headers=headers) as answer:
+            # Whoever reads the answer late, as on a busy VM.
+            while answer.connection is not None:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+            end = ConnectionEnd(answer)
+            await answer.read()
+            with self.assertRaises(EndpointError):
+                end.check("p1")
+
     async def test_a_close_without_a_length_is_one(self):
         self.endpoints["p1"].next.append(Behaviour(body=b"0123456789", framed=False))
         answer = await self.call("/unsafe/x", b"b")
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -129,8 +129,9 @@
             or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
             or answer.status in BODILESS
         )
-        connection = answer.connection
-        self.protocol = None if framed or connection is None else connection.protocol
+        # The answer lets go of its connection with its last byte, which may have come
+        # with its head; aiohttp offers no public way to the protocol after that.
+        self.protocol = None if framed else answer._protocol
 
     def check(self, peer: str) -> None:
         """:param peer: the endpoint's name, for errors.
