--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -445,7 +445,10 @@
         if not turn.progress.begun:
             turn.progress.begun = True
             self.context.timeline.emit(
-                EventKind.BEGUN, request=turn.arrival.request, endpoint=grant.name
+                EventKind.BEGUN,
+                request=turn.arrival.request,
+                endpoint=grant.name,
+                **self.facts.begun(turn, head, seconds),
             )
             await reply.begin(head)
         began = monotonic()
--- a/walnutquay/coordination/routedfacts.py
+++ b/walnutquay/coordination/routedfacts.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
+from walnutquay.protocol.calls import AnswerHead
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.events import Facts
 from walnutquay.state.instances import Instance
@@ -46,6 +47,7 @@
         route = arrival.route
         return {
             "route": route.name,
+            "route_kind": route.kind.value,
             "organisation": arrival.organisation.name,
             "priority": arrival.priority,
             "tokens": arrival.head.prompt.tokens,
@@ -78,6 +80,19 @@
             "left_ms": whole_ms(turn.seconds_left()),
         }
 
+    def begun(self, turn: RoutedTurn, head: AnswerHead, seconds: float) -> Facts:
+        """:param turn: a request whose answer goes to the caller from now on.
+
+        :param head: the answer's head.
+        :param seconds: since it was sent to that endpoint.
+        :returns: which model answers, what it thinks of its answer, and how soon.
+        """
+        return {
+            "model": turn.model_name,
+            "confidence": head.confidence,
+            "after_ms": whole_ms(seconds),
+        }
+
     def known(self) -> Facts:
         """:returns: how old what this VM knows is; for requests that it turns away."""
         catalogue = self.knowledge.catalogue.current
