--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -249,6 +249,40 @@
         self.assertEqual(self.runs("p1", "p2"), 1)
 
 
+class DarkEngineTest(GatewayCase):
+    """An engine that cannot be connected to any more is not waited for."""
+
+    workers = {"p1": "plain", "e1": "engine", "e2": "engine"}
+
+    async def test_a_stream_is_answered_elsewhere_well_before_its_time_for_a_head(self):
+        held = [Behaviour(mute=True)]
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=3)
+            self.endpoints[name].choose = lambda seen: held.pop() if held else None
+        call = asyncio.ensure_future(
+            self.call("/stream/x", b"b", Model="tiny", Deadline="9000")
+        )
+        await self.until(lambda: self.runs("e1", "e2") == 1)
+        dark = next(n for n in ("e1", "e2") if self.endpoints[n].runs)
+        reach = self.gateway.path.places.reach
+        # Its port is closed; the connection that is open stays as it is.
+        self.endpoints[dark].server.close()
+        await self.until(lambda: dark in reach.unreachable)
+        answer = await call
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(self.runs("e1", "e2"), 2)
+        self.assertTrue(all(run.left for run in self.endpoints[dark].runs))
+
+    async def test_requests_that_wait_share_one_try(self):
+        reach = self.gateway.path.places.reach
+        endpoint = self.gateway.knowledge.instances.book.known["e1"]
+        before = self.endpoints["e1"].connections
+        tries = [reach.still_there(endpoint) for _ in range(9)]
+        self.assertTrue(all(await asyncio.gather(*tries)))
+        await self.until(lambda: self.endpoints["e1"].connections > before)
+        self.assertEqual(self.endpoints["e1"].connections, before + 1)
+
+
 class SilentConnectionTest(GatewayCase):
     """Kept connections to an endpoint that fall silent while new ones work."""
 
--- /dev/null
+++ b/walnutquay/coordination/cascading.py
@@ -0,0 +1,122 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Decides whether a larger model is to answer a routed request, and learns from it."""
+
+from __future__ import annotations
+
+from walnutquay.coordination.context import Context
+from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.routedfacts import whole_ms
+from walnutquay.coordination.routedplaces import RoutedPlaces
+from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import EndpointName, ModelName
+from walnutquay.state.sizing import Case, Forecast, ModelChoice, Step
+from walnutquay.transport.timers import monotonic
+
+# Values are logged to so many digits.
+DIGITS = 3
+
+
+class Cascading:
+    """Chooses the model that answers next.
+
+    :param context: what this process shares.
+    :param knowledge: what is known from the store; here models' prices.
+    :param places: forecasts how soon each model could begin to answer.
+    :param choice: weighs the models.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        knowledge: Knowledge,
+        places: RoutedPlaces,
+        choice: ModelChoice,
+    ) -> None:
+        self.context = context
+        self.knowledge = knowledge
+        self.places = places
+        self.choice = choice
+
+    def learn(self, turn: RoutedTurn, opinion: float) -> None:
+        """Learn from the opinion of a model that answers after a smaller one.
+
+        :param turn: the request.
+        :param opinion: the model's opinion of its answer.
+        """
+        first = turn.first_opinion
+        if first is None or turn.model is None or turn.model == first.model:
+            return
+        route = turn.arrival.route
+        self.choice.learn(route, first.model, first.opinion, turn.model, opinion)
+
+    def next(self, turn: RoutedTurn, opinion: float) -> tuple[Step, Case]:
+        """Decide about an answer of which nothing was sent to the caller yet.
+
+        :param turn: the request.
+        :param opinion: the model's opinion of its answer.
+        :returns: what to do, and what it was decided by.
+        """
+        assert turn.model is not None
+        case = self.case_of(turn)
+        return self.choice.next(case, turn.model, opinion), case
+
+    def case_of(self, turn: RoutedTurn) -> Case:
+        """:param turn: a request.
+
+        :returns: what its models can do for it now.
+        """
+        arrival = turn.arrival
+        now = monotonic()
+        return Case(
+            arrival.route,
+            arrival.priority,
+            now - arrival.came,
+            arrival.deadline - now,
+            self.places.demand(turn.service),
+            [self._forecast(turn, model) for model in arrival.route.models],
+        )
+
+    def _forecast(self, turn: RoutedTurn, model: ModelName) -> Forecast:
+        work = turn.work_of(model)
+        if work is None:
+            return Forecast(0.0, 0.0, self._cost(turn, model))
+        aim = turn.arrival.route.objective_seconds
+        wait, reading = self.places.forecast(turn.service, work, aim)
+        return Forecast(wait, reading, self._cost(turn, model))
+
+    def _cost(self, turn: RoutedTurn, model: ModelName) -> float:
+        catalogue = self.knowledge.catalogue.current
+        service = catalogue.services.get(turn.service) if catalogue else None
+        models = service.models if service is not None else ()
+        return next((item.cost for item in models if item.name == model), 0.0)
+
+    def tell(
+        self, turn: RoutedTurn, endpoint: EndpointName, step: Step, case: Case
+    ) -> None:
+        """Log that a larger model is asked, with what decided it.
+
+        :param turn: the request.
+        :param endpoint: who gave the answer that is dropped.
+        :param step: what was decided.
+        :param case: what by.
+        """
+        assert step.larger is not None and turn.first_opinion is not None
+        forecast = case.forecasts[step.larger]
+        self.context.metrics.count("escalated")
+        self.context.timeline.emit(
+            EventKind.ESCALATED,
+            request=turn.arrival.request,
+            endpoint=endpoint,
+            version=turn.arrival.route.models[step.larger],
+            detail="a larger model's answer is worth more",
+            confidence=turn.first_opinion.opinion,
+            value=round(step.value, DIGITS),
+            kept_value=round(step.kept, DIGITS),
+            wait_ms=whole_ms(forecast.wait),
+            own_reading_ms=whole_ms(forecast.reading),
+            harm=round(case.harm(step.larger), DIGITS),
+            arrivals=round(case.demand.arrivals, DIGITS),
+            busy=round(case.demand.busy, DIGITS),
+        )
--- a/walnutquay/coordination/places.py
+++ b/walnutquay/coordination/places.py
@@ -36,6 +36,8 @@
     :param prefix: what stands for the prompt's beginning; empty for none.
     :param version: the version of a service's software; empty for any.
     :param work: the reading of its prompt; None where it has none.
+    :param aim: the time in which its answer should begin; seconds.
+    :param priority: its rank, 0 the most urgent.
     """
 
     request: RequestId
@@ -49,6 +51,8 @@
     prefix: str = ""
     version: str = ""
     work: PromptWork | None = None
+    aim: float = 0.0
+    priority: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/walnutquay/coordination/reach.py
@@ -0,0 +1,108 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Which endpoints can be connected to, from this VM."""
+
+from __future__ import annotations
+
+import asyncio
+
+from walnutquay.coordination.context import Context
+from walnutquay.coordination.tasks import Tasks
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import EndpointName, HallName
+from walnutquay.state.instances import Instance, InstanceBook
+from walnutquay.transport.client import is_reachable
+from walnutquay.transport.timers import monotonic
+
+# How often an endpoint is tried that could not be connected to.
+PROBE_SECONDS = 0.3
+
+
+class Reach:
+    """Knows the endpoints that cannot be connected to, and tries them again.
+
+    :param context: what this process shares.
+    :param book: the endpoints.
+    """
+
+    def __init__(self, context: Context, book: InstanceBook) -> None:
+        self.context = context
+        self.book = book
+        # Endpoints that cannot be connected to, with the data hall that the way
+        # seems cut to; None where the endpoint itself refuses.
+        self.unreachable: dict[EndpointName, HallName | None] = {}
+        self.probes = Tasks()
+        # Tries that are under way, shared by all who ask.
+        self.tries: dict[EndpointName, asyncio.Task[bool]] = {}
+
+    def close(self) -> None:
+        """End all probes and tries."""
+        self.probes.stop()
+
+    def within(self, endpoints: list[Instance]) -> list[Instance]:
+        """Leave out what seems cut off, unless nothing else is left.
+
+        :param endpoints: some endpoints.
+        """
+        halls = set(self.unreachable.values())
+        near = [item for item in endpoints if item.name not in self.unreachable]
+        fine = [item for item in near if item.hall not in halls]
+        return fine or near or endpoints
+
+    def lost(self, endpoint: Instance, silent: bool) -> None:
+        """Avoid an endpoint that could not be connected to, until it can be.
+
+        :param endpoint: the endpoint.
+        :param silent: whether nothing answered at all; the way to its whole data
+            hall may be cut then, which is avoided too.
+        """
+        if endpoint.name in self.unreachable:
+            return
+        cut = silent and endpoint.hall != self.context.hall
+        self.unreachable[endpoint.name] = endpoint.hall if cut else None
+        self.context.timeline.emit(
+            EventKind.ENDPOINT_UNREACHED,
+            endpoint=endpoint.name,
+            detail=f"{endpoint.service} in {endpoint.hall}",
+            silent=silent,
+        )
+        self.probes.spawn(self._probe(endpoint))
+
+    async def still_there(self, endpoint: Instance) -> bool:
+        """Try whether an endpoint that says nothing can be connected to at all.
+
+        :param endpoint: the endpoint; it is avoided from now on if it cannot.
+        """
+        if endpoint.name in self.unreachable:
+            return False
+        trying = self.tries.get(endpoint.name)
+        if trying is None:
+            trying = self.probes.spawn(_try_twice(endpoint))
+            self.tries[endpoint.name] = trying
+            trying.add_done_callback(lambda _: self.tries.pop(endpoint.name, None))
+        if await asyncio.shield(trying):
+            return True
+        self.lost(endpoint, silent=True)
+        return False
+
+    async def _probe(self, endpoint: Instance) -> None:
+        """Try an endpoint again and again, so that no request has to."""
+        began = monotonic()
+        try:
+            while endpoint.name in self.book.known:
+                await asyncio.sleep(PROBE_SECONDS)
+                if await is_reachable(endpoint.address):
+                    break
+        finally:
+            del self.unreachable[endpoint.name]
+        self.context.timeline.emit(
+            EventKind.ENDPOINT_REACHED,
+            endpoint=endpoint.name,
+            detail=f"after {monotonic() - began:.1f} s",
+        )
+
+
+async def _try_twice(endpoint: Instance) -> bool:
+    """Try twice: the first packet of a connection may be lost."""
+    first = await is_reachable(endpoint.address)
+    return first or await is_reachable(endpoint.address)
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -9,7 +9,8 @@
 
 import aiohttp
 
-from walnutquay.coordination.bodies import WatchedBody, whole_body
+from walnutquay.coordination.bodies import WatchedBody, WatchedExchange, whole_body
+from walnutquay.coordination.cascading import Cascading
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.outcomes import Outcome, Streamed, Unknown, Whole
 from walnutquay.coordination.pathparts import PathParts
@@ -18,7 +19,7 @@
 from walnutquay.coordination.routedfacts import RoutedFacts
 from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.routedports import Dialect, VersionPolicy
-from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
+from walnutquay.coordination.routedturn import Opinion, RoutedArrival, RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.protocol.chat import StreamParser
@@ -29,7 +30,7 @@
 from walnutquay.state.ids import EndpointName, ServiceName
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
-from walnutquay.state.sizing import ModelChoice, urgency
+from walnutquay.state.work import reading_rank
 from walnutquay.transport.client import (
     STEP_CONNECT,
     STEP_REACH,
@@ -37,7 +38,6 @@
     ConnectionEnd,
     Exchange,
     HttpClient,
-    is_reachable,
 )
 from walnutquay.transport.timers import monotonic
 
@@ -50,20 +50,25 @@
 # Timers of the client fire this much before the deadline at the most.
 TIMER_SECONDS = 0.02
 # An answer that has not begun after so many times the time that its prompt should
-# take, and at least the least below, is looked for elsewhere.
+# take, and so many times its route's aim, is looked for elsewhere.
 HEAD_FACTOR = 4.0
-MIN_STREAM_HEAD = 4.0
-# Plain calls of both users take some 0.1 s, and 1 in 100 more than 0.5 s.
-MIN_PLAIN_HEAD = 0.75
+HEAD_AIMS = 2.0
 # Retries that must be left for a wait to be given up.
 MIN_BUDGET = 2.0
 # The pauses that a stream's pace is judged by.
 JUDGED_EVENTS = 3
-# A stream that is silent for so long goes on elsewhere though its endpoint can be
-# reached.  Engines that read the longest prompts were silent for 3 s; callers leave
-# after 9.6 s.
-MUTE_SECONDS = 4.5
+# A stream that is silent for so many of the longest good pauses, and for the time that
+# its route gives a first event, goes on elsewhere though its endpoint can be reached:
+# engines that read long prompts are silent too.  Callers leave after eight pauses.
+MUTE_PAUSES = 4.0
+# Of the longest good pause: how often a silent endpoint is tried.
+TRIED_PAUSE = 0.5
+# The same where the route names no pause; seconds.
+MIN_TRIED_SECONDS = 0.2
 CODE_TIMEOUT = "timeout"
+# The index of the model that is asked first: its opinion tells whether it will do, and
+# it reads and costs a small part of what the others do.
+SMALLEST = 0
 
 
 class FailedAnswerError(EndpointError):
@@ -86,7 +91,7 @@
     :param knowledge: what is known from the store.
     :param client: the connections to endpoints.
     :param dialect: writes and reads heads.
-    :param models: chooses among models by size.
+    :param cascading: chooses among models by size.
     :param versions: chooses among versions while one is rolled out.
     :param budget: makes the retry budget of a service.
     """
@@ -98,7 +103,7 @@
         knowledge: Knowledge,
         client: HttpClient,
         dialect: Dialect,
-        models: ModelChoice,
+        cascading: Cascading,
         versions: VersionPolicy,
         budget: Callable[[], RetryBudget],
     ) -> None:
@@ -107,7 +112,7 @@
         self.knowledge = knowledge
         self.client = client
         self.dialect = dialect
-        self.models = models
+        self.cascading = cascading
         self.versions = versions
         self.budget = budget
         self.budgets: dict[ServiceName, RetryBudget] = {}
@@ -150,7 +155,7 @@
         turn = RoutedTurn(
             arrival,
             service,
-            self.models.first(route) if chosen else None,
+            SMALLEST if chosen else None,
             StreamProgress(arrival.head.last_event),
         )
         self.budget_of(service).first_try()
@@ -178,8 +183,14 @@
 
         :returns: what it needs a place for now.
         """
-        version = self.versions.version_for(turn)
-        return replace(super().need_of(turn), version=version, work=turn.work)
+        arrival = turn.arrival
+        return replace(
+            super().need_of(turn),
+            version=self.versions.version_for(turn),
+            work=turn.work,
+            aim=arrival.route.objective_seconds,
+            priority=arrival.priority,
+        )
 
     def still_allowed(self, turn: RoutedTurn) -> Refusal | None:
         """:param turn: the request.
@@ -280,7 +291,7 @@
         :param grant: the endpoint.
         """
         started = monotonic()
-        async with self._send(turn, grant) as answer:
+        async with self._watched(turn, self._send(turn, grant), grant) as answer:
             head = self._read_head(turn, grant, answer)
             seconds = monotonic() - started
             self.places.began(grant, seconds)
@@ -302,6 +313,16 @@
         running.answered()
         return Whole(_as_whole(head, body))
 
+    def _watched(
+        self, turn: RoutedTurn, exchange: Exchange, grant: Grant
+    ) -> Exchange | WatchedExchange:
+        """Have an endpoint tried that does not answer, where another may be asked."""
+        if not (turn.streamed and turn.repeatable):
+            return exchange
+        return WatchedExchange(
+            exchange, tried_every(turn), lambda: self.places.still_there(grant)
+        )
+
     def _send(self, turn: RoutedTurn, grant: Grant) -> Exchange:
         arrival = turn.arrival
         left = turn.seconds_left()
@@ -311,7 +332,7 @@
             seconds_left=left,
             model=turn.model_name,
             last_event=turn.progress.last_event,
-            urgency=urgency(arrival.head.prompt) if turn.streamed else None,
+            urgency=self._rank(turn, grant),
         )
         return self.client.request(
             arrival.method,
@@ -331,9 +352,15 @@
         """
         if not turn.repeatable or self.budget_of(turn.service).left < MIN_BUDGET:
             return None
-        usual = HEAD_FACTOR * self.places.expected(grant)
-        least = MIN_STREAM_HEAD if turn.streamed else MIN_PLAIN_HEAD
-        return max(least, usual)
+        aim = turn.arrival.route.objective_seconds
+        return max(HEAD_AIMS * aim, HEAD_FACTOR * self.places.expected(grant))
+
+    def _rank(self, turn: RoutedTurn, grant: Grant) -> int | None:
+        """Rank a prompt at its engine; None leaves it to the engine."""
+        reading = self.places.reading_of(grant)
+        if reading is None or not turn.streamed:
+            return None
+        return reading_rank(reading, turn.arrival.route.objective_seconds)
 
     async def _goes_on_elsewhere(
         self, turn: RoutedTurn, grant: Grant, gap: float
@@ -349,10 +376,8 @@
         """
         if not turn.repeatable or self.budget_of(turn.service).left < 1.0:
             return False
-        if gap < MUTE_SECONDS and await is_reachable(grant.endpoint.address):
+        if gap < mute_after(turn) and await self.places.still_there(grant):
             return False
-        if gap < MUTE_SECONDS:
-            self.places.unreached(grant, silent=True)
         turn.prepaid = self.budget_of(turn.service).take()
         return turn.prepaid
 
@@ -389,25 +414,17 @@
         self, turn: RoutedTurn, grant: Grant, head: AnswerHead
     ) -> int | None:
         """Decide whether a larger model is to answer instead of this one."""
-        if turn.model is None or turn.progress.begun:
+        if turn.model is None or turn.progress.begun or head.confidence is None:
             return None
-        pressure = self.places.pressure(turn.service)
-        larger = self.models.next(
-            turn.arrival.route, turn.model, head.confidence, pressure
-        )
-        if larger is None or not turn.repeatable or not self.may_retry(turn):
+        self.cascading.learn(turn, head.confidence)
+        if turn.model >= len(turn.arrival.route.models) - 1:
             return None
-        self.context.metrics.count("escalated")
-        self.context.timeline.emit(
-            EventKind.ESCALATED,
-            request=turn.arrival.request,
-            endpoint=grant.name,
-            version=turn.arrival.route.models[larger],
-            detail="the smaller model thinks little of its answer",
-            confidence=head.confidence,
-            pressure=round(pressure, 3),
-        )
-        return larger
+        step, case = self.cascading.next(turn, head.confidence)
+        if step.larger is None or not turn.repeatable or not self.may_retry(turn):
+            return None
+        turn.first_opinion = Opinion(turn.model, head.confidence)
+        self.cascading.tell(turn, EndpointName(grant.name), step, case)
+        return step.larger
 
     def _learn(
         self, turn: RoutedTurn, grant: Grant, seconds: float, judged: bool = False
@@ -455,7 +472,9 @@
         passed = 0
         judged = False
         body = WatchedBody(
-            answer, lambda gap: self._goes_on_elsewhere(turn, grant, gap)
+            answer,
+            tried_every(turn),
+            lambda gap: self._goes_on_elsewhere(turn, grant, gap),
         )
         async for data in body:
             events = [e for e in parser.feed(data) if turn.progress.accept(e)]
@@ -477,3 +496,20 @@
 
 def _as_whole(head: AnswerHead, body: bytes) -> WholeAnswer:
     return WholeAnswer(head.status, head.content_type, body, head.headers)
+
+
+def tried_every(turn: RoutedTurn) -> float:
+    """:param turn: a streamed request.
+
+    :returns: seconds of silence after which its endpoint is tried, again and again.
+    """
+    return max(MIN_TRIED_SECONDS, TRIED_PAUSE * turn.arrival.route.pause_seconds)
+
+
+def mute_after(turn: RoutedTurn) -> float:
+    """:param turn: a streamed request.
+
+    :returns: seconds of silence after which it goes on elsewhere.
+    """
+    route = turn.arrival.route
+    return max(MUTE_PAUSES * route.pause_seconds, route.objective_seconds)
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,20 +11,20 @@
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.places import Grant, Need
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.reach import Reach
+from walnutquay.protocol.messages import WorkNews
 from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.events import EventKind
 from walnutquay.state.ids import (
     EndpointName,
-    HallName,
     ServiceName,
     VersionName,
     WorkKind,
 )
 from walnutquay.state.instances import Instance, InstanceBook
 from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.sizing import Demand, weight_of
+from walnutquay.state.traffic import PromptTraffic, SentPrompt
 from walnutquay.state.work import PromptWork, WorkTable, preferred_of
-from walnutquay.transport.client import is_reachable
 from walnutquay.transport.timers import monotonic
 
 # When to come back where no endpoint runs: one that starts is listed within a second.
@@ -38,16 +37,8 @@
 
 # A wait grows harmful with its square, for only long ones make an answer late; an
 # engine in another data hall, to which bytes have a price, counts as much as a wait
-# of 0.55 s does.
-OTHER_HALL_HARM = 0.3
-# How often an endpoint is tried that could not be connected to.
-PROBE_SECONDS = 0.3
-# Weight of a new reading of the pressure: some ten requests are looked back on.
-PRESSURE_WEIGHT = 0.1
-# Engines read shorter prompts before longer ones, so only a long one that has been
-# read proves that nothing before it is left.  The lengths at which its rank changes
-# stand in ``state/sizing.py``.
-LAST_READ_TOKENS = 4_000
+# of this part of the request's aim.
+OTHER_HALL_WAIT = 0.25
 # What each running request delays the others by: steps take longer with more.
 RUNNING_SECONDS = 0.002
 
@@ -57,13 +48,17 @@
     """A prompt that an engine was sent.
 
     :param work: the prompt.
+    :param engine: the engine.
     :param wait: the seconds of reading that were known to be before it.
+    :param seconds: the time to read it.
     :param cached: whether its beginning was thought to be cached there.
     :param mark: its place among all that the engine was given to read.
     """
 
     work: PromptWork
+    engine: EndpointName
     wait: float
+    seconds: float
     cached: bool
     mark: float
 
@@ -75,6 +70,8 @@
     :param book: the endpoints.
     :param table: what is known of their load and health.
     :param allowed: tells which versions may be used.
+    :param memory: tells how many tokens an engine of a service keeps; 0 if unknown.
+    :param vms: tells how many entry VMs there are.
     """
 
     def __init__(
@@ -83,22 +80,23 @@
         book: InstanceBook,
         table: EndpointTable,
         allowed: AllowedVersions,
+        memory: Callable[[ServiceName], int],
+        vms: Callable[[], int],
     ) -> None:
         self.context = context
         self.book = book
         self.table = table
         self.allowed = allowed
         self.work = WorkTable()
-        # Endpoints that cannot be connected to, with the data hall that the way
-        # seems cut to; None where the endpoint itself refuses.
-        self.unreachable: dict[EndpointName, HallName | None] = {}
-        self.probes = Tasks()
-        # Smoothed seconds of reading before the least busy engine, by service.
-        self.pressures: dict[ServiceName, float] = {}
+        self.memory = memory
+        self.vms = vms
+        self.reach = Reach(context, book)
+        # The prompts that this VM has sent last, by service.
+        self.traffic: dict[ServiceName, PromptTraffic] = {}
         # The prompts that were sent and whose answers have not begun, by grant.
         self.reading: dict[int, ReadingNote] = {}
-        # Told of each prompt that is sent: engine, seconds, beginning.
-        self.listeners: list[Callable[[EndpointName, float, str], None]] = []
+        # Told of each prompt that is sent.
+        self.listeners: list[Callable[[ReadingNote], None]] = []
 
     def candidates(self, service: ServiceName, version: str = "") -> list[Instance]:
         """:param service: a service.
@@ -131,7 +129,7 @@
                 )
             )
         now = monotonic()
-        left = self._within_reach(left)
+        left = self.reach.within(left)
         if need.work is not None:
             chosen = self._for_prompt(left, need, need.work, now)
         else:
@@ -149,86 +147,98 @@
         self.table.of(chosen.name).in_flight += 1
         if need.work is None:
             return Ok(Grant(chosen, now, WorkKind.QUICK))
-        return Ok(self._with_work(Grant(chosen, now, WorkKind.PATIENT), need.work))
+        return Ok(self._with_work(Grant(chosen, now, WorkKind.PATIENT), need))
 
     def unreached(self, grant: Grant, silent: bool) -> None:
         """Avoid an endpoint that could not be connected to, until it can be.
 
         :param grant: the place.
-        :param silent: whether nothing answered at all; the way to its whole data
-            hall may be cut then, which is avoided too.
+        :param silent: whether nothing answered at all.
         """
         endpoint = grant.endpoint
         assert isinstance(endpoint, Instance)
-        if endpoint.name in self.unreachable:
-            return
-        cut = silent and endpoint.hall != self.context.hall
-        self.unreachable[endpoint.name] = endpoint.hall if cut else None
-        self.context.timeline.emit(
-            EventKind.ENDPOINT_UNREACHED,
-            endpoint=endpoint.name,
-            detail=f"{endpoint.service} in {endpoint.hall}",
-            silent=silent,
-        )
-        self.probes.spawn(self._probe(endpoint))
-
-    async def _probe(self, endpoint: Instance) -> None:
-        """Try an endpoint again and again, so that no request has to."""
-        began = monotonic()
-        try:
-            while endpoint.name in self.book.known:
-                await asyncio.sleep(PROBE_SECONDS)
-                if await is_reachable(endpoint.address):
-                    break
-        finally:
-            del self.unreachable[endpoint.name]
-        self.context.timeline.emit(
-            EventKind.ENDPOINT_REACHED,
-            endpoint=endpoint.name,
-            detail=f"after {monotonic() - began:.1f} s",
-        )
+        self.reach.lost(endpoint, silent)
 
-    def _within_reach(self, left: list[Instance]) -> list[Instance]:
-        """Leave out what seems cut off, unless nothing else is left."""
-        halls = set(self.unreachable.values())
-        near = [item for item in left if item.name not in self.unreachable]
-        fine = [item for item in near if item.hall not in halls]
-        return fine or near or left
+    async def still_there(self, grant: Grant) -> bool:
+        """Try whether an endpoint that says nothing can be connected to at all.
 
-    def _with_work(self, grant: Grant, work: PromptWork) -> Grant:
+        :param grant: the place.
+        """
+        endpoint = grant.endpoint
+        assert isinstance(endpoint, Instance)
+        return await self.reach.still_there(endpoint)
+
+    def _with_work(self, grant: Grant, need: Need) -> Grant:
         """Note the reading that an engine is given."""
-        now = grant.started
+        assert need.work is not None
+        work, now = need.work, grant.started
+        service = ServiceName(need.target)
+        kept = self._kept_seconds(service, now)
         wait = self.work.wait(grant.name, now)
-        seconds = self.work.reading(grant.name, work, now, False)
-        cached = self.work.has(grant.name, work.beginning, now)
+        seconds = self.work.reading(grant.name, work, now, False, kept)
+        cached = self.work.has(grant.name, work.beginning, now, kept)
         mark = self.work.add(grant.name, seconds, work.beginning, now)
-        self.reading[id(grant)] = ReadingNote(work, wait, cached, mark)
+        name = EndpointName(grant.name)
+        note = ReadingNote(work, name, wait, seconds, cached, mark)
+        self.reading[id(grant)] = note
+        weight = weight_of(need.priority)
+        self._traffic(service).add(SentPrompt(now, work.tokens, seconds, weight))
         for listener in self.listeners:
-            listener(grant.name, seconds, work.beginning)
+            listener(note)
         return grant
 
-    def hear(self, name: EndpointName, seconds: float, beginning: str) -> None:
-        """Take in that another VM has sent a prompt.
+    def _traffic(self, service: ServiceName) -> PromptTraffic:
+        return self.traffic.setdefault(service, PromptTraffic())
 
-        :param name: the engine.
-        :param seconds: how long it will take to read it.
-        :param beginning: what it has cached from then on.
-        """
-        if name in self.book.known:
-            self.work.add(name, seconds, beginning, monotonic())
+    def _kept_seconds(self, service: ServiceName, now: float) -> float:
+        """:returns: how long the engines of a service keep what they have read."""
+        engines = len(self.candidates(service))
+        traffic = self._traffic(service)
+        return traffic.kept_seconds(now, self.vms(), engines, self.memory(service))
 
-    def pressure(self, service: ServiceName) -> float:
+    def demand(self, service: ServiceName) -> Demand:
         """:param service: a service of engines.
 
-        :returns: seconds of reading before the least busy engine within reach.
+        :returns: what its engines get to read at present.
+        """
+        engines = len(self.candidates(service))
+        return self._traffic(service).demand(monotonic(), self.vms(), engines)
+
+    def forecast(
+        self, service: ServiceName, work: PromptWork, aim: float
+    ) -> tuple[float, float]:
+        """Forecast how soon a prompt could be read, at the engine that is best for it.
+
+        :param service: the service.
+        :param work: the prompt.
+        :param aim: the time in which its answer should begin; seconds.
+        :returns: seconds of reading before it, and to read it.
         """
         now = monotonic()
-        engines = self._within_reach(self.candidates(service))
-        waits = [self.work.wait(item.name, now) for item in engines]
-        seconds = min(waits, default=0.0)
-        before = self.pressures.get(service, 0.0)
-        self.pressures[service] = before + PRESSURE_WEIGHT * (seconds - before)
-        return self.pressures[service]
+        left = self.reach.within(self.candidates(service))
+        open_ones = self._open_ones(left, now, frozenset()) or left
+        if not open_ones:
+            return 0.0, 0.0
+        engines = PromptEngines(self, open_ones, service, work, now)
+        return engines.times(engines.best(aim))
+
+    def reading_of(self, grant: Grant) -> float | None:
+        """:param grant: a place.
+
+        :returns: seconds to read the prompt that was sent there; None for none.
+        """
+        note = self.reading.get(id(grant))
+        return None if note is None else note.seconds
+
+    def hear(self, news: WorkNews) -> None:
+        """Take in that another VM has sent a prompt.
+
+        :param news: what it tells.
+        """
+        self.work.hear_rate(news.model, news.rate)
+        name = EndpointName(news.endpoint)
+        if name in self.book.known:
+            self.work.add(name, news.seconds, news.beginning, monotonic())
 
     def expected(self, grant: Grant) -> float:
         """:param grant: a place.
@@ -249,37 +259,35 @@
         note = self.reading.pop(id(grant), None)
         if note is None:
             return
-        if note.work.tokens >= LAST_READ_TOKENS:
-            self.work.has_read(EndpointName(grant.name), note.mark, monotonic())
+        # Engines read shorter prompts before longer ones, so only the longest of those
+        # that were sent proves that nothing before it is left.
+        others = [
+            other for other in self.reading.values() if other.engine == grant.name
+        ]
+        if all(other.seconds <= note.seconds for other in others):
+            self.work.has_read(note.engine, note.mark, monotonic())
         if note.wait <= 0 and not note.cached:
             self.work.learn(note.work.model, note.work.tokens, seconds)
 
+    def _open_ones(
+        self, left: list[Instance], now: float, tried: frozenset[str]
+    ) -> list[Instance]:
+        """Leave out the endpoints that fail, or have just said that they are full."""
+        return [
+            item
+            for item in self.table.usable(left, now, tried)
+            if self.table.of(item.name).full_until <= now
+        ]
+
     def _for_prompt(
         self, left: list[Instance], need: Need, work: PromptWork, now: float
     ) -> Instance | None:
         """Choose the engine that is likely to have read a prompt first."""
-        open_ones = [
-            item
-            for item in self.table.usable(left, now, need.tried)
-            if self.table.of(item.name).full_until <= now
-        ]
+        open_ones = self._open_ones(left, now, need.tried)
         if not open_ones:
             return None
-        near = [item.name for item in open_ones if item.hall == self.context.hall]
-        preferred = preferred_of(
-            near or [item.name for item in open_ones], work.beginning
-        )
-
-        def harm(item: Instance) -> float:
-            facts = self.table.of(item.name)
-            wait = self.work.wait(item.name, now)
-            reading = self.work.reading(item.name, work, now, item.name == preferred)
-            running = facts.load(now) * RUNNING_SECONDS
-            seconds = (wait + reading + running) * facts.slow_by(now)
-            far = 0.0 if item.hall == self.context.hall else OTHER_HALL_HARM
-            return seconds * seconds + far
-
-        return min(open_ones, key=harm)
+        service = ServiceName(need.target)
+        return PromptEngines(self, open_ones, service, work, now).best(need.aim)
 
     def _least_loaded(self, left: list[Instance], now: float) -> Instance | None:
         """Choose where to queue; endpoints that have just refused are left out."""
@@ -305,7 +313,7 @@
 
     def close(self) -> None:
         """End all probes."""
-        self.probes.stop()
+        self.reach.close()
 
     def release(self, grant: Grant) -> None:
         """:param grant: a place to give back."""
@@ -315,3 +323,63 @@
     def full(self, grant: Grant) -> None:
         """:param grant: a place that its endpoint did not have after all."""
         self.table.full(grant.name, monotonic())
+
+
+class PromptEngines:
+    """The engines that could read a prompt now.
+
+    :param places: what is known of them.
+    :param engines: the engines; at least one.
+    :param service: their service.
+    :param work: the prompt.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        places: RoutedPlaces,
+        engines: list[Instance],
+        service: ServiceName,
+        work: PromptWork,
+        now: float,
+    ) -> None:
+        self.places = places
+        self.engines = engines
+        self.work = work
+        self.now = now
+        self.hall = places.context.hall
+        self.kept = places._kept_seconds(service, now)
+        # The engines that all VMs prefer for the beginning: of this data hall, and of
+        # all.  What is read long is worth the way to the one that has read it.
+        near = [item.name for item in engines if item.hall == self.hall]
+        everywhere = [item.name for item in engines]
+        self.preferred = {
+            preferred_of(near, work.beginning),
+            preferred_of(everywhere, work.beginning),
+        }
+
+    def times(self, engine: Instance) -> tuple[float, float]:
+        """:param engine: one of them.
+
+        :returns: seconds of reading before the prompt, and to read it.
+        """
+        facts = self.places.table.of(engine.name)
+        slow = facts.slow_by(self.now)
+        work = self.places.work
+        running = facts.load(self.now) * RUNNING_SECONDS
+        preferred = engine.name in self.preferred
+        reading = work.reading(engine.name, self.work, self.now, preferred, self.kept)
+        return (work.wait(engine.name, self.now) + running) * slow, reading * slow
+
+    def best(self, aim: float) -> Instance:
+        """:param aim: the time in which the answer should begin; seconds.
+
+        :returns: the engine where waiting and reading do the least harm.
+        """
+        far = (OTHER_HALL_WAIT * aim) ** 2
+
+        def harm(engine: Instance) -> float:
+            seconds = sum(self.times(engine))
+            return seconds * seconds + (0.0 if engine.hall == self.hall else far)
+
+        return min(self.engines, key=harm)
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -74,6 +74,18 @@
         return self.route.priority if own is None else own
 
 
+@dataclass(frozen=True, slots=True)
+class Opinion:
+    """What a model has said of its answer.
+
+    :param model: its index among the route's models.
+    :param opinion: 0 to 100.
+    """
+
+    model: int
+    opinion: float
+
+
 @dataclass(slots=True)
 class RoutedTurn(Turn):
     """A routed request on its way.
@@ -88,6 +100,8 @@
     :param prepaid: whether its next retry is already counted.
     :param avoid_new: whether a version on trial has failed it.
     :param last_refusal: why the last endpoint did not begin.
+    :param first_opinion: what the model that answered first thought of its answer,
+        where a larger one was asked then.
     """
 
     arrival: RoutedArrival
@@ -99,6 +113,7 @@
     prepaid: bool = False
     avoid_new: bool = False
     last_refusal: Refusal | None = None
+    first_opinion: Opinion | None = None
 
     @property
     def target(self) -> str:
@@ -124,10 +139,16 @@
     @property
     def work(self) -> PromptWork | None:
         """The reading of its prompt; None where it has none."""
+        return self.work_of(self.model_name or self.arrival.head.model)
+
+    def work_of(self, model: ModelName) -> PromptWork | None:
+        """:param model: a model.
+
+        :returns: the reading of the prompt by that model; None where it has none.
+        """
         prompt = self.arrival.head.prompt
         if not prompt.tokens:
             return None
-        model = self.model_name or self.arrival.head.model
         return PromptWork(model, prompt.tokens, prompt.subject, prompt.subject_tokens)
 
     @property
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -13,6 +13,7 @@
 import logbook
 import uvloop
 
+from walnutquay.coordination.cascading import Cascading
 from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.eventlog import EventLog
@@ -22,7 +23,7 @@
 from walnutquay.coordination.recorder import TraceRecorder
 from walnutquay.coordination.relaying import RelayDesk, RelayedFeed, Watchers
 from walnutquay.coordination.routed import RoutedPath
-from walnutquay.coordination.routedplaces import RoutedPlaces
+from walnutquay.coordination.routedplaces import ReadingNote, RoutedPlaces
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
@@ -50,7 +51,7 @@
 from walnutquay.state.admission import RetryBudget
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import EndpointName, HallName, VmName
+from walnutquay.state.ids import HallName, ServiceName, VmName
 from walnutquay.state.membership import Address
 from walnutquay.state.metrics import Metrics
 from walnutquay.state.sizing import ModelChoice
@@ -165,21 +166,35 @@
         assert isinstance(body, AskKnown)
         return KnownIs(self.knowledge.export(body.kind, body.revision))
 
-    def _tell_work(self, name: EndpointName, seconds: float, beginning: str) -> None:
-        if seconds >= HEAVY_SECONDS:
-            self.circle.tell(WorkNews(name, seconds, beginning))
+    def _tell_work(self, note: ReadingNote) -> None:
+        if note.seconds < HEAVY_SECONDS:
+            return
+        model = note.work.model
+        rate = self.path.places.work.rate(model)
+        self.circle.tell(
+            WorkNews(note.engine, note.seconds, note.work.beginning, model, rate)
+        )
 
     def _hear_work(self, envelope: Envelope) -> None:
         body = envelope.body
         assert isinstance(body, WorkNews)
-        name = EndpointName(body.endpoint)
-        self.path.places.hear(name, body.seconds, body.beginning)
+        self.path.places.hear(body)
+
+    def _memory_of(self, service: ServiceName) -> int:
+        catalogue = self.knowledge.catalogue.current
+        known = catalogue.services.get(service) if catalogue is not None else None
+        return known.memory_tokens if known is not None else 0
 
     def _make_path(self) -> RoutedPath:
         table = EndpointTable(self.context.hall, self.context.rng)
         versions = self.versions
         places = RoutedPlaces(
-            self.context, self.knowledge.instances.book, table, versions.allowed
+            self.context,
+            self.knowledge.instances.book,
+            table,
+            versions.allowed,
+            self._memory_of,
+            lambda: self.circle.size,
         )
         self.knowledge.instances.listeners.append(places.on_instance)
         places.listeners.append(self._tell_work)
@@ -191,7 +206,7 @@
             self.knowledge,
             self.client,
             PlatformDialect(),
-            ModelChoice(),
+            Cascading(self.context, self.knowledge, places, ModelChoice()),
             versions,
             self._budget,
         )
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -177,11 +177,16 @@
     :param endpoint: the engine.
     :param seconds: how long it will take to read it.
     :param beginning: what it has cached from then on; empty for nothing.
+    :param model: the model that reads it.
+    :param rate: seconds in which that model reads a token, as the sender has learnt;
+        0 where it does not know.
     """
 
     endpoint: str
     seconds: float
     beginning: str
+    model: str = ""
+    rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -104,6 +104,8 @@
   endpoint @0 :Text;
   seconds @1 :Float32;
   beginning @2 :Text;
+  model @3 :Text;
+  rate @4 :Float32;
 }
 
 struct KnownRevision {
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -290,7 +290,7 @@
     "endpointLeaving": lambda r: m.EndpointLeaving(r.endpoint, r.incarnation),
     "versionBrake": lambda r: m.VersionBrake(str(r)),
     "tallies": _tallies,
-    "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning),
+    "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning, r.model, r.rate),
     "trial": _trial,
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -1,79 +1,202 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Which model of a cascade by size answers, and when a larger one is asked."""
+"""Which model of a cascade by size answers, and when a larger one is asked.
+
+Each step takes what has the greatest expected value: the chance that the answer is
+good enough, times what an answer at that time is worth, less what the run costs and
+what it takes from others who wait for the same engine.  A good answer in time counts
+as 1.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import dataclass
+
 from walnutquay.state.catalogue import Route
-from walnutquay.state.prompts import Prompt
+from walnutquay.state.ids import ModelName, RouteName
+from walnutquay.state.opinions import FadingMean, chance_good, step_of
+
+# What a good answer after its aim is worth, beside one in time.
+LATE_VALUE = 0.3
+# What a run of a route's most costly model costs, as a part of a good answer's worth:
+# operators state prices and no worth, and would not list a model that eats it up.
+DEAREST_RUN = 0.15
+# A forecast of an answer's beginning may be off by this part of the aim either way.
+FORECAST_ERROR = 0.25
+# How many points more the largest model thinks of its answers than the smallest does
+# on the same request, until some have been seen.
+FIRST_GAIN = 50.0
+# However busy engines seem, a busy period is taken to last no longer than 3.3 times the
+# work in it, as 1 / (1 - 0.7): work is estimated high, for some of it is cached, and
+# with ten times (0.9) answers of too small a model were kept on calm engines.
+MOST_BUSY = 0.7
+# A mean of no observations.
+NOTHING = FadingMean()
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """How one model would serve a request now.
+
+    :param wait: seconds of reading before it at the engine that it would go to.
+    :param reading: seconds to read its prompt there.
+    :param cost: the model's price of a thousand tokens.
+    """
 
-# An answer whose model thinks less of it, of 100, is asked of the largest model.  On
-# ten played days the mean worth was 0.686 with 55 and 0.694 with 48, both with a full
-# pressure of 2.5 s, and 0.700 with 50 and what stands below.
-ENOUGH_CONFIDENCE = 50.0
+    wait: float
+    reading: float
+    cost: float
 
-# So much reading before every engine is usual on a calm day.
-CALM_PRESSURE_SECONDS = 0.2
-# With so much more before every engine, the most urgent routes ask no larger
-# model any more; the others give way at a half and a third of it.  On the same days
-# 0.669 with 5 s, 0.686 with 2.5 s, 0.691 with 1.5 s (with 55 above).
-FULL_PRESSURE_SECONDS = 2.0
 
-# Prompts up to so many tokens go before longer ones at an endpoint, by rank.
-URGENCY_STEPS = ((1_000, 3), (4_000, 4), (12_000, 5), (24_000, 6))
-LEAST_URGENT = 7
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """The prompts that a service's engines get at present.
 
+    :param arrivals: prompts for each engine a second.
+    :param busy: the part of their time for which engines read.
+    :param weight: the mean weight of those prompts; see :func:`weight_of`.
+    """
 
-def urgency(prompt: Prompt) -> int:
-    """Rank a prompt by its size: a long one holds up all that wait behind it.
+    arrivals: float = 0.0
+    busy: float = 0.0
+    weight: float = 1.0
 
-    :param prompt: the prompt.
-    :returns: its rank, lower for shorter ones.
+
+def weight_of(priority: int) -> float:
+    """:param priority: a request's rank, 0 the most urgent.
+
+    :returns: what it counts beside others.
     """
-    for tokens, rank in URGENCY_STEPS:
-        if prompt.tokens <= tokens:
-            return rank
-    return LEAST_URGENT
+    return 1.0 / (1 + max(0, priority))
 
 
-class ModelChoice:
-    """Chooses among the models of routes that leave the choice to us."""
+@dataclass(frozen=True, slots=True)
+class Case:
+    """A request at the moment of a choice.
 
-    def first(self, route: Route) -> int:
-        """:param route: a route with models.
+    :param route: its route.
+    :param priority: its rank.
+    :param elapsed: seconds since it came.
+    :param left: seconds until its deadline.
+    :param demand: what the service's engines get besides.
+    :param forecasts: one for each of the route's models.
+    """
 
-        :returns: the index of the model to begin with.
-        """
-        return 0
-
-    def next(
-        self, route: Route, index: int, confidence: float | None, pressure: float
-    ) -> int | None:
-        """Judge an answer by its model's own opinion, before any of it is sent.
-
-        :param route: the route.
-        :param index: the model that answers.
-        :param confidence: its opinion, 0 to 100; None where it gave none.
-        :param pressure: seconds of reading before the least busy engine.
-        :returns: the model to ask instead, or None to keep the answer.
+    route: Route
+    priority: int
+    elapsed: float
+    left: float
+    demand: Demand
+    forecasts: Sequence[Forecast]
+
+    def worth_at(self, seconds: float) -> float:
+        """:param seconds: from now until the answer begins.
+
+        :returns: what a good answer is worth then.
         """
-        last = len(route.models) - 1
-        if confidence is None or index >= last:
-            return None
-        if confidence >= enough_confidence(route.priority, pressure):
-            return None
-        return last
+        if seconds >= self.left:
+            return 0.0
+        aim = self.route.objective_seconds
+        spread = 2.0 * FORECAST_ERROR * aim
+        over = (self.elapsed + seconds - aim) / spread + 0.5
+        return 1.0 - min(1.0, max(0.0, over)) * (1.0 - LATE_VALUE)
+
+    def price(self, model: int) -> float:
+        """:param model: the index of a model.
 
+        :returns: what a run of it costs, its own price and the harm to others.
+        """
+        dearest = max(item.cost for item in self.forecasts)
+        own = self.forecasts[model].cost / dearest if dearest > 0 else 0.0
+        return DEAREST_RUN * own + self.harm(model)
 
-def enough_confidence(priority: int, pressure: float) -> float:
-    """Give the confidence below which the largest model is asked.
+    def harm(self, model: int) -> float:
+        """Estimate what others lose who come while the engine is busy with this.
 
-    When engines are busy, a run of the largest model costs others their time; the
-    least urgent routes give way first.
+        Each of them is delayed by the reading.  That makes one late whose wait then
+        passes what the aim leaves; the closer waits are to the aim, the likelier it
+        is (a density that grows evenly, from none to twice the mean at the aim).
 
-    :param priority: the route's rank, 0 the most urgent.
-    :param pressure: seconds of reading before the least busy engine.
+        :param model: the index of a model.
+        """
+        forecast = self.forecasts[model]
+        aim = self.route.objective_seconds
+        free = 1.0 - min(MOST_BUSY, self.demand.busy)
+        delayed = self.demand.arrivals * (forecast.wait + forecast.reading) / free
+        late = 2.0 * (forecast.wait / aim) * (forecast.reading / aim)
+        weight = self.demand.weight / weight_of(self.priority)
+        return delayed * min(1.0, late) * (1.0 - LATE_VALUE) * weight
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What is best to do with an answer.
+
+    :param larger: the index of the model to ask instead; None to keep it.
+    :param value: the expected value of doing so.
+    :param kept: the expected value of keeping the answer.
     """
-    excess = max(0.0, pressure - CALM_PRESSURE_SECONDS)
-    part = 1.0 - (1 + priority) * excess / FULL_PRESSURE_SECONDS
-    return ENOUGH_CONFIDENCE * max(0.0, part)
+
+    larger: int | None
+    value: float
+    kept: float
+
+
+class ModelChoice:
+    """Chooses among the models of routes that leave the choice to us."""
+
+    def __init__(self) -> None:
+        # How many points more a larger model thinks of its answer than a smaller one
+        # did of its own, on the same request: over all routes and opinions.
+        self.gains: dict[tuple[ModelName, ModelName], FadingMean] = {}
+        # The same by route, smaller model, step of its opinion, larger model.
+        self.steps: dict[tuple[RouteName, int, int, int], FadingMean] = {}
+
+    def learn(
+        self, route: Route, smaller: int, opinion: float, larger: int, second: float
+    ) -> None:
+        """Learn from two opinions on the same request.
+
+        :param route: its route.
+        :param smaller: the index of the model that answered first.
+        :param opinion: its opinion of its answer.
+        :param larger: the index of the model that answered then.
+        :param second: its opinion.
+        """
+        models = (route.models[smaller], route.models[larger])
+        self.gains.setdefault(models, FadingMean()).add(second - opinion)
+        key = (route.name, smaller, step_of(opinion), larger)
+        self.steps.setdefault(key, FadingMean()).add(second - opinion)
+
+    def next(self, case: Case, model: int, opinion: float | None) -> Step:
+        """Decide about an answer before any of it is sent.
+
+        :param case: the request.
+        :param model: the index of the model that answers.
+        :param opinion: its opinion of its answer; None where it gave none.
+        """
+        if opinion is None:
+            return Step(None, 1.0, 1.0)
+        kept = chance_good(opinion) * case.worth_at(0.0)
+        best = Step(None, kept, kept)
+        for larger in range(model + 1, len(case.route.models)):
+            gain = self._gain(case.route, model, step_of(opinion), larger)
+            chance = chance_good(opinion + gain)
+            forecast = case.forecasts[larger]
+            worth = case.worth_at(forecast.wait + forecast.reading)
+            value = chance * worth - case.price(larger)
+            if value > best.value:
+                best = Step(larger, value, kept)
+        return best
+
+    def _gain(self, route: Route, smaller: int, step: int, larger: int) -> float:
+        """Expect how many points more a larger model will think of its answer.
+
+        What is seen on all routes is known first, and is the guess for each step.
+        """
+        part = (larger - smaller) / (len(route.models) - 1)
+        models = (route.models[smaller], route.models[larger])
+        guess = self.gains.get(models, NOTHING).value(FIRST_GAIN * part)
+        key = (route.name, smaller, step, larger)
+        return self.steps.get(key, NOTHING).value(guess)
--- a/walnutquay/state/work.py
+++ b/walnutquay/state/work.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from dataclasses import dataclass
 
 import xxhash
@@ -16,17 +18,16 @@
 from walnutquay.state.counts import LatestTable
 from walnutquay.state.ids import EndpointName
 
-# Until more is known, an engine reads a token in this time, in seconds; the
-# smallest models of both users need some 3 microseconds, the largest 30.
-FIRST_GUESS = 15e-6
-# Weight of a new reading time in the running mean of its model.
-RATE_WEIGHT = 0.1
 # Times are learnt from prompts of this size, whose reading outweighs the rest.
 MIN_LEARNT_TOKENS = 1_000
-# A time may not move the mean by more than this factor: it may hold a wait.
-MAX_RATIO = 3.0
-# Engines keep what was read this long at least, by what the users saw.
-KEPT_SECONDS = 10.0
+# The pace of a model is that which so many of its last prompts were read at least as
+# slowly as: waits that are not known make some seem slower than they were.
+PACES = 25
+PACE_QUANTILE = 0.3
+# The ranks that prompts may get at an engine, from what is read in no time to what
+# takes the whole aim or more; each is twice as long as the one before.
+FIRST_RANK, LAST_RANK = 2, 8
+WHOLE_AIM_RANK = 9
 # Beginnings that are remembered, over all engines.
 MAX_BEGINNINGS = 20_000
 # The chance that the engine which all VMs prefer for a beginning has it, where
@@ -66,8 +67,9 @@
         self.busy_until: dict[EndpointName, float] = {}
         # All reading that each engine was ever given; seconds.
         self.given: dict[EndpointName, float] = {}
-        # Seconds a token, by model.
+        # Seconds a token, by model, and the last ones seen.
         self.rates: dict[str, float] = {}
+        self.paces: dict[str, deque[float]] = {}
         # When each engine was last sent each beginning.
         self.sent: LatestTable[tuple[EndpointName, str], list[float]] = LatestTable(
             MAX_BEGINNINGS, list
@@ -76,12 +78,12 @@
     def rate(self, model: str) -> float:
         """:param model: a model.
 
-        :returns: seconds in which it reads a token.
+        :returns: seconds in which it reads a token; 0 until that is known.
         """
-        return self.rates.get(model, FIRST_GUESS)
+        return self.rates.get(model, 0.0)
 
     def learn(self, model: str, tokens: int, seconds: float) -> None:
-        """Learn from a prompt that was read with nothing before it.
+        """Learn from a prompt that was read with nothing known to be before it.
 
         :param model: the model.
         :param tokens: the prompt's size.
@@ -89,13 +91,18 @@
         """
         if tokens < MIN_LEARNT_TOKENS:
             return
-        known = self.rates.get(model)
-        seen = seconds / tokens
-        if known is None:
-            self.rates[model] = min(seen, FIRST_GUESS * MAX_RATIO)
-            return
-        seen = min(max(seen, known / MAX_RATIO), known * MAX_RATIO)
-        self.rates[model] = known + RATE_WEIGHT * (seen - known)
+        seen = self.paces.setdefault(model, deque(maxlen=PACES))
+        seen.append(seconds / tokens)
+        self.rates[model] = sorted(seen)[int(PACE_QUANTILE * len(seen))]
+
+    def hear_rate(self, model: str, rate: float) -> None:
+        """Take over what another VM has learnt, where nothing was learnt here.
+
+        :param model: the model.
+        :param rate: seconds in which it reads a token.
+        """
+        if model and rate > 0 and model not in self.paces:
+            self.rates[model] = rate
 
     def wait(self, name: EndpointName, now: float) -> float:
         """:param name: an engine.
@@ -105,18 +112,24 @@
         """
         return max(0.0, self.busy_until.get(name, now) - now)
 
-    def has(self, name: EndpointName, beginning: str, now: float) -> bool:
+    def has(self, name: EndpointName, beginning: str, now: float, kept: float) -> bool:
         """:param name: an engine.
 
         :param beginning: a beginning; see :attr:`PromptWork.beginning`.
         :param now: monotonic seconds.
-        :returns: whether it was sent that beginning lately.
+        :param kept: seconds for which engines keep what they have read.
+        :returns: whether it was sent that beginning within that time.
         """
         times = self.sent.get((name, beginning))
-        return bool(times) and now - times[0] < KEPT_SECONDS
+        return bool(times) and now - times[0] < kept
 
     def reading(
-        self, name: EndpointName, work: PromptWork, now: float, preferred: bool
+        self,
+        name: EndpointName,
+        work: PromptWork,
+        now: float,
+        preferred: bool,
+        kept: float,
     ) -> float:
         """Estimate the time to read a prompt.
 
@@ -124,12 +137,13 @@
         :param work: the prompt.
         :param now: monotonic seconds.
         :param preferred: whether all VMs prefer this engine for its beginning.
+        :param kept: seconds for which engines keep what they have read.
         :returns: seconds, without the wait before it.
         """
         tokens = float(work.tokens)
         if work.subject:
             chance = PREFERRED_CHANCE if preferred else 0.0
-            if self.has(name, work.beginning, now):
+            if self.has(name, work.beginning, now, kept):
                 chance = 1.0
             tokens -= chance * work.subject_tokens
         return max(0.0, tokens) * self.rate(work.model)
@@ -184,3 +198,16 @@
         names,
         key=lambda name: xxhash.xxh3_64_intdigest(f"{beginning}\n{name}".encode()),
     )
+
+
+def reading_rank(reading: float, aim: float) -> int:
+    """Rank a prompt at an engine: one that reads long holds up all behind it.
+
+    :param reading: seconds to read it.
+    :param aim: the time in which its route's answers should begin; seconds.
+    :returns: its rank, lower for what is read sooner.
+    """
+    if reading <= 0 or aim <= 0:
+        return FIRST_RANK
+    rank = WHOLE_AIM_RANK + round(math.log2(reading / aim))
+    return min(LAST_RANK, max(FIRST_RANK, rank))
