Learn how far models' opinions scatter, and share it between VMs

Looked for: which opinions are wrong. Opinions scatter by some 10 points, not by 20 as was assumed, and larger models were asked for answers that were good.

Hypothesis: pairs of opinions on the same request tell the scatter.

--- a/walnutquay/coordination/cascading.py
+++ b/walnutquay/coordination/cascading.py
@@ -4,18 +4,32 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.routedfacts import whole_ms
 from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.protocol.messages import Envelope, Message, OpinionNews
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import EndpointName, ModelName
+from walnutquay.state.gains import GainRow
+from walnutquay.state.ids import EndpointName, ModelName, VmName
 from walnutquay.state.sizing import Case, Forecast, ModelChoice, Step
 from walnutquay.transport.timers import monotonic
 
 # Values are logged to so many digits.
 DIGITS = 3
+# How often VMs tell each other what they have learnt: a new one knows it within two
+# such spans, and a row takes some 60 bytes.
+TELL_SECONDS = 2.0
+
+
+class Peers(Protocol):
+    """The other entry VMs."""
+
+    def tell(self, body: Message) -> None:
+        """:param body: a message to some of them; it may be lost."""
 
 
 class Cascading:
@@ -25,6 +39,7 @@
     :param knowledge: what is known from the store; here models' prices.
     :param places: forecasts how soon each model could begin to answer.
     :param choice: weighs the models.
+    :param peers: the other VMs, which learn from what this one sees.
     """
 
     def __init__(
@@ -33,11 +48,35 @@
         knowledge: Knowledge,
         places: RoutedPlaces,
         choice: ModelChoice,
+        peers: Peers,
     ) -> None:
         self.context = context
         self.knowledge = knowledge
         self.places = places
         self.choice = choice
+        self.peers = peers
+        # What was told last; it is told again only when there is more.
+        self.told: tuple[GainRow, ...] = ()
+
+    def start(self) -> None:
+        """Begin to tell the other VMs what is learnt here."""
+        self.context.timers.every("opinions", TELL_SECONDS, self.tell_peers)
+
+    def tell_peers(self) -> None:
+        """Tell the other VMs what this one has learnt."""
+        rows = self.choice.gains.rows()
+        if rows != self.told:
+            self.told = rows
+            self.peers.tell(OpinionNews(rows))
+
+    def hear(self, envelope: Envelope) -> None:
+        """Take in what another VM has learnt.
+
+        :param envelope: its message.
+        """
+        body = envelope.body
+        assert isinstance(body, OpinionNews)
+        self.choice.gains.hear(VmName(envelope.vm), body.rows)
 
     def learn(self, turn: RoutedTurn, opinion: float) -> None:
         """Learn from the opinion of a model that answers after a smaller one.
@@ -119,4 +158,5 @@
             harm=round(case.harm(step.larger), DIGITS),
             arrivals=round(case.demand.arrivals, DIGITS),
             busy=round(case.demand.busy, DIGITS),
+            scatter=round(self.choice.gains.scatter(), 1),
         )
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -43,6 +43,7 @@
     AskKnown,
     Envelope,
     KnownIs,
+    OpinionNews,
     TrialNews,
     WorkNews,
 )
@@ -206,11 +207,18 @@
             self.knowledge,
             self.client,
             PlatformDialect(),
-            Cascading(self.context, self.knowledge, places, ModelChoice()),
+            self._make_cascading(places),
             versions,
             self._budget,
         )
 
+    def _make_cascading(self, places: RoutedPlaces) -> Cascading:
+        cascading = Cascading(
+            self.context, self.knowledge, places, ModelChoice(), self.circle
+        )
+        self.mailroom.on(OpinionNews, cascading.hear)
+        return cascading
+
     def _budget(self) -> RetryBudget:
         promises = self.options.promises
         vms = max(ASSUMED_VMS, self.circle.size)
@@ -242,6 +250,7 @@
         self.circle.start()
         self.knowledge.start()
         self.versions.start()
+        self.path.cascading.start()
         await self.api.ready_server.start(self.listener(options.ready.address))
         await self.metrics_api.server.start(self.listener(options.metrics.address))
         await self.api.server.start(self.listener(options.callers.address))
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -9,6 +9,7 @@
 
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
+from walnutquay.state.gains import GainRow
 from walnutquay.state.membership import MemberNews
 from walnutquay.state.tallies import TallyRow
 from walnutquay.state.trials import TrialReport
@@ -189,6 +190,16 @@
     rate: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class OpinionNews(Message):
+    """Tells what the sender has learnt from models' opinions of their answers.
+
+    :param rows: its counts, all of them each time: news that are lost do no harm.
+    """
+
+    rows: tuple[GainRow, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TrialNews(Message):
     """Tells what the sender has seen of a version on trial.
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -32,6 +32,7 @@
     trial @25 :TrialNews;
     askChanges @26 :KnownChanges;
     changes @27 :Changes;
+    opinions @28 :List(GainRow);
   }
 }
 
@@ -113,6 +114,15 @@
   revision @1 :UInt64;
 }
 
+# Differences of two models' opinions on the same request, second less first.
+struct GainRow {
+  smaller @0 :Text;
+  larger @1 :Text;
+  count @2 :Float32;
+  total @3 :Float32;
+  squares @4 :Float32;
+}
+
 # What the sender has seen of a version on trial; measures are words.
 struct TrialNews {
   order @0 :Text;
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -17,10 +17,12 @@
 from walnutquay.protocol import messages as m
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
+from walnutquay.state.gains import GainCounts, GainRow, ModelPair
 from walnutquay.state.ids import (
     EndpointName,
     HallName,
     Incarnation,
+    ModelName,
     RouteName,
     VersionName,
     VmName,
@@ -194,6 +196,13 @@
     return {"work": asdict(body)}
 
 
+@body_fields.register
+def _(body: m.OpinionNews) -> dict[str, Any]:
+    return {
+        "opinions": [{**asdict(row.pair), **asdict(row.counts)} for row in body.rows]
+    }
+
+
 @body_fields.register
 def _(body: m.TrialNews) -> dict[str, Any]:
     report = body.report
@@ -260,6 +269,18 @@
     )
 
 
+def _opinions(reader: Any) -> m.OpinionNews:
+    return m.OpinionNews(
+        tuple(
+            GainRow(
+                ModelPair(ModelName(row.smaller), ModelName(row.larger)),
+                GainCounts(row.count, row.total, row.squares),
+            )
+            for row in reader
+        )
+    )
+
+
 def _trial(reader: Any) -> m.TrialNews:
     counts = tuple(
         (
@@ -291,6 +312,7 @@
     "versionBrake": lambda r: m.VersionBrake(str(r)),
     "tallies": _tallies,
     "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning, r.model, r.rate),
+    "opinions": _opinions,
     "trial": _trial,
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
--- a/walnutquay/state/opinions.py
+++ b/walnutquay/state/opinions.py
@@ -14,9 +14,9 @@
 # The scale's end, and the opinion that says that either is as likely.
 FULL = 100.0
 EVEN = 50.0
-# How far opinions scatter around what an answer deserves, in points: an opinion one
-# such step above the middle is right five times in six.
-SCATTER = 20.0
+# How far opinions are taken to scatter around what an answer deserves until that is
+# known, in points: one such step above the middle they are right five times in six.
+FIRST_SCATTER = 15.0
 # Steps of the scale that are told apart.
 STEPS = 10
 # Observations that a first guess counts as.
@@ -25,12 +25,21 @@
 MEMORY = 100.0
 
 
-def chance_good(opinion: float) -> float:
+def chance_good(opinion: float, scatter: float = FIRST_SCATTER) -> float:
     """:param opinion: a model's opinion of its answer, 0 to 100.
 
+    :param scatter: how far opinions scatter around what an answer deserves; points.
     :returns: the chance that the answer is good enough.
     """
-    return 0.5 * (1.0 + math.erf((opinion - EVEN) / (SCATTER * math.sqrt(2.0))))
+    return 0.5 * (1.0 + math.erf((opinion - EVEN) / (scatter * math.sqrt(2.0))))
+
+
+def inside(opinion: float) -> bool:
+    """:param opinion: an opinion.
+
+    :returns: whether it is not cut off at an end of the scale.
+    """
+    return 0.0 < opinion < FULL
 
 
 def step_of(opinion: float) -> int:
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass
 
 from walnutquay.state.catalogue import Route
-from walnutquay.state.ids import ModelName, RouteName
+from walnutquay.state.gains import Gains, ModelPair
+from walnutquay.state.ids import RouteName
 from walnutquay.state.opinions import FadingMean, chance_good, step_of
 
 # What a good answer after its aim is worth, beside one in time.
@@ -147,9 +148,8 @@
     """Chooses among the models of routes that leave the choice to us."""
 
     def __init__(self) -> None:
-        # How many points more a larger model thinks of its answer than a smaller one
-        # did of its own, on the same request: over all routes and opinions.
-        self.gains: dict[tuple[ModelName, ModelName], FadingMean] = {}
+        # How much more larger models think of their answers, on all routes.
+        self.gains = Gains()
         # The same by route, smaller model, step of its opinion, larger model.
         self.steps: dict[tuple[RouteName, int, int, int], FadingMean] = {}
 
@@ -164,8 +164,7 @@
         :param larger: the index of the model that answered then.
         :param second: its opinion.
         """
-        models = (route.models[smaller], route.models[larger])
-        self.gains.setdefault(models, FadingMean()).add(second - opinion)
+        self.gains.add(pair_of(route, smaller, larger), opinion, second)
         key = (route.name, smaller, step_of(opinion), larger)
         self.steps.setdefault(key, FadingMean()).add(second - opinion)
 
@@ -178,11 +177,12 @@
         """
         if opinion is None:
             return Step(None, 1.0, 1.0)
-        kept = chance_good(opinion) * case.worth_at(0.0)
+        scatter = self.gains.scatter()
+        kept = chance_good(opinion, scatter) * case.worth_at(0.0)
         best = Step(None, kept, kept)
         for larger in range(model + 1, len(case.route.models)):
             gain = self._gain(case.route, model, step_of(opinion), larger)
-            chance = chance_good(opinion + gain)
+            chance = chance_good(opinion + gain, scatter)
             forecast = case.forecasts[larger]
             worth = case.worth_at(forecast.wait + forecast.reading)
             value = chance * worth - case.price(larger)
@@ -196,7 +196,15 @@
         What is seen on all routes is known first, and is the guess for each step.
         """
         part = (larger - smaller) / (len(route.models) - 1)
-        models = (route.models[smaller], route.models[larger])
-        guess = self.gains.get(models, NOTHING).value(FIRST_GAIN * part)
+        guess = self.gains.gain(pair_of(route, smaller, larger), FIRST_GAIN * part)
         key = (route.name, smaller, step, larger)
         return self.steps.get(key, NOTHING).value(guess)
+
+
+def pair_of(route: Route, smaller: int, larger: int) -> ModelPair:
+    """:param route: a route with models.
+
+    :param smaller: the index of one.
+    :param larger: the index of another.
+    """
+    return ModelPair(route.models[smaller], route.models[larger])
