--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -28,10 +28,10 @@
 # How many points more the largest model thinks of its answers than the smallest does
 # on the same request, until some have been seen.
 FIRST_GAIN = 50.0
-# However busy engines seem, a busy period is taken to last no longer than 3.3 times the
-# work in it, as 1 / (1 - 0.7): work is estimated high, for some of it is cached, and
+# However busy engines seem, a busy period is taken to last no longer than twice the
+# work in it, as 1 / (1 - 0.5): work is estimated high, for some of it is cached, and
 # with ten times (0.9) answers of too small a model were kept on calm engines.
-MOST_BUSY = 0.7
+MOST_BUSY = 0.5
 # A mean of no observations.
 NOTHING = FadingMean()
 
