Harm to others by the cube of the work before an engine

Hypothesis: who comes finds the work that is left; late the likelier by the square of its share of the aim. The sum over the busy period grows with the cube.

--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -29,8 +29,7 @@
 # on the same request, until some have been seen.
 FIRST_GAIN = 50.0
 # However busy engines seem, a busy period is taken to last no longer than twice the
-# work in it, as 1 / (1 - 0.5): work is estimated high, for some of it is cached, and
-# with ten times (0.9) answers of too small a model were kept on calm engines.
+# work in it, as 1 / (1 - 0.5): work is estimated high, for some of it is cached.
 MOST_BUSY = 0.5
 # A mean of no observations.
 NOTHING = FadingMean()
@@ -115,19 +114,32 @@
     def harm(self, model: int) -> float:
         """Estimate what others lose who come while the engine is busy with this.
 
-        Each of them is delayed by the reading.  That makes one late whose wait then
-        passes what the aim leaves; the closer waits are to the aim, the likelier it
-        is (a density that grows evenly, from none to twice the mean at the aim).
+        Whoever comes finds the work that is left then, and is late the likelier, the
+        closer that is to the aim: its share of the aim, squared.  Over a busy period
+        that makes a sum which grows with the cube of the work.
 
         :param model: the index of a model.
         """
         forecast = self.forecasts[model]
         aim = self.route.objective_seconds
         free = 1.0 - min(MOST_BUSY, self.demand.busy)
-        delayed = self.demand.arrivals * (forecast.wait + forecast.reading) / free
-        late = 2.0 * (forecast.wait / aim) * (forecast.reading / aim)
+        before = _late_seconds(forecast.wait, aim)
+        after = _late_seconds(forecast.wait + forecast.reading, aim)
+        late = self.demand.arrivals * (after - before) / free
         weight = self.demand.weight / weight_of(self.priority)
-        return delayed * min(1.0, late) * (1.0 - LATE_VALUE) * weight
+        return late * (1.0 - LATE_VALUE) * weight
+
+
+def _late_seconds(work: float, aim: float) -> float:
+    """:param work: seconds of work before an engine.
+
+    :param aim: the time in which answers should begin; seconds.
+    :returns: the sum, over the time in which the work is done, of the chance that who
+        comes then is late.
+    """
+    if work <= aim:
+        return work**3 / (3.0 * aim * aim)
+    return aim / 3.0 + work - aim
 
 
 @dataclass(frozen=True, slots=True)
