--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -292,6 +292,66 @@
         "True",
         "tests.test_trials.VerdictTest.test_a_version_that_is_slow_in_part",
     ),
+    Mutation(
+        "leaving endpoints: only the store's own return makes deletions doubtful",
+        "coordination/knowledge.py",
+        "if self.instance_follower.failing_since is not None:",
+        "if True:",
+        "tests.test_relaying.RelayedFeedTest."
+        "test_a_watcher_that_returns_to_a_vm_that_was_never_cut_off",
+    ),
+    Mutation(
+        "leaving endpoints: watchers of all halls are asked",
+        "coordination/relaying.py",
+        "if silent and number >= len(near) + FAR_WATCHERS:",
+        "if number >= len(near) + FAR_WATCHERS:",
+        "tests.test_relaying.WatchersTest."
+        "test_the_only_one_that_the_store_serves_is_found",
+    ),
+    Mutation(
+        "silent streams between VMs are replaced",
+        "transport/peers.py",
+        "if connection.heard_at <= asked_at:",
+        "if False:",
+        "tests.test_peers.PeerNodeTest.test_a_stream_that_fell_silent_is_replaced",
+    ),
+    Mutation(
+        "the whole answer: a reset is noticed late",
+        "transport/client.py",
+        "None if framed else answer._protocol",
+        "None if framed or answer.connection is None else answer._protocol",
+        "tests.test_routed.WholeBodyTest."
+        "test_a_reset_is_noticed_after_the_connection_is_let_go_of",
+    ),
+    Mutation(
+        "planned stops: what crosses the close is not passed on",
+        "transport/gateway.py",
+        "if request.transport is None or request.transport.is_closing():",
+        "if False:",
+        "tests.test_routed.StopTest."
+        "test_a_request_that_crosses_the_close_is_not_passed_on",
+    ),
+    Mutation(
+        "models: what others lose counts",
+        "state/sizing.py",
+        "return DEAREST_RUN * own + self.harm(model)",
+        "return DEAREST_RUN * own",
+        "tests.test_sizing.StepTest.test_on_busy_engines_less_is_asked",
+    ),
+    Mutation(
+        "models: how far opinions scatter is learnt",
+        "state/gains.py",
+        "deviations = sum(item.deviations for item in counts) / 2.0",
+        "deviations = FIRST_SCATTER * FIRST_SCATTER * seen",
+        "tests.test_gains.ScatterTest.test_it_is_learnt",
+    ),
+    Mutation(
+        "engines: those that cannot be connected to are not waited for",
+        "coordination/bodies.py",
+        "given_up = not waiting.done() and not await self.still_there()",
+        "given_up = False",
+        "tests.test_routed.DarkEngineTest",
+    ),
 ]
 
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -278,6 +278,15 @@
         )
         self.assertNotIn("p1", knowledge.instances.book.known)
 
+    async def test_a_watcher_that_returns_to_a_vm_that_was_never_cut_off(self):
+        knowledge = self.follower.knowledge
+        self.assertIsNone(knowledge.instance_follower.failing_since)
+        knowledge.watcher_returned(0.0)
+        await self.store.remove("servers", "p1")
+        await self.until(lambda: "p1" not in knowledge.instances.book.known)
+        self.assertNotIn("p1", knowledge.instances.book.overdue)
+        self.assertLess(knowledge.instances.book.doubt_until, 0.0)
+
     async def test_a_watcher_that_knows_too_little_sends_the_whole_list(self):
         for gateway in self.gateways:
             for follower in gateway.knowledge.followers():
--- a/walnutquay/coordination/bodies.py
+++ b/walnutquay/coordination/bodies.py
@@ -87,8 +87,8 @@
         try:
             while not waiting.done():
                 await asyncio.wait([waiting], timeout=self.every)
-                lost = not waiting.done() and not await self.still_there()
-                if lost and not waiting.done():
+                given_up = not waiting.done() and not await self.still_there()
+                if given_up and not waiting.done():
                     raise EndpointError(
                         "it cannot be connected to any more",
                         step=STEP_SILENT,
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -9,7 +9,8 @@
 
 import aiohttp
 
-from walnutquay.coordination.bodies import WatchedBody, WatchedExchange, whole_body
+from walnutquay.coordination.bodies import WatchedExchange, whole_body
+from walnutquay.coordination.budgets import RetryBudgets
 from walnutquay.coordination.cascading import Cascading
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.outcomes import Outcome, Streamed, Unknown, Whole
@@ -20,14 +21,14 @@
 from walnutquay.coordination.routedplaces import RoutedPlaces
 from walnutquay.coordination.routedports import Dialect, VersionPolicy
 from walnutquay.coordination.routedturn import Opinion, RoutedArrival, RoutedTurn
+from walnutquay.coordination.streaming import StreamPassing, tried_every
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
-from walnutquay.protocol.chat import StreamParser
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.admission import RetryBudget
 from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.events import EventKind, Facts
-from walnutquay.state.ids import EndpointName, ServiceName
+from walnutquay.state.events import Facts
+from walnutquay.state.ids import EndpointName
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
 from walnutquay.state.work import reading_rank
@@ -35,9 +36,9 @@
     STEP_CONNECT,
     STEP_REACH,
     STEP_SILENT,
-    ConnectionEnd,
     Exchange,
     HttpClient,
+    header_pairs,
 )
 from walnutquay.transport.timers import monotonic
 
@@ -55,16 +56,6 @@
 HEAD_AIMS = 2.0
 # Retries that must be left for a wait to be given up.
 MIN_BUDGET = 2.0
-# The pauses that a stream's pace is judged by.
-JUDGED_EVENTS = 3
-# A stream that is silent for so many of the longest good pauses, and for the time that
-# its route gives a first event, goes on elsewhere though its endpoint can be reached:
-# engines that read long prompts are silent too.  Callers leave after eight pauses.
-MUTE_PAUSES = 4.0
-# Of the longest good pause: how often a silent endpoint is tried.
-TRIED_PAUSE = 0.5
-# The same where the route names no pause; seconds.
-MIN_TRIED_SECONDS = 0.2
 CODE_TIMEOUT = "timeout"
 # The index of the model that is asked first: its opinion tells whether it will do, and
 # it reads and costs a small part of what the others do.
@@ -114,9 +105,11 @@
         self.dialect = dialect
         self.cascading = cascading
         self.versions = versions
-        self.budget = budget
-        self.budgets: dict[ServiceName, RetryBudget] = {}
+        self.budgets = RetryBudgets(budget)
         self.facts = RoutedFacts(knowledge, places, parts.table)
+        self.streams = StreamPassing(
+            self.context, places, versions, self.facts, self.budgets
+        )
 
     def facts_received(self, arrival: RoutedArrival) -> Facts:
         """:param arrival: a request, for the log."""
@@ -158,25 +151,15 @@
             SMALLEST if chosen else None,
             StreamProgress(arrival.head.last_event),
         )
-        self.budget_of(service).first_try()
+        self.budgets.of(service).first_try()
         return await self.attempts(turn, stage)
 
-    def budget_of(self, service: ServiceName) -> RetryBudget:
-        """:param service: a service.
-
-        :returns: this VM's share of the retries that it may get.
-        """
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = self.budget()
-        return budget
-
     def may_retry(self, turn: RoutedTurn) -> bool:
         """:param turn: a request that is to be sent once more."""
         if turn.prepaid:
             turn.prepaid = False
             return True
-        return self.budget_of(turn.service).take()
+        return self.budgets.of(turn.service).take()
 
     def need_of(self, turn: RoutedTurn) -> Need:
         """:param turn: the request.
@@ -304,7 +287,7 @@
                 if larger is not None:
                     turn.model = larger
                     return running.go_on()
-                judged = await self._pass_stream(turn, head, answer, grant, seconds)
+                judged = await self.streams.pass_on(turn, head, answer, grant, seconds)
                 self._learn(turn, grant, seconds, judged)
                 running.answered()
                 return Streamed(whole=True)
@@ -350,7 +333,7 @@
 
         An endpoint can be silent for ever with its connection up.
         """
-        if not turn.repeatable or self.budget_of(turn.service).left < MIN_BUDGET:
+        if not turn.repeatable or self.budgets.of(turn.service).left < MIN_BUDGET:
             return None
         aim = turn.arrival.route.objective_seconds
         return max(HEAD_AIMS * aim, HEAD_FACTOR * self.places.expected(grant))
@@ -362,25 +345,6 @@
             return None
         return reading_rank(reading, turn.arrival.route.objective_seconds)
 
-    async def _goes_on_elsewhere(
-        self, turn: RoutedTurn, grant: Grant, gap: float
-    ) -> bool:
-        """Decide whether a silent stream is to go on at another endpoint.
-
-        An engine that reads a long prompt is silent too, and is waited for; one
-        that cannot be reached any more is not.
-
-        :param turn: the request.
-        :param grant: the endpoint.
-        :param gap: seconds without an event.
-        """
-        if not turn.repeatable or self.budget_of(turn.service).left < 1.0:
-            return False
-        if gap < mute_after(turn) and await self.places.still_there(grant):
-            return False
-        turn.prepaid = self.budget_of(turn.service).take()
-        return turn.prepaid
-
     def _read_head(
         self, turn: RoutedTurn, grant: Grant, answer: aiohttp.ClientResponse
     ) -> AnswerHead:
@@ -389,10 +353,7 @@
         :raises NotStartedError: if the endpoint says that it did not begin.
         :raises EndpointError: if the answer belongs to another request.
         """
-        raw = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in answer.raw_headers
-        ]
+        raw = header_pairs(answer)
         head = self.dialect.decode_answer(answer.status, answer.headers, raw)
         if head.running is not None:
             load = head.running + head.waiting
@@ -437,79 +398,6 @@
         else:
             self.versions.succeeded(turn, grant, seconds)
 
-    async def _pass_stream(
-        self,
-        turn: RoutedTurn,
-        head: AnswerHead,
-        answer: aiohttp.ClientResponse,
-        grant: Grant,
-        seconds: float,
-    ) -> bool:
-        """Pass whole events on to the caller until the stream has ended.
-
-        :param turn: the request.
-        :param head: the answer's head.
-        :param answer: the answer.
-        :param grant: who answers.
-        :param seconds: until the head.
-        :returns: whether its first events were enough to judge its pace.
-        :raises EndpointError: if it ends early.
-        """
-        reply = turn.arrival.reply
-        assert reply is not None
-        watched = ConnectionEnd(answer)
-        parser = StreamParser()
-        if not turn.progress.begun:
-            turn.progress.begun = True
-            self.context.timeline.emit(
-                EventKind.BEGUN,
-                request=turn.arrival.request,
-                endpoint=grant.name,
-                **self.facts.begun(turn, head, seconds),
-            )
-            await reply.begin(head)
-        began = monotonic()
-        passed = 0
-        judged = False
-        body = WatchedBody(
-            answer,
-            tried_every(turn),
-            lambda gap: self._goes_on_elsewhere(turn, grant, gap),
-        )
-        async for data in body:
-            events = [e for e in parser.feed(data) if turn.progress.accept(e)]
-            if events:
-                turn.arrival.passed(monotonic())
-                await reply.write(b"".join(events))
-            passed += len(events)
-            if passed > JUDGED_EVENTS and not judged:
-                judged = True
-                pause = (monotonic() - began) / (passed - 1)
-                self.versions.paced(turn, grant, seconds, pause)
-        watched.check(grant.name)
-        if parser.buffer:
-            raise EndpointError(
-                "the stream ended within an event", step="stream", peer=grant.name
-            )
-        return judged
-
 
 def _as_whole(head: AnswerHead, body: bytes) -> WholeAnswer:
     return WholeAnswer(head.status, head.content_type, body, head.headers)
-
-
-def tried_every(turn: RoutedTurn) -> float:
-    """:param turn: a streamed request.
-
-    :returns: seconds of silence after which its endpoint is tried, again and again.
-    """
-    return max(MIN_TRIED_SECONDS, TRIED_PAUSE * turn.arrival.route.pause_seconds)
-
-
-def mute_after(turn: RoutedTurn) -> float:
-    """:param turn: a streamed request.
-
-    :returns: seconds of silence after which it goes on elsewhere.
-    """
-    route = turn.arrival.route
-    return max(MUTE_PAUSES * route.pause_seconds, route.objective_seconds)
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -92,7 +92,7 @@
         dropped = self.writer.dropped if self.writer is not None else 0
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
         yield from self._endpoints()
-        for service, budget in self.path.budgets.items():
+        for service, budget in self.path.budgets.known.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
         for service, task in self.versions.tasks.items():
             label = f'service="{service}",version="{task.trial.order.version}"'
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -269,6 +269,17 @@
         return EndpointError(reason, step="exchange", peer=self.peer)
 
 
+def header_pairs(answer: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    """:param answer: an answer.
+
+    :returns: its headers as they came, in order.
+    """
+    return [
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in answer.raw_headers
+    ]
+
+
 async def get_json(session: aiohttp.ClientSession, url: str, timeout: float) -> object:
     """Get a small JSON answer.
 
