Shorter prompts wait for a reading at the most, not for all that is before it

Hypothesis: engines read shorter prompts first, so who comes with one waits for this reading, not for the work before it.

--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -95,6 +95,21 @@
         self.assertGreater(len(calm), len(busy))
         self.assertGreater(len(busy), len(busier))
 
+    def test_a_long_reading_harms_others_where_nothing_waits(self):
+        readings = (QUICK[0], QUICK[1], Forecast(0.0, 3.0, 0.12))
+        idle = case(forecasts=readings, demand=Demand(3.0, 0.5))
+        self.assertGreater(idle.harm(2), 0.5)
+        self.assertLess(idle.harm(0), 0.01)
+
+    def test_shorter_prompts_do_not_wait_for_all_that_is_before(self):
+        waits = tuple(replace(f, wait=1.5) for f in QUICK)
+        short = Demand(3.0, 0.5, 1.0, (0.05,) * 8)
+        long = Demand(3.0, 0.5, 1.0, (5.0,) * 8)
+        self.assertLess(
+            case(forecasts=waits, demand=short).harm(2),
+            0.2 * case(forecasts=waits, demand=long).harm(2),
+        )
+
     def test_urgent_requests_give_way_last(self):
         waits = tuple(replace(f, wait=1.0) for f in QUICK)
         busy = case(forecasts=waits, demand=Demand(3.0, 0.5, 0.5))
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -56,11 +56,22 @@
     :param arrivals: prompts for each engine a second.
     :param busy: the part of their time for which engines read.
     :param weight: the mean weight of those prompts; see :func:`weight_of`.
+    :param readings: seconds to read each of the last ones.
     """
 
     arrivals: float = 0.0
     busy: float = 0.0
     weight: float = 1.0
+    readings: tuple[float, ...] = ()
+
+    def longer(self, reading: float) -> float:
+        """:param reading: seconds to read a prompt.
+
+        :returns: the share of prompts that are read at least as long.
+        """
+        if not self.readings:
+            return 1.0
+        return sum(item >= reading for item in self.readings) / len(self.readings)
 
 
 def weight_of(priority: int) -> float:
@@ -116,16 +127,21 @@
 
         Whoever comes finds the work that is left then, and is late the likelier, the
         closer that is to the aim: its share of the aim, squared.  Over a busy period
-        that makes a sum which grows with the cube of the work.
+        that makes a sum which grows with the cube of the work.  Engines read shorter
+        prompts first, so those that come wait for this reading at the most; longer
+        ones for all that is before it too.
 
         :param model: the index of a model.
         """
         forecast = self.forecasts[model]
         aim = self.route.objective_seconds
         free = 1.0 - min(MOST_BUSY, self.demand.busy)
-        before = _late_seconds(forecast.wait, aim)
-        after = _late_seconds(forecast.wait + forecast.reading, aim)
-        late = self.demand.arrivals * (after - before) / free
+        behind_all = _late_seconds(forecast.wait + forecast.reading, aim)
+        behind_all -= _late_seconds(forecast.wait, aim)
+        behind_this = _late_seconds(forecast.reading, aim)
+        longer = self.demand.longer(forecast.reading)
+        late = longer * behind_all + (1.0 - longer) * behind_this
+        late *= self.demand.arrivals / free
         weight = self.demand.weight / weight_of(self.priority)
         return late * (1.0 - LATE_VALUE) * weight
 
--- a/walnutquay/state/traffic.py
+++ b/walnutquay/state/traffic.py
@@ -56,6 +56,7 @@
             count * scale,
             sum(prompt.seconds for prompt in self.prompts) * scale,
             sum(prompt.weight for prompt in self.prompts) / count,
+            tuple(prompt.seconds for prompt in self.prompts),
         )
 
     def kept_seconds(
