--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 
 import aiohttp
@@ -25,7 +24,6 @@
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.protocol.streams import StreamProgress
-from walnutquay.state.admission import RetryBudget
 from walnutquay.state.claims import WholeAnswer
 from walnutquay.state.events import Facts
 from walnutquay.state.ids import EndpointName
@@ -84,7 +82,7 @@
     :param dialect: writes and reads heads.
     :param cascading: chooses among models by size.
     :param versions: chooses among versions while one is rolled out.
-    :param budget: makes the retry budget of a service.
+    :param budgets: this VM's retry budgets.
     """
 
     def __init__(
@@ -96,7 +94,7 @@
         dialect: Dialect,
         cascading: Cascading,
         versions: VersionPolicy,
-        budget: Callable[[], RetryBudget],
+        budgets: RetryBudgets,
     ) -> None:
         super().__init__(parts)
         self.places = places
@@ -105,7 +103,7 @@
         self.dialect = dialect
         self.cascading = cascading
         self.versions = versions
-        self.budgets = RetryBudgets(budget)
+        self.budgets = budgets
         self.facts = RoutedFacts(knowledge, places, parts.table)
         self.streams = StreamPassing(
             self.context, places, versions, self.facts, self.budgets
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -173,7 +173,7 @@
         assert need.work is not None
         work, now = need.work, grant.started
         service = ServiceName(need.target)
-        kept = self._kept_seconds(service, now)
+        kept = self.kept_seconds(service, now)
         wait = self.work.wait(grant.name, now)
         seconds = self.work.reading(grant.name, work, now, False, kept)
         cached = self.work.has(grant.name, work.beginning, now, kept)
@@ -190,8 +190,12 @@
     def _traffic(self, service: ServiceName) -> PromptTraffic:
         return self.traffic.setdefault(service, PromptTraffic())
 
-    def _kept_seconds(self, service: ServiceName, now: float) -> float:
-        """:returns: how long the engines of a service keep what they have read."""
+    def kept_seconds(self, service: ServiceName, now: float) -> float:
+        """:param service: a service of engines.
+
+        :param now: monotonic seconds.
+        :returns: how long its engines keep what they have read.
+        """
         engines = len(self.candidates(service))
         traffic = self._traffic(service)
         return traffic.kept_seconds(now, self.vms(), engines, self.memory(service))
@@ -348,7 +352,7 @@
         self.work = work
         self.now = now
         self.hall = places.context.hall
-        self.kept = places._kept_seconds(service, now)
+        self.kept = places.kept_seconds(service, now)
         # The engines that all VMs prefer for the beginning: of this data hall, and of
         # all.  What is read long is worth the way to the one that has read it.
         near = [item.name for item in engines if item.hall == self.hall]
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -13,6 +13,7 @@
 import logbook
 import uvloop
 
+from walnutquay.coordination.budgets import RetryBudgets
 from walnutquay.coordination.cascading import Cascading
 from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
@@ -71,9 +72,8 @@
 # Prompts that take an engine less time to read are not told to the other VMs: bytes
 # between data halls have a price, and these delay nobody for long.
 HEAVY_SECONDS = 0.08
-# Retries of a service that a VM may make before any first try has added to them.
-FIRST_RETRIES = 2.0
-# Until more is known, so many VMs are taken to share the extra retries.
+# Until the list of VMs has been read, so many are taken to share the retries; as the
+# smallest fleets of the users have, and some are always being replaced.
 ASSUMED_VMS = 7
 
 
@@ -209,7 +209,7 @@
             PlatformDialect(),
             self._make_cascading(places),
             versions,
-            self._budget,
+            self._make_budgets(),
         )
 
     def _make_cascading(self, places: RoutedPlaces) -> Cascading:
@@ -219,16 +219,13 @@
         self.mailroom.on(OpinionNews, cascading.hear)
         return cascading
 
-    def _budget(self) -> RetryBudget:
+    def _make_budgets(self) -> RetryBudgets:
         promises = self.options.promises
-        vms = max(ASSUMED_VMS, self.circle.size)
-        budget = RetryBudget(
+        return RetryBudgets(
             promises.retry_share * BUDGET_MARGIN,
-            promises.retry_extra * BUDGET_MARGIN / vms,
+            promises.retry_extra * BUDGET_MARGIN,
+            lambda: max(ASSUMED_VMS, self.circle.size),
         )
-        # A VM that starts again may have spent its extra retries just before.
-        budget.left = FIRST_RETRIES
-        return budget
 
     async def run(self) -> None:
         """Serve until :attr:`stopping` is set, then stop as planned."""
