Watch endpoints for 1 s at a time: a watcher that is turned away says so in time

The store turned the watcher of a hall away in silence from second 2.3 on. Its watch of the configuration failed at 3.0, but that of the endpoints was held for 10 s: until 11.5 it told the VMs that hear from it that nothing had changed, and they used an endpoint 2.8 s after it had left.

Ruled out: doubted deletions (none came), the far watchers (never asked, for the near one answered). Change: endpoints are watched for 1 s at a time, orders for 4 s, so an answer is overdue after 1.5 s and another hall's watcher is asked. The test that holds the sum of the spans under 2 s failed before. It is what silent connections to the store ask for as well.

--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -10,13 +10,15 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from standins.link import Link
 from tests.gatewaycase import GatewayCase, catalogue
 from walnutquay.coordination import relaying
+from walnutquay.coordination.following import ENTRY_WATCH_SECONDS
 from walnutquay.coordination.relaying import SMALL_FLEET, RelayedFeed, Watchers
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.exceptions import HistoryGoneError, PeerError
 from walnutquay.platform.feeds import KEPT_BATCHES, Batch, Feed
-from walnutquay.platform.store import StoredEvent, StoredObject
+from walnutquay.platform.store import WATCH_SLACK_SECONDS, StoredEvent, StoredObject
 from walnutquay.protocol.messages import ChangesAre
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import Address, VmPlace
@@ -278,6 +280,27 @@
         )
         self.assertNotIn("p1", knowledge.instances.book.known)
 
+    async def test_a_watcher_whose_connections_to_the_store_fell_silent(self):
+        watcher = next(g for g in self.gateways if self.watches(g))
+        host, _, port = self.store.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        self.addCleanup(link.stop)
+        watcher.store.base = f"http://{host}:{link.port}/v1/objects"
+        for follower in watcher.knowledge.followers():
+            follower.nudge()
+        await self.until(lambda: len(link.writers) >= 6)
+        link.silence()
+        await self.store.remove("servers", "p1")
+        # Watches that are held for longer than this test waits would hide it.
+        book = self.follower.knowledge.instances.book
+        await self.until(lambda: "p1" not in book.known)
+
+    def test_a_silent_store_is_noticed_while_leaving_endpoints_are_served(self):
+        noticed = ENTRY_WATCH_SECONDS + WATCH_SLACK_SECONDS
+        # The least time that the users' deployments give.
+        self.assertLess(noticed + relaying.ANSWER_SECONDS, 2.0)
+
     async def test_a_watcher_that_returns_to_a_vm_that_was_never_cut_off(self):
         knowledge = self.follower.knowledge
         self.assertIsNone(knowledge.instance_follower.failing_since)
--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -19,9 +19,14 @@
 # One kind is watched with short waits: a lost answer or a cut is noticed only when
 # an answer is overdue, and a change must be known 2 s after it was made.
 PULSE_SECONDS = 2.0
-# The others are watched with long waits, for each call has its price; they are
-# asked anew when the first kind has found that the store was away.
-WATCH_SECONDS = 10.0
+# Endpoints' entries are watched with shorter waits still: a connection may fall silent
+# for good, and the store turn one VM away, and all that hear from it must know within
+# the 2 s in which a leaving endpoint still has to be served.  An answer is overdue
+# after another 0.5 s, and another watcher is asked.
+ENTRY_WATCH_SECONDS = 1.0
+# Orders are watched with long waits, for each call has its price; they are asked anew
+# when another kind has found that the store was away.
+ORDER_WATCH_SECONDS = 4.0
 # While the store does not answer, calls wait no longer than this for changes.
 PROBE_SECONDS = 0.3
 # Endpoints' entries and orders are watched anew no sooner than so long after the call
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -15,9 +15,10 @@
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.following import (
+    ENTRY_WATCH_SECONDS,
+    ORDER_WATCH_SECONDS,
     PULSE_SECONDS,
     WATCH_GAP_SECONDS,
-    WATCH_SECONDS,
     AskPeers,
     Feed,
     Follower,
@@ -245,7 +246,7 @@
             context,
             instances,
             self.instances,
-            WATCH_SECONDS,
+            ENTRY_WATCH_SECONDS,
             self._entries_return,
             ask_peers,
             WATCH_GAP_SECONDS,
@@ -254,7 +255,7 @@
             context,
             orders,
             self.orders,
-            WATCH_SECONDS,
+            ORDER_WATCH_SECONDS,
             _nothing,
             ask_peers,
             WATCH_GAP_SECONDS,
