--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/sizing.py
@@ -28,9 +28,6 @@
 # How many points more the largest model thinks of its answers than the smallest does
 # on the same request, until some have been seen.
 FIRST_GAIN = 50.0
-# However busy engines seem, a busy period is taken to last no longer than twice the
-# work in it, as 1 / (1 - 0.5): work is estimated high, for some of it is cached.
-MOST_BUSY = 0.5
 # A mean of no observations.
 NOTHING = FadingMean()
 
@@ -135,13 +132,12 @@
         """
         forecast = self.forecasts[model]
         aim = self.route.objective_seconds
-        free = 1.0 - min(MOST_BUSY, self.demand.busy)
         behind_all = _late_seconds(forecast.wait + forecast.reading, aim)
         behind_all -= _late_seconds(forecast.wait, aim)
         behind_this = _late_seconds(forecast.reading, aim)
         longer = self.demand.longer(forecast.reading)
         late = longer * behind_all + (1.0 - longer) * behind_this
-        late *= self.demand.arrivals / free
+        late *= self.demand.arrivals
         weight = self.demand.weight / weight_of(self.priority)
         return late * (1.0 - LATE_VALUE) * weight
 
