--- a/walnutquay/coordination/eventlog.py
+++ b/walnutquay/coordination/eventlog.py
@@ -18,8 +18,8 @@
 
 log = logbook.Logger("walnutquay.events")
 
-# Lines a second that are logged at once: five times the 42 to 63 that the VMs of a
-# played calm day wrote.  What 300 cost in processor time has not been measured.
+# Lines a second that are logged at once: five times the 42 to 63 that VMs were
+# seen to write without faults.  What 300 cost in processor time was not measured.
 LINES_PER_SECOND = 300.0
 # Lines that may be saved up for a burst, in seconds of the rate.
 BURST_SECONDS = 2.0
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -72,8 +72,8 @@
 # Prompts that take an engine less time to read are not told to the other VMs: bytes
 # between data halls have a price, and these delay nobody for long.
 HEAVY_SECONDS = 0.08
-# Until the list of VMs has been read, so many are taken to share the retries; as the
-# smallest fleets of the users have, and some are always being replaced.
+# Until the list of VMs has been read, so many are taken to share the retries: a
+# small fleet, of which some are always being replaced.
 ASSUMED_VMS = 7
 
 
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -57,7 +57,7 @@
 
 # Bad answers that condemn a version, if they are a large share of all.
 MIN_BAD = 3
-# The share of sluggish answers that any version has: 0.13 to 0.17 on played calm days;
+# The share of sluggish answers that any version has: 0.13 to 0.17 were seen;
 # versions that are slow in part had 0.38 and 0.42.
 USUAL_SLUGGISH_SHARE = 0.15
 # Answers from which on the share is judged, the least share that condemns, and by how
@@ -258,7 +258,7 @@
         """Whether too many answers are slow, or more are sluggish than usual.
 
         Of one route alone a few are slow by chance, as engines have little cached
-        when a version is new: on played calm days that took good versions back.
+        when a version is new: judged by it, good versions were taken back.
         """
         slow = Measure.SLOW
         if condemned(slow, tally.total(slow), self.old.total(slow)):
