Lines and figures tell what chose between a version on trial and the old one

Cause: of the incident's broken requests no line told why they went to the new version, nor what their VM knew of their session. Change: `dispatched` lines name what decided, the share, the trial's age and the session's, while a version is on trial; a counter for each reason. Choices are as before.

--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What counts as a slow answer while a version is on trial."""
+"""Who gets a version on trial, and what counts as a slow answer of it."""
 
 from __future__ import annotations
 
@@ -9,10 +9,13 @@
 
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.settings import PromisesSection
-from walnutquay.state.ids import HallName, ServiceName, VersionName
-from walnutquay.state.instances import Instance
+from walnutquay.state.ids import EndpointName, HallName, ServiceName, VersionName
+from walnutquay.state.instances import Instance, InstanceBook
+from walnutquay.state.metrics import Metrics
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trials import Measure, Trial
+from walnutquay.state.trials import Measure, Trial, falls_to_new
+from walnutquay.state.versionchoice import ChoiceReason
+from walnutquay.transport.timers import monotonic
 
 USUAL = 0.1
 # seconds of an answer's head, seconds between its first events -> whether it counts as
@@ -25,10 +28,20 @@
 ]
 
 
-def grant(version: str) -> SimpleNamespace:
+ORDER = RolloutOrder(
+    "s", 1, ServiceName("s"), VersionName("v2"), 60.0, OrderState.RUNNING
+)
+
+
+def grant(version: str, name: str = "i-1") -> SimpleNamespace:
     """:returns: a place at an endpoint that runs a version."""
     endpoint = Instance(
-        "i-1", ServiceName("s"), "http://x", HallName("h"), VersionName(version), 8
+        EndpointName(name),
+        ServiceName("s"),
+        "http://x",
+        HallName("h"),
+        VersionName(version),
+        8,
     )
     return SimpleNamespace(endpoint=endpoint, name=endpoint.name)
 
@@ -36,8 +49,10 @@
 def turn() -> SimpleNamespace:
     """:returns: a request."""
     route = SimpleNamespace(name="r")
-    arrival = SimpleNamespace(route=route)
-    return SimpleNamespace(arrival=arrival, service="s", model=0, session="")
+    arrival = SimpleNamespace(route=route, request="r1")
+    return SimpleNamespace(
+        arrival=arrival, service="s", model=0, session="", avoid_new=False
+    )
 
 
 class SlowTest(unittest.TestCase):
@@ -47,10 +62,7 @@
         """:returns: a trial that knows what is usual."""
         knowledge = SimpleNamespace(orders=SimpleNamespace(listeners=[]))
         found = VersionTrials(None, knowledge, None, None, PromisesSection())
-        order = RolloutOrder(
-            "s", 1, ServiceName("s"), VersionName("v2"), 60.0, OrderState.RUNNING
-        )
-        task = SimpleNamespace(trial=Trial(order, 0.0, 0.15))
+        task = SimpleNamespace(trial=Trial(ORDER, 0.0, 0.15))
         found.tasks[ServiceName("s")] = task
         for _ in range(20):
             found.paced(turn(), grant("v1"), USUAL, 0.01)
@@ -64,3 +76,73 @@
                 own = found.tasks[ServiceName("s")].trial.own
                 self.assertEqual(own.total(Measure.SLOW).bad, int(slow))
                 self.assertEqual(own.total(Measure.SLUGGISH).bad, int(sluggish))
+
+
+class ChoiceTest(unittest.TestCase):
+    """A choice tells what decided it."""
+
+    def setUp(self):
+        self.book = InstanceBook(2.0)
+        for version in ("v1", "v2"):
+            self.book.put(grant(version, name=f"i-{version}").endpoint, 0.0)
+        instances = SimpleNamespace(book=self.book)
+        orders = SimpleNamespace(listeners=[])
+        knowledge = SimpleNamespace(orders=orders, instances=instances)
+        self.context = SimpleNamespace(metrics=Metrics())
+        self.trials = VersionTrials(
+            self.context, knowledge, None, None, PromisesSection()
+        )
+        self.trial = Trial(ORDER, monotonic(), 0.15)
+        self.trials.tasks[ServiceName("s")] = SimpleNamespace(trial=self.trial)
+
+    def session(self, new: bool) -> str:
+        """:returns: a session that falls to the new version at first, or not."""
+        share = self.trial.share(monotonic())
+        names = (f"session-{number}" for number in range(1000))
+        return next(name for name in names if falls_to_new(name, "v2", share) is new)
+
+    def choose(self, **more: object) -> tuple[str, ChoiceReason]:
+        """:returns: the version and the reason for a request."""
+        wanted = turn()
+        for name, value in more.items():
+            setattr(wanted, name, value)
+        choice = self.trials.version_for(wanted)
+        assert choice is not None
+        return choice.version, choice.reason
+
+    def test_no_trial(self):
+        self.trials.tasks.clear()
+        self.assertIsNone(self.trials.version_for(turn()))
+
+    def test_share(self):
+        found = self.choose(session=self.session(new=True))
+        self.assertEqual(found, ("v2", ChoiceReason.SHARE))
+        found = self.choose(session=self.session(new=False))
+        self.assertEqual(found, ("", ChoiceReason.SHARE))
+
+    def test_session_seen_here(self):
+        for version, expected in (
+            ("v1", ("", ChoiceReason.SESSION_ON_OLD)),
+            ("v2", ("v2", ChoiceReason.SESSION_ON_NEW)),
+        ):
+            for new in (False, True):
+                with self.subTest(version=version, new=new):
+                    seen = turn()
+                    seen.session = self.session(new)
+                    self.trials.began(seen, grant(version))
+                    self.assertEqual(self.choose(session=seen.session), expected)
+
+    def test_failed_there(self):
+        self.assertEqual(self.choose(avoid_new=True), ("", ChoiceReason.FAILED_THERE))
+
+    def test_braked(self):
+        self.trial.braked = True
+        self.assertEqual(self.choose(), ("", ChoiceReason.BRAKED))
+
+    def test_none_runs(self):
+        self.book.remove("i-v2", 0.0)
+        self.assertEqual(self.choose(), ("", ChoiceReason.NONE_RUNS))
+
+    def test_counted(self):
+        self.choose(avoid_new=True)
+        self.assertEqual(self.context.metrics.counters["trial_choices_failed_there"], 1)
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -165,9 +165,10 @@
         :returns: what it needs a place for now.
         """
         arrival = turn.arrival
+        turn.choice = self.versions.version_for(turn)
         return replace(
             super().need_of(turn),
-            version=self.versions.version_for(turn),
+            version=turn.choice.version if turn.choice is not None else "",
             work=turn.work,
             aim=arrival.route.objective_seconds,
             priority=arrival.priority,
--- a/walnutquay/coordination/routedfacts.py
+++ b/walnutquay/coordination/routedfacts.py
@@ -18,9 +18,12 @@
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.events import Facts
 from walnutquay.state.instances import Instance
+from walnutquay.state.versionchoice import VersionChoice
 from walnutquay.transport.timers import monotonic
 
 MILLISECONDS = 1000.0
+# Shares of sessions are logged to so many digits.
+SHARE_DIGITS = 3
 
 
 class RoutedFacts:
@@ -78,6 +81,7 @@
             "reading_ms": whole_ms(self.places.work.wait(endpoint.name, now)),
             "list_age_ms": whole_ms(self.knowledge.instance_follower.age()),
             "left_ms": whole_ms(turn.seconds_left()),
+            **_chosen(turn.choice),
         }
 
     def begun(self, turn: RoutedTurn, head: AnswerHead, seconds: float) -> Facts:
@@ -103,6 +107,18 @@
         }
 
 
+def _chosen(choice: VersionChoice | None) -> Facts:
+    """Tell what decided between the version on trial and the old one."""
+    if choice is None:
+        return {}
+    return {
+        "chosen_by": choice.reason.value,
+        "share": round(choice.share, SHARE_DIGITS),
+        "trial_ms": whole_ms(choice.trial_seconds),
+        "session_age_ms": whole_ms(choice.session_age),
+    }
+
+
 def whole_ms(seconds: float) -> int | None:
     """:param seconds: a time or an age.
 
--- a/walnutquay/coordination/routedports.py
+++ b/walnutquay/coordination/routedports.py
@@ -10,6 +10,7 @@
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
+from walnutquay.state.versionchoice import VersionChoice
 
 
 class Dialect(Protocol):
@@ -36,10 +37,10 @@
 class VersionPolicy(Protocol):
     """Says which version of a service serves a request, and learns how it went."""
 
-    def version_for(self, turn: RoutedTurn) -> str:
+    def version_for(self, turn: RoutedTurn) -> VersionChoice | None:
         """:param turn: the request.
 
-        :returns: the only version to use; empty for any that may be.
+        :returns: which version serves it, and why; None where none is on trial.
         """
 
     def began(self, turn: RoutedTurn, grant: Grant) -> None:
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -14,6 +14,7 @@
 from walnutquay.state.catalogue import Route, RouteKind
 from walnutquay.state.ids import ModelName, ServiceName
 from walnutquay.state.refusals import Refusal
+from walnutquay.state.versionchoice import VersionChoice
 from walnutquay.state.work import PromptWork
 from walnutquay.transport.timers import monotonic
 
@@ -99,6 +100,7 @@
     :param progress: how much of the answer the caller has.
     :param prepaid: whether its next retry is already counted.
     :param avoid_new: whether a version on trial has failed it.
+    :param choice: which version is to serve it; None where none is on trial.
     :param last_refusal: why the last endpoint did not begin.
     :param first_opinion: what the model that answered first thought of its answer,
         where a larger one was asked then.
@@ -112,6 +114,7 @@
     refusals: int = 0
     prepaid: bool = False
     avoid_new: bool = False
+    choice: VersionChoice | None = None
     last_refusal: Refusal | None = None
     first_opinion: Opinion | None = None
 
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -28,6 +29,7 @@
     TrialReport,
     falls_to_new,
 )
+from walnutquay.state.versionchoice import ChoiceReason, VersionChoice
 from walnutquay.transport.timers import monotonic, unix_microseconds
 
 log = logbook.Logger(__name__)
@@ -214,28 +216,46 @@
 
     # Requests.
 
-    def version_for(self, turn: RoutedTurn) -> str:
+    def version_for(self, turn: RoutedTurn) -> VersionChoice | None:
         """:param turn: a request that needs a place.
 
-        :returns: the only version to use; empty for those allowed.
+        :returns: which version serves it, and why; None where none is on trial.
         """
         task = self.tasks.get(turn.service)
-        if task is None or turn.avoid_new or task.trial.braked:
-            return ""
+        if task is None:
+            return None
         trial = task.trial
-        version = trial.order.version
-        if version not in self.knowledge.instances.book.versions_of(turn.service):
-            return ""
         now = monotonic()
-        session = turn.session or turn.arrival.request
-        new = falls_to_new(session, version, trial.share(now))
         note = self.sessions.get(turn.session) if turn.session else None
+        new, reason = self._chooses_new(turn, trial, note, now)
+        self.context.metrics.count(f"trial_choices_{reason.name.lower()}")
+        return VersionChoice(
+            trial.order.version if new else VersionName(""),
+            reason,
+            trial.share(now),
+            now - trial.started,
+            math.inf if note is None else now - note.at,
+        )
+
+    def _chooses_new(
+        self, turn: RoutedTurn, trial: Trial, note: SessionNote | None, now: float
+    ) -> tuple[bool, ChoiceReason]:
+        """Choose between the version on trial and the old one, and say what decides."""
+        if turn.avoid_new:
+            return False, ChoiceReason.FAILED_THERE
+        if trial.braked:
+            return False, ChoiceReason.BRAKED
+        version = trial.order.version
+        if version not in self.knowledge.instances.book.versions_of(turn.service):
+            return False, ChoiceReason.NONE_RUNS
         if note is not None and self._is_recent(note):
             if note.version == version:
-                new = True
-            elif not trial.may_move_sessions(now):
-                new = False
-        return version if new else ""
+                return True, ChoiceReason.SESSION_ON_NEW
+            if not trial.may_move_sessions(now):
+                return False, ChoiceReason.SESSION_ON_OLD
+        session = turn.session or turn.arrival.request
+        new = falls_to_new(session, version, trial.share(now))
+        return new, ChoiceReason.SHARE
 
     def _is_recent(self, note: SessionNote) -> bool:
         age = monotonic() - note.at
