--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +16,7 @@
 from standins.worker import WorkerStandIn
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.settings import GatewayOptions, Settings
+from walnutquay.state.membership import VmPlace
 
 HOST = "app.example"
 KEY = "key-of-org-a"
@@ -116,8 +117,15 @@
         await self.store.put("servers", name, worker.spec(service, **more))
         return worker
 
-    async def add_gateway(self, name: str, **promises: Any) -> GatewayDaemon:
-        """Start a gateway, and wait until it is ready if it can be."""
+    async def add_gateway(
+        self, name: str, peers: Sequence[GatewayDaemon] = (), **promises: Any
+    ) -> GatewayDaemon:
+        """Start a gateway, and wait until it is ready if it can be.
+
+        :param name: its name.
+        :param peers: gateways that it knows from its start on, as they know it.
+        :param promises: settings that are not as usual.
+        """
         options = GatewayOptions.model_validate(
             {
                 "vm": {"name": name, "hall": "hall-a"},
@@ -130,7 +138,13 @@
             }
         )
         gateway = GatewayDaemon(Settings(options, {}))
+        for peer in peers:
+            place = VmPlace(peer.circle.own, peer.context.hall)
+            gateway.circle.known[peer.context.vm] = place
         await gateway.start()
+        for peer in peers:
+            place = VmPlace(gateway.circle.own, gateway.context.hall)
+            peer.circle.known[gateway.context.vm] = place
         self.gateways.append(gateway)
         self.addAsyncCleanup(gateway.close)
         if self.configured:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -26,6 +26,7 @@
 from walnutquay.history.lines import LogLine, read_files, read_line
 from walnutquay.history.report import judge
 from walnutquay.history.requests import histories
+from walnutquay.history.sessions import version_changes
 from walnutquay.state.clock import Stamp
 from walnutquay.state.events import Event, EventKind
 
@@ -94,6 +95,32 @@
 ]
 
 
+def sent(at: float, session: str, vm: str, runs: str, service: str = "s") -> LogLine:
+    """:returns: the line of a request that was sent to an endpoint."""
+    return line("dispatched", at, vm=vm, session=session, version=service, runs=runs)
+
+
+class VersionChangesTest(unittest.TestCase):
+    """Sessions whose requests ran on two versions are found, and where."""
+
+    def test_found(self):
+        lines = [
+            sent(1.0, "a", "vm-1", "v1"),
+            sent(1.1, "b", "vm-1", "v1"),
+            sent(1.2, "c", "vm-1", "v1", service="other"),
+            sent(2.0, "a", "vm-2", "v2"),
+            sent(2.1, "b", "vm-1", "v2"),
+            sent(2.2, "c", "vm-1", "v2"),
+            sent(3.0, "a", "vm-1", "v2"),
+        ]
+        found = version_changes(lines)
+        self.assertEqual(
+            [(change.after.session, change.same_vm) for change in found],
+            [("a", False), ("b", True)],
+        )
+        self.assertIn("another VM", found[0].text())
+
+
 class CauseTest(unittest.TestCase):
     """Each cause has lines by which it is known."""
 
--- a/walnutquay/commands/history.py
+++ b/walnutquay/commands/history.py
@@ -13,6 +13,7 @@
 from walnutquay.history.lines import LineFile, read_files
 from walnutquay.history.report import failures_text, judge, request_text
 from walnutquay.history.requests import histories
+from walnutquay.history.sessions import version_changes
 
 logs_argument = click.argument(
     "logs", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path)
@@ -62,6 +63,16 @@
         click.echo(line.text())
 
 
+@click.command()
+@logs_argument
+def versions(logs: tuple[Path, ...]) -> None:
+    """Tell which sessions changed their version, at which VMs, and what decided it."""
+    changed = version_changes(_read(logs).lines)
+    for change in changed:
+        click.echo(change.text())
+    click.echo(f"{len(changed)} changes of version within a session")
+
+
 @click.command()
 @click.option(
     "--picture",
