Split the judging of answers from the choice of versions

Change: coordination/judging.py counts and compares answers; nothing is decided differently. Result: tests of versions, trials, layers, mutations and the routed trial pass (32).

--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -11,6 +11,7 @@
 import logbook
 
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.judging import AnswerJudge
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
@@ -22,7 +23,6 @@
 from walnutquay.state.ids import ServiceName, VersionName, VmName
 from walnutquay.state.instances import Instance
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.pace import PaceTable
 from walnutquay.state.trials import (
     Measure,
     Trial,
@@ -45,13 +45,6 @@
 VMS_AT_FULL_RATE = 30
 # VMs write the same status at once; each waits up to so long for another's.
 FIRST_WRITE_SPREAD = 1.0
-# An answer that takes so many times as long as the old version's is a bad one.
-# The platform's slow versions take eight times as long.
-SLOW_FACTOR = 5.0
-# One that takes so many times as long is sluggish.
-SLUGGISH_FACTOR = 1.5
-# The same for the pauses between events, which vary less than the wait for the first.
-SLOW_PAUSE_FACTOR = 2.5
 # A session whose last request has ended may be that much over its time here.
 SESSION_MARGIN_SECONDS = 1.0
 MAX_SESSIONS = 20_000
@@ -141,7 +134,7 @@
         self.sessions: LatestTable[str, SessionNote] = LatestTable(
             MAX_SESSIONS, SessionNote
         )
-        self.pace = PaceTable()
+        self.judge = AnswerJudge(self.trial_of, self._judge)
         knowledge.orders.listeners.append(self.on_order)
 
     def start(self) -> None:
@@ -150,6 +143,14 @@
 
     # What is known.
 
+    def trial_of(self, service: ServiceName) -> Trial | None:
+        """:param service: a service.
+
+        :returns: the trial of its new version, if there is one.
+        """
+        task = self.tasks.get(service)
+        return task.trial if task is not None else None
+
     def on_order(self, order: RolloutOrder) -> None:
         """Take in an order.
 
@@ -281,46 +282,18 @@
         :param seconds: until the answer's head.
         """
         self._note(turn, grant)
-        slow = self._count_head(turn, grant, seconds)
-        self._count(turn, grant, Measure.SLOW, slow)
-        self._count(turn, grant, Measure.FAILED, False)
+        self.judge.succeeded(turn, grant, seconds)
 
     def paced(
         self, turn: RoutedTurn, grant: Grant, seconds: float, pause: float
     ) -> None:
-        """Judge a stream by its first events: some versions are slow only then.
+        """:param turn: a request that is answered by a stream.
 
-        :param turn: the request.
         :param grant: who answers.
         :param seconds: until the answer's head.
         :param pause: the mean time between its first events.
         """
-        late = self._count_head(turn, grant, seconds)
-        slow = self._ratio("pause", turn, grant, pause) > SLOW_PAUSE_FACTOR
-        self._count(turn, grant, Measure.SLOW, late or slow)
-        self._count(turn, grant, Measure.FAILED, False)
-
-    def _count_head(self, turn: RoutedTurn, grant: Grant, seconds: float) -> bool:
-        """Judge the time until an answer's head.
-
-        :returns: whether it was slow.
-        """
-        ratio = self._ratio("head", turn, grant, seconds)
-        self._count(turn, grant, Measure.SLUGGISH, ratio > SLUGGISH_FACTOR)
-        return ratio > SLOW_FACTOR
-
-    def _ratio(
-        self, measure: str, turn: RoutedTurn, grant: Grant, seconds: float
-    ) -> float:
-        """Compare a time with the old version's, which are learnt.
-
-        :returns: how many times as long it is; 0 where nothing is known yet.
-        """
-        kind = f"{measure}/{turn.service}/{turn.arrival.route.name}/{turn.model}"
-        ratio = self.pace.ratio(kind, seconds)
-        if self._trial_of(grant) is None:
-            self.pace.learn(kind, seconds)
-        return ratio or 0.0
+        self.judge.paced(turn, grant, seconds, pause)
 
     def ended(self, turn: RoutedTurn, grant: Grant) -> None:
         """:param turn: a stream that has ended and was judged before.
@@ -335,31 +308,10 @@
         :param grant: the endpoint.
         """
         self._note(turn, grant)
-        self._count(turn, grant, Measure.FAILED, True)
-        if self._trial_of(grant) is not None:
+        self.judge.failed(turn, grant)
+        if self.judge.on_trial(grant):
             turn.avoid_new = True
 
-    def _trial_of(self, grant: Grant) -> Trial | None:
-        """Give the trial of the version that an endpoint runs, if it is on trial."""
-        endpoint = grant.endpoint
-        assert isinstance(endpoint, Instance)
-        task = self.tasks.get(endpoint.service)
-        if task is None or task.trial.order.version != endpoint.version:
-            return None
-        return task.trial
-
-    def _count(
-        self, turn: RoutedTurn, grant: Grant, measure: Measure, bad: bool
-    ) -> None:
-        task = self.tasks.get(turn.service)
-        if task is None:
-            return
-        trial = task.trial
-        tally = trial.old if self._trial_of(grant) is None else trial.own
-        tally.add((measure, turn.arrival.route.name), bad, grant.name)
-        if bad and tally is trial.own:
-            self._judge(trial)
-
     # Decisions.
 
     def _judge(self, trial: Trial) -> None:
