--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -146,11 +146,17 @@
             place = VmPlace(gateway.circle.own, gateway.context.hall)
             peer.circle.known[gateway.context.vm] = place
         self.gateways.append(gateway)
-        self.addAsyncCleanup(gateway.close)
+        self.addAsyncCleanup(self.close_gateway, gateway)
         if self.configured:
             await self.until(lambda: gateway.knowledge.ready)
         return gateway
 
+    async def close_gateway(self, gateway: GatewayDaemon) -> None:
+        """Close a gateway, unless a test has closed it."""
+        if gateway in self.gateways:
+            self.gateways.remove(gateway)
+            await gateway.close()
+
     async def until(self, condition: Callable[[], bool]) -> None:
         """Wait until something is so."""
         async with asyncio.timeout(WAIT_SECONDS):
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -151,3 +151,18 @@
         second = await self.add_gateway("vm-2", [self.gateway])
         await self.until(lambda: self.knows_trial(second))
         self.assertEqual(await self.version(moved, second), "v2")
+
+
+class StoppingVmTest(TwoVmsCase):
+    """A VM that stops as planned leaves what it knows of sessions to the others."""
+
+    async def test_sessions_that_it_served_stay(self):
+        names = sessions(0.0, FIRST_SHARE)
+        kept = next(names)
+        first = self.gateway
+        second = await self.add_gateway("vm-2", [first])
+        self.assertEqual(await self.version(kept, first), "v1")
+        await self.close_gateway(first)
+        await self.order()
+        await self.on_new(second, names)
+        self.assertEqual(await self.version(kept, second), "v1")
