--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""A fleet's trial of a version in simulated time: ``python -m lab.trialfleet``.
+"""A trial of a version in a fleet in simulated time; ``lab.trialcosts`` prints it.
 
 Sessions whose requests come to any VM, an order that VMs learn of one after the other,
 datagrams that are delayed and lost, planned restarts.  The VMs' own code decides; what
@@ -14,19 +14,17 @@
 import itertools
 import math
 import random
-import tracemalloc
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from unittest import mock
 
-import click
-
-from walnutquay.coordination import trialnews, versions
+from lab.trialrecords import Findings, Served, Vm
+from walnutquay.coordination import sessionkeeping, trialnews, versions
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.versions import VersionTrials
-from walnutquay.protocol.messages import Envelope, Failure, Message
+from walnutquay.protocol.messages import Envelope, Failure, Message, SessionsSeen
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import PromisesSection
 from walnutquay.state.clock import Stamp
@@ -40,7 +38,6 @@
 )
 from walnutquay.state.instances import Instance, InstanceBook
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trials import TrialReport
 
 SERVICE = ServiceName("engine")
 OLD = VersionName("v1")
@@ -66,69 +63,12 @@
 STARTS_SECONDS = 0.3
 # A VM that restarts is away for so long.
 AWAY_SECONDS = 4.0
+# Of these, until it hands over what it has seen.
+DRAIN_SECONDS = 3.0
 DECIDE_SECONDS = versions.DECIDE_SECONDS
 KEY = b"lab"
 
 
-@dataclass
-class Findings:
-    """What a simulated trial showed.
-
-    :param requests: requests that were sent.
-    :param on_new: those that the new version got.
-    :param too_early: requests on the new version in the first half of the trial, whose
-        session had been on the old one.
-    :param back: requests on the old version whose session had been on the new one.
-    :param moved: pairs of neighbouring requests that two VMs served.
-    :param datagrams: messages between VMs, one for each receiver.
-    :param bytes: their size.
-    :param kept: sessions that a VM knew to be kept, the most of any VM.
-    :param done: whether the trial ended as done.
-    """
-
-    requests: int = 0
-    on_new: int = 0
-    too_early: int = 0
-    back: int = 0
-    moved: int = 0
-    datagrams: int = 0
-    bytes: int = 0
-    kept: int = 0
-    done: bool = False
-
-
-@dataclass
-class Served:
-    """A session's last request that has ended.
-
-    :param version: the version that ran it.
-    :param vm: the VM that took it.
-    :param ended: when it ended; simulated seconds.
-    """
-
-    version: VersionName
-    vm: VmName
-    ended: float
-
-
-@dataclass
-class Vm:
-    """One simulated entry VM.
-
-    :param name: its name.
-    :param trials: its own code.
-    :param book: the endpoints that it knows.
-    :param orders: the orders that it knows.
-    :param up: whether it takes requests.
-    """
-
-    name: VmName
-    trials: VersionTrials
-    book: InstanceBook
-    orders: SimpleNamespace
-    up: bool = True
-
-
 @dataclass
 class TrialFleet:
     """A fleet in simulated time.
@@ -136,7 +76,7 @@
     :param seed: of all chance.
     :param size: entry VMs.
     :param rate: new sessions a second.
-    :param restarts: VMs that are restarted during the trial, one after the other.
+    :param restarts: VMs that are restarted, before and during the trial.
     :param late: VMs that learn of the order this much later; seconds.
     :param late_share: the share of such VMs.
     """
@@ -175,6 +115,7 @@
         with (
             mock.patch.object(versions, "monotonic", lambda: self.now),
             mock.patch.object(trialnews, "monotonic", lambda: self.now),
+            mock.patch.object(sessionkeeping, "monotonic", lambda: self.now),
             mock.patch.object(versions, "_unix_seconds", lambda: self.now),
         ):
             yield
@@ -202,9 +143,11 @@
         self.after(LEAD_SECONDS, self._give_order)
         for vm in self.vms:
             self.after(self.rng.random() * DECIDE_SECONDS, lambda vm=vm: self._tick(vm))
-        part = TRIAL_SECONDS / max(1, self.restarts)
+        # Some before the order: what these VMs have seen has to outlast them.
+        first = LEAD_SECONDS / 2
+        part = (LEAD_SECONDS + TRIAL_SECONDS - first) / max(1, self.restarts)
         for number in range(self.restarts):
-            at = LEAD_SECONDS + (number + self.rng.random()) * part
+            at = first + (number + self.rng.random()) * part
             self.after(at, self._restart)
 
     # VMs.
@@ -252,8 +195,13 @@
         """Stop a VM as planned; a new one with its name comes back later."""
         vm = self.rng.choice(self.vms)
         vm.up = False
+        self.after(DRAIN_SECONDS, lambda: self._hand_over(vm))
         self.after(AWAY_SECONDS, lambda: self._come_back(vm))
 
+    def _hand_over(self, vm: Vm) -> None:
+        if vm in self.vms:
+            vm.trials.background.spawn(vm.trials.sessions.hand_over())
+
     def _come_back(self, old: Vm) -> None:
         if old not in self.vms:
             return
@@ -325,7 +273,10 @@
         others = [vm for vm in self.vms if vm.name != sender]
         envelope = Envelope(sender, Incarnation("i"), Stamp(1, 0), body)
         for vm in self.rng.sample(others, min(3, len(others))):
-            answer = vm.trials.exchange.answer(envelope)
+            if isinstance(body, SessionsSeen):
+                answer = vm.trials.sessions.take_over(envelope)
+            else:
+                answer = vm.trials.exchange.answer(envelope)
             if not isinstance(answer, Failure):
                 return answer
         return None
@@ -443,54 +394,3 @@
     :returns: what the trial showed.
     """
     return asyncio.run(TrialFleet(seed, size, rate, **more).run())  # type: ignore[arg-type]
-
-
-def memory_of(kept: int) -> int:
-    """:param kept: sessions that other VMs keep.
-
-    :returns: the bytes that a VM needs to know them.
-    """
-    order = RolloutOrder("engine", 1, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW)
-    trial = versions.Trial(order, 0.0, 0.15)
-    rng = random.Random(0)
-    tracemalloc.start()
-    for _ in range(kept):
-        numbers = (rng.getrandbits(64),)
-        trial.hear(VmName("vm-1"), TrialReport("engine", NEW, (), numbers), 0.0)
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    return size
-
-
-@click.command()
-@click.option("--seeds", default=10, help="Trials for each size of fleet.")
-@click.option("--sizes", default="6,61", help="Entry VMs, separated by commas.")
-@click.option("--per-vm", default=1.0, help="New sessions a second at each VM.")
-@click.option("--restarts", default=0, help="VMs restarted during the trial.")
-@click.option("--late", default=0.0, help="Seconds by which some VMs learn late.")
-@click.option("--late-share", default=0.0, help="The share of such VMs.")
-def main(
-    seeds: int, sizes: str, per_vm: float, restarts: int, late: float, late_share: float
-) -> None:
-    """Print what trials in fleets of several sizes show."""
-    for size in map(int, sizes.split(",")):
-        for seed in range(seeds):
-            found = simulate(
-                seed,
-                size,
-                per_vm * size,
-                restarts=restarts,
-                late=late,
-                late_share=late_share,
-            )
-            click.echo(
-                f"{size} VMs, seed {seed}: {found.requests} requests, {found.on_new} "
-                f"on the new version, {found.moved} moved between VMs, too early "
-                f"{found.too_early}, back {found.back}; {found.datagrams} datagrams, "
-                f"{found.bytes / size / 1000:.1f} KB sent by each VM, {found.kept} "
-                f"kept, {memory_of(found.kept)} bytes, done {found.done}"
-            )
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,10 +23,12 @@
     EndpointName,
     ModelName,
     RouteName,
+    ServiceName,
     VersionName,
 )
 from walnutquay.state.membership import Address  # noqa: E402
 from walnutquay.state.metrics import Metrics  # noqa: E402
+from walnutquay.state.sessionnotes import SeenSession  # noqa: E402
 from walnutquay.state.trials import (  # noqa: E402
     Measure,
     TrialCounts,
@@ -88,6 +90,18 @@
             codec.decode(codec._seal(KEY, data) + data)
 
 
+class SessionsSeenTest(unittest.TestCase):
+    """What a VM that stops hands over."""
+
+    def test_there_and_back(self):
+        rows = (SeenSession(ServiceName("s"), "a", VersionName("v1"), 0.5),)
+        for body in (m.SessionsSeen(rows), m.SessionsTaken()):
+            with self.subTest(body=body):
+                envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), body)
+                codec = PeerCodec([KEY])
+                self.assertEqual(codec.decode(codec.encode(envelope)).body, body)
+
+
 class OpinionNewsTest(unittest.TestCase):
     """What VMs tell each other of models' opinions."""
 
--- a/tests/test_sessionnotes.py
+++ b/tests/test_sessionnotes.py
@@ -7,7 +7,7 @@
 import unittest
 
 from walnutquay.state.ids import ServiceName, VersionName
-from walnutquay.state.sessionnotes import SessionNotes
+from walnutquay.state.sessionnotes import SeenSession, SessionNotes
 
 KEEP_SECONDS = 6.0
 S = ServiceName("s")
@@ -56,16 +56,25 @@
         self.assertIsNone(self.version(9.5))
 
     def test_what_another_vm_has_seen(self):
-        self.notes.take(S, "a", V1, 1.0)
-        self.assertEqual(self.version(2.0), V1)
-        self.notes.take(S, "a", V2, 0.5)
-        self.assertEqual(self.version(2.0), V1)
-        self.notes.take(S, "a", V2, 1.5)
-        self.assertEqual(self.version(2.0), V2)
+        for version, age, now, taken, expected in (
+            (V1, 1.0, 2.0, True, V1),
+            # Seen before that.
+            (V2, 2.0, 2.0, False, V1),
+            (V2, 0.5, 2.0, True, V2),
+        ):
+            with self.subTest(version=version, age=age):
+                seen = SeenSession(S, "a", version, age)
+                self.assertIs(self.notes.take(seen, now), taken)
+                self.assertEqual(self.version(now), expected)
+
+    def test_what_is_under_way_here_counts_more(self):
+        self.notes.began(S, "a", V1, 0.0)
+        self.assertFalse(self.notes.take(SeenSession(S, "a", V2, 0.0), 5.0))
+        self.assertEqual(self.version(5.0), V1)
 
     def test_recent_ones(self):
         self.notes.began(S, "a", V1, 0.0)
         self.notes.ended(S, "a", 0.0)
         self.notes.began(S, "b", V1, 0.0)
-        found = [session for _, session, _ in self.notes.recent(10.0)]
-        self.assertEqual(found, ["b"])
+        found = list(self.notes.recent(10.0))
+        self.assertEqual(found, [SeenSession(S, "b", V1, 0.0)])
--- /dev/null
+++ b/walnutquay/coordination/sessionkeeping.py
@@ -0,0 +1,119 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Keeps sessions on the version that served them, whichever VM served them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import logbook
+
+from walnutquay.coordination.places import Grant
+from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.coordination.trialnews import Peers
+from walnutquay.coordination.trialtask import TrialTask
+from walnutquay.protocol.messages import Envelope, SessionsSeen, SessionsTaken
+from walnutquay.state.ids import ServiceName, VersionName
+from walnutquay.state.instances import Instance
+from walnutquay.state.sessionnotes import SessionNote, SessionNotes
+from walnutquay.state.trials import Trial
+from walnutquay.transport.timers import monotonic
+
+log = logbook.Logger(__name__)
+
+# A session whose last request has ended may be that much over its time here.
+MARGIN_SECONDS = 1.0
+# Sessions that a stopping VM hands over: some 60 bytes each, so that a message is far
+# from the longest that VMs take.  At the largest size a VM has some 300 that are not
+# over.
+MAX_HANDED_OVER = 5_000
+
+
+class SessionKeeper:
+    """Notes which version served each session, and has other VMs know where it counts.
+
+    It counts where a session falls to a version on trial and the old one has served it.
+
+    :param tasks: the trials, by service.
+    :param peers: the other VMs.
+    :param session_seconds: requests of one session come within this time of each other.
+    """
+
+    def __init__(
+        self,
+        tasks: Mapping[ServiceName, TrialTask],
+        peers: Peers,
+        session_seconds: float,
+    ) -> None:
+        self.tasks = tasks
+        self.peers = peers
+        self.notes = SessionNotes(session_seconds + MARGIN_SECONDS)
+
+    def note_of(self, turn: RoutedTurn, now: float) -> SessionNote | None:
+        """:param turn: a request.
+
+        :param now: monotonic seconds.
+        :returns: what this VM has seen of its session, unless that is over.
+        """
+        return self.notes.of(turn.service, turn.session, now)
+
+    def began(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a request that is sent now.
+
+        :param grant: the endpoint.
+        """
+        endpoint = grant.endpoint
+        if not turn.session or not isinstance(endpoint, Instance):
+            return
+        now = monotonic()
+        self.notes.began(turn.service, turn.session, endpoint.version, now)
+        self._keep(turn.service, turn.session, endpoint.version, now)
+
+    def left(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a request that an endpoint is done with, however it ended.
+
+        :param grant: the endpoint.
+        """
+        if turn.session and isinstance(grant.endpoint, Instance):
+            self.notes.ended(turn.service, turn.session, monotonic())
+
+    def trial_begins(self, trial: Trial) -> None:
+        """Keep the sessions that this VM has served, as a trial begins.
+
+        :param trial: the trial.
+        """
+        order = trial.order
+        now = monotonic()
+        for seen in self.notes.recent(now):
+            if seen.service == order.service and seen.version != order.version:
+                trial.keep(seen.session, now)
+
+    def _keep(
+        self, service: ServiceName, session: str, version: VersionName, now: float
+    ) -> None:
+        """Have all VMs leave a session on the old version, if that served it."""
+        task = self.tasks.get(service)
+        if task is None or task.trial.order.version == version:
+            return
+        if task.trial.keep(session, now):
+            task.decided()
+
+    async def hand_over(self) -> None:
+        """Leave what this VM has seen of sessions to others, as it stops."""
+        rows = tuple(self.notes.recent(monotonic()))[:MAX_HANDED_OVER]
+        if rows and await self.peers.ask_any(SessionsSeen(rows)) is None:
+            log.warn("{} sessions could not be handed over", len(rows))
+
+    def take_over(self, envelope: Envelope) -> SessionsTaken:
+        """Take over what a VM that stops has seen of sessions.
+
+        :param envelope: its message.
+        """
+        body = envelope.body
+        assert isinstance(body, SessionsSeen)
+        now = monotonic()
+        for seen in body.rows:
+            if self.notes.take(seen, now):
+                self._keep(seen.service, seen.session, seen.version, now)
+        log.info("{} sessions were taken over from {}", len(body.rows), envelope.vm)
+        return SessionsTaken()
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trialnews.py
@@ -87,9 +87,13 @@
         period = RAMP_TELL_SECONDS if trial.ramping(now) else TELL_SECONDS
         crowd = max(1.0, self.peers.size / VMS_AT_FULL_RATE)
         due = now - task.told_at >= period * crowd
-        urgent = task.tells > 0 and now >= trial.opens_at - LAST_CALL_SECONDS
-        if urgent or (due and trial.own.frozen() != task.told):
+        if task.tells > 0 and now >= trial.opens_at - LAST_CALL_SECONDS:
             self.tell(task)
+        elif due:
+            # Also where there is no news: what comes next waits for its turn.
+            task.told_at = now
+            if trial.own.frozen() != task.told:
+                self.tell(task)
 
     def tell(self, task: TrialTask) -> None:
         """Tell the others all that this VM has seen and decided in a trial.
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.coordination.sessionkeeping import SessionKeeper
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.coordination.trialnews import Peers, TrialExchange, facts_of
 from walnutquay.coordination.trialtask import FIRST_WRITE_SPREAD, TrialTask
@@ -21,9 +22,8 @@
 from walnutquay.settings import PromisesSection
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import ServiceName, VersionName
-from walnutquay.state.instances import Instance
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.sessionnotes import SessionNote, SessionNotes
+from walnutquay.state.sessionnotes import SessionNote
 from walnutquay.state.trials import Trial, TrialReport, falls_to_new
 from walnutquay.state.versionchoice import ChoiceReason, VersionChoice
 from walnutquay.transport.timers import monotonic, unix_microseconds
@@ -33,8 +33,6 @@
 MICROSECONDS = 1_000_000
 # How often each trial is looked at.
 DECIDE_SECONDS = 0.25
-# A session whose last request has ended may be that much over its time here.
-SESSION_MARGIN_SECONDS = 1.0
 # From when a VM learns of an order until it gives the new version its first sessions:
 # by then all VMs know of the order, and which sessions the others keep on the old one.
 # VMs learnt of orders within 0.03 s of each other (61 VMs, a calm day), and one whose
@@ -79,7 +77,6 @@
         self.context = context
         self.knowledge = knowledge
         self.desk = desk
-        self.peers = peers
         self.promises = promises
         self.tasks: dict[ServiceName, TrialTask] = {}
         # Versions that orders have made the ones to use, or have taken back.
@@ -87,7 +84,7 @@
         self.withdrawn: dict[ServiceName, set[VersionName]] = {}
         # Versions that ran before any order was known.
         self.established: dict[ServiceName, set[VersionName]] = {}
-        self.sessions = SessionNotes(promises.session_seconds + SESSION_MARGIN_SECONDS)
+        self.sessions = SessionKeeper(self.tasks, peers, promises.session_seconds)
         self.judge = AnswerJudge(self.trial_of, self._judge)
         self.exchange = TrialExchange(context, peers, self.tasks, self._on_unknown)
         self.background = Tasks()
@@ -154,7 +151,7 @@
         trial = Trial(order, now - elapsed, limit, witnessed)
         spread = self.context.rng.random() * FIRST_WRITE_SPREAD
         task = self.tasks[order.service] = TrialTask(trial, now + spread)
-        self._keep_recent(trial, now)
+        self.sessions.trial_begins(trial)
         if witnessed:
             trial.opens_at = now + SETTLE_SECONDS
         else:
@@ -165,13 +162,6 @@
             task.decided()
             self.exchange.tell(task)
 
-    def _keep_recent(self, trial: Trial, now: float) -> None:
-        """Keep the sessions that this VM has served on the version that served them."""
-        order = trial.order
-        for service, session, note in self.sessions.recent(now):
-            if service == order.service and note.version != order.version:
-                trial.keep(session, now)
-
     def _on_unknown(self, report: TrialReport) -> None:
         """Read the orders anew, where others know one that this VM does not."""
         known = self.knowledge.orders.orders.get(report.order)
@@ -229,7 +219,7 @@
             return None
         trial = task.trial
         now = monotonic()
-        note = self.sessions.of(turn.service, turn.session, now)
+        note = self.sessions.note_of(turn, now)
         share = trial.share(now)
         new, reason = self._chooses_new(turn, trial, note, now, share)
         self.context.metrics.count(f"trial_choices_{reason.name.lower()}")
@@ -290,24 +280,14 @@
 
         :param grant: the endpoint.
         """
-        endpoint = grant.endpoint
-        if not turn.session or not isinstance(endpoint, Instance):
-            return
-        now = monotonic()
-        self.sessions.began(turn.service, turn.session, endpoint.version, now)
-        task = self.tasks.get(turn.service)
-        if task is None or task.trial.order.version == endpoint.version:
-            return
-        if task.trial.keep(turn.session, now):
-            task.decided()
+        self.sessions.began(turn, grant)
 
     def left(self, turn: RoutedTurn, grant: Grant) -> None:
         """:param turn: a request that an endpoint is done with, however it ended.
 
         :param grant: the endpoint.
         """
-        if turn.session and isinstance(grant.endpoint, Instance):
-            self.sessions.ended(turn.service, turn.session, monotonic())
+        self.sessions.left(turn, grant)
 
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
         """:param turn: a request that was answered, or a short stream.
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -46,6 +46,7 @@
     Envelope,
     KnownIs,
     OpinionNews,
+    SessionsSeen,
     TrialNews,
     WorkNews,
 )
@@ -118,6 +119,7 @@
         )
         self.mailroom.on(TrialNews, self.versions.exchange.hear)
         self.mailroom.on(AskTrial, self.versions.exchange.answer)
+        self.mailroom.on(SessionsSeen, self.versions.sessions.take_over)
         self.path = self._make_path()
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.metrics_api = MetricsApi(
@@ -285,6 +287,7 @@
         self.context.timeline.emit(EventKind.STOPPED)
         self.knowledge.stop()
         self.versions.stop()
+        await self.versions.sessions.hand_over()
         self.path.places.close()
         await self.circle.stop()
         await self.node.stop()
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -11,6 +11,7 @@
 from walnutquay.state.clock import Stamp
 from walnutquay.state.gains import GainRow
 from walnutquay.state.membership import MemberNews
+from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
 from walnutquay.state.trials import TrialReport
 
@@ -222,6 +223,21 @@
     version: str
 
 
+@dataclass(frozen=True, slots=True)
+class SessionsSeen(Message):
+    """Hands over what a VM that stops has seen of sessions.
+
+    :param rows: the sessions that are not over.
+    """
+
+    rows: tuple[SeenSession, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SessionsTaken(Message):
+    """Answers that the sessions are known here now."""
+
+
 @dataclass(frozen=True, slots=True)
 class AskKnown(Message):
     """Asks what the receiver knows of one kind of the store's objects.
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -34,6 +34,8 @@
     changes @27 :Changes;
     opinions @28 :List(GainRow);
     askTrial @29 :TrialName;
+    sessionsSeen @30 :List(SeenSession);
+    sessionsTaken @31 :Void;
   }
 }
 
@@ -137,6 +139,14 @@
   opensIn @6 :Float32;
 }
 
+# Which version served a session last, and how long ago; seconds.
+struct SeenSession {
+  service @0 :Text;
+  session @1 :Text;
+  version @2 :Text;
+  age @3 :Float32;
+}
+
 struct TrialName {
   order @0 :Text;
   version @1 :Text;
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -24,10 +24,12 @@
     Incarnation,
     ModelName,
     RouteName,
+    ServiceName,
     VersionName,
     VmName,
 )
 from walnutquay.state.membership import Address, MemberNews
+from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
 from walnutquay.state.trials import Measure, TrialCounts, TrialReport, Verdict
 
@@ -231,6 +233,16 @@
     return {"trial": fields}
 
 
+@body_fields.register
+def _(body: m.SessionsSeen) -> dict[str, Any]:
+    return {"sessionsSeen": [asdict(row) for row in body.rows]}
+
+
+@body_fields.register
+def _(body: m.SessionsTaken) -> dict[str, Any]:
+    return {"sessionsTaken": None}
+
+
 @body_fields.register
 def _(body: m.AskTrial) -> dict[str, Any]:
     return {"askTrial": asdict(body)}
@@ -320,6 +332,17 @@
     return m.TrialNews(report)
 
 
+def _sessions(reader: Any) -> m.SessionsSeen:
+    return m.SessionsSeen(
+        tuple(
+            SeenSession(
+                ServiceName(row.service), row.session, VersionName(row.version), row.age
+            )
+            for row in reader
+        )
+    )
+
+
 READERS: dict[str, Callable[[Any], m.Message]] = {
     "heartbeat": _heartbeat,
     "askHead": lambda r: m.AskHead(),
@@ -340,6 +363,8 @@
     "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning, r.model, r.rate),
     "opinions": _opinions,
     "trial": _trial,
+    "sessionsSeen": _sessions,
+    "sessionsTaken": lambda r: m.SessionsTaken(),
     "askTrial": lambda r: m.AskTrial(r.order, r.version),
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
--- a/walnutquay/state/sessionnotes.py
+++ b/walnutquay/state/sessionnotes.py
@@ -44,6 +44,22 @@
         return 0.0 if self.running else now - self.at
 
 
+@dataclass(frozen=True, slots=True)
+class SeenSession:
+    """What one VM tells another of a session.
+
+    :param service: the service that the session uses.
+    :param session: the session.
+    :param version: the version that served it last.
+    :param age: seconds since its last request ended.
+    """
+
+    service: ServiceName
+    session: str
+    version: VersionName
+    age: float
+
+
 class SessionNotes:
     """The sessions that one VM has served.
 
@@ -97,26 +113,27 @@
         # A note that gave way to newer ones may have been made anew since.
         note.running = max(0, note.running - 1)
 
-    def take(
-        self, service: ServiceName, session: str, version: VersionName, at: float
-    ) -> None:
+    def take(self, seen: SeenSession, now: float) -> bool:
         """Take over what another VM has seen, unless this one has seen more.
 
-        :param service: the service.
-        :param session: a session.
-        :param version: the version that served it.
-        :param at: when its last request ended; monotonic seconds.
+        :param seen: a session.
+        :param now: monotonic seconds.
+        :returns: whether it was taken over.
         """
-        note = self.table.touch((service, session))
-        if not note.running and note.at < at:
-            note.version = version
-            note.at = at
-
-    def recent(self, now: float) -> Iterator[tuple[ServiceName, str, SessionNote]]:
+        note = self.table.touch((seen.service, seen.session))
+        at = now - seen.age
+        if note.running or note.at >= at:
+            return False
+        note.version = seen.version
+        note.at = at
+        return True
+
+    def recent(self, now: float) -> Iterator[SeenSession]:
         """Yield the sessions that are not over.
 
         :param now: monotonic seconds.
         """
         for (service, session), note in self.table.entries.items():
-            if note.age(now) < self.keep_seconds:
-                yield service, session, note
+            age = note.age(now)
+            if age < self.keep_seconds:
+                yield SeenSession(service, session, note.version, age)
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -295,11 +295,12 @@
         :param whole: whether to tell of the sessions that other VMs keep, too.
         :returns: what to tell the other VMs.
         """
+        kept = self.kept.all() if whole else tuple(self.kept.own)
         return TrialReport(
             self.order.name,
             self.order.version,
             self.own.frozen(),
-            self.kept.all() if whole else tuple(self.kept.own),
+            () if self.may_move_sessions(now) else kept,
             self._acted_on(now),
             now - self.started if self.witnessed else None,
             self.opens_in(now),
