Failing test: a version that nobody has ordered, at a VM without requests so far

Cause: which versions ran before any order is read at the first request of a service; where that comes after endpoints of another version were listed, both count.

--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -166,3 +166,18 @@
         await self.order()
         await self.on_new(second, names)
         self.assertEqual(await self.version(kept, second), "v1")
+
+
+class BeforeTheOrderTest(TwoVmsCase):
+    """A version that nobody has ordered gets nothing, whatever this VM has served."""
+
+    async def test_a_vm_without_requests_so_far(self):
+        worker = await self.add_worker("n1", "engine", version="v2")
+        worker.default = Behaviour(events=2)
+        known = self.gateway.knowledge.instances.book.known
+        await self.until(lambda: "n1" in known)
+        found = [
+            await self.version(name, self.gateway)
+            for name in itertools.islice(sessions(0.0, 1.0), MANY)
+        ]
+        self.assertEqual(found, ["v1"] * MANY)
