Versions that ran before any order are those of the first list; questions that fail hold nobody up

Cause: which versions run without an order was read at a service's first request, which may come after endpoints of an ordered version were listed and before the order is known. Found while looking for other beliefs of one VM that another decides: a question about a trial that ended with an error would have kept a VM from serving for ever, and each piece of news of an unknown order gave up the call under way, so that a silent store was never noticed. Change: the first list counts; the question ends in any case; one new reading for each unknown order; a stopping VM hands over beside its leaving, not before it.

--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -362,7 +362,7 @@
     Mutation(
         "roll-outs: a VM that starts takes up what others have decided",
         "coordination/trialnews.py",
-        "trial.join(told.report, now)",
+        "trial.join(told.report, monotonic())",
         "trial.open = True",
         "tests.test_session_versions.StartingVmTest",
     ),
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -28,7 +28,7 @@
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.events import EventKind
 from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.ids import EndpointName
+from walnutquay.state.ids import EndpointName, ServiceName, VersionName
 from walnutquay.state.instances import Instance, InstanceBook
 from walnutquay.state.orders import RolloutOrder
 from walnutquay.transport.timers import monotonic
@@ -104,12 +104,18 @@
         self.book = InstanceBook(OVERDUE_SECONDS)
         # Whether a whole list has ever been read.
         self.listed = False
+        # The versions of each service in the first list.
+        self.first_versions: dict[ServiceName, set[VersionName]] = {}
         # Told of each instance that is new, leaving or gone.
         self.listeners: list[Callable[[EndpointName, Instance | None], None]] = []
 
     def take_listing(self, listing: Listing[Instance]) -> None:
         """:param listing: all endpoints' entries."""
         now = monotonic()
+        if not self.listed:
+            for instance in listing.items.values():
+                versions = self.first_versions.setdefault(instance.service, set())
+                versions.add(instance.version)
         self.listed = True
         for instance in listing.items.values():
             self._put(instance, now)
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trialnews.py
@@ -181,17 +181,25 @@
         """
         trial = task.trial
         order = trial.order
-        told = await self.peers.ask_any(AskTrial(order.name, order.version))
-        now = monotonic()
+        told = None
+        try:
+            told = await self.peers.ask_any(AskTrial(order.name, order.version))
+        finally:
+            # Whatever comes, callers are not kept waiting for longer.
+            self._join(task, told)
+
+    def _join(self, task: TrialTask, told: Message | None) -> None:
+        """Take over where a trial stands, if another VM has told."""
+        trial = task.trial
         if isinstance(told, TrialNews):
             # Only what holds for all VMs: the sender's counts come with its news.
-            trial.join(told.report, now)
+            trial.join(told.report, monotonic())
         else:
             # None of those that could be asked has seen it before this VM.
             trial.open = True
         task.asking = False
         known = "as others know it" if told is not None else "no other VM knows it"
-        self._log(task, f"{order.service}: {known}")
+        self._log(task, f"{trial.order.service}: {known}")
 
 
 def facts_of(trial: Trial) -> dict[str, int]:
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -20,6 +20,7 @@
 from walnutquay.coordination.trialtask import FIRST_WRITE_SPREAD, TrialTask
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.settings import PromisesSection
+from walnutquay.state.counts import LatestTable
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import ServiceName, VersionName
 from walnutquay.state.orders import OrderState, RolloutOrder
@@ -41,6 +42,8 @@
 # The same from when its first endpoint is known: VMs are told of an endpoint within
 # 0.2 s of each other, and one that does not know it would use the old version.
 SPREAD_SECONDS = 0.3
+# Names of orders are the operators'; those of a day are few.
+MAX_HEARD_OF = 100
 
 
 class Desk(Protocol):
@@ -84,6 +87,10 @@
         self.withdrawn: dict[ServiceName, set[VersionName]] = {}
         # Versions that ran before any order was known.
         self.established: dict[ServiceName, set[VersionName]] = {}
+        # Orders that other VMs knew before this one did.
+        self.heard_of: LatestTable[tuple[str, str], bool] = LatestTable(
+            MAX_HEARD_OF, bool
+        )
         self.sessions = SessionKeeper(self.tasks, peers, promises.session_seconds)
         self.judge = AnswerJudge(self.trial_of, self._judge)
         self.exchange = TrialExchange(context, peers, self.tasks, self._on_unknown)
@@ -165,8 +172,13 @@
     def _on_unknown(self, report: TrialReport) -> None:
         """Read the orders anew, where others know one that this VM does not."""
         known = self.knowledge.orders.orders.get(report.order)
-        if known is None or known.version != report.version:
-            self.context.metrics.count("trials_heard_before_their_order")
+        if known is not None and known.version == report.version:
+            return
+        self.context.metrics.count("trials_heard_before_their_order")
+        # Once for each: a call that is given up again and again would never show that
+        # the store does not answer.
+        if self.heard_of.get((report.order, report.version)) is None:
+            self.heard_of.touch((report.order, report.version))
             self.knowledge.order_follower.nudge()
 
     def _ended(self, order: RolloutOrder, task: TrialTask | None) -> None:
@@ -202,9 +214,15 @@
     def _established(
         self, service: ServiceName, running: set[VersionName], blocked: set[VersionName]
     ) -> set[VersionName]:
+        """Give the versions that ran before this VM knew of any order.
+
+        Those of the first list, not of the first request: meanwhile endpoints of a
+        version may have been listed whose order is not known here yet.
+        """
         known = self.established.get(service)
         if not known:
-            known = self.established[service] = running - blocked
+            first = self.knowledge.instances.first_versions.get(service, running)
+            known = self.established[service] = first - blocked
         return known
 
     # Requests.
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -287,9 +287,9 @@
         self.context.timeline.emit(EventKind.STOPPED)
         self.knowledge.stop()
         self.versions.stop()
-        await self.versions.sessions.hand_over()
         self.path.places.close()
-        await self.circle.stop()
+        # Both at once: little time is left where requests took long to end.
+        await asyncio.gather(self.versions.sessions.hand_over(), self.circle.stop())
         await self.node.stop()
         self.context.timers.stop()
         await self.api.server.stop()
