--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -79,6 +79,7 @@
     :param restarts: VMs that are restarted, before and during the trial.
     :param late: VMs that learn of the order this much later; seconds.
     :param late_share: the share of such VMs.
+    :param starts: when endpoints of the new version start; seconds after the order.
     """
 
     seed: int
@@ -87,6 +88,7 @@
     restarts: int = 0
     late: float = 0.0
     late_share: float = 0.0
+    starts: float = STARTS_SECONDS
     now: float = 0.0
     found: Findings = field(default_factory=Findings)
 
@@ -141,6 +143,8 @@
     def _schedule(self) -> None:
         self.after(0.0, self._new_session)
         self.after(LEAD_SECONDS, self._give_order)
+        if self.starts < 0:
+            self.after(LEAD_SECONDS + self.starts, self._start_endpoints)
         for vm in self.vms:
             self.after(self.rng.random() * DECIDE_SECONDS, lambda vm=vm: self._tick(vm))
         # Some before the order: what these VMs have seen has to outlast them.
@@ -220,8 +224,12 @@
         self.write(
             RolloutOrder("engine", 1, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW)
         )
+        if self.starts >= 0:
+            self._start_endpoints()
+
+    def _start_endpoints(self) -> None:
         for vm in list(self.vms):
-            delay = STARTS_SECONDS + self.rng.uniform(*LISTED_SECONDS)
+            delay = max(0.0, self.starts) + self.rng.uniform(*LISTED_SECONDS)
             self.after(delay, lambda vm=vm: self._list(vm, NEW))
 
     def write(self, order: RolloutOrder) -> None:
--- a/tests/test_trialfleet.py
+++ b/tests/test_trialfleet.py
@@ -44,5 +44,15 @@
         found = simulate(0, 6, RATE, late=0.9, late_share=0.3)
         self.check(found)
 
+    def test_a_vm_that_asks_one_that_has_had_few_requests(self):
+        # The VM that was asked gave the new version sessions already, but said that it
+        # did not: it had not looked since.  A session went back to the old version.
+        self.check(simulate(26, 6, 48.0, restarts=8, late=0.9, late_share=0.1))
+
+    def test_endpoints_that_run_before_the_order(self):
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                self.check(simulate(seed, 6, RATE, starts=-2.0))
+
     def test_large_fleet(self):
         self.check(simulate(0, 61, RATE, restarts=10))
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -150,10 +150,17 @@
         self.assertFalse(self.task.asking)
 
     async def test_not_answered(self):
-        await self.exchange.catch_up(self.task)
-        self.assertEqual((self.task.trial.open, self.task.asking), (True, False))
+        # By what stands in the store it opens at second 1.
+        for at, is_open in ((0.5, False), (1.0, True)):
+            with self.subTest(at=at):
+                self.now = at
+                self.task.asking = True
+                await self.exchange.catch_up(self.task)
+                found = (self.task.trial.open, self.task.asking)
+                self.assertEqual(found, (is_open, False))
 
     async def test_an_error_holds_nobody_up(self):
+        self.now = 5.0
         self.peers.answer = RuntimeError("not foreseen")
         with self.assertRaises(RuntimeError):
             await self.exchange.catch_up(self.task)
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trialnews.py
@@ -191,12 +191,13 @@
     def _join(self, task: TrialTask, told: Message | None) -> None:
         """Take over where a trial stands, if another VM has told."""
         trial = task.trial
+        now = monotonic()
         if isinstance(told, TrialNews):
             # Only what holds for all VMs: the sender's counts come with its news.
-            trial.join(told.report, monotonic())
+            trial.join(told.report, now)
         else:
-            # None of those that could be asked has seen it before this VM.
-            trial.open = True
+            # None that could be asked knows more than what stands in the store.
+            trial.open = now >= trial.opens_at
         task.asking = False
         known = "as others know it" if told is not None else "no other VM knows it"
         self._log(task, f"{trial.order.service}: {known}")
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -159,10 +159,8 @@
         spread = self.context.rng.random() * FIRST_WRITE_SPREAD
         task = self.tasks[order.service] = TrialTask(trial, now + spread)
         self.sessions.trial_begins(trial)
-        if witnessed:
-            trial.opens_at = now + SETTLE_SECONDS
-        else:
-            trial.opens_at = math.inf
+        trial.opens_at = trial.started + SETTLE_SECONDS
+        if not witnessed:
             task.asking = True
             self.background.spawn(self.exchange.catch_up(task))
         if trial.kept.own:
@@ -239,7 +237,7 @@
         now = monotonic()
         note = self.sessions.note_of(turn, now)
         share = trial.share(now)
-        new, reason = self._chooses_new(turn, trial, note, now, share)
+        new, reason = self._chooses_new(turn, task, note, now, share)
         self.context.metrics.count(f"trial_choices_{reason.name.lower()}")
         return VersionChoice(
             trial.order.version if new else VersionName(""),
@@ -249,12 +247,13 @@
             math.inf if note is None else note.age(now),
         )
 
-    def _is_open(self, trial: Trial, now: float) -> bool:
+    def _is_open(self, task: TrialTask, now: float) -> bool:
         """Whether the new version gets sessions: all VMs know of it, and its endpoints.
 
         Before, one that does not know them would send the same sessions elsewhere.
         """
-        if not trial.open:
+        trial = task.trial
+        if not trial.open and not task.asking:
             order = trial.order
             book = self.knowledge.instances.book
             since = book.version_since(order.service, order.version)
@@ -265,12 +264,13 @@
     def _chooses_new(
         self,
         turn: RoutedTurn,
-        trial: Trial,
+        task: TrialTask,
         note: SessionNote | None,
         now: float,
         share: float,
     ) -> tuple[bool, ChoiceReason]:
         """Choose between the version on trial and the old one, and say what decides."""
+        trial = task.trial
         if turn.avoid_new:
             return False, ChoiceReason.FAILED_THERE
         if trial.braked:
@@ -288,7 +288,7 @@
             return True, ChoiceReason.SESSION_ON_NEW
         if note is not None and not trial.may_move_sessions(now):
             return False, ChoiceReason.SESSION_ON_OLD
-        if not self._is_open(trial, now):
+        if not self._is_open(task, now):
             return False, ChoiceReason.NOT_OPEN
         session = turn.session or turn.arrival.request
         return falls_to_new(session, version, share), ChoiceReason.SHARE
