Look four times a second whether a trial is open, not only at requests

Cause: a VM without requests said of a trial that ran for seconds that it was not open yet. Change: it is looked at with the trial's other matters.

--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -368,6 +368,8 @@
         self._judge(trial)
         now = monotonic()
         trial.advance(now)
+        # Also where no request asks: a VM that starts is told of it.
+        self._is_open(task, now)
         self.exchange.tell_if_due(task)
         if trial.braked:
             await self._withdraw(task)
