Trials in which some VMs are cut off as the order comes; the proof of the wait after an order

Cause: mutation 46, a new version that gets sessions at once, passed its tests: VMs that learn late were told at once by the others and read the order anew. Change: in simulated trials those whose watchers do not answer learn late all the same; endpoints may run before the order.

--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -80,6 +80,8 @@
     :param late: VMs that learn of the order this much later; seconds.
     :param late_share: the share of such VMs.
     :param starts: when endpoints of the new version start; seconds after the order.
+    :param cut_off: whether VMs that learn late do so also where they ask anew: those
+        that they hear from do not answer.
     """
 
     seed: int
@@ -89,6 +91,7 @@
     late: float = 0.0
     late_share: float = 0.0
     starts: float = STARTS_SECONDS
+    cut_off: bool = False
     now: float = 0.0
     found: Findings = field(default_factory=Findings)
 
@@ -101,6 +104,8 @@
         # The order as the store has it; None before it is given.
         self.order: RolloutOrder | None = None
         self.started_at = math.inf
+        # VMs that learn late of what was written last.
+        self.late_vms: set[VmName] = set()
 
     # Time.
 
@@ -236,15 +241,19 @@
         """:param order: the order as it stands from now on."""
         self.order = order
         self.found.done = order.state is OrderState.DONE
+        self.late_vms.clear()
         for vm in self.vms:
             delay = self.rng.uniform(*LEARN_SECONDS)
             if self.rng.random() < self.late_share:
                 delay += self.late
+                self.late_vms.add(vm.name)
             self.after(delay, lambda vm=vm, known=order: self._take(vm, known))
 
     def _learn(self, vm: Vm) -> None:
         """Have a VM ask for the orders anew."""
         delay = self.rng.uniform(*LEARN_SECONDS)
+        if self.cut_off and vm.name in self.late_vms:
+            delay += self.late
         self.after(delay, lambda: self.order and self._take(vm, self.order))
 
     def _take(self, vm: Vm, order: RolloutOrder) -> None:
--- a/tests/test_trialfleet.py
+++ b/tests/test_trialfleet.py
@@ -50,9 +50,10 @@
         self.check(simulate(26, 6, 48.0, restarts=8, late=0.9, late_share=0.1))
 
     def test_endpoints_that_run_before_the_order(self):
+        late = {"late": 0.9, "late_share": 0.3, "cut_off": True}
         for seed in range(3):
             with self.subTest(seed=seed):
-                self.check(simulate(seed, 6, RATE, starts=-2.0))
+                self.check(simulate(seed, 6, RATE, starts=-2.0, **late))
 
     def test_large_fleet(self):
         self.check(simulate(0, 61, RATE, restarts=10))
