--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -287,7 +287,7 @@
     ),
     Mutation(
         "roll-outs: versions that are slow in part are found",
-        "state/trials.py",
+        "state/trialcounts.py",
         "counts.bad_share < MIN_SLUGGISH_SHARE",
         "True",
         "tests.test_trials.VerdictTest.test_a_version_that_is_slow_in_part",
@@ -362,7 +362,7 @@
     Mutation(
         "roll-outs: a VM that starts takes up what others have decided",
         "coordination/trialnews.py",
-        "trial.join(told.report, monotonic())",
+        "trial.join(told.report, now)",
         "trial.open = True",
         "tests.test_session_versions.StartingVmTest",
     ),
--- a/tests/test_metrics_address.py
+++ b/tests/test_metrics_address.py
@@ -12,7 +12,7 @@
 import walnutquay
 from tests.gatewaycase import GatewayCase
 from walnutquay.state.events import EventKind
-from walnutquay.state.trials import Measure
+from walnutquay.state.trialcounts import Measure
 
 LABEL = r'[a-z_]+="[^"]*"'
 LINE = re.compile(rf"^walnutquay_[a-z_]+(\{{{LABEL}(,{LABEL})*\}})? -?[\d.]+$")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -29,12 +29,8 @@
 from walnutquay.state.membership import Address  # noqa: E402
 from walnutquay.state.metrics import Metrics  # noqa: E402
 from walnutquay.state.sessionnotes import SeenSession  # noqa: E402
-from walnutquay.state.trials import (  # noqa: E402
-    Measure,
-    TrialCounts,
-    TrialReport,
-    Verdict,
-)
+from walnutquay.state.trialcounts import Measure, TrialCounts  # noqa: E402
+from walnutquay.state.trials import TrialReport, Verdict  # noqa: E402
 from walnutquay.transport.peers import PeerNode  # noqa: E402
 
 KEY = b"a-key-of-the-whole-fleet"
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -31,7 +31,8 @@
 )
 from walnutquay.state.metrics import Metrics
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trials import Measure, Trial, TrialReport, Verdict
+from walnutquay.state.trialcounts import Measure
+from walnutquay.state.trials import Trial, TrialReport, Verdict
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,14 +9,12 @@
 
 from walnutquay.state.ids import EndpointName, RouteName, ServiceName, VersionName
 from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.trialcounts import Measure, TrialCounts, TrialTally
 from walnutquay.state.trials import (
     RAMP_END,
     RAMP_START,
-    Measure,
     Trial,
-    TrialCounts,
     TrialReport,
-    TrialTally,
     Verdict,
     falls_to_new,
     session_number,
--- a/walnutquay/coordination/judging.py
+++ b/walnutquay/coordination/judging.py
@@ -11,7 +11,8 @@
 from walnutquay.state.ids import ServiceName
 from walnutquay.state.instances import Instance
 from walnutquay.state.pace import PaceTable
-from walnutquay.state.trials import Measure, Trial
+from walnutquay.state.trialcounts import Measure
+from walnutquay.state.trials import Trial
 
 # An answer that takes so many times as long as the old version's is a bad one.
 # The platform's slow versions take eight times as long.
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trialnews.py
@@ -25,7 +25,8 @@
 )
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import ServiceName, VmName
-from walnutquay.state.trials import Measure, Trial, TrialReport
+from walnutquay.state.trialcounts import Measure
+from walnutquay.state.trials import Trial, TrialReport
 from walnutquay.transport.timers import monotonic
 
 # How often VMs tell each other what they have seen.
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -15,7 +15,7 @@
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.state.metrics import PERCENTILES, summary
-from walnutquay.state.trials import Measure
+from walnutquay.state.trialcounts import Measure
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.timers import monotonic
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -31,7 +31,8 @@
 from walnutquay.state.membership import Address, MemberNews
 from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
-from walnutquay.state.trials import Measure, TrialCounts, TrialReport, Verdict
+from walnutquay.state.trialcounts import Measure, TrialCounts
+from walnutquay.state.trials import TrialReport, Verdict
 
 schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
