--- a/standins/link.py
+++ b/standins/link.py
@@ -5,7 +5,8 @@
 It forwards TCP and UDP from one port to another address.  Cut, it drops
 datagrams, ends open streams and takes none; the VM list of one data hall names
 the forwarders in place of the other halls' VMs.  Its open streams can also fall
-silent for good, without an end, while new ones work.
+silent for good, without an end, while new ones work; or it holds what is sent until it
+is released, as a full link does, and drops it where its sender has reset meanwhile.
 """
 
 from __future__ import annotations
@@ -35,6 +36,9 @@
         self.writers: set[asyncio.StreamWriter] = set()
         # Streams that carry nothing any more, by the writers of their two ends.
         self.silenced: set[asyncio.StreamWriter] = set()
+        # Not set while streams are held up.
+        self.released = asyncio.Event()
+        self.released.set()
 
     async def start(self) -> None:
         """Listen at a free port of the loopback."""
@@ -73,6 +77,14 @@
         """Let the streams that are open carry nothing any more, and not end."""
         self.silenced |= self.writers
 
+    def hold(self) -> None:
+        """Hold what streams carry until :meth:`release` is called."""
+        self.released.clear()
+
+    def release(self) -> None:
+        """Pass on what was held, unless its sender has reset the stream."""
+        self.released.set()
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """:param data: a datagram.
 
@@ -103,6 +115,9 @@
             while data := await reader.read(CHUNK):
                 if writer in self.silenced:
                     continue
+                await self.released.wait()
+                if isinstance(reader.exception(), ConnectionResetError):
+                    break
                 writer.write(data)
                 await writer.drain()
         if writer not in self.silenced:
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -308,6 +308,34 @@
         self.assertEqual((await self.call("/unsafe/x", b"b")).status, 200)
 
 
+class GivenUpTest(GatewayCase):
+    """A request that was given up does not arrive later, when its link works again.
+
+    It would be run for nobody, and at endpoints that have announced their end long ago.
+    """
+
+    workers = {"e1": "engine"}
+
+    async def test_what_waits_on_a_full_link(self):
+        worker = await self.add_worker("p1", "plain")
+        host, _, port = worker.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        self.addCleanup(link.stop)
+        through = {**worker.spec("plain"), "address": f"{host}:{link.port}"}
+        await self.store.put("servers", "p1", through)
+        book = self.gateway.knowledge.instances.book
+        await self.until(
+            lambda: "p1" in book.known and str(link.port) in book.known["p1"].address
+        )
+        link.hold()
+        answer = await self.call("/safe/x", Deadline="300")
+        self.assertEqual(answer.status, 504)
+        link.release()
+        await self.until(lambda: not link.writers)
+        self.assertEqual(self.runs("p1"), 0)
+
+
 class LeavingCallerTest(GatewayCase):
     """Endpoints stop working on what nobody waits for any more."""
 
