Answers to orders, and the ports of simulated VMs, in files of their own; one way to a linked endpoint

Change: coordination/orderanswers.py and lab/trialports.py take what they name, unchanged; GatewayCase.add_linked_worker.

--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -16,12 +16,18 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from types import SimpleNamespace
 from unittest import mock
 
+from lab.trialports import SimulatedDesk, SimulatedPeers
 from lab.trialrecords import Findings, Served, Vm
-from walnutquay.coordination import sessionkeeping, trialnews, versions
+from walnutquay.coordination import (
+    orderanswers,
+    sessionkeeping,
+    trialnews,
+    versions,
+)
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.protocol.messages import Envelope, Failure, Message, SessionsSeen
@@ -123,7 +129,9 @@
             mock.patch.object(versions, "monotonic", lambda: self.now),
             mock.patch.object(trialnews, "monotonic", lambda: self.now),
             mock.patch.object(sessionkeeping, "monotonic", lambda: self.now),
-            mock.patch.object(versions, "_unix_seconds", lambda: self.now),
+            mock.patch.object(versions, "unix_seconds", lambda: self.now),
+            mock.patch.object(orderanswers, "monotonic", lambda: self.now),
+            mock.patch.object(orderanswers, "unix_seconds", lambda: self.now),
         ):
             yield
 
@@ -352,57 +360,6 @@
         self.after(gap, lambda: self._request(turn.session, last))
 
 
-@dataclass
-class SimulatedPeers:
-    """The other VMs of one simulated VM.
-
-    :param fleet: the fleet.
-    :param vm: the VM.
-    """
-
-    fleet: TrialFleet
-    vm: VmName
-
-    @property
-    def size(self) -> int:
-        """How many VMs there are."""
-        return self.fleet.size
-
-    def tell_all(self, body: Message) -> None:
-        """:param body: a message to all of them."""
-        self.fleet.send(self.vm, body)
-
-    async def ask_any(self, body: Message) -> Message | None:
-        """:param body: a question.
-
-        :returns: the first answer, or None.
-        """
-        return self.fleet.ask(self.vm, body)
-
-
-@dataclass
-class SimulatedDesk:
-    """The store, as far as it keeps orders.
-
-    :param fleet: the fleet.
-    """
-
-    fleet: TrialFleet
-
-    async def read(self, name: str) -> RolloutOrder | None:
-        """:returns: the order as it stands."""
-        return self.fleet.order
-
-    async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
-        """Write where an order stands; of several at once the first one counts."""
-        present = self.fleet.order
-        assert present is not None
-        if present.revision == order.revision:
-            present = replace(order, state=state, revision=order.revision + 1)
-            self.fleet.write(present)
-        return present
-
-
 def simulate(seed: int, size: int, rate: float, **more: float) -> Findings:
     """:param seed: of all chance.
 
--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from standins.link import Link
 from standins.store import StoreStandIn
 from standins.worker import WorkerStandIn
 from walnutquay.daemon.gateway import GatewayDaemon
@@ -151,6 +152,24 @@
             await self.until(lambda: gateway.knowledge.ready)
         return gateway
 
+    async def add_linked_worker(self, name: str, service: str) -> Link:
+        """Start an endpoint that is reached through a link, and wait until it is known.
+
+        :returns: the link.
+        """
+        worker = await self.add_worker(name, service)
+        host, _, port = worker.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        self.addCleanup(link.stop)
+        through = {**worker.spec(service), "address": f"{host}:{link.port}"}
+        await self.store.put("servers", name, through)
+        book = self.gateway.knowledge.instances.book
+        await self.until(
+            lambda: name in book.known and str(link.port) in book.known[name].address
+        )
+        return link
+
     async def close_gateway(self, gateway: GatewayDaemon) -> None:
         """Close a gateway, unless a test has closed it."""
         if gateway in self.gateways:
--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-from standins.link import Link
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, catalogue
 from walnutquay.exceptions import EndpointError
@@ -289,17 +288,7 @@
     workers = {"e1": "engine"}
 
     async def test_a_safe_call_is_answered_all_the_same(self):
-        worker = await self.add_worker("p1", "plain")
-        host, _, port = worker.address.partition(":")
-        link = Link((host, int(port)))
-        await link.start()
-        self.addCleanup(link.stop)
-        through = {**worker.spec("plain"), "address": f"{host}:{link.port}"}
-        await self.store.put("servers", "p1", through)
-        book = self.gateway.knowledge.instances.book
-        await self.until(
-            lambda: "p1" in book.known and str(link.port) in book.known["p1"].address
-        )
+        link = await self.add_linked_worker("p1", "plain")
         self.assertEqual((await self.call("/safe/x")).status, 200)
         link.silence()
         first = await self.call("/safe/x")
@@ -317,17 +306,7 @@
     workers = {"e1": "engine"}
 
     async def test_what_waits_on_a_full_link(self):
-        worker = await self.add_worker("p1", "plain")
-        host, _, port = worker.address.partition(":")
-        link = Link((host, int(port)))
-        await link.start()
-        self.addCleanup(link.stop)
-        through = {**worker.spec("plain"), "address": f"{host}:{link.port}"}
-        await self.store.put("servers", "p1", through)
-        book = self.gateway.knowledge.instances.book
-        await self.until(
-            lambda: "p1" in book.known and str(link.port) in book.known["p1"].address
-        )
+        link = await self.add_linked_worker("p1", "plain")
         link.hold()
         answer = await self.call("/safe/x", Deadline="300")
         self.assertEqual(answer.status, 504)
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -5,13 +5,13 @@
 from __future__ import annotations
 
 import math
-from typing import Protocol
 
 import logbook
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.judging import AnswerJudge
 from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.orderanswers import Desk, OrderAnswers, unix_seconds
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
 from walnutquay.coordination.sessionkeeping import SessionKeeper
@@ -27,11 +27,10 @@
 from walnutquay.state.sessionnotes import SessionNote
 from walnutquay.state.trials import Trial, TrialReport, falls_to_new
 from walnutquay.state.versionchoice import ChoiceReason, VersionChoice
-from walnutquay.transport.timers import monotonic, unix_microseconds
+from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
 
-MICROSECONDS = 1_000_000
 # How often each trial is looked at.
 DECIDE_SECONDS = 0.25
 # From when a VM learns of an order until it gives the new version its first sessions:
@@ -46,19 +45,6 @@
 MAX_HEARD_OF = 100
 
 
-class Desk(Protocol):
-    """Reads and answers roll-out orders."""
-
-    async def read(self, name: str) -> RolloutOrder | None:
-        """:param name: an order's name."""
-
-    async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
-        """:param order: an order as it was read.
-
-        :param state: what to say of it.
-        """
-
-
 class VersionTrials:
     """Chooses versions while one is rolled out, and decides the order.
 
@@ -79,7 +65,7 @@
     ) -> None:
         self.context = context
         self.knowledge = knowledge
-        self.desk = desk
+        self.answers = OrderAnswers(desk, knowledge.orders)
         self.promises = promises
         self.tasks: dict[ServiceName, TrialTask] = {}
         # Versions that orders have made the ones to use, or have taken back.
@@ -153,7 +139,7 @@
         elapsed = 0.0
         if order.started is not None:
             # Others have seen it before; their time of day may differ from ours.
-            elapsed = min(max(0.0, _unix_seconds() - order.started), order.seconds)
+            elapsed = min(max(0.0, unix_seconds() - order.started), order.seconds)
         limit = self.promises.trial_share
         trial = Trial(order, now - elapsed, limit, witnessed)
         spread = self.context.rng.random() * FIRST_WRITE_SPREAD
@@ -358,7 +344,7 @@
             try:
                 await self._decide(task)
             except PlatformConflictError:
-                await self._read_again(task.trial.order)
+                await self.answers.read_again(task.trial.order)
             except PlatformError as error:
                 log.warn("a trial's status could not be written yet: {}", error)
 
@@ -375,9 +361,9 @@
             await self._withdraw(task)
         elif trial.ready_to_end(now):
             if monotonic() >= task.write_at:
-                await self._answer(task, OrderState.DONE)
+                await self.answers.write(task.trial, OrderState.DONE)
         elif order.state is OrderState.NEW and monotonic() >= task.write_at:
-            await self._answer(task, OrderState.RUNNING)
+            await self.answers.write(task.trial, OrderState.RUNNING)
             # The next status, too, is left to others for a while.
             spread = self.context.rng.random() * FIRST_WRITE_SPREAD
             done_in = order.seconds * (1.0 - trial.progress(now))
@@ -386,31 +372,4 @@
     async def _withdraw(self, task: TrialTask) -> None:
         """Write that the version is bad; VMs that only heard so let others be first."""
         if task.found_bad or monotonic() >= task.write_at:
-            await self._answer(task, OrderState.WITHDRAWN)
-
-    async def _answer(self, task: TrialTask, state: OrderState) -> None:
-        order = task.trial.order
-        wanted = RolloutOrder(
-            order.name,
-            order.revision,
-            order.service,
-            order.version,
-            order.seconds,
-            state,
-            _unix_seconds() - (monotonic() - task.trial.started),
-        )
-        answered = await self.desk.answer(wanted, state)
-        self.knowledge.orders.take(answered)
-
-    async def _read_again(self, order: RolloutOrder) -> None:
-        try:
-            present = await self.desk.read(order.name)
-        except PlatformError as error:
-            log.warn("order {} could not be read again: {}", order.name, error)
-            return
-        if present is not None:
-            self.knowledge.orders.take(present)
-
-
-def _unix_seconds() -> float:
-    return unix_microseconds() / MICROSECONDS
+            await self.answers.write(task.trial, OrderState.WITHDRAWN)
