--- a/standins/link.py
+++ b/standins/link.py
@@ -105,20 +105,47 @@
             writer.transport.abort()
             return
         self.writers.update((writer, back))
-        await asyncio.gather(self._pump(reader, back), self._pump(there, writer))
+        await asyncio.gather(
+            self._pump(reader, writer, back), self._pump(there, back, writer)
+        )
         self.writers.difference_update((writer, back))
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        sender: asyncio.StreamWriter,
+        writer: asyncio.StreamWriter,
     ) -> None:
+        """Forward one direction.
+
+        :param reader: what comes.
+        :param sender: the other direction of the stream that it comes by.
+        :param writer: where it goes to.
+        """
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
                 if writer in self.silenced:
                     continue
-                await self.released.wait()
-                if isinstance(reader.exception(), ConnectionResetError):
+                if not await self._pass(reader, sender):
                     break
                 writer.write(data)
                 await writer.drain()
         if writer not in self.silenced:
             writer.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, sender: asyncio.StreamWriter
+    ) -> bool:
+        """Wait while streams are held up.
+
+        :returns: whether what was held is to go on.
+        """
+        if self.released.is_set():
+            return True
+        await self.released.wait()
+        # The loop learns of a reset, then tells the transport, then the reader.
+        bound = sender.get_extra_info("socket")
+        if sender.is_closing() or bound is None or bound.fileno() < 0:
+            return False
+        error = bound.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return error == 0 and reader.exception() is None
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -26,7 +26,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
-    # Whether its caller closed the connection before the answer had ended.
+    # Whether its caller closed or reset the connection before the answer had ended.
     left: bool = False
 
 
@@ -161,7 +161,7 @@
 
     async def _until_left(self, reader: asyncio.StreamReader, seen: Seen) -> None:
         async with asyncio.timeout(MUTE_SECONDS):
-            seen.left = not await reader.read(1)
+            seen.left = await _ended(reader)
 
     def _head(self, seen: Seen, behaviour: Behaviour, framing: str) -> bytes:
         request = "another" if behaviour.crossed else seen.headers.get("request-id", "")
@@ -203,7 +203,7 @@
         head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
         writer.write(self._head(seen, behaviour, head))
         first = behaviour.first or int(seen.headers.get("last-event-id", "0")) + 1
-        left = asyncio.ensure_future(reader.read(1))
+        left = asyncio.ensure_future(_ended(reader))
         for number in range(first, behaviour.events + 1):
             event = f"id: {number}\ndata: word {number}\n\n".encode()
             if behaviour.cut_after is not None and number > behaviour.cut_after:
@@ -226,6 +226,14 @@
         return False
 
 
+async def _ended(reader: asyncio.StreamReader) -> bool:
+    """:returns: whether a caller ends its connection, by a close or a reset, next."""
+    try:
+        return not await reader.read(1)
+    except ConnectionResetError:
+        return True
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -25,7 +25,7 @@
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.transport.sockets import limited_socket
+from walnutquay.transport.sockets import limited_socket, reset_on_close
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
@@ -73,6 +73,24 @@
     # Whether the peer has reset the connection.
     was_reset = False
 
+    def close(self) -> None:
+        """Close the connection; reset it if its request is given up.
+
+        What a plain close leaves in a full or cut link still arrives when the link
+        works again: it would run for nobody, and at an endpoint that has said
+        seconds before that it leaves.
+        """
+        transport = self.transport
+        if transport is None or self._answer_is_whole():
+            super().close()
+            return
+        reset_on_close(transport.get_extra_info("socket"))
+        self.abort()
+
+    def _answer_is_whole(self) -> bool:
+        # aiohttp offers no public way to the answer that is being read.
+        return self._payload is not None and self._payload.is_eof()
+
     def eof_received(self) -> None:
         """Ask the socket itself how the connection ended."""
         super().eof_received()
--- a/walnutquay/transport/sockets.py
+++ b/walnutquay/transport/sockets.py
@@ -4,7 +4,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import struct
 
 import aiohttp
 
@@ -14,6 +16,9 @@
 # Probes of an idle connection that go unanswered before it ends: with the second
 # before the first and that between two, it ends within 3 s.
 KEEPALIVE_PROBES = 2
+# The option SO_LINGER, switched on, with a wait of 0 s: closing resets the connection,
+# and what has not reached the peer yet is dropped.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 def limit_silence(made: socket.socket) -> None:
@@ -43,3 +48,12 @@
         made.close()
         raise
     return made
+
+
+def reset_on_close(made: asyncio.trsock.TransportSocket | None) -> None:
+    """Have a connection reset when it is closed, and drop what it still holds.
+
+    :param made: its socket; None where it is gone already.
+    """
+    if made is not None:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
