--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -103,6 +103,37 @@
         self.assertEqual((answer.status, KEY in str(spec)), (401, False))
 
 
+class StartingVmTest(GatewayCase):
+    """A VM that starts learns from the others what there is, not from the store."""
+
+    async def test_without_any_call_for_a_list(self):
+        kinds = ("config", "servers", "rollouts")
+        before = [self.store.calls[f"GET {kind}"] for kind in kinds]
+        second = await self.add_gateway("vm-2", [self.gateway])
+        await self.until(lambda: second.knowledge.ready)
+        after = [self.store.calls[f"GET {kind}"] for kind in kinds]
+        self.assertEqual(after, before)
+        self.assertEqual((await self.call("/safe/x", gateway=second)).status, 200)
+
+    async def test_a_configuration_that_comes_later_reaches_it(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        await self.store.put("config", "main", catalogue(2))
+        await self.until(lambda: second.knowledge.catalogue.current.version == 2)
+
+
+class EmptyFleetTest(GatewayCase):
+    """Where nobody knows anything yet, the store is asked."""
+
+    configured = False
+
+    async def test_two_that_start_together(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        await self.store.put("config", "main", catalogue())
+        await self.until(
+            lambda: second.knowledge.ready and self.gateway.knowledge.ready
+        )
+
+
 class ForgettingTest(GatewayCase):
     """What is gone leaves nothing behind."""
 
--- a/walnutquay/coordination/circle.py
+++ b/walnutquay/coordination/circle.py
@@ -6,15 +6,14 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Protocol
 
 import logbook
+import xxhash
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.tasks import Tasks
-from walnutquay.exceptions import PeerError, PlatformError
+from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Message
-from walnutquay.state.events import EventKind
+from walnutquay.protocol.vmrows import pack_places
 from walnutquay.state.ids import VmName
 from walnutquay.state.membership import Address, VmPlace
 from walnutquay.transport.peers import PeerNode
@@ -27,26 +26,6 @@
 ASKED = 3
 # Peers that a message is sent to; in larger fleets, some drawn anew each time.
 TOLD = 12
-# All VMs start within 0.3 s, and the list of them is read when they have.
-FIRST_READ_SECONDS = 0.8
-READ_SECONDS = 10.0
-RETRY_SECONDS = 1.0
-
-
-class Register(Protocol):
-    """The list of entry VMs."""
-
-    async def enter(self, vm: VmName, place: VmPlace) -> None:
-        """:param vm: this VM.
-
-        :param place: where its peers reach it.
-        """
-
-    async def leave(self, vm: VmName) -> None:
-        """:param vm: this VM."""
-
-    async def read(self) -> dict[VmName, VmPlace]:
-        """:returns: where each VM is."""
 
 
 class PeerCircle:
@@ -54,7 +33,6 @@
 
     :param context: what this process shares.
     :param node: the sockets to them.
-    :param register: the list of them.
     :param own: where this VM is reached.
     :param seeds: where some VMs may be reached before the list is known.
     """
@@ -63,29 +41,22 @@
         self,
         context: Context,
         node: PeerNode,
-        register: Register,
         own: Address,
         seeds: Iterable[Address],
     ) -> None:
         self.context = context
         self.node = node
-        self.register = register
         self.own = own
-        self.seeds = [address for address in seeds if address != own]
+        all_seeds = list(seeds)
+        self.seeds = [address for address in all_seeds if address != own]
+        # Whether others may find this VM before the list is known.
+        self.is_seed = len(self.seeds) < len(all_seeds)
+        # Where each VM is, this one among them; see the list of VMs.
         self.known: dict[VmName, VmPlace] = {}
-        self.tasks = Tasks()
-
-    def start(self) -> None:
-        """Enter this VM into the list, and keep reading it."""
-        self.tasks.forever("register of VMs", self._keep_up)
-
-    async def stop(self) -> None:
-        """Take this VM out of the list."""
-        self.tasks.stop()
-        try:
-            await self.register.leave(self.context.vm)
-        except PlatformError as error:
-            log.warn("this VM's entry is left behind: {}", error)
+        # Set when there is a list for the first time.
+        self.listed = asyncio.Event()
+        # The list as it was last written for another VM, and what it was made of.
+        self.written: tuple[dict[VmName, VmPlace], bytes] = ({}, b"")
 
     def addresses(self) -> list[Address]:
         """:returns: where the other VMs are reached."""
@@ -99,6 +70,20 @@
         """How many entry VMs there are, this one among them."""
         return len(self.addresses()) + 1
 
+    def packed(self) -> bytes:
+        """:returns: the list of VMs for another VM; empty where there is none."""
+        made_of, data = self.written
+        if made_of is not self.known:
+            data = pack_places(self.known) if self.known else b""
+            self.written = (self.known, data)
+        return data
+
+    @property
+    def digest(self) -> int:
+        """What stands for the list of VMs that is known here; 0 for none."""
+        data = self.packed()
+        return xxhash.xxh3_64_intdigest(data) if data else 0
+
     def tell(self, body: Message) -> None:
         """Send a message that may be lost.
 
@@ -134,9 +119,11 @@
         :param body: the question.
         :returns: the first answer, or None.
         """
+        return await self._first_of(self._drawn(), body)
+
+    async def _first_of(self, asked: list[Address], body: Message) -> Message | None:
         calls = [
-            asyncio.ensure_future(self._ask_one(address, body))
-            for address in self._drawn()
+            asyncio.ensure_future(self._ask_one(address, body)) for address in asked
         ]
         try:
             for call in asyncio.as_completed(calls):
@@ -160,33 +147,3 @@
             self.context.metrics.count("peer_calls_failed")
             log.debug("a peer did not answer: {}", error)
             return None
-
-    async def _keep_up(self) -> None:
-        await self._enter()
-        await asyncio.sleep(FIRST_READ_SECONDS)
-        while True:
-            try:
-                self._take(await self.register.read())
-            except PlatformError as error:
-                log.debug("the list of VMs could not be read: {}", error)
-            await asyncio.sleep(READ_SECONDS)
-
-    async def _enter(self) -> None:
-        while True:
-            try:
-                place = VmPlace(self.own, self.context.hall)
-                await self.register.enter(self.context.vm, place)
-                return
-            except PlatformError as error:
-                log.debug("this VM is not in the list yet: {}", error)
-                await asyncio.sleep(RETRY_SECONDS)
-
-    def _take(self, listed: dict[VmName, VmPlace]) -> None:
-        if listed == self.known:
-            return
-        came = sorted(listed.keys() - self.known.keys())
-        went = sorted(self.known.keys() - listed.keys())
-        self.known = listed
-        self.context.timeline.emit(
-            EventKind.MEMBER, detail=f"came: {came}, went: {went}, now {len(listed)}"
-        )
--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
 import logbook
@@ -16,14 +17,13 @@
 from walnutquay.state.feeds import Changes, Listing
 from walnutquay.transport.timers import monotonic
 
-# One kind is watched with short waits: a lost answer or a cut is noticed only when
-# an answer is overdue, and a change must be known 2 s after it was made.
-PULSE_SECONDS = 2.0
-# Endpoints' entries are watched with shorter waits still: a connection may fall silent
-# for good, and the store turn one VM away, and all that hear from it must know within
-# the 2 s in which a leaving endpoint still has to be served.  An answer is overdue
-# after another 0.5 s, and another watcher is asked.
-ENTRY_WATCH_SECONDS = 1.0
+# What is left of the time for a change of configuration, or for a leaving endpoint,
+# when a watch that is not answered is overdue; then another VM is asked.
+OVERDUE_SECONDS = 0.5
+# Endpoints' entries are watched for so much of the time in which a leaving endpoint
+# still has to be served: a connection may fall silent for good, and all that hear from
+# this VM must know of it within that time.
+ENTRY_WATCH_SHARE = 0.5
 # Orders are watched with long waits, for each call has its price; they are asked anew
 # when another kind has found that the store was away.
 ORDER_WATCH_SECONDS = 4.0
@@ -39,6 +39,36 @@
 
 log = logbook.Logger(__name__)
 
+
+@dataclass(frozen=True, slots=True)
+class WatchTimes:
+    """How long one watch of each kind waits for a change; seconds.
+
+    Long waits save calls; an answer that is lost, or a connection that falls silent, is
+    noticed only when one is overdue.
+
+    :param configuration: of the operators' configuration.
+    :param endpoints: of the endpoints' entries.
+    :param orders: of roll-out orders.
+    """
+
+    configuration: float
+    endpoints: float
+    orders: float
+
+
+def watch_times(config_seconds: float, drain_seconds: float) -> WatchTimes:
+    """:param config_seconds: in which a configuration must be in force everywhere.
+
+    :param drain_seconds: in which a leaving endpoint is still to be served.
+    """
+    return WatchTimes(
+        max(PROBE_SECONDS, config_seconds - OVERDUE_SECONDS),
+        ENTRY_WATCH_SHARE * drain_seconds,
+        ORDER_WATCH_SECONDS,
+    )
+
+
 Item = TypeVar("Item")
 # Asks peers for newer knowledge of a kind than a revision; empty where none has it.
 AskPeers = Callable[[str, int], Awaitable[bytes]]
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -15,13 +15,11 @@
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.following import (
-    ENTRY_WATCH_SECONDS,
-    ORDER_WATCH_SECONDS,
-    PULSE_SECONDS,
     WATCH_GAP_SECONDS,
     AskPeers,
     Feed,
     Follower,
+    WatchTimes,
 )
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.exceptions import HistoryGoneError, PlatformError
@@ -226,6 +224,7 @@
     :param instances: the running endpoints.
     :param orders: the roll-out orders.
     :param ask_peers: asks the other VMs while the store does not answer.
+    :param times: how long one watch of each kind waits.
     """
 
     def __init__(
@@ -235,6 +234,7 @@
         instances: Feed[Instance],
         orders: Feed[RolloutOrder],
         ask_peers: AskPeers,
+        times: WatchTimes,
     ) -> None:
         self.context = context
         self.catalogue = CatalogueSink(context)
@@ -244,7 +244,7 @@
             context,
             catalogues,
             self.catalogue,
-            PULSE_SECONDS,
+            times.configuration,
             self._store_returned,
             ask_peers,
         )
@@ -252,7 +252,7 @@
             context,
             instances,
             self.instances,
-            ENTRY_WATCH_SECONDS,
+            times.endpoints,
             self._entries_return,
             ask_peers,
             WATCH_GAP_SECONDS,
@@ -261,7 +261,7 @@
             context,
             orders,
             self.orders,
-            ORDER_WATCH_SECONDS,
+            times.orders,
             _nothing,
             ask_peers,
             WATCH_GAP_SECONDS,
--- a/walnutquay/coordination/relaying.py
+++ b/walnutquay/coordination/relaying.py
@@ -20,12 +20,19 @@
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.following import Feed, Follower
 from walnutquay.coordination.knowledge import Knowledge
+from walnutquay.coordination.starting import StartingKnowledge
 from walnutquay.exceptions import (
     HistoryGoneError,
+    MessageError,
     PeerError,
     PlatformUnavailableError,
 )
-from walnutquay.protocol.messages import AskChanges, ChangesAre, Envelope
+from walnutquay.protocol.messages import (
+    AskChanges,
+    ChangesAre,
+    Envelope,
+    Message,
+)
 from walnutquay.state.feeds import Changes, Listing
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import rendezvous
@@ -35,19 +42,22 @@
 
 # Up to so many VMs each watches the store itself.
 SMALL_FLEET = 3
-# VMs of each data hall that watch the store, in fleets up to a size: where there are
-# many VMs, one may be lost or frozen without the others asking another hall's.
-WATCHERS_BY_SIZE = ((12, 1), (math.inf, 2))
+# VMs of each data hall that watch the store.  Where it is lost or frozen the others of
+# the hall ask another hall's until the next in line has noticed.
+WATCHERS_OF_HALL = 1
 # Watchers of other data halls that are asked where the own ones do not answer; those
 # of all halls are where each one answers that the store does not serve it.
 FAR_WATCHERS = 1
-# How long a watcher waits for a change before it answers that there is none.
+# How long a watcher waits for a change before it answers that there is none, for what
+# has to be known at once: roll-out orders reach all VMs within 1 s.
 POLL_SECONDS = 0.5
 # A watcher answers so much later at the most; else another is asked: also where two in
 # a row are frozen a change is known within the two seconds that the platform allows.
 ANSWER_SECONDS = 0.4
 # A VM that did not answer is left out of the choice of watchers for so long.
 SILENT_SECONDS = 3.0
+# A VM that starts waits no longer for the list of VMs, which tells whom to ask.
+VMS_SECONDS = 2.0
 # Every VM ranks alike by this.
 DUTY = "watch the store"
 
@@ -91,9 +101,7 @@
 
     def _watching(self, hall: HallName) -> list[VmName]:
         """:returns: the VMs of a data hall that are to watch the store."""
-        size = self.circle.size
-        count = next(count for most, count in WATCHERS_BY_SIZE if size <= most)
-        return self._of(hall)[:count]
+        return self._of(hall)[:WATCHERS_OF_HALL]
 
     def _of(self, hall: HallName) -> list[VmName]:
         """Rank the VMs of a data hall for the duty."""
@@ -141,19 +149,47 @@
             failing = answer
         return failing
 
+    async def ask_near(self, question: Message) -> Message | None:
+        """Ask the VM of this data hall that watches the store.
+
+        :param question: what it is asked, which it answers at once.
+        :returns: its answer, or None.
+        """
+        near, _ = self._asked()
+        for vm in near:
+            answer = await self._call(vm, question, ANSWER_SECONDS)
+            if answer is not None:
+                return answer
+        return None
+
+    async def wait_for_vms(self) -> None:
+        """Wait until it is known which VMs there are, but not for long."""
+        if self.circle.listed.is_set() or not self.circle.seeds:
+            return
+        try:
+            async with asyncio.timeout(VMS_SECONDS):
+                await self.circle.listed.wait()
+        except TimeoutError:
+            log.info("there is no list of VMs yet; the store is watched from here")
+
     async def _ask_one(self, vm: VmName, question: AskChanges) -> ChangesAre | None:
+        answer = await self._call(vm, question, question.seconds + ANSWER_SECONDS)
+        return answer if isinstance(answer, ChangesAre) else None
+
+    async def _call(
+        self, vm: VmName, question: Message, limit: float
+    ) -> Message | None:
+        """Ask a watcher; one that does not answer is left out for a while."""
         place = self.circle.known.get(vm)
         if place is None:
             return None
-        limit = question.seconds + ANSWER_SECONDS
         try:
-            answer = await self.circle.node.call(place.address, question, limit, vm)
+            return await self.circle.node.call(place.address, question, limit, vm)
         except PeerError as error:
             self.context.metrics.count("watchers_silent")
             self.silent_until[vm] = monotonic() + SILENT_SECONDS
             log.debug("a watcher of the store does not answer: {}", error)
             return None
-        return answer if isinstance(answer, ChangesAre) else None
 
 
 class RelayedFeed(Generic[Item]):
@@ -163,6 +199,8 @@
     :param watchers: who watches the store.
     :param on_returned: told, before the changes, how many seconds ago the store
         returned to the watcher that sends them.
+    :param poll: how long a watcher may wait for a change; seconds.
+    :param starting: gives the first list, if another VM tells it; None for the store.
     """
 
     def __init__(
@@ -170,16 +208,31 @@
         direct: ChangeFeed[Item],
         watchers: Watchers,
         on_returned: Callable[[float], None] = lambda ago: None,
+        poll: float | None = None,
+        starting: StartingKnowledge | None = None,
     ) -> None:
         self.direct = direct
         self.watchers = watchers
         self.on_returned = on_returned
+        self.poll = POLL_SECONDS if poll is None else poll
+        self.starting = starting
         self.kind = direct.kind
         # Whether the store itself was watched last.
         self.watching = True
 
     async def list(self) -> Listing[Item]:
-        """:returns: all objects, from the store itself."""
+        """:returns: all objects, from other VMs or from the store itself.
+
+        The first list may come from others: in a fleet of 195 VMs each list from the
+        store would cost as many calls whenever all start.
+        """
+        starting, self.starting = self.starting, None
+        data = b"" if starting is None else await starting.list_of(self.kind)
+        if data:
+            try:
+                return self.direct.read_export(data)
+            except MessageError as error:
+                log.warn("a peer's list is not taken over: {}", error)
         return await self.direct.list()
 
     async def watch(self, revision: int, seconds: float) -> Changes[Item]:
@@ -189,9 +242,10 @@
         :raises HistoryGoneError: if the kind must be listed again.
         :raises PlatformError: if the store does not answer, here or at the watchers.
         """
+        await self.watchers.wait_for_vms()
         self.watching = self.watchers.includes_this()
         if not self.watching:
-            wait = min(seconds, POLL_SECONDS)
+            wait = min(seconds, self.poll)
             answer = await self.watchers.ask(self.kind, revision, wait)
             if answer is not None:
                 return self._read(answer)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -18,6 +18,7 @@
 from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.eventlog import EventLog
+from walnutquay.coordination.following import watch_times
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.pathparts import PathParts
@@ -25,7 +26,9 @@
 from walnutquay.coordination.relaying import RelayDesk, RelayedFeed, Watchers
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.routedplaces import ReadingNote, RoutedPlaces
+from walnutquay.coordination.starting import StartingKnowledge
 from walnutquay.coordination.versions import VersionTrials
+from walnutquay.coordination.vmlist import VmList
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
 from walnutquay.daemon.metricsapi import MetricsApi
@@ -42,12 +45,16 @@
 from walnutquay.protocol.messages import (
     AskChanges,
     AskKnown,
+    AskStart,
     AskTrial,
+    AskVms,
     Envelope,
     KnownIs,
+    KnownList,
     OpinionNews,
     SessionsSeen,
     TrialNews,
+    VmNews,
     WorkNews,
 )
 from walnutquay.protocol.peer import PeerCodec
@@ -74,6 +81,9 @@
 # Prompts that take an engine less time to read are not told to the other VMs: bytes
 # between data halls have a price, and these delay nobody for long.
 HEAVY_SECONDS = 0.08
+# VMs that do not watch the store ask those that do so much more often: a watcher that
+# falls silent is to be noticed, and another asked, in the same time.
+POLL_SHARE = 0.5
 # Until the list of VMs has been read, so many are taken to share the retries: a
 # small fleet, of which some are always being replaced.
 ASSUMED_VMS = 7
@@ -106,6 +116,22 @@
         self.mailroom = Mailroom()
         self.node = self._make_node()
         self.circle = self._make_circle()
+        first_start = options.peers.first_start
+        self.watchers = Watchers(self.context, self.circle)
+        self.starting = StartingKnowledge(
+            self.context, self.circle, self._known_lists, first_start
+        )
+        self.mailroom.on(AskStart, self.starting.answer)
+        self.vm_list = VmList(
+            self.context,
+            self.circle,
+            VmRegister(self.store),
+            self.watchers,
+            self.starting,
+            first_start,
+        )
+        self.mailroom.on(AskVms, self.vm_list.answer)
+        self.mailroom.on(VmNews, self.vm_list.hear)
         self.knowledge = self._make_knowledge()
         self.mailroom.on(AskKnown, self._known)
         self.mailroom.on(AskChanges, RelayDesk(self.knowledge).answer)
@@ -145,27 +171,43 @@
         own = Address(*host_and_port(section.address))
         hosts = [seed.partition(":")[0] for seed in section.seeds.split(",") if seed]
         seeds = [Address(host, own.port) for host in hosts]
-        register = VmRegister(self.store)
-        return PeerCircle(self.context, self.node, register, own, seeds)
+        return PeerCircle(self.context, self.node, own, seeds)
 
     def _make_knowledge(self) -> Knowledge:
-        watchers = Watchers(self.context, self.circle)
+        promises = self.options.promises
+        times = watch_times(promises.config_seconds, promises.drain_seconds)
         return Knowledge(
             self.context,
-            RelayedFeed(catalogue_feed(self.store), watchers),
+            RelayedFeed(
+                catalogue_feed(self.store),
+                self.watchers,
+                poll=times.configuration * POLL_SHARE,
+                starting=self.starting,
+            ),
             RelayedFeed(
                 instance_feed(self.store),
-                watchers,
+                self.watchers,
                 lambda ago: self.knowledge.watcher_returned(ago),
+                times.endpoints * POLL_SHARE,
+                self.starting,
             ),
-            RelayedFeed(order_feed(self.store), watchers),
+            RelayedFeed(order_feed(self.store), self.watchers, starting=self.starting),
             self._ask_peers,
+            times,
         )
 
     async def _ask_peers(self, kind: str, revision: int) -> bytes:
         answer = await self.circle.ask(AskKnown(kind, revision))
         return answer.data if isinstance(answer, KnownIs) else b""
 
+    def _known_lists(self) -> tuple[KnownList, ...]:
+        """Give what is known here to a VM that starts; nothing until all is listed."""
+        lists = tuple(
+            KnownList(follower.feed.kind, follower.feed.export(0))
+            for follower in self.knowledge.followers()
+        )
+        return lists if all(known.data for known in lists) else ()
+
     def _known(self, envelope: Envelope) -> KnownIs:
         body = envelope.body
         assert isinstance(body, AskKnown)
@@ -248,7 +290,7 @@
         options = self.options
         await self.node.start(*host_and_port(options.peers.address))
         self.circle.own = Address(self.circle.own.host, self.node.port)
-        self.circle.start()
+        self.vm_list.start()
         self.knowledge.start()
         self.versions.start()
         self.path.cascading.start()
@@ -289,7 +331,7 @@
         self.versions.stop()
         self.path.places.close()
         # Both at once: little time is left where requests took long to end.
-        await asyncio.gather(self.versions.sessions.hand_over(), self.circle.stop())
+        await asyncio.gather(self.versions.sessions.hand_over(), self.vm_list.stop())
         await self.node.stop()
         self.context.timers.stop()
         await self.api.server.stop()
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -32,6 +32,7 @@
     encode_order_status,
 )
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
+from walnutquay.protocol.vmrows import pack, unpack
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
 from walnutquay.state.ids import HallName, VmName
@@ -43,6 +44,8 @@
 
 # Batches of changes that are kept to be passed on; a peer is some seconds behind.
 KEPT_BATCHES = 200
+# The longest list that is taken from a peer: some 7,000 endpoints of 400 bytes each.
+MAX_LIST_BYTES = 4 << 20
 
 Item = TypeVar("Item")
 
@@ -79,6 +82,10 @@
         # What is known, as it is stored, to be passed on to peers.
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
+        # Whether there was ever a list.
+        self.listed = False
+        # The list as it was last written for a peer, and its revision.
+        self.exported = (-1, b"")
         # The last changes, and the revision after which none is missing of them.
         self.batches: deque[Batch] = deque(maxlen=KEPT_BATCHES)
         self.batches_since = 0
@@ -92,7 +99,7 @@
         try:
             found, revision = await self.store.list(self.kind)
         except MissingObjectError:
-            return Listing({}, 0)
+            found, revision = [], 0
         return self._listing(found, revision)
 
     def _listing(self, found: list[StoredObject], revision: int) -> Listing[Item]:
@@ -105,6 +112,7 @@
         return Listing(items, revision)
 
     def _remember(self, found: list[StoredObject], revision: int) -> None:
+        self.listed = True
         if revision >= self.revision:
             self.objects = {stored.name: stored for stored in found}
             self.revision = revision
@@ -114,13 +122,20 @@
     def export(self, revision: int) -> bytes:
         """Write what is known for a peer.
 
-        :param revision: the store's revision that the peer knows.
-        :returns: the list; empty where it is not newer.
+        :param revision: the store's revision that the peer knows; 0 if it knows
+            nothing, and will take any list.
+        :returns: the list; empty where it is not newer, or there is none here.
         """
-        if self.revision <= revision:
+        if not self.listed or 0 < revision >= self.revision:
             return b""
-        items = [dataclasses.asdict(stored) for stored in self.objects.values()]
-        return orjson.dumps({"revision": self.revision, "items": items})
+        at, data = self.exported
+        if at != self.revision:
+            # Written once for all who ask: many do when a fleet starts.
+            items = [dataclasses.asdict(stored) for stored in self.objects.values()]
+            plain = {"revision": self.revision, "items": items}
+            data = pack(orjson.dumps(plain))
+            self.exported = (self.revision, data)
+        return data
 
     def read_export(self, data: bytes) -> Listing[Item]:
         """:param data: what a peer's :meth:`export` wrote.
@@ -128,7 +143,7 @@
         :raises MessageError: if it is not that.
         """
         try:
-            plain = orjson.loads(data)
+            plain = orjson.loads(unpack(data, MAX_LIST_BYTES))
             found = [StoredObject(**item) for item in plain["items"]]
             return self._listing(found, int(plain["revision"]))
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -10,7 +10,8 @@
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
 from walnutquay.state.gains import GainRow
-from walnutquay.state.membership import MemberNews
+from walnutquay.state.ids import VmName
+from walnutquay.state.membership import MemberNews, VmPlace
 from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
 from walnutquay.state.trials import TrialReport
@@ -238,13 +239,87 @@
     """Answers that the sessions are known here now."""
 
 
+@dataclass(frozen=True, slots=True)
+class AskVms(Message):
+    """Asks which entry VMs there are; answered by :class:`VmsAre`.
+
+    :param digest: stands for the list that the sender knows; 0 for none.
+    """
+
+    digest: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class VmsAre(Message):
+    """Answers with the list of entry VMs.
+
+    :param data: the list, see :func:`walnutquay.protocol.vmrows.pack_places`; empty
+        where it is the one that was asked with, or there is none yet.
+    """
+
+    data: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class VmRow:
+    """Where an entry VM is.
+
+    :param vm: its name.
+    :param place: where its peers reach it.
+    """
+
+    vm: VmName
+    place: VmPlace
+
+
+@dataclass(frozen=True, slots=True)
+class VmNews(Message):
+    """Tells that a VM has entered the list of VMs, or leaves it.
+
+    :param row: the VM.
+    :param leaving: whether it leaves.
+    """
+
+    row: VmRow
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AskStart(Message):
+    """Asks for all that the receiver knows; answered by :class:`StartIs`."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownList:
+    """A list of one kind of the store's objects.
+
+    :param kind: the kind.
+    :param data: the list, as a feed exports it.
+    """
+
+    kind: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StartIs(Message):
+    """Answers a VM that starts with all that is known.
+
+    :param vms: the list of entry VMs, as in :class:`VmsAre`; empty for none yet.
+    :param lists: a list of each kind; none where the sender has just started too.
+    """
+
+    vms: bytes
+    lists: tuple[KnownList, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AskKnown(Message):
     """Asks what the receiver knows of one kind of the store's objects.
 
     :param kind: the kind.
     :param revision: the store's revision that the sender knows; only newer
-        knowledge is of use to it.
+        knowledge is of use to it.  With 0 it knows nothing yet, and takes any list.
     """
 
     kind: str
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -36,6 +36,11 @@
     askTrial @29 :TrialName;
     sessionsSeen @30 :List(SeenSession);
     sessionsTaken @31 :Void;
+    askVms @32 :UInt64;
+    vms @33 :Data;
+    vmNews @34 :VmNews;
+    askStart @35 :Void;
+    start @36 :Start;
   }
 }
 
@@ -174,3 +179,27 @@
   whole @3 :Bool;
   returned @4 :Float32;
 }
+
+# Where an entry VM is.
+struct VmRow {
+  vm @0 :Text;
+  host @1 :Text;
+  port @2 :UInt16;
+  hall @3 :Text;
+}
+
+struct VmNews {
+  row @0 :VmRow;
+  leaving @1 :Bool;
+}
+
+struct KnownList {
+  kind @0 :Text;
+  data @1 :Data;
+}
+
+# All that a VM knows, for one that starts.
+struct Start {
+  vms @0 :Data;
+  lists @1 :List(KnownList);
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -28,7 +28,7 @@
     VersionName,
     VmName,
 )
-from walnutquay.state.membership import Address, MemberNews
+from walnutquay.state.membership import Address, MemberNews, VmPlace
 from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
 from walnutquay.state.trialcounts import Measure, TrialCounts
@@ -249,6 +249,46 @@
     return {"askTrial": asdict(body)}
 
 
+def _row_fields(row: m.VmRow) -> dict[str, Any]:
+    address = row.place.address
+    return {
+        "vm": row.vm,
+        "host": address.host,
+        "port": address.port,
+        "hall": row.place.hall,
+    }
+
+
+def _row(reader: Any) -> m.VmRow:
+    place = VmPlace(Address(reader.host, reader.port), HallName(reader.hall))
+    return m.VmRow(VmName(reader.vm), place)
+
+
+@body_fields.register
+def _(body: m.AskVms) -> dict[str, Any]:
+    return {"askVms": body.digest}
+
+
+@body_fields.register
+def _(body: m.VmsAre) -> dict[str, Any]:
+    return {"vms": body.data}
+
+
+@body_fields.register
+def _(body: m.AskStart) -> dict[str, Any]:
+    return {"askStart": None}
+
+
+@body_fields.register
+def _(body: m.StartIs) -> dict[str, Any]:
+    return {"start": {"vms": body.vms, "lists": [asdict(row) for row in body.lists]}}
+
+
+@body_fields.register
+def _(body: m.VmNews) -> dict[str, Any]:
+    return {"vmNews": {"row": _row_fields(body.row), "leaving": body.leaving}}
+
+
 @body_fields.register
 def _(body: m.AskKnown) -> dict[str, Any]:
     return {"askKnown": asdict(body)}
@@ -367,6 +407,13 @@
     "sessionsSeen": _sessions,
     "sessionsTaken": lambda r: m.SessionsTaken(),
     "askTrial": lambda r: m.AskTrial(r.order, r.version),
+    "askVms": lambda r: m.AskVms(int(r)),
+    "vms": lambda r: m.VmsAre(bytes(r)),
+    "askStart": lambda r: m.AskStart(),
+    "start": lambda r: m.StartIs(
+        bytes(r.vms), tuple(m.KnownList(row.kind, bytes(row.data)) for row in r.lists)
+    ),
+    "vmNews": lambda r: m.VmNews(_row(r.row), r.leaving),
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
     "askChanges": lambda r: m.AskChanges(r.kind, r.revision, r.seconds),
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -225,11 +225,15 @@
     seeds: str = ""
     """Addresses of some entry VMs, with commas between; their ports do not matter,
     for all VMs listen for peers at the same port."""
+    first_start: bool = False
+    """Whether the whole fleet starts for the first time: no VM knows anything yet."""
 
 
 class PromisesSection(Section):
     """The limits that the platform's operators set for all its routers."""
 
+    config_seconds: Positive = 2.0
+    """How long after its acknowledgement a configuration may not be in force yet."""
     drain_seconds: Positive = 2.0
     """How long a leaving endpoint may still be sent requests."""
     balancer_seconds: NotNegative = 2.6
--- a/walnutquay/transport/peers.py
+++ b/walnutquay/transport/peers.py
@@ -27,7 +27,10 @@
 MAX_FRAME = 4 << 20
 MAX_DATAGRAM = 60_000
 BIND_TRIES = 20
-CONNECT_SECONDS = 1.0
+# A connection to a peer is up within 0.05 s, also in another region.  To a machine that
+# starts just now its first packet is lost, and sent again only a second later, when a
+# new connection would be up long since.
+CONNECT_SECONDS = 0.1
 # Older datagrams are dropped: a packet that was kept and sent again is refused.
 MAX_AGE_MICROSECONDS = 60_000_000
 
@@ -59,7 +62,7 @@
         self.waiting: dict[int, asyncio.Future[Message]] = {}
         self.task: asyncio.Task | None = None
         # When an answer last came by it; monotonic seconds.
-        self.heard_at = monotonic()
+        self.heard_at = float("-inf")
 
 
 class PeerNode:
@@ -171,10 +174,12 @@
         :raises PeerError: if no answer comes, or the answer is a failure.
         """
         step = type(body).__name__
+        asked_at = monotonic()
         try:
             async with asyncio.timeout(timeout):
                 answer = await self._ask(address, body)
         except (TimeoutError, OSError, EOFError) as error:
+            self._drop_if_silent(address, asked_at)
             reason = str(error) or "no answer in time"
             raise PeerError(reason, step=step, peer=peer) from error
         if isinstance(answer, Failure):
@@ -186,19 +191,21 @@
         number = next(self.numbers)
         future = asyncio.get_running_loop().create_future()
         connection.waiting[number] = future
-        asked_at = monotonic()
         try:
             self._write(connection.writer, body, number)
             return await future
-        except asyncio.CancelledError:
-            # The call's time is over.  A stream can fall silent for good without an
-            # end; unless something came by it meanwhile, the next call opens another.
-            if connection.heard_at <= asked_at:
-                self._drop(address, connection, EOFError("it fell silent"))
-            raise
         finally:
             connection.waiting.pop(number, None)
 
+    def _drop_if_silent(self, address: Address, asked_at: float) -> None:
+        """Have the next call open another stream, unless something came by this one.
+
+        A stream can fall silent for good without an end.
+        """
+        connection = self.connections.get(address)
+        if connection is not None and connection.heard_at <= asked_at:
+            self._drop(address, connection, EOFError("it fell silent"))
+
     async def _connection(self, address: Address) -> _Connection:
         connection = self.connections.get(address)
         if connection is not None:
