--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -5,11 +5,15 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
+from walnutquay.coordination import budgets
 from walnutquay.coordination.budgets import FIRST_RETRIES, RetryBudgets
 from walnutquay.state.ids import ServiceName
 
 SERVICE = ServiceName("s")
+# Seconds in which the bound holds.
+SPAN = 10.0
 
 
 class RetryBudgetsTest(unittest.TestCase):
@@ -17,12 +21,15 @@
 
     def setUp(self) -> None:
         self.vms = 6
-        self.budgets = RetryBudgets(0.9, 48.0, lambda: self.vms)
+        self.now = 1_000.0
+        patch = mock.patch.object(budgets, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.budgets = RetryBudgets(0.9, 48.0, SPAN, lambda: self.vms)
 
     def saved(self) -> float:
-        """:returns: the retries that are left after many first tries."""
-        for _ in range(1000):
-            self.budgets.of(SERVICE).first_try()
+        """:returns: the retries that are left long after the start."""
+        self.now += 2.0 * SPAN
         return self.budgets.of(SERVICE).left
 
     def test_at_first_a_vm_may_retry_little(self):
@@ -39,15 +46,16 @@
         self.vms = 3
         self.assertAlmostEqual(self.saved(), 48.0 / 3)
 
+    def test_a_vm_that_starts_again_has_no_new_part(self):
+        self.budgets.of(SERVICE)
+        self.now += SPAN / 2
+        self.assertEqual(self.budgets.of(SERVICE).left, FIRST_RETRIES)
+
     def test_many_vms_leave_less_than_one_retry_each(self):
         self.vms = 640
         self.assertFalse(self.budgets.of(SERVICE).take())
 
     def test_services_have_budgets_of_their_own(self):
-        self.saved()
+        self.assertTrue(self.budgets.of(SERVICE).take())
         other = self.budgets.of(ServiceName("other"))
         self.assertEqual(other.left, FIRST_RETRIES)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/walnutquay/coordination/budgets.py
+++ b/walnutquay/coordination/budgets.py
@@ -6,14 +6,38 @@
 
 from collections.abc import Callable
 
-from walnutquay.state.admission import RetryBudget
 from walnutquay.state.ids import ServiceName
+from walnutquay.state.retries import RetryWindow
+from walnutquay.transport.timers import monotonic
 
-# Retries of a service that a VM may make before any first try has added to them: one
-# that starts again may have spent its reserve just before.
+# Retries of a service that a VM may make besides in its first span: one that starts
+# again may have used its part of the reserve just before.
 FIRST_RETRIES = 2.0
 
 
+class RetryBudget:
+    """The retries of one service.
+
+    :param window: what counts them.
+    """
+
+    def __init__(self, window: RetryWindow) -> None:
+        self.window = window
+
+    def first_try(self) -> None:
+        """Count a first try."""
+        self.window.first_try(monotonic())
+
+    def take(self) -> bool:
+        """:returns: whether one retry may be made; it is then counted."""
+        return self.window.take(monotonic())
+
+    @property
+    def left(self) -> float:
+        """How many retries may be made now."""
+        return self.window.left(monotonic())
+
+
 class RetryBudgets:
     """One retry budget for each service.
 
@@ -21,14 +45,19 @@
     added would raise it over the platform's limit otherwise.
 
     :param share: retries for each first try.
-    :param reserve: retries that all VMs together may save up for one service.
+    :param reserve: retries of one service that all VMs together may make besides.
+    :param seconds: the span in which both hold.
     :param vms: tells how many VMs there are.
     """
 
-    def __init__(self, share: float, reserve: float, vms: Callable[[], int]) -> None:
+    def __init__(
+        self, share: float, reserve: float, seconds: float, vms: Callable[[], int]
+    ) -> None:
         self.share = share
         self.reserve = reserve
+        self.seconds = seconds
         self.vms = vms
+        self.began = monotonic()
         self.known: dict[ServiceName, RetryBudget] = {}
 
     def of(self, service: ServiceName) -> RetryBudget:
@@ -36,11 +65,16 @@
 
         :returns: its budget, with this VM's part of the reserve as it is now.
         """
-        part = self.reserve / max(1, self.vms())
         budget = self.known.get(service)
         if budget is None:
-            budget = self.known[service] = RetryBudget(self.share, part)
-            budget.left = min(part, FIRST_RETRIES)
-        budget.reserve = part
-        budget.left = min(budget.left, part)
+            window = RetryWindow(self.share, 0.0, self.seconds)
+            budget = self.known[service] = RetryBudget(window)
+        budget.window.reserve = self._part()
         return budget
+
+    def _part(self) -> float:
+        """Give the part of the reserve that this VM may use now."""
+        part = self.reserve / max(1, self.vms())
+        if monotonic() < self.began + self.seconds:
+            return min(part, FIRST_RETRIES)
+        return part
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -270,6 +270,7 @@
         return RetryBudgets(
             promises.retry_share * BUDGET_MARGIN,
             promises.retry_extra * BUDGET_MARGIN,
+            promises.retry_seconds,
             lambda: max(ASSUMED_VMS, self.circle.size),
         )
 
