--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -158,8 +158,22 @@
             self._take_start(now - report.elapsed)
         if report.verdict is Verdict.BAD:
             self.braked = True
-        elif report.verdict is Verdict.GOOD and self._knows_little():
-            self._trust(now)
+        elif report.verdict is Verdict.GOOD:
+            self._follow(now)
+
+    def _follow(self, now: float) -> None:
+        """Take over that another VM has found the version good.
+
+        One that doubts it for bad answers of its own would give it the first share
+        while all others give it more, and have sessions go back.  It keeps its counts,
+        which still tell against the version.
+        """
+        if self.verdict() is Verdict.BAD:
+            return
+        own = None if self._knows_little() else self.own
+        self._trust(now)
+        if own is not None and self.trusted:
+            self.own = own
 
     def _take_start(self, started: float) -> None:
         """Count from when the first VM saw the order; news are late, never early."""
