--- /dev/null
+++ b/tests/test_circle.py
@@ -0,0 +1,92 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Whom a VM tells: all of a small fleet, few of a large one, and whom it concerns."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from walnutquay.coordination.circle import (
+    TOLD,
+    TOLD_FAR,
+    TOLD_IN_HALL,
+    PeerCircle,
+)
+from walnutquay.protocol.messages import AskStart
+from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.membership import Address, VmPlace
+
+HALLS = [HallName(f"hall-{number}") for number in range(5)]
+HERE, THERE = HALLS[0], HALLS[3]
+BODY = AskStart()
+
+
+class FakeNode:
+    """Notes what is sent to whom."""
+
+    def __init__(self) -> None:
+        self.sent: list[Address] = []
+
+    def send_all(self, addresses, body) -> None:
+        """As the real one."""
+        self.sent.extend(addresses)
+
+
+def circle(vms: int) -> PeerCircle:
+    """:returns: the circle of the first of so many VMs, spread over the halls."""
+    context = SimpleNamespace(vm=VmName("vm-0"), hall=HERE, rng=random.Random(1))
+    made = PeerCircle(context, FakeNode(), Address("10.0.0.0", 1), [])
+    made.known = {
+        VmName(f"vm-{number}"): VmPlace(
+            Address(f"10.0.0.{number}", 1), HALLS[number % len(HALLS)]
+        )
+        for number in range(vms)
+    }
+    return made
+
+
+class TellingTest(unittest.TestCase):
+    """Messages that may be lost."""
+
+    def halls_told(self, made: PeerCircle) -> list[HallName]:
+        """:returns: the data hall of each VM that was told; never the sender itself."""
+        places = {place.address: place.hall for place in made.known.values()}
+        self.assertNotIn(made.own, made.node.sent)
+        self.assertEqual(len(made.node.sent), len(set(made.node.sent)))
+        return [places[address] for address in made.node.sent]
+
+    def test_all_of_a_small_fleet(self):
+        for tell in (
+            lambda made: made.tell(BODY),
+            lambda made: made.tell_hall(THERE, BODY),
+        ):
+            made = circle(TOLD + 1)
+            tell(made)
+            self.assertEqual(len(self.halls_told(made)), TOLD)
+
+    def test_some_of_a_large_one_mostly_of_this_hall(self):
+        made = circle(195)
+        made.tell(BODY)
+        halls = self.halls_told(made)
+        self.assertEqual(len(halls), TOLD)
+        self.assertEqual(len(halls) - halls.count(HERE), TOLD_FAR)
+
+    def test_the_vms_of_one_hall(self):
+        for hall, others in ((HERE, 38), (THERE, 39)):
+            made = circle(195)
+            made.tell_hall(hall, BODY)
+            self.assertEqual(self.halls_told(made), [hall] * others)
+
+    def test_not_all_of_a_very_large_hall(self):
+        made = circle(640)
+        made.tell_hall(THERE, BODY)
+        self.assertEqual(self.halls_told(made), [THERE] * TOLD_IN_HALL)
+
+    def test_size(self):
+        self.assertEqual(circle(195).size, 195)
+        alone = circle(0)
+        self.assertEqual(alone.size, 1)
+        alone.seeds = [Address("10.0.0.1", 1), Address("10.0.0.2", 1)]
+        self.assertEqual(alone.size, 3)
--- a/walnutquay/coordination/circle.py
+++ b/walnutquay/coordination/circle.py
@@ -14,7 +14,7 @@
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Message
 from walnutquay.protocol.vmrows import pack_places
-from walnutquay.state.ids import VmName
+from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import Address, VmPlace
 from walnutquay.transport.peers import PeerNode
 
@@ -24,8 +24,14 @@
 ASK_SECONDS = 0.4
 # Peers that are asked, one after the other or at once.
 ASKED = 3
-# Peers that a message is sent to; in larger fleets, some drawn anew each time.
+# Peers that a message is sent to; in larger fleets, some drawn anew each time, and so
+# many of them in other data halls.
 TOLD = 12
+TOLD_FAR = 2
+# VMs of one data hall that are told what concerns all of them: in a hall of more, some
+# drawn anew each time, so that a VM reads no more of them in a larger fleet; one is
+# read in 0.02 ms.
+TOLD_IN_HALL = 48
 
 
 class PeerCircle:
@@ -68,7 +74,9 @@
     @property
     def size(self) -> int:
         """How many entry VMs there are, this one among them."""
-        return len(self.addresses()) + 1
+        # Asked several times for each request, so nothing is listed for it.
+        others = len(self.known) - (self.context.vm in self.known)
+        return (others or len(self.seeds)) + 1
 
     def packed(self) -> bytes:
         """:returns: the list of VMs for another VM; empty where there is none."""
@@ -85,15 +93,44 @@
         return xxhash.xxh3_64_intdigest(data) if data else 0
 
     def tell(self, body: Message) -> None:
-        """Send a message that may be lost.
+        """Send a message that may be lost, in larger fleets to some VMs only.
 
+        Most are of this data hall: bytes between halls have a price.
+
+        :param body: the message.
+        """
+        addresses = self.addresses()
+        if len(addresses) > TOLD:
+            near, far = self._by_hall(self.context.hall)
+            addresses = self._some(near, TOLD - TOLD_FAR) + self._some(far, TOLD_FAR)
+        self.node.send_all(addresses, body)
+
+    def tell_hall(self, hall: HallName, body: Message) -> None:
+        """Send a message that may be lost to the VMs of a data hall.
+
+        In small fleets it goes to all.
+
+        :param hall: the data hall.
         :param body: the message.
         """
         addresses = self.addresses()
         if len(addresses) > TOLD:
-            addresses = self.context.rng.sample(addresses, TOLD)
+            addresses = self._some(self._by_hall(hall)[0], TOLD_IN_HALL)
         self.node.send_all(addresses, body)
 
+    def _by_hall(self, hall: HallName) -> tuple[list[Address], list[Address]]:
+        """Give the other VMs of a data hall, and those of all other halls."""
+        inside, outside = [], []
+        for vm, place in self.known.items():
+            if vm != self.context.vm:
+                (inside if place.hall == hall else outside).append(place.address)
+        return inside, outside
+
+    def _some(self, addresses: list[Address], most: int) -> list[Address]:
+        if len(addresses) <= most:
+            return addresses
+        return self.context.rng.sample(addresses, most)
+
     def tell_all(self, body: Message) -> None:
         """Send a message that may be lost to every other VM.
 
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -16,6 +16,7 @@
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.ids import (
     EndpointName,
+    HallName,
     ServiceName,
     VersionName,
     WorkKind,
@@ -49,6 +50,7 @@
 
     :param work: the prompt.
     :param engine: the engine.
+    :param hall: where it stands.
     :param wait: the seconds of reading that were known to be before it.
     :param seconds: the time to read it.
     :param cached: whether its beginning was thought to be cached there.
@@ -57,6 +59,7 @@
 
     work: PromptWork
     engine: EndpointName
+    hall: HallName
     wait: float
     seconds: float
     cached: bool
@@ -179,7 +182,9 @@
         cached = self.work.has(grant.name, work.beginning, now, kept)
         mark = self.work.add(grant.name, seconds, work.beginning, now)
         name = EndpointName(grant.name)
-        note = ReadingNote(work, name, wait, seconds, cached, mark)
+        assert isinstance(grant.endpoint, Instance)
+        hall = grant.endpoint.hall
+        note = ReadingNote(work, name, hall, wait, seconds, cached, mark)
         self.reading[id(grant)] = note
         weight = weight_of(need.priority)
         self._traffic(service).add(SentPrompt(now, work.tokens, seconds, weight))
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -218,8 +218,10 @@
             return
         model = note.work.model
         rate = self.path.places.work.rate(model)
-        self.circle.tell(
-            WorkNews(note.engine, note.seconds, note.work.beginning, model, rate)
+        # Who stands where the engine does uses it most.
+        self.circle.tell_hall(
+            note.hall,
+            WorkNews(note.engine, note.seconds, note.work.beginning, model, rate),
         )
 
     def _hear_work(self, envelope: Envelope) -> None:
