--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+from collections import Counter
 
 from standins.link import Link
 from standins.store import StoreStandIn
@@ -40,6 +41,22 @@
         self.addAsyncCleanup(self.client.close)
 
 
+class CountTest(StoreCase):
+    """Each call is counted by what it is, for it has a price."""
+
+    async def test_calls(self):
+        counted: Counter[str] = Counter()
+        self.client.count = lambda name: counted.update([name])
+        await self.store.put("servers", "i-1", SPEC)
+        await self.client.list("servers")
+        await self.client.watch("servers", 0, 0.0)
+        await self.client.create("entry-vms", "vm-1", {})
+        await self.client.delete("entry-vms", "vm-1")
+        expected = ["get_servers", "watch_servers", "post_entry_vms"]
+        expected.append("delete_entry_vms")
+        self.assertEqual(dict(counted), {f"store_calls_{name}": 1 for name in expected})
+
+
 class ListTest(StoreCase):
     """Lists come whole, over all pages."""
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -112,7 +112,7 @@
         self.context = Context(
             vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
         )
-        self.store = StoreClient(options.store.address)
+        self.store = StoreClient(options.store.address, count=metrics.count)
         self.mailroom = Mailroom()
         self.node = self._make_node()
         self.circle = self._make_circle()
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
@@ -67,6 +67,8 @@
     :param address: its ``IP:port``.
     :param caller: the name that this process gives in ``User-Agent``.
     :param call_seconds: how long a call may take; a watch takes its wait on top.
+    :param count: told of each call, by what it is and for which kind; calls have a
+        price, and whoever looks at it asks which ones there are.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         address: str,
         caller: str = "walnutquay",
         call_seconds: float = CALL_SECONDS,
+        count: Callable[[str], None] = lambda name: None,
     ) -> None:
+        self.count = count
         self.base = f"http://{address}{OBJECTS_PATH}"
         self.address = address
         self.call_seconds = call_seconds
@@ -218,6 +222,10 @@
         """
         place = "/".join(quote(part, safe="") for part in path)
         step = method.lower()
+        watching = bool(query) and "watch" in query
+        what = "watch" if watching else step
+        kind = path[0].replace("-", "_")
+        self.count(f"store_calls_{what}_{kind}")
         timeout = aiohttp.ClientTimeout(
             total=limit or self.call_seconds, sock_connect=CONNECT_SECONDS
         )
