--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,14 +17,14 @@
 from standins.link import Link  # noqa: E402
 from walnutquay.exceptions import MessageError, PeerError  # noqa: E402
 from walnutquay.protocol import messages as m  # noqa: E402
-from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
-from walnutquay.protocol.vmrows import (  # noqa: E402
+from walnutquay.protocol.lists import (  # noqa: E402
     MAX_BYTES,
     pack,
     pack_places,
     unpack,
     unpack_places,
 )
+from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
 from walnutquay.state.clock import HybridClock, Stamp  # noqa: E402
 from walnutquay.state.gains import GainCounts, GainRow, ModelPair  # noqa: E402
 from walnutquay.state.ids import (  # noqa: E402
--- a/walnutquay/coordination/circle.py
+++ b/walnutquay/coordination/circle.py
@@ -12,8 +12,8 @@
 
 from walnutquay.coordination.context import Context
 from walnutquay.exceptions import PeerError
+from walnutquay.protocol.lists import pack_places
 from walnutquay.protocol.messages import Message
-from walnutquay.protocol.vmrows import pack_places
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import Address, VmPlace
 from walnutquay.transport.peers import PeerNode
--- a/walnutquay/coordination/vmlist.py
+++ b/walnutquay/coordination/vmlist.py
@@ -23,8 +23,8 @@
 from walnutquay.coordination.starting import StartingKnowledge
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.exceptions import MessageError, PlatformError
+from walnutquay.protocol.lists import unpack_places
 from walnutquay.protocol.messages import AskVms, Envelope, VmNews, VmRow, VmsAre
-from walnutquay.protocol.vmrows import unpack_places
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import VmName
 from walnutquay.state.membership import VmPlace
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -32,7 +32,7 @@
     encode_order_status,
 )
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
-from walnutquay.protocol.vmrows import pack, unpack
+from walnutquay.protocol.lists import pack, unpack
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
 from walnutquay.state.ids import HallName, VmName
@@ -195,7 +195,7 @@
             if batch.revision > revision
             for event in batch.events
         ]
-        return orjson.dumps({"revision": self.revision, "events": events})
+        return pack(orjson.dumps({"revision": self.revision, "events": events}))
 
     def read_changes(self, data: bytes) -> Changes[Item]:
         """:param data: what a peer's :meth:`export_changes` wrote.
@@ -203,7 +203,7 @@
         :raises MessageError: if it is not that.
         """
         try:
-            plain = orjson.loads(data)
+            plain = orjson.loads(unpack(data, MAX_LIST_BYTES))
             events = tuple(
                 StoredEvent(StoredObject(**event["stored"]), event["deleted"])
                 for event in plain["events"]
--- a/walnutquay/protocol/vmrows.py
+++ b/walnutquay/protocol/lists.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""The list of entry VMs as VMs send it to each other: rows in JSON, compressed."""
+"""Lists as VMs send them to each other: compressed, and that of VMs in rows of JSON."""
 
 from __future__ import annotations
 
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -253,7 +253,7 @@
 class VmsAre(Message):
     """Answers with the list of entry VMs.
 
-    :param data: the list, see :func:`walnutquay.protocol.vmrows.pack_places`; empty
+    :param data: the list, see :func:`walnutquay.protocol.lists.pack_places`; empty
         where it is the one that was asked with, or there is none yet.
     """
 
