--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -333,7 +333,7 @@
     Mutation(
         "a VM that starts learns from the others",
         "coordination/starting.py",
-        "if self.circle.is_seed:",
+        "if self.peers.is_seed:",
         "if True:",
         "tests.test_knowledge.StartingVmTest.test_without_any_call_for_a_list",
     ),
--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -20,7 +20,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from lab.trialports import SimulatedDesk, SimulatedPeers
+from lab.trialports import SimulatedOrders, SimulatedPeers
 from lab.trialrecords import Findings, Served, Vm
 from walnutquay.coordination import (
     orderanswers,
@@ -183,9 +183,11 @@
         hall = HallName("hall-a")
         context = Context(name, hall, new_incarnation(), timeline, rng=rng)
         peers = SimulatedPeers(self, name)
-        desk = SimulatedDesk(self)
+        order_store = SimulatedOrders(self)
         knowledge.orders.take = lambda order: self._take(vm, order)
-        trials = VersionTrials(context, knowledge, desk, peers, PromisesSection())
+        trials = VersionTrials(
+            context, knowledge, order_store, peers, PromisesSection()
+        )
         vm = Vm(name, trials, book, orders)
         self._list(vm, OLD)
         return vm
--- a/lab/trialports.py
+++ b/lab/trialports.py
@@ -44,7 +44,7 @@
 
 
 @dataclass
-class SimulatedDesk:
+class SimulatedOrders:
     """The store, as far as it keeps orders.
 
     :param fleet: the fleet.
--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -140,12 +140,12 @@
         )
         gateway = GatewayDaemon(Settings(options, {}))
         for peer in peers:
-            place = VmPlace(peer.circle.own, peer.context.hall)
-            gateway.circle.known[peer.context.vm] = place
+            place = VmPlace(peer.peers.own, peer.context.hall)
+            gateway.peers.known[peer.context.vm] = place
         await gateway.start()
         for peer in peers:
-            place = VmPlace(gateway.circle.own, gateway.context.hall)
-            peer.circle.known[gateway.context.vm] = place
+            place = VmPlace(gateway.peers.own, gateway.context.hall)
+            peer.peers.known[gateway.context.vm] = place
         self.gateways.append(gateway)
         self.addAsyncCleanup(self.close_gateway, gateway)
         if self.configured:
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -76,7 +76,7 @@
         async def run(scheduler: Scheduler) -> None:
             world = World(scheduler)
             owner, keeper = (
-                Billing(p.context, p.platform, p.members, p.mailroom)
+                Billing(p.context, p.platform, p.members, p.dispatcher)
                 for p in (world.add_vm("a"), world.add_vm("b"))
             )
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -79,7 +79,7 @@
             parts.context,
             parts.platform,
             parts.members,
-            parts.mailroom,
+            parts.dispatcher,
             HOUR,
             MEGABYTE,
         )
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -122,7 +122,7 @@
             for name in ("a", "b"):
                 parts = world.add_vm(name)
                 keeper = Configurations(
-                    parts.context, parts.platform, parts.members, parts.mailroom
+                    parts.context, parts.platform, parts.members, parts.dispatcher
                 )
                 operator = Acceptance(parts.context, parts.platform, keeper)
                 world.start(self.operate(operator, name, told))
--- a/tests/test_circle.py
+++ b/tests/test_fleetpeers.py
@@ -8,11 +8,11 @@
 import unittest
 from types import SimpleNamespace
 
-from walnutquay.coordination.circle import (
+from walnutquay.coordination.fleetpeers import (
     TOLD,
     TOLD_FAR,
     TOLD_IN_HALL,
-    PeerCircle,
+    FleetPeers,
 )
 from walnutquay.protocol.messages import AskStart
 from walnutquay.state.ids import HallName, VmName
@@ -34,10 +34,10 @@
         self.sent.extend(addresses)
 
 
-def circle(vms: int) -> PeerCircle:
-    """:returns: the circle of the first of so many VMs, spread over the halls."""
+def peers(vms: int) -> FleetPeers:
+    """:returns: the peers of the first of so many VMs, spread over the halls."""
     context = SimpleNamespace(vm=VmName("vm-0"), hall=HERE, rng=random.Random(1))
-    made = PeerCircle(context, FakeNode(), Address("10.0.0.0", 1), [])
+    made = FleetPeers(context, FakeNode(), Address("10.0.0.0", 1), [])
     made.known = {
         VmName(f"vm-{number}"): VmPlace(
             Address(f"10.0.0.{number}", 1), HALLS[number % len(HALLS)]
@@ -50,7 +50,7 @@
 class TellingTest(unittest.TestCase):
     """Messages that may be lost."""
 
-    def halls_told(self, made: PeerCircle) -> list[HallName]:
+    def halls_told(self, made: FleetPeers) -> list[HallName]:
         """:returns: the data hall of each VM that was told; never the sender itself."""
         places = {place.address: place.hall for place in made.known.values()}
         self.assertNotIn(made.own, made.node.sent)
@@ -62,12 +62,12 @@
             lambda made: made.tell(BODY),
             lambda made: made.tell_hall(THERE, BODY),
         ):
-            made = circle(TOLD + 1)
+            made = peers(TOLD + 1)
             tell(made)
             self.assertEqual(len(self.halls_told(made)), TOLD)
 
     def test_some_of_a_large_one_mostly_of_this_hall(self):
-        made = circle(195)
+        made = peers(195)
         made.tell(BODY)
         halls = self.halls_told(made)
         self.assertEqual(len(halls), TOLD)
@@ -75,18 +75,18 @@
 
     def test_the_vms_of_one_hall(self):
         for hall, others in ((HERE, 38), (THERE, 39)):
-            made = circle(195)
+            made = peers(195)
             made.tell_hall(hall, BODY)
             self.assertEqual(self.halls_told(made), [hall] * others)
 
     def test_not_all_of_a_very_large_hall(self):
-        made = circle(640)
+        made = peers(640)
         made.tell_hall(THERE, BODY)
         self.assertEqual(self.halls_told(made), [THERE] * TOLD_IN_HALL)
 
     def test_size(self):
-        self.assertEqual(circle(195).size, 195)
-        alone = circle(0)
+        self.assertEqual(peers(195).size, 195)
+        alone = peers(0)
         self.assertEqual(alone.size, 1)
         alone.seeds = [Address("10.0.0.1", 1), Address("10.0.0.2", 1)]
         self.assertEqual(alone.size, 3)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -90,8 +90,8 @@
     async def test_a_new_configuration(self):
         second = await self.add_gateway("vm-2")
         first = self.gateway
-        place = VmPlace(first.circle.own, first.context.hall)
-        second.circle.known = {first.context.vm: place}
+        place = VmPlace(first.peers.own, first.context.hall)
+        second.peers.known = {first.context.vm: place}
         # From now on the store does not answer the second VM.
         second.store.base = "http://127.0.0.1:9/v1/objects"
         second.knowledge.catalogue_follower.nudge()
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -62,8 +62,8 @@
         rng=random.Random(1),
         metrics=Metrics(),
     )
-    circle = SimpleNamespace(known=known, size=len(known), node=FakeNode())
-    return Watchers(context, circle)
+    peers = SimpleNamespace(known=known, size=len(known), node=FakeNode())
+    return Watchers(context, peers)
 
 
 class WatchersTest(unittest.IsolatedAsyncioTestCase):
@@ -93,7 +93,7 @@
 
     async def test_one_that_is_silent_is_left_out_and_another_takes_its_place(self):
         found, near, known = self.follower()
-        node = found.circle.node
+        node = found.peers.node
         for vm, place in known.items():
             if vm not in near:
                 node.answers[place.address] = ChangesAre(direct=vm.startswith("h2"))
@@ -105,7 +105,7 @@
 
     async def test_one_that_the_store_serves_is_believed(self):
         found, _, known = self.follower()
-        node = found.circle.node
+        node = found.peers.node
         for vm, place in known.items():
             node.answers[place.address] = ChangesAre(failing=vm.startswith("h1"))
         answer = await found.ask("servers", 1, 0.0)
@@ -114,7 +114,7 @@
 
     async def test_the_only_one_that_the_store_serves_is_found(self):
         found, _, known = self.follower()
-        node = found.circle.node
+        node = found.peers.node
         for served in ("h2", "h3"):
             for vm, place in known.items():
                 lacks = not vm.startswith(served)
@@ -125,12 +125,12 @@
     async def test_after_silence_not_all_halls_are_waited_for(self):
         found, near, _ = self.follower()
         self.assertIsNone(await found.ask("servers", 1, 0.0))
-        self.assertEqual(len(found.circle.node.asked), len(near) + 1)
+        self.assertEqual(len(found.peers.node.asked), len(near) + 1)
 
     async def test_one_that_hears_from_others_only_is_no_source(self):
         found, _, known = self.follower()
         for place in known.values():
-            found.circle.node.answers[place.address] = ChangesAre(direct=False)
+            found.peers.node.answers[place.address] = ChangesAre(direct=False)
         self.assertIsNone(await found.ask("servers", 1, 0.0))
 
 
@@ -211,12 +211,12 @@
         for name in ("vm-2", "vm-3"):
             await self.add_gateway(name)
         known = {
-            gateway.context.vm: VmPlace(gateway.circle.own, gateway.context.hall)
+            gateway.context.vm: VmPlace(gateway.peers.own, gateway.context.hall)
             for gateway in self.gateways
         }
         for gateway in self.gateways:
             gateway.vm_list.tasks.stop()
-            gateway.circle.known = dict(known)
+            gateway.peers.known = dict(known)
         self.follower = next(g for g in self.gateways if not self.watches(g))
         for gateway in self.gateways:
             for follower in gateway.knowledge.followers():
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,7 +16,7 @@
     PlatformUnavailableError,
     PlatformUnclearError,
 )
-from walnutquay.platform.feeds import OrderDesk, VmRegister, instance_feed
+from walnutquay.platform.feeds import StoredOrders, VmRegister, instance_feed
 from walnutquay.platform.store import StoreClient
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import Address, VmPlace
@@ -165,15 +165,15 @@
     async def test_orders_are_answered_once(self):
         order = {"service": "s", "toVersion": "v2", "durationS": 12}
         await self.store.put("rollouts", "s", order)
-        desk = OrderDesk(self.client)
-        first = await desk.read("s")
+        orders = StoredOrders(self.client)
+        first = await orders.read("s")
         assert first is not None
         self.assertIs(first.state, OrderState.NEW)
-        done = await desk.answer(first, OrderState.DONE)
+        done = await orders.answer(first, OrderState.DONE)
         self.assertIs(done.state, OrderState.DONE)
         with self.assertRaises(PlatformConflictError):
-            await desk.answer(first, OrderState.WITHDRAWN)
-        present = await desk.read("s")
+            await orders.answer(first, OrderState.WITHDRAWN)
+        present = await orders.read("s")
         assert present is not None
         self.assertIs(present.state, OrderState.DONE)
 
@@ -181,7 +181,7 @@
         order = {"service": "s", "toVersion": "v3", "durationS": 12}
         status = {"state": "complete", "toVersion": "v2"}
         await self.store.put("rollouts", "s", order, status)
-        present = await OrderDesk(self.client).read("s")
+        present = await StoredOrders(self.client).read("s")
         assert present is not None
         self.assertIs(present.state, OrderState.NEW)
 
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from walnutquay.coordination import vmlist
-from walnutquay.coordination.circle import PeerCircle
+from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.coordination.relaying import Watchers
 from walnutquay.coordination.starting import StartingKnowledge
 from walnutquay.coordination.vmlist import VmList
@@ -141,10 +141,10 @@
             timeline=SimpleNamespace(emit=lambda *args, **more: None),
         )
         seeds = [place_of(seed).address for seed in range(SEEDS)]
-        circle = PeerCircle(context, self.network, place.address, seeds)
-        watchers = Watchers(context, circle)
-        starting = StartingKnowledge(context, circle, lambda: LISTS, first_start)
-        made = VmList(context, circle, self.register, watchers, starting, first_start)
+        peers = FleetPeers(context, self.network, place.address, seeds)
+        watchers = Watchers(context, peers)
+        starting = StartingKnowledge(context, peers, lambda: LISTS, first_start)
+        made = VmList(context, peers, self.register, watchers, starting, first_start)
         self.network.up[place.address] = made
         self.lists.append(made)
         made.start()
@@ -158,7 +158,7 @@
 
     def all_known(self) -> bool:
         """:returns: whether each VM knows all of them."""
-        return all(len(made.circle.known) == len(self.lists) for made in self.lists)
+        return all(len(made.peers.known) == len(self.lists) for made in self.lists)
 
 
 class FirstStartTest(FleetCase):
@@ -186,14 +186,14 @@
         killed.tasks.stop()
         writes = self.register.writes
         again = self.start(11)
-        await self.until(lambda: len(again.circle.known) == 12)
+        await self.until(lambda: len(again.peers.known) == 12)
         self.assertEqual(self.register.writes, writes)
 
     async def test_one_that_has_left_enters_again_and_all_hear_of_it(self):
         left = self.lists.pop()
         await left.stop()
         others = list(self.lists)
-        self.assertFalse(any(name_of(11) in made.circle.known for made in others))
+        self.assertFalse(any(name_of(11) in made.peers.known for made in others))
         self.start(11)
         await self.until(self.all_known)
         self.assertIn(name_of(11), self.register.rows)
@@ -212,7 +212,7 @@
     async def test_a_new_one_while_the_store_is_away(self):
         self.register.away = True
         new = self.start(12)
-        await self.until(lambda: len(new.circle.known) >= 12)
+        await self.until(lambda: len(new.peers.known) >= 12)
         self.register.away = False
         await self.until(self.all_known)
         self.assertIn(name_of(12), self.register.rows)
@@ -226,9 +226,9 @@
         row = VmRow(name_of(1), place_of(1))
         made.take({name_of(0): place_of(0), row.vm: row.place})
         made.hear(envelope(VmNews(row, leaving=True)))
-        self.assertNotIn(row.vm, made.circle.known)
+        self.assertNotIn(row.vm, made.peers.known)
         made.take({name_of(0): place_of(0), row.vm: row.place})
-        self.assertNotIn(row.vm, made.circle.known)
+        self.assertNotIn(row.vm, made.peers.known)
 
     async def test_one_that_came_is_not_lost_by_an_older_list(self):
         made = self.start(0)
@@ -236,7 +236,7 @@
         made.take({name_of(0): place_of(0)})
         made.hear(envelope(VmNews(row)))
         made.take({name_of(0): place_of(0)})
-        self.assertIn(row.vm, made.circle.known)
+        self.assertIn(row.vm, made.peers.known)
 
     async def test_an_entry_that_was_lost_is_written_again(self):
         self.start(0)
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -15,7 +15,7 @@
 
 from tests.interleavings import CrashedError, Scheduler
 from walnutquay.coordination.context import Context, Timeline
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.exceptions import (
     PeerError,
     PlatformConflictError,
@@ -121,7 +121,7 @@
         if way == "cut" or target is None or name in scheduler.dead:
             raise PeerError("no answer", peer=name)
         envelope = Envelope(self.vm, f"inc-{self.vm}", Stamp(1, 0), body)
-        answer = await target.mailroom.deliver(envelope)
+        answer = await target.dispatcher.deliver(envelope)
         assert answer is not None
         return answer
 
@@ -147,7 +147,7 @@
         parts = SimpleNamespace(
             name=name,
             context=context,
-            mailroom=Mailroom(),
+            dispatcher=Dispatcher(),
             members=FakeMembers(self, name),
             platform=FakePlatform(self.store, name),
         )
--- a/walnutquay/coordination/billing.py
+++ b/walnutquay/coordination/billing.py
@@ -12,7 +12,7 @@
 import logbook
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import Members
 from walnutquay.coordination.platform import Platform
 from walnutquay.coordination.tasks import Tasks
@@ -65,7 +65,7 @@
     :param context: what this process shares.
     :param platform: the store of values.
     :param members: the other VMs.
-    :param mailroom: where copies come from.
+    :param dispatcher: where copies come from.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         context: Context,
         platform: Platform,
         members: Members,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
     ) -> None:
         self.context = context
         self.platform = platform
@@ -93,8 +93,8 @@
         self.failed_at: dict[str, float] = {}
         # The peer that has copies of all that is not stored.
         self.copy_peer = ""
-        mailroom.on(BillCopy, self.on_copy)
-        mailroom.on(BillStored, self.on_stored)
+        dispatcher.on(BillCopy, self.on_copy)
+        dispatcher.on(BillStored, self.on_stored)
 
     def start(self) -> None:
         """Begin to copy, to flush, and to flush for dead peers."""
--- a/walnutquay/coordination/claims.py
+++ b/walnutquay/coordination/claims.py
@@ -11,7 +11,7 @@
 import logbook
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import Members
 from walnutquay.coordination.platform import Platform
 from walnutquay.exceptions import (
@@ -78,7 +78,7 @@
     :param context: what this process shares.
     :param platform: the store of values.
     :param members: the other VMs.
-    :param mailroom: where peers' questions come from.
+    :param dispatcher: where peers' questions come from.
     :param hours: hours for which a key is remembered.
     :param answer_bytes: bytes of finished answers to keep.
     """
@@ -88,7 +88,7 @@
         context: Context,
         platform: Platform,
         members: Members,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
         hours: float,
         answer_bytes: int,
     ) -> None:
@@ -100,7 +100,7 @@
         # The run that holds each key here, by the claim object's name.
         self.by_name: dict[str, RequestId] = {}
         self.fingerprints: dict[RequestId, str] = {}
-        mailroom.on(AskRun, self.on_ask_run)
+        dispatcher.on(AskRun, self.on_ask_run)
 
     def start(self) -> None:
         """Begin to forget old claims."""
--- a/walnutquay/coordination/configurations.py
+++ b/walnutquay/coordination/configurations.py
@@ -16,7 +16,7 @@
 from pydantic import ValidationError
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import Members
 from walnutquay.coordination.partstore import PartStore
 from walnutquay.coordination.platform import Platform
@@ -58,7 +58,7 @@
     :param context: what this process shares.
     :param platform: the store of values.
     :param members: the other VMs.
-    :param mailroom: where peers' questions come from.
+    :param dispatcher: where peers' questions come from.
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         context: Context,
         platform: Platform,
         members: Members,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
     ) -> None:
         self.context = context
         self.platform = platform
@@ -84,8 +84,8 @@
         self.adopting = asyncio.Lock()
         self.tasks = Tasks()
         members.on_news.append(self.on_news)
-        mailroom.on(AskHead, self.on_ask_head)
-        mailroom.on(AskPart, self.on_ask_part)
+        dispatcher.on(AskHead, self.on_ask_head)
+        dispatcher.on(AskPart, self.on_ask_part)
 
     def start(self, anti_entropy_seconds: float) -> None:
         """Begin to follow the head.
--- a/walnutquay/coordination/mailroom.py
+++ b/walnutquay/coordination/dispatcher.py
@@ -11,7 +11,7 @@
 Receiver = Callable[[Envelope], Awaitable[Message | None] | Message | None]
 
 
-class Mailroom:
+class Dispatcher:
     """Knows which part takes which kind of message."""
 
     def __init__(self) -> None:
--- a/walnutquay/coordination/endpoints.py
+++ b/walnutquay/coordination/endpoints.py
@@ -12,7 +12,7 @@
 
 from walnutquay.coordination.configurations import Configurations
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import ListedEndpoint, Members
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.messages import EndpointLeaving, Envelope
@@ -39,7 +39,7 @@
     :param table: the table.
     :param configurations: which endpoints there are.
     :param members: the other VMs.
-    :param mailroom: where peers' news come from.
+    :param dispatcher: where peers' news come from.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         table: EndpointTable,
         configurations: Configurations,
         members: Members,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
     ) -> None:
         self.context = context
         # Gives the endpoints that this VM uses; set once admission is made.
@@ -61,7 +61,7 @@
         self.loaded: dict[str, frozenset[str]] = {}
         configurations.listeners.append(self.on_configuration)
         members.on_endpoints.append(self.on_list)
-        mailroom.on(EndpointLeaving, self.on_peer)
+        dispatcher.on(EndpointLeaving, self.on_peer)
 
     def start(self) -> None:
         """Begin to ask for reports."""
--- a/walnutquay/coordination/circle.py
+++ b/walnutquay/coordination/fleetpeers.py
@@ -34,7 +34,7 @@
 TOLD_IN_HALL = 48
 
 
-class PeerCircle:
+class FleetPeers:
     """Knows where the other entry VMs are.
 
     :param context: what this process shares.
--- a/walnutquay/coordination/health.py
+++ b/walnutquay/coordination/health.py
@@ -6,7 +6,7 @@
 
 from walnutquay.coordination.configurations import Configurations
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import Members
 from walnutquay.coordination.tallies import Tallies
 from walnutquay.protocol.messages import Envelope, VersionBrake
@@ -28,7 +28,7 @@
     :param context: what this process shares.
     :param configurations: which versions are being rolled out.
     :param members: whom to tell of a brake.
-    :param mailroom: where peers' brakes come from.
+    :param dispatcher: where peers' brakes come from.
     :param tallies: the counts of all VMs.
     """
 
@@ -37,7 +37,7 @@
         context: Context,
         configurations: Configurations,
         members: Members,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
         tallies: Tallies,
     ) -> None:
         self.context = context
@@ -48,7 +48,7 @@
         # The stage of each version in roll-out, and since when it is in force here.
         self.since: dict[str, tuple[str, float]] = {}
         configurations.listeners.append(self.on_configuration)
-        mailroom.on(VersionBrake, self.on_peer)
+        dispatcher.on(VersionBrake, self.on_peer)
         tallies.listeners.append(self.on_tally)
 
     def on_configuration(self, configuration: Configuration) -> None:
--- a/walnutquay/coordination/members.py
+++ b/walnutquay/coordination/members.py
@@ -11,7 +11,7 @@
 import logbook
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.exceptions import EndpointError, PeerError
 from walnutquay.protocol.messages import Envelope, Heartbeat, Message
 from walnutquay.state.events import EventKind
@@ -47,7 +47,7 @@
 
     :param context: what this process shares.
     :param node: the sockets to peers.
-    :param mailroom: where heartbeats come from.
+    :param dispatcher: where heartbeats come from.
     :param vm_list_url: the platform's list of VMs.
     :param own: gives what is to be said of this VM, but for the counter.
     """
@@ -56,7 +56,7 @@
         self,
         context: Context,
         node: PeerNode,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
         vm_list_url: str,
         own: Callable[[], MemberNews],
     ) -> None:
@@ -74,7 +74,7 @@
         self.on_endpoints: list[Callable[[list[ListedEndpoint]], None]] = []
         # The state that each member was last seen in, to tell of changes.
         self.states: dict[str, MemberState] = {}
-        mailroom.on(Heartbeat, self.heard)
+        dispatcher.on(Heartbeat, self.heard)
 
     def start(self, heartbeat_seconds: float, list_seconds: float) -> None:
         """Begin to send heartbeats and to read the list.
--- a/walnutquay/coordination/orderanswers.py
+++ b/walnutquay/coordination/orderanswers.py
@@ -20,7 +20,7 @@
 MICROSECONDS = 1_000_000
 
 
-class Desk(Protocol):
+class OrderStore(Protocol):
     """Reads and answers roll-out orders."""
 
     async def read(self, name: str) -> RolloutOrder | None:
@@ -36,12 +36,12 @@
 class OrderAnswers:
     """Writes where trials stand, and takes in what the store has of them then.
 
-    :param desk: where orders are answered.
+    :param order_store: where orders are answered.
     :param orders: the orders that this VM knows.
     """
 
-    def __init__(self, desk: Desk, orders: OrderSink) -> None:
-        self.desk = desk
+    def __init__(self, order_store: OrderStore, orders: OrderSink) -> None:
+        self.order_store = order_store
         self.orders = orders
 
     async def write(self, trial: Trial, state: OrderState) -> None:
@@ -54,7 +54,7 @@
         """
         started = unix_seconds() - (monotonic() - trial.started)
         wanted = replace(trial.order, state=state, started=started)
-        self.orders.take(await self.desk.answer(wanted, state))
+        self.orders.take(await self.order_store.answer(wanted, state))
 
     async def read_again(self, order: RolloutOrder) -> None:
         """Take in an order as it stands now.
@@ -62,7 +62,7 @@
         :param order: the order as it is known here.
         """
         try:
-            present = await self.desk.read(order.name)
+            present = await self.order_store.read(order.name)
         except PlatformError as error:
             log.warn("order {} could not be read again: {}", order.name, error)
             return
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/parts.py
@@ -13,13 +13,13 @@
 from walnutquay.coordination.claims import Claims
 from walnutquay.coordination.configurations import Configurations
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.endpoints import EndpointNews
 from walnutquay.coordination.engines import Engines
 from walnutquay.coordination.eventlog import EventLog
 from walnutquay.coordination.health import VersionHealth
 from walnutquay.coordination.keyed import KeyedParts
 from walnutquay.coordination.leases import Lease
-from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.members import Members
 from walnutquay.coordination.pins import SessionPins
 from walnutquay.coordination.planning import ChatPlanner
@@ -78,21 +78,21 @@
         """Make what deals with the platform and the other VMs."""
         options = self.settings.options
         context = self.context
-        self.mailroom = Mailroom()
+        self.dispatcher = Dispatcher()
         self.node = PeerNode(
             context.vm,
             context.incarnation,
             PeerCodec([key.encode() for key in keys]),
             context.timeline.clock,
             context.metrics,
-            self.mailroom.deliver,
+            self.dispatcher.deliver,
         )
         self.platform = Platform(context, options.platform)
         self.members = Members(
-            context, self.node, self.mailroom, options.platform.vm_list_url, self.news
+            context, self.node, self.dispatcher, options.platform.vm_list_url, self.news
         )
         self.configurations = Configurations(
-            context, self.platform, self.members, self.mailroom
+            context, self.platform, self.members, self.dispatcher
         )
         self.acceptance = Acceptance(context, self.platform, self.configurations)
 
@@ -103,7 +103,7 @@
         self.client = HttpClient()
         self.table = EndpointTable(context.hall, context.rng)
         self.endpoint_news = EndpointNews(
-            context, self.table, self.configurations, self.members, self.mailroom
+            context, self.table, self.configurations, self.members, self.dispatcher
         )
         self.admission = Admission(context, self.configurations, self.table)
         self.endpoint_news.used = self.admission.used
@@ -111,14 +111,14 @@
             context,
             self.platform,
             self.members,
-            self.mailroom,
+            self.dispatcher,
             options.fleet.claim_hours,
             options.memory.answer_bytes,
         )
-        self.billing = Billing(context, self.platform, self.members, self.mailroom)
-        self.tallies = Tallies(context, self.members, self.mailroom)
+        self.billing = Billing(context, self.platform, self.members, self.dispatcher)
+        self.tallies = Tallies(context, self.members, self.dispatcher)
         self.health = VersionHealth(
-            context, self.configurations, self.members, self.mailroom, self.tallies
+            context, self.configurations, self.members, self.dispatcher, self.tallies
         )
         self.quality = AnswerQuality(
             context, Rater(self.client, options.rater), self.tallies, self.health
@@ -141,7 +141,7 @@
         )
         sealer = PinSealer(keys, options.fleet.token_days * SECONDS_PER_DAY)
         self.pins = SessionPins(
-            context, self.members, self.mailroom, sealer, options.memory.pins
+            context, self.members, self.dispatcher, sealer, options.memory.pins
         )
         self.recorder = TraceRecorder()
         path_parts = KeyedParts(
--- a/walnutquay/coordination/pins.py
+++ b/walnutquay/coordination/pins.py
@@ -14,7 +14,7 @@
 import logbook
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import Members
 from walnutquay.exceptions import PeerError, TokenError
 from walnutquay.protocol.messages import AskPin, CopyPin, Envelope, PinIs
@@ -37,7 +37,7 @@
 
     :param context: what this process shares.
     :param members: the other VMs.
-    :param mailroom: where peers' questions come from.
+    :param dispatcher: where peers' questions come from.
     :param sealer: signs pins, also between VMs.
     :param size: pins to keep; the least used go first.
     """
@@ -46,7 +46,7 @@
         self,
         context: Context,
         members: Members,
-        mailroom: Mailroom,
+        dispatcher: Dispatcher,
         sealer: PinSealer,
         size: int,
     ) -> None:
@@ -55,8 +55,8 @@
         self.sealer = sealer
         self.size = size
         self.tokens: OrderedDict[SessionKey, str] = OrderedDict()
-        mailroom.on(AskPin, self.on_ask)
-        mailroom.on(CopyPin, self.on_copy)
+        dispatcher.on(AskPin, self.on_ask)
+        dispatcher.on(CopyPin, self.on_copy)
 
     async def find(self, organisation: str, session: str) -> Pin | None:
         """Find a session's pin.
--- a/walnutquay/coordination/relaying.py
+++ b/walnutquay/coordination/relaying.py
@@ -16,8 +16,8 @@
 
 import logbook
 
-from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.coordination.following import Feed, Follower
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.starting import StartingKnowledge
@@ -84,18 +84,18 @@
     """Knows which VMs watch the store, and asks them for changes.
 
     :param context: what this process shares.
-    :param circle: the other VMs.
+    :param peers: the other VMs.
     """
 
-    def __init__(self, context: Context, circle: PeerCircle) -> None:
+    def __init__(self, context: Context, peers: FleetPeers) -> None:
         self.context = context
-        self.circle = circle
+        self.peers = peers
         # Until when VMs that did not answer are left out; monotonic seconds.
         self.silent_until: dict[VmName, float] = {}
 
     def includes_this(self) -> bool:
         """:returns: whether this VM is to watch the store itself."""
-        if self.circle.size <= SMALL_FLEET:
+        if self.peers.size <= SMALL_FLEET:
             return True
         return self.context.vm in self._watching(self.context.hall)
 
@@ -108,7 +108,7 @@
         now = monotonic()
         names = [
             vm
-            for vm, place in self.circle.known.items()
+            for vm, place in self.peers.known.items()
             if place.hall == hall and self.silent_until.get(vm, 0.0) <= now
         ]
         if hall == self.context.hall and self.context.vm not in names:
@@ -118,7 +118,7 @@
     def _asked(self) -> tuple[list[VmName], list[VmName]]:
         """Give whom to ask: in this data hall, and in the others."""
         near = self._watching(self.context.hall)
-        halls = {place.hall for place in self.circle.known.values()}
+        halls = {place.hall for place in self.peers.known.values()}
         others = sorted(halls - {self.context.hall})
         far = [vm for hall in others for vm in self._of(hall)[:1]]
         self.context.rng.shuffle(far)
@@ -164,11 +164,11 @@
 
     async def wait_for_vms(self) -> None:
         """Wait until it is known which VMs there are, but not for long."""
-        if self.circle.listed.is_set() or not self.circle.seeds:
+        if self.peers.listed.is_set() or not self.peers.seeds:
             return
         try:
             async with asyncio.timeout(VMS_SECONDS):
-                await self.circle.listed.wait()
+                await self.peers.listed.wait()
         except TimeoutError:
             log.info("there is no list of VMs yet; the store is watched from here")
 
@@ -180,11 +180,11 @@
         self, vm: VmName, question: Message, limit: float
     ) -> Message | None:
         """Ask a watcher; one that does not answer is left out for a while."""
-        place = self.circle.known.get(vm)
+        place = self.peers.known.get(vm)
         if place is None:
             return None
         try:
-            return await self.circle.node.call(place.address, question, limit, vm)
+            return await self.peers.node.call(place.address, question, limit, vm)
         except PeerError as error:
             self.context.metrics.count("watchers_silent")
             self.silent_until[vm] = monotonic() + SILENT_SECONDS
@@ -275,7 +275,7 @@
         return self.direct.read_export(data)
 
 
-class RelayDesk:
+class Relay:
     """Answers VMs that wait here for changes of the store.
 
     :param knowledge: follows the kinds of objects, by relayed feeds.
--- a/walnutquay/coordination/starting.py
+++ b/walnutquay/coordination/starting.py
@@ -11,8 +11,8 @@
 import asyncio
 from collections.abc import Callable
 
-from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.protocol.messages import AskStart, Envelope, KnownList, StartIs
 from walnutquay.transport.timers import monotonic
 
@@ -28,7 +28,7 @@
     """Asks running VMs once for all that they know, and answers those that ask.
 
     :param context: what this process shares.
-    :param circle: the other VMs.
+    :param peers: the other VMs.
     :param export: gives the lists that are known here; none until there are all.
     :param first_start: whether the whole fleet starts for the first time.
     """
@@ -36,12 +36,12 @@
     def __init__(
         self,
         context: Context,
-        circle: PeerCircle,
+        peers: FleetPeers,
         export: Callable[[], tuple[KnownList, ...]],
         first_start: bool,
     ) -> None:
         self.context = context
-        self.circle = circle
+        self.peers = peers
         self.export = export
         self.patience = FIRST_START_SECONDS if first_start else PATIENCE_SECONDS
         # The one question that is under way or over, shared by all who want to know.
@@ -65,11 +65,11 @@
 
     async def _ask(self) -> StartIs | None:
         # The others find the fleet by the seeds, so these wait for nobody.
-        if self.circle.is_seed:
+        if self.peers.is_seed:
             return None
         began = monotonic()
-        while self.circle.addresses():
-            answer = await self.circle.ask_any(AskStart())
+        while self.peers.addresses():
+            answer = await self.peers.ask_any(AskStart())
             seconds = monotonic() - began
             if isinstance(answer, StartIs) and answer.lists:
                 self.context.metrics.record("starting_knowledge", seconds)
@@ -85,4 +85,4 @@
 
         :returns: all that is known here.
         """
-        return StartIs(self.circle.packed(), self.export())
+        return StartIs(self.peers.packed(), self.export())
--- a/walnutquay/coordination/tallies.py
+++ b/walnutquay/coordination/tallies.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from walnutquay.coordination.context import Context
-from walnutquay.coordination.mailroom import Mailroom
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.members import Members
 from walnutquay.protocol.messages import Envelope, TallyNews
 from walnutquay.state.membership import HEARTBEAT_FANOUT
@@ -28,16 +28,18 @@
 
     :param context: what this process shares.
     :param members: whom to tell.
-    :param mailroom: where others' counts come from.
+    :param dispatcher: where others' counts come from.
     """
 
-    def __init__(self, context: Context, members: Members, mailroom: Mailroom) -> None:
+    def __init__(
+        self, context: Context, members: Members, dispatcher: Dispatcher
+    ) -> None:
         self.context = context
         self.members = members
         self.board = TallyBoard(context.vm, context.incarnation, context.rng)
         self.listeners: list[Listener] = []
         self.rounds = 0
-        mailroom.on(TallyNews, self.on_news)
+        dispatcher.on(TallyNews, self.on_news)
 
     def start(self) -> None:
         """Begin to tell."""
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -11,7 +11,7 @@
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.judging import AnswerJudge
 from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.orderanswers import Desk, OrderAnswers, unix_seconds
+from walnutquay.coordination.orderanswers import OrderAnswers, OrderStore, unix_seconds
 from walnutquay.coordination.places import Grant
 from walnutquay.coordination.routedturn import RoutedTurn
 from walnutquay.coordination.sessionkeeping import SessionKeeper
@@ -50,7 +50,7 @@
 
     :param context: what this process shares.
     :param knowledge: the orders and the running endpoints.
-    :param desk: where orders are answered.
+    :param order_store: where orders are answered.
     :param peers: who else sees answers of the versions.
     :param promises: the platform's limits.
     """
@@ -59,13 +59,13 @@
         self,
         context: Context,
         knowledge: Knowledge,
-        desk: Desk,
+        order_store: OrderStore,
         peers: Peers,
         promises: PromisesSection,
     ) -> None:
         self.context = context
         self.knowledge = knowledge
-        self.answers = OrderAnswers(desk, knowledge.orders)
+        self.answers = OrderAnswers(order_store, knowledge.orders)
         self.promises = promises
         self.tasks: dict[ServiceName, TrialTask] = {}
         # Versions that orders have made the ones to use, or have taken back.
--- a/walnutquay/coordination/vmlist.py
+++ b/walnutquay/coordination/vmlist.py
@@ -17,8 +17,8 @@
 
 import logbook
 
-from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.coordination.relaying import Watchers
 from walnutquay.coordination.starting import StartingKnowledge
 from walnutquay.coordination.tasks import Tasks
@@ -77,10 +77,10 @@
 
 
 class VmList:
-    """Keeps this VM in the list of VMs, and what the circle knows up to date.
+    """Keeps this VM in the list of VMs, and what is known of the others up to date.
 
     :param context: what this process shares.
-    :param circle: the other VMs.
+    :param peers: the other VMs.
     :param register: the list in the store.
     :param watchers: which VMs watch the store.
     :param starting: what another VM tells this one as it starts.
@@ -91,14 +91,14 @@
     def __init__(
         self,
         context: Context,
-        circle: PeerCircle,
+        peers: FleetPeers,
         register: Register,
         watchers: Watchers,
         starting: StartingKnowledge,
         first_start: bool,
     ) -> None:
         self.context = context
-        self.circle = circle
+        self.peers = peers
         self.register = register
         self.watchers = watchers
         self.starting = starting
@@ -125,7 +125,7 @@
     @property
     def own(self) -> VmPlace:
         """Where this VM is reached."""
-        return VmPlace(self.circle.own, self.context.hall)
+        return VmPlace(self.peers.own, self.context.hall)
 
     # What the other VMs ask and tell.
 
@@ -136,9 +136,9 @@
         """
         body = envelope.body
         assert isinstance(body, AskVms)
-        if body.digest and body.digest == self.circle.digest:
+        if body.digest and body.digest == self.peers.digest:
             return VmsAre()
-        return VmsAre(self.circle.packed())
+        return VmsAre(self.peers.packed())
 
     def hear(self, envelope: Envelope) -> None:
         """Take in that a VM has come or goes.
@@ -149,8 +149,8 @@
         assert isinstance(body, VmNews)
         place = None if body.leaving else body.row.place
         self.news[body.row.vm] = Heard(monotonic(), place)
-        if self.circle.known:
-            self.take(self.circle.known)
+        if self.peers.known:
+            self.take(self.peers.known)
 
     # Keeping up.
 
@@ -184,19 +184,19 @@
 
         :returns: whether there is one now.
         """
-        if self.circle.known:
+        if self.peers.known:
             if self.watchers.includes_this():
                 return False
-            answer = await self.watchers.ask_near(AskVms(self.circle.digest))
+            answer = await self.watchers.ask_near(AskVms(self.peers.digest))
             return isinstance(answer, VmsAre) and self._take_told(answer.data)
-        if self.circle.is_seed or not self.circle.seeds:
+        if self.peers.is_seed or not self.peers.seeds:
             return False
         told = await self.starting.get()
         if told is not None and told.vms:
             return self._take_told(told.vms)
         end = monotonic() + FIRST_LIST_SECONDS
         while monotonic() < end:
-            answer = await self.circle.ask_any(AskVms())
+            answer = await self.peers.ask_any(AskVms())
             if isinstance(answer, VmsAre) and answer.data:
                 return self._take_told(answer.data)
             await asyncio.sleep(FIRST_LIST_PAUSE)
@@ -218,7 +218,7 @@
 
     async def _enter_if_missing(self) -> None:
         """Write this VM's entry, unless the others have it as it is."""
-        if self.circle.known.get(self.context.vm) == self.own:
+        if self.peers.known.get(self.context.vm) == self.own:
             return
         if monotonic() < self.entered_at + NEWS_SECONDS:
             # It was written; the lists that were read are older.
@@ -232,13 +232,13 @@
                 await asyncio.sleep(RETRY_SECONDS)
         self.entered_at = monotonic()
         self.news[self.context.vm] = Heard(self.entered_at, self.own)
-        if self.circle.known:
-            self.take(self.circle.known)
+        if self.peers.known:
+            self.take(self.peers.known)
             self._tell(leaving=False)
 
     def _tell(self, leaving: bool) -> None:
         """Tell all VMs that this one comes or goes."""
-        self.circle.tell_all(VmNews(VmRow(self.context.vm, self.own), leaving))
+        self.peers.tell_all(VmNews(VmRow(self.context.vm, self.own), leaving))
 
     def take(self, listed: dict[VmName, VmPlace]) -> None:
         """Take over a list, but for what VMs have said of themselves since.
@@ -257,11 +257,11 @@
                 merged.pop(vm, None)
             else:
                 merged[vm] = heard.place
-        self.circle.listed.set()
-        before = self.circle.known
+        self.peers.listed.set()
+        before = self.peers.known
         if merged == before:
             return
-        self.circle.known = merged
+        self.peers.known = merged
         came = sorted(merged.keys() - before.keys())
         went = sorted(before.keys() - merged.keys())
         self.context.timeline.emit(
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -15,15 +15,15 @@
 
 from walnutquay.coordination.budgets import RetryBudgets
 from walnutquay.coordination.cascading import Cascading
-from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.eventlog import EventLog
+from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.coordination.following import watch_times
 from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.mailroom import Mailroom
 from walnutquay.coordination.pathparts import PathParts
 from walnutquay.coordination.recorder import TraceRecorder
-from walnutquay.coordination.relaying import RelayDesk, RelayedFeed, Watchers
+from walnutquay.coordination.relaying import Relay, RelayedFeed, Watchers
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.routedplaces import ReadingNote, RoutedPlaces
 from walnutquay.coordination.starting import StartingKnowledge
@@ -35,7 +35,7 @@
 from walnutquay.logs import open_line_log
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.feeds import (
-    OrderDesk,
+    StoredOrders,
     VmRegister,
     catalogue_feed,
     instance_feed,
@@ -113,43 +113,43 @@
             vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
         )
         self.store = StoreClient(options.store.address, count=metrics.count)
-        self.mailroom = Mailroom()
+        self.dispatcher = Dispatcher()
         self.node = self._make_node()
-        self.circle = self._make_circle()
+        self.peers = self._make_peers()
         first_start = options.peers.first_start
-        self.watchers = Watchers(self.context, self.circle)
+        self.watchers = Watchers(self.context, self.peers)
         self.starting = StartingKnowledge(
-            self.context, self.circle, self._known_lists, first_start
+            self.context, self.peers, self._known_lists, first_start
         )
-        self.mailroom.on(AskStart, self.starting.answer)
+        self.dispatcher.on(AskStart, self.starting.answer)
         self.vm_list = VmList(
             self.context,
-            self.circle,
+            self.peers,
             VmRegister(self.store),
             self.watchers,
             self.starting,
             first_start,
         )
-        self.mailroom.on(AskVms, self.vm_list.answer)
-        self.mailroom.on(VmNews, self.vm_list.hear)
+        self.dispatcher.on(AskVms, self.vm_list.answer)
+        self.dispatcher.on(VmNews, self.vm_list.hear)
         self.knowledge = self._make_knowledge()
-        self.mailroom.on(AskKnown, self._known)
-        self.mailroom.on(AskChanges, RelayDesk(self.knowledge).answer)
+        self.dispatcher.on(AskKnown, self._known)
+        self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
         self.client = HttpClient()
         self.versions = VersionTrials(
             self.context,
             self.knowledge,
-            OrderDesk(self.store),
-            self.circle,
+            StoredOrders(self.store),
+            self.peers,
             options.promises,
         )
-        self.mailroom.on(TrialNews, self.versions.exchange.hear)
-        self.mailroom.on(AskTrial, self.versions.exchange.answer)
-        self.mailroom.on(SessionsSeen, self.versions.sessions.take_over)
+        self.dispatcher.on(TrialNews, self.versions.exchange.hear)
+        self.dispatcher.on(AskTrial, self.versions.exchange.answer)
+        self.dispatcher.on(SessionsSeen, self.versions.sessions.take_over)
         self.path = self._make_path()
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.metrics_api = MetricsApi(
-            self.context, self.knowledge, self.path, self.versions, self.circle
+            self.context, self.knowledge, self.path, self.versions, self.peers
         )
         self.stopping = asyncio.Event()
 
@@ -163,15 +163,15 @@
             PeerCodec([key.encode()]),
             self.context.timeline.clock,
             self.context.metrics,
-            self.mailroom.deliver,
+            self.dispatcher.deliver,
         )
 
-    def _make_circle(self) -> PeerCircle:
+    def _make_peers(self) -> FleetPeers:
         section = self.options.peers
         own = Address(*host_and_port(section.address))
         hosts = [seed.partition(":")[0] for seed in section.seeds.split(",") if seed]
         seeds = [Address(host, own.port) for host in hosts]
-        return PeerCircle(self.context, self.node, own, seeds)
+        return FleetPeers(self.context, self.node, own, seeds)
 
     def _make_knowledge(self) -> Knowledge:
         promises = self.options.promises
@@ -197,7 +197,7 @@
         )
 
     async def _ask_peers(self, kind: str, revision: int) -> bytes:
-        answer = await self.circle.ask(AskKnown(kind, revision))
+        answer = await self.peers.ask(AskKnown(kind, revision))
         return answer.data if isinstance(answer, KnownIs) else b""
 
     def _known_lists(self) -> tuple[KnownList, ...]:
@@ -219,7 +219,7 @@
         model = note.work.model
         rate = self.path.places.work.rate(model)
         # Who stands where the engine does uses it most.
-        self.circle.tell_hall(
+        self.peers.tell_hall(
             note.hall,
             WorkNews(note.engine, note.seconds, note.work.beginning, model, rate),
         )
@@ -243,11 +243,11 @@
             table,
             versions.allowed,
             self._memory_of,
-            lambda: self.circle.size,
+            lambda: self.peers.size,
         )
         self.knowledge.instances.listeners.append(places.on_instance)
         places.listeners.append(self._tell_work)
-        self.mailroom.on(WorkNews, self._hear_work)
+        self.dispatcher.on(WorkNews, self._hear_work)
         parts = PathParts(self.context, places, table, RetryBudget(), TraceRecorder())
         return RoutedPath(
             parts,
@@ -262,9 +262,9 @@
 
     def _make_cascading(self, places: RoutedPlaces) -> Cascading:
         cascading = Cascading(
-            self.context, self.knowledge, places, ModelChoice(), self.circle
+            self.context, self.knowledge, places, ModelChoice(), self.peers
         )
-        self.mailroom.on(OpinionNews, cascading.hear)
+        self.dispatcher.on(OpinionNews, cascading.hear)
         return cascading
 
     def _make_budgets(self) -> RetryBudgets:
@@ -273,7 +273,7 @@
             promises.retry_share * BUDGET_MARGIN,
             promises.retry_extra * BUDGET_MARGIN,
             promises.retry_seconds,
-            lambda: max(ASSUMED_VMS, self.circle.size),
+            lambda: max(ASSUMED_VMS, self.peers.size),
         )
 
     async def run(self) -> None:
@@ -292,7 +292,7 @@
         """Open all sockets and begin all duties."""
         options = self.options
         await self.node.start(*host_and_port(options.peers.address))
-        self.circle.own = Address(self.circle.own.host, self.node.port)
+        self.peers.own = Address(self.peers.own.host, self.node.port)
         self.vm_list.start()
         self.knowledge.start()
         self.versions.start()
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -9,8 +9,8 @@
 
 from aiohttp import web
 
-from walnutquay.coordination.circle import PeerCircle
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.routed import RoutedPath
 from walnutquay.coordination.versions import VersionTrials
@@ -34,7 +34,7 @@
     :param knowledge: what is known from the store.
     :param path: the path of requests.
     :param versions: the trials of versions.
-    :param circle: the other VMs.
+    :param peers: the other VMs.
     """
 
     def __init__(
@@ -43,13 +43,13 @@
         knowledge: Knowledge,
         path: RoutedPath,
         versions: VersionTrials,
-        circle: PeerCircle,
+        peers: FleetPeers,
     ) -> None:
         self.context = context
         self.knowledge = knowledge
         self.path = path
         self.versions = versions
-        self.circle = circle
+        self.peers = peers
         # Where log lines go, if this process writes them.
         self.writer: LineWriter | None = None
         self.server = GatewayServer(self.handle, GatewayLimits(HEADER_BYTES))
@@ -87,7 +87,7 @@
             known = age if age != float("inf") else UNKNOWN_AGE
             label = f'{{kind="{follower.feed.kind}"}}'
             yield f"{PREFIX}_knowledge_age_seconds{label} {known:.3f}"
-        yield f"{PREFIX}_entry_vms {self.circle.size}"
+        yield f"{PREFIX}_entry_vms {self.peers.size}"
         yield f"{PREFIX}_requests_in_flight {self.path.in_flight}"
         dropped = self.writer.dropped if self.writer is not None else 0
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -318,7 +318,7 @@
         }
 
 
-class OrderDesk:
+class StoredOrders:
     """Reads and answers roll-out orders.
 
     :param store: the store's client.
