--- a/lab/trialcosts.py
+++ b/lab/trialcosts.py
@@ -57,7 +57,8 @@
                 f"{size} VMs, seed {seed}: {found.requests} requests, {found.on_new} "
                 f"on the new version, {found.moved} moved between VMs, too early "
                 f"{found.too_early}, back {found.back}; {found.datagrams} datagrams, "
-                f"{found.bytes / size / 1000:.1f} KB sent by each VM, {found.kept} "
+                f"{found.bytes / size / 1000:.1f} KB sent by each VM, "
+                f"{found.bytes_between_halls / 1e6:.1f} MB between halls, {found.kept} "
                 f"kept, {memory_of(found.kept)} bytes, done {found.done}"
             )
 
--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -20,7 +20,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from lab.trialports import SimulatedOrders, SimulatedPeers
+from lab.trialports import SimulatedOrders, SimulatedPeers, hall_of
 from lab.trialrecords import Findings, Served, Vm
 from walnutquay.coordination import (
     orderanswers,
@@ -180,7 +180,7 @@
         )
         timeline = Timeline(name, 1)
         rng = random.Random(self.rng.random())
-        hall = HallName("hall-a")
+        hall = hall_of(name)
         context = Context(name, hall, new_incarnation(), timeline, rng=rng)
         peers = SimulatedPeers(self, name)
         order_store = SimulatedOrders(self)
@@ -188,7 +188,7 @@
         trials = VersionTrials(
             context, knowledge, order_store, peers, PromisesSection()
         )
-        vm = Vm(name, trials, book, orders)
+        vm = Vm(name, trials, book, orders, hall)
         self._list(vm, OLD)
         return vm
 
@@ -275,19 +275,27 @@
 
     # Messages.
 
-    def send(self, sender: VmName, body: Message) -> None:
-        """Send a datagram to all other VMs.
+    def send(
+        self,
+        sender: VmName,
+        body: Message,
+        meant: Callable[[Vm], bool] = lambda vm: True,
+    ) -> None:
+        """Send a datagram to other VMs.
 
         :param sender: the VM.
         :param body: the message.
+        :param meant: whether it goes to a VM.
         """
         envelope = Envelope(sender, Incarnation("i"), Stamp(1, 0), body)
         size = len(self.codec.encode(envelope))
         for vm in self.vms:
-            if vm.name == sender:
+            if vm.name == sender or not meant(vm):
                 continue
             self.found.datagrams += 1
             self.found.bytes += size
+            if vm.hall != hall_of(sender):
+                self.found.bytes_between_halls += size
             if self.rng.random() >= LOST_SHARE:
                 delay = self.rng.uniform(*DELAY_SECONDS)
                 self.after(delay, lambda vm=vm: vm.trials.exchange.hear(envelope))
--- a/lab/trialports.py
+++ b/lab/trialports.py
@@ -7,14 +7,25 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from walnutquay.coordination.fleetpeers import RELAY_DUTY, RELAYS
 from walnutquay.protocol.messages import Message
-from walnutquay.state.ids import VmName
+from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.membership import rendezvous
 from walnutquay.state.orders import OrderState, RolloutOrder
 
 if TYPE_CHECKING:
     from lab.trialfleet import TrialFleet
 
 
+# Data halls of a simulated fleet.
+HALLS = 5
+
+
+def hall_of(vm: VmName) -> HallName:
+    """:returns: the data hall of a VM, by the number in its name."""
+    return HallName(f"hall-{int(vm.rpartition('-')[2]) % HALLS}")
+
+
 @dataclass
 class SimulatedPeers:
     """The other VMs of one simulated VM.
@@ -35,6 +46,41 @@
         """:param body: a message to all of them."""
         self.fleet.send(self.vm, body)
 
+    def tell_hall(self, hall: HallName, body: Message) -> None:
+        """:param hall: a data hall.
+
+        :param body: a message to its VMs.
+        """
+        self.fleet.send(self.vm, body, lambda vm: vm.hall == hall)
+
+    def tell_other_halls(self, body: Message) -> None:
+        """:param body: a message to the VMs of the other data halls."""
+        own = self.hall_of(self.vm)
+        self.fleet.send(self.vm, body, lambda vm: vm.hall != own)
+
+    def tell_relays(self, body: Message) -> None:
+        """:param body: a message to the relays of the other data halls."""
+        own = self.hall_of(self.vm)
+        relays = self._relays()
+        self.fleet.send(self.vm, body, lambda vm: vm.hall != own and vm.name in relays)
+
+    def is_relay(self) -> bool:
+        """:returns: whether this VM passes news on between data halls."""
+        return self.vm in self._relays()
+
+    def hall_of(self, vm: VmName) -> HallName | None:
+        """:returns: a VM's data hall."""
+        return hall_of(vm)
+
+    def _relays(self) -> set[str]:
+        found: set[str] = set()
+        halls: dict[str, list[str]] = {}
+        for vm in self.fleet.vms:
+            halls.setdefault(vm.hall, []).append(vm.name)
+        for names in halls.values():
+            found.update(rendezvous(RELAY_DUTY, names)[:RELAYS])
+        return found
+
     async def ask_any(self, body: Message) -> Message | None:
         """:param body: a question.
 
--- a/lab/trialrecords.py
+++ b/lab/trialrecords.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 
 from walnutquay.coordination.versions import VersionTrials
-from walnutquay.state.ids import VersionName, VmName
+from walnutquay.state.ids import HallName, VersionName, VmName
 from walnutquay.state.instances import InstanceBook
 
 
@@ -24,6 +24,7 @@
     :param moved: pairs of neighbouring requests that two VMs served.
     :param datagrams: messages between VMs, one for each receiver.
     :param bytes: their size.
+    :param bytes_between_halls: the size of those that went to another data hall.
     :param kept: sessions that a VM knew to be kept, the most of any VM.
     :param done: whether the trial ended as done.
     """
@@ -35,6 +36,7 @@
     moved: int = 0
     datagrams: int = 0
     bytes: int = 0
+    bytes_between_halls: int = 0
     kept: int = 0
     done: bool = False
 
@@ -61,6 +63,7 @@
     :param trials: its own code.
     :param book: the endpoints that it knows.
     :param orders: the orders that it knows.
+    :param hall: its data hall.
     :param up: whether it takes requests.
     """
 
@@ -68,4 +71,5 @@
     trials: VersionTrials
     book: InstanceBook
     orders: SimpleNamespace
+    hall: HallName
     up: bool = True
--- a/tests/test_fleetpeers.py
+++ b/tests/test_fleetpeers.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 from walnutquay.coordination.fleetpeers import (
+    RELAYS,
     TOLD,
     TOLD_FAR,
     TOLD_IN_HALL,
@@ -60,7 +61,8 @@
     def test_all_of_a_small_fleet(self):
         for tell in (
             lambda made: made.tell(BODY),
-            lambda made: made.tell_hall(THERE, BODY),
+            lambda made: made.tell_users(THERE, BODY),
+            lambda made: made.tell_all(BODY),
         ):
             made = peers(TOLD + 1)
             tell(made)
@@ -75,15 +77,36 @@
 
     def test_the_vms_of_one_hall(self):
         for hall, others in ((HERE, 38), (THERE, 39)):
-            made = peers(195)
-            made.tell_hall(hall, BODY)
-            self.assertEqual(self.halls_told(made), [hall] * others)
+            for tell in (FleetPeers.tell_hall, FleetPeers.tell_users):
+                made = peers(195)
+                tell(made, hall, BODY)
+                self.assertEqual(self.halls_told(made), [hall] * others)
 
-    def test_not_all_of_a_very_large_hall(self):
+    def test_users_in_a_very_large_hall(self):
         made = peers(640)
-        made.tell_hall(THERE, BODY)
+        made.tell_users(THERE, BODY)
         self.assertEqual(self.halls_told(made), [THERE] * TOLD_IN_HALL)
 
+    def test_the_other_halls(self):
+        made = peers(195)
+        made.tell_other_halls(BODY)
+        halls = self.halls_told(made)
+        self.assertEqual((len(halls), halls.count(HERE)), (156, 0))
+
+    def test_relays(self):
+        made = peers(195)
+        made.tell_relays(BODY)
+        halls = self.halls_told(made)
+        self.assertEqual(sorted(halls), sorted(HALLS[1:] * RELAYS))
+        # Each VM of a hall takes the same ones for its relays.
+        relays = []
+        for vm, place in made.known.items():
+            made.context.vm, made.context.hall = vm, place.hall
+            relays += [vm] if made.is_relay() else []
+        self.assertEqual(len(relays), RELAYS * len(HALLS))
+        self.assertEqual(made.hall_of(VmName("vm-7")), HALLS[2])
+        self.assertIsNone(made.hall_of(VmName("vm-999")))
+
     def test_size(self):
         self.assertEqual(peers(195).size, 195)
         alone = peers(0)
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -31,13 +31,14 @@
 )
 from walnutquay.state.metrics import Metrics
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trialcounts import Measure
+from walnutquay.state.trialcounts import Measure, TrialCounts
 from walnutquay.state.trials import Trial, TrialReport, Verdict
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
 ORDER = RolloutOrder("order", 1, SERVICE, V2, 100.0, OrderState.NEW)
 SUBJECT = (Measure.FAILED, "r")
+HERE, THERE = HallName("h"), HallName("there")
 
 
 class FakePeers:
@@ -52,6 +53,10 @@
         """:param body: what they are told."""
         self.told.append(body.report)
 
+    def hall_of(self, vm: VmName) -> HallName | None:
+        """:returns: the data hall of each VM."""
+        return HERE
+
     async def ask_any(self, body: Message) -> Message | None:
         """:returns: the answer that is set."""
         if isinstance(self.answer, Exception):
@@ -68,7 +73,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         vm = VmName("vm-1")
-        context = Context(vm, HallName("h"), new_incarnation(), Timeline(vm, 100))
+        context = Context(vm, HERE, new_incarnation(), Timeline(vm, 100))
         self.events = context.timeline.ring
         self.peers = FakePeers()
         self.unknown: list[TrialReport] = []
@@ -203,3 +208,101 @@
             with self.subTest(order=order, version=version):
                 trials._on_unknown(TrialReport(order, VersionName(version), ()))
                 self.assertEqual(follower.nudge.call_count, calls)
+
+
+class HallPeers(FakePeers):
+    """A fleet of 195 VMs in several data halls; notes who is told what."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.size = 195
+        self.relay = False
+        self.to: list[tuple[str, TrialNews]] = []
+
+    def tell_hall(self, hall: HallName, body: TrialNews) -> None:
+        """:param hall: the data hall that is told."""
+        self.to.append((hall, body))
+
+    def tell_other_halls(self, body: TrialNews) -> None:
+        """:param body: what all VMs of the other halls are told."""
+        self.to.append(("others", body))
+
+    def tell_relays(self, body: TrialNews) -> None:
+        """:param body: what the relays of the other halls are told."""
+        self.to.append(("relays", body))
+
+    def is_relay(self) -> bool:
+        """:returns: whether this VM is one."""
+        return self.relay
+
+    def hall_of(self, vm: VmName) -> HallName | None:
+        """:returns: the data hall of a VM, which begins its name."""
+        hall = HallName(vm.rpartition("-")[0])
+        return hall if hall in (HERE, THERE) else None
+
+
+class HallsTest(ExchangeCase):
+    """In a large fleet counts go from hall to hall, and no answer counts twice."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = self.exchange.peers = HallPeers()
+
+    def seen(self, bad: int) -> TrialReport:
+        """:returns: what some VMs have seen."""
+        counts = ((SUBJECT, TrialCounts(0, bad)),)
+        return TrialReport(ORDER.name, V2, counts, (7,))
+
+    def bad(self) -> int:
+        """:returns: all bad answers that are known here."""
+        return self.task.trial.tally().total(Measure.FAILED).bad
+
+    def take(self, vm: str, news: TrialNews) -> None:
+        """Hear from a VM."""
+        self.exchange.hear(Envelope(vm, "incarnation", Stamp(1, 0), news))
+
+    def test_a_vm_tells_its_counts_in_its_hall_only(self):
+        self.task.trial.own.add(SUBJECT, True, "i-1")
+        self.exchange.tell_if_due(self.task)
+        self.assertEqual([to for to, _ in self.peers.to], [HERE])
+
+    def test_what_is_decided_goes_to_all_without_counts(self):
+        self.task.trial.own.add(SUBJECT, True, "i-1")
+        self.task.decided()
+        self.exchange.tell(self.task)
+        (here, near), (others, far) = self.peers.to
+        self.assertEqual((here, others), (HERE, "others"))
+        self.assertEqual((bool(near.report.counts), far.report.counts), (True, ()))
+
+    def test_a_relay_tells_what_its_hall_has_seen(self):
+        self.peers.relay = True
+        self.take(f"{HERE}-2", TrialNews(self.seen(3)))
+        self.take(f"{THERE}-1", TrialNews(self.seen(5), THERE))
+        self.task.trial.own.add(SUBJECT, True, "i-1")
+        self.peers.to.clear()
+        self.exchange.tell_if_due(self.task)
+        told = [news for to, news in self.peers.to if to == "relays"]
+        self.assertEqual([news.hall for news in told], [HERE])
+        counts = dict(told[0].report.counts)
+        # Not those of the other hall, which that tells itself.
+        self.assertEqual(counts[SUBJECT].bad, 4)
+
+    def test_each_answer_counts_once(self):
+        self.take(f"{HERE}-2", TrialNews(self.seen(3)))
+        self.take(f"{THERE}-1", TrialNews(self.seen(5), THERE))
+        # Its own news, by a decision; the other relay; and the one of this hall.
+        self.take(f"{THERE}-1", TrialNews(self.seen(2)))
+        self.take(f"{THERE}-2", TrialNews(self.seen(5), THERE))
+        self.take(f"{HERE}-2", TrialNews(self.seen(5), THERE))
+        self.assertEqual(self.bad(), 8)
+        self.assertIsNotNone(self.task.trial.kept.since(7))
+
+    def test_news_of_another_hall_are_passed_on_once(self):
+        for vm in (f"{THERE}-1", f"{THERE}-2", f"{HERE}-2"):
+            self.take(vm, TrialNews(self.seen(5), THERE))
+        self.assertEqual([to for to, _ in self.peers.to], [HERE])
+
+    def test_a_vm_that_is_not_known_adds_nothing_twice(self):
+        self.take("new-1", TrialNews(self.seen(2)))
+        self.assertEqual(self.bad(), 0)
+        self.assertIsNotNone(self.task.trial.kept.since(7))
--- a/walnutquay/coordination/fleetpeers.py
+++ b/walnutquay/coordination/fleetpeers.py
@@ -15,7 +15,7 @@
 from walnutquay.protocol.lists import pack_places
 from walnutquay.protocol.messages import Message
 from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
+from walnutquay.state.membership import Address, VmPlace, rendezvous
 from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
@@ -28,6 +28,10 @@
 # many of them in other data halls.
 TOLD = 12
 TOLD_FAR = 2
+# VMs of each data hall that pass news on between halls: one may be lost or frozen, and
+# what comes twice does no harm.  Every VM ranks alike by the duty.
+RELAYS = 2
+RELAY_DUTY = "pass news on"
 # VMs of one data hall that are told what concerns all of them: in a hall of more, some
 # drawn anew each time, so that a VM reads no more of them in a larger fleet; one is
 # read in 0.02 ms.
@@ -106,9 +110,17 @@
         self.node.send_all(addresses, body)
 
     def tell_hall(self, hall: HallName, body: Message) -> None:
-        """Send a message that may be lost to the VMs of a data hall.
+        """Send a message that may be lost to every VM of a data hall.
 
-        In small fleets it goes to all.
+        :param hall: the data hall.
+        :param body: the message.
+        """
+        self.node.send_all(self._by_hall(hall)[0], body)
+
+    def tell_users(self, hall: HallName, body: Message) -> None:
+        """Send a message that may be lost to VMs that use what stands in a data hall.
+
+        In small fleets all do; in larger ones mostly those of the hall.
 
         :param hall: the data hall.
         :param body: the message.
@@ -118,6 +130,38 @@
             addresses = self._some(self._by_hall(hall)[0], TOLD_IN_HALL)
         self.node.send_all(addresses, body)
 
+    def tell_other_halls(self, body: Message) -> None:
+        """Send a message that may be lost to every VM of the other data halls.
+
+        :param body: the message.
+        """
+        self.node.send_all(self._by_hall(self.context.hall)[1], body)
+
+    def tell_relays(self, body: Message) -> None:
+        """Send a message that may be lost to the relays of the other data halls.
+
+        :param body: the message.
+        """
+        halls = {place.hall for place in self.known.values()} - {self.context.hall}
+        relays = [self.known[vm] for hall in halls for vm in self._relays_of(hall)]
+        self.node.send_all([place.address for place in relays], body)
+
+    def is_relay(self) -> bool:
+        """:returns: whether this VM passes news on between data halls."""
+        return self.context.vm in self._relays_of(self.context.hall)
+
+    def hall_of(self, vm: VmName) -> HallName | None:
+        """:param vm: a VM.
+
+        :returns: the data hall that it stands in; None where the VM is not known.
+        """
+        place = self.known.get(vm)
+        return place.hall if place is not None else None
+
+    def _relays_of(self, hall: HallName) -> list[VmName]:
+        names = [vm for vm, place in self.known.items() if place.hall == hall]
+        return [VmName(name) for name in rendezvous(RELAY_DUTY, names)[:RELAYS]]
+
     def _by_hall(self, hall: HallName) -> tuple[list[Address], list[Address]]:
         """Give the other VMs of a data hall, and those of all other halls."""
         inside, outside = [], []
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trialnews.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
 from walnutquay.coordination.context import Context
@@ -24,7 +25,7 @@
     TrialNews,
 )
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import ServiceName, VmName
+from walnutquay.state.ids import HallName, ServiceName, VmName
 from walnutquay.state.trialcounts import Measure
 from walnutquay.state.trials import Trial, TrialReport
 from walnutquay.transport.timers import monotonic
@@ -33,8 +34,10 @@
 TELL_SECONDS = 2.0
 # The same while the new version gets more and more: a bad one is to be found soon.
 RAMP_TELL_SECONDS = 0.5
-# In fleets of more VMs than this each tells less often: every VM hears all others.
-VMS_AT_FULL_RATE = 30
+# Up to so many VMs each tells all others what it has seen.  In larger fleets it tells
+# those of its data hall, and relays tell the other halls what all of them have seen:
+# else each of 195 VMs hears 194, and four of five of these bytes cross between halls.
+VMS_IN_ONE_ROUND = 30
 # Kept sessions are told as the trial begins, again so long before the new version gets
 # its first ones, and from then on at once.
 LAST_CALL_SECONDS = 0.3
@@ -50,6 +53,27 @@
     def tell_all(self, body: Message) -> None:
         """:param body: a message to all of them; it may be lost."""
 
+    def tell_hall(self, hall: HallName, body: Message) -> None:
+        """:param hall: a data hall.
+
+        :param body: a message to its VMs; it may be lost.
+        """
+
+    def tell_other_halls(self, body: Message) -> None:
+        """:param body: a message to all VMs of the other data halls; it may be lost."""
+
+    def tell_relays(self, body: Message) -> None:
+        """:param body: a message to the relays of the other halls; it may be lost."""
+
+    def is_relay(self) -> bool:
+        """:returns: whether this VM passes news on between data halls."""
+
+    def hall_of(self, vm: VmName) -> HallName | None:
+        """:param vm: a VM.
+
+        :returns: its data hall, if it is known.
+        """
+
     async def ask_any(self, body: Message) -> Message | None:
         """:param body: a question to some of them at once.
 
@@ -86,8 +110,7 @@
         now = monotonic()
         trial = task.trial
         period = RAMP_TELL_SECONDS if trial.ramping(now) else TELL_SECONDS
-        crowd = max(1.0, self.peers.size / VMS_AT_FULL_RATE)
-        due = now - task.told_at >= period * crowd
+        due = now - task.told_at >= period
         if task.tells > 0 and now >= trial.opens_at - LAST_CALL_SECONDS:
             self.tell(task)
         elif due:
@@ -95,6 +118,13 @@
             task.told_at = now
             if trial.own.frozen() != task.told:
                 self.tell(task)
+        if now - task.relayed_at >= period:
+            task.relayed_at = now
+            self._relay(task, now)
+
+    def _by_halls(self) -> bool:
+        """Whether counts go from hall to hall, and not from each VM to all."""
+        return self.peers.size > VMS_IN_ONE_ROUND
 
     def tell(self, task: TrialTask) -> None:
         """Tell the others all that this VM has seen and decided in a trial.
@@ -103,12 +133,29 @@
         """
         now = monotonic()
         trial = task.trial
+        decided = task.tells > 0
         task.told_at = now
         task.told = trial.own.frozen()
         task.tells = max(0, task.tells - 1)
-        self.peers.tell_all(TrialNews(trial.report(now)))
+        report = trial.report(now)
+        if not self._by_halls():
+            self.peers.tell_all(TrialNews(report))
+        else:
+            self.peers.tell_hall(self.context.hall, TrialNews(report))
+            if decided:
+                # These must not wait for relays: sessions would be moved meanwhile.
+                self.peers.tell_other_halls(TrialNews(replace(report, counts=())))
         self._log(task, trial.order.service, **facts_of(trial))
 
+    def _relay(self, task: TrialTask, now: float) -> None:
+        """Tell the other data halls what this one has seen, if that is news."""
+        if not self._by_halls() or not self.peers.is_relay():
+            return
+        report = task.trial.report_of_hall(now)
+        if report.counts != task.relayed:
+            task.relayed = report.counts
+            self.peers.tell_relays(TrialNews(report, self.context.hall))
+
     def _log(self, task: TrialTask, detail: str, **counts: int) -> None:
         """Tell in the log where a trial stands here."""
         now = monotonic()
@@ -136,12 +183,12 @@
         if task is None:
             self.on_unknown(body.report)
             return
-        self._take(task, VmName(envelope.vm), body.report)
+        self._take(task, VmName(envelope.vm), body)
 
-    def _take(self, task: TrialTask, vm: VmName, report: TrialReport) -> None:
+    def _take(self, task: TrialTask, vm: VmName, news: TrialNews) -> None:
         trial = task.trial
         braked = trial.braked
-        trial.hear(vm, report, monotonic())
+        self._take_counts(trial, vm, news)
         if trial.braked and not braked:
             # The VM that found it writes it; the others do where it cannot.
             spread = FIRST_WRITE_SPREAD * (1.0 + self.context.rng.random())
@@ -154,6 +201,22 @@
                 **facts_of(trial),
             )
 
+    def _take_counts(self, trial: Trial, vm: VmName, news: TrialNews) -> None:
+        """Take in what was seen, each answer once, and pass it on in this hall."""
+        now = monotonic()
+        here = self.context.hall
+        sender = self.peers.hall_of(vm)
+        if news.hall and news.hall != here:
+            told = trial.hear_hall(news.hall, news.report, now)
+            # Two relays of that hall tell the same to two of this one.
+            if told and sender != here:
+                self.peers.tell_hall(here, news)
+        elif self._by_halls() and sender != here:
+            # What this VM has seen comes with the counts of its hall.
+            trial.hear_decided(news.report, now)
+        else:
+            trial.hear(vm, news.report, now)
+
     def _task_of(self, report: TrialReport) -> TrialTask | None:
         for task in self.tasks.values():
             order = task.trial.order
--- a/walnutquay/coordination/trialtask.py
+++ b/walnutquay/coordination/trialtask.py
@@ -23,6 +23,8 @@
     :param write_at: when to write its next status, unless another VM has.
     :param told_at: when this VM has last told the others of it.
     :param told: the counts that it has told then.
+    :param relayed_at: when this VM, as a relay, has last told the other data halls.
+    :param relayed: the counts of this hall that it has told then.
     :param tells: how often the others are still to be told, soon, what was decided.
     :param asking: whether the others are being asked what they know of it.
     :param found_bad: whether this VM itself has found the version bad.
@@ -32,6 +34,8 @@
     write_at: float
     told_at: float = float("-inf")
     told: tuple = ()
+    relayed_at: float = float("-inf")
+    relayed: tuple = ()
     tells: int = 0
     asking: bool = False
     found_bad: bool = False
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -218,8 +218,7 @@
             return
         model = note.work.model
         rate = self.path.places.work.rate(model)
-        # Who stands where the engine does uses it most.
-        self.peers.tell_hall(
+        self.peers.tell_users(
             note.hall,
             WorkNews(note.engine, note.seconds, note.work.beginning, model, rate),
         )
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -10,7 +10,7 @@
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
 from walnutquay.state.gains import GainRow
-from walnutquay.state.ids import VmName
+from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import MemberNews, VmPlace
 from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
@@ -202,14 +202,21 @@
     rows: tuple[GainRow, ...]
 
 
+# In place of a data hall, where a VM tells of itself alone.
+NO_HALL = HallName("")
+
+
 @dataclass(frozen=True, slots=True)
 class TrialNews(Message):
     """Tells what the sender has seen of a version on trial.
 
     :param report: its counts, all of them each time: news that are lost do no harm.
+    :param hall: the data hall whose VMs have seen all this together; empty where the
+        sender alone has.
     """
 
     report: TrialReport
+    hall: HallName = NO_HALL
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -142,6 +142,8 @@
   # Seconds since the order was first seen; below 0 where that is not known.
   elapsed @5 :Float64;
   opensIn @6 :Float32;
+  # The data hall whose VMs have seen this together; empty for the sender alone.
+  hall @7 :Text;
 }
 
 # Which version served a session last, and how long ago; seconds.
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -230,6 +230,7 @@
         "verdict": report.verdict.value,
         "elapsed": elapsed,
         "opensIn": report.opens_in,
+        "hall": body.hall,
     }
     return {"trial": fields}
 
@@ -370,7 +371,7 @@
         reader.elapsed if reader.elapsed >= 0.0 else None,
         reader.opensIn,
     )
-    return m.TrialNews(report)
+    return m.TrialNews(report, HallName(reader.hall))
 
 
 def _sessions(reader: Any) -> m.SessionsSeen:
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 import xxhash
 
-from walnutquay.state.ids import VersionName, VmName
+from walnutquay.state.ids import HallName, VersionName, VmName
 from walnutquay.state.keptsessions import KeptSessions
 from walnutquay.state.orders import RolloutOrder
 from walnutquay.state.trialcounts import (
@@ -60,6 +60,10 @@
     BAD = "bad"
 
 
+# What a VM itself has seen, as it stood at one moment.
+OwnCounts = tuple[tuple[Subject, TrialCounts], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TrialReport:
     """What one VM tells the others of a version on trial.
@@ -77,7 +81,7 @@
 
     order: str
     version: VersionName
-    counts: tuple[tuple[Subject, TrialCounts], ...]
+    counts: OwnCounts
     kept: tuple[int, ...] = ()
     verdict: Verdict = Verdict.UNSURE
     elapsed: float | None = None
@@ -113,8 +117,12 @@
         # What this VM has seen of the new version, and of the old at that time.
         self.own = TrialTally()
         self.old = TrialTally()
-        # What the other VMs have told of the new version.
+        # What other VMs have told of the new version; in large fleets those of this
+        # data hall, and of the other halls what all their VMs have seen together.
         self.told: dict[VmName, TrialTally] = {}
+        self.told_by_hall: dict[HallName, TrialTally] = {}
+        # All of it together, with what it was made of; see :meth:`tally`.
+        self.all_seen: tuple[OwnCounts, TrialTally] | None = None
         # Set when the first half has shown the version to be good; from then on
         # only answers under more load count.
         self.trusted = False
@@ -135,10 +143,27 @@
         :param report: its counts stand in place of those that it told before.
         :param now: monotonic seconds.
         """
-        tally = TrialTally()
-        tally.by_subject.update(report.counts)
-        self.told[vm] = tally
-        self._take_decided(report, now)
+        self.told[vm] = _tally_of(report)
+        self.all_seen = None
+        self.hear_decided(report, now)
+
+    def hear_hall(self, hall: HallName, report: TrialReport, now: float) -> bool:
+        """Take in what the VMs of another data hall have seen and decided.
+
+        :param hall: the hall.
+        :param report: its counts stand in place of those that were told of it before.
+        :param now: monotonic seconds.
+        :returns: whether there was anything new.
+        """
+        before = self.told_by_hall.get(hall)
+        told = _tally_of(report)
+        self.told_by_hall[hall] = told
+        self.all_seen = None
+        decided = self.braked, self.trusted
+        self.hear_decided(report, now)
+        if decided != (self.braked, self.trusted):
+            return True
+        return before is None or before.by_subject != told.by_subject
 
     def join(self, report: TrialReport, now: float) -> None:
         """Take over where the trial stands from a VM that was asked.
@@ -149,10 +174,14 @@
         """
         self.opens_at = now + report.opens_in
         self.open = not report.opens_in
-        self._take_decided(report, now)
+        self.hear_decided(report, now)
 
-    def _take_decided(self, report: TrialReport, now: float) -> None:
-        """Take over what another VM has decided for all: sessions must not go back."""
+    def hear_decided(self, report: TrialReport, now: float) -> None:
+        """Take over what another VM has decided for all: sessions must not go back.
+
+        :param report: what it tells; its counts are left out.
+        :param now: monotonic seconds.
+        """
         self.kept.hear(report.kept, now)
         if report.elapsed is not None:
             self._take_start(now - report.elapsed)
@@ -205,6 +234,14 @@
             self.opens_in(now),
         )
 
+    def report_of_hall(self, now: float) -> TrialReport:
+        """:param now: monotonic seconds.
+
+        :returns: what to tell other data halls of all VMs of this one.
+        """
+        seen = self.own.merged(self.told.values())
+        return replace(self.report(now), counts=seen.frozen(), kept=())
+
     def _acted_on(self, now: float) -> Verdict:
         """Give the verdict by which this VM moves sessions already."""
         if self.braked:
@@ -249,8 +286,18 @@
         return since is not None and seen_on_new <= since
 
     def tally(self) -> TrialTally:
-        """:returns: what all VMs together have seen of the new version."""
-        return self.own.merged(self.told.values())
+        """Give what all VMs together have seen of the new version.
+
+        Each request asks for it, so it is put together only where something has come:
+        of 194 other VMs that took 3.5 ms each time.
+        """
+        own = self.own.frozen()
+        if self.all_seen is not None and self.all_seen[0] == own:
+            return self.all_seen[1]
+        told = [*self.told.values(), *self.told_by_hall.values()]
+        seen = self.own.merged(told)
+        self.all_seen = (own, seen)
+        return seen
 
     def verdict(self) -> Verdict:
         """:returns: what is thought of the version now."""
@@ -312,6 +359,8 @@
         self.trusted = True
         self.own = TrialTally()
         self.told.clear()
+        self.told_by_hall.clear()
+        self.all_seen = None
 
     def ramping(self, now: float) -> bool:
         """:param now: monotonic seconds.
@@ -375,6 +424,12 @@
         return self.share(now) >= 1.0 and self.progress(now) >= DONE_AT
 
 
+def _tally_of(report: TrialReport) -> TrialTally:
+    tally = TrialTally()
+    tally.by_subject.update(report.counts)
+    return tally
+
+
 def session_number(session: str, version: str) -> int:
     """Number a session for a trial; all VMs number alike.
 
