--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -4,18 +4,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
+from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase
 from walnutquay.commands.fleetstate import (
     Figure,
     VmState,
+    Waiting,
+    all_waiting,
     concerns,
     read_figures,
     read_states,
     state_of,
     states_text,
 )
+from walnutquay.daemon.metricsapi import escaped
 
 GOOD = VmState("a:1", ready=True, configuration=3, endpoints={"s/ready": 2})
 
@@ -76,3 +81,35 @@
         text = states_text([up, down])
         self.assertIn("look at: 127.0.0.1:9 does not answer", text)
         self.assertIn("plain/ready=2", text)
+
+    async def test_whose_work_waits(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(mute=True)
+        calls = [asyncio.ensure_future(self.call("/safe/x")) for _ in range(2)]
+        calls.append(asyncio.ensure_future(self.call("/unsafe/x", b"b")))
+        await self.until(lambda: len(self.gateway.path.under_way) == len(calls))
+        address = f"127.0.0.1:{self.gateway.metrics_api.server.port}"
+        states = await read_states([address])
+        rows = {(row.organisation, row.route): row for row in all_waiting(states)}
+        self.assertEqual(set(rows), {("org-a", "safe"), ("org-a", "unsafe")})
+        self.assertEqual(rows["org-a", "safe"].count, 2)
+        self.assertIn("oldest", states_text(states))
+        for call in calls:
+            call.cancel()
+        await self.until(lambda: not self.gateway.path.under_way)
+
+    def test_all_vms_together(self):
+        states = [
+            VmState(
+                "a:1", waiting=(Waiting("o", "r", 2, 1.0), Waiting("p", "r", 1, 0.5))
+            ),
+            VmState("b:1", waiting=(Waiting("o", "r", 3, 4.0),)),
+        ]
+        expected = [Waiting("o", "r", 5, 4.0), Waiting("p", "r", 1, 0.5)]
+        self.assertEqual(all_waiting(states), expected)
+
+    def test_names_that_break_no_line(self):
+        name = 'a"b\\c\nd'
+        figure = f'walnutquay_requests_waiting{{organisation="{escaped(name)}"}} 1'
+        found = read_figures(f"{figure}\n")
+        self.assertEqual(found[0].labels["organisation"], name)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -24,6 +24,7 @@
 from walnutquay.history.beliefs import Beliefs
 from walnutquay.history.causes import Cause, CauseFinder
 from walnutquay.history.lines import LogLine, read_files, read_line
+from walnutquay.history.lost import SILENT_SECONDS, lost_requests, lost_text
 from walnutquay.history.report import judge
 from walnutquay.history.requests import histories
 from walnutquay.history.sessions import version_changes
@@ -100,6 +101,52 @@
     return line("dispatched", at, vm=vm, session=session, version=service, runs=runs)
 
 
+class LostTest(unittest.TestCase):
+    """Work that went with a VM: whose it was, and which endpoints had it."""
+
+    def lost(self, *lines: LogLine) -> list[str]:
+        """:returns: the requests that were lost."""
+        ordered = sorted(lines, key=lambda one: one.at)
+        return [found.history.request for found in lost_requests(ordered)]
+
+    def test_a_vm_that_started_anew(self):
+        self.assertEqual(self.lost(RECEIVED, SENT, RESTART), ["r"])
+
+    def test_a_vm_that_was_never_heard_of_again(self):
+        other = line("configured", 1.0 + SILENT_SECONDS, "", vm="vm-2")
+        self.assertEqual(self.lost(RECEIVED, SENT, other), ["r"])
+
+    def test_a_vm_that_may_still_serve_it(self):
+        other = line("configured", 0.9 + SILENT_SECONDS, "", vm="vm-2")
+        self.assertEqual(self.lost(RECEIVED, SENT, other), [])
+        self.assertEqual(self.lost(), [])
+
+    def test_what_has_ended_was_not_lost(self):
+        for end in (UNKNOWN, NO_PLACE, LATE, line("caller-gone", 1.2)):
+            with self.subTest(end=end.kind):
+                self.assertEqual(self.lost(RECEIVED, SENT, end, RESTART), [])
+
+    def test_what_came_after_the_start_goes_on(self):
+        after = [line("received", 5.5, "q"), line("dispatched", 5.6, "q")]
+        self.assertEqual(self.lost(RECEIVED, SENT, RESTART, *after), ["r"])
+
+    def test_who_may_have_run_it(self):
+        lines = [
+            line("received", 1.0, route="tag", organisation="org-a"),
+            line("dispatched", 1.1, endpoint="i-1"),
+            line("not-started", 1.2, endpoint="i-1", detail="connect"),
+            line("dispatched", 1.3, endpoint="i-2"),
+            line("begun", 1.4, endpoint="i-2"),
+            RESTART,
+        ]
+        (found,) = lost_requests(lines)
+        self.assertEqual(found.endpoints, ("i-2",))
+        self.assertEqual((found.organisation, found.begun), ("org-a", True))
+        text = lost_text([found])
+        self.assertIn("r  org-a  tag  after 0.400 s, sent to i-2", text)
+        self.assertIn("1 requests were lost with 1 VMs", text)
+
+
 class VersionChangesTest(unittest.TestCase):
     """Sessions whose requests ran on two versions are found, and where."""
 
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, field
 
 import aiohttp
@@ -23,6 +23,22 @@
 OLD_SECONDS = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Requests of one organisation on one route that have no outcome yet.
+
+    :param organisation: whose they are.
+    :param route: the route.
+    :param count: how many there are.
+    :param oldest: seconds since the oldest one came.
+    """
+
+    organisation: str
+    route: str
+    count: int
+    oldest: float
+
+
 @dataclass(frozen=True, slots=True)
 class VmState:
     """What one VM's figures say.
@@ -39,6 +55,7 @@
     :param unknown: requests lost.
     :param p99_seconds: the 99th percentile from arrival to outcome.
     :param endpoints: endpoints by service and state, such as ``pool/ready``.
+    :param waiting: its requests without an outcome, by whose they are.
     """
 
     address: str
@@ -53,6 +70,7 @@
     unknown: int = 0
     p99_seconds: float = 0.0
     endpoints: dict[str, int] = field(default_factory=dict)
+    waiting: tuple[Waiting, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,9 +129,39 @@
         unknown=_sum(plain, UNKNOWN),
         p99_seconds=max(slowest, default=0.0),
         endpoints=endpoints,
+        waiting=tuple(_waiting_of(figures)),
     )
 
 
+def _waiting_of(figures: Iterable[Figure]) -> Iterator[Waiting]:
+    """Put the figures of waiting requests together."""
+    counts: dict[tuple[str, str], float] = {}
+    oldest: dict[tuple[str, str], float] = {}
+    for one in figures:
+        key = (one.labels.get("organisation", ""), one.labels.get("route", ""))
+        if one.name == "requests_waiting":
+            counts[key] = one.value
+        elif one.name == "oldest_request_seconds":
+            oldest[key] = one.value
+    for key, count in counts.items():
+        yield Waiting(*key, int(count), oldest.get(key, 0.0))
+
+
+def all_waiting(states: Iterable[VmState]) -> list[Waiting]:
+    """:param states: the states of all VMs.
+
+    :returns: what waits in the whole fleet, the oldest first.
+    """
+    found: dict[tuple[str, str], Waiting] = {}
+    for state in states:
+        for row in state.waiting:
+            key = (row.organisation, row.route)
+            known = found.get(key, Waiting(*key, 0, 0.0))
+            oldest = max(known.oldest, row.oldest)
+            found[key] = Waiting(*key, known.count + row.count, oldest)
+    return sorted(found.values(), key=lambda row: -row.oldest)
+
+
 def _sum(plain: dict[str, float], beginnings: tuple[str, ...]) -> int:
     return int(sum(v for name, v in plain.items() if name.startswith(beginnings)))
 
@@ -161,6 +209,14 @@
             f"{one.answered:>10}{one.refused:>9}{one.unknown:>7}"
             f"{one.p99_seconds * 1000:>8.0f}  {endpoints}"
         )
+    waiting = all_waiting(states)
+    if waiting:
+        text.append("waiting:")
+    text += [
+        f"    {row.organisation:<20}{row.route:<24}{row.count:>6}"
+        f"  oldest {row.oldest:.1f} s"
+        for row in waiting
+    ]
     text += [f"look at: {words}" for words in concerns(states)]
     return "\n".join(text)
 
--- a/walnutquay/commands/history.py
+++ b/walnutquay/commands/history.py
@@ -11,6 +11,7 @@
 from walnutquay.commands.output import fail
 from walnutquay.history.beliefs import Beliefs
 from walnutquay.history.lines import LineFile, read_files
+from walnutquay.history.lost import lost_requests, lost_text
 from walnutquay.history.report import failures_text, judge, request_text
 from walnutquay.history.requests import histories
 from walnutquay.history.sessions import version_changes
@@ -63,6 +64,17 @@
         click.echo(line.text())
 
 
+@click.command()
+@logs_argument
+def lost(logs: tuple[Path, ...]) -> None:
+    """Tell which requests VMs had when they were lost, and which endpoints had them.
+
+    An endpoint that a request was sent to may have run it: look there before a request
+    that may run only once is sent again.
+    """
+    click.echo(lost_text(lost_requests(_read(logs).lines)))
+
+
 @click.command()
 @logs_argument
 def versions(logs: tuple[Path, ...]) -> None:
--- a/walnutquay/commands/trace.py
+++ b/walnutquay/commands/trace.py
@@ -13,7 +13,7 @@
 import orjson
 
 from walnutquay.commands.client import Fleet, fleet_command
-from walnutquay.commands.history import changes, failures, show, versions
+from walnutquay.commands.history import changes, failures, lost, show, versions
 from walnutquay.commands.output import fail
 from walnutquay.exceptions import WalnutquayError
 from walnutquay.replay.traces import write_trace
@@ -31,6 +31,7 @@
 trace.add_command(show)
 trace.add_command(changes)
 trace.add_command(failures)
+trace.add_command(lost)
 trace.add_command(versions)
 
 
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -21,6 +21,7 @@
 from walnutquay.coordination.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.state.events import EventKind, Facts
+from walnutquay.state.ids import RequestId
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import (
     Admitted,
@@ -53,6 +54,8 @@
         self.context = parts.context
         # Requests between arrival and outcome; a planned stop waits for them.
         self.in_flight = 0
+        # The same, one by one: operators ask whose work waits.
+        self.under_way: dict[RequestId, Arrival] = {}
         # Set when the VM is stopping and takes no new requests.
         self.closed = False
 
@@ -64,6 +67,7 @@
         self.in_flight += 1
         started = monotonic()
         request = arrival.request
+        self.under_way[request] = arrival
         outcome: Outcome | None = None
         try:
             self.context.timeline.emit(
@@ -74,6 +78,7 @@
             return outcome
         finally:
             self.in_flight -= 1
+            self.under_way.pop(request, None)
             self.parts.recorder.record(arrival, started, outcome)
             self.context.metrics.record("request", monotonic() - started)
 
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.fleetpeers import FleetPeers
 from walnutquay.coordination.knowledge import Knowledge
 from walnutquay.coordination.routed import RoutedPath
+from walnutquay.coordination.routedturn import RoutedArrival
 from walnutquay.coordination.versions import VersionTrials
 from walnutquay.state.metrics import PERCENTILES, summary
 from walnutquay.state.trialcounts import Measure
@@ -89,6 +90,7 @@
             yield f"{PREFIX}_knowledge_age_seconds{label} {known:.3f}"
         yield f"{PREFIX}_entry_vms {self.peers.size}"
         yield f"{PREFIX}_requests_in_flight {self.path.in_flight}"
+        yield from self._waiting()
         dropped = self.writer.dropped if self.writer is not None else 0
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
         yield from self._endpoints()
@@ -106,6 +108,19 @@
                 yield f"{PREFIX}_trial_good{labels} {counts.good}"
                 yield f"{PREFIX}_trial_bad{labels} {counts.bad}"
 
+    def _waiting(self) -> Iterator[str]:
+        """Tell whose requests wait for an outcome here, and since when the oldest."""
+        now = monotonic()
+        ages: dict[tuple[str, str], list[float]] = {}
+        for arrival in self.path.under_way.values():
+            assert isinstance(arrival, RoutedArrival)
+            key = (arrival.organisation.name, arrival.route.name)
+            ages.setdefault(key, []).append(now - arrival.came)
+        for (organisation, route), waiting in sorted(ages.items()):
+            label = f'organisation="{escaped(organisation)}",route="{escaped(route)}"'
+            yield f"{PREFIX}_requests_waiting{{{label}}} {len(waiting)}"
+            yield f"{PREFIX}_oldest_request_seconds{{{label}}} {max(waiting):.3f}"
+
     def _endpoints(self) -> Iterator[str]:
         now = monotonic()
         states: Counter[tuple[str, str]] = Counter()
@@ -121,3 +136,11 @@
         for (service, state), count in sorted(states.items()):
             label = f'{{service="{service}",state="{state}"}}'
             yield f"{PREFIX}_endpoints{label} {count}"
+
+
+def escaped(text: str) -> str:
+    """:param text: a name that others gave.
+
+    :returns: it as the value of a label.
+    """
+    return text.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
