--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -378,6 +378,9 @@
         await first.start()
         await self.until_ready(first)
         self.assertIn(Cause.VM_LOST.value, self.tell("show", "cut-off"))
+        lost = self.tell("lost")
+        self.assertIn("front-1: 1 requests of 1 organisations", lost)
+        self.assertRegex(lost, r"cut-off  org-a  unsafe  after .* sent to p[12]")
         judged = judge(read_files([vm.log for vm in self.vms]).lines)
         causes = {
             one.finding.cause
