--- a/lab/trialablation.py
+++ b/lab/trialablation.py
@@ -16,7 +16,8 @@
 from walnutquay.coordination import trialtask, versions
 from walnutquay.coordination.trialnews import TrialExchange
 from walnutquay.coordination.trialtask import TrialTask
-from walnutquay.state.trials import Trial, TrialReport
+from walnutquay.state.trialreports import TrialReport
+from walnutquay.state.trials import Trial
 
 VMS = 6
 # New sessions a second.
--- a/lab/trialcosts.py
+++ b/lab/trialcosts.py
@@ -12,7 +12,8 @@
 from lab.trialfleet import NEW, SERVICE, TRIAL_SECONDS, simulate
 from walnutquay.state.ids import VmName
 from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trials import Trial, TrialReport
+from walnutquay.state.trialreports import TrialReport
+from walnutquay.state.trials import Trial
 
 
 def memory_of(kept: int) -> int:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -40,7 +40,7 @@
 from walnutquay.state.metrics import Metrics  # noqa: E402
 from walnutquay.state.sessionnotes import SeenSession  # noqa: E402
 from walnutquay.state.trialcounts import Measure, TrialCounts  # noqa: E402
-from walnutquay.state.trials import TrialReport, Verdict  # noqa: E402
+from walnutquay.state.trialreports import TrialReport, Verdict  # noqa: E402
 from walnutquay.transport.peers import PeerNode  # noqa: E402
 
 KEY = b"a-key-of-the-whole-fleet"
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -32,7 +32,8 @@
 from walnutquay.state.metrics import Metrics
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.trialcounts import Measure, TrialCounts
-from walnutquay.state.trials import Trial, TrialReport, Verdict
+from walnutquay.state.trialreports import TrialReport, Verdict
+from walnutquay.state.trials import Trial
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,16 +9,10 @@
 
 from walnutquay.state.ids import EndpointName, RouteName, ServiceName, VersionName
 from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.sessionnumbers import falls_to_new, session_number
 from walnutquay.state.trialcounts import Measure, TrialCounts, TrialTally
-from walnutquay.state.trials import (
-    RAMP_END,
-    RAMP_START,
-    Trial,
-    TrialReport,
-    Verdict,
-    falls_to_new,
-    session_number,
-)
+from walnutquay.state.trialreports import TrialReport, Verdict
+from walnutquay.state.trials import RAMP_END, RAMP_START, Trial
 
 SECONDS = 100.0
 NEVER = float("-inf")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -15,8 +15,9 @@
 from walnutquay.state.instances import Instance, InstanceBook
 from walnutquay.state.metrics import Metrics
 from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.sessionnumbers import falls_to_new, session_number
 from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trials import Trial, falls_to_new, session_number
+from walnutquay.state.trials import Trial
 from walnutquay.state.versionchoice import ChoiceReason
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trialnews.py
@@ -27,7 +27,8 @@
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import HallName, ServiceName, VmName
 from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trials import Trial, TrialReport
+from walnutquay.state.trialreports import TrialReport
+from walnutquay.state.trials import Trial
 from walnutquay.transport.timers import monotonic
 
 # How often VMs tell each other what they have seen.
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/versions.py
@@ -25,7 +25,9 @@
 from walnutquay.state.ids import ServiceName, VersionName
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.sessionnotes import SessionNote
-from walnutquay.state.trials import Trial, TrialReport, falls_to_new
+from walnutquay.state.sessionnumbers import falls_to_new
+from walnutquay.state.trialreports import TrialReport
+from walnutquay.state.trials import Trial
 from walnutquay.state.versionchoice import ChoiceReason, VersionChoice
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -14,7 +14,7 @@
 from walnutquay.state.membership import MemberNews, VmPlace
 from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
-from walnutquay.state.trials import TrialReport
+from walnutquay.state.trialreports import TrialReport
 
 
 class Message:
--- /dev/null
+++ b/walnutquay/protocol/peerfields.py
@@ -0,0 +1,267 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""How each peer message is written: its member of the schema, and its fields."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from functools import singledispatch
+from typing import Any
+
+from walnutquay.exceptions import MessageError
+from walnutquay.protocol import messages as m
+from walnutquay.state.membership import MemberNews
+
+# Stands for a time that is not known; times that are known are not negative.
+UNKNOWN_TIME = -1.0
+
+
+def _news_fields(news: MemberNews) -> dict[str, Any]:
+    return {
+        "vm": news.vm,
+        "incarnation": news.incarnation,
+        "hall": news.hall,
+        "counter": news.counter,
+        "revision": news.revision,
+        "leaving": news.leaving,
+        "host": news.address.host,
+        "port": news.address.port,
+        "administration": news.administration,
+        "confirmedAge": news.confirmed_age,
+        "region": news.region,
+    }
+
+
+@singledispatch
+def body_fields(body: m.Message) -> dict[str, Any]:
+    """Give the union member that a message is written as.
+
+    :param body: the message.
+    :returns: one entry: the member's name and its fields.
+    """
+    raise MessageError(f"no codec for {type(body).__name__}", step="encode")
+
+
+@body_fields.register
+def _(body: m.Heartbeat) -> dict[str, Any]:
+    rumours = [_news_fields(news) for news in body.rumours]
+    fields = {
+        "own": _news_fields(body.own),
+        "rumours": rumours,
+        "digests": list(body.digests),
+    }
+    return {"heartbeat": fields}
+
+
+@body_fields.register
+def _(body: m.AskHead) -> dict[str, Any]:
+    return {"askHead": None}
+
+
+@body_fields.register
+def _(body: m.HeadIs) -> dict[str, Any]:
+    return {"head": body.data}
+
+
+@body_fields.register
+def _(body: m.AskPart) -> dict[str, Any]:
+    return {"askPart": body.hash}
+
+
+@body_fields.register
+def _(body: m.PartIs) -> dict[str, Any]:
+    return {"part": body.data}
+
+
+@body_fields.register
+def _(body: m.BillCopy) -> dict[str, Any]:
+    fields = {
+        "incarnation": body.incarnation,
+        "records": body.records,
+        "nextBatch": body.next_batch,
+    }
+    return {"billCopy": fields}
+
+
+@body_fields.register
+def _(body: m.BillTaken) -> dict[str, Any]:
+    return {"billTaken": None}
+
+
+@body_fields.register
+def _(body: m.BillStored) -> dict[str, Any]:
+    fields = {"incarnation": body.incarnation, "nextBatch": body.next_batch}
+    return {"billStored": fields}
+
+
+@body_fields.register
+def _(body: m.AskRun) -> dict[str, Any]:
+    return {"askRun": body.request}
+
+
+@body_fields.register
+def _(body: m.RunIs) -> dict[str, Any]:
+    if body.state is None:
+        return {"run": {"known": False}}
+    fields: dict[str, Any] = {"known": True, "state": body.state.value}
+    if body.answer is not None:
+        fields["status"] = body.answer.status
+        fields["contentType"] = body.answer.content_type
+        fields["body"] = body.answer.body
+        fields["headers"] = [
+            {"name": name, "value": value} for name, value in body.answer.headers
+        ]
+    return {"run": fields}
+
+
+def _pin_fields(body: m.AskPin | m.CopyPin) -> dict[str, str]:
+    return {
+        "organisation": body.organisation,
+        "session": body.session,
+        "token": body.token,
+    }
+
+
+@body_fields.register
+def _(body: m.AskPin) -> dict[str, Any]:
+    return {"askPin": _pin_fields(body)}
+
+
+@body_fields.register
+def _(body: m.CopyPin) -> dict[str, Any]:
+    return {"copyPin": _pin_fields(body)}
+
+
+@body_fields.register
+def _(body: m.PinIs) -> dict[str, Any]:
+    return {"pin": body.token}
+
+
+@body_fields.register
+def _(body: m.EndpointLeaving) -> dict[str, Any]:
+    fields = {"endpoint": body.endpoint, "incarnation": body.incarnation}
+    return {"endpointLeaving": fields}
+
+
+@body_fields.register
+def _(body: m.VersionBrake) -> dict[str, Any]:
+    return {"versionBrake": body.version}
+
+
+@body_fields.register
+def _(body: m.TallyNews) -> dict[str, Any]:
+    return {"tallies": [asdict(row) for row in body.rows]}
+
+
+@body_fields.register
+def _(body: m.WorkNews) -> dict[str, Any]:
+    return {"work": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.OpinionNews) -> dict[str, Any]:
+    return {
+        "opinions": [{**asdict(row.pair), **asdict(row.counts)} for row in body.rows]
+    }
+
+
+@body_fields.register
+def _(body: m.TrialNews) -> dict[str, Any]:
+    report = body.report
+    rows = [
+        {
+            "measure": measure.value,
+            "route": route,
+            "good": counts.good,
+            "bad": counts.bad,
+            "badEndpoints": sorted(counts.bad_endpoints),
+        }
+        for (measure, route), counts in report.counts
+    ]
+    elapsed = UNKNOWN_TIME if report.elapsed is None else report.elapsed
+    fields = {
+        "order": report.order,
+        "version": report.version,
+        "rows": rows,
+        "kept": list(report.kept),
+        "verdict": report.verdict.value,
+        "elapsed": elapsed,
+        "opensIn": report.opens_in,
+        "hall": body.hall,
+    }
+    return {"trial": fields}
+
+
+@body_fields.register
+def _(body: m.SessionsSeen) -> dict[str, Any]:
+    return {"sessionsSeen": [asdict(row) for row in body.rows]}
+
+
+@body_fields.register
+def _(body: m.SessionsTaken) -> dict[str, Any]:
+    return {"sessionsTaken": None}
+
+
+@body_fields.register
+def _(body: m.AskTrial) -> dict[str, Any]:
+    return {"askTrial": asdict(body)}
+
+
+def _row_fields(row: m.VmRow) -> dict[str, Any]:
+    address = row.place.address
+    return {
+        "vm": row.vm,
+        "host": address.host,
+        "port": address.port,
+        "hall": row.place.hall,
+    }
+
+
+@body_fields.register
+def _(body: m.AskVms) -> dict[str, Any]:
+    return {"askVms": body.digest}
+
+
+@body_fields.register
+def _(body: m.VmsAre) -> dict[str, Any]:
+    return {"vms": body.data}
+
+
+@body_fields.register
+def _(body: m.AskStart) -> dict[str, Any]:
+    return {"askStart": None}
+
+
+@body_fields.register
+def _(body: m.StartIs) -> dict[str, Any]:
+    return {"start": {"vms": body.vms, "lists": [asdict(row) for row in body.lists]}}
+
+
+@body_fields.register
+def _(body: m.VmNews) -> dict[str, Any]:
+    return {"vmNews": {"row": _row_fields(body.row), "leaving": body.leaving}}
+
+
+@body_fields.register
+def _(body: m.AskKnown) -> dict[str, Any]:
+    return {"askKnown": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.AskChanges) -> dict[str, Any]:
+    return {"askChanges": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.ChangesAre) -> dict[str, Any]:
+    return {"changes": asdict(body)}
+
+
+@body_fields.register
+def _(body: m.KnownIs) -> dict[str, Any]:
+    return {"known": body.data}
+
+
+@body_fields.register
+def _(body: m.Failure) -> dict[str, Any]:
+    return {"failure": body.reason}
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -9,23 +9,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
-from enum import Enum
+from dataclasses import replace
 
-import xxhash
-
-from walnutquay.state.ids import HallName, VersionName, VmName
+from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.keptsessions import KeptSessions
 from walnutquay.state.orders import RolloutOrder
+from walnutquay.state.sessionnumbers import HASH_SPAN, session_number
 from walnutquay.state.trialcounts import (
     BASE_FACTOR,
     Measure,
-    Subject,
-    TrialCounts,
     TrialTally,
     condemned,
     is_sluggish,
 )
+from walnutquay.state.trialreports import AnswerCounts, TrialReport, Verdict
 
 # The share of new sessions in the first half, of what a bad version may get.  The
 # rest is left for the time in which it turns bad and is found out.
@@ -43,7 +40,6 @@
 DOUBTFUL_BAD = 2
 # Good answers after which a version with hardly any bad ones is trusted.
 MIN_GOOD = 8
-HASH_SPAN = float(1 << 64)
 # Stands for a trial that may open at any moment; seconds.
 MIN_OPENS_IN = 0.001
 # What a version has to have little of to be trusted.
@@ -52,42 +48,6 @@
 TRUSTED_BAD_SHARE = {Measure.FAILED: 0.04, Measure.SLOW: 0.1}
 
 
-class Verdict(Enum):
-    """What is thought of a version on trial."""
-
-    UNSURE = "unsure"
-    GOOD = "good"
-    BAD = "bad"
-
-
-# What a VM itself has seen, as it stood at one moment.
-OwnCounts = tuple[tuple[Subject, TrialCounts], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class TrialReport:
-    """What one VM tells the others of a version on trial.
-
-    :param order: the order's name.
-    :param version: the new version.
-    :param counts: what it has seen, by measure and route.
-    :param kept: numbers of sessions that stay on the old version.
-    :param verdict: good or bad where that is decided for good, else unsure.
-    :param elapsed: seconds since a VM saw the order first; None where the sender has
-        this from the time of day only, which may differ between VMs.
-    :param opens_in: seconds until the sender gives the new version its first sessions
-        at the earliest; 0 where it does already.
-    """
-
-    order: str
-    version: VersionName
-    counts: OwnCounts
-    kept: tuple[int, ...] = ()
-    verdict: Verdict = Verdict.UNSURE
-    elapsed: float | None = None
-    opens_in: float = 0.0
-
-
 class Trial:
     """One order to bring in a version, as one VM sees it.
 
@@ -122,7 +82,7 @@
         self.told: dict[VmName, TrialTally] = {}
         self.told_by_hall: dict[HallName, TrialTally] = {}
         # All of it together, with what it was made of; see :meth:`tally`.
-        self.all_seen: tuple[OwnCounts, TrialTally] | None = None
+        self.all_seen: tuple[AnswerCounts, TrialTally] | None = None
         # Set when the first half has shown the version to be good; from then on
         # only answers under more load count.
         self.trusted = False
@@ -143,7 +103,7 @@
         :param report: its counts stand in place of those that it told before.
         :param now: monotonic seconds.
         """
-        self.told[vm] = _tally_of(report)
+        self.told[vm] = report.tally()
         self.all_seen = None
         self.hear_decided(report, now)
 
@@ -156,7 +116,7 @@
         :returns: whether there was anything new.
         """
         before = self.told_by_hall.get(hall)
-        told = _tally_of(report)
+        told = report.tally()
         self.told_by_hall[hall] = told
         self.all_seen = None
         decided = self.braked, self.trusted
@@ -422,29 +382,3 @@
         :returns: whether the order is done, as far as this VM can tell.
         """
         return self.share(now) >= 1.0 and self.progress(now) >= DONE_AT
-
-
-def _tally_of(report: TrialReport) -> TrialTally:
-    tally = TrialTally()
-    tally.by_subject.update(report.counts)
-    return tally
-
-
-def session_number(session: str, version: str) -> int:
-    """Number a session for a trial; all VMs number alike.
-
-    :param session: the session, or the request where it has none.
-    :param version: the new version.
-    :returns: a number below 2 to the 64.
-    """
-    return xxhash.xxh3_64_intdigest(f"{version}\n{session}".encode())
-
-
-def falls_to_new(session: str, version: str, share: float) -> bool:
-    """Decide for a session; all VMs decide alike, and a larger share keeps its own.
-
-    :param session: the session, or the request where it has none.
-    :param version: the new version.
-    :param share: the share of sessions that it gets.
-    """
-    return session_number(session, version) / HASH_SPAN < share
