--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from walnutquay.coordination import vmlist
-from walnutquay.coordination.fleetpeers import FleetPeers
+from walnutquay.coordination.fleetpeers import RELAYS, FleetPeers
 from walnutquay.coordination.relaying import Watchers
 from walnutquay.coordination.starting import StartingKnowledge
 from walnutquay.coordination.vmlist import VmList
@@ -70,7 +70,8 @@
 
     def __init__(self) -> None:
         self.up: dict[Address, VmList] = {}
-        self.lossless = True
+        # Messages that went to another data hall.
+        self.far = 0
 
     async def call(self, address, body, limit, peer=""):
         """As the node's."""
@@ -82,17 +83,37 @@
             return receiver.starting.answer(envelope(body))
         return receiver.answer(envelope(body))
 
+    def sender(self, vm: VmName) -> FakeNode:
+        """:returns: the node of a VM."""
+        return FakeNode(self, vm)
+
+
+class FakeNode:
+    """The node of one VM; counts what it sends to other data halls.
+
+    :param network: carries its messages.
+    :param vm: the VM.
+    """
+
+    def __init__(self, network: FakeNetwork, vm: VmName) -> None:
+        self.network = network
+        self.vm = vm
+        self.call = network.call
+
     def send_all(self, addresses, body):
-        """As the node's."""
+        """As the real one."""
+        own = place_of(int(self.vm.rpartition("-")[2])).hall
         for address in addresses:
-            receiver = self.up.get(address)
-            if receiver is not None and self.lossless:
-                receiver.hear(envelope(body))
+            receiver = self.network.up.get(address)
+            if receiver is None:
+                continue
+            self.network.far += receiver.context.hall != own
+            receiver.hear(envelope(body, self.vm))
 
 
-def envelope(body) -> Envelope:
+def envelope(body, vm: str = "vm") -> Envelope:
     """:returns: a message as it comes."""
-    return Envelope("vm", "incarnation", Stamp(1, 0), body)
+    return Envelope(vm, "incarnation", Stamp(1, 0), body)
 
 
 def place_of(number: int) -> VmPlace:
@@ -141,7 +162,8 @@
             timeline=SimpleNamespace(emit=lambda *args, **more: None),
         )
         seeds = [place_of(seed).address for seed in range(SEEDS)]
-        peers = FleetPeers(context, self.network, place.address, seeds)
+        node = self.network.sender(context.vm)
+        peers = FleetPeers(context, node, place.address, seeds)
         watchers = Watchers(context, peers)
         starting = StartingKnowledge(context, peers, lambda: LISTS, first_start)
         made = VmList(context, peers, self.register, watchers, starting, first_start)
@@ -198,6 +220,17 @@
         await self.until(self.all_known)
         self.assertIn(name_of(11), self.register.rows)
 
+    async def test_in_a_large_fleet_few_messages_cross_between_halls(self):
+        for number in range(12, FLEET):
+            self.start(number, first_start=True)
+        await self.until(self.all_known)
+        left = self.lists.pop()
+        self.network.far = 0
+        await left.stop()
+        self.assertLessEqual(self.network.far, RELAYS * HALLS)
+        known = [left.context.vm in made.peers.known for made in self.lists]
+        self.assertFalse(any(known))
+
     async def test_all_at_once_without_a_write(self):
         for made in self.lists:
             made.tasks.stop()
--- a/walnutquay/coordination/fleetpeers.py
+++ b/walnutquay/coordination/fleetpeers.py
@@ -130,6 +130,28 @@
             addresses = self._some(self._by_hall(hall)[0], TOLD_IN_HALL)
         self.node.send_all(addresses, body)
 
+    def spread(self, body: Message) -> None:
+        """Send a message that may be lost to all, in larger fleets by relays.
+
+        Those of the other data halls pass it on there; see :meth:`pass_on`.
+
+        :param body: the message.
+        """
+        if self.size <= TOLD + 1:
+            self.tell_all(body)
+            return
+        self.tell_hall(self.context.hall, body)
+        self.tell_relays(body)
+
+    def pass_on(self, hall: HallName, body: Message) -> None:
+        """Pass a message of another data hall on, where this VM is a relay.
+
+        :param hall: the hall that it comes from.
+        :param body: the message, as its sender spreads it.
+        """
+        if hall != self.context.hall and self.size > TOLD + 1 and self.is_relay():
+            self.tell_hall(self.context.hall, body)
+
     def tell_other_halls(self, body: Message) -> None:
         """Send a message that may be lost to every VM of the other data halls.
 
@@ -188,8 +210,19 @@
         :param body: the question.
         :returns: the answer, or None.
         """
+        return await self.ask_each(body, ASK_SECONDS)
+
+    async def ask_each(self, body: Message, seconds: float) -> Message | None:
+        """Ask some peers, one after the other, each for a short time.
+
+        For long answers: of several that are asked at once all would send them.
+
+        :param body: the question.
+        :param seconds: how long each may take.
+        :returns: the first answer, or None.
+        """
         for address in self._drawn():
-            answer = await self._ask_one(address, body)
+            answer = await self._ask_one(address, body, seconds)
             if answer is not None:
                 return answer
         return None
@@ -221,9 +254,11 @@
         addresses = self.addresses()
         return self.context.rng.sample(addresses, min(ASKED, len(addresses)))
 
-    async def _ask_one(self, address: Address, body: Message) -> Message | None:
+    async def _ask_one(
+        self, address: Address, body: Message, seconds: float = ASK_SECONDS
+    ) -> Message | None:
         try:
-            return await self.node.call(address, body, ASK_SECONDS, str(address))
+            return await self.node.call(address, body, seconds, str(address))
         except PeerError as error:
             self.context.metrics.count("peer_calls_failed")
             log.debug("a peer did not answer: {}", error)
--- a/walnutquay/coordination/starting.py
+++ b/walnutquay/coordination/starting.py
@@ -22,6 +22,8 @@
 # The same where the whole fleet starts for the first time, and there is no caller yet.
 FIRST_START_SECONDS = 2.0
 PAUSE_SECONDS = 0.03
+# How long one seed may take to answer before the next one is asked.
+TRY_SECONDS = 0.12
 
 
 class StartingKnowledge:
@@ -69,7 +71,7 @@
             return None
         began = monotonic()
         while self.peers.addresses():
-            answer = await self.peers.ask_any(AskStart())
+            answer = await self.peers.ask_each(AskStart(), TRY_SECONDS)
             seconds = monotonic() - began
             if isinstance(answer, StartIs) and answer.lists:
                 self.context.metrics.record("starting_knowledge", seconds)
--- a/walnutquay/coordination/vmlist.py
+++ b/walnutquay/coordination/vmlist.py
@@ -149,6 +149,8 @@
         assert isinstance(body, VmNews)
         place = None if body.leaving else body.row.place
         self.news[body.row.vm] = Heard(monotonic(), place)
+        if envelope.vm == body.row.vm:
+            self.peers.pass_on(body.row.place.hall, body)
         if self.peers.known:
             self.take(self.peers.known)
 
@@ -238,7 +240,7 @@
 
     def _tell(self, leaving: bool) -> None:
         """Tell all VMs that this one comes or goes."""
-        self.peers.tell_all(VmNews(VmRow(self.context.vm, self.own), leaving))
+        self.peers.spread(VmNews(VmRow(self.context.vm, self.own), leaving))
 
     def take(self, listed: dict[VmName, VmPlace]) -> None:
         """Take over a list, but for what VMs have said of themselves since.
