--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -17,9 +17,9 @@
 from walnutquay.state.feeds import Changes, Listing
 from walnutquay.transport.timers import monotonic
 
-# What is left of the time for a change of configuration, or for a leaving endpoint,
-# when a watch that is not answered is overdue; then another VM is asked.
-OVERDUE_SECONDS = 0.5
+# A watch of the configuration ends so much before a change has to be in force: an
+# answer that is overdue is noticed then, and another VM can still be asked.
+NOTICE_SECONDS = 0.5
 # Endpoints' entries are watched for so much of the time in which a leaving endpoint
 # still has to be served: a connection may fall silent for good, and all that hear from
 # this VM must know of it within that time.
@@ -63,7 +63,7 @@
     :param drain_seconds: in which a leaving endpoint is still to be served.
     """
     return WatchTimes(
-        max(PROBE_SECONDS, config_seconds - OVERDUE_SECONDS),
+        max(PROBE_SECONDS, config_seconds - NOTICE_SECONDS),
         ENTRY_WATCH_SHARE * drain_seconds,
         ORDER_WATCH_SECONDS,
     )
