Lines tell whether an endpoint ended, and under which request

Cause: the lines of the incident name route, organisation and prompt length of what broke, not whether it was one body, whether an engine or only a connection ended, nor how long a request had run at an engine that was not its first. Change: a failed line carries the fingerprint of the request (caller, method, path, body), ran_ms and ended; a broken connection is followed by a try whether the port is closed, shared by all that broke there (endpoint-ended); trace crashes lists ends with what ran there. A broken stream of our own interface has a failed line too. Measured: tests only; no decision uses any of it yet.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -49,6 +49,8 @@
     :param extra: whether a second answer follows the first.
     :param headers: more headers.
     :param pause: seconds between two events.
+    :param crash_after: whole events after which the endpoint itself ends, with all
+        its connections; None where it goes on.
     """
 
     status: int = 200
@@ -64,6 +66,7 @@
     extra: bool = False
     headers: dict[str, str] = field(default_factory=dict)
     pause: float = 0.0
+    crash_after: int | None = None
 
 
 class WorkerStandIn:
@@ -87,6 +90,9 @@
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task] = set()
         self.address = ""
+        # The connections that are open now, and how often the endpoint has ended.
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.crashes = 0
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen at a free port."""
@@ -100,6 +106,23 @@
         for task in self.tasks:
             task.cancel()
 
+    def crash(self) -> None:
+        """End as a process that is killed: its port and its connections are closed."""
+        self.crashes += 1
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    async def come_back(self, name: str) -> None:
+        """Listen again where it was, as a new start.
+
+        :param name: its name from now on.
+        """
+        self.name = name
+        host, _, port = self.address.partition(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+
     def spec(self, service: str, **more: object) -> dict[str, object]:
         """:param service: the service that it runs.
 
@@ -125,6 +148,7 @@
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
+        self.writers.add(writer)
         task.add_done_callback(self.tasks.discard)
         try:
             while await self._one(reader, writer):
@@ -132,6 +156,7 @@
         except (EOFError, OSError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _one(
@@ -205,6 +230,9 @@
         first = behaviour.first or int(seen.headers.get("last-event-id", "0")) + 1
         left = asyncio.ensure_future(_ended(reader))
         for number in range(first, behaviour.events + 1):
+            if behaviour.crash_after is not None and number > behaviour.crash_after:
+                self.crash()
+                return False
             event = f"id: {number}\ndata: word {number}\n\n".encode()
             if behaviour.cut_after is not None and number > behaviour.cut_after:
                 if behaviour.within:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -18,9 +18,9 @@
     RunTable,
     WholeAnswer,
     claim_name,
-    fingerprint,
     on_repeat,
 )
+from walnutquay.state.fingerprints import fingerprint
 
 HOUR = 1.0
 MEGABYTE = 1 << 20
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -23,6 +23,7 @@
 from walnutquay.cmdline import main
 from walnutquay.history.beliefs import Beliefs
 from walnutquay.history.causes import Cause, CauseFinder
+from walnutquay.history.crashes import endpoint_ends, ends_text
 from walnutquay.history.lines import LogLine, read_files, read_line
 from walnutquay.history.lost import SILENT_SECONDS, lost_requests, lost_text
 from walnutquay.history.report import judge
@@ -101,6 +102,34 @@
     return line("dispatched", at, vm=vm, session=session, version=service, runs=runs)
 
 
+def broke(at: float, endpoint: str, request: str, mark: str, **more) -> LogLine:
+    """:returns: the line of a request whose endpoint ended."""
+    facts = {"ended": True, "fingerprint": mark, "step": "broken", **more}
+    return line("failed", at, request, endpoint=endpoint, **facts)
+
+
+class EndpointEndsTest(unittest.TestCase):
+    """Endpoints that ended while they ran requests, and what ran at several ends."""
+
+    LINES = (
+        broke(1.0, "i-1", "a", "f1", ran_ms=90, vm="vm-1"),
+        broke(1.1, "i-1", "b", "f2", ran_ms=900, vm="vm-2"),
+        line("failed", 1.2, "c", endpoint="i-2", step="broken", ended=False),
+        broke(1.3, "i-2", "d", "f1", ran_ms=110, vm="vm-2"),
+        broke(9.0, "i-1", "e", "f3", vm="vm-2"),
+    )
+
+    def test_what_breaks_together_is_one_end(self):
+        ends = [(end.endpoint, len(end.broken)) for end in endpoint_ends(self.LINES)]
+        self.assertEqual(ends, [("i-1", 2), ("i-2", 1), ("i-1", 1)])
+
+    def test_a_request_at_several_ends_is_told(self):
+        text = ends_text(self.LINES)
+        self.assertIn("3 endpoints ended while they ran requests", text)
+        self.assertIn("f1 was at 2 ends, had run 90 to 110 ms: a, d", text)
+        self.assertNotIn("f2 was", text)
+
+
 class LostTest(unittest.TestCase):
     """Work that went with a VM: whose it was, and which endpoints had it."""
 
--- a/walnutquay/commands/history.py
+++ b/walnutquay/commands/history.py
@@ -10,6 +10,7 @@
 
 from walnutquay.commands.output import fail
 from walnutquay.history.beliefs import Beliefs
+from walnutquay.history.crashes import ends_text
 from walnutquay.history.lines import LineFile, read_files
 from walnutquay.history.lost import lost_requests, lost_text
 from walnutquay.history.report import failures_text, judge, request_text
@@ -75,6 +76,16 @@
     click.echo(lost_text(lost_requests(_read(logs).lines)))
 
 
+@click.command()
+@logs_argument
+def crashes(logs: tuple[Path, ...]) -> None:
+    """Tell which endpoints ended while they ran requests, and with which requests.
+
+    A request that was at several of these ends may be what ends them.
+    """
+    click.echo(ends_text(_read(logs).lines))
+
+
 @click.command()
 @logs_argument
 def versions(logs: tuple[Path, ...]) -> None:
--- a/walnutquay/commands/trace.py
+++ b/walnutquay/commands/trace.py
@@ -13,7 +13,14 @@
 import orjson
 
 from walnutquay.commands.client import Fleet, fleet_command
-from walnutquay.commands.history import changes, failures, lost, show, versions
+from walnutquay.commands.history import (
+    changes,
+    crashes,
+    failures,
+    lost,
+    show,
+    versions,
+)
 from walnutquay.commands.output import fail
 from walnutquay.exceptions import WalnutquayError
 from walnutquay.replay.traces import write_trace
@@ -30,6 +37,7 @@
 
 trace.add_command(show)
 trace.add_command(changes)
+trace.add_command(crashes)
 trace.add_command(failures)
 trace.add_command(lost)
 trace.add_command(versions)
--- a/walnutquay/coordination/chats.py
+++ b/walnutquay/coordination/chats.py
@@ -302,6 +302,7 @@
             if not passed.begun:
                 passed.headers = self._headers(turn, grant)
                 passed.begun = True
+                grant.began = monotonic()
                 await reply.begin(passed.headers)
             passed.take(event)
             passing = monotonic()
@@ -322,7 +323,7 @@
         error: EndpointError,
     ) -> Streamed:
         """Say in the stream that it is not whole."""
-        self.count_failure(turn, grant)
+        await self.note_failure(turn, grant, error)
         running.unknown()
         message = f"the answer broke off: {error.reason}"
         await reply.write(
--- a/walnutquay/coordination/keyed.py
+++ b/walnutquay/coordination/keyed.py
@@ -17,7 +17,8 @@
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.coordination.turn import Turn
 from walnutquay.exceptions import NotStartedError
-from walnutquay.state.claims import RepeatAction, RunState, fingerprint
+from walnutquay.state.claims import RepeatAction, RunState
+from walnutquay.state.fingerprints import fingerprint
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Received, Unclaimed, receive_keyed
 
--- a/walnutquay/coordination/outcomes.py
+++ b/walnutquay/coordination/outcomes.py
@@ -10,10 +10,14 @@
 
 from walnutquay.protocol.chat import ChatCall
 from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.ids import RequestId
+from walnutquay.state.fingerprints import fingerprint
+from walnutquay.state.ids import Fingerprint, RequestId
 from walnutquay.state.parts import Organisation, Service
 from walnutquay.state.requests import NotRun, OutcomeUnknown
 
+# Digits of a fingerprint that are kept and told: 128 bits, which nobody can make meet.
+FINGERPRINT_DIGITS = 32
+
 
 class Reply(Protocol):
     """The way back to the caller of a streamed answer."""
@@ -61,6 +65,14 @@
         """:returns: what tells this request from another under the same key."""
         return (self.body,)
 
+    def fingerprint(self) -> Fingerprint:
+        """:returns: what tells this request from others, the same for all its tries.
+
+        Its caller is part of it: nobody can have it in common with another's.
+        """
+        caller = self.organisation.name.encode()
+        return Fingerprint(fingerprint(caller, *self.identity())[:FINGERPRINT_DIGITS])
+
     def passed(self, now: float) -> None:
         """Note that events go to the caller.
 
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/parts.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.claims import Claims
 from walnutquay.coordination.configurations import Configurations
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.crashes import CrashWatch
 from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.endpoints import EndpointNews
 from walnutquay.coordination.engines import Engines
@@ -144,12 +145,14 @@
             context, self.members, self.dispatcher, sealer, options.memory.pins
         )
         self.recorder = TraceRecorder()
+        self.crashes = CrashWatch(context)
         path_parts = KeyedParts(
             context,
             self.admission,
             self.table,
             RetryBudget(),
             self.recorder,
+            self.crashes,
             self.configurations,
             self.claims,
             self.billing,
@@ -238,6 +241,7 @@
         self.billing.stop()
         self.quality.sampling.stop()
         await self.node.stop()
+        self.crashes.close()
         await self.rollouts.close()
         await self.endpoint_news.close()
         await self.members.close()
--- a/walnutquay/coordination/pathparts.py
+++ b/walnutquay/coordination/pathparts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from walnutquay.coordination.context import Context
+from walnutquay.coordination.crashes import CrashWatch
 from walnutquay.coordination.places import Places
 from walnutquay.coordination.recorder import TraceRecorder
 from walnutquay.state.admission import RetryBudget
@@ -22,6 +23,7 @@
     :param table: what is known of endpoints.
     :param retries: the budget that retries draw on.
     :param recorder: records traces, while asked to.
+    :param crashes: endpoints that end while they run requests.
     """
 
     context: Context
@@ -29,3 +31,4 @@
     table: EndpointTable
     retries: RetryBudget
     recorder: TraceRecorder
+    crashes: CrashWatch
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -31,7 +31,7 @@
     Undispatched,
     receive,
 )
-from walnutquay.transport.client import STEP_CONNECT, STEP_REACH
+from walnutquay.transport.client import STEP_BROKEN, STEP_CONNECT, STEP_REACH
 from walnutquay.transport.timers import monotonic
 
 STOPPING_RETRY = 1.0
@@ -310,8 +310,27 @@
         self, turn: Turn, running: Dispatched, grant: Grant, error: EndpointError
     ) -> Outcome | Continuing:
         """Try another endpoint where that is allowed; else the end is unknown."""
+        await self.note_failure(turn, grant, error)
+        in_time = turn.arrival.deadline > monotonic()
+        if turn.repeatable and in_time and self.may_retry(turn):
+            turn.tried |= {grant.name}
+            self.context.metrics.count("retries")
+            return running.go_on()
+        return await self.give_up(turn, running, error)
+
+    async def note_failure(
+        self, turn: Turn, grant: Grant, error: EndpointError
+    ) -> None:
+        """Learn from a failure of an endpoint after it may have begun, and log it.
+
+        :param turn: the request.
+        :param grant: the endpoint.
+        :param error: how it failed.
+        """
         self.count_failure(turn, grant)
         self.on_failed(turn, grant, error)
+        broke = error.step == STEP_BROKEN
+        ended = broke and await self.parts.crashes.has_ended(grant.endpoint)
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
@@ -321,13 +340,10 @@
             step=error.step,
             status=error.status,
             after_ms=_ms_since(grant.started),
+            ran_ms=None if grant.began is None else _ms_since(grant.began),
+            ended=ended,
+            fingerprint=turn.arrival.fingerprint() if broke else None,
         )
-        in_time = turn.arrival.deadline > monotonic()
-        if turn.repeatable and in_time and self.may_retry(turn):
-            turn.tried |= {grant.name}
-            self.context.metrics.count("retries")
-            return running.go_on()
-        return await self.give_up(turn, running, error)
 
     async def give_up(
         self, turn: Turn, running: Dispatched, error: EndpointError
--- a/walnutquay/coordination/places.py
+++ b/walnutquay/coordination/places.py
@@ -62,11 +62,13 @@
     :param endpoint: where.
     :param started: since when; monotonic seconds.
     :param work: the kind of work of the pool at that time.
+    :param began: when the head of an answer came from there; monotonic seconds.
     """
 
     endpoint: Endpoint | Instance
     started: float
     work: WorkKind
+    began: float | None = None
 
     @property
     def name(self) -> EndpointName:
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -284,7 +284,8 @@
         started = monotonic()
         async with self._watched(turn, self._send(turn, grant), grant) as answer:
             head = self._read_head(turn, grant, answer)
-            seconds = monotonic() - started
+            grant.began = monotonic()
+            seconds = grant.began - started
             self.places.began(grant, seconds)
             if head.status >= 500:
                 body = await whole_body(answer, grant.name)
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routedturn.py
@@ -58,6 +58,11 @@
     keyed: bool = True
     reply: RoutedReply | None = None
 
+    def identity(self) -> tuple[bytes, ...]:
+        """:returns: what tells this request from another, whatever its id."""
+        place = f"{self.method} {self.head.host}{self.target}"
+        return (place.encode(), self.body)
+
     def is_late(self, now: float) -> bool:
         """:param now: when its answer is whole; monotonic seconds.
 
--- a/walnutquay/coordination/streaming.py
+++ b/walnutquay/coordination/streaming.py
@@ -18,7 +18,7 @@
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.chat import StreamParser
 from walnutquay.state.events import EventKind
-from walnutquay.transport.client import ConnectionEnd
+from walnutquay.transport.client import STEP_BROKEN, ConnectionEnd
 from walnutquay.transport.timers import monotonic
 
 # The pauses that a stream's pace is judged by.
@@ -109,7 +109,7 @@
         watched.check(grant.name)
         if parser.buffer:
             raise EndpointError(
-                "the stream ended within an event", step="stream", peer=grant.name
+                "the stream ended within an event", step=STEP_BROKEN, peer=grant.name
             )
         return judged
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -16,6 +16,7 @@
 from walnutquay.coordination.budgets import RetryBudgets
 from walnutquay.coordination.cascading import Cascading
 from walnutquay.coordination.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.crashes import CrashWatch
 from walnutquay.coordination.dispatcher import Dispatcher
 from walnutquay.coordination.eventlog import EventLog
 from walnutquay.coordination.fleetpeers import FleetPeers
@@ -247,7 +248,14 @@
         self.knowledge.instances.listeners.append(places.on_instance)
         places.listeners.append(self._tell_work)
         self.dispatcher.on(WorkNews, self._hear_work)
-        parts = PathParts(self.context, places, table, RetryBudget(), TraceRecorder())
+        parts = PathParts(
+            self.context,
+            places,
+            table,
+            RetryBudget(),
+            TraceRecorder(),
+            CrashWatch(self.context),
+        )
         return RoutedPath(
             parts,
             places,
@@ -332,6 +340,7 @@
         self.knowledge.stop()
         self.versions.stop()
         self.path.places.close()
+        self.path.parts.crashes.close()
         # Both at once: little time is left where requests took long to end.
         await asyncio.gather(self.versions.sessions.hand_over(), self.vm_list.stop())
         await self.node.stop()
--- a/walnutquay/state/claims.py
+++ b/walnutquay/state/claims.py
@@ -25,18 +25,6 @@
     return f"{CLAIM_PREFIX}{organisation}/{digest}"
 
 
-def fingerprint(*parts: bytes) -> str:
-    """Tell two requests under one key apart.
-
-    :param parts: what makes the request: method, path, body.
-    """
-    digest = hashlib.sha256()
-    for part in parts:
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 @dataclass(frozen=True, slots=True)
 class Claim:
     """The value of a claim object.
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -42,6 +42,7 @@
     ENDPOINT_LEAVING = "endpoint-leaving"
     ENDPOINT_LISTED = "endpoint-listed"
     ENDPOINT_GONE = "endpoint-gone"
+    ENDPOINT_ENDED = "endpoint-ended"
     ENDPOINT_UNREACHED = "endpoint-unreached"
     ENDPOINT_REACHED = "endpoint-reached"
     ESCALATED = "escalated"
--- a/walnutquay/state/ids.py
+++ b/walnutquay/state/ids.py
@@ -22,6 +22,8 @@
 SessionId = NewType("SessionId", str)
 RequestId = NewType("RequestId", str)
 RouteName = NewType("RouteName", str)
+# The hash of what makes a request, in hexadecimal digits.
+Fingerprint = NewType("Fingerprint", str)
 Revision = NewType("Revision", int)
 
 # The revision of a VM that has no configuration yet.
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -45,6 +45,8 @@
 STEP_CONNECT = "connect"
 # The step of an error after the other side has acknowledged nothing for a while.
 STEP_SILENT = "silent"
+# The step of an error by which the connection ended after something was sent.
+STEP_BROKEN = "broken"
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -63,6 +65,23 @@
     return True
 
 
+async def is_refused(url: str) -> bool:
+    """Try whether an address is there and nothing listens at it.
+
+    :param url: ``http://IP:port``.
+    """
+    place = URL(url)
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(place.host, place.port)
+    except ConnectionRefusedError:
+        return True
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return False
+
+
 class EndpointProtocol(ResponseHandler):
     """An aiohttp connection that notices a reset which looks like an end.
 
@@ -158,7 +177,9 @@
         """
         if isinstance(self.protocol, EndpointProtocol) and self.protocol.was_reset:
             raise EndpointError(
-                "the connection was reset within the answer", step="answer", peer=peer
+                "the connection was reset within the answer",
+                step=STEP_BROKEN,
+                peer=peer,
             )
 
 
@@ -284,6 +305,8 @@
             return NotStartedError(reason, step=STEP_CONNECT, peer=self.peer)
         if getattr(error, "errno", None) == errno.ETIMEDOUT:
             return EndpointError(reason, step=STEP_SILENT, peer=self.peer)
+        if not isinstance(error, TimeoutError):
+            return EndpointError(reason, step=STEP_BROKEN, peer=self.peer)
         return EndpointError(reason, step="exchange", peer=self.peer)
 
 
