--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -8,8 +8,10 @@
 
 from standins.worker import Behaviour, Seen
 from tests.gatewaycase import GatewayCase, Got
+from walnutquay.commands.fleetstate import concerns, read_figures, state_of
 from walnutquay.daemon.gateway import GatewayDaemon
-from walnutquay.state.crashes import ENDS_TO_BLOCK, CrashBook
+from walnutquay.state.crashes import CrashBook
+from walnutquay.state.culprits import ENDS_TO_BLOCK
 from walnutquay.state.events import EventKind
 from walnutquay.state.membership import VmPlace
 
@@ -134,6 +136,17 @@
         refused = self.events_of(EventKind.REFUSED)
         self.assertIn("3 endpoints ended as they ran", str(refused[-1]["reason"]))
 
+    async def test_operators_see_it(self):
+        await self.block()
+        lines = list(self.gateway.metrics_api.lines())
+        label = 'service="engine",version="v1"'
+        self.assertIn(f"walnutquay_requests_blocked{{{label}}} 1", lines)
+        self.assertIn("walnutquay_requests_suspected 1", lines)
+        self.assertIn("walnutquay_endpoints_ended_total 3", lines)
+        state = state_of("vm-1", read_figures("\n".join(lines) + "\n"))
+        self.assertEqual(state.blocked, 1)
+        self.assertIn("end the endpoints", " ".join(concerns([state])))
+
     async def test_one_within_whose_try_the_third_ends_has_run(self):
         answer = await self.stream(CRASHING)
         self.assertFalse(answer.whole)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -85,6 +85,11 @@
         Cause.ENDPOINT_ERROR,
     ),
     ([ORDER, RECEIVED, SENT, ERROR, UNKNOWN], Cause.NEW_VERSION),
+    ([RECEIVED, line("refused", 1.3, detail="ends_endpoints")], Cause.ENDS_ENDPOINTS),
+    (
+        [RECEIVED, SENT, RESET, line("outcome-unknown", 1.3, detail="ends_endpoints")],
+        Cause.ENDS_ENDPOINTS,
+    ),
     ([RECEIVED, SENT, RESET, UNKNOWN], Cause.ENDPOINT_LOST),
     ([RECEIVED, SENT, BEGUN, RESET, line("broken", 1.4)], Cause.ENDPOINT_LOST),
     ([RECEIVED, SENT, line("outcome-unknown", 2.0, detail="timeout")], Cause.NO_TIME),
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -56,6 +56,7 @@
     :param p99_seconds: the 99th percentile from arrival to outcome.
     :param endpoints: endpoints by service and state, such as ``pool/ready``.
     :param waiting: its requests without an outcome, by whose they are.
+    :param blocked: requests that are held to end endpoints.
     """
 
     address: str
@@ -71,6 +72,7 @@
     p99_seconds: float = 0.0
     endpoints: dict[str, int] = field(default_factory=dict)
     waiting: tuple[Waiting, ...] = ()
+    blocked: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +132,7 @@
         p99_seconds=max(slowest, default=0.0),
         endpoints=endpoints,
         waiting=tuple(_waiting_of(figures)),
+        blocked=int(sum(f.value for f in figures if f.name == "requests_blocked")),
     )
 
 
@@ -178,6 +181,9 @@
     versions = sorted({one.configuration for one in up})
     if len(versions) > 1:
         found.append(f"configurations differ: {versions}")
+    blocked = max((one.blocked for one in up), default=0)
+    if blocked:
+        found.append(f"{blocked} requests end the endpoints that run them")
     for one in up:
         if one.age > OLD_SECONDS:
             found.append(f"{one.address} last heard of the store {one.age:.0f} s ago")
--- a/walnutquay/coordination/crashes.py
+++ b/walnutquay/coordination/crashes.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 import logbook
@@ -27,7 +28,8 @@
     Envelope,
     Message,
 )
-from walnutquay.state.crashes import CrashBook, CrashTarget, CrashTrace
+from walnutquay.state.crashes import CrashBook
+from walnutquay.state.ends import CrashTarget, CrashTrace
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import EndpointName, Fingerprint
 from walnutquay.state.instances import Instance
@@ -40,6 +42,9 @@
 
 # What breaks together is told together: the requests of one end break within some ms.
 GATHER_SECONDS = 0.004
+# News of one end have come from all VMs by then: they try its port and tell within some
+# 10 ms of the break.
+SETTLE_SECONDS = 0.03
 # News are told once more, for a datagram may be lost.
 AGAIN_SECONDS = 0.2
 # Traces in one datagram: some 100 bytes each, so that it fits one packet.
@@ -208,6 +213,17 @@
         """
         self._note(CrashTrace(arrival.fingerprint(), target, endpoint, 0.0, ran))
 
+    async def settle(self, arrival: Arrival, target: CrashTarget) -> None:
+        """Wait for the other VMs' news of an end that makes a request seem guilty.
+
+        What was beside the guilty one at another VM looks guilty until they have come.
+
+        :param arrival: a request that was at an endpoint that has just ended.
+        :param target: what the endpoint ran.
+        """
+        if self.book.is_blocked(arrival.fingerprint(), target):
+            await asyncio.sleep(SETTLE_SECONDS)
+
     def answered(
         self, arrival: Arrival, target: CrashTarget, endpoint: EndpointName
     ) -> None:
@@ -234,10 +250,12 @@
     async def _tell(self) -> None:
         """Tell all VMs what has been noted, twice."""
         await asyncio.sleep(GATHER_SECONDS)
-        told, self.untold = tuple(self.untold), []
+        told, self.untold = self.untold, []
+        noted = monotonic()
         self._send(told)
         await asyncio.sleep(AGAIN_SECONDS)
-        self._send(told)
+        passed = monotonic() - noted
+        self._send([replace(trace, age=trace.age + passed) for trace in told])
 
     def _send(self, traces: Sequence[CrashTrace]) -> None:
         for first in range(0, len(traces), TRACES_TOLD):
--- a/walnutquay/coordination/crashrecord.py
+++ b/walnutquay/coordination/crashrecord.py
@@ -19,7 +19,8 @@
 from walnutquay.coordination.tasks import Tasks
 from walnutquay.exceptions import MessageError, PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
-from walnutquay.state.crashes import MAX_ENDS, CrashTarget, CrashTrace
+from walnutquay.state.crashes import MAX_ENDS
+from walnutquay.state.ends import CrashTarget, CrashTrace
 from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
 from walnutquay.transport.timers import MICROSECONDS, unix_microseconds
 
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -20,7 +20,7 @@
 from walnutquay.coordination.places import Grant, Need
 from walnutquay.coordination.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.crashes import CrashTarget
+from walnutquay.state.ends import CrashTarget
 from walnutquay.state.events import EventKind, Facts
 from walnutquay.state.ids import RequestId, ServiceName, VersionName
 from walnutquay.state.instances import Instance
@@ -364,6 +364,7 @@
         ended = broke and await self.parts.crashes.has_ended(grant.endpoint)
         if ended:
             self.on_ended(turn, grant)
+            await self.parts.crashes.settle(turn.arrival, target_of(turn, grant))
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -94,6 +94,7 @@
         dropped = self.writer.dropped if self.writer is not None else 0
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
         yield from self._endpoints()
+        yield from self._crashes()
         for service, budget in self.path.budgets.known.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
         for service, task in self.versions.tasks.items():
@@ -121,6 +122,14 @@
             yield f"{PREFIX}_requests_waiting{{{label}}} {len(waiting)}"
             yield f"{PREFIX}_oldest_request_seconds{{{label}}} {max(waiting):.3f}"
 
+    def _crashes(self) -> Iterator[str]:
+        """Tell how many requests are held to end endpoints, or were there."""
+        book = self.path.parts.crashes.book
+        yield f"{PREFIX}_requests_suspected {len(book.ends_of)}"
+        for target, blocked in sorted(book.blocked.items()):
+            label = f'service="{target.service}",version="{escaped(target.version)}"'
+            yield f"{PREFIX}_requests_blocked{{{label}}} {len(blocked)}"
+
     def _endpoints(self) -> Iterator[str]:
         now = monotonic()
         states: Counter[tuple[str, str]] = Counter()
--- a/walnutquay/history/causes.py
+++ b/walnutquay/history/causes.py
@@ -35,6 +35,7 @@
     NO_ENDPOINT = "no endpoint was left to ask"
     ENDPOINT_ERROR = "the endpoint answered that it failed"
     ENDPOINT_LOST = "the endpoint's connection was lost"
+    ENDS_ENDPOINTS = "it ends the endpoints that run it"
     NEW_VERSION = "a version on trial failed"
     NO_TIME = "no answer came in time"
     CALLER_LEFT = "the caller left before the answer"
@@ -64,6 +65,7 @@
     RefusalCode.NOT_READY.value: Cause.VM_STARTING,
     RefusalCode.STOPPING.value: Cause.VM_STOPPING,
     RefusalCode.DEADLINE.value: Cause.NO_TIME,
+    RefusalCode.ENDS_ENDPOINTS.value: Cause.ENDS_ENDPOINTS,
 }
 DENIALS = frozenset({RefusalCode.UNKNOWN_SERVICE.value, RefusalCode.NO_KEY.value})
 PLACES = frozenset({RefusalCode.NO_ENDPOINT.value, RefusalCode.QUEUE_FULL.value})
@@ -134,6 +136,9 @@
         return Finding(cause, tried[-1], told)
 
     def _failed(self, history: RequestHistory, end: LogLine) -> Finding:
+        if end.detail == RefusalCode.ENDS_ENDPOINTS.value:
+            reason = str(end.facts.get("reason", ""))
+            return Finding(Cause.ENDS_ENDPOINTS, end, reason)
         failed = history.of(EventKind.FAILED)
         if not failed:
             return Finding(Cause.NO_TIME, end, str(end.facts.get("reason", "")))
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -9,7 +9,7 @@
 
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
-from walnutquay.state.crashes import CrashTrace
+from walnutquay.state.ends import CrashTrace
 from walnutquay.state.gains import GainRow
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import MemberNews, VmPlace
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -16,7 +16,7 @@
 from walnutquay.protocol.peerfields import body_fields
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
-from walnutquay.state.crashes import CrashTarget, CrashTrace
+from walnutquay.state.ends import CrashTarget, CrashTrace
 from walnutquay.state.gains import GainCounts, GainRow, ModelPair
 from walnutquay.state.ids import (
     EndpointName,
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -10,7 +10,7 @@
 
 from walnutquay.exceptions import MessageError
 from walnutquay.protocol import messages as m
-from walnutquay.state.crashes import CrashTrace
+from walnutquay.state.ends import CrashTrace
 from walnutquay.state.membership import MemberNews
 
 # Stands for a time that is not known; times that are known are not negative.
--- a/walnutquay/state/crashes.py
+++ b/walnutquay/state/crashes.py
@@ -10,16 +10,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 import xxhash
 
-from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
+from walnutquay.state.culprits import culprits
+from walnutquay.state.ends import CrashTarget, CrashTrace, End
+from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName
 
-# A request that so many endpoints have ended under is sent to no other one: with fewer,
-# one that was beside another such request by chance would be taken for one.
-ENDS_TO_BLOCK = 3
-# The same where another version of its service has ended under it so often.
+# So many ends are enough where another version of the service is kept from a request.
 ENDS_OF_KNOWN_ONE = 1
 # What broke at one endpoint within so long broke by the same end; it is back seconds
 # later at the soonest, and may have the same name then.
@@ -35,54 +33,6 @@
 MAX_ANSWERED = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class CrashTarget:
-    """What a request is found to end: a version of a service's software.
-
-    :param service: the service, or the version of a model.
-    :param version: the version; empty where the service has none.
-    """
-
-    service: ServiceName
-    version: VersionName
-
-
-@dataclass(frozen=True, slots=True)
-class CrashTrace:
-    """That a request was at an endpoint which ended, or was answered whole.
-
-    :param fingerprint: the request.
-    :param target: what the endpoint ran.
-    :param endpoint: the endpoint.
-    :param age: seconds since.
-    :param ran: seconds for which its answer had begun; None where none had.
-    :param answered: whether it was answered, and the endpoint lived on.
-    """
-
-    fingerprint: Fingerprint
-    target: CrashTarget
-    endpoint: EndpointName
-    age: float
-    ran: float | None = None
-    answered: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class End:
-    """The end of an endpoint.
-
-    :param endpoint: its name.
-    :param target: what it ran.
-    :param at: when; monotonic seconds.
-    :param ran: the requests that were there, and how long their answers had begun.
-    """
-
-    endpoint: EndpointName
-    target: CrashTarget
-    at: float
-    ran: dict[Fingerprint, float | None] = field(default_factory=dict)
-
-
 class CrashBook:
     """What is known of requests that were at endpoints as these ended."""
 
@@ -93,8 +43,30 @@
         self.ends_of: dict[Fingerprint, list[End]] = {}
         # When a request was last answered whole by a version; monotonic seconds.
         self.answered: dict[tuple[Fingerprint, CrashTarget], float] = {}
-        # The requests that each version is kept from.
-        self.blocked: dict[CrashTarget, frozenset[Fingerprint]] = {}
+        # The requests that each version is kept from, as last judged; and the versions
+        # of which something was taken in since.
+        self.judged: dict[CrashTarget, frozenset[Fingerprint]] = {}
+        self.unjudged: set[CrashTarget] = set()
+
+    @property
+    def blocked(self) -> dict[CrashTarget, frozenset[Fingerprint]]:
+        """The requests that each version is kept from."""
+        for target in self.unjudged:
+            found = culprits(self._ends_by_request(target))
+            if found:
+                self.judged[target] = found
+            else:
+                self.judged.pop(target, None)
+        self.unjudged.clear()
+        return self.judged
+
+    def _ends_by_request(self, target: CrashTarget) -> dict[Fingerprint, list[End]]:
+        """Give the requests at several ends of a version's endpoints."""
+        return {
+            fingerprint: self._ends_at(fingerprint, target)
+            for fingerprint, ends in self.ends_of.items()
+            if len(ends) > 1
+        }
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """:param fingerprint: a request.
@@ -165,8 +137,8 @@
         end.ran[trace.fingerprint] = trace.ran
         self.ends_of.setdefault(trace.fingerprint, []).append(end)
         self._bound()
-        if len(self.ends_of.get(trace.fingerprint, ())) >= ENDS_TO_BLOCK:
-            self._judge(trace.target)
+        if len(self.ends_of.get(trace.fingerprint, ())) > 1:
+            self.unjudged.add(trace.target)
         return True
 
     def _end_of(self, trace: CrashTrace, at: float) -> End:
@@ -192,7 +164,7 @@
         for end in before:
             self._forget(trace.fingerprint, end)
         if before:
-            self._judge(trace.target)
+            self.unjudged.add(trace.target)
         return fresh or bool(before)
 
     def _forget(self, fingerprint: Fingerprint, end: End) -> None:
@@ -210,8 +182,10 @@
         new ones must be found as well.
         """
         traces = sum(len(end.ran) for end in self.ends)
+        if len(self.ends) <= MAX_ENDS and traces <= MAX_TRACES:
+            return
         older = self.ends[: len(self.ends) // 2]
-        for ends, spared in ((older, self.blocked), (list(self.ends), {})):
+        for ends, spared in ((older, dict(self.blocked)), (list(self.ends), {})):
             for end in ends:
                 if len(self.ends) <= MAX_ENDS and traces <= MAX_TRACES:
                     return
@@ -227,8 +201,7 @@
             self._forget(fingerprint, end)
         if not end.ran:
             self.ends.remove(end)
-        if dropped & self.blocked.get(end.target, frozenset()):
-            self._judge(end.target)
+        self.unjudged.add(end.target)
         return len(dropped)
 
     def expire(self, now: float) -> None:
@@ -239,60 +212,16 @@
         for key, at in list(self.answered.items()):
             if now - at > FORGOTTEN_SECONDS:
                 del self.answered[key]
-        targets = set()
+        known = dict(self.blocked)
         for end in list(self.ends):
-            blocked = self.blocked.get(end.target, frozenset())
+            blocked = known.get(end.target, frozenset())
             for fingerprint in list(end.ran):
                 kept = BLOCKED_SECONDS if fingerprint in blocked else FORGOTTEN_SECONDS
                 if now - end.at > kept:
                     self._forget(fingerprint, end)
-                    targets.add(end.target)
+                    self.unjudged.add(end.target)
             if not end.ran:
                 self.ends.remove(end)
-        for target in targets:
-            self._judge(target)
-
-    # Judging.
-
-    def _judge(self, target: CrashTarget) -> None:
-        """Find the requests that explain the ends of a version's endpoints.
-
-        Greedily, as for the smallest set that covers them: a request whose ends all
-        have an explanation already was only beside the one that gives it.
-        """
-        explained: set[End] = set()
-        found: set[Fingerprint] = set()
-        for fingerprint, own in self._suspects(target):
-            if not explained.issuperset(own):
-                found.add(fingerprint)
-                explained.update(own)
-        if found:
-            self.blocked[target] = frozenset(found)
-        else:
-            self.blocked.pop(target, None)
-
-    def _suspects(self, target: CrashTarget) -> list[tuple[Fingerprint, list[End]]]:
-        """Give the requests at many ends, the likeliest to bring them about first.
-
-        Those that were at the most ends; of these, those whose answers had begun at
-        the most, and then most lately: what ends an endpoint that begins to run it
-        does so soon, and others have been there for any time.
-        """
-        found = []
-        for fingerprint, everywhere in self.ends_of.items():
-            if len(everywhere) < ENDS_TO_BLOCK:
-                continue
-            own = self._ends_at(fingerprint, target)
-            if len(own) >= ENDS_TO_BLOCK:
-                found.append((fingerprint, own))
-
-        def rank(item: tuple[Fingerprint, list[End]]) -> tuple[int, int, float, str]:
-            fingerprint, own = item
-            ran = [end.ran[fingerprint] for end in own]
-            known = [seconds for seconds in ran if seconds is not None]
-            return (-len(own), -len(known), sum(known), fingerprint)
-
-        return sorted(found, key=rank)
 
     # Telling.
 
--- /dev/null
+++ b/walnutquay/state/culprits.py
@@ -0,0 +1,98 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Which requests explain why endpoints ended: as few as can explain all ends."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from walnutquay.state.ends import End
+from walnutquay.state.ids import Fingerprint
+
+# A request that so many endpoints have ended under is sent to no other one: with fewer,
+# one that was beside another such request by chance would be taken for one.
+ENDS_TO_BLOCK = 3
+# Of these, so many must have no other explanation: what was beside several others that
+# end endpoints has been at as many ends as they, and one more may be a chance.
+OWN_ENDS_TO_BLOCK = 2
+# Requests at fewer ends explain nothing: any of those that were there may have done it.
+ENDS_TO_EXPLAIN = 2
+
+
+# Requests with the ends at which they were.
+Chosen = dict[Fingerprint, frozenset[End]]
+
+
+def culprits(ends_of: Mapping[Fingerprint, list[End]]) -> frozenset[Fingerprint]:
+    """Find the requests that are held to have ended endpoints.
+
+    :param ends_of: the ends at which each request was.
+    :returns: those that are to be sent to no other endpoint.
+    """
+    suspects = {
+        fingerprint: frozenset(ends)
+        for fingerprint, ends in ends_of.items()
+        if len(ends) >= ENDS_TO_EXPLAIN
+    }
+    if not any(len(ends) >= ENDS_TO_BLOCK for ends in suspects.values()):
+        return frozenset()
+    chosen = _without_spare_ones(_cover(suspects))
+    return frozenset(
+        name for name, ends in chosen.items() if len(ends) >= ENDS_TO_BLOCK
+    )
+
+
+def _cover(suspects: Mapping[Fingerprint, frozenset[End]]) -> Chosen:
+    """Choose requests that explain all ends, each time the one that explains most."""
+    left = dict(suspects)
+    chosen: Chosen = {}
+    explained: set[End] = set()
+    while left:
+        best = max(
+            left, key=lambda name: (len(left[name] - explained), *_odds(name, left))
+        )
+        if left[best] <= explained:
+            break
+        chosen[best] = left.pop(best)
+        explained |= chosen[best]
+    return chosen
+
+
+def _without_spare_ones(chosen: Chosen) -> Chosen:
+    """Leave out, the weakest first, what explains no two ends that others do not.
+
+    One that was beside three others at an end of each is chosen first, and in vain; one
+    more end may have had another reason.
+    """
+    left = dict(chosen)
+    while left:
+        weakest = min(
+            left,
+            key=lambda name: (
+                len(_own(name, left)),
+                len(left[name]),
+                *_odds(name, left),
+            ),
+        )
+        if len(_own(weakest, left)) >= OWN_ENDS_TO_BLOCK:
+            break
+        del left[weakest]
+    return left
+
+
+def _odds(name: Fingerprint, chosen: Chosen) -> tuple[int, float, str]:
+    """Rank a request among others at as many ends, higher where it is likelier guilty.
+
+    Those whose answers had begun at the most ends, and then most lately: what ends an
+    endpoint that begins to run it does so soon; what was beside it had been there for
+    any time.
+    """
+    ran = [end.ran[name] for end in chosen[name]]
+    known = [seconds for seconds in ran if seconds is not None]
+    return (len(known), -sum(known), name)
+
+
+def _own(name: Fingerprint, chosen: Chosen) -> frozenset[End]:
+    """Give the ends of a request that no other chosen one explains."""
+    others = (ends for other, ends in chosen.items() if other != name)
+    return chosen[name].difference(*others)
--- /dev/null
+++ b/walnutquay/state/ends.py
@@ -0,0 +1,58 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The ends of endpoints, and the requests that were there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class CrashTarget:
+    """What a request is found to end: a version of a service's software.
+
+    :param service: the service, or the version of a model.
+    :param version: the version; empty where the service has none.
+    """
+
+    service: ServiceName
+    version: VersionName
+
+
+@dataclass(frozen=True, slots=True)
+class CrashTrace:
+    """That a request was at an endpoint which ended, or was answered whole.
+
+    :param fingerprint: the request.
+    :param target: what the endpoint ran.
+    :param endpoint: the endpoint.
+    :param age: seconds since.
+    :param ran: seconds for which its answer had begun; None where none had.
+    :param answered: whether it was answered, and the endpoint lived on.
+    """
+
+    fingerprint: Fingerprint
+    target: CrashTarget
+    endpoint: EndpointName
+    age: float
+    ran: float | None = None
+    answered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class End:
+    """The end of an endpoint.
+
+    :param endpoint: its name.
+    :param target: what it ran.
+    :param at: when; monotonic seconds.
+    :param ran: the requests that were there, with the seconds for which their answers
+        had begun; None where none had.
+    """
+
+    endpoint: EndpointName
+    target: CrashTarget
+    at: float
+    ran: dict[Fingerprint, float | None] = field(default_factory=dict)
