--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -409,6 +409,70 @@
         "return now - self.at",
         "tests.test_sessionnotes",
     ),
+    Mutation(
+        "ends of endpoints: a request that ends them is kept from the others",
+        "coordination/paths.py",
+        "refusal = self.still_allowed(turn) or self._blocked(turn, placed.ok)",
+        "refusal = self.still_allowed(turn)",
+        "tests.test_crashes.CrashingRequestTest",
+    ),
+    Mutation(
+        "ends of endpoints: the same for chats",
+        "coordination/paths.py",
+        "refusal = self.still_allowed(turn) or self._blocked(turn, placed.ok)",
+        "refusal = self.still_allowed(turn)",
+        "tests.test_crashing_chats",
+    ),
+    Mutation(
+        "ends of endpoints: VMs tell each other",
+        "coordination/crashes.py",
+        "self.peers.tell_all(CrashNews(tuple(traces[first : first + TRACES_TOLD])))",
+        "pass",
+        "tests.test_crashfleet",
+    ),
+    Mutation(
+        "ends of endpoints: a VM that heard nothing compares",
+        "coordination/crashes.py",
+        "self.peers.tell(CrashDigest(self.book.digest()))",
+        "pass",
+        "tests.test_crashes.LateVmTest.test_one_that_heard_nothing_while_it_was_cut_off",
+    ),
+    Mutation(
+        "ends of endpoints: kept for VMs that start after all were lost",
+        "coordination/crashrecord.py",
+        'self.watch.take(decode_traces(stored.value), "the store")',
+        "pass",
+        "tests.test_crashes.LateVmTest.test_all_were_lost",
+    ),
+    Mutation(
+        "ends of endpoints: an answer clears a request",
+        "coordination/paths.py",
+        "self.parts.crashes.answered(turn.arrival, target_of(turn, grant), grant.name)",
+        "pass",
+        "tests.test_crashes.BesideTest",
+    ),
+    Mutation(
+        "ends of endpoints: what was only beside is not blocked",
+        "state/culprits.py",
+        "chosen = _without_spare_ones(_cover(suspects))",
+        "chosen = suspects",
+        "tests.test_crashbook.BesideTest",
+    ),
+    Mutation(
+        "ends of endpoints: news of the others are waited for",
+        "coordination/crashes.py",
+        "await asyncio.sleep(SETTLE_SECONDS)",
+        "pass",
+        "tests.test_crashfleet.CrashFleetTest."
+        "test_one_ends_three_engines_and_others_are_served",
+    ),
+    Mutation(
+        "ends of endpoints: another version is tried once",
+        "state/crashes.py",
+        "return len(self._ends_at(fingerprint, target)) >= ENDS_OF_KNOWN_ONE",
+        "return False",
+        "tests.test_crashes.MendedTest",
+    ),
 ]
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,6 +21,7 @@
 import heapq
 import itertools
 import json
+import os
 import random
 import time
 from collections import OrderedDict
@@ -34,6 +35,9 @@
 PREFIX_BLOCK = 64
 PRIORITIES = {"quick": 0, "patient": 1}
 CREATED = 1_700_000_000
+# The exit code of an engine that ends under a prompt, and after how many tokens.
+CRASHED = 70
+CRASH_TOKENS = 2
 
 
 @dataclass
@@ -53,6 +57,7 @@
     :param event_loss: share of cache events that are lost.
     :param checks_fences: whether orders with an older fence are refused.
     :param hard: for prompts that have a certain word, the quality by version.
+    :param crash_word: prompts that have it end the process that begins to run them.
     :param seed: the seed of all chance here.
     """
 
@@ -69,6 +74,7 @@
     event_loss: float = 0.05
     checks_fences: bool = True
     hard: dict[str, dict[str, float]] = field(default_factory=dict)
+    crash_word: str = ""
     seed: int = 1
 
 
@@ -224,11 +230,18 @@
                 await asyncio.sleep(step)
                 generation.produced += 1
                 generation.grow()
+                if self._crashes(generation, prompt):
+                    os._exit(CRASHED)
             generation.done = True
         finally:
             generation.grow()
             self._leave_slot()
 
+    def _crashes(self, generation: Generation, prompt: str) -> bool:
+        """Whether the process ends now, under a prompt that it has begun to answer."""
+        word = self.options.crash_word
+        return bool(word) and word in prompt and generation.produced >= CRASH_TOKENS
+
     def _words(self, version: str, prompt: str, count: int) -> list[str]:
         """Work out the answer; its first word tells how good it is."""
         quality = self.options.versions[version]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -26,9 +26,11 @@
 )
 from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
 from walnutquay.state.clock import HybridClock, Stamp  # noqa: E402
+from walnutquay.state.ends import CrashTarget, CrashTrace  # noqa: E402
 from walnutquay.state.gains import GainCounts, GainRow, ModelPair  # noqa: E402
 from walnutquay.state.ids import (  # noqa: E402
     EndpointName,
+    Fingerprint,
     HallName,
     ModelName,
     RouteName,
@@ -119,6 +121,27 @@
         self.assertEqual(PeerCodec([KEY]).decode(sealed).body, body)
 
 
+class CrashNewsTest(unittest.TestCase):
+    """What VMs tell each other of requests at endpoints that ended."""
+
+    def test_there_and_back(self):
+        target = CrashTarget(ServiceName("s"), VersionName("v1"))
+        mark = Fingerprint("0f" * 16)
+        name = EndpointName("i-1")
+        body = m.CrashNews(
+            (
+                CrashTrace(mark, target, name, 0.5, 0.25),
+                CrashTrace(mark, target, name, 0.5),
+                CrashTrace(mark, target, name, 0.5, answered=True),
+            )
+        )
+        for one in (body, m.CrashDigest((1 << 64) - 1), m.AskCrashes()):
+            with self.subTest(body=one):
+                envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), one)
+                codec = PeerCodec([KEY])
+                self.assertEqual(codec.decode(codec.encode(envelope)).body, one)
+
+
 class VmsTest(unittest.TestCase):
     """Which VMs there are, told in short messages."""
 
--- a/walnutquay/state/crashes.py
+++ b/walnutquay/state/crashes.py
@@ -125,7 +125,7 @@
         :param now: monotonic seconds.
         :returns: whether it was not known.
         """
-        at = now - trace.age
+        at = now - max(0.0, trace.age)
         if trace.answered:
             return self._take_answer(trace, at)
         key = (trace.fingerprint, trace.target)
