--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -18,6 +18,8 @@
 # A body that ends each engine that begins to run it.
 CRASHING = b"crash"
 EVENTS = 3
+# A time after which a caller waits no more.
+SHORT_SECONDS = 0.2
 
 
 def by_body(seen: Seen) -> Behaviour:
@@ -220,6 +222,9 @@
     async def test_one_that_heard_nothing_while_it_was_cut_off(self):
         second = await self.add_gateway("vm-2")
         await self.stream(CRASHING)
+        # Until all of it has been told, to nobody.
+        telling = self.gateway.path.parts.crashes.tasks
+        await self.until(lambda: not telling.running)
         self.assertFalse(self.book_of(second).blocked)
         for one, other in ((self.gateway, second), (second, self.gateway)):
             place = VmPlace(other.peers.own, other.context.hall)
@@ -256,5 +261,7 @@
         await self.release(Behaviour(events=EVENTS, crash_after=1))
         before = self.crashes
         for _ in range(3):
-            await self.stream(CRASHING)
+            await self.stream(CRASHING, Deadline=f"{SHORT_SECONDS * 1000:.0f}")
+            # One is tried at a time; the next may come when this one's time is over.
+            await asyncio.sleep(SHORT_SECONDS)
         self.assertEqual(self.crashes - before, 1)
