What is known of an endpoint ends with its start, also where the next one has the same name

Cause: an endpoint may start again under the name that it had; instances took each name for one start. One that had been leaving stayed out of use for good, one at another address was probed at the old one for good, and load, ejection, reading and cached beginnings were believed of the new one; a stream that hung at the earlier start was waited for, as its port answers. Change: Instance.born, is_same_start; an entry of another start tells the earlier one as gone, and all of that is dropped there; a place of the earlier start is not given back to the next one.

--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,137 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Endpoints that start again under the names that they had."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from standins.worker import Behaviour
+from tests.gatewaycase import GatewayCase
+from tests.test_knowledge import instance
+from walnutquay.coordination.places import Grant
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import EndpointName, ServiceName, WorkKind
+from walnutquay.state.instances import InstanceBook
+
+# Unix milliseconds of an endpoint's first start, and of its next one.
+FIRST, NEXT = 1_700_000_000_000, 1_700_000_060_000
+# The next start, where the clock was set back meanwhile.
+BEFORE = FIRST - 5_000
+
+
+class BookTest(unittest.TestCase):
+    """A start is known by its name and by when it was."""
+
+    def setUp(self) -> None:
+        self.book = InstanceBook(2.0)
+        self.first = replace(instance("a"), born=FIRST)
+        self.book.put(self.first, 0.0)
+
+    def usable(self) -> bool:
+        """:returns: whether the endpoint may be used."""
+        return bool(self.book.of_service(ServiceName("s")))
+
+    def test_a_start_after_one_that_was_leaving(self):
+        for born in (NEXT, BEFORE):
+            with self.subTest(born=born):
+                self.book.put(replace(self.first, leaving=True), 1.0)
+                self.assertFalse(self.usable())
+                self.book.put(replace(self.first, born=born), 2.0)
+                self.assertTrue(self.usable())
+                self.book.put(self.first, 3.0)
+
+    def test_the_same_start_goes_on_leaving(self):
+        self.book.put(replace(self.first, leaving=True), 1.0)
+        self.book.put(self.first, 2.0)
+        self.assertFalse(self.usable())
+
+    def test_an_entry_that_does_not_say_when(self):
+        self.book.put(replace(self.first, leaving=True), 1.0)
+        self.book.put(replace(self.first, born=None), 2.0)
+        self.assertFalse(self.usable())
+
+    def test_since_when_it_is_known(self):
+        self.book.put(replace(self.first, born=NEXT), 7.0)
+        name = EndpointName("a")
+        self.assertEqual(self.book.since[name], 7.0)
+        self.assertFalse(self.book.is_current(self.first))
+        self.assertTrue(self.book.is_current(self.book.known[name]))
+
+
+class RestartCase(GatewayCase):
+    """Endpoints whose entries say when they started."""
+
+    workers = {"p1": "plain", "e1": "engine", "e2": "engine"}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for name, service in self.workers.items():
+            await self.enter(name, service, FIRST)
+
+    async def enter(self, name: str, service: str, born: int, **more) -> None:
+        """Write an endpoint's entry, and wait until it is known."""
+        spec = self.endpoints[name].spec(service, born=born, **more)
+        await self.store.put("servers", name, spec)
+        known = self.gateway.knowledge.instances.book.known
+        await self.until(lambda: name in known and known[name].born == born)
+
+
+class ForgettingTest(RestartCase):
+    """What was known of an earlier start does not hold for the next one."""
+
+    async def test_failures_load_and_reading(self):
+        places = self.gateway.path.places
+        name = EndpointName("e1")
+        await self.call("/stream/x", b"b", Model="tiny", Token_Count="100,5")
+        facts = places.table.of(name)
+        facts.ejected_until = float("inf")
+        places.work.add(name, 100.0, "beginning", 0.0)
+        await self.enter("e1", "engine", NEXT)
+        self.assertIsNot(places.table.of(name), facts)
+        self.assertNotIn(name, places.work.busy_until)
+
+    async def test_a_place_of_an_earlier_start_is_given_back_to_it(self):
+        places = self.gateway.path.places
+        endpoint = self.gateway.knowledge.instances.book.known[EndpointName("p1")]
+        grant = Grant(endpoint, 0.0, WorkKind.QUICK)
+        places.table.of(endpoint.name).in_flight += 1
+        await self.enter("p1", "plain", NEXT)
+        places.release(grant)
+        self.assertEqual(places.table.of(endpoint.name).in_flight, 0)
+
+    async def test_one_that_could_not_be_reached_is_back_at_another_address(self):
+        reach = self.gateway.path.places.reach
+        await self.endpoints["p1"].stop()
+        self.assertNotEqual((await self.call("/safe/x")).status, 200)
+        await self.until(lambda: "p1" in reach.unreachable)
+        await self.endpoints["p1"].start()
+        await self.enter("p1", "plain", NEXT)
+        self.assertNotIn("p1", reach.unreachable)
+        self.assertEqual((await self.call("/safe/x")).status, 200)
+
+
+class StreamTest(RestartCase):
+    """What ran at an earlier start is not waited for."""
+
+    async def test_a_stream_that_hangs_goes_on_elsewhere(self):
+        held = [Behaviour(mute=True)]
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=3)
+            self.endpoints[name].choose = lambda seen: held.pop() if held else None
+        call = asyncio.ensure_future(
+            self.call("/stream/x", b"b", Model="tiny", Deadline="9000")
+        )
+        await self.until(lambda: self.runs("e1", "e2") == 1)
+        hung = next(name for name in ("e1", "e2") if self.endpoints[name].runs)
+        # Its port answers: the next start listens there, and holds nothing.
+        await self.enter(hung, "engine", NEXT)
+        answer = await call
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(self.runs("e1", "e2"), 2)
+        self.assertTrue(any(run.left for run in self.endpoints[hung].runs))
+        events = self.gateway.context.timeline.ring.events
+        failed = [dict(e.facts) for e in events if e.kind is EventKind.FAILED]
+        self.assertEqual([facts["ended"] for facts in failed], [True])
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -146,6 +146,9 @@
 
     def _put(self, instance: Instance, now: float) -> None:
         before = self.book.known.get(instance.name)
+        if before is not None and not before.is_same_start(instance):
+            self._tell_gone(instance.name, "it has started again")
+            before = None
         self.book.put(instance, now)
         if before == instance:
             return
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -200,6 +200,13 @@
         """
         return
 
+    def is_current(self, grant: Grant) -> bool:
+        """:param grant: an endpoint.
+
+        :returns: whether no later start of it is known; the base knows of none.
+        """
+        return True
+
     def on_ended(self, turn: Turn, grant: Grant) -> None:
         """Note that an endpoint has ended while it had a request.
 
@@ -361,7 +368,9 @@
         self.count_failure(turn, grant)
         self.on_failed(turn, grant, error)
         broke = error.step == STEP_BROKEN
-        ended = broke and await self.parts.crashes.has_ended(grant.endpoint)
+        ended = not self.is_current(grant)
+        if broke and not ended:
+            ended = await self.parts.crashes.has_ended(grant.endpoint)
         if ended:
             self.on_ended(turn, grant)
             await self.parts.crashes.settle(turn.arrival, target_of(turn, grant))
--- a/walnutquay/coordination/reach.py
+++ b/walnutquay/coordination/reach.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from walnutquay.coordination.context import Context
 from walnutquay.coordination.tasks import Tasks
@@ -18,6 +19,19 @@
 PROBE_SECONDS = 0.3
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Unreached:
+    """An endpoint that cannot be connected to.
+
+    :param endpoint: the endpoint.
+    :param hall: the data hall that the way seems cut to; None where the endpoint
+        itself refuses.
+    """
+
+    endpoint: Instance
+    hall: HallName | None
+
+
 class Reach:
     """Knows the endpoints that cannot be connected to, and tries them again.
 
@@ -28,9 +42,8 @@
     def __init__(self, context: Context, book: InstanceBook) -> None:
         self.context = context
         self.book = book
-        # Endpoints that cannot be connected to, with the data hall that the way
-        # seems cut to; None where the endpoint itself refuses.
-        self.unreachable: dict[EndpointName, HallName | None] = {}
+        # Endpoints that cannot be connected to, since their last try.
+        self.unreachable: dict[EndpointName, Unreached] = {}
         self.probes = Tasks()
         # Tries that are under way, shared by all who ask.
         self.tries: dict[EndpointName, asyncio.Task[bool]] = {}
@@ -44,7 +57,7 @@
 
         :param endpoints: some endpoints.
         """
-        halls = set(self.unreachable.values())
+        halls = {one.hall for one in self.unreachable.values()}
         near = [item for item in endpoints if item.name not in self.unreachable]
         fine = [item for item in near if item.hall not in halls]
         return fine or near or endpoints
@@ -59,21 +72,26 @@
         if endpoint.name in self.unreachable:
             return
         cut = silent and endpoint.hall != self.context.hall
-        self.unreachable[endpoint.name] = endpoint.hall if cut else None
+        unreached = Unreached(endpoint, endpoint.hall if cut else None)
+        self.unreachable[endpoint.name] = unreached
         self.context.timeline.emit(
             EventKind.ENDPOINT_UNREACHED,
             endpoint=endpoint.name,
             detail=f"{endpoint.service} in {endpoint.hall}",
             silent=silent,
         )
-        self.probes.spawn(self._probe(endpoint))
+        self.probes.spawn(self._probe(unreached))
+
+    def forget(self, name: EndpointName) -> None:
+        """:param name: an endpoint that has ended, whether it starts again or not."""
+        self.unreachable.pop(name, None)
 
     async def still_there(self, endpoint: Instance) -> bool:
         """Try whether an endpoint that says nothing can be connected to at all.
 
         :param endpoint: the endpoint; it is avoided from now on if it cannot.
         """
-        if endpoint.name in self.unreachable:
+        if endpoint.name in self.unreachable or not self.book.is_current(endpoint):
             return False
         trying = self.tries.get(endpoint.name)
         if trying is None:
@@ -85,21 +103,21 @@
         self.lost(endpoint, silent=True)
         return False
 
-    async def _probe(self, endpoint: Instance) -> None:
+    async def _probe(self, unreached: Unreached) -> None:
         """Try an endpoint again and again, so that no request has to."""
+        name = unreached.endpoint.name
         began = monotonic()
-        try:
-            while endpoint.name in self.book.known:
-                await asyncio.sleep(PROBE_SECONDS)
-                if await is_reachable(endpoint.address):
-                    break
-        finally:
-            del self.unreachable[endpoint.name]
-        self.context.timeline.emit(
-            EventKind.ENDPOINT_REACHED,
-            endpoint=endpoint.name,
-            detail=f"after {monotonic() - began:.1f} s",
-        )
+        while self.unreachable.get(name) is unreached:
+            await asyncio.sleep(PROBE_SECONDS)
+            if await is_reachable(unreached.endpoint.address):
+                break
+        if self.unreachable.get(name) is unreached:
+            del self.unreachable[name]
+            self.context.timeline.emit(
+                EventKind.ENDPOINT_REACHED,
+                endpoint=name,
+                detail=f"after {monotonic() - began:.1f} s",
+            )
 
 
 async def _try_twice(endpoint: Instance) -> bool:
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed.py
@@ -27,6 +27,7 @@
 from walnutquay.state.claims import WholeAnswer
 from walnutquay.state.events import Facts
 from walnutquay.state.ids import EndpointName
+from walnutquay.state.instances import Instance
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
 from walnutquay.state.work import reading_rank
@@ -216,6 +217,14 @@
                 TURNED_AWAY_RETRY,
             )
 
+    def is_current(self, grant: Grant) -> bool:
+        """:param grant: an endpoint.
+
+        :returns: whether no later start of it is known.
+        """
+        assert isinstance(grant.endpoint, Instance)
+        return self.places.book.is_current(grant.endpoint)
+
     def on_ended(self, turn: RoutedTurn, grant: Grant) -> None:
         """Let another endpoint be asked though all attempts are used up.
 
@@ -226,7 +235,8 @@
         """
         super().on_ended(turn, grant)
         turn.sends -= 1
-        self.places.unreached(grant, silent=False)
+        if self.is_current(grant):
+            self.places.unreached(grant, silent=False)
 
     def on_failed(self, turn: RoutedTurn, grant: Grant, error: EndpointError) -> None:
         """:param turn: a request that failed.
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routedplaces.py
@@ -322,15 +322,24 @@
         )
 
     def on_instance(self, name: EndpointName, instance: Instance | None) -> None:
-        """Forget what is known of an endpoint that is gone.
+        """Forget what is known of a start of an endpoint that is gone.
 
         :param name: the endpoint.
-        :param instance: its entry; None where it has none any more.
+        :param instance: its entry; None where it has none any more, or is about to
+            have that of a later start.
         """
-        if instance is None:
-            known = set(self.book.known)
-            self.table.forget_except(known)
-            self.work.forget_except(known)
+        if instance is not None:
+            return
+        self.table.forget(name)
+        self.work.forget(name)
+        self.reach.forget(name)
+        for number, note in list(self.reading.items()):
+            if note.engine == name:
+                del self.reading[number]
+        # What came of its last requests may have been noted since it went.
+        known = set(self.book.known) | {name}
+        self.table.forget_except(known)
+        self.work.forget_except(known)
 
     def close(self) -> None:
         """End all probes."""
@@ -339,7 +348,13 @@
     def release(self, grant: Grant) -> None:
         """:param grant: a place to give back."""
         self.reading.pop(id(grant), None)
-        self.table.of(grant.name).in_flight -= 1
+        endpoint = grant.endpoint
+        assert isinstance(endpoint, Instance)
+        known = self.book.known.get(endpoint.name)
+        # The places of an earlier start went with it.
+        if known is not None and known.is_same_start(endpoint):
+            facts = self.table.of(grant.name)
+            facts.in_flight = max(0, facts.in_flight - 1)
 
     def full(self, grant: Grant) -> None:
         """:param grant: a place that its endpoint did not have after all."""
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -148,6 +148,7 @@
             slots=max(1, int(spec.get("slots") or 1)),
             leaving=spec.get("state") == "draining",
             cold_seconds=(spec.get("coldLeftMs") or 0) / MILLISECONDS,
+            born=spec.get("born"),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MessageError(
--- a/walnutquay/state/counts.py
+++ b/walnutquay/state/counts.py
@@ -65,6 +65,11 @@
         """
         return self.entries.get(key)
 
+    def drop(self, belongs: Callable[[Key], bool]) -> None:
+        """:param belongs: tells whether a key is to be forgotten."""
+        for key in [key for key in self.entries if belongs(key)]:
+            del self.entries[key]
+
     def touch(self, key: Key) -> Value:
         """:param key: a key that is used now.
 
--- a/walnutquay/state/endpoints.py
+++ b/walnutquay/state/endpoints.py
@@ -163,6 +163,10 @@
             facts = self.facts[name] = EndpointFacts()
         return facts
 
+    def forget(self, name: str) -> None:
+        """:param name: an endpoint that has ended."""
+        self.facts.pop(name, None)
+
     def forget_except(self, names: Iterable[str]) -> None:
         """:param names: the endpoints that are configured now."""
         kept = set(names)
--- a/walnutquay/state/instances.py
+++ b/walnutquay/state/instances.py
@@ -14,7 +14,7 @@
 class Instance:
     """One start of one endpoint; a restarted endpoint is another instance.
 
-    :param name: its name, which no other start has ever had.
+    :param name: its name, which a later start may have again.
     :param service: the service that it runs.
     :param address: ``http://IP:port``; may have belonged to another instance.
     :param hall: the data hall that it stands in.
@@ -22,6 +22,8 @@
     :param slots: requests that it runs at once.
     :param leaving: whether it has announced its end.
     :param cold_seconds: how long after its start it is slow.
+    :param born: when it started, by its own clock; Unix milliseconds, None where its
+        entry does not say.
     """
 
     name: EndpointName
@@ -32,6 +34,17 @@
     slots: int
     leaving: bool = False
     cold_seconds: float = 0.0
+    born: int | None = None
+
+    def is_same_start(self, other: Instance) -> bool:
+        """Tell whether an entry of the same name is one of the same start.
+
+        The time tells starts apart, and not which came first: clocks step back, and
+        entries come in the order in which the store took them.
+
+        :param other: another entry of its name.
+        """
+        return None in (self.born, other.born) or self.born == other.born
 
 
 class InstanceBook:
@@ -54,6 +67,14 @@
         # When this VM first heard of each instance; monotonic seconds.
         self.since: dict[EndpointName, float] = {}
 
+    def is_current(self, instance: Instance) -> bool:
+        """:param instance: an instance that was known once.
+
+        :returns: whether no later start of its name is known.
+        """
+        known = self.known.get(instance.name)
+        return known is None or known.is_same_start(instance)
+
     def doubt_deletions(self, now: float) -> None:
         """Note that the store has just come back.
 
@@ -68,8 +89,13 @@
         :param now: monotonic seconds.
         """
         before = self.known.get(instance.name)
+        if before is not None and not before.is_same_start(instance):
+            self._forget(instance.name)
+            before = None
         if before is not None and before.leaving and not instance.leaving:
             instance = replace(instance, leaving=True)
+        if before is not None and instance.born is None:
+            instance = replace(instance, born=before.born)
         self.known[instance.name] = instance
         self.since.setdefault(instance.name, now)
         self.overdue.pop(instance.name, None)
--- a/walnutquay/state/work.py
+++ b/walnutquay/state/work.py
@@ -180,6 +180,12 @@
         behind = max(0.0, self.given.get(name, 0.0) - mark)
         self.busy_until[name] = min(self.busy_until.get(name, now), now + behind)
 
+    def forget(self, name: EndpointName) -> None:
+        """:param name: an engine that has ended: its cache went with it."""
+        self.busy_until.pop(name, None)
+        self.given.pop(name, None)
+        self.sent.drop(lambda key: key[0] == name)
+
     def forget_except(self, names: set[EndpointName]) -> None:
         """:param names: the engines that there are."""
         for name in [name for name in self.busy_until if name not in names]:
