Objects of the store are read strictly, and what cannot be read names nothing

Cause: of 105 entries of endpoints, each with one field missing, of another type or out of range, 92 were taken for endpoints to use; slots of Infinity raised an error that nobody caught; one object of foreign bytes made a whole list unreadable, an odd entry of a VM the list of VMs, and an entry that could be read before was used on. Change: platform/schemas (pydantic, strict), lenient reading of the rest of a list, each unreadable object told once and counted, shown by fleet. tests.test_store wrote an entry without five of its fields and took it for sound: it has all of them now.

--- a/standins/store.py
+++ b/standins/store.py
@@ -107,6 +107,8 @@
         self.late_writes_seconds = 0.0
         self.turned_away: set[str] = set()
         self.late_tasks: set[asyncio.Task[None]] = set()
+        # Items that lists show besides, as other programs may have written them.
+        self.foreign_items: list[Any] = []
         # What lists that may be old show: objects by kind, and the revision.
         self.stale_view: tuple[dict[str, dict[str, Stored]], int] | None = None
         self.app = web.Application(client_max_size=MAX_BODY)
@@ -231,7 +233,10 @@
         shown = names[: self.page]
         return _json(
             {
-                "items": [objects[name].plain() for name in shown],
+                "items": [
+                    *self.foreign_items,
+                    *(objects[name].plain() for name in shown),
+                ],
                 "truncated": len(names) > len(shown),
                 "asOf": revision,
             }
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -22,7 +22,16 @@
 from walnutquay.state.membership import Address, VmPlace
 from walnutquay.state.orders import OrderState
 
-SPEC = {"service": "s", "address": "127.0.0.1:1", "zone": "h", "version": "v1"}
+SPEC = {
+    "service": "s",
+    "address": "127.0.0.1:1",
+    "zone": "hall-a",
+    "version": "v1",
+    "slots": 1,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 1,
+}
 
 
 def place(port: int) -> VmPlace:
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -57,6 +57,7 @@
     :param endpoints: endpoints by service and state, such as ``pool/ready``.
     :param waiting: its requests without an outcome, by whose they are.
     :param blocked: requests that are held to end endpoints.
+    :param unreadable: objects of the store that cannot be read.
     """
 
     address: str
@@ -73,6 +74,7 @@
     endpoints: dict[str, int] = field(default_factory=dict)
     waiting: tuple[Waiting, ...] = ()
     blocked: int = 0
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,10 +134,15 @@
         p99_seconds=max(slowest, default=0.0),
         endpoints=endpoints,
         waiting=tuple(_waiting_of(figures)),
-        blocked=int(sum(f.value for f in figures if f.name == "requests_blocked")),
+        blocked=_total(figures, "requests_blocked"),
+        unreadable=_total(figures, "unreadable"),
     )
 
 
+def _total(figures: Iterable[Figure], name: str) -> int:
+    return int(sum(one.value for one in figures if one.name == name))
+
+
 def _waiting_of(figures: Iterable[Figure]) -> Iterator[Waiting]:
     """Put the figures of waiting requests together."""
     counts: dict[tuple[str, str], float] = {}
@@ -184,6 +191,9 @@
     blocked = max((one.blocked for one in up), default=0)
     if blocked:
         found.append(f"{blocked} requests end the endpoints that run them")
+    unreadable = max((one.unreadable for one in up), default=0)
+    if unreadable:
+        found.append(f"{unreadable} objects of the store cannot be read")
     for one in up:
         if one.age > OLD_SECONDS:
             found.append(f"{one.address} last heard of the store {one.age:.0f} s ago")
--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/following.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
@@ -81,6 +81,10 @@
     # Whether what it told last came from the store itself, not from another VM.
     watching: bool
 
+    @property
+    def unreadable(self) -> Mapping[str, int]:
+        """Objects that cannot be read, by name."""
+
     async def list(self) -> Listing[Item]:
         """:returns: all objects."""
 
--- a/walnutquay/coordination/relaying.py
+++ b/walnutquay/coordination/relaying.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Generic, Protocol, TypeVar
 
 import logbook
@@ -67,6 +67,9 @@
 class ChangeFeed(Feed[Item], Protocol[Item]):
     """A feed whose changes can be passed on."""
 
+    # Objects that cannot be read, by name, with the revision of each.
+    unreadable: Mapping[str, int]
+
     def export_changes(self, revision: int) -> bytes:
         """:param revision: the store's revision that a peer knows.
 
@@ -263,6 +266,11 @@
             return self.direct.read_whole(answer.data)
         return self.direct.read_changes(answer.data)
 
+    @property
+    def unreadable(self) -> Mapping[str, int]:
+        """Objects that cannot be read, by name."""
+        return self.direct.unreadable
+
     def export(self, revision: int) -> bytes:
         """:param revision: what a peer knows.
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -38,6 +38,7 @@
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.feeds import (
     StoredOrders,
+    Unreadable,
     VmRegister,
     catalogue_feed,
     instance_feed,
@@ -179,26 +180,41 @@
     def _make_knowledge(self) -> Knowledge:
         promises = self.options.promises
         times = watch_times(promises.config_seconds, promises.drain_seconds)
+        catalogues = catalogue_feed(self.store)
+        instances = instance_feed(self.store)
+        orders = order_feed(self.store)
+        for feed in (catalogues, instances, orders):
+            feed.on_unreadable = self._tell_unreadable
         return Knowledge(
             self.context,
             RelayedFeed(
-                catalogue_feed(self.store),
+                catalogues,
                 self.watchers,
                 poll=times.configuration * POLL_SHARE,
                 starting=self.starting,
             ),
             RelayedFeed(
-                instance_feed(self.store),
+                instances,
                 self.watchers,
                 lambda ago: self.knowledge.watcher_returned(ago),
                 times.endpoints * POLL_SHARE,
                 self.starting,
             ),
-            RelayedFeed(order_feed(self.store), self.watchers, starting=self.starting),
+            RelayedFeed(orders, self.watchers, starting=self.starting),
             self._ask_peers,
             times,
         )
 
+    def _tell_unreadable(self, found: Unreadable) -> None:
+        self.context.metrics.count(f"unreadable_{found.kind}")
+        self.context.timeline.emit(
+            EventKind.UNREADABLE,
+            detail=found.reason,
+            object_kind=found.kind,
+            name=found.name,
+            revision=found.revision,
+        )
+
     async def _ask_peers(self, kind: str, revision: int) -> bytes:
         answer = await self.peers.ask(AskKnown(kind, revision))
         return answer.data if isinstance(answer, KnownIs) else b""
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -88,6 +88,8 @@
             known = age if age != float("inf") else UNKNOWN_AGE
             label = f'{{kind="{follower.feed.kind}"}}'
             yield f"{PREFIX}_knowledge_age_seconds{label} {known:.3f}"
+            if follower.feed.unreadable:
+                yield f"{PREFIX}_unreadable{label} {len(follower.feed.unreadable)}"
         yield f"{PREFIX}_entry_vms {self.peers.size}"
         yield f"{PREFIX}_requests_in_flight {self.path.in_flight}"
         yield from self._waiting()
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -29,15 +29,17 @@
     decode_catalogue,
     decode_instance,
     decode_order,
+    decode_vm,
     encode_order_status,
 )
+from walnutquay.platform.schemas import MAX_NAME
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
 from walnutquay.protocol.lists import pack, unpack
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.ids import VmName
 from walnutquay.state.instances import Instance
-from walnutquay.state.membership import Address, VmPlace
+from walnutquay.state.membership import VmPlace
 from walnutquay.state.orders import OrderState, RolloutOrder
 
 log = logbook.Logger(__name__)
@@ -62,23 +64,50 @@
     events: tuple[StoredEvent, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """An object of the store that is not what the platform describes.
+
+    :param kind: its kind.
+    :param name: its name.
+    :param revision: the store's revision of its last change.
+    :param reason: which of its fields are wrong, and how.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    reason: str
+
+
 class Feed(Generic[Item]):
     """Lists and watches one kind of object.
 
     :param store: the store's client.
     :param kind: the kind.
     :param decode: makes our type of an object.
+    :param drops_unreadable: whether an object that cannot be read any more is as good
+        as gone; else what was known of it holds.
     """
 
     # What it tells always comes from the store itself.
     watching = True
 
     def __init__(
-        self, store: StoreClient, kind: str, decode: Callable[[StoredObject], Item]
+        self,
+        store: StoreClient,
+        kind: str,
+        decode: Callable[[StoredObject], Item],
+        drops_unreadable: bool = False,
     ) -> None:
         self.store = store
         self.kind = kind
         self.decode = decode
+        self.drops_unreadable = drops_unreadable
+        # Objects that cannot be read, with the revision at which that was told.
+        self.unreadable: dict[str, int] = {}
+        # Told of each of them once.
+        self.on_unreadable: Callable[[Unreadable], None] = lambda found: None
         # What is known, as it is stored, to be passed on to peers.
         self.objects: dict[str, StoredObject] = {}
         self.revision = 0
@@ -104,6 +133,9 @@
 
     def _listing(self, found: list[StoredObject], revision: int) -> Listing[Item]:
         self._remember(found, revision)
+        listed = {stored.name for stored in found}
+        for name in [name for name in self.unreadable if name not in listed]:
+            del self.unreadable[name]
         items = {}
         for stored in found:
             item = self._decoded(stored)
@@ -166,8 +198,9 @@
         for event in batch.events:
             self._remember_event(event)
             item = None if event.deleted else self._decoded(event.stored)
-            # An object that cannot be read leaves what was known of it.
-            if item is not None or event.deleted:
+            if event.deleted:
+                self.unreadable.pop(event.stored.name, None)
+            if item is not None or event.deleted or self.drops_unreadable:
                 changes.append(Change(event.stored.name, item))
         if batch.events:
             self._keep(batch)
@@ -224,7 +257,8 @@
             return Changes((), 0)
         before = set(self.objects)
         listing = self.read_export(data)
-        gone = sorted(before - set(self.objects))
+        held = listing.items if self.drops_unreadable else self.objects
+        gone = sorted(before - set(held))
         changes = [Change(name, item) for name, item in listing.items.items()]
         changes.extend(Change(name, None) for name in gone)
         return Changes(tuple(changes), listing.revision)
@@ -237,10 +271,20 @@
 
     def _decoded(self, stored: StoredObject) -> Item | None:
         try:
-            return self.decode(stored)
+            item = self.decode(stored)
         except MessageError as error:
-            log.error("{}/{} is left out: {}", self.kind, stored.name, error)
+            self._tell_unreadable(stored, error.reason)
             return None
+        self.unreadable.pop(stored.name, None)
+        return item
+
+    def _tell_unreadable(self, stored: StoredObject, reason: str) -> None:
+        """Tell once that an object cannot be read as it is now."""
+        if self.unreadable.get(stored.name) == stored.revision:
+            return
+        self.unreadable[stored.name] = stored.revision
+        name = stored.name[:MAX_NAME]
+        self.on_unreadable(Unreadable(self.kind, name, stored.revision, reason))
 
 
 def catalogue_feed(store: StoreClient) -> Feed[Catalogue]:
@@ -262,7 +306,12 @@
 
     :returns: the running endpoints.
     """
-    return Feed(store, KIND_INSTANCES, lambda s: decode_instance(s.name, s.spec))
+    return Feed(
+        store,
+        KIND_INSTANCES,
+        lambda s: decode_instance(s.name, s.spec),
+        drops_unreadable=True,
+    )
 
 
 def order_feed(store: StoreClient) -> Feed[RolloutOrder]:
@@ -309,13 +358,13 @@
             found, _ = await self.store.list(KIND_VMS, stale=True)
         except MissingObjectError:
             return {}
-        return {
-            VmName(stored.name): VmPlace(
-                Address(stored.spec["host"], int(stored.spec["port"])),
-                HallName(stored.spec["hall"]),
-            )
-            for stored in found
-        }
+        places = {}
+        for stored in found:
+            try:
+                places[VmName(stored.name)] = decode_vm(stored.name, stored.spec)
+            except MessageError as error:
+                log.error("{}/{} is left out: {}", KIND_VMS, stored.name, error)
+        return places
 
 
 class StoredOrders:
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -7,7 +7,20 @@
 from collections.abc import Mapping
 from typing import Any
 
-from walnutquay.exceptions import MessageError
+from walnutquay.platform.names import CONFIGURATION_NAME
+from walnutquay.platform.schemas import (
+    CatalogueSpec,
+    EndpointSpec,
+    EndpointState,
+    EngineSpec,
+    LimitsSpec,
+    OrderSpec,
+    OrganisationSpec,
+    RouteSpec,
+    ServiceSpec,
+    VmSpec,
+    read_spec,
+)
 from walnutquay.state.catalogue import (
     CallerLimits,
     Catalogue,
@@ -15,7 +28,6 @@
     EngineModel,
     Route,
     RoutedService,
-    RouteKind,
 )
 from walnutquay.state.ids import (
     EndpointName,
@@ -27,14 +39,15 @@
 )
 from walnutquay.state.instances import Instance
 from walnutquay.state.keys import key_hash
+from walnutquay.state.membership import Address, VmPlace
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.parts import Organisation
 
 MILLISECONDS = 1000.0
-# Where an object leaves a number out.
-DEFAULT_TIMEOUT_MS = 30_000
-DEFAULT_OBJECTIVE_MS = 1_000
+# Where an object leaves the number out.
 DEFAULT_CONNECTIONS = 100
+# Times of day that are later are none: some 30,000 years from now.
+MAX_SECONDS = 1e12
 
 ORDER_STATES = {
     "active": OrderState.RUNNING,
@@ -45,86 +58,79 @@
 STARTED_FIELD = "startedAt"
 ORDER_WORDS = {state: word for word, state in ORDER_STATES.items()}
 
-# A decoded JSON object, as the store holds it.
-Plain = Mapping[str, Any]
-
 
-def decode_catalogue(spec: Plain) -> Catalogue:
+def decode_catalogue(spec: Any) -> Catalogue:
     """:param spec: the content of the configuration object.
 
     :raises MessageError: if it is not what the platform describes.
     """
-    try:
-        limits = spec.get("limits") or {}
-        services = [_service(item) for item in spec.get("services") or ()]
-        organisations = [_organisation(item) for item in spec.get("tenants") or ()]
-        return Catalogue(
-            version=int(spec["version"]),
-            routes=tuple(_route(item) for item in spec.get("routes") or ()),
-            services={service.name: service for service in services},
-            organisations={item.name: item for item in organisations},
-            limits=_limits(limits),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MessageError(
-            f"the configuration cannot be read: {error!r}", step="decode"
-        ) from error
-
-
-def _route(item: Plain) -> Route:
+    read = read_spec(CatalogueSpec, spec, CONFIGURATION_NAME)
+    organisations = [_organisation(item) for item in read.tenants or ()]
+    return Catalogue(
+        version=read.version,
+        routes=tuple(_route(item) for item in read.routes or ()),
+        services={
+            ServiceName(item.name): _service(item) for item in read.services or ()
+        },
+        organisations={item.name: item for item in organisations},
+        limits=_limits(read.limits or LimitsSpec()),
+    )
+
+
+def _route(item: RouteSpec) -> Route:
     # A route names one service, or several with weights.
-    shares = item.get("backends") or [{"service": item["service"], "weight": 1}]
+    shares = [(share.service, share.weight) for share in item.backends or ()]
     return Route(
-        name=RouteName(item["name"]),
-        host=item["host"].lower(),
-        prefix=item["pathPrefix"],
-        kind=RouteKind(item["kind"]),
+        name=RouteName(item.name),
+        host=item.host.lower(),
+        prefix=item.path_prefix,
+        kind=item.kind,
         destinations=tuple(
-            Destination(ServiceName(share["service"]), float(share["weight"]))
-            for share in shares
+            Destination(ServiceName(service), weight)
+            for service, weight in shares or [(item.service or "", 1.0)]
         ),
-        timeout_seconds=item.get("timeoutMs", DEFAULT_TIMEOUT_MS) / MILLISECONDS,
-        objective_seconds=item.get("sloMs", DEFAULT_OBJECTIVE_MS) / MILLISECONDS,
-        pause_seconds=(item.get("gapAimMs") or 0) / MILLISECONDS,
-        priority=int(item.get("priority") or 0),
-        attempts=int(item.get("attempts") or 1),
-        public=bool(item.get("public")),
+        timeout_seconds=item.timeout_ms / MILLISECONDS,
+        objective_seconds=item.slo_ms / MILLISECONDS,
+        pause_seconds=(item.gap_aim_ms or 0) / MILLISECONDS,
+        priority=item.priority or 0,
+        attempts=item.attempts or 1,
+        public=bool(item.public),
         # The platform calls a route sticky whose prompts share beginnings.
-        cached=bool(item.get("sticky")),
-        resumable=bool(item.get("resumable")),
-        models=tuple(ModelName(name) for name in item.get("sizes") or ()),
+        cached=bool(item.sticky),
+        resumable=bool(item.resumable),
+        models=tuple(ModelName(name) for name in item.sizes or ()),
     )
 
 
-def _service(item: Plain) -> RoutedService:
-    engine = item.get("engine") or {}
+def _service(item: ServiceSpec) -> RoutedService:
+    engine = item.engine or EngineSpec()
     return RoutedService(
-        name=ServiceName(item["name"]),
-        connections=int(item.get("maxConns") or DEFAULT_CONNECTIONS),
-        engine=bool(engine),
-        memory_tokens=int(engine.get("kvTokens") or 0),
+        name=ServiceName(item.name),
+        connections=item.max_conns or DEFAULT_CONNECTIONS,
+        engine=item.engine is not None,
+        memory_tokens=engine.kv_tokens or 0,
         models=tuple(
-            EngineModel(ModelName(model["name"]), float(model.get("cost") or 0.0))
-            for model in engine.get("models") or ()
+            EngineModel(ModelName(model.name), model.cost or 0.0)
+            for model in engine.models or ()
         ),
     )
 
 
-def _organisation(item: Plain) -> Organisation:
+def _organisation(item: OrganisationSpec) -> Organisation:
     return Organisation(
-        name=item["name"],
-        keys=tuple(key_hash(key) for key in item.get("apiKeys") or ()),
-        priority=item.get("priority"),
+        name=item.name,
+        keys=tuple(key_hash(key) for key in item.api_keys or ()),
+        priority=item.priority,
     )
 
 
-def _limits(item: Plain) -> CallerLimits:
+def _limits(item: LimitsSpec) -> CallerLimits:
     usual = CallerLimits()
     return CallerLimits(
-        header_bytes=int(item.get("maxHeaderBytes") or usual.header_bytes),
-        body_bytes=int(item.get("maxBodyBytes") or usual.body_bytes),
-        header_seconds=_seconds(item.get("headerTimeoutMs"), usual.header_seconds),
-        idle_seconds=_seconds(item.get("idleTimeoutMs"), usual.idle_seconds),
+        header_bytes=item.max_header_bytes or usual.header_bytes,
+        body_bytes=item.max_body_bytes or usual.body_bytes,
+        header_seconds=_seconds(item.header_timeout_ms, usual.header_seconds),
+        idle_seconds=_seconds(item.idle_timeout_ms, usual.idle_seconds),
     )
 
 
@@ -132,58 +138,67 @@
     return milliseconds / MILLISECONDS if milliseconds else usual
 
 
-def decode_instance(name: str, spec: Plain) -> Instance:
+def decode_instance(name: str, spec: Any) -> Instance:
     """:param name: the object's name.
 
     :param spec: its content.
     :raises MessageError: if it is not what the platform describes.
     """
-    try:
-        return Instance(
-            name=EndpointName(name),
-            service=ServiceName(spec["service"]),
-            address=f"http://{spec['address']}",
-            hall=HallName(spec.get("zone") or ""),
-            version=VersionName(str(spec.get("version") or "")),
-            slots=max(1, int(spec.get("slots") or 1)),
-            leaving=spec.get("state") == "draining",
-            cold_seconds=(spec.get("coldLeftMs") or 0) / MILLISECONDS,
-            born=spec.get("born"),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise MessageError(
-            f"the endpoint's entry cannot be read: {error!r}", step="decode", peer=name
-        ) from error
-
-
-def decode_order(name: str, revision: int, spec: Plain, status: Any) -> RolloutOrder:
+    read = read_spec(EndpointSpec, spec, name)
+    return Instance(
+        name=EndpointName(name),
+        service=ServiceName(read.service),
+        address=f"http://{read.address}",
+        hall=HallName(read.zone),
+        version=VersionName(read.version),
+        slots=read.slots,
+        leaving=read.state is EndpointState.LEAVING,
+        cold_seconds=read.cold_left_ms / MILLISECONDS,
+        born=read.born,
+    )
+
+
+def decode_order(name: str, revision: int, spec: Any, status: Any) -> RolloutOrder:
     """:param name: the object's name.
 
     :param revision: the object's revision.
     :param spec: the operator's order.
-    :param status: what entry VMs have written about it, if anything.
-    :raises MessageError: if it is not what the platform describes.
+    :param status: what entry VMs have written about it, if anything; what cannot be
+        read of it says nothing.
+    :raises MessageError: if the order is not what the platform describes.
+    """
+    read = read_spec(OrderSpec, spec, name)
+    told = status if isinstance(status, Mapping) else {}
+    # The status of an earlier order says nothing about this one.
+    same = told.get("toVersion", read.to_version) == read.to_version
+    word = told.get("state") if same else None
+    started = told.get(STARTED_FIELD) if same else None
+    return RolloutOrder(
+        name=name,
+        revision=revision,
+        service=ServiceName(read.service),
+        version=VersionName(read.to_version),
+        seconds=read.duration_s,
+        state=ORDER_STATES.get(str(word), OrderState.NEW),
+        started=_time(started),
+    )
+
+
+def _time(value: Any) -> float | None:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value < MAX_SECONDS:
+        return None
+    return float(value)
+
+
+def decode_vm(name: str, spec: Any) -> VmPlace:
+    """:param name: the object's name.
+
+    :param spec: its content.
+    :raises MessageError: if it is not what entry VMs write.
     """
-    try:
-        version = str(spec["toVersion"])
-        told = status if isinstance(status, Mapping) else {}
-        # The status of an earlier order says nothing about this one.
-        same = told.get("toVersion", version) == version
-        word = told.get("state") if same else None
-        started = told.get(STARTED_FIELD) if same else None
-        return RolloutOrder(
-            name=name,
-            revision=revision,
-            service=ServiceName(spec["service"]),
-            version=VersionName(version),
-            seconds=float(spec["durationS"]),
-            state=ORDER_STATES.get(str(word), OrderState.NEW),
-            started=None if started is None else float(started),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise MessageError(
-            f"the roll-out order cannot be read: {error!r}", step="decode", peer=name
-        ) from error
+    read = read_spec(VmSpec, spec, name)
+    return VmPlace(Address(read.host, read.port), HallName(read.hall))
 
 
 def encode_order_status(order: RolloutOrder, state: OrderState) -> dict[str, Any]:
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -10,6 +10,7 @@
 from urllib.parse import quote
 
 import aiohttp
+import logbook
 import orjson
 
 from walnutquay.exceptions import (
@@ -21,9 +22,12 @@
     PlatformUnavailableError,
     PlatformUnclearError,
 )
+from walnutquay.platform.lenient import is_plain, read_json
 from walnutquay.platform.names import OBJECTS_PATH
 from walnutquay.transport.sockets import limited_socket
 
+log = logbook.Logger(__name__)
+
 MILLISECONDS = 1000.0
 # The store answers in some 4 ms; one that has not by now is away, or the way is.
 CALL_SECONDS = 0.8
@@ -112,13 +116,14 @@
             if stale:
                 query["allowStale"] = "1"
             body = await self._call("GET", kind, query=query)
-            found.extend(_stored(item) for item in body["items"])
+            page = [stored for item in body["items"] if (stored := _readable(item))]
+            found.extend(page)
             if revision is None:
                 revision = int(body["asOf"])
-            if not body["truncated"]:
+            if not body["truncated"] or not page:
                 return found, revision
             # Pages go on behind a name, whatever the parameter is called.
-            after = found[-1].name
+            after = page[-1].name
 
     async def watch(
         self, kind: str, revision: int, seconds: float
@@ -135,8 +140,9 @@
         limit = seconds + WATCH_SLACK_SECONDS
         body = await self._call("GET", kind, query=query, limit=limit)
         events = [
-            StoredEvent(_stored(event["object"]), bool(event.get("deleted")))
+            StoredEvent(stored, bool(event.get("deleted")))
             for event in body["events"]
+            if (stored := _readable(event["object"]))
         ]
         return events, int(body["asOf"])
 
@@ -252,8 +258,8 @@
 
 def _decoded(content: bytes, step: str, place: str) -> Any:
     try:
-        return orjson.loads(content) if content else None
-    except orjson.JSONDecodeError as error:
+        return read_json(content) if content else None
+    except ValueError as error:
         raise PlatformUnclearError(
             f"the store's answer cannot be read: {error}", step=step, peer=place
         ) from error
@@ -285,10 +291,29 @@
     )
 
 
+def _readable(plain: Any) -> StoredObject | None:
+    """Read one of several objects; one without a name of its own is left out.
+
+    What it holds may be of foreign bytes, which other VMs could not be told: nothing
+    stands for that.
+    """
+    try:
+        stored = _stored(plain)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        log.error("an object of the store has no name: {!r}", error)
+        return None
+    if is_plain(plain):
+        return stored
+    return StoredObject(stored.name, stored.revision, None)
+
+
 def _stored(plain: Mapping[str, Any]) -> StoredObject:
     metadata = plain["metadata"]
+    name = metadata["name"]
+    if not isinstance(name, str):
+        raise TypeError("a name is a text")
     return StoredObject(
-        name=metadata["name"],
+        name=name,
         revision=int(metadata.get("revision") or 0),
         spec=plain.get("spec"),
         status=plain.get("status"),
--- a/walnutquay/platform/values.py
+++ b/walnutquay/platform/values.py
@@ -19,6 +19,7 @@
     HistoryGoneError,
     MissingObjectError,
     PlatformConflictError,
+    PlatformError,
 )
 from walnutquay.platform.names import OWN_KIND_PREFIX
 from walnutquay.platform.store import StoreClient, StoredObject
@@ -82,8 +83,14 @@
     """:param content: what :func:`encode_value` made.
 
     :returns: the JSON in one form, whatever the order of its keys in the store.
+    :raises PlatformError: if another program has written it.
     """
-    return orjson.dumps(content[VALUE_FIELD], option=orjson.OPT_SORT_KEYS)
+    try:
+        return orjson.dumps(content[VALUE_FIELD], option=orjson.OPT_SORT_KEYS)
+    except (KeyError, TypeError) as error:
+        raise PlatformError(
+            f"no value is stored there: {error!r}", step="decode"
+        ) from (error)
 
 
 class ValueStore:
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -50,6 +50,7 @@
     SHARES = "shares"
     CALLER_GONE = "caller-gone"
     BROKEN = "broken"
+    UNREADABLE = "unreadable"
     PLATFORM_DOWN = "platform-down"
     PLATFORM_UP = "platform-up"
     LEASE = "lease"
