A VM that was suspended ends what is past its deadline and confirms what it knows

Cause: timers stand still while a machine is suspended, and the time that all beliefs are told by goes on. A call whose deadline had passed waited on for what was left of it, 100 s in the test; the first requests after waking went out by configuration, keys and endpoints from before. Change: the timer service tells of waking (also looked at before each request); limits of calls are set anew; what is known is confirmed first, for 0.4 s at the most.

--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -473,6 +473,34 @@
         "return False",
         "tests.test_crashes.MendedTest",
     ),
+    Mutation(
+        "suspended: what was under way ends at its deadline",
+        "coordination/paths.py",
+        "limit.reschedule(loop.time() + max(0.0, left))",
+        "pass",
+        "tests.test_suspended.RequestTest",
+    ),
+    Mutation(
+        "suspended: what is known is confirmed before the next request",
+        "daemon/gatewayapi.py",
+        "await self.knowledge.settled()",
+        "pass",
+        "tests.test_suspended.KnowledgeTest",
+    ),
+    Mutation(
+        "an endpoint's next start has nothing of the one before",
+        "coordination/knowledge.py",
+        'self._tell_gone(instance.name, "it has started again")',
+        "pass",
+        "tests.test_restarts.ForgettingTest",
+    ),
+    Mutation(
+        "an entry that cannot be read any more names nothing",
+        "platform/feeds.py",
+        "if item is not None or event.deleted or self.drops_unreadable:",
+        "if item is not None or event.deleted:",
+        "tests.test_unreadable.FleetTest.test_an_entry_that_could_be_read_before",
+    ),
 ]
 
 
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/knowledge.py
@@ -37,6 +37,7 @@
 # return; they may be used for so long, and no longer than two.
 OVERDUE_SECONDS = 1.9
 OVERDUE_CHECK_SECONDS = 0.1
+MILLISECONDS = 1000.0
 # A request that would be denied waits so long for the store to confirm that.
 CONFIRM_SECONDS = 0.4
 # How often it is looked whether enough is known, right after a start.
@@ -270,6 +271,10 @@
             WATCH_GAP_SECONDS,
         )
         self.tasks = Tasks()
+        # When this VM last woke after it was away, and the look at the store that was
+        # begun then.
+        self.woke_at = float("-inf")
+        self.settling: asyncio.Task | None = None
         # When the store last returned after a time of silence; monotonic seconds.
         self.returned_at = float("-inf")
         # What else must be so before callers are served.
@@ -279,12 +284,42 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        for follower in self.followers():
-            self.tasks.forever(follower.feed.kind, follower.run)
+        self.follow()
+        self.context.timers.on_wake(self._woke)
         self.context.timers.every(
             "overdue endpoints", OVERDUE_CHECK_SECONDS, self.instances.drop_overdue
         )
 
+    def follow(self) -> None:
+        """Hear of changes from now on."""
+        for follower in self.followers():
+            self.tasks.forever(follower.feed.kind, follower.run)
+
+    def _woke(self, seconds: float) -> None:
+        """Have all that is known confirmed: it is as old as this VM was away.
+
+        :param seconds: for how long.
+        """
+        self.woke_at = monotonic()
+        self.context.timeline.emit(
+            EventKind.WOKE,
+            detail="what is known is confirmed before it is used",
+            slept_ms=round(seconds * MILLISECONDS),
+        )
+        self.settling = self.tasks.spawn(self._confirm_all())
+
+    async def _confirm_all(self) -> None:
+        await asyncio.gather(*(self._confirm(each) for each in self.followers()))
+
+    async def settled(self) -> None:
+        """Wait until what is known is not from before this VM was away.
+
+        Not for long, though: where the store is away too, what is known is used.
+        """
+        self.context.timers.look()
+        if self.settling is not None and not self.settling.done():
+            await asyncio.wait([self.settling], timeout=CONFIRM_SECONDS)
+
     def _store_returned(self) -> None:
         """Have the kinds with long waits asked anew."""
         self._entries_return()
@@ -355,22 +390,20 @@
         if self.catalogue_follower.age() < FRESH_SECONDS:
             return
         if self.confirming is None or self.confirming.done():
-            self.confirming = self.tasks.spawn(self._confirm())
+            self.confirming = self.tasks.spawn(self._confirm(self.catalogue_follower))
         await asyncio.wait([self.confirming], timeout=CONFIRM_SECONDS)
 
-    async def _confirm(self) -> None:
+    async def _confirm(self, follower: Follower) -> None:
         try:
-            await self.catalogue_follower.refresh()
-        except HistoryGoneError:
-            await self._confirm_by_list()
+            await self._refresh(follower)
         except PlatformError as error:
-            log.warn("the configuration could not be confirmed: {}", error)
+            log.warn("{} could not be confirmed: {}", follower.feed.kind, error)
 
-    async def _confirm_by_list(self) -> None:
+    async def _refresh(self, follower: Follower) -> None:
         try:
-            await self.catalogue_follower.relist()
-        except PlatformError as error:
-            log.warn("the configuration could not be confirmed: {}", error)
+            await follower.refresh()
+        except HistoryGoneError:
+            await follower.relist()
 
 
 def _nothing() -> None:
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/parts.py
@@ -200,6 +200,8 @@
         self.billing.start()
         self.tallies.start()
         self.crashes.start()
+        for path in (self.chats, self.services):
+            self.context.timers.on_wake(path.woke)
         self.crash_record.start(_always)
         self.rollouts.start()
 
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/paths.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 
 from expression import Error, Result
@@ -58,6 +59,8 @@
         self.in_flight = 0
         # The same, one by one: operators ask whose work waits.
         self.under_way: dict[RequestId, Arrival] = {}
+        # The limits of those that an endpoint has, which are set when this VM wakes.
+        self.limits: dict[RequestId, asyncio.Timeout] = {}
         # Set when the VM is stopping and takes no new requests.
         self.closed = False
 
@@ -318,12 +321,40 @@
         self, turn: Turn, running: Dispatched, grant: Grant
     ) -> Outcome | Received | Continuing:
         try:
-            return await self.exchange(turn, running, grant)
+            return await self._limited(turn, running, grant)
         except NotStartedError as error:
             return self._not_started(turn, running, grant, error)
         except EndpointError as error:
             return await self._failed(turn, running, grant, error)
 
+    async def _limited(
+        self, turn: Turn, running: Dispatched, grant: Grant
+    ) -> Outcome | Received | Continuing:
+        """Talk to an endpoint until the deadline, also where this VM is suspended."""
+        request = turn.arrival.request
+        try:
+            async with asyncio.timeout(None) as limit:
+                self.limits[request] = limit
+                return await self.exchange(turn, running, grant)
+        except TimeoutError as error:
+            if not limit.expired():
+                raise
+            reason = "its time passed while this VM was away"
+            raise EndpointError(reason, step="exchange", peer=grant.name) from error
+        finally:
+            self.limits.pop(request, None)
+
+    def woke(self, away: float) -> None:
+        """Set the limits of what is under way anew: timers do not count a suspension.
+
+        :param away: seconds for which this VM was away.
+        """
+        now = monotonic()
+        loop = asyncio.get_running_loop()
+        for request, limit in list(self.limits.items()):
+            left = self.under_way[request].deadline - now
+            limit.reschedule(loop.time() + max(0.0, left))
+
     def _not_started(
         self, turn: Turn, running: Dispatched, grant: Grant, error: NotStartedError
     ) -> Received | Continuing:
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -334,6 +334,7 @@
         self.knowledge.start()
         self.versions.start()
         self.path.cascading.start()
+        self.context.timers.on_wake(self.path.woke)
         self.path.parts.crashes.start()
         self.crash_record.start(self._reads_crashes)
         await self.api.ready_server.start(self.listener(options.ready.address))
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/events.py
@@ -58,6 +58,7 @@
     REQUEST_FREED = "request-freed"
     ORDERED = "ordered"
     STARTED = "started"
+    WOKE = "woke"
     RELOADED = "reloaded"
     RELAYED = "relayed"
     STOPPING = "stopping"
--- a/walnutquay/transport/timers.py
+++ b/walnutquay/transport/timers.py
@@ -13,6 +13,10 @@
 log = logbook.Logger(__name__)
 
 MICROSECONDS = 1_000_000
+# How often it is looked whether the machine was away, and how late a look must be for
+# that: a process that is only short of its processor looks some 0.1 s late.
+LOOK_SECONDS = 0.1
+WAKE_SECONDS = 1.0
 Callback = Callable[[], Awaitable[None] | None]
 
 
@@ -58,11 +62,40 @@
 class TimerService:
     """Calls its subscribers at their periods, on the running loop.
 
-    The first call comes one period after the subscription.
+    The first call comes one period after the subscription.  Periods do not count the
+    time for which the machine is suspended or the process stopped; parts that must
+    know of it subscribe to waking.
     """
 
     def __init__(self) -> None:
         self.subscriptions: list[Subscription] = []
+        # Told of the seconds for which the machine was away.
+        self.wakers: list[Callable[[float], None]] = []
+        # When it was last looked; monotonic seconds.
+        self.looked_at = float("inf")
+
+    def on_wake(self, callback: Callable[[float], None]) -> None:
+        """Subscribe to waking.
+
+        :param callback: told for how many seconds the machine was away.
+        """
+        if not self.wakers:
+            self.looked_at = monotonic()
+            self.every("wake", LOOK_SECONDS, self.look)
+        self.wakers.append(callback)
+
+    def look(self) -> None:
+        """Look whether the machine was away, and tell whoever must know.
+
+        Whoever acts on what may be old calls it first: the timer itself may be late.
+        """
+        now = monotonic()
+        away = now - self.looked_at - LOOK_SECONDS
+        self.looked_at = now
+        if away < WAKE_SECONDS:
+            return
+        for waker in self.wakers:
+            waker(away)
 
     def every(self, name: str, period: float, callback: Callback) -> Subscription:
         """Subscribe to a periodic call.
