--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -12,12 +12,12 @@
 from typing import Any
 
 from lab.slopes import HEARTBEAT, OUTPUT
-from walnutquay.coordination.billing import DEAD_SECONDS, FLEET_FLUSHES
-from walnutquay.coordination.configurations import WATCHERS
-from walnutquay.coordination.endpoints import MAX_REPORTERS, REPORT_PERIOD
-from walnutquay.coordination.members import FLEET_LIST_READS
-from walnutquay.coordination.platform import WATCH_SECONDS
-from walnutquay.coordination.tallies import LARGE_ROUNDS, TALLY_SECONDS
+from walnutquay.coordination.own.billing import DEAD_SECONDS, FLEET_FLUSHES
+from walnutquay.coordination.own.configurations import WATCHERS
+from walnutquay.coordination.own.endpoints import MAX_REPORTERS, REPORT_PERIOD
+from walnutquay.coordination.own.members import FLEET_LIST_READS
+from walnutquay.coordination.own.platform import WATCH_SECONDS
+from walnutquay.coordination.own.tallies import LARGE_ROUNDS, TALLY_SECONDS
 from walnutquay.state.bills import BillRecord
 from walnutquay.state.clock import Stamp
 from walnutquay.state.endpoints import SUBSET
@@ -135,7 +135,7 @@
         return [
             Row(
                 "request path (not control)",
-                "`coordination/chats.py`: plan, place, dispatch, bill",
+                "`coordination/own/chats.py`: plan, place, dispatch, bill",
                 "requests in flight",
                 f"{per_node:.0f} requests/s a node",
                 request * per_node,
@@ -144,7 +144,7 @@
             ),
             Row(
                 "streamed tokens (not control)",
-                "`coordination/engines.py`, event by event",
+                "`coordination/own/engines.py`, event by event",
                 "streams in flight",
                 f"{tokens:.0f} tokens/s a node",
                 event * tokens,
@@ -183,7 +183,7 @@
             ),
             Row(
                 "outcomes of versions",
-                "`coordination/tallies.py`: each VM's counts, passed on",
+                "`coordination/own/tallies.py`: each VM's counts, passed on",
                 "20,000 counts at the most",
                 f"{told:.0f} message/s out, as many in, of {ROWS_SENT} counts; "
                 f"{self.told_bytes() / 1000:.1f} KB/s in all",
--- a/lab/claimways.py
+++ b/lab/claimways.py
@@ -19,8 +19,8 @@
 from statistics import quantiles
 
 from standins.fleet import FLEET_KEY, HOST, Fleet
-from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.platform import Platform
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.exceptions import PeerError, PlatformError
 from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import AskRun, Envelope, RunIs
--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -2,7 +2,7 @@
 
 """A fleet in simulated time, with requests that end the engines that run them.
 
-The VMs' own code finds them (:class:`~walnutquay.coordination.crashes.CrashWatch`);
+The VMs' own code finds them (``coordination/requests/crashes.py``);
 what is simulated is time, the network, callers, and engines that run and crash.
 """
 
@@ -16,10 +16,10 @@
 from unittest import mock
 
 from lab.virtualtime import VirtualLoop, run_virtually
-from walnutquay.coordination import crashes
-from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.crashes import CrashWatch
-from walnutquay.coordination.outcomes import FINGERPRINT_DIGITS
+from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.requests import crashes
+from walnutquay.coordination.requests.crashes import CrashWatch
+from walnutquay.coordination.requests.outcomes import FINGERPRINT_DIGITS
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.peer import PeerCodec
--- a/lab/fakepeers.py
+++ b/lab/fakepeers.py
@@ -15,7 +15,7 @@
 import sys
 
 from standins.fleet import FLEET_KEY, HOST
-from walnutquay.coordination.tallies import LARGE_ROUNDS, TALLY_SECONDS
+from walnutquay.coordination.own.tallies import LARGE_ROUNDS, TALLY_SECONDS
 from walnutquay.protocol import messages as m
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.state.clock import HybridClock
--- a/lab/trialablation.py
+++ b/lab/trialablation.py
@@ -13,9 +13,10 @@
 from unittest import mock
 
 from lab.trialfleet import simulate
-from walnutquay.coordination import trialtask, versions
-from walnutquay.coordination.trialnews import TrialExchange
-from walnutquay.coordination.trialtask import TrialTask
+from walnutquay.coordination.trials import task as trialtask
+from walnutquay.coordination.trials import versions
+from walnutquay.coordination.trials.news import TrialExchange
+from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.state.trialreports import TrialReport
 from walnutquay.state.trials import Trial
 
--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -22,14 +22,12 @@
 
 from lab.trialports import SimulatedOrders, SimulatedPeers, hall_of
 from lab.trialrecords import Findings, Served, Vm
-from walnutquay.coordination import (
-    orderanswers,
-    sessionkeeping,
-    trialnews,
-    versions,
-)
-from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.versions import VersionTrials
+from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.trials import answers as orderanswers
+from walnutquay.coordination.trials import news as trialnews
+from walnutquay.coordination.trials import sessions as sessionkeeping
+from walnutquay.coordination.trials import versions
+from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import Envelope, Failure, Message, SessionsSeen
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import PromisesSection
--- a/lab/trialports.py
+++ b/lab/trialports.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from walnutquay.coordination.fleetpeers import RELAY_DUTY, RELAYS
+from walnutquay.coordination.fleet.peers import RELAY_DUTY, RELAYS
 from walnutquay.protocol.messages import Message
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import rendezvous
--- a/lab/trialrecords.py
+++ b/lab/trialrecords.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from types import SimpleNamespace
 
-from walnutquay.coordination.versions import VersionTrials
+from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.state.ids import HallName, VersionName, VmName
 from walnutquay.state.instances import InstanceBook
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -51,6 +51,7 @@
     :param pause: seconds between two events.
     :param crash_after: whole events after which the endpoint itself ends, with all
         its connections; None where it goes on.
+    :param gate: waited for after the first event, if there is one.
     """
 
     status: int = 200
@@ -67,6 +68,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     pause: float = 0.0
     crash_after: int | None = None
+    gate: asyncio.Event | None = None
 
 
 class WorkerStandIn:
@@ -242,6 +244,8 @@
                 return False
             writer.write(_chunk(event))
             await writer.drain()
+            if behaviour.gate is not None:
+                await behaviour.gate.wait()
             await asyncio.wait([left], timeout=behaviour.pause or None) if (
                 behaviour.pause
             ) else await asyncio.sleep(0)
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -9,7 +9,7 @@
 
 from tests.interleavings import Scheduler, explore
 from tests.worlds import World
-from walnutquay.coordination.billing import Billing
+from walnutquay.coordination.own.billing import Billing
 from walnutquay.protocol.messages import BillCopy, Envelope
 from walnutquay.state.bills import (
     BillLog,
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -7,8 +7,8 @@
 import unittest
 from unittest import mock
 
-from walnutquay.coordination import budgets
-from walnutquay.coordination.budgets import FIRST_RETRIES, RetryBudgets
+from walnutquay.coordination.routed import budgets
+from walnutquay.coordination.routed.budgets import FIRST_RETRIES, RetryBudgets
 from walnutquay.state.ids import ServiceName
 
 SERVICE = ServiceName("s")
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,8 +9,8 @@
 
 from tests.interleavings import Scheduler, explore
 from tests.worlds import World
-from walnutquay.coordination import claims as claims_module
-from walnutquay.coordination.claims import Claims
+from walnutquay.coordination.own import claims as claims_module
+from walnutquay.coordination.own.claims import Claims
 from walnutquay.state.claims import (
     Claim,
     RepeatAction,
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -13,9 +13,9 @@
 from tests.fleetcase import FleetCase
 from tests.interleavings import Scheduler, explore
 from tests.worlds import World
-from walnutquay.coordination import acceptance, partstore
-from walnutquay.coordination.acceptance import Acceptance, Accepted
-from walnutquay.coordination.configurations import HEAD, Configurations
+from walnutquay.coordination.own import acceptance, partstore
+from walnutquay.coordination.own.acceptance import Acceptance, Accepted
+from walnutquay.coordination.own.configurations import HEAD, Configurations
 from walnutquay.exceptions import ConflictError, PlatformError, PlatformUnclearError
 from walnutquay.state.checking import parse_content
 from walnutquay.state.configuration import (
--- a/tests/test_fleetpeers.py
+++ b/tests/test_fleetpeers.py
@@ -8,7 +8,7 @@
 import unittest
 from types import SimpleNamespace
 
-from walnutquay.coordination.fleetpeers import (
+from walnutquay.coordination.fleet.peers import (
     RELAYS,
     TOLD,
     TOLD_FAR,
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -12,8 +12,8 @@
 from tests.fleetcase import QUALITY, FleetCase
 from tests.interleavings import Scheduler, explore
 from tests.worlds import World
-from walnutquay.coordination import leases as leases_module
-from walnutquay.coordination.leases import Lease
+from walnutquay.coordination.own import leases as leases_module
+from walnutquay.coordination.own.leases import Lease
 from walnutquay.state.ids import Incarnation, VmName
 from walnutquay.state.leases import LeaseValue, LeaseView
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -7,7 +7,7 @@
 import os
 import unittest
 
-from walnutquay.coordination.eventlog import (
+from walnutquay.coordination.process.eventlog import (
     BURST_SECONDS,
     LINES_PER_SECOND,
     EventLog,
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -11,7 +11,7 @@
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase
 from tests.test_knowledge import instance
-from walnutquay.coordination.places import Grant
+from walnutquay.coordination.requests.places import Grant
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import EndpointName, ServiceName, WorkKind
 from walnutquay.state.instances import InstanceBook
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -8,11 +8,11 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from walnutquay.coordination import trialnews
-from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.trialnews import LAST_CALL_SECONDS, TrialExchange
-from walnutquay.coordination.trialtask import DECIDED_TELLS, TrialTask
-from walnutquay.coordination.versions import VersionTrials
+from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.trials import news as trialnews
+from walnutquay.coordination.trials.news import LAST_CALL_SECONDS, TrialExchange
+from walnutquay.coordination.trials.task import DECIDED_TELLS, TrialTask
+from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import (
     AskTrial,
     Envelope,
--- a/tests/test_values.py
+++ b/tests/test_values.py
@@ -8,8 +8,8 @@
 import unittest
 
 from standins.store import StoreStandIn
-from walnutquay.coordination.context import Context, Timeline
-from walnutquay.coordination.platform import Platform
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.process.context import Context, Timeline
 from walnutquay.exceptions import (
     PlatformConflictError,
     PlatformError,
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -7,8 +7,8 @@
 import unittest
 from types import SimpleNamespace
 
-from walnutquay.coordination.trialtask import TrialTask
-from walnutquay.coordination.versions import VersionTrials
+from walnutquay.coordination.trials.task import TrialTask
+from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import Message
 from walnutquay.settings import PromisesSection
 from walnutquay.state.ids import EndpointName, HallName, ServiceName, VersionName
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -10,11 +10,11 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from walnutquay.coordination import vmlist
-from walnutquay.coordination.fleetpeers import RELAYS, FleetPeers
-from walnutquay.coordination.relaying import Watchers
-from walnutquay.coordination.starting import StartingKnowledge
-from walnutquay.coordination.vmlist import VmList
+from walnutquay.coordination.fleet import vmlist
+from walnutquay.coordination.fleet.peers import RELAYS, FleetPeers
+from walnutquay.coordination.fleet.starting import StartingKnowledge
+from walnutquay.coordination.fleet.vmlist import VmList
+from walnutquay.coordination.fleet.watchers import Watchers
 from walnutquay.exceptions import PeerError, PlatformUnavailableError
 from walnutquay.protocol.messages import AskStart, Envelope, KnownList, VmNews, VmRow
 from walnutquay.state.clock import Stamp
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -14,8 +14,8 @@
 from types import SimpleNamespace
 
 from tests.interleavings import CrashedError, Scheduler
-from walnutquay.coordination.context import Context, Timeline
-from walnutquay.coordination.dispatcher import Dispatcher
+from walnutquay.coordination.process.context import Context, Timeline
+from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import (
     PeerError,
     PlatformConflictError,
--- a/walnutquay/coordination/fleetpeers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -10,7 +10,7 @@
 import logbook
 import xxhash
 
-from walnutquay.coordination.context import Context
+from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.lists import pack_places
 from walnutquay.protocol.messages import Message
--- a/walnutquay/coordination/starting.py
+++ b/walnutquay/coordination/fleet/starting.py
@@ -11,8 +11,8 @@
 import asyncio
 from collections.abc import Callable
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.fleetpeers import FleetPeers
+from walnutquay.coordination.fleet.peers import FleetPeers
+from walnutquay.coordination.process.context import Context
 from walnutquay.protocol.messages import AskStart, Envelope, KnownList, StartIs
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -17,11 +17,11 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.fleetpeers import FleetPeers
-from walnutquay.coordination.relaying import Watchers
-from walnutquay.coordination.starting import StartingKnowledge
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.fleet.peers import FleetPeers
+from walnutquay.coordination.fleet.starting import StartingKnowledge
+from walnutquay.coordination.fleet.watchers import Watchers
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.exceptions import MessageError, PlatformError
 from walnutquay.protocol.lists import unpack_places
 from walnutquay.protocol.messages import AskVms, Envelope, VmNews, VmRow, VmsAre
--- a/walnutquay/coordination/acceptance.py
+++ b/walnutquay/coordination/own/acceptance.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from walnutquay.coordination.configurations import HEAD, Configurations
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.platform import Platform
+from walnutquay.coordination.own.configurations import HEAD, Configurations
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import (
     ConflictError,
     PlatformConflictError,
--- a/walnutquay/coordination/admission.py
+++ b/walnutquay/coordination/own/admission.py
@@ -10,9 +10,9 @@
 
 from expression import Error, Ok, Result
 
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.places import Grant, Need
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.places import Grant, Need
 from walnutquay.state.admission import PoolQueue, Waiting
 from walnutquay.state.configuration import Configuration
 from walnutquay.state.endpoints import FULL_SECONDS, EndpointTable, subset
--- a/walnutquay/coordination/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -11,11 +11,11 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.members import Members
-from walnutquay.coordination.platform import Platform
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
+from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.exceptions import (
     PeerError,
     PlatformConflictError,
--- a/walnutquay/coordination/chats.py
+++ b/walnutquay/coordination/own/chats.py
@@ -8,24 +8,24 @@
 
 import orjson
 
-from walnutquay.coordination.engines import (
+from walnutquay.coordination.own.engines import (
     EngineAnswer,
     EngineCall,
     EngineRefusalError,
     Engines,
 )
-from walnutquay.coordination.keyed import KeyedParts, KeyedPath
-from walnutquay.coordination.outcomes import (
+from walnutquay.coordination.own.keyed import KeyedParts, KeyedPath
+from walnutquay.coordination.own.planning import ChatPlanner
+from walnutquay.coordination.own.quality import AnswerQuality
+from walnutquay.coordination.own.turns import ChatTurn, PassedStream
+from walnutquay.coordination.requests.outcomes import (
     ChatArrival,
     Outcome,
     Reply,
     Streamed,
     Whole,
 )
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.planning import ChatPlanner
-from walnutquay.coordination.quality import AnswerQuality
-from walnutquay.coordination.turns import ChatTurn, PassedStream
+from walnutquay.coordination.requests.places import Grant
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol import chat
 from walnutquay.state.claims import RunState, WholeAnswer
--- a/walnutquay/coordination/endpoints.py
+++ b/walnutquay/coordination/own/endpoints.py
@@ -10,10 +10,10 @@
 import aiohttp
 import logbook
 
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.members import ListedEndpoint, Members
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.own.members import ListedEndpoint, Members
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.messages import EndpointLeaving, Envelope
 from walnutquay.state.configuration import Configuration
--- a/walnutquay/coordination/health.py
+++ b/walnutquay/coordination/own/health.py
@@ -4,11 +4,11 @@
 
 from __future__ import annotations
 
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.members import Members
-from walnutquay.coordination.tallies import Tallies
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.own.tallies import Tallies
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.protocol.messages import Envelope, VersionBrake
 from walnutquay.state.brakes import BrakeTable, Measure, Stage
 from walnutquay.state.configuration import Configuration
--- a/walnutquay/coordination/keyed.py
+++ b/walnutquay/coordination/own/keyed.py
@@ -6,16 +6,16 @@
 
 from dataclasses import dataclass
 
-from walnutquay.coordination.billing import Billing
-from walnutquay.coordination.claims import ClaimResult, Claims
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.health import VersionHealth
-from walnutquay.coordination.outcomes import Arrival, Outcome, Unknown, Whole
-from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.paths import STOPPING_RETRY, RequestPath
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.tasks import Tasks
-from walnutquay.coordination.turn import Turn
+from walnutquay.coordination.own.billing import Billing
+from walnutquay.coordination.own.claims import ClaimResult, Claims
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.own.health import VersionHealth
+from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.requests.outcomes import Arrival, Outcome, Unknown, Whole
+from walnutquay.coordination.requests.pathparts import PathParts
+from walnutquay.coordination.requests.paths import STOPPING_RETRY, RequestPath
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import NotStartedError
 from walnutquay.state.claims import RepeatAction, RunState
 from walnutquay.state.fingerprints import fingerprint
--- a/walnutquay/coordination/leases.py
+++ b/walnutquay/coordination/own/leases.py
@@ -8,9 +8,9 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.members import Members
-from walnutquay.coordination.platform import Platform
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import PlatformError
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import Incarnation, VmName
--- a/walnutquay/coordination/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -10,8 +10,8 @@
 import aiohttp
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import EndpointError, PeerError
 from walnutquay.protocol.messages import Envelope, Heartbeat, Message
 from walnutquay.state.events import EventKind
--- a/walnutquay/coordination/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -6,32 +6,32 @@
 
 import asyncio
 
-from walnutquay.coordination.acceptance import Acceptance
-from walnutquay.coordination.admission import Admission
-from walnutquay.coordination.billing import Billing
-from walnutquay.coordination.chats import ChatPath
-from walnutquay.coordination.claims import Claims
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.crashes import CrashWatch
-from walnutquay.coordination.crashrecord import CrashRecord
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.endpoints import EndpointNews
-from walnutquay.coordination.engines import Engines
-from walnutquay.coordination.eventlog import EventLog
-from walnutquay.coordination.health import VersionHealth
-from walnutquay.coordination.keyed import KeyedParts
-from walnutquay.coordination.leases import Lease
-from walnutquay.coordination.members import Members
-from walnutquay.coordination.pins import SessionPins
-from walnutquay.coordination.planning import ChatPlanner
-from walnutquay.coordination.platform import Platform
-from walnutquay.coordination.quality import AnswerQuality
-from walnutquay.coordination.rater import Rater
-from walnutquay.coordination.recorder import TraceRecorder
-from walnutquay.coordination.rollouts import DUTY, ORDER_SECONDS, RolloutDuty
-from walnutquay.coordination.services import ServicePath
-from walnutquay.coordination.tallies import Tallies
+from walnutquay.coordination.own.acceptance import Acceptance
+from walnutquay.coordination.own.admission import Admission
+from walnutquay.coordination.own.billing import Billing
+from walnutquay.coordination.own.chats import ChatPath
+from walnutquay.coordination.own.claims import Claims
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.own.endpoints import EndpointNews
+from walnutquay.coordination.own.engines import Engines
+from walnutquay.coordination.own.health import VersionHealth
+from walnutquay.coordination.own.keyed import KeyedParts
+from walnutquay.coordination.own.leases import Lease
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.own.pins import SessionPins
+from walnutquay.coordination.own.planning import ChatPlanner
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.own.quality import AnswerQuality
+from walnutquay.coordination.own.rater import Rater
+from walnutquay.coordination.own.rollouts import DUTY, ORDER_SECONDS, RolloutDuty
+from walnutquay.coordination.own.services import ServicePath
+from walnutquay.coordination.own.tallies import Tallies
+from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.process.dispatcher import Dispatcher
+from walnutquay.coordination.process.eventlog import EventLog
+from walnutquay.coordination.requests.crashes import CrashWatch
+from walnutquay.coordination.requests.crashrecord import CrashRecord
+from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import Settings
 from walnutquay.state.admission import RetryBudget
@@ -201,7 +201,7 @@
         self.tallies.start()
         self.crashes.start()
         for path in (self.chats, self.services):
-            self.context.timers.on_wake(path.woke)
+            self.context.timers.on_wake(path.limits.woke)
         self.crash_record.start(_always)
         self.rollouts.start()
 
--- a/walnutquay/coordination/partstore.py
+++ b/walnutquay/coordination/own/partstore.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Mapping
 
-from walnutquay.coordination.platform import Platform
+from walnutquay.coordination.own.platform import Platform
 from walnutquay.exceptions import PlatformConflictError, PlatformUnclearError
 from walnutquay.platform.values import ABSENT
 from walnutquay.state.configuration import part_hash
--- a/walnutquay/coordination/pins.py
+++ b/walnutquay/coordination/own/pins.py
@@ -13,9 +13,9 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.members import Members
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import PeerError, TokenError
 from walnutquay.protocol.messages import AskPin, CopyPin, Envelope, PinIs
 from walnutquay.state.membership import rendezvous
--- a/walnutquay/coordination/planning.py
+++ b/walnutquay/coordination/own/planning.py
@@ -8,11 +8,11 @@
 
 from expression import Error, Ok, Result
 
-from walnutquay.coordination.keyed import KeyedParts
-from walnutquay.coordination.outcomes import ChatArrival
-from walnutquay.coordination.pins import SessionPins
-from walnutquay.coordination.quality import AnswerQuality
-from walnutquay.coordination.turns import ChatTurn
+from walnutquay.coordination.own.keyed import KeyedParts
+from walnutquay.coordination.own.pins import SessionPins
+from walnutquay.coordination.own.quality import AnswerQuality
+from walnutquay.coordination.own.turns import ChatTurn
+from walnutquay.coordination.requests.outcomes import ChatArrival
 from walnutquay.exceptions import TokenError
 from walnutquay.state.ids import SessionId
 from walnutquay.state.refusals import Refusal, RefusalCode
--- a/walnutquay/coordination/platform.py
+++ b/walnutquay/coordination/own/platform.py
@@ -13,7 +13,7 @@
 from typing import TypeVar
 from urllib.parse import urlsplit
 
-from walnutquay.coordination.context import Context
+from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import (
     MissingObjectError,
     PlatformBusyError,
--- a/walnutquay/coordination/quality.py
+++ b/walnutquay/coordination/own/quality.py
@@ -4,12 +4,12 @@
 
 from __future__ import annotations
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.health import SEPARATOR, VersionHealth
-from walnutquay.coordination.rater import Rater
-from walnutquay.coordination.tallies import Tallies
-from walnutquay.coordination.tasks import Tasks
-from walnutquay.coordination.turns import ChatTurn
+from walnutquay.coordination.own.health import SEPARATOR, VersionHealth
+from walnutquay.coordination.own.rater import Rater
+from walnutquay.coordination.own.tallies import Tallies
+from walnutquay.coordination.own.turns import ChatTurn
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.protocol import chat
 from walnutquay.state.events import EventKind
 from walnutquay.state.learning import StepLearner, WorthKey
--- a/walnutquay/coordination/rollouts.py
+++ b/walnutquay/coordination/own/rollouts.py
@@ -7,12 +7,12 @@
 import aiohttp
 import logbook
 
-from walnutquay.coordination.acceptance import Acceptance
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.endpoints import EndpointNews
-from walnutquay.coordination.health import VersionHealth
-from walnutquay.coordination.leases import Lease
+from walnutquay.coordination.own.acceptance import Acceptance
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.own.endpoints import EndpointNews
+from walnutquay.coordination.own.health import VersionHealth
+from walnutquay.coordination.own.leases import Lease
+from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import ConfigurationError, WalnutquayError
 from walnutquay.state.configuration import Content
 from walnutquay.state.events import EventKind
--- a/walnutquay/coordination/services.py
+++ b/walnutquay/coordination/own/services.py
@@ -4,10 +4,10 @@
 
 from __future__ import annotations
 
-from walnutquay.coordination.keyed import KeyedParts, KeyedPath
-from walnutquay.coordination.outcomes import Outcome, ServiceArrival, Whole
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.turns import ServiceTurn
+from walnutquay.coordination.own.keyed import KeyedParts, KeyedPath
+from walnutquay.coordination.own.turns import ServiceTurn
+from walnutquay.coordination.requests.outcomes import Outcome, ServiceArrival, Whole
+from walnutquay.coordination.requests.places import Grant
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol import chat
 from walnutquay.protocol.services import (
--- a/walnutquay/coordination/tallies.py
+++ b/walnutquay/coordination/own/tallies.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Callable
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.members import Members
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.protocol.messages import Envelope, TallyNews
 from walnutquay.state.membership import HEARTBEAT_FANOUT
 from walnutquay.state.tallies import TallyBoard
--- a/walnutquay/coordination/turns.py
+++ b/walnutquay/coordination/own/turns.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass, field, replace
 
-from walnutquay.coordination.outcomes import ChatArrival, ServiceArrival
-from walnutquay.coordination.turn import Turn
+from walnutquay.coordination.requests.outcomes import ChatArrival, ServiceArrival
+from walnutquay.coordination.requests.turn import Turn
 from walnutquay.protocol import chat
 from walnutquay.state.claims import WholeAnswer
 from walnutquay.state.parts import Version
--- a/walnutquay/coordination/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -16,10 +16,10 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.outcomes import Arrival
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.dispatcher import Dispatcher
+from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.requests.outcomes import Arrival
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import (
     AskCrashes,
--- a/walnutquay/coordination/crashrecord.py
+++ b/walnutquay/coordination/requests/crashrecord.py
@@ -15,8 +15,8 @@
 import logbook
 import orjson
 
-from walnutquay.coordination.crashes import CrashWatch
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.exceptions import MessageError, PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
 from walnutquay.state.crashes import MAX_ENDS
--- a/walnutquay/coordination/pathparts.py
+++ b/walnutquay/coordination/requests/pathparts.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.crashes import CrashWatch
-from walnutquay.coordination.places import Places
-from walnutquay.coordination.recorder import TraceRecorder
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.crashes import CrashWatch
+from walnutquay.coordination.requests.places import Places
+from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.state.admission import RetryBudget
 from walnutquay.state.endpoints import EndpointTable
 
--- a/walnutquay/coordination/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -4,27 +4,25 @@
 
 from __future__ import annotations
 
-import asyncio
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 
 from expression import Error, Result
 
-from walnutquay.coordination.outcomes import (
+from walnutquay.coordination.requests.hooks import PathHooks
+from walnutquay.coordination.requests.limits import DeadlineLimits
+from walnutquay.coordination.requests.outcomes import (
     Arrival,
     Outcome,
     Refused,
-    Streamed,
     Unknown,
-    Whole,
 )
-from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.places import Grant, Need
-from walnutquay.coordination.turn import Turn
+from walnutquay.coordination.requests.pathparts import PathParts
+from walnutquay.coordination.requests.places import Grant, Need
+from walnutquay.coordination.requests.telling import tell_outcome
+from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.ends import CrashTarget
-from walnutquay.state.events import EventKind, Facts
-from walnutquay.state.ids import RequestId, ServiceName, VersionName
-from walnutquay.state.instances import Instance
+from walnutquay.state.events import EventKind
+from walnutquay.state.ids import RequestId
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import (
     Admitted,
@@ -39,11 +37,9 @@
 
 STOPPING_RETRY = 1.0
 MILLISECONDS = 1000.0
-# The status of a stream that went to the caller whole.
-OK = 200
 
 
-class RequestPath(ABC):
+class RequestPath(PathHooks):
     """Takes a request from its arrival to its outcome.
 
     Subclasses plan the request in :meth:`run`, and in :meth:`exchange` talk to
@@ -60,7 +56,7 @@
         # The same, one by one: operators ask whose work waits.
         self.under_way: dict[RequestId, Arrival] = {}
         # The limits of those that an endpoint has, which are set when this VM wakes.
-        self.limits: dict[RequestId, asyncio.Timeout] = {}
+        self.limits = DeadlineLimits()
         # Set when the VM is stopping and takes no new requests.
         self.closed = False
 
@@ -79,7 +75,8 @@
                 EventKind.RECEIVED, request=request, **self.facts_received(arrival)
             )
             outcome = await self.begin(arrival)
-            self.tell(arrival, outcome, monotonic() - started)
+            facts = self.facts_known()
+            tell_outcome(self.context, arrival, outcome, monotonic() - started, facts)
             return outcome
         finally:
             self.in_flight -= 1
@@ -120,18 +117,6 @@
         :raises EndpointError: if it may have, and there is no answer.
         """
 
-    @abstractmethod
-    def still_allowed(self, turn: Turn) -> Refusal | None:
-        """Ask the configuration of this moment, right before a dispatch.
-
-        :param turn: the request.
-        :returns: why it may not run any more, or None.
-        """
-
-    @abstractmethod
-    def unready(self) -> Refusal | None:
-        """:returns: why this VM knows too little to serve, or None."""
-
     def need_of(self, turn: Turn) -> Need:
         """:param turn: the request.
 
@@ -158,58 +143,6 @@
         """
         return self.parts.retries.take()
 
-    def facts_received(self, arrival: Arrival) -> Facts:
-        """Tell of a request, for the log; the base has nothing to tell.
-
-        :param arrival: the request.
-        """
-        return {}
-
-    def facts_dispatched(self, turn: Turn, grant: Grant) -> Facts:
-        """Tell what made a request go where it goes; the base has nothing to tell.
-
-        :param turn: the request.
-        :param grant: the endpoint.
-        """
-        return {}
-
-    def facts_known(self) -> Facts:
-        """:returns: how old what this VM knows is; nothing in the base."""
-        return {}
-
-    def on_dispatch(self, turn: Turn, grant: Grant) -> None:
-        """Note that a request is sent now; the base has nothing to note.
-
-        :param turn: the request.
-        :param grant: the endpoint.
-        """
-        return
-
-    def on_not_started(self, turn: Turn, grant: Grant, error: NotStartedError) -> None:
-        """Note that an endpoint did not begin; the base has nothing to note.
-
-        :param turn: the request.
-        :param grant: the endpoint.
-        :param error: how that is known.
-        """
-        return
-
-    def on_failed(self, turn: Turn, grant: Grant, error: EndpointError) -> None:
-        """Note that an endpoint failed; the base has nothing more to note.
-
-        :param turn: the request.
-        :param grant: the endpoint.
-        :param error: how it failed.
-        """
-        return
-
-    def is_current(self, grant: Grant) -> bool:
-        """:param grant: an endpoint.
-
-        :returns: whether no later start of it is known; the base knows of none.
-        """
-        return True
-
     def on_ended(self, turn: Turn, grant: Grant) -> None:
         """Note that an endpoint has ended while it had a request.
 
@@ -217,7 +150,7 @@
         :param grant: the endpoint.
         """
         ran = None if grant.began is None else monotonic() - grant.began
-        target = target_of(turn, grant)
+        target = grant.target_of(turn.target)
         self.parts.crashes.ended(turn.arrival, target, grant.name, ran)
 
     def on_whole(self, turn: Turn, grant: Grant) -> None:
@@ -226,7 +159,8 @@
         :param turn: the request.
         :param grant: the endpoint.
         """
-        self.parts.crashes.answered(turn.arrival, target_of(turn, grant), grant.name)
+        target = grant.target_of(turn.target)
+        self.parts.crashes.answered(turn.arrival, target, grant.name)
 
     # Places and dispatches.
 
@@ -255,15 +189,6 @@
                 turn.waiting_since = monotonic()
             stage = result
 
-    def go_elsewhere(self, turn: Turn, refusal: Refusal) -> bool:
-        """Change the turn's target, where there is another.
-
-        :param turn: the request.
-        :param refusal: why the present target cannot be had.
-        :returns: whether to look for a place again.
-        """
-        return False
-
     async def no_place(
         self, turn: Turn, stage: Received | Continuing, refusal: Refusal
     ) -> Outcome:
@@ -300,7 +225,7 @@
 
         Sent on from endpoint to endpoint it ends all of them, with all that they run.
         """
-        return self.parts.crashes.refusal(turn.arrival, target_of(turn, grant))
+        return self.parts.crashes.refusal(turn.arrival, grant.target_of(turn.target))
 
     def _dispatch(
         self, turn: Turn, stage: Admitted | Continuing, grant: Grant
@@ -321,40 +246,13 @@
         self, turn: Turn, running: Dispatched, grant: Grant
     ) -> Outcome | Received | Continuing:
         try:
-            return await self._limited(turn, running, grant)
+            async with self.limits.of(turn.arrival, grant.name):
+                return await self.exchange(turn, running, grant)
         except NotStartedError as error:
             return self._not_started(turn, running, grant, error)
         except EndpointError as error:
             return await self._failed(turn, running, grant, error)
 
-    async def _limited(
-        self, turn: Turn, running: Dispatched, grant: Grant
-    ) -> Outcome | Received | Continuing:
-        """Talk to an endpoint until the deadline, also where this VM is suspended."""
-        request = turn.arrival.request
-        try:
-            async with asyncio.timeout(None) as limit:
-                self.limits[request] = limit
-                return await self.exchange(turn, running, grant)
-        except TimeoutError as error:
-            if not limit.expired():
-                raise
-            reason = "its time passed while this VM was away"
-            raise EndpointError(reason, step="exchange", peer=grant.name) from error
-        finally:
-            self.limits.pop(request, None)
-
-    def woke(self, away: float) -> None:
-        """Set the limits of what is under way anew: timers do not count a suspension.
-
-        :param away: seconds for which this VM was away.
-        """
-        now = monotonic()
-        loop = asyncio.get_running_loop()
-        for request, limit in list(self.limits.items()):
-            left = self.under_way[request].deadline - now
-            limit.reschedule(loop.time() + max(0.0, left))
-
     def _not_started(
         self, turn: Turn, running: Dispatched, grant: Grant, error: NotStartedError
     ) -> Received | Continuing:
@@ -404,7 +302,7 @@
             ended = await self.parts.crashes.has_ended(grant.endpoint)
         if ended:
             self.on_ended(turn, grant)
-            await self.parts.crashes.settle(turn.arrival, target_of(turn, grant))
+            await self.parts.crashes.settle(turn.arrival, grant.target_of(turn.target))
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
@@ -453,65 +351,6 @@
             )
         return self.unready()
 
-    def tell(self, arrival: Arrival, outcome: Outcome, seconds: float) -> None:
-        """Count and log how a request ended.
-
-        :param arrival: the request.
-        :param outcome: how.
-        :param seconds: since it came.
-        """
-        request = arrival.request
-        took_ms = round(seconds * MILLISECONDS)
-        timeline = self.context.timeline
-        if isinstance(outcome, Refused):
-            refusal = outcome.proof.refusal
-            code = refusal.code.value
-            self.context.metrics.count(f"refused_{code}")
-            timeline.emit(
-                EventKind.REFUSED,
-                request=request,
-                detail=code,
-                reason=refusal.reason,
-                retry_after=refusal.retry_after,
-                took_ms=took_ms,
-                **self.facts_known(),
-            )
-        elif isinstance(outcome, Unknown):
-            self.context.metrics.count(f"unknown_{outcome.code}")
-            timeline.emit(
-                EventKind.UNKNOWN,
-                request=request,
-                detail=outcome.code,
-                reason=outcome.reason,
-                took_ms=took_ms,
-                **self.facts_known(),
-            )
-        elif isinstance(outcome, Streamed) and not outcome.whole:
-            self.context.metrics.count("broken")
-            timeline.emit(EventKind.BROKEN, request=request, took_ms=took_ms)
-        else:
-            self.context.metrics.count("answered")
-            status = outcome.answer.status if isinstance(outcome, Whole) else OK
-            timeline.emit(
-                EventKind.ANSWERED,
-                request=request,
-                status=status,
-                took_ms=took_ms,
-                longest_pause_ms=round(arrival.longest_pause * MILLISECONDS),
-                late=arrival.is_late(monotonic()),
-            )
-
-
-def target_of(turn: Turn, grant: Grant) -> CrashTarget:
-    """:param turn: a request.
-
-    :param grant: an endpoint that it was given a place at.
-    :returns: what the endpoint runs for it.
-    """
-    endpoint = grant.endpoint
-    version = endpoint.version if isinstance(endpoint, Instance) else ""
-    return CrashTarget(ServiceName(turn.target), VersionName(version))
-
 
 def _ms_since(started: float) -> int:
     return round((monotonic() - started) * MILLISECONDS)
--- a/walnutquay/coordination/places.py
+++ b/walnutquay/coordination/requests/places.py
@@ -9,10 +9,13 @@
 
 from expression import Result
 
+from walnutquay.state.ends import CrashTarget
 from walnutquay.state.ids import (
     EndpointName,
     OrganisationName,
     RequestId,
+    ServiceName,
+    VersionName,
     WorkKind,
 )
 from walnutquay.state.instances import Instance
@@ -77,6 +80,15 @@
         """The endpoint's name."""
         return EndpointName(self.endpoint.name)
 
+    def target_of(self, target: str) -> CrashTarget:
+        """:param target: the version or service that was asked for.
+
+        :returns: what the endpoint runs for it.
+        """
+        instance = isinstance(self.endpoint, Instance)
+        version = self.endpoint.version if instance else ""
+        return CrashTarget(ServiceName(target), VersionName(version))
+
 
 class Places(Protocol):
     """Gives out places at endpoints."""
--- a/walnutquay/coordination/recorder.py
+++ b/walnutquay/coordination/requests/recorder.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import Any
 
-from walnutquay.coordination.outcomes import (
+from walnutquay.coordination.requests.outcomes import (
     Arrival,
     ChatArrival,
     Outcome,
--- a/walnutquay/coordination/turn.py
+++ b/walnutquay/coordination/requests/turn.py
@@ -7,7 +7,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
-from walnutquay.coordination.outcomes import Arrival
+from walnutquay.coordination.requests.outcomes import Arrival
 from walnutquay.transport.timers import monotonic
 
 
--- a/walnutquay/coordination/cascading.py
+++ b/walnutquay/coordination/routed/cascading.py
@@ -4,13 +4,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.routedfacts import whole_ms
-from walnutquay.coordination.routedplaces import RoutedPlaces
-from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.routed.facts import whole_ms
+from walnutquay.coordination.routed.places import RoutedPlaces
+from walnutquay.coordination.routed.turn import Opinion, RoutedTurn
+from walnutquay.coordination.store.knowledge import Knowledge
+from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.messages import Envelope, Message, OpinionNews
 from walnutquay.state.events import EventKind
 from walnutquay.state.gains import GainRow
@@ -78,6 +80,33 @@
         assert isinstance(body, OpinionNews)
         self.choice.gains.hear(VmName(envelope.vm), body.rows)
 
+    def larger(
+        self,
+        turn: RoutedTurn,
+        endpoint: EndpointName,
+        head: AnswerHead,
+        may_retry: Callable[[], bool],
+    ) -> int | None:
+        """Decide whether a larger model is to answer instead of this one.
+
+        :param turn: the request.
+        :param endpoint: who answers it.
+        :param head: the answer's head.
+        :param may_retry: whether a retry may be made; it is then counted.
+        :returns: the larger model's index; None to keep the answer.
+        """
+        if turn.model is None or turn.progress.begun or head.confidence is None:
+            return None
+        self.learn(turn, head.confidence)
+        if turn.model >= len(turn.arrival.route.models) - 1:
+            return None
+        step, case = self.next(turn, head.confidence)
+        if step.larger is None or not turn.repeatable or not may_retry():
+            return None
+        turn.first_opinion = Opinion(turn.model, head.confidence)
+        self.tell(turn, endpoint, step, case)
+        return step.larger
+
     def learn(self, turn: RoutedTurn, opinion: float) -> None:
         """Learn from the opinion of a model that answers after a smaller one.
 
--- a/walnutquay/coordination/routedfacts.py
+++ b/walnutquay/coordination/routed/facts.py
@@ -9,11 +9,11 @@
 
 import math
 
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.outcomes import Arrival
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.routedplaces import RoutedPlaces
-from walnutquay.coordination.routedturn import RoutedArrival, RoutedTurn
+from walnutquay.coordination.requests.outcomes import Arrival
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.routed.places import RoutedPlaces
+from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
+from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.events import Facts
--- a/walnutquay/coordination/routed.py
+++ b/walnutquay/coordination/routed/path.py
@@ -5,26 +5,27 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 
 import aiohttp
 
-from walnutquay.coordination.bodies import WatchedExchange, whole_body
-from walnutquay.coordination.budgets import RetryBudgets
-from walnutquay.coordination.cascading import Cascading
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.outcomes import Outcome, Streamed, Unknown, Whole
-from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.paths import RequestPath
-from walnutquay.coordination.places import Grant, Need
-from walnutquay.coordination.routedfacts import RoutedFacts
-from walnutquay.coordination.routedplaces import RoutedPlaces
-from walnutquay.coordination.routedports import Dialect, VersionPolicy
-from walnutquay.coordination.routedturn import Opinion, RoutedArrival, RoutedTurn
-from walnutquay.coordination.streaming import StreamPassing, tried_every
+from walnutquay.coordination.requests.outcomes import Outcome, Streamed, Unknown, Whole
+from walnutquay.coordination.requests.pathparts import PathParts
+from walnutquay.coordination.requests.paths import RequestPath
+from walnutquay.coordination.requests.places import Grant, Need
+from walnutquay.coordination.routed.answers import FailedAnswerError, as_whole
+from walnutquay.coordination.routed.bodies import WatchedExchange, whole_body
+from walnutquay.coordination.routed.budgets import RetryBudgets
+from walnutquay.coordination.routed.cascading import Cascading
+from walnutquay.coordination.routed.facts import RoutedFacts
+from walnutquay.coordination.routed.places import RoutedPlaces
+from walnutquay.coordination.routed.ports import Dialect, VersionPolicy
+from walnutquay.coordination.routed.streaming import StreamPassing, tried_every
+from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
+from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.protocol.streams import StreamProgress
-from walnutquay.state.claims import WholeAnswer
 from walnutquay.state.events import Facts
 from walnutquay.state.ids import EndpointName
 from walnutquay.state.instances import Instance
@@ -61,18 +62,6 @@
 SMALLEST = 0
 
 
-class FailedAnswerError(EndpointError):
-    """The endpoint ran the request and answered that it failed.
-
-    :param answer: its answer, for callers where no other can be had.
-    """
-
-    def __init__(self, answer: WholeAnswer, *, peer: str) -> None:
-        super().__init__(f"it answered {answer.status}", step="answer", peer=peer)
-        self.status = answer.status
-        self.answer = answer
-
-
 class RoutedPath(RequestPath):
     """Serves requests on the operators' routes.
 
@@ -313,9 +302,10 @@
                 body = await whole_body(answer, grant.name)
                 self.on_whole(turn, grant)
                 self.versions.failed(turn, grant)
-                raise FailedAnswerError(_as_whole(head, body), peer=grant.name)
+                raise FailedAnswerError(as_whole(head, body), peer=grant.name)
             if turn.streamed and head.status == 200:
-                larger = self._larger_model(turn, grant, head)
+                may_retry = partial(self.may_retry, turn)
+                larger = self.cascading.larger(turn, grant.name, head, may_retry)
                 if larger is not None:
                     turn.model = larger
                     return running.go_on()
@@ -326,7 +316,7 @@
             body = await whole_body(answer, grant.name)
         self._learn(turn, grant, seconds)
         running.answered()
-        return Whole(_as_whole(head, body))
+        return Whole(as_whole(head, body))
 
     def _watched(
         self, turn: RoutedTurn, exchange: Exchange, grant: Grant
@@ -403,22 +393,6 @@
             )
         return head
 
-    def _larger_model(
-        self, turn: RoutedTurn, grant: Grant, head: AnswerHead
-    ) -> int | None:
-        """Decide whether a larger model is to answer instead of this one."""
-        if turn.model is None or turn.progress.begun or head.confidence is None:
-            return None
-        self.cascading.learn(turn, head.confidence)
-        if turn.model >= len(turn.arrival.route.models) - 1:
-            return None
-        step, case = self.cascading.next(turn, head.confidence)
-        if step.larger is None or not turn.repeatable or not self.may_retry(turn):
-            return None
-        turn.first_opinion = Opinion(turn.model, head.confidence)
-        self.cascading.tell(turn, EndpointName(grant.name), step, case)
-        return step.larger
-
     def _learn(
         self, turn: RoutedTurn, grant: Grant, seconds: float, judged: bool = False
     ) -> None:
@@ -428,7 +402,3 @@
         self.on_whole(turn, grant)
         if not judged:
             self.versions.succeeded(turn, grant, seconds)
-
-
-def _as_whole(head: AnswerHead, body: bytes) -> WholeAnswer:
-    return WholeAnswer(head.status, head.content_type, body, head.headers)
--- a/walnutquay/coordination/routedplaces.py
+++ b/walnutquay/coordination/routed/places.py
@@ -9,9 +9,10 @@
 
 from expression import Error, Ok, Result
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.places import Grant, Need
-from walnutquay.coordination.reach import Reach
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.places import Grant, Need
+from walnutquay.coordination.routed.promptengines import EngineBeliefs, PromptEngines
+from walnutquay.coordination.routed.reach import Reach
 from walnutquay.protocol.messages import WorkNews
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.ids import (
@@ -36,14 +37,6 @@
 AllowedVersions = Callable[[ServiceName], frozenset[VersionName] | None]
 
 
-# A wait grows harmful with its square, for only long ones make an answer late; an
-# engine in another data hall, to which bytes have a price, counts as much as a wait
-# of this part of the request's aim.
-OTHER_HALL_WAIT = 0.25
-# What each running request delays the others by: steps take longer with more.
-RUNNING_SECONDS = 0.002
-
-
 @dataclass(frozen=True, slots=True)
 class ReadingNote:
     """A prompt that an engine was sent.
@@ -94,6 +87,7 @@
         self.memory = memory
         self.vms = vms
         self.reach = Reach(context, book)
+        self.beliefs = EngineBeliefs(context.hall, table, self.work)
         # The prompts that this VM has sent last, by service.
         self.traffic: dict[ServiceName, PromptTraffic] = {}
         # The prompts that were sent and whose answers have not begun, by grant.
@@ -230,7 +224,7 @@
         open_ones = self._open_ones(left, now, frozenset()) or left
         if not open_ones:
             return 0.0, 0.0
-        engines = PromptEngines(self, open_ones, service, work, now)
+        engines = self._engines(open_ones, service, work, now)
         return engines.times(engines.best(aim))
 
     def reading_of(self, grant: Grant) -> float | None:
@@ -298,7 +292,17 @@
         if not open_ones:
             return None
         service = ServiceName(need.target)
-        return PromptEngines(self, open_ones, service, work, now).best(need.aim)
+        return self._engines(open_ones, service, work, now).best(need.aim)
+
+    def _engines(
+        self,
+        engines: list[Instance],
+        service: ServiceName,
+        work: PromptWork,
+        now: float,
+    ) -> PromptEngines:
+        kept = self.kept_seconds(service, now)
+        return PromptEngines(self.beliefs, engines, work, kept, now)
 
     def _apart(self, left: list[Instance], need: Need, now: float) -> Instance | None:
         """Choose the endpoint that all VMs choose for a request under which one ended.
@@ -359,63 +363,3 @@
     def full(self, grant: Grant) -> None:
         """:param grant: a place that its endpoint did not have after all."""
         self.table.full(grant.name, monotonic())
-
-
-class PromptEngines:
-    """The engines that could read a prompt now.
-
-    :param places: what is known of them.
-    :param engines: the engines; at least one.
-    :param service: their service.
-    :param work: the prompt.
-    :param now: monotonic seconds.
-    """
-
-    def __init__(
-        self,
-        places: RoutedPlaces,
-        engines: list[Instance],
-        service: ServiceName,
-        work: PromptWork,
-        now: float,
-    ) -> None:
-        self.places = places
-        self.engines = engines
-        self.work = work
-        self.now = now
-        self.hall = places.context.hall
-        self.kept = places.kept_seconds(service, now)
-        # The engines that all VMs prefer for the beginning: of this data hall, and of
-        # all.  What is read long is worth the way to the one that has read it.
-        near = [item.name for item in engines if item.hall == self.hall]
-        everywhere = [item.name for item in engines]
-        self.preferred = {
-            preferred_of(near, work.beginning),
-            preferred_of(everywhere, work.beginning),
-        }
-
-    def times(self, engine: Instance) -> tuple[float, float]:
-        """:param engine: one of them.
-
-        :returns: seconds of reading before the prompt, and to read it.
-        """
-        facts = self.places.table.of(engine.name)
-        slow = facts.slow_by(self.now)
-        work = self.places.work
-        running = facts.load(self.now) * RUNNING_SECONDS
-        preferred = engine.name in self.preferred
-        reading = work.reading(engine.name, self.work, self.now, preferred, self.kept)
-        return (work.wait(engine.name, self.now) + running) * slow, reading * slow
-
-    def best(self, aim: float) -> Instance:
-        """:param aim: the time in which the answer should begin; seconds.
-
-        :returns: the engine where waiting and reading do the least harm.
-        """
-        far = (OTHER_HALL_WAIT * aim) ** 2
-
-        def harm(engine: Instance) -> float:
-            seconds = sum(self.times(engine))
-            return seconds * seconds + (0.0 if engine.hall == self.hall else far)
-
-        return min(self.engines, key=harm)
--- a/walnutquay/coordination/routedports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Protocol
 
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
 from walnutquay.state.versionchoice import VersionChoice
 
--- a/walnutquay/coordination/reach.py
+++ b/walnutquay/coordination/routed/reach.py
@@ -7,8 +7,8 @@
 import asyncio
 from dataclasses import dataclass
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import EndpointName, HallName
 from walnutquay.state.instances import Instance, InstanceBook
--- a/walnutquay/coordination/streaming.py
+++ b/walnutquay/coordination/routed/streaming.py
@@ -6,14 +6,14 @@
 
 import aiohttp
 
-from walnutquay.coordination.bodies import WatchedBody
-from walnutquay.coordination.budgets import RetryBudgets
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.routedfacts import RoutedFacts
-from walnutquay.coordination.routedplaces import RoutedPlaces
-from walnutquay.coordination.routedports import VersionPolicy
-from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.routed.bodies import WatchedBody
+from walnutquay.coordination.routed.budgets import RetryBudgets
+from walnutquay.coordination.routed.facts import RoutedFacts
+from walnutquay.coordination.routed.places import RoutedPlaces
+from walnutquay.coordination.routed.ports import VersionPolicy
+from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.chat import StreamParser
--- a/walnutquay/coordination/routedturn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from walnutquay.coordination.outcomes import Arrival
-from walnutquay.coordination.turn import Turn
+from walnutquay.coordination.requests.outcomes import Arrival
+from walnutquay.coordination.requests.turn import Turn
 from walnutquay.protocol.calls import AnswerHead, CallHead
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.catalogue import Route, RouteKind
--- a/walnutquay/coordination/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -11,7 +11,7 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
+from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import HistoryGoneError, MessageError, PlatformError
 from walnutquay.state.events import EventKind
 from walnutquay.state.feeds import Changes, Listing
--- a/walnutquay/coordination/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -13,29 +13,25 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.following import (
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.store.following import (
     WATCH_GAP_SECONDS,
     AskPeers,
     Feed,
     Follower,
     WatchTimes,
 )
-from walnutquay.coordination.tasks import Tasks
+from walnutquay.coordination.store.sinks import CatalogueSink, InstanceSink, OrderSink
 from walnutquay.exceptions import HistoryGoneError, PlatformError
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.events import EventKind
-from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.ids import EndpointName, ServiceName, VersionName
-from walnutquay.state.instances import Instance, InstanceBook
+from walnutquay.state.instances import Instance
 from walnutquay.state.orders import RolloutOrder
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
 
-# Endpoints write their entries again within some two seconds of the store's
-# return; they may be used for so long, and no longer than two.
-OVERDUE_SECONDS = 1.9
 OVERDUE_CHECK_SECONDS = 0.1
 MILLISECONDS = 1000.0
 # A request that would be denied waits so long for the store to confirm that.
@@ -47,179 +43,6 @@
 FRESH_SECONDS = 0.1
 
 
-class CatalogueSink:
-    """Takes in the operators' configuration.
-
-    :param context: what this process shares.
-    """
-
-    def __init__(self, context: Context) -> None:
-        self.context = context
-        self.current: Catalogue | None = None
-        # When the version in force came into force here; monotonic seconds.
-        self.taken_at = 0.0
-        self.listeners: list[Callable[[Catalogue], None]] = []
-
-    def take_listing(self, listing: Listing[Catalogue]) -> None:
-        """:param listing: all configurations: one, or none yet."""
-        for catalogue in listing.items.values():
-            self.take(catalogue)
-
-    def take_changes(self, changes: Changes[Catalogue]) -> None:
-        """:param changes: newer configurations, in order."""
-        for change in changes.changes:
-            if change.item is not None:
-                self.take(change.item)
-
-    def take(self, catalogue: Catalogue) -> bool:
-        """Put a configuration in force, unless it is an older one.
-
-        :param catalogue: the configuration.
-        :returns: whether it is newer than the one in force.
-        """
-        if self.current is not None and catalogue.version <= self.current.version:
-            return False
-        self.current = catalogue
-        self.taken_at = monotonic()
-        self.context.timeline.emit(
-            EventKind.CONFIGURED,
-            version=str(catalogue.version),
-            detail=f"{len(catalogue.routes)} routes, "
-            f"{len(catalogue.organisations)} organisations",
-        )
-        for listener in self.listeners:
-            listener(catalogue)
-        return True
-
-
-class InstanceSink:
-    """Takes in the running endpoints.
-
-    :param context: what this process shares.
-    """
-
-    def __init__(self, context: Context) -> None:
-        self.context = context
-        self.book = InstanceBook(OVERDUE_SECONDS)
-        # Whether a whole list has ever been read.
-        self.listed = False
-        # The versions of each service in the first list.
-        self.first_versions: dict[ServiceName, set[VersionName]] = {}
-        # Told of each instance that is new, leaving or gone.
-        self.listeners: list[Callable[[EndpointName, Instance | None], None]] = []
-
-    def take_listing(self, listing: Listing[Instance]) -> None:
-        """:param listing: all endpoints' entries."""
-        now = monotonic()
-        if not self.listed:
-            for instance in listing.items.values():
-                versions = self.first_versions.setdefault(instance.service, set())
-                versions.add(instance.version)
-        self.listed = True
-        for instance in listing.items.values():
-            self._put(instance, now)
-        for name in self.book.replace_all(listing.items.values(), now):
-            self._tell_gone(name, "not listed")
-
-    def take_changes(self, changes: Changes[Instance]) -> None:
-        """:param changes: entries that have changed, in order."""
-        now = monotonic()
-        for change in changes.changes:
-            self._take_change(change, now)
-
-    def doubt_deletions(self, ago: float = 0.0) -> None:
-        """Doubt deletions for a while: entries lapse while the store is away.
-
-        :param ago: seconds since the store has returned.
-        """
-        self.book.doubt_deletions(monotonic() - ago)
-
-    def drop_overdue(self) -> None:
-        """Forget the endpoints whose entries have not come back."""
-        for name in self.book.drop_overdue(monotonic()):
-            self._tell_gone(name, "its entry did not come back")
-
-    def _take_change(self, change: Change[Instance], now: float) -> None:
-        if change.item is not None:
-            self._put(change.item, now)
-        elif self.book.remove(EndpointName(change.name), now):
-            self._tell_gone(EndpointName(change.name), "its entry was deleted")
-
-    def _put(self, instance: Instance, now: float) -> None:
-        before = self.book.known.get(instance.name)
-        if before is not None and not before.is_same_start(instance):
-            self._tell_gone(instance.name, "it has started again")
-            before = None
-        self.book.put(instance, now)
-        if before == instance:
-            return
-        if before is None or instance.leaving != before.leaving:
-            state = "leaving" if instance.leaving else "ready"
-            self.context.timeline.emit(
-                EventKind.ENDPOINT_LEAVING
-                if instance.leaving
-                else EventKind.ENDPOINT_LISTED,
-                endpoint=instance.name,
-                version=instance.version,
-                detail=f"{instance.service} in {instance.hall} is {state}",
-            )
-        for listener in self.listeners:
-            listener(instance.name, instance)
-
-    def _tell_gone(self, name: EndpointName, reason: str) -> None:
-        self.context.timeline.emit(
-            EventKind.ENDPOINT_GONE, endpoint=name, detail=reason
-        )
-        for listener in self.listeners:
-            listener(name, None)
-
-
-class OrderSink:
-    """Takes in the operators' roll-out orders.
-
-    :param context: what this process shares.
-    """
-
-    def __init__(self, context: Context) -> None:
-        self.context = context
-        self.orders: dict[str, RolloutOrder] = {}
-        self.listed = False
-        self.listeners: list[Callable[[RolloutOrder], None]] = []
-
-    def take_listing(self, listing: Listing[RolloutOrder]) -> None:
-        """:param listing: all orders."""
-        self.listed = True
-        for name in [name for name in self.orders if name not in listing.items]:
-            del self.orders[name]
-        for order in listing.items.values():
-            self.take(order)
-
-    def take_changes(self, changes: Changes[RolloutOrder]) -> None:
-        """:param changes: orders that have changed, in order."""
-        for change in changes.changes:
-            if change.item is None:
-                self.orders.pop(change.name, None)
-            else:
-                self.take(change.item)
-
-    def take(self, order: RolloutOrder) -> None:
-        """Take in an order, unless it is an older state of one that is known.
-
-        :param order: the order.
-        """
-        known = self.orders.get(order.name)
-        if known is not None and order.revision <= known.revision:
-            return
-        self.orders[order.name] = order
-        self.context.timeline.emit(
-            EventKind.ORDERED,
-            version=order.version,
-            detail=f"{order.service}: {order.state.value}, revision {order.revision}",
-        )
-        for listener in self.listeners:
-            listener(order)
-
-
 class Knowledge:
     """All that this VM follows in the store.
 
--- a/walnutquay/coordination/orderanswers.py
+++ b/walnutquay/coordination/trials/answers.py
@@ -9,7 +9,7 @@
 
 import logbook
 
-from walnutquay.coordination.knowledge import OrderSink
+from walnutquay.coordination.store.knowledge import OrderSink
 from walnutquay.exceptions import PlatformError
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.trials import Trial
--- a/walnutquay/coordination/judging.py
+++ b/walnutquay/coordination/trials/judging.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.routedturn import RoutedTurn
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.state.ids import ServiceName
 from walnutquay.state.instances import Instance
 from walnutquay.state.pace import PaceTable
--- a/walnutquay/coordination/trialnews.py
+++ b/walnutquay/coordination/trials/news.py
@@ -14,9 +14,9 @@
 from dataclasses import replace
 from typing import Protocol
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.routedfacts import SHARE_DIGITS, whole_ms
-from walnutquay.coordination.trialtask import FIRST_WRITE_SPREAD, TrialTask
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.routed.facts import SHARE_DIGITS, whole_ms
+from walnutquay.coordination.trials.task import FIRST_WRITE_SPREAD, TrialTask
 from walnutquay.protocol.messages import (
     AskTrial,
     Envelope,
--- a/walnutquay/coordination/sessionkeeping.py
+++ b/walnutquay/coordination/trials/sessions.py
@@ -8,10 +8,10 @@
 
 import logbook
 
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.routedturn import RoutedTurn
-from walnutquay.coordination.trialnews import LAST_CALL_SECONDS, Peers
-from walnutquay.coordination.trialtask import TrialTask
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.routed.turn import RoutedTurn
+from walnutquay.coordination.trials.news import LAST_CALL_SECONDS, Peers
+from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.protocol.messages import Envelope, SessionsSeen, SessionsTaken
 from walnutquay.state.ids import ServiceName, VersionName
 from walnutquay.state.instances import Instance
--- a/walnutquay/coordination/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -8,16 +8,20 @@
 
 import logbook
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.judging import AnswerJudge
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.orderanswers import OrderAnswers, OrderStore, unix_seconds
-from walnutquay.coordination.places import Grant
-from walnutquay.coordination.routedturn import RoutedTurn
-from walnutquay.coordination.sessionkeeping import SessionKeeper
-from walnutquay.coordination.tasks import Tasks
-from walnutquay.coordination.trialnews import Peers, TrialExchange, facts_of
-from walnutquay.coordination.trialtask import FIRST_WRITE_SPREAD, TrialTask
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.requests.places import Grant
+from walnutquay.coordination.routed.turn import RoutedTurn
+from walnutquay.coordination.store.knowledge import Knowledge
+from walnutquay.coordination.trials.answers import (
+    OrderAnswers,
+    OrderStore,
+    unix_seconds,
+)
+from walnutquay.coordination.trials.judging import AnswerJudge
+from walnutquay.coordination.trials.news import Peers, TrialExchange, facts_of
+from walnutquay.coordination.trials.sessions import SessionKeeper
+from walnutquay.coordination.trials.task import FIRST_WRITE_SPREAD, TrialTask
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.settings import PromisesSection
 from walnutquay.state.counts import LatestTable
--- a/walnutquay/daemon/administration.py
+++ b/walnutquay/daemon/administration.py
@@ -14,8 +14,8 @@
 from sanic import HTTPResponse, Request
 from sanic.exceptions import SanicException
 
-from walnutquay.coordination.acceptance import Change
-from walnutquay.coordination.parts import Parts
+from walnutquay.coordination.own.acceptance import Change
+from walnutquay.coordination.own.parts import Parts
 from walnutquay.daemon.authentication import is_operator
 from walnutquay.daemon.beliefs import BELIEFS
 from walnutquay.exceptions import (
--- a/walnutquay/daemon/beliefs.py
+++ b/walnutquay/daemon/beliefs.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from walnutquay.coordination.parts import Parts
+from walnutquay.coordination.own.parts import Parts
 from walnutquay.transport.timers import monotonic
 
 
--- a/walnutquay/daemon/callers.py
+++ b/walnutquay/daemon/callers.py
@@ -11,10 +11,11 @@
 from sanic.exceptions import PayloadTooLarge, SanicException
 from sanic.response import BaseHTTPResponse
 
-from walnutquay.coordination.chats import ChatPath
-from walnutquay.coordination.configurations import Configurations
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.outcomes import (
+from walnutquay.coordination.own.chats import ChatPath
+from walnutquay.coordination.own.configurations import Configurations
+from walnutquay.coordination.own.services import ServicePath
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.outcomes import (
     ChatArrival,
     Outcome,
     Refused,
@@ -23,7 +24,6 @@
     Unknown,
     Whole,
 )
-from walnutquay.coordination.services import ServicePath
 from walnutquay.daemon.authentication import caller_of
 from walnutquay.protocol import chat
 from walnutquay.protocol.services import call_headers
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -13,7 +13,7 @@
 import orjson
 import uvloop
 
-from walnutquay.coordination.parts import Parts
+from walnutquay.coordination.own.parts import Parts
 from walnutquay.daemon.administration import AdministrationApi
 from walnutquay.daemon.callers import CallersApi
 from walnutquay.daemon.collector import tune_collector
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -13,24 +13,25 @@
 import logbook
 import uvloop
 
-from walnutquay.coordination.budgets import RetryBudgets
-from walnutquay.coordination.cascading import Cascading
-from walnutquay.coordination.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.crashes import CrashWatch
-from walnutquay.coordination.crashrecord import CrashRecord
-from walnutquay.coordination.dispatcher import Dispatcher
-from walnutquay.coordination.eventlog import EventLog
-from walnutquay.coordination.fleetpeers import FleetPeers
-from walnutquay.coordination.following import watch_times
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.pathparts import PathParts
-from walnutquay.coordination.recorder import TraceRecorder
-from walnutquay.coordination.relaying import Relay, RelayedFeed, Watchers
-from walnutquay.coordination.routed import RoutedPath
-from walnutquay.coordination.routedplaces import ReadingNote, RoutedPlaces
-from walnutquay.coordination.starting import StartingKnowledge
-from walnutquay.coordination.versions import VersionTrials
-from walnutquay.coordination.vmlist import VmList
+from walnutquay.coordination.fleet.peers import FleetPeers
+from walnutquay.coordination.fleet.starting import StartingKnowledge
+from walnutquay.coordination.fleet.vmlist import VmList
+from walnutquay.coordination.fleet.watchers import Watchers
+from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
+from walnutquay.coordination.process.dispatcher import Dispatcher
+from walnutquay.coordination.process.eventlog import EventLog
+from walnutquay.coordination.requests.crashes import CrashWatch
+from walnutquay.coordination.requests.crashrecord import CrashRecord
+from walnutquay.coordination.requests.pathparts import PathParts
+from walnutquay.coordination.requests.recorder import TraceRecorder
+from walnutquay.coordination.routed.budgets import RetryBudgets
+from walnutquay.coordination.routed.cascading import Cascading
+from walnutquay.coordination.routed.path import RoutedPath
+from walnutquay.coordination.routed.places import ReadingNote, RoutedPlaces
+from walnutquay.coordination.store.following import watch_times
+from walnutquay.coordination.store.knowledge import Knowledge
+from walnutquay.coordination.store.relaying import Relay, RelayedFeed
+from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
 from walnutquay.daemon.metricsapi import MetricsApi
@@ -334,7 +335,7 @@
         self.knowledge.start()
         self.versions.start()
         self.path.cascading.start()
-        self.context.timers.on_wake(self.path.woke)
+        self.context.timers.on_wake(self.path.limits.woke)
         self.path.parts.crashes.start()
         self.crash_record.start(self._reads_crashes)
         await self.api.ready_server.start(self.listener(options.ready.address))
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -11,12 +11,18 @@
 from aiohttp import HttpVersion10, web
 from multidict import CIMultiDict
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.outcomes import Outcome, Refused, Streamed, Unknown, Whole
-from walnutquay.coordination.routed import RoutedPath
-from walnutquay.coordination.routedfacts import whole_ms
-from walnutquay.coordination.routedturn import RoutedArrival
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.outcomes import (
+    Outcome,
+    Refused,
+    Streamed,
+    Unknown,
+    Whole,
+)
+from walnutquay.coordination.routed.facts import whole_ms
+from walnutquay.coordination.routed.path import RoutedPath
+from walnutquay.coordination.routed.turn import RoutedArrival
+from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.exceptions import MessageError
 from walnutquay.platform import names
 from walnutquay.platform.calls import decode_call
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -9,12 +9,12 @@
 
 from aiohttp import web
 
-from walnutquay.coordination.context import Context
-from walnutquay.coordination.fleetpeers import FleetPeers
-from walnutquay.coordination.knowledge import Knowledge
-from walnutquay.coordination.routed import RoutedPath
-from walnutquay.coordination.routedturn import RoutedArrival
-from walnutquay.coordination.versions import VersionTrials
+from walnutquay.coordination.fleet.peers import FleetPeers
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.routed.path import RoutedPath
+from walnutquay.coordination.routed.turn import RoutedArrival
+from walnutquay.coordination.store.knowledge import Knowledge
+from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.state.metrics import PERCENTILES, summary
 from walnutquay.state.trialcounts import Measure
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
