Tries of a request that is found to end endpoints are ended at once, at every VM

Cause: where callers send copies at a time, those that other engines have yet as it is found end one more each.

--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -12,6 +12,7 @@
 import itertools
 import random
 from dataclasses import dataclass, field
+from functools import partial
 from types import SimpleNamespace
 from unittest import mock
 
@@ -68,16 +69,19 @@
     :param known: whether VMs note what was at an endpoint that ended.
     :param told: whether they tell each other.
     :param apart: whether its tries meet at one endpoint.
+    :param stops: whether tries that engines have yet are ended when it is found.
     """
 
     name: str
     known: bool = True
     told: bool = True
     apart: bool = True
+    stops: bool = True
 
 
 WAYS = (
     Way("as built"),
+    Way("tries under way go on", stops=False),
     Way("tries go anywhere", apart=False),
     Way("VMs do not tell each other", told=False),
     Way("nothing is noted", known=False),
@@ -93,7 +97,9 @@
     """
 
     name: EndpointName
-    runs: dict[asyncio.Future[None], Request] = field(default_factory=dict)
+    runs: dict[asyncio.Future[None], tuple[CrashWatch, Request]] = field(
+        default_factory=dict
+    )
     up: bool = True
 
 
@@ -222,6 +228,8 @@
             watch = CrashWatch(context, Peers(self, vm))
             self.vms.append(watch)
             watch.start()
+            if self.way_of.stops:
+                watch.stoppers.append(partial(self._stop, watch))
         end = LEAD_SECONDS + TAIL_SECONDS
         for number in range(self.crashing):
             self._spawn(self._crashing_caller(f"crashing-{number}"))
@@ -304,7 +312,7 @@
             if watch.refusal(request, TARGET) is not None:
                 return "refused"
             sends += 1
-            began = await self._try(engine, request)
+            began = await self._try(watch, engine, request)
             if began is True:
                 watch.answered(request, TARGET, engine.name)
                 return "served"
@@ -312,13 +320,21 @@
                 self.found.hit += 1
             tried.add(engine)
             await self.way()
-            if self.way_of.known:
+            if self.way_of.known and not engine.up:
                 sends -= 1
                 ran = None if began is None else self.loop.time() - began
                 watch.ended(request, TARGET, engine.name, ran)
                 await watch.settle(request, TARGET)
         return "lost"
 
+    def _stop(self, watch: CrashWatch, blocked: frozenset[Fingerprint]) -> None:
+        """End the tries of blocked requests that engines have from a VM."""
+        for engine in self.engines:
+            for broke, (vm, request) in list(engine.runs.items()):
+                if vm is watch and request.fingerprint() in blocked:
+                    del engine.runs[broke]
+                    broke.set_result(None)
+
     def _choose(
         self, watch: CrashWatch, request: Request, tried: set[Engine]
     ) -> Engine | None:
@@ -334,7 +350,9 @@
 
     # An engine.
 
-    async def _try(self, engine: Engine, request: Request) -> float | bool | None:
+    async def _try(
+        self, watch: CrashWatch, engine: Engine, request: Request
+    ) -> float | bool | None:
         """Have an engine run a request.
 
         :returns: True where it answered; else when its answer began, None where none
@@ -347,7 +365,7 @@
             sent = self.found.sent_after
             sent[request.name] = sent.get(request.name, 0) + 1
         broke: asyncio.Future[None] = self.loop.create_future()
-        engine.runs[broke] = request
+        engine.runs[broke] = (watch, request)
         waits = QUEUE_SECONDS * self.rng.random() * len(engine.runs) / self.slots
         await asyncio.wait([broke], timeout=QUEUE_SECONDS / 3 + waits)
         if broke.done():
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -473,10 +473,17 @@
         "return False",
         "tests.test_crashes.MendedTest",
     ),
+    Mutation(
+        "ends of endpoints: copies under way are ended",
+        "coordination/requests/paths.py",
+        "parts.crashes.stoppers.append(self.limits.stop)",
+        "pass",
+        "tests.test_crashes.CopiesTest",
+    ),
     Mutation(
         "suspended: what was under way ends at its deadline",
         "coordination/requests/limits.py",
-        "limit.reschedule(loop_now + max(0.0, deadline - now))",
+        "limit.reschedule(loop_now + max(0.0, held.arrival.deadline - now))",
         "pass",
         "tests.test_suspended.RequestTest",
     ),
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from standins.worker import Behaviour, Seen
 from tests.gatewaycase import GatewayCase, Got
 from walnutquay.commands.fleetstate import concerns, read_figures, state_of
+from walnutquay.coordination.requests.limits import STEP_ENDED
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.state.crashes import CrashBook
 from walnutquay.state.culprits import ENDS_TO_BLOCK
@@ -175,6 +176,30 @@
         self.assertEqual((await self.ask(CRASHING)).status, 500)
 
 
+class CopiesTest(CrashCase):
+    """Copies that other engines have yet, as it is found, are not run to their end."""
+
+    async def test_one_that_waits_at_an_engine_is_ended(self):
+        gate = asyncio.Event()
+        waiting = [Behaviour(events=EVENTS, gate=gate)]
+        for worker in self.endpoints.values():
+            worker.choose = lambda seen: waiting.pop() if waiting else by_body(seen)
+        copy = asyncio.ensure_future(self.stream(CRASHING, Deadline="9000"))
+        await self.until(lambda: not waiting)
+        holder = next(worker for worker in self.endpoints.values() if worker.runs)
+        # The others are to end first.
+        table = self.gateway.path.places.table
+        table.of(holder.name).ejected_until = float("inf")
+        await self.stream(CRASHING)
+        answer = await copy
+        self.assertFalse(answer.whole)
+        self.assertEqual((self.crashes, holder.crashes), (ENDS_TO_BLOCK, 0))
+        steps = [line["step"] for line in self.events_of(EventKind.FAILED)]
+        self.assertEqual(steps.count(STEP_ENDED), 1)
+        gate.set()
+        await self.until(lambda: holder.runs[0].left)
+
+
 class BesideTest(CrashCase):
     """Requests that ran beside it are served, and none of them is refused."""
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -306,7 +306,7 @@
         for seconds in (2.0, 4.0, 8.0):
             times = watch_times(seconds, seconds)
             noticed = times.endpoints + WATCH_SLACK_SECONDS
-            self.assertLess(noticed + relaying.ANSWER_SECONDS, seconds)
+            self.assertLess(noticed + watchers_module.ANSWER_SECONDS, seconds)
             noticed = times.configuration + WATCH_SLACK_SECONDS
             self.assertLessEqual(noticed, seconds)
 
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -102,6 +102,8 @@
         self.blocked: dict[CrashTarget, frozenset[Fingerprint]] = {}
         # Called when a request is blocked by what this VM has seen.
         self.on_blocked: Callable[[], None] = _nothing
+        # Told of requests that have stayed blocked, whichever VM found them.
+        self.stoppers: list[Callable[[frozenset[Fingerprint]], None]] = []
         # The VM that is asked what it knows, if one is.
         self.asking: asyncio.Task | None = None
 
@@ -297,6 +299,18 @@
                 self._emit(fingerprint, target, fingerprint in new, told_by)
             if new - old and not told_by:
                 self.on_blocked()
+            if new - old:
+                self.tasks.spawn(self._stop(target, new - old))
+
+    async def _stop(self, target: CrashTarget, found: frozenset[Fingerprint]) -> None:
+        """End the tries of blocked requests that endpoints have yet, here.
+
+        Each of them would end one more endpoint.
+        """
+        await asyncio.sleep(SETTLE_SECONDS)
+        still = found & self.book.blocked.get(target, frozenset())
+        for stopper in self.stoppers:
+            stopper(still)
 
     def _emit(
         self, fingerprint: Fingerprint, target: CrashTarget, blocked: bool, told_by: str
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -9,7 +9,7 @@
 from expression import Error, Result
 
 from walnutquay.coordination.requests.hooks import PathHooks
-from walnutquay.coordination.requests.limits import DeadlineLimits
+from walnutquay.coordination.requests.limits import CallLimits
 from walnutquay.coordination.requests.outcomes import (
     Arrival,
     Outcome,
@@ -55,8 +55,9 @@
         self.in_flight = 0
         # The same, one by one: operators ask whose work waits.
         self.under_way: dict[RequestId, Arrival] = {}
-        # The limits of those that an endpoint has, which are set when this VM wakes.
-        self.limits = DeadlineLimits()
+        # The limits of those that an endpoint has.
+        self.limits = CallLimits()
+        parts.crashes.stoppers.append(self.limits.stop)
         # Set when the VM is stopping and takes no new requests.
         self.closed = False
 
