--- a/walnutquay/history/causes.py
+++ b/walnutquay/history/causes.py
@@ -19,6 +19,8 @@
 BUSY_READING_MS = 300.0
 # So does one with this part of its slots in use.
 BUSY_LOAD = 0.75
+# The step of a failure by which a call's time was over.
+TIMED_OUT = "exchange"
 
 
 class Cause(Enum):
@@ -148,6 +150,8 @@
         cause = Cause.ENDPOINT_LOST
         if last.facts.get("status") is not None:
             cause = Cause.ENDPOINT_ERROR
+        elif last.facts.get("step") == TIMED_OUT:
+            cause = Cause.NO_TIME
         return Finding(cause, last, f"{last.endpoint}: {last.detail}")
 
     def _was_on_trial(self, history: RequestHistory, failed: LogLine) -> bool:
