A soak: real entry VMs under faults in series and overlapping, from a seed

VMs killed, stopped, frozen, all lost; the store away, cut off, without history; endpoints that end and start again, leave, fall silent; junk, keys taken away, requests that end engines. Found: VMs that reach the store by different addresses refused each other's packets, for the seal was made of the address; peers.fleet names the fleet now.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: help demo test lint format clean
+.PHONY: help demo test soak lint format clean
 
 help:                  ## Show the commands.
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -21,6 +21,13 @@
 test: $(STAMP)         ## Run all tests.
 	$(BIN)/python -m tests
 
+SEED ?= 1
+SEEDS ?= 10
+SECONDS_EACH ?= 40
+
+soak: $(STAMP)         ## Play soaks: make soak SEED=1 SEEDS=10.
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS_EACH)
+
 lint: $(STAMP)         ## Check the format and run the linter.
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -461,8 +461,8 @@
     Mutation(
         "ends of endpoints: news of the others are waited for",
         "coordination/requests/crashes.py",
-        "await asyncio.sleep(SETTLE_SECONDS)",
-        "pass",
+        "if self.book.is_blocked(arrival.fingerprint(), target):",
+        "if False:",
         "tests.test_crashfleet.CrashFleetTest."
         "test_one_ends_three_engines_and_others_are_served",
     ),
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,168 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Callers of a soak: they keep connections, leave and come back."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from dataclasses import dataclass
+from enum import Enum
+
+import aiohttp
+
+from soak.fleet import APP, CRASHING, HOST, SoakFleet, Vm
+
+# A caller waits no longer, whatever the VM does.
+PATIENCE_SECONDS = 12.0
+DEADLINE_MS = 6000
+# Some callers leave within so long.
+LEAVE_SECONDS = (0.0, 0.2)
+LEAVE_SHARE = 0.05
+# Requests that end engines are brought again so often, and as often again.
+CRASH_TRIES = 5
+
+
+class Kind(Enum):
+    """What is sent."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@dataclass
+class Sent:
+    """A request, and what its caller got.
+
+    :param request: its id.
+    :param kind: what it is.
+    :param vm: the VM that it was sent to.
+    :param key: the key that it carried.
+    :param body: its body.
+    :param sent_at: when; monotonic seconds.
+    :param status: the status; 0 where none came.
+    :param answer: what came of the body.
+    :param whole: whether the answer ended as its framing says.
+    :param seal: the endpoint's signature.
+    :param left: whether its caller left on purpose.
+    :param ended_at: when its caller was done with it; monotonic seconds.
+    """
+
+    request: str
+    kind: Kind
+    vm: Vm
+    key: str
+    body: bytes
+    sent_at: float
+    status: int = 0
+    answer: bytes = b""
+    whole: bool = False
+    seal: str = ""
+    left: bool = False
+    ended_at: float = float("inf")
+
+
+class Callers:
+    """Sends requests to VMs, at a rate, and keeps what came of them.
+
+    :param fleet: the VMs.
+    :param seed: of all chance here.
+    :param rate: requests a second.
+    """
+
+    def __init__(self, fleet: SoakFleet, seed: int, rate: float) -> None:
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.leave_share = LEAVE_SHARE
+        self.numbers = itertools.count(1)
+        self.sent: list[Sent] = []
+        self.tasks: set[asyncio.Task[Sent]] = set()
+        # Kept connections stay open until the process that holds them is gone.
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
+        )
+
+    async def run(self, seconds: float) -> None:
+        """Send requests for some time.
+
+        :param seconds: for how long.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.spawn(self.rng.choice(list(Kind)), self.rng.choice(self.fleet.vms))
+            await asyncio.sleep(self.rng.expovariate(self.rate))
+
+    async def close(self) -> None:
+        """Wait for the last answers, and close all connections."""
+        await asyncio.gather(*self.tasks)
+        await self.session.close()
+
+    def spawn(self, kind: Kind, vm: Vm, body: bytes = b"") -> asyncio.Task[Sent]:
+        """Send a request in the background."""
+        task = asyncio.ensure_future(self.send(kind, vm, body))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def bring_crashing(self, path: str) -> None:
+        """Bring a request that ends engines, again and again, through any VM.
+
+        :param path: what makes it another request than the ones before.
+        """
+        for _ in range(CRASH_TRIES):
+            vm = self.rng.choice(self.fleet.vms)
+            await self.send(Kind.STREAM, vm, CRASHING, path)
+            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+
+    async def send(
+        self, kind: Kind, vm: Vm, body: bytes = b"", path: str = "x", key: str = ""
+    ) -> Sent:
+        """Send one request.
+
+        :param kind: what to send.
+        :param vm: where to.
+        :param body: its body; one of its own if empty.
+        :param path: the rest of its path.
+        :param key: the key that it carries; one that is drawn if empty.
+        :returns: what came of it.
+        """
+        request = f"r{next(self.numbers)}"
+        keys = [key for own in self.fleet.keys.values() for key in own]
+        key = key or (keys[0] if body else self.rng.choice(keys))
+        content = body or f"body of {request}".encode()
+        sent = Sent(request, kind, vm, key, content, time.monotonic())
+        self.sent.append(sent)
+        patience = PATIENCE_SECONDS
+        if not body and self.rng.random() < self.leave_share:
+            patience = self.rng.uniform(*LEAVE_SECONDS)
+            sent.left = True
+        try:
+            async with asyncio.timeout(patience):
+                await self._exchange(sent, path)
+        except (TimeoutError, OSError, aiohttp.ClientError):
+            # What came until then is kept; the judge decides what it must be.
+            pass
+        sent.ended_at = time.monotonic()
+        return sent
+
+    async def _exchange(self, sent: Sent, path: str) -> None:
+        port = sent.vm.ports["callers"]
+        headers = {
+            "Host": APP,
+            "Request-Id": sent.request,
+            "Deadline": str(DEADLINE_MS),
+            "Authorization": f"Bearer {sent.key}",
+            "Model": "*",
+            "Token-Count": "100,10",
+        }
+        url = f"http://{HOST}:{port}/{sent.kind.value}/{path}"
+        async with self.session.post(url, data=sent.body, headers=headers) as answer:
+            sent.status = answer.status
+            sent.seal = answer.headers.get("Reply-Seal", "")
+            async for part in answer.content.iter_any():
+                sent.answer += part
+            sent.whole = True
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,225 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Faults of a soak, drawn from its seed: in series, and overlapping."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import logbook
+
+from soak.callers import Callers
+from soak.fleet import SoakFleet, Vm
+
+log = logbook.Logger(__name__)
+
+Fault = Callable[[], Awaitable[None]]
+# How long faults last, and the time between the begins of two: some overlap.
+LASTS_SECONDS = (0.5, 3.0)
+# How long an endpoint is away that has ended.
+AWAY_SECONDS = (1.5, 4.0)
+GAP_SECONDS = (0.2, 2.0)
+# An endpoint that leaves serves on for so long.
+LEAVING_SECONDS = 4.0
+JUNK = ("text", None, {"service": "plain"}, {"slots": 1e400}, {"zone": "\udcff"})
+
+
+class Faults:
+    """Brings faults about.
+
+    :param fleet: what they are brought about on.
+    :param callers: who bring requests that end engines.
+    :param seed: of all chance here.
+    """
+
+    def __init__(self, fleet: SoakFleet, callers: Callers, seed: int) -> None:
+        self.fleet = fleet
+        self.callers = callers
+        self.rng = random.Random(seed)
+        self.done: list[tuple[float, str]] = []
+        self.began = time.monotonic()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.crashing = 0
+        self.replaced = 0
+        # Keys that were taken away, with when the store acknowledged it.
+        self.revoked: dict[str, float] = {}
+        self.kinds: list[Fault] = [
+            self.kill_vm,
+            self.stop_vm,
+            self.freeze_vm,
+            self.kill_all_vms,
+            self.cut_store,
+            self.silence_store,
+            self.store_away,
+            self.forget_history,
+            self.crash_endpoint,
+            self.leave_endpoint,
+            self.silence_endpoint,
+            self.write_junk,
+            self.change_configuration,
+            self.take_key,
+            self.bring_crashing,
+        ]
+
+    async def run(self, seconds: float) -> None:
+        """Bring faults about for some time, and wait until all are over.
+
+        :param seconds: for how long new ones begin.
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            fault = self.rng.choice(self.kinds)
+            at = time.monotonic() - self.began
+            self.done.append((at, fault.__name__))
+            task = asyncio.ensure_future(fault())
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(self.rng.uniform(*GAP_SECONDS))
+        await asyncio.gather(*self.tasks)
+
+    def _lasts(self) -> float:
+        return self.rng.uniform(*LASTS_SECONDS)
+
+    def _vm(self) -> Vm:
+        return self.rng.choice(self.fleet.vms)
+
+    async def _disturb(self, vm: Vm, seconds: float) -> None:
+        """Let a fault of a VM last."""
+        since = time.monotonic()
+        vm.disturbed.append((since, since + seconds))
+        await asyncio.sleep(seconds)
+
+    async def _restart(self, vm: Vm, number: signal.Signals, away: float) -> None:
+        """End a VM's process, unless another fault has, and start it again."""
+        if vm.ordered:
+            return
+        since = time.monotonic()
+        vm.disturbed.append((since, float("inf")))
+        await vm.end(number)
+        await asyncio.sleep(away)
+        await vm.start()
+        await self.fleet.until_ready(vm)
+        vm.disturbed.remove((since, float("inf")))
+        vm.disturbed.append((since, time.monotonic()))
+
+    # VMs.
+
+    async def kill_vm(self) -> None:
+        """Kill a VM."""
+        await self._restart(self._vm(), signal.SIGKILL, self._lasts())
+
+    async def stop_vm(self) -> None:
+        """Stop a VM as planned."""
+        await self._restart(self._vm(), signal.SIGTERM, 0.2)
+
+    async def kill_all_vms(self) -> None:
+        """Kill all VMs at once."""
+        away = self._lasts()
+        vms = self.fleet.vms
+        await asyncio.gather(*(self._restart(vm, signal.SIGKILL, away) for vm in vms))
+
+    async def freeze_vm(self) -> None:
+        """Stop a VM's process for a while, and let it go on."""
+        vm = self._vm()
+        vm.signal(signal.SIGSTOP)
+        await self._disturb(vm, self._lasts())
+        vm.signal(signal.SIGCONT)
+
+    # The store.
+
+    async def cut_store(self) -> None:
+        """Cut a VM off from the store."""
+        vm = self._vm()
+        vm.link.set_cut(True)
+        await self._disturb(vm, self._lasts())
+        vm.link.set_cut(False)
+
+    async def silence_store(self) -> None:
+        """Let a VM's connections to the store say nothing any more."""
+        vm = self._vm()
+        vm.link.silence()
+        await self._disturb(vm, 0.0)
+
+    async def store_away(self) -> None:
+        """Have the store refuse all calls."""
+        self.fleet.store.refuse = 503
+        seconds = self._lasts()
+        await asyncio.gather(*(self._disturb(vm, seconds) for vm in self.fleet.vms))
+        self.fleet.store.refuse = None
+
+    async def forget_history(self) -> None:
+        """Have the store forget its history."""
+        await self.fleet.store.forget_history()
+
+    # Endpoints.
+
+    async def crash_endpoint(self) -> None:
+        """Have an endpoint crash, and start again under its name."""
+        name = self.rng.choice(list(self.fleet.endpoints))
+        if self.fleet.endpoints[name].leaving_since is None:
+            self.fleet.endpoints[name].worker.crash()
+
+    async def revive(self) -> None:
+        """Start endpoints again that have ended, each some time after its end."""
+        ended: dict[str, float] = {}
+        while True:
+            for name, endpoint in list(self.fleet.endpoints.items()):
+                if not endpoint.worker.ended:
+                    continue
+                now = time.monotonic()
+                away = self.rng.uniform(*AWAY_SECONDS)
+                back = ended.setdefault(name, now + away)
+                if now >= back:
+                    del ended[name]
+                    await self.fleet.start_again(name)
+            await asyncio.sleep(0.05)
+
+    async def leave_endpoint(self) -> None:
+        """Have an endpoint announce its end, serve on, and be replaced."""
+        name = self.rng.choice(list(self.fleet.endpoints))
+        endpoint = self.fleet.endpoints[name]
+        if endpoint.leaving_since is not None or endpoint.worker.ended:
+            return
+        self.replaced += 1
+        other = f"{endpoint.service[0]}-next-{self.replaced}"
+        await self.fleet.add_endpoint(other, endpoint.service)
+        spec = {**endpoint.entry, "state": "draining"}
+        await self.fleet.store.put("servers", name, spec)
+        endpoint.leaving_since = time.monotonic()
+        await asyncio.sleep(LEAVING_SECONDS)
+        await self.fleet.remove_endpoint(name)
+
+    async def silence_endpoint(self) -> None:
+        """Let the connections to an endpoint say nothing any more."""
+        name = self.rng.choice(list(self.fleet.endpoints))
+        self.fleet.endpoints[name].link.silence()
+        for vm in self.fleet.vms:
+            await self._disturb(vm, 0.0)
+
+    # What others write.
+
+    async def write_junk(self) -> None:
+        """Write an entry that names nothing."""
+        name = f"junk-{self.rng.randrange(4)}"
+        await self.fleet.store.put("servers", name, self.rng.choice(JUNK))
+
+    async def change_configuration(self) -> None:
+        """Have a newer configuration come into force."""
+        await self.fleet.configure()
+
+    async def take_key(self) -> None:
+        """Take a key away, and give another one out."""
+        own = self.fleet.keys["org-b"]
+        taken = own.pop(0)
+        own.append(f"key-b{self.fleet.version + 1}")
+        await self.fleet.configure()
+        self.revoked[taken] = time.monotonic()
+
+    async def bring_crashing(self) -> None:
+        """Have a caller bring a request that ends engines."""
+        self.crashing += 1
+        await self.callers.bring_crashing(f"crash-{self.crashing}")
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,323 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What a soak is played on: entry VMs as processes, a store, endpoints, and links."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import tomli_w
+
+from standins.link import Link
+from standins.store import StoreStandIn
+from standins.worker import Behaviour, Seen, WorkerStandIn
+
+HOST = "127.0.0.1"
+APP = "app.example"
+# A wait that lasts so long will never end; it bounds hangs and measures nothing.
+HANG_SECONDS = 60.0
+POLL_SECONDS = 0.05
+EVENTS = 5
+# After a fault a VM is given so long before what is bound by time is judged.
+CONTACT_SECONDS = 3.0
+# How long a plain answer takes: some endpoints end within it.
+WORK_SECONDS = 0.2
+# A body that ends each engine that begins to run it.
+CRASHING = b"crash"
+KEYS = {"org-a": ["key-a1", "key-a2"], "org-b": ["key-b1"]}
+PROMISES = {"config_seconds": 2.0, "drain_seconds": 2.0, "balancer_seconds": 0.5}
+
+
+def _route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": APP,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 8000,
+        "sloMs": 1000,
+        "priority": 1,
+        "service": service,
+        "attempts": 3,
+        "public": False,
+        **more,
+    }
+
+
+def configuration(version: int, keys: dict[str, list[str]]) -> dict[str, Any]:
+    """:returns: a configuration as the platform writes it."""
+    stream = {"sticky": True, "resumable": True, "gapAimMs": 500, "sizes": ["tiny"]}
+    return {
+        "version": version,
+        "routes": [
+            _route("safe", "safe", "plain"),
+            _route("unsafe", "unsafe", "plain"),
+            _route("stream", "stream", "engine", **stream),
+        ],
+        "services": [
+            {"name": "plain", "healthPath": "/healthz", "maxConns": 100},
+            {
+                "name": "engine",
+                "maxConns": 100,
+                "engine": {
+                    "kvTokens": 100_000,
+                    "models": [{"name": "tiny", "cost": 0.01}],
+                },
+            },
+        ],
+        "tenants": [{"name": name, "apiKeys": own} for name, own in keys.items()],
+    }
+
+
+def behave(seen: Seen) -> Behaviour:
+    """:returns: how endpoints answer: engines end within some bodies' answers."""
+    if not seen.target.startswith("/stream/"):
+        body = seen.headers["request-id"].encode()
+        return Behaviour(body=body, pause=WORK_SECONDS)
+    if seen.body == CRASHING:
+        return Behaviour(events=EVENTS, crash_after=1)
+    return Behaviour(events=EVENTS, pause=0.01)
+
+
+@dataclass
+class Endpoint:
+    """An endpoint, which is reached through a link.
+
+    :param worker: the stand-in.
+    :param link: the link.
+    :param service: the service that it runs.
+    :param leaving_since: when the store acknowledged that it leaves; monotonic.
+    """
+
+    worker: WorkerStandIn
+    link: Link
+    service: str
+    leaving_since: float | None = None
+    # Its entry in the store.
+    entry: dict[str, object] = field(default_factory=dict)
+
+    def start_entry(self) -> None:
+        """Make the entry of a start that is now."""
+        address = f"{HOST}:{self.link.port}"
+        born = round(time.time() * 1000.0)
+        self.entry = self.worker.spec(self.service, address=address, born=born)
+
+
+@dataclass
+class Vm:
+    """An entry VM, a process of its own; its store is behind a link.
+
+    :param name: its name.
+    :param settings: its settings file.
+    :param log: where its lines go.
+    :param ports: where it listens.
+    :param link: its way to the store.
+    """
+
+    name: str
+    settings: Path
+    log: Path
+    ports: dict[str, int]
+    link: Link
+    process: asyncio.subprocess.Process | None = None
+    # When it was disturbed: from and until; monotonic seconds.
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    # Ends that nobody asked for.
+    own_ends: list[int] = field(default_factory=list)
+    ordered: bool = False
+
+    async def start(self) -> None:
+        """Start it; its lines are added to those of its earlier starts."""
+        self.ordered = False
+        with self.log.open("ab") as file:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "walnutquay",
+                "gateway",
+                "--settings",
+                str(self.settings),
+                stdout=file,
+                stderr=file,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """:param number: a signal, to this process alone."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: signal.Signals) -> None:
+        """:param number: the signal by which it is ended."""
+        self.ordered = True
+        self.signal(number)
+        self.signal(signal.SIGCONT)
+        assert self.process is not None
+        async with asyncio.timeout(HANG_SECONDS):
+            await self.process.wait()
+
+    def in_touch(self, at: float) -> bool:
+        """:param at: a time; monotonic seconds.
+
+        :returns: whether nothing disturbed it then, nor shortly before.
+        """
+        spans = self.disturbed
+        return not any(since <= at <= until + CONTACT_SECONDS for since, until in spans)
+
+    def look(self) -> None:
+        """Note an end that nobody asked for."""
+        code = self.process.returncode if self.process is not None else None
+        if code is not None and not self.ordered:
+            self.own_ends.append(code)
+            self.ordered = True
+
+
+class SoakFleet:
+    """Starts everything, and ends what it has started.
+
+    :param vms: entry VMs.
+    :param plain: endpoints of the plain service.
+    :param engines: engines.
+    """
+
+    def __init__(self, vms: int, plain: int, engines: int) -> None:
+        self.folder = tempfile.TemporaryDirectory(prefix="walnutquay-soak-")
+        self.sizes = (vms, plain, engines)
+        self.store = StoreStandIn()
+        self.endpoints: dict[str, Endpoint] = {}
+        # Those that were taken away.
+        self.gone: list[Endpoint] = []
+        self.vms: list[Vm] = []
+        self.keys = {name: list(own) for name, own in KEYS.items()}
+        self.version = 1
+        self.session = aiohttp.ClientSession()
+
+    async def start(self) -> None:
+        """Start everything, and wait until it serves."""
+        vms, plain, engines = self.sizes
+        await self.store.start()
+        await self.store.put("config", "main", configuration(1, self.keys))
+        for number in range(plain):
+            await self.add_endpoint(f"p{number}", "plain")
+        for number in range(engines):
+            await self.add_endpoint(f"e{number}", "engine")
+        for number in range(vms):
+            await self._add_vm(f"vm-{number}", f"hall-{number % 2}")
+        for vm in self.vms:
+            await vm.start()
+        for vm in self.vms:
+            await self.until_ready(vm)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for vm in self.vms:
+            await vm.end(signal.SIGKILL)
+            vm.link.stop()
+        for endpoint in self.endpoints.values():
+            await endpoint.worker.stop()
+            endpoint.link.stop()
+        await self.store.stop()
+        await self.session.close()
+        self.folder.cleanup()
+
+    async def add_endpoint(self, name: str, service: str) -> Endpoint:
+        """Start an endpoint, and enter it into the store."""
+        worker = WorkerStandIn(name)
+        worker.choose = behave
+        await worker.start()
+        host, _, port = worker.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        worker.on_crash = link.close_port
+        endpoint = self.endpoints[name] = Endpoint(worker, link, service)
+        await self.enter(name)
+        return endpoint
+
+    async def enter(self, name: str) -> None:
+        """Write the entry of an endpoint that has just started."""
+        endpoint = self.endpoints[name]
+        endpoint.start_entry()
+        await self.store.put("servers", name, endpoint.entry)
+
+    async def start_again(self, name: str) -> None:
+        """Start an endpoint that has ended, under its name."""
+        endpoint = self.endpoints[name]
+        await endpoint.worker.come_back(name)
+        await endpoint.link.open_port()
+        await self.enter(name)
+
+    async def remove_endpoint(self, name: str) -> None:
+        """Take an endpoint away that has announced its end."""
+        await self.store.remove("servers", name)
+        endpoint = self.endpoints.pop(name)
+        self.gone.append(endpoint)
+        await endpoint.worker.stop()
+        endpoint.link.stop()
+
+    def workers(self) -> list[WorkerStandIn]:
+        """:returns: all endpoints that there ever were."""
+        return [e.worker for e in (*self.endpoints.values(), *self.gone)]
+
+    async def _add_vm(self, name: str, hall: str) -> None:
+        host, _, port = self.store.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        folder = Path(self.folder.name)
+        names = ("callers", "ready", "metrics", "peers")
+        ports = dict(zip(names, _free_ports(len(names)), strict=True))
+        sections = {n: {"address": f"{HOST}:{port}"} for n, port in ports.items()}
+        plain = {
+            "vm": {"name": name, "hall": hall},
+            "store": {"address": f"{HOST}:{link.port}"},
+            "promises": PROMISES,
+            "log": {"format": "json", "events": True},
+            **sections,
+        }
+        # Each VM has a way of its own to the store, and so another address of it.
+        plain["peers"]["fleet"] = "soak"
+        settings = folder / f"{name}.toml"
+        settings.write_text(tomli_w.dumps(plain), encoding="utf-8")
+        self.vms.append(Vm(name, settings, folder / f"{name}.log", ports, link))
+
+    async def is_ready(self, vm: Vm) -> bool:
+        """:returns: whether a VM would serve callers."""
+        try:
+            url = f"http://{HOST}:{vm.ports['ready']}/v1/ready"
+            limit = aiohttp.ClientTimeout(total=1.0)
+            async with self.session.get(url, timeout=limit) as answer:
+                return answer.status == 200
+        except (TimeoutError, OSError, aiohttp.ClientError):
+            return False
+
+    async def until_ready(self, vm: Vm) -> None:
+        """Wait until a VM would serve callers."""
+        async with asyncio.timeout(HANG_SECONDS):
+            while not await self.is_ready(vm):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def configure(self) -> None:
+        """Have a newer configuration come into force."""
+        self.version += 1
+        spec = configuration(self.version, self.keys)
+        await self.store.put("config", "main", spec)
+
+
+def _free_ports(count: int) -> list[int]:
+    """Take ports that are free now, all at once."""
+    held = [socket.socket() for _ in range(count)]
+    for one in held:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
--- /dev/null
+++ b/soak/judge.py
@@ -0,0 +1,173 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""What must hold in a soak, from what callers got and endpoints saw."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+from soak.callers import Callers, Kind, Sent
+from soak.faults import Faults
+from soak.fleet import (
+    CONTACT_SECONDS,
+    CRASHING,
+    EVENTS,
+    KEYS,
+    PROMISES,
+    SoakFleet,
+)
+from standins.worker import Seen
+from walnutquay.state.culprits import ENDS_TO_BLOCK
+
+# Statuses by which a VM promises that a request has not run and will not.
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+# Sends of a request that has ended three endpoints, later than a VM is given to know.
+SENDS_AFTER = 3
+# Its sends in all: VMs that knew of it may be killed before they have told.
+MOST_SENDS = 3 * ENDS_TO_BLOCK
+# What a busy machine may take over the times that VMs keep to.
+SLACK_SECONDS = 1.0
+STREAM = b"".join(f"id: {n}\ndata: word {n}\n\n".encode() for n in range(1, EVENTS + 1))
+# Levels of log lines that a soak must not bring about.
+GRAVE = ("ERROR", "CRITICAL")
+
+
+class Judge:
+    """Finds broken promises.
+
+    :param fleet: what was played on.
+    :param callers: who sent requests.
+    :param faults: what was brought about.
+    """
+
+    def __init__(self, fleet: SoakFleet, callers: Callers, faults: Faults) -> None:
+        self.fleet = fleet
+        self.faults = faults
+        self.sent = {one.request: one for one in callers.sent}
+        # What ran, by the id of the request.
+        self.runs: dict[str, list[Seen]] = {}
+        for worker in fleet.workers():
+            for seen in worker.runs:
+                self.runs.setdefault(seen.headers["request-id"], []).append(seen)
+
+    def broken(self) -> list[str]:
+        """:returns: what has not held, in words."""
+        found = [words for sent in self.sent.values() for words in self._request(sent)]
+        found += self._crashing()
+        found += self._ends()
+        return found + list(self._lines())
+
+    def timed(self) -> list[str]:
+        """:returns: what has not held in its time, at VMs that nothing disturbed."""
+        return [*self._keys(), *self._leaving()]
+
+    # Requests.
+
+    def _request(self, sent: Sent) -> Iterator[str]:
+        runs = self.runs.get(sent.request, [])
+        if sent.kind is Kind.UNSAFE and len(runs) > 1:
+            yield f"{sent.request} ran {len(runs)} times"
+        if sent.status in PROMISES_NOT_RUN and runs:
+            yield f"{sent.request} was told {sent.status} and has run"
+        if sent.status == 200:
+            yield from self._answer(sent, runs)
+        for seen in runs:
+            if seen.body != sent.body:
+                yield f"{sent.request} ran with another body"
+            if sent.key not in _keys_of(seen.headers["tenant"], self.faults):
+                yield f"{sent.request} ran for {seen.headers['tenant']}"
+
+    def _answer(self, sent: Sent, runs: list[Seen]) -> Iterator[str]:
+        if not runs:
+            yield f"{sent.request} was answered and has not run"
+        if not sent.seal:
+            yield f"{sent.request} has an answer without a signature"
+        right = STREAM if sent.kind is Kind.STREAM else sent.request.encode()
+        if sent.whole and sent.answer != right:
+            yield f"{sent.request} got {sent.answer!r} as a whole answer"
+        if not right.startswith(sent.answer):
+            yield f"{sent.request} got {sent.answer!r}"
+
+    # Requests that end engines.
+
+    def _crashing(self) -> Iterator[str]:
+        paths: dict[str, list[Seen]] = {}
+        for runs in self.runs.values():
+            for seen in runs:
+                if seen.body == CRASHING:
+                    paths.setdefault(seen.target, []).append(seen)
+        for path, runs in paths.items():
+            runs.sort(key=lambda seen: seen.at)
+            if len(runs) <= ENDS_TO_BLOCK:
+                continue
+            if len(runs) > MOST_SENDS:
+                yield f"{path} was sent {len(runs)} times"
+            known = runs[ENDS_TO_BLOCK - 1].at + CONTACT_SECONDS
+            later = [seen for seen in runs if seen.at > known and self._in_touch(seen)]
+            if len(later) > SENDS_AFTER:
+                yield f"{path} was sent {len(later)} times after three ends"
+
+    def _in_touch(self, seen: Seen) -> bool:
+        """Whether nothing disturbed the VM that sent it, nor shortly before."""
+        return self.sent[seen.headers["request-id"]].vm.in_touch(seen.at)
+
+    # Times.
+
+    def _keys(self) -> Iterator[str]:
+        for sent in self.sent.values():
+            taken = self.faults.revoked.get(sent.key, float("inf"))
+            late = taken + PROMISES["config_seconds"] + SLACK_SECONDS
+            runs = self.runs.get(sent.request, [])
+            if sent.sent_at > late and any(self._in_touch(seen) for seen in runs):
+                yield f"{sent.request} ran by a key that was taken away"
+
+    def _leaving(self) -> Iterator[str]:
+        for endpoint in (*self.fleet.endpoints.values(), *self.fleet.gone):
+            if endpoint.leaving_since is None:
+                continue
+            late = endpoint.leaving_since + PROMISES["drain_seconds"] + SLACK_SECONDS
+            for seen in endpoint.worker.runs:
+                if seen.at > late and self._in_touch(seen):
+                    yield f"{endpoint.worker.name} was sent a request after its end"
+
+    # Processes.
+
+    def _ends(self) -> list[str]:
+        return [
+            f"{vm.name} ended by itself: {code}"
+            for vm in self.fleet.vms
+            for code in vm.own_ends
+        ]
+
+    def _lines(self) -> Iterator[str]:
+        for vm in self.fleet.vms:
+            yield from (f"{vm.name}: {words}" for words in _grave(vm.log))
+
+
+def _keys_of(organisation: str, faults: Faults) -> set[str]:
+    """Give all keys that an organisation ever had."""
+    known = set(KEYS.get(organisation, ())) | set(faults.fleet.keys[organisation])
+    if organisation == "org-b":
+        known |= set(faults.revoked)
+    return known
+
+
+def _grave(path: Path) -> Iterator[str]:
+    """Yield the lines of a log that tell of something nobody foresaw."""
+    for line in path.read_text(errors="replace").splitlines():
+        if "Traceback" in line:
+            yield line
+            continue
+        try:
+            plain = json.loads(line)
+        except ValueError:
+            continue
+        expected = str(plain.get("message", "")).startswith(EXPECTED)
+        if plain.get("level") in GRAVE and not expected:
+            yield str(plain.get("message"))[:300]
+
+
+# What VMs say at that level of objects that others wrote.
+EXPECTED = ("an object of the store has no name", "entry-vms/")
--- a/standins/link.py
+++ b/standins/link.py
@@ -44,6 +44,8 @@
         """Listen at a free port of the loopback."""
         while True:
             stream = socket.socket()
+            # The port can be opened again while old streams of it end.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             stream.bind(("127.0.0.1", 0))
             self.port = stream.getsockname()[1]
             loop = asyncio.get_running_loop()
@@ -57,6 +59,16 @@
             break
         self.server = await asyncio.start_server(self._serve, sock=stream)
 
+    def close_port(self) -> None:
+        """Refuse new streams, as where nothing listens, and end the others."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    async def open_port(self) -> None:
+        """Take new streams again, at the same port."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
     def stop(self) -> None:
         """Close everything."""
         self.set_cut(True)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -28,6 +29,8 @@
     body: bytes
     # Whether its caller closed or reset the connection before the answer had ended.
     left: bool = False
+    # When it came; monotonic seconds.
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -48,7 +51,7 @@
     :param mute: whether nothing is answered at all.
     :param extra: whether a second answer follows the first.
     :param headers: more headers.
-    :param pause: seconds between two events.
+    :param pause: seconds between two events, or before a plain answer.
     :param crash_after: whole events after which the endpoint itself ends, with all
         its connections; None where it goes on.
     :param gate: waited for after the first event, if there is one.
@@ -95,6 +98,10 @@
         # The connections that are open now, and how often the endpoint has ended.
         self.writers: set[asyncio.StreamWriter] = set()
         self.crashes = 0
+        # Told when it ends.
+        self.on_crash: Callable[[], None] = lambda: None
+        # Whether it has ended, and is not back yet.
+        self.ended = False
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen at a free port."""
@@ -111,10 +118,12 @@
     def crash(self) -> None:
         """End as a process that is killed: its port and its connections are closed."""
         self.crashes += 1
+        self.ended = True
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
             writer.close()
+        self.on_crash()
 
     async def come_back(self, name: str) -> None:
         """Listen again where it was, as a new start.
@@ -122,6 +131,7 @@
         :param name: its name from now on.
         """
         self.name = name
+        self.ended = False
         host, _, port = self.address.partition(":")
         self.server = await asyncio.start_server(self._serve, host, int(port))
 
@@ -203,6 +213,7 @@
     async def _plain(
         self, writer: asyncio.StreamWriter, seen: Seen, behaviour: Behaviour
     ) -> bool:
+        await asyncio.sleep(behaviour.pause)
         framing = f"Content-Length: {len(behaviour.body)}"
         if not behaviour.framed:
             framing = "Connection: close"
@@ -262,7 +273,7 @@
     """:returns: whether a caller ends its connection, by a close or a reset, next."""
     try:
         return not await reader.read(1)
-    except ConnectionResetError:
+    except OSError:
         return True
 
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -161,7 +161,8 @@
     def _make_node(self) -> PeerNode:
         # This only keeps the packets of other fleets out: the platform gives its
         # routers no secret, and its network is theirs alone.
-        key = f"walnutquay fleet of {self.options.store.address}"
+        fleet = self.options.peers.fleet or self.options.store.address
+        key = f"walnutquay fleet of {fleet}"
         return PeerNode(
             self.context.vm,
             self.context.incarnation,
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -225,6 +225,9 @@
     seeds: str = ""
     """Addresses of some entry VMs, with commas between; their ports do not matter,
     for all VMs listen for peers at the same port."""
+    fleet: str = ""
+    """What keeps the packets of other fleets out; the same on all VMs of one. Empty
+    takes the store's address, which must be written alike on all of them then."""
     first_start: bool = False
     """Whether the whole fleet starts for the first time: no VM knows anything yet."""
 
