soak: a key that was replaced is still its organisation's for requests already sent

The judge held a request sent with a key that calm had since replaced to have run for another organisation.

--- a/soak/calm.py
+++ b/soak/calm.py
@@ -103,9 +103,7 @@
 
     async def _taken_key(self) -> list[str]:
         """Take a key away, and send requests that carry it."""
-        own = self.fleet.keys["org-b"]
-        taken, own[0] = own[0], f"key-b-last-{self.fleet.version}"
-        await self.fleet.configure()
+        taken = await self.fleet.replace_key()
         await asyncio.sleep(PROMISES["config_seconds"] + SLACK_SECONDS)
         sent = [
             await self.callers.send(Kind.SAFE, vm, key=taken) for vm in self.fleet.vms
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -213,10 +213,7 @@
 
     async def take_key(self) -> None:
         """Take a key away, and give another one out."""
-        own = self.fleet.keys["org-b"]
-        taken = own.pop(0)
-        own.append(f"key-b{self.fleet.version + 1}")
-        await self.fleet.configure()
+        taken = await self.fleet.replace_key()
         self.revoked[taken] = time.monotonic()
 
     async def bring_crashing(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -199,6 +199,8 @@
         self.gone: list[Endpoint] = []
         self.vms: list[Vm] = []
         self.keys = {name: list(own) for name, own in KEYS.items()}
+        # Keys that were taken away from their organisation, org-b.
+        self.former_keys: set[str] = set()
         self.version = 1
         self.session = aiohttp.ClientSession()
 
@@ -305,6 +307,18 @@
             while not await self.is_ready(vm):  # noqa: ASYNC110
                 await asyncio.sleep(POLL_SECONDS)
 
+    async def replace_key(self) -> str:
+        """Take a key away, and give another one out.
+
+        :returns: the key that holds no longer.
+        """
+        own = self.keys["org-b"]
+        taken = own.pop(0)
+        own.append(f"key-b{self.version + 1}")
+        self.former_keys.add(taken)
+        await self.configure()
+        return taken
+
     async def configure(self) -> None:
         """Have a newer configuration come into force."""
         self.version += 1
