soak: keeps the lines of seeds with findings, and ends its VMs when it is ended

Ended from outside, or by a fault of its own, a soak left entry VMs running that its faults had started again after its end. Its faults are now ended before its VMs.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
 SECONDS_EACH ?= 40
 
 soak: $(STAMP)         ## Play soaks: make soak SEED=1 SEEDS=10.
-	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS_EACH)
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS_EACH) \
+		--logs soak-logs
 
 lint: $(STAMP)         ## Check the format and run the linter.
 	$(BIN)/ruff format --check .
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,9 +5,11 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import click
 
@@ -57,13 +59,19 @@
         return "\n".join(lines)
 
 
-async def soak(seed: int, seconds: float, vms: int = VMS) -> Report:
+async def soak(
+    seed: int, seconds: float, vms: int = VMS, logs: Path | None = None
+) -> Report:
     """Play a soak.
 
     :param seed: what all chance comes from.
     :param seconds: for how long faults begin.
     :param vms: entry VMs.
+    :param logs: where the VMs' lines are kept if anything is found.
     """
+    # Ended from outside, a soak still ends its VMs: they would go on without it.
+    end = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
     fleet = SoakFleet(vms, PLAIN, ENGINES)
     await fleet.start()
     callers = Callers(fleet, seed, RATE)
@@ -76,12 +84,14 @@
         recovered = await Calm(fleet, callers).broken()
         await callers.close()
         judge = Judge(fleet, callers, faults)
-        broken = judge.broken() + recovered
+        broken, late = judge.broken() + recovered, judge.timed()
+        if logs and (broken or late):
+            fleet.keep_logs(logs / f"seed-{seed}")
         answered = [one for one in callers.sent if one.status == 200]
         return Report(
             seed,
             broken,
-            judge.timed(),
+            late,
             Counter(name for _, name in faults.done),
             Counter("left" if one.left else str(one.status) for one in callers.sent),
             max((one.ended_at - one.sent_at for one in answered), default=0.0),
@@ -91,6 +101,7 @@
             # One that has failed says so here.
             if not helper.cancel():
                 helper.result()
+        await faults.close()
         await fleet.stop()
 
 
@@ -107,11 +118,12 @@
 @click.option("--seeds", default=1, show_default=True, help="How many are played.")
 @click.option("--seconds", default=60.0, show_default=True, help="Of faults, each.")
 @click.option("--vms", default=VMS, show_default=True, help="Entry VMs.")
-def main(seed: int, seeds: int, seconds: float, vms: int) -> None:
+@click.option("--logs", type=Path, help="Where lines of seeds with findings are kept.")
+def main(seed: int, seeds: int, seconds: float, vms: int, logs: Path | None) -> None:
     """Play soaks, one seed after the other, and report each."""
     failed = 0
     for number in range(seed, seed + seeds):
-        report = asyncio.run(soak(number, seconds, vms))
+        report = asyncio.run(soak(number, seconds, vms, logs))
         click.echo(report.text())
         failed += bool(report.broken or report.late)
     click.echo(f"{seeds} seeds, {failed} with findings")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -81,6 +81,12 @@
             await asyncio.sleep(self.rng.uniform(*GAP_SECONDS))
         await asyncio.gather(*self.tasks)
 
+    async def close(self) -> None:
+        """End those that last still: they would start VMs after the soak's end."""
+        for task in (left := list(self.tasks)):
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
+
     def _lasts(self) -> float:
         return self.rng.uniform(*LASTS_SECONDS)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -291,6 +292,12 @@
         settings.write_text(tomli_w.dumps(plain), encoding="utf-8")
         self.vms.append(Vm(name, settings, folder / f"{name}.log", ports, link))
 
+    def keep_logs(self, folder: Path) -> None:
+        """Copy the VMs' lines to where they outlast the soak."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for vm in self.vms:
+            shutil.copy(vm.log, folder)
+
     async def is_ready(self, vm: Vm) -> bool:
         """:returns: whether a VM would serve callers."""
         try:
