--- a/lab/cascades.py
+++ b/lab/cascades.py
@@ -16,8 +16,8 @@
 import sys
 from collections import defaultdict
 
-from standins.engine import is_good
 from standins.fleet import Fleet
+from standins.generation import is_good
 from walnutquay.replay.traces import RequestKind, TraceRequest, words
 from walnutquay.replay.workloads import Workload, WorkloadGenerator
 from walnutquay.state.bills import decode_records
--- a/lab/choice.py
+++ b/lab/choice.py
@@ -23,8 +23,8 @@
 
 import aiohttp
 
-from standins.engine import PREFIX_BLOCK
 from standins.fleet import Fleet
+from standins.prefixcache import PREFIX_BLOCK
 from walnutquay.protocol import chat
 from walnutquay.replay.traces import RequestKind, TraceRequest, prompt_of
 from walnutquay.replay.workloads import Workload, WorkloadGenerator
--- a/lab/crashcosts.py
+++ b/lab/crashcosts.py
@@ -13,7 +13,8 @@
 
 import click
 
-from lab.crashfleet import WAYS, CrashFleet, Findings, Way
+from lab.crashfleet import CrashFleet
+from lab.crashways import WAYS, Findings, Way
 
 
 @dataclass(frozen=True)
--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -16,6 +16,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from lab.crashways import WAYS, Findings, Way
 from lab.virtualtime import VirtualLoop, run_virtually
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.requests import crashes
@@ -58,36 +59,11 @@
 # Before the first crashing request, and after the last one's first try.
 LEAD_SECONDS = 5.0
 TAIL_SECONDS = 25.0
+# After so long each VM that is in touch has the news of an end.
+CONTACT_SECONDS = 3.0
 KEY = b"lab"
 
 
-@dataclass(frozen=True)
-class Way:
-    """A way to deal with it.
-
-    :param name: for people.
-    :param known: whether VMs note what was at an endpoint that ended.
-    :param told: whether they tell each other.
-    :param apart: whether its tries meet at one endpoint.
-    :param stops: whether tries that engines have yet are ended when it is found.
-    """
-
-    name: str
-    known: bool = True
-    told: bool = True
-    apart: bool = True
-    stops: bool = True
-
-
-WAYS = (
-    Way("as built"),
-    Way("tries under way go on", stops=False),
-    Way("tries go anywhere", apart=False),
-    Way("VMs do not tell each other", told=False),
-    Way("nothing is noted", known=False),
-)
-
-
 @dataclass(eq=False)
 class Engine:
     """An engine's start.
@@ -120,32 +96,6 @@
         return Fingerprint(fingerprint(self.name.encode())[:FINGERPRINT_DIGITS])
 
 
-@dataclass
-class Findings:
-    """What a run has shown.
-
-    :param ended: engines that ended, by the request that ended them.
-    :param sent_after: sends of crashing requests later than a time in which VMs are in
-        touch, after the third end.
-    :param hit: tries of other requests that broke.
-    :param refused: other requests that were refused for good.
-    :param served: other requests that were answered.
-    :param lost: other requests that found no engine, or used up their attempts.
-    """
-
-    ended: dict[str, int] = field(default_factory=dict)
-    sent_after: dict[str, int] = field(default_factory=dict)
-    hit: int = 0
-    refused: int = 0
-    served: int = 0
-    lost: int = 0
-    datagrams: int = 0
-    bytes: int = 0
-
-
-CONTACT_SECONDS = 3.0
-
-
 class Peers:
     """The other VMs of one VM."""
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -12,7 +12,8 @@
 import click
 from aiohttp import web
 
-from standins.engine import EngineOptions, EngineStandIn
+from standins.engine import EngineStandIn
+from standins.engineoptions import EngineOptions
 from standins.platform import PlatformStandIn
 from standins.rater import RaterStandIn
 from standins.service import ServiceOptions, ServiceStandIn
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import heapq
 import itertools
 import json
@@ -25,14 +24,15 @@
 import random
 import time
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from standins.engineoptions import EngineOptions
 from standins.faults import CONTROL, FaultSwitch
+from standins.generation import Generation, answer_seed, is_good
+from standins.prefixcache import PrefixCache
 
 KEPT_ANSWERS = 2000
-PREFIX_BLOCK = 64
 PRIORITIES = {"quick": 0, "patient": 1}
 CREATED = 1_700_000_000
 # The exit code of an engine that ends under a prompt, and after how many tokens.
@@ -40,83 +40,6 @@
 CRASH_TOKENS = 2
 
 
-@dataclass
-class EngineOptions:
-    """How an engine behaves.
-
-    :param name: the endpoint's name.
-    :param versions: versions that are loaded, each with its quality from 0 to 1.
-    :param slots: requests that run at once.
-    :param queue: requests that may wait.
-    :param prefill: seconds for a thousand prompt tokens that are not cached.
-    :param step: seconds for each token of an answer.
-    :param tokens: tokens of an answer, unless the caller sets ``max_tokens``.
-    :param cache_blocks: prefix blocks that the cache holds.
-    :param report_lag: seconds by which the load report is late.
-    :param event_lag: seconds by which cache events are late.
-    :param event_loss: share of cache events that are lost.
-    :param checks_fences: whether orders with an older fence are refused.
-    :param hard: for prompts that have a certain word, the quality by version.
-    :param crash_word: prompts that have it end the process that begins to run them.
-    :param seed: the seed of all chance here.
-    """
-
-    name: str
-    versions: dict[str, float]
-    slots: int = 8
-    queue: int = 8
-    prefill: float = 0.02
-    step: float = 0.0005
-    tokens: int = 16
-    cache_blocks: int = 512
-    report_lag: float = 0.3
-    event_lag: float = 0.5
-    event_loss: float = 0.05
-    checks_fences: bool = True
-    hard: dict[str, dict[str, float]] = field(default_factory=dict)
-    crash_word: str = ""
-    seed: int = 1
-
-
-@dataclass
-class Generation:
-    """One request that an engine runs or has run."""
-
-    request: str
-    version: str
-    words: list[str]
-    prompt_tokens: int
-    produced: int = 0
-    done: bool = False
-    failed: bool = False
-    cancelled: bool = False
-    grown: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def grow(self) -> None:
-        """Wake whoever waits for more tokens."""
-        self.grown.set()
-        self.grown = asyncio.Event()
-
-
-def answer_seed(version: str, prompt: str) -> str:
-    """:param version: the version that answers.
-
-    :param prompt: the messages, as sorted JSON.
-    :returns: what the whole answer follows from.
-    """
-    return hashlib.sha256(f"{version}\n{prompt}".encode()).hexdigest()
-
-
-def is_good(version: str, prompt: str, quality: float) -> bool:
-    """:param version: the version that answers.
-
-    :param prompt: the messages, as sorted JSON.
-    :param quality: the version's quality for such prompts.
-    :returns: whether the answer is a good one; always the same.
-    """
-    return int(answer_seed(version, prompt)[:8], 16) / 0xFFFFFFFF < quality
-
-
 class EngineStandIn:
     """The engine.
 
@@ -131,9 +54,9 @@
         self.running = 0
         self.waiting: list[tuple[int, int, asyncio.Future]] = []
         self.order = itertools.count()
-        self.cache: OrderedDict[str, None] = OrderedDict()
-        self.cache_events: list[tuple[float, int, str, str]] = []
-        self.cache_hits = [0, 0]
+        self.cache = PrefixCache(
+            options.cache_blocks, options.event_lag, options.event_loss, self.rng
+        )
         self.reports: list[tuple[float, int, int]] = []
         self.leaving = False
         self.fence = 0
@@ -186,41 +109,10 @@
                 return
         self.running -= 1
 
-    def _cached(self, prompt: str) -> float:
-        """Look the prompt up in the prefix cache and put it there.
-
-        :returns: the share of its blocks that were cached.
-        """
-        blocks = max(1, len(prompt) // PREFIX_BLOCK)
-        hits = 0
-        chain = hashlib.sha256()
-        for index in range(blocks):
-            piece = prompt[index * PREFIX_BLOCK : (index + 1) * PREFIX_BLOCK]
-            chain.update(piece.encode())
-            block = chain.hexdigest()[:16]
-            if block in self.cache:
-                self.cache.move_to_end(block)
-                hits += 1
-                continue
-            self.cache[block] = None
-            self._cache_event("stored", block)
-            if len(self.cache) > self.options.cache_blocks:
-                old, _ = self.cache.popitem(last=False)
-                self._cache_event("removed", old)
-        self.cache_hits[0] += hits
-        self.cache_hits[1] += blocks
-        return hits / blocks
-
-    def _cache_event(self, kind: str, block: str) -> None:
-        if self.rng.random() < self.options.event_loss:
-            return
-        shown_at = time.monotonic() + self.options.event_lag
-        self.cache_events.append((shown_at, len(self.cache_events), kind, block))
-
     async def _generate(self, generation: Generation, prompt: str) -> None:
         """Produce the tokens of an answer; it holds a slot meanwhile."""
         try:
-            missing = 1.0 - self._cached(prompt)
+            missing = 1.0 - self.cache.look_up(prompt)
             seconds = self.options.prefill * generation.prompt_tokens / 1000 * missing
             await asyncio.sleep(seconds * self.answers.get("slowness", 1.0))
             step = self.options.step * self.answers.get("slowness", 1.0)
@@ -431,13 +323,7 @@
     async def give_cache_events(self, request: web.Request) -> web.Response:
         """:param request: ``GET /cache-events?after=N``."""
         after = int(request.query.get("after", "-1"))
-        now = time.monotonic()
-        shown = [
-            {"number": number, "kind": kind, "block": block}
-            for at, number, kind, block in self.cache_events
-            if number > after and at <= now
-        ]
-        return web.json_response(shown)
+        return web.json_response(self.cache.events_after(after))
 
     async def take_order(self, request: web.Request) -> web.Response:
         """Take an order to load or unload a version, or to leave.
@@ -466,7 +352,7 @@
             {
                 "effects": self.effects,
                 "orders": self.orders,
-                "cache": self.cache_hits,
+                "cache": [self.cache.hits, self.cache.looked_up],
                 "running": self.running,
             }
         )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,9 +19,9 @@
 import tomli_w
 
 from standins.link import Link
+from standins.processes import HOST, Process, Vm
 from walnutquay.state.keys import key_hash
 
-HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-of-the-stand-in-fleet"
 FLEET_KEY = "fleet-key-of-the-stand-in-fleet"
 START_SECONDS = 30.0
@@ -30,54 +30,6 @@
 HANG_SECONDS = 60.0
 
 
-@dataclass
-class Process:
-    """A process that this fleet has started.
-
-    :param name: its name here.
-    :param handle: the process.
-    :param ports: the ports it has announced.
-    """
-
-    name: str
-    handle: asyncio.subprocess.Process
-    ports: dict[str, int]
-
-    @property
-    def running(self) -> bool:
-        """Whether it has not ended."""
-        return self.handle.returncode is None
-
-    def signal(self, number: signal.Signals) -> None:
-        """:param number: the signal to send."""
-        if self.running:
-            self.handle.send_signal(number)
-
-
-@dataclass
-class Vm:
-    """An entry VM of the fleet.
-
-    :param name: its name.
-    :param hall: its data hall.
-    :param process: its process; None before it is started.
-    :param settings: its settings file.
-    """
-
-    name: str
-    hall: str
-    process: Process | None = None
-    settings: Path | None = None
-
-    def url(self, port: str) -> str:
-        """:param port: ``callers`` or ``administration``.
-
-        :returns: where it listens.
-        """
-        assert self.process is not None
-        return f"http://{HOST}:{self.process.ports[port]}"
-
-
 @dataclass
 class Fleet:
     """A platform, endpoints and entry VMs, each a process of its own.
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,140 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Endpoints and callers that fall silent, or leave, while a request is under way."""
+
+from __future__ import annotations
+
+import asyncio
+
+from standins.worker import Behaviour
+from tests.gatewaycase import GatewayCase
+
+
+class SilenceTest(GatewayCase):
+    """An endpoint that falls silent does not keep its callers."""
+
+    workers = {"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine"}
+
+    async def test_a_stream_goes_on_elsewhere(self):
+        silent = [Behaviour(events=8, cut_after=None, pause=30.0)]
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=8)
+            self.endpoints[name].choose = lambda seen: silent.pop() if silent else None
+        answer = await self.call("/stream/x", b"b", Model="tiny", Deadline="9000")
+        self.assertTrue(answer.whole)
+        self.assertEqual(answer.body.count(b"id:"), 8)
+        self.assertEqual(self.runs("e1", "e2"), 2)
+        runs = self.endpoints["e1"].runs + self.endpoints["e2"].runs
+        await self.until(lambda: any(run.left for run in runs))
+
+    async def test_a_safe_call_is_answered_elsewhere(self):
+        self.endpoints["p1"].default = Behaviour(mute=True)
+        for _ in range(3):
+            answer = await self.call("/safe/x")
+            self.assertEqual(answer.status, 200)
+
+    async def test_an_unsafe_call_is_not(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(mute=True)
+        answer = await self.call("/unsafe/x", b"b", Deadline="1200")
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(self.runs("p1", "p2"), 1)
+
+
+class DarkEngineTest(GatewayCase):
+    """An engine that cannot be connected to any more is not waited for."""
+
+    workers = {"p1": "plain", "e1": "engine", "e2": "engine"}
+
+    async def test_a_stream_is_answered_elsewhere_well_before_its_time_for_a_head(self):
+        held = [Behaviour(mute=True)]
+        for name in ("e1", "e2"):
+            self.endpoints[name].default = Behaviour(events=3)
+            self.endpoints[name].choose = lambda seen: held.pop() if held else None
+        call = asyncio.ensure_future(
+            self.call("/stream/x", b"b", Model="tiny", Deadline="9000")
+        )
+        await self.until(lambda: self.runs("e1", "e2") == 1)
+        dark = next(n for n in ("e1", "e2") if self.endpoints[n].runs)
+        reach = self.gateway.path.places.reach
+        # Its port is closed; the connection that is open stays as it is.
+        self.endpoints[dark].server.close()
+        await self.until(lambda: dark in reach.unreachable)
+        answer = await call
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(self.runs("e1", "e2"), 2)
+        self.assertTrue(all(run.left for run in self.endpoints[dark].runs))
+
+    async def test_requests_that_wait_share_one_try(self):
+        reach = self.gateway.path.places.reach
+        endpoint = self.gateway.knowledge.instances.book.known["e1"]
+        before = self.endpoints["e1"].connections
+        tries = [reach.still_there(endpoint) for _ in range(9)]
+        self.assertTrue(all(await asyncio.gather(*tries)))
+        await self.until(lambda: self.endpoints["e1"].connections > before)
+        self.assertEqual(self.endpoints["e1"].connections, before + 1)
+
+
+class SilentConnectionTest(GatewayCase):
+    """Kept connections to an endpoint that fall silent while new ones work."""
+
+    workers = {"e1": "engine"}
+
+    async def test_a_safe_call_is_answered_all_the_same(self):
+        link = await self.add_linked_worker("p1", "plain")
+        self.assertEqual((await self.call("/safe/x")).status, 200)
+        link.silence()
+        first = await self.call("/safe/x")
+        second = await self.call("/safe/x")
+        self.assertIn(200, (first.status, second.status))
+        self.assertEqual((await self.call("/unsafe/x", b"b")).status, 200)
+
+
+class GivenUpTest(GatewayCase):
+    """A request that was given up does not arrive later, when its link works again.
+
+    It would be run for nobody, and at endpoints that have announced their end long ago.
+    """
+
+    workers = {"e1": "engine"}
+
+    async def test_what_waits_on_a_full_link(self):
+        link = await self.add_linked_worker("p1", "plain")
+        link.hold()
+        answer = await self.call("/safe/x", Deadline="300")
+        self.assertEqual(answer.status, 504)
+        link.release()
+        await self.until(lambda: not link.writers)
+        self.assertEqual(self.runs("p1"), 0)
+
+
+class LeavingCallerTest(GatewayCase):
+    """Endpoints stop working on what nobody waits for any more."""
+
+    async def test_plain_calls(self):
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(mute=True)
+        port = self.gateway.api.server.port
+        for path in ("/safe/x", "/unsafe/x"):
+            with self.subTest(path=path):
+                before = self.runs("p1", "p2")
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                head = [f"GET {path} HTTP/1.1"]
+                head += [f"{name}: {value}" for name, value in self.head().items()]
+                writer.write("\r\n".join([*head, "", ""]).encode())
+                await self.until(lambda: self.runs("p1", "p2") > before)  # noqa: B023
+                writer.close()
+                runs = self.endpoints["p1"].runs + self.endpoints["p2"].runs
+                await self.until(lambda: all(run.left for run in runs))  # noqa: B023
+
+    async def test_one_that_waits_for_a_second_endpoint(self):
+        # The first endpoint fails as the caller leaves; no other may be asked then.
+        self.endpoints["p1"].default = Behaviour(mute=True)
+        self.endpoints["p2"].default = Behaviour(mute=True)
+        call = asyncio.ensure_future(self.call("/safe/x"))
+        await self.until(lambda: self.runs("p1", "p2") == 1)
+        call.cancel()
+        runs = self.endpoints["p1"].runs + self.endpoints["p2"].runs
+        await self.until(lambda: all(run.left for run in runs))
+        self.assertEqual(self.runs("p1", "p2"), 1)
+        await self.until(lambda: not self.gateway.path.in_flight)
