worknews: what VMs tell each other of long prompts, out of the daemon

Moved from daemon/gateway.py (410 lines to 391) into a part of routed/ that may be tested by itself; nothing tested before which prompts are told and where.

--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -27,7 +27,8 @@
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.cascading import Cascading
 from walnutquay.coordination.routed.path import RoutedPath
-from walnutquay.coordination.routed.places import ReadingNote, RoutedPlaces
+from walnutquay.coordination.routed.places import RoutedPlaces
+from walnutquay.coordination.routed.worknews import WorkExchange
 from walnutquay.coordination.store.following import watch_times
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.store.relaying import Relay, RelayedFeed
@@ -60,7 +61,6 @@
     SessionsSeen,
     TrialNews,
     VmNews,
-    WorkNews,
 )
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import GatewayOptions, Settings, host_and_port
@@ -83,9 +83,6 @@
 # Repeated requests are kept to this part of what the platform allows, as its
 # spans and ours do not begin together.
 BUDGET_MARGIN = 0.92
-# Prompts that take an engine less time to read are not told to the other VMs: bytes
-# between data halls have a price, and these delay nobody for long.
-HEAVY_SECONDS = 0.08
 # VMs that do not watch the store ask those that do so much more often: a watcher that
 # falls silent is to be noticed, and another asked, in the same time.
 POLL_SHARE = 0.5
@@ -234,21 +231,6 @@
         assert isinstance(body, AskKnown)
         return KnownIs(self.knowledge.export(body.kind, body.revision))
 
-    def _tell_work(self, note: ReadingNote) -> None:
-        if note.seconds < HEAVY_SECONDS:
-            return
-        model = note.work.model
-        rate = self.path.places.work.rate(model)
-        self.peers.tell_users(
-            note.hall,
-            WorkNews(note.engine, note.seconds, note.work.beginning, model, rate),
-        )
-
-    def _hear_work(self, envelope: Envelope) -> None:
-        body = envelope.body
-        assert isinstance(body, WorkNews)
-        self.path.places.hear(body)
-
     def _memory_of(self, service: ServiceName) -> int:
         catalogue = self.knowledge.catalogue.current
         known = catalogue.services.get(service) if catalogue is not None else None
@@ -266,8 +248,7 @@
             lambda: self.peers.size,
         )
         self.knowledge.instances.listeners.append(places.on_instance)
-        places.listeners.append(self._tell_work)
-        self.dispatcher.on(WorkNews, self._hear_work)
+        WorkExchange(places, self.peers).listen(self.dispatcher)
         parts = PathParts(
             self.context,
             places,
