soak: an end that was ordered is not taken for one of the VM's own

Cause, by reading and by a test that fails on the former code: a VM's start forgot the order to end before the new process was there, and a look at the old one in between saw an end without an order. The order is forgotten once the new process is there.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -139,7 +139,6 @@
 
     async def start(self) -> None:
         """Start it; its lines are added to those of its earlier starts."""
-        self.ordered = False
         with self.log.open("ab") as file:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -152,6 +151,8 @@
                 stderr=file,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
+        # Only now: the process before it has ended too, as it was told.
+        self.ordered = False
 
     def signal(self, number: signal.Signals) -> None:
         """:param number: a signal, to this process alone."""
