Ports that processes start at are held; a soak that cannot start says why

What fits: its ports were taken while they were free for streams, whether or not for datagrams, which VMs use at the same number, and were let go of until the VM came. Ports are now held by bound sockets that do not listen, and are free for both; a VM that ends as it starts is told with its last lines, and what had started is ended. The tests of history that start processes took ports the same way.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -73,7 +73,11 @@
     end = asyncio.current_task().cancel
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
     fleet = SoakFleet(vms, PLAIN, ENGINES)
-    await fleet.start()
+    try:
+        await fleet.start()
+    except BaseException:
+        await fleet.stop()
+        raise
     callers = Callers(fleet, seed, RATE)
     faults = Faults(fleet, callers, seed)
     helpers = [asyncio.ensure_future(job) for job in (faults.revive(), _watch(fleet))]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,7 +8,6 @@
 import os
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -20,6 +19,7 @@
 import tomli_w
 
 from standins.link import Link
+from standins.ports import HeldPorts
 from standins.store import StoreStandIn
 from standins.worker import Behaviour, Seen, WorkerStandIn
 
@@ -28,6 +28,8 @@
 # A wait that lasts so long will never end; it bounds hangs and measures nothing.
 HANG_SECONDS = 60.0
 POLL_SECONDS = 0.05
+# The end of a log that is told where a VM does not start.
+TOLD_BYTES = 500
 EVENTS = 5
 # After a fault a VM is given so long before what is bound by time is judged.
 CONTACT_SECONDS = 3.0
@@ -176,11 +178,14 @@
         spans = self.disturbed
         return not any(since <= at <= until + CONTACT_SECONDS for since, until in spans)
 
+    def has_ended(self) -> bool:
+        """:returns: whether its last process has ended."""
+        return self.process is not None and self.process.returncode is not None
+
     def look(self) -> None:
         """Note an end that nobody asked for."""
-        code = self.process.returncode if self.process is not None else None
-        if code is not None and not self.ordered:
-            self.own_ends.append(code)
+        if self.has_ended() and not self.ordered:
+            self.own_ends.append(self.process.returncode)
             self.ordered = True
 
 
@@ -204,6 +209,7 @@
         # Keys that were taken away from their organisation, org-b.
         self.former_keys: set[str] = set()
         self.version = 1
+        self.ports = HeldPorts()
         self.session = aiohttp.ClientSession()
 
     async def start(self) -> None:
@@ -225,13 +231,15 @@
     async def stop(self) -> None:
         """End everything."""
         for vm in self.vms:
-            await vm.end(signal.SIGKILL)
+            if vm.process is not None:
+                await vm.end(signal.SIGKILL)
             vm.link.stop()
         for endpoint in self.endpoints.values():
             await endpoint.worker.stop()
             endpoint.link.stop()
         await self.store.stop()
         await self.session.close()
+        self.ports.close()
         self.folder.cleanup()
 
     async def add_endpoint(self, name: str, service: str) -> Endpoint:
@@ -278,7 +286,7 @@
         await link.start()
         folder = Path(self.folder.name)
         names = ("callers", "ready", "metrics", "peers")
-        ports = dict(zip(names, _free_ports(len(names)), strict=True))
+        ports = dict(zip(names, self.ports.take(len(names)), strict=True))
         sections = {n: {"address": f"{HOST}:{port}"} for n, port in ports.items()}
         plain = {
             "vm": {"name": name, "hall": hall},
@@ -312,7 +320,10 @@
     async def until_ready(self, vm: Vm) -> None:
         """Wait until a VM would serve callers."""
         async with asyncio.timeout(HANG_SECONDS):
-            while not await self.is_ready(vm):  # noqa: ASYNC110
+            while not await self.is_ready(vm):
+                if vm.has_ended() and not vm.ordered:
+                    last = vm.log.read_text(encoding="utf-8")[-TOLD_BYTES:]
+                    raise RuntimeError(f"{vm.name} ended as it started: {last}")
                 await asyncio.sleep(POLL_SECONDS)
 
     async def replace_key(self) -> str:
@@ -332,14 +343,3 @@
         self.version += 1
         spec = configuration(self.version, self.keys)
         await self.store.put("config", "main", spec)
-
-
-def _free_ports(count: int) -> list[int]:
-    """Take ports that are free now, all at once."""
-    held = [socket.socket() for _ in range(count)]
-    for one in held:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
--- a/tests/test_history_processes.py
+++ b/tests/test_history_processes.py
@@ -7,15 +7,16 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import aiohttp
 import tomli_w
 from click.testing import CliRunner
 
+from standins.ports import HeldPorts
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase
 from walnutquay.cmdline import main
@@ -34,12 +35,15 @@
     :param name: the VM's name.
     :param folder: where its settings and its lines go.
     :param store: the store's address.
+    :param ports: where it listens.
     """
 
-    def __init__(self, name: str, folder: Path, store: str) -> None:
+    def __init__(
+        self, name: str, folder: Path, store: str, ports: Sequence[int]
+    ) -> None:
         self.log = folder / f"{name}.json"
         self.settings = folder / f"{name}.toml"
-        self.ports = [_free_port() for _ in range(4)]
+        self.ports = ports
         names = ("callers", "ready", "metrics", "peers")
         sections = {
             name: {"address": f"{HOST}:{port}"}
@@ -69,12 +73,6 @@
             os.kill(self.process.pid, signal.SIGKILL)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 class ProcessesTest(GatewayCase):
     """A request is followed through a fault by the lines of separate processes."""
 
@@ -82,8 +80,10 @@
         await super().asyncSetUp()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        held = HeldPorts()
+        self.addCleanup(held.close)
         self.vms = [
-            GatewayProcess(name, Path(folder.name), self.store.address)
+            GatewayProcess(name, Path(folder.name), self.store.address, held.take(4))
             for name in ("front-1", "front-2")
         ]
         for vm in self.vms:
