--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -7,7 +7,13 @@
 import itertools
 import unittest
 
-from walnutquay.state.ids import EndpointName, RouteName, ServiceName, VersionName
+from walnutquay.state.ids import (
+    EndpointName,
+    RouteName,
+    ServiceName,
+    VersionName,
+    VmName,
+)
 from walnutquay.state.orders import OrderState, RolloutOrder
 from walnutquay.state.sessionnumbers import falls_to_new, session_number
 from walnutquay.state.trialcounts import Measure, TrialCounts, TrialTally
@@ -158,6 +164,20 @@
                 found.old = sluggish_answers(old_seen - old_bad, old_bad)
                 self.assertIs(found.verdict(), Verdict.UNSURE)
 
+    def test_a_version_that_turns_slow_as_it_gets_more_requests(self):
+        # It had 4 sluggish answers of its first 29 in the second half of its trial, as
+        # its engines had little to do, and 10 of the next 20; the old version's VMs saw
+        # none of 47.  All its answers together tell of it too late: a version that is
+        # slow under load gets more requests than a bad one may.
+        found = trial()
+        found.trusted = True
+        found.old = sluggish_answers(47, 0)
+        for bad, seen in ((4, 29), (14, 49)):
+            found.told[VmName("vm-2")] = sluggish_answers(seen - bad, bad)
+            found.all_seen = None
+            found.advance(60.0)
+        self.assertIs(found.verdict(), Verdict.BAD)
+
     def test_no_worse_than_the_old_one(self):
         found = trial()
         found.old = answers(85, 15, "x", "y")
