A VM that starts again where its entry was left behind says that it is back

Cause: what a VM said of itself as it left went before lists for 25 s, by its name alone; one that was stopped while the store did not answer it found its entry there after its start, and told nobody. The others told it no news meanwhile (blocked requests, versions on trial, sessions), so it sent requests on that they had blocked. Change: news name the process; a VM that reads the list in the store tells all that it is there (the three seeds, or each VM of a fleet without any); any message of a later process takes back that the VM has left, should the news be lost.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -158,7 +158,7 @@
         for body in (
             m.AskVms(7),
             m.VmsAre(data),
-            m.VmNews(row, leaving=True),
+            m.VmNews(row, leaving=True, incarnation="inc"),
             m.AskStart(),
             m.StartIs(data, known),
             m.StartIs(b"", ()),
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -83,9 +83,9 @@
             return receiver.starting.answer(envelope(body))
         return receiver.answer(envelope(body))
 
-    def sender(self, vm: VmName) -> FakeNode:
+    def sender(self, vm: VmName, incarnation: str) -> FakeNode:
         """:returns: the node of a VM."""
-        return FakeNode(self, vm)
+        return FakeNode(self, vm, incarnation)
 
 
 class FakeNode:
@@ -93,11 +93,13 @@
 
     :param network: carries its messages.
     :param vm: the VM.
+    :param incarnation: its process.
     """
 
-    def __init__(self, network: FakeNetwork, vm: VmName) -> None:
+    def __init__(self, network: FakeNetwork, vm: VmName, incarnation: str) -> None:
         self.network = network
         self.vm = vm
+        self.incarnation = incarnation
         self.call = network.call
 
     def send_all(self, addresses, body):
@@ -108,12 +110,14 @@
             if receiver is None:
                 continue
             self.network.far += receiver.context.hall != own
-            receiver.hear(envelope(body, self.vm))
+            message = envelope(body, self.vm, self.incarnation)
+            receiver.heard_from(message)
+            receiver.hear(message)
 
 
-def envelope(body, vm: str = "vm") -> Envelope:
+def envelope(body, vm: str = "vm", incarnation: str = "first") -> Envelope:
     """:returns: a message as it comes."""
-    return Envelope(vm, "incarnation", Stamp(1, 0), body)
+    return Envelope(vm, incarnation, Stamp(1, 0), body)
 
 
 def place_of(number: int) -> VmPlace:
@@ -157,12 +161,13 @@
         context = SimpleNamespace(
             vm=name_of(number),
             hall=place.hall,
+            incarnation=f"start {len(self.lists)}",
             rng=random.Random(number),
             metrics=Metrics(),
             timeline=SimpleNamespace(emit=lambda *args, **more: None),
         )
         seeds = [place_of(seed).address for seed in range(SEEDS)]
-        node = self.network.sender(context.vm)
+        node = self.network.sender(context.vm, context.incarnation)
         peers = FleetPeers(context, node, place.address, seeds)
         watchers = Watchers(context, peers)
         starting = StartingKnowledge(context, peers, lambda: LISTS, first_start)
@@ -275,11 +280,23 @@
         made = self.start(0)
         row = VmRow(name_of(1), place_of(1))
         made.take({name_of(0): place_of(0), row.vm: row.place})
-        made.hear(envelope(VmNews(row, leaving=True)))
+        made.hear(envelope(VmNews(row, leaving=True, incarnation="first")))
         self.assertNotIn(row.vm, made.peers.known)
         made.take({name_of(0): place_of(0), row.vm: row.place})
         self.assertNotIn(row.vm, made.peers.known)
 
+    async def test_any_message_of_a_later_start_tells_that_one_is_back(self):
+        made = self.start(0)
+        row = VmRow(name_of(1), place_of(1))
+        made.take({name_of(0): place_of(0), row.vm: row.place})
+        # It comes by way of a relay, whose process is another one.
+        left = VmNews(row, leaving=True, incarnation="first")
+        made.hear(envelope(left, name_of(2), "relay"))
+        made.heard_from(envelope(AskStart(), row.vm, "first"))
+        self.assertNotIn(row.vm, made.peers.known)
+        made.heard_from(envelope(AskStart(), row.vm, "second"))
+        self.assertEqual(made.peers.known[row.vm], row.place)
+
     async def test_one_that_came_is_not_lost_by_an_older_list(self):
         made = self.start(0)
         row = VmRow(name_of(1), place_of(1))
--- a/walnutquay/coordination/fleet/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -69,11 +69,13 @@
     """What a VM has said of itself.
 
     :param at: when; monotonic seconds.
-    :param place: where it is; None where it leaves.
+    :param place: where it is, or was.
+    :param left: the process that has left, if one has.
     """
 
     at: float
-    place: VmPlace | None
+    place: VmPlace
+    left: str | None = None
 
 
 class VmList:
@@ -147,10 +149,26 @@
         """
         body = envelope.body
         assert isinstance(body, VmNews)
-        place = None if body.leaving else body.row.place
-        self.news[body.row.vm] = Heard(monotonic(), place)
+        left = body.incarnation if body.leaving else None
+        self._note(body.row.vm, Heard(monotonic(), body.row.place, left))
         if envelope.vm == body.row.vm:
             self.peers.pass_on(body.row.place.hall, body)
+
+    def heard_from(self, envelope: Envelope) -> None:
+        """Take in that a VM lives which is held to have left: it has started again.
+
+        What it says of that may be lost, and it would be told no news until the list
+        is believed again.
+
+        :param envelope: any message of it.
+        """
+        heard = self.news.get(VmName(envelope.vm))
+        if heard is None or heard.left in (None, envelope.incarnation):
+            return
+        self._note(VmName(envelope.vm), Heard(monotonic(), heard.place))
+
+    def _note(self, vm: VmName, heard: Heard) -> None:
+        self.news[vm] = heard
         if self.peers.known:
             self.take(self.peers.known)
 
@@ -160,8 +178,12 @@
         if self.first_start:
             await self._enter_if_missing()
             await asyncio.sleep(FIRST_READ_SECONDS)
-        await self._read()
+        from_store = await self._read()
         await self._enter_if_missing()
+        if from_store and not self.first_start:
+            # The others may hold that it has left though its entry is there, which
+            # stays where the store could not be told.  Their own lists would lack it.
+            self._tell(leaving=False)
         for seconds in self._pauses():
             await asyncio.sleep(seconds)
             await self._read()
@@ -172,14 +194,19 @@
         # Not all at once, for they ask the same few VMs.
         yield from itertools.repeat(READ_SECONDS * self.context.rng.uniform(0.8, 1.0))
 
-    async def _read(self) -> None:
-        """Read the list, at a VM that knows it or in the store."""
+    async def _read(self) -> bool:
+        """Read the list, at a VM that knows it or in the store.
+
+        :returns: whether it comes from the store.
+        """
         if await self._hear_list():
-            return
+            return False
         try:
             self.take(await self.register.read())
         except PlatformError as error:
             log.debug("the list of VMs could not be read: {}", error)
+            return False
+        return True
 
     async def _hear_list(self) -> bool:
         """Ask a VM that reads the store for the list.
@@ -233,14 +260,14 @@
                 log.debug("this VM is not in the list yet: {}", error)
                 await asyncio.sleep(RETRY_SECONDS)
         self.entered_at = monotonic()
-        self.news[self.context.vm] = Heard(self.entered_at, self.own)
+        self._note(self.context.vm, Heard(self.entered_at, self.own))
         if self.peers.known:
-            self.take(self.peers.known)
             self._tell(leaving=False)
 
     def _tell(self, leaving: bool) -> None:
         """Tell all VMs that this one comes or goes."""
-        self.peers.spread(VmNews(VmRow(self.context.vm, self.own), leaving))
+        row = VmRow(self.context.vm, self.own)
+        self.peers.spread(VmNews(row, leaving, self.context.incarnation))
 
     def take(self, listed: dict[VmName, VmPlace]) -> None:
         """Take over a list, but for what VMs have said of themselves since.
@@ -255,10 +282,10 @@
         }
         merged = dict(listed)
         for vm, heard in self.news.items():
-            if heard.place is None:
-                merged.pop(vm, None)
-            else:
+            if heard.left is None:
                 merged[vm] = heard.place
+            else:
+                merged.pop(vm, None)
         self.peers.listed.set()
         before = self.peers.known
         if merged == before:
--- a/walnutquay/coordination/process/dispatcher.py
+++ b/walnutquay/coordination/process/dispatcher.py
@@ -16,6 +16,8 @@
 
     def __init__(self) -> None:
         self.receivers: dict[type[Message], Receiver] = {}
+        # Told of each message, whatever its kind, before it is taken.
+        self.listeners: list[Callable[[Envelope], None]] = []
 
     def on(self, kind: type[Message], receiver: Receiver) -> None:
         """Subscribe to a kind of message.
@@ -30,6 +32,8 @@
 
         :returns: the answer, if there is one.
         """
+        for listener in self.listeners:
+            listener(envelope)
         receiver = self.receivers.get(type(envelope.body))
         if receiver is None:
             return Failure(f"{type(envelope.body).__name__} is not taken here")
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -134,6 +134,7 @@
         )
         self.dispatcher.on(AskVms, self.vm_list.answer)
         self.dispatcher.on(VmNews, self.vm_list.hear)
+        self.dispatcher.listeners.append(self.vm_list.heard_from)
         self.knowledge = self._make_knowledge()
         self.dispatcher.on(AskKnown, self._known)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -286,10 +286,13 @@
 
     :param row: the VM.
     :param leaving: whether it leaves.
+    :param incarnation: the process of the VM that says so: a later one may start
+        where it was.
     """
 
     row: VmRow
     leaving: bool = False
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -196,6 +196,7 @@
 struct VmNews {
   row @0 :VmRow;
   leaving @1 :Bool;
+  incarnation @2 :Text;
 }
 
 struct KnownList {
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -173,7 +173,7 @@
     "start": lambda r: m.StartIs(
         bytes(r.vms), tuple(m.KnownList(row.kind, bytes(row.data)) for row in r.lists)
     ),
-    "vmNews": lambda r: m.VmNews(_row(r.row), r.leaving),
+    "vmNews": lambda r: m.VmNews(_row(r.row), r.leaving, r.incarnation),
     "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
     "known": lambda r: m.KnownIs(bytes(r)),
     "askChanges": lambda r: m.AskChanges(r.kind, r.revision, r.seconds),
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -240,7 +240,13 @@
 
 @body_fields.register
 def _(body: m.VmNews) -> dict[str, Any]:
-    return {"vmNews": {"row": _row_fields(body.row), "leaving": body.leaving}}
+    return {
+        "vmNews": {
+            "row": _row_fields(body.row),
+            "leaving": body.leaving,
+            "incarnation": body.incarnation,
+        }
+    }
 
 
 @body_fields.register
