A caller whose connection closes as an answer is written is no failure of the endpoint

Cause: the library raises ClientConnectionResetError for a write to a closing connection, which is also an aiohttp.ClientError, and within an exchange each of these was taken for the endpoint's. The request was sent on to a second endpoint for nobody, a retry was spent, and the failure counted against the first; at the end of a stream the error went up to the server. Change: an error of writing to the caller is told apart where it arises. Looked at elsewhere: the interface of our own is served by a library that cancels the request then.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -5,9 +5,15 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
+from unittest import mock
+
+import aiohttp
+from aiohttp import web
 
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase
+from walnutquay.state.events import EventKind
 
 
 class SilenceTest(GatewayCase):
@@ -108,6 +114,41 @@
         self.assertEqual(self.runs("p1"), 0)
 
 
+class ClosingConnectionTest(GatewayCase):
+    """A caller's connection closes while an answer is written to it.
+
+    The library raises an error for such a write, of the same kind as where the
+    connection to an endpoint breaks.  It was taken for the endpoint's: the request was
+    sent to another one, for nobody, and the failure held against the first.  At the end
+    of a stream it went up to the server, whose log told of "Error handling request".
+    """
+
+    workers = {"e1": "engine", "e2": "engine"}
+
+    async def stream_to_one_who_leaves(self, method: str) -> None:
+        """Serve a stream whose caller's connection closes before a call of ours."""
+        for worker in self.endpoints.values():
+            worker.default = Behaviour(events=3)
+        gone = aiohttp.ClientConnectionResetError("Cannot write to closing transport")
+        with (
+            mock.patch.object(web.StreamResponse, method, side_effect=gone),
+            suppress(aiohttp.ClientError, TimeoutError),
+        ):
+            async with asyncio.timeout(2.0):
+                await self.call("/stream/x", b"b", Model="*", Token_Count="100,50")
+        await self.until(lambda: not self.gateway.path.in_flight)
+
+    async def test_no_endpoint_is_blamed_and_none_is_asked_once_more(self):
+        for method in ("prepare", "write", "write_eof"):
+            with self.subTest(method=method), self.assertNoLogs("aiohttp.server"):
+                before = self.runs("e1", "e2")
+                await self.stream_to_one_who_leaves(method)
+                self.assertEqual(self.runs("e1", "e2"), before + 1)
+        kinds = [event.kind for event in self.gateway.context.timeline.ring.events]
+        self.assertEqual(kinds.count(EventKind.CALLER_GONE), 3)
+        self.assertNotIn(EventKind.FAILED, kinds)
+
+
 class LeavingCallerTest(GatewayCase):
     """Endpoints stop working on what nobody waits for any more."""
 
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -5,6 +5,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import logbook
 import orjson
@@ -23,7 +25,7 @@
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.turn import RoutedArrival
 from walnutquay.coordination.store.knowledge import Knowledge
-from walnutquay.exceptions import MessageError
+from walnutquay.exceptions import CallerGoneError, MessageError
 from walnutquay.platform import names
 from walnutquay.platform.calls import decode_call
 from walnutquay.protocol.calls import AnswerHead, CallHead
@@ -83,7 +85,8 @@
         self.response = web.StreamResponse(status=head.status, headers=headers)
         if self.server.draining:
             self.response.force_close()
-        await self.response.prepare(self.request)
+        with _writing():
+            await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
         """Send whole events.
@@ -91,7 +94,8 @@
         :param data: the events.
         """
         assert self.response is not None
-        await self.response.write(data)
+        with _writing():
+            await self.response.write(data)
 
     async def end(self, whole: bool) -> web.StreamResponse:
         """End the answer; one that is not whole ends with its connection.
@@ -100,12 +104,28 @@
         """
         assert self.response is not None
         if whole:
-            await self.response.write_eof()
+            with _writing():
+                await self.response.write_eof()
         elif self.request.transport is not None:
             self.request.transport.abort()
         return self.response
 
 
+@contextmanager
+def _writing() -> Iterator[None]:
+    """Tell a caller's closed connection from an endpoint's.
+
+    Both break with the same kind of error, and this one would count against the
+    endpoint, and have the request sent to another one for nobody.
+
+    :raises CallerGoneError: if the caller's connection is closing.
+    """
+    try:
+        yield
+    except ConnectionError as error:
+        raise CallerGoneError(str(error), step="answer") from error
+
+
 class GatewayApi:
     """Serves the platform's callers and its readiness checks.
 
@@ -152,19 +172,23 @@
         except BadCallError as error:
             return self._deny(request, error.refusal)
         try:
-            outcome = await self.path.serve(arrival)
-        except asyncio.CancelledError:
+            return self._finish(await self._serve(arrival))
+        except (asyncio.CancelledError, CallerGoneError) as error:
             self.context.metrics.count("callers_gone")
             self.context.timeline.emit(
                 EventKind.CALLER_GONE,
                 request=arrival.request,
                 left_ms=whole_ms(arrival.deadline - monotonic()),
             )
-            raise
+            # The server takes both for a caller who has left.
+            raise asyncio.CancelledError from error
+
+    async def _serve(self, arrival: RoutedArrival) -> web.StreamResponse:
+        outcome = await self.path.serve(arrival)
         if isinstance(outcome, Streamed):
             assert isinstance(arrival.reply, StreamReply)
-            return self._finish(await arrival.reply.end(outcome.whole))
-        return self._finish(self._response(outcome))
+            return await arrival.reply.end(outcome.whole)
+        return self._response(outcome)
 
     async def _arrival(self, request: web.BaseRequest) -> RoutedArrival:
         came = monotonic()
--- a/walnutquay/exceptions.py
+++ b/walnutquay/exceptions.py
@@ -98,6 +98,10 @@
     """A policy program does not parse, fails, or runs for too long."""
 
 
+class CallerGoneError(WalnutquayError):
+    """The caller's connection closed before its answer was written."""
+
+
 class EndpointError(WalnutquayError):
     """An endpoint failed after it may have begun the work."""
 
