Versions on trial are judged by the answers that do not come, too, and by all VMs

Ruled out: the moment at which it is slow (15 of the 19 answers that began in the last second before second 21 had taken over 1.5 times the old version's median; the VMs had counted 1 sluggish of 27). Cause: only answers that came to their end were counted, each as good where the VM did not know what is usual (all did not after the loss of all VMs). The slow ones wait, are given up, or are left by their callers: over 10 requests waited for more than five times the usual time. And what VMs have seen is lost with them: all of it twice within one trial of 27 s, 9 or 10 answers each. Change: an answer counts as it begins, also one dropped for a larger model's; one that has not begun as soon as it is late, if its endpoint answers others; none where nothing is known. What is usual, and the old version's counts, are told between VMs; counts are kept for each process of a VM, and by one VM in the store, for those that start when nobody has seen anything. One more call of the store in 2 s of a trial, by one VM.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -43,6 +43,7 @@
 from walnutquay.state.sessionnotes import SeenSession  # noqa: E402
 from walnutquay.state.trialcounts import Measure, TrialCounts  # noqa: E402
 from walnutquay.state.trialreports import TrialReport, Verdict  # noqa: E402
+from walnutquay.state.usual import UsualTime  # noqa: E402
 from walnutquay.transport.peers import PeerNode  # noqa: E402
 
 KEY = b"a-key-of-the-whole-fleet"
@@ -76,6 +77,9 @@
             Verdict.GOOD,
             elapsed,
             0.5,
+            (UsualTime(7, 0.25, 9),),
+            12,
+            ((subject, TrialCounts(5, 1)),),
         )
         envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), m.TrialNews(report))
         return PeerCodec([KEY]).encode(envelope)
@@ -87,6 +91,10 @@
         self.assertEqual((report.order, report.version), ("order", "v2"))
         self.assertEqual((report.kept, report.verdict), (KEPT, Verdict.GOOD))
         self.assertEqual((report.elapsed, report.opens_in), (1.5, 0.5))
+        self.assertEqual(report.usual, (UsualTime(7, 0.25, 9),))
+        self.assertEqual(report.seen, 12)
+        old = ((Measure.FAILED, "r"), TrialCounts(5, 1))
+        self.assertEqual(report.old, (old,))
 
     def test_a_beginning_that_is_not_known(self):
         report = PeerCodec([KEY]).decode(self.sealed("failed", None)).body.report
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -34,6 +34,7 @@
 from walnutquay.state.trialcounts import Measure, TrialCounts
 from walnutquay.state.trialreports import TrialReport, Verdict
 from walnutquay.state.trials import Trial
+from walnutquay.state.usual import UsualTimes
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
@@ -82,8 +83,9 @@
         trial.opens_at = 1.0
         self.task = TrialTask(trial, 0.0)
         self.tasks = {SERVICE: self.task}
+        self.usual = UsualTimes()
         self.exchange = TrialExchange(
-            context, self.peers, self.tasks, self.unknown.append
+            context, self.peers, self.tasks, self.usual, self.unknown.append
         )
 
     def tick(self, at: float) -> int:
@@ -93,10 +95,10 @@
         self.exchange.tell_if_due(self.task)
         return len(self.peers.told)
 
-    def hear(self, report: TrialReport) -> None:
+    def hear(self, report: TrialReport, incarnation: str = "inc") -> None:
         """Hear from another VM."""
         body = TrialNews(report)
-        self.exchange.hear(Envelope("vm-2", "inc", Stamp(1, 0), body))
+        self.exchange.hear(Envelope("vm-2", incarnation, Stamp(1, 0), body))
 
 
 class TellingTest(ExchangeCase):
@@ -105,6 +107,10 @@
     def test_nothing_to_tell(self):
         self.assertEqual([self.tick(at) for at in (0.0, 1.0, 5.0)], [0, 0, 0])
 
+    def test_what_is_usual_is_told_once_without_counts(self):
+        self.usual.learn(SERVICE, "head/r/0", 0.1)
+        self.assertEqual([self.tick(at) for at in (0.0, 2.0, 4.0)], [1, 0, 0])
+
     def test_decided_before_the_new_version_gets_sessions(self):
         self.task.decided()
         opens = 1.0 - LAST_CALL_SECONDS
@@ -126,6 +132,14 @@
 class HearingTest(ExchangeCase):
     """What others tell is taken over, or makes this VM read its orders."""
 
+    def test_what_a_vm_has_seen_outlasts_its_process(self):
+        # A VM that starts again counts from nothing, and would take its counts back.
+        for incarnation, good in (("first", 2), ("first", 3), ("second", 1)):
+            counts = ((SUBJECT, TrialCounts(good)),)
+            self.hear(TrialReport("order", V2, counts), incarnation)
+        total = self.task.trial.tally().total(Measure.FAILED)
+        self.assertEqual(total.good, 4)
+
     def test_an_order_that_is_not_known(self):
         self.hear(TrialReport("another", V2, ()))
         self.assertEqual([report.order for report in self.unknown], ["another"])
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -178,6 +178,42 @@
             found.advance(60.0)
         self.assertIs(found.verdict(), Verdict.BAD)
 
+    def test_a_busy_moment_makes_no_good_version_slow(self):
+        # Answers that are late by one cause come together: 20 of the latest 32 were
+        # sluggish, of 194 in all 33, and of the old version's 76 of 548.
+        found = trial()
+        found.trusted = True
+        found.old = sluggish_answers(472, 76)
+        for bad, seen in ((11, 133), (13, 155), (13, 162), (20, 172), (33, 194)):
+            found.told[VmName("vm-2")] = sluggish_answers(seen - bad, bad)
+            found.all_seen = None
+            found.advance(60.0)
+        self.assertIs(found.verdict(), Verdict.GOOD)
+
+    def test_engines_that_have_just_got_all_requests_are_no_slow_version(self):
+        # The old version's had a part of them: there is nothing to compare with.  On a
+        # calm day 28 of 78 answers of a good version were sluggish then, and it was
+        # taken back.
+        found = trial()
+        found.trusted = True
+        found.old = sluggish_answers(472, 76)
+        for bad, seen in ((10, 110), (38, 188)):
+            found.told[VmName("vm-2")] = sluggish_answers(seen - bad, bad)
+            found.all_seen = None
+            found.advance(RAMP_END * SECONDS)
+        self.assertIs(found.verdict(), Verdict.GOOD)
+
+    def test_few_answers_of_the_old_version_here_are_not_all(self):
+        # One of six VMs saw 2 of 39 answers of the old version sluggish, the others 45
+        # of 203: it was the one that took the new version back.
+        found = trial()
+        found.own = sluggish_answers(42, 18)
+        found.old = sluggish_answers(37, 2)
+        self.assertIs(found.verdict(), Verdict.BAD)
+        old = (((Measure.SLUGGISH, RouteName("")), TrialCounts(158, 45)),)
+        found.hear("vm-2", TrialReport("s", VersionName("v2"), (), old=old), 0.0)
+        self.assertIs(found.verdict(), Verdict.UNSURE)
+
     def test_no_worse_than_the_old_one(self):
         found = trial()
         found.old = answers(85, 15, "x", "y")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -69,6 +69,7 @@
         task = SimpleNamespace(trial=Trial(ORDER, 0.0, 0.15))
         found.tasks[ServiceName("s")] = task
         for _ in range(20):
+            found.answer_began(turn(), grant("v1"), USUAL)
             found.paced(turn(), grant("v1"), USUAL, 0.01)
         return found
 
@@ -76,6 +77,7 @@
         for seconds, pause, slow, sluggish in ANSWERS:
             with self.subTest(seconds=seconds, pause=pause):
                 found = self.trials()
+                found.answer_began(turn(), grant("v2"), seconds)
                 found.paced(turn(), grant("v2"), seconds, pause)
                 own = found.tasks[ServiceName("s")].trial.own
                 self.assertEqual(own.total(Measure.SLOW).bad, int(slow))
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -303,6 +303,7 @@
                 self.on_whole(turn, grant)
                 self.versions.failed(turn, grant)
                 raise FailedAnswerError(as_whole(head, body), peer=grant.name)
+            self.versions.answer_began(turn, grant, seconds)
             if turn.streamed and head.status == 200:
                 may_retry = partial(self.may_retry, turn)
                 larger = self.cascading.larger(turn, grant.name, head, may_retry)
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -49,6 +49,13 @@
         :param grant: who is sent it.
         """
 
+    def answer_began(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+        """:param turn: the request.
+
+        :param grant: who answers.
+        :param seconds: since it was sent.
+        """
+
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
         """:param turn: the request.
 
--- a/walnutquay/coordination/trials/judging.py
+++ b/walnutquay/coordination/trials/judging.py
@@ -5,14 +5,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.coordination.routed.turn import RoutedTurn
-from walnutquay.state.ids import ServiceName
+from walnutquay.state.counts import LatestTable
+from walnutquay.state.ids import EndpointName, RequestId, ServiceName
 from walnutquay.state.instances import Instance
-from walnutquay.state.pace import PaceTable
 from walnutquay.state.trialcounts import Measure
 from walnutquay.state.trials import Trial
+from walnutquay.state.usual import UsualTimes
+from walnutquay.transport.timers import monotonic
 
 # An answer that takes so many times as long as the old version's is a bad one.
 # The platform's slow versions take eight times as long.
@@ -21,11 +24,35 @@
 SLUGGISH_FACTOR = 1.5
 # The same for the pauses between events, which vary less than the wait for the first.
 SLOW_PAUSE_FACTOR = 2.5
+# Endpoints of which it is kept when they last began an answer.
+MAX_ENDPOINTS = 1000
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that an endpoint has while a version is on trial.
+
+    :param turn: the request.
+    :param grant: the endpoint.
+    :param since: when it was sent; monotonic seconds.
+    :param begun: whether its answer has begun.
+    :param overdue: what it was counted as bad by before its answer began.
+    """
+
+    turn: RoutedTurn
+    grant: Grant
+    since: float
+    begun: bool = False
+    overdue: set[Measure] = field(default_factory=set)
 
 
 class AnswerJudge:
     """Counts good and bad answers while a version is on trial.
 
+    Each answer counts as it begins, also one that is dropped for a larger model's; one
+    that does not begin counts as soon as it is late.  The slow answers of a version are
+    the ones that come last, or never: judged by those that have come it seems quick.
+
     :param trial_of: gives the trial of a service, if there is one.
     :param on_bad: told of a trial whose new version has given a bad answer.
     """
@@ -37,7 +64,41 @@
     ) -> None:
         self.trial_of = trial_of
         self.on_bad = on_bad
-        self.pace = PaceTable()
+        self.usual = UsualTimes()
+        # What endpoints have now, of services whose version is on trial.
+        self.calls: dict[RequestId, Call] = {}
+        # When each endpoint last began an answer; monotonic seconds.
+        self.last_begun: LatestTable[EndpointName, float] = LatestTable(
+            MAX_ENDPOINTS, float
+        )
+
+    # Requests.
+
+    def sent(self, turn: RoutedTurn, grant: Grant) -> None:
+        """:param turn: a request that is sent now.
+
+        :param grant: the endpoint.
+        """
+        if self.trial_of(turn.service) is not None:
+            call = Call(turn, grant, monotonic())
+            self.calls[turn.arrival.request] = call
+
+    def begun(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+        """:param turn: a request whose answer begins.
+
+        :param grant: who answers.
+        :param seconds: since it was sent.
+        """
+        self.last_begun.set(grant.name, monotonic())
+        call = self.calls.get(turn.arrival.request)
+        if call is not None:
+            call.begun = True
+        ratio = self._ratio("head", turn, seconds)
+        if not self.on_trial(grant):
+            self.usual.learn(turn.service, _kind("head", turn), seconds)
+        if ratio is not None:
+            sluggish = ratio > SLUGGISH_FACTOR
+            self._count_once(turn, grant, Measure.SLUGGISH, sluggish)
 
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
         """:param turn: a request that was answered, or a short stream.
@@ -45,8 +106,9 @@
         :param grant: who answered.
         :param seconds: until the answer's head.
         """
-        slow = self._count_head(turn, grant, seconds)
-        self._count(turn, grant, Measure.SLOW, slow)
+        ratio = self._ratio("head", turn, seconds)
+        if ratio is not None:
+            self._count_once(turn, grant, Measure.SLOW, ratio > SLOW_FACTOR)
         self._count(turn, grant, Measure.FAILED, False)
 
     def paced(
@@ -59,9 +121,13 @@
         :param seconds: until the answer's head.
         :param pause: the mean time between its first events.
         """
-        late = self._count_head(turn, grant, seconds)
-        slow = self._ratio("pause", turn, grant, pause) > SLOW_PAUSE_FACTOR
-        self._count(turn, grant, Measure.SLOW, late or slow)
+        head = self._ratio("head", turn, seconds)
+        paused = self._ratio("pause", turn, pause)
+        if not self.on_trial(grant):
+            self.usual.learn(turn.service, _kind("pause", turn), pause)
+        if head is not None or paused is not None:
+            slow = (head or 0.0) > SLOW_FACTOR or (paused or 0.0) > SLOW_PAUSE_FACTOR
+            self._count_once(turn, grant, Measure.SLOW, slow)
         self._count(turn, grant, Measure.FAILED, False)
 
     def failed(self, turn: RoutedTurn, grant: Grant) -> None:
@@ -71,6 +137,33 @@
         """
         self._count(turn, grant, Measure.FAILED, True)
 
+    def left(self, turn: RoutedTurn) -> None:
+        """:param turn: a request that an endpoint is done with, however it ended."""
+        self.calls.pop(turn.arrival.request, None)
+
+    def look(self) -> None:
+        """Count the requests whose answers should have begun."""
+        now = monotonic()
+        for call in list(self.calls.values()):
+            if not call.begun and self._answers_others(call):
+                self._count_overdue(call, now - call.since)
+
+    def _answers_others(self, call: Call) -> bool:
+        """Whether an endpoint goes on answering: one that is dark is ill by itself."""
+        return (self.last_begun.get(call.grant.name) or 0.0) > call.since
+
+    def _count_overdue(self, call: Call, seconds: float) -> None:
+        ratio = self._ratio("head", call.turn, seconds) or 0.0
+        for measure, factor in (
+            (Measure.SLUGGISH, SLUGGISH_FACTOR),
+            (Measure.SLOW, SLOW_FACTOR),
+        ):
+            if ratio > factor and measure not in call.overdue:
+                call.overdue.add(measure)
+                self._count(call.turn, call.grant, measure, True)
+
+    # Counts.
+
     def on_trial(self, grant: Grant) -> bool:
         """:param grant: an endpoint.
 
@@ -81,27 +174,20 @@
         trial = self.trial_of(endpoint.service)
         return trial is not None and trial.order.version == endpoint.version
 
-    def _count_head(self, turn: RoutedTurn, grant: Grant, seconds: float) -> bool:
-        """Judge the time until an answer's head.
+    def _ratio(self, measure: str, turn: RoutedTurn, seconds: float) -> float | None:
+        """Compare a time with what the old version usually takes.
 
-        :returns: whether it was slow.
+        :returns: how many times as long it is; None where that is not known.
         """
-        ratio = self._ratio("head", turn, grant, seconds)
-        self._count(turn, grant, Measure.SLUGGISH, ratio > SLUGGISH_FACTOR)
-        return ratio > SLOW_FACTOR
-
-    def _ratio(
-        self, measure: str, turn: RoutedTurn, grant: Grant, seconds: float
-    ) -> float:
-        """Compare a time with the old version's, which are learnt.
+        return self.usual.ratio(turn.service, _kind(measure, turn), seconds)
 
-        :returns: how many times as long it is; 0 where nothing is known yet.
-        """
-        kind = f"{measure}/{turn.service}/{turn.arrival.route.name}/{turn.model}"
-        ratio = self.pace.ratio(kind, seconds)
-        if not self.on_trial(grant):
-            self.pace.learn(kind, seconds)
-        return ratio or 0.0
+    def _count_once(
+        self, turn: RoutedTurn, grant: Grant, measure: Measure, bad: bool
+    ) -> None:
+        """Count an answer, unless it was counted before it began."""
+        call = self.calls.get(turn.arrival.request)
+        if call is None or measure not in call.overdue:
+            self._count(turn, grant, measure, bad)
 
     def _count(
         self, turn: RoutedTurn, grant: Grant, measure: Measure, bad: bool
@@ -113,3 +199,8 @@
         tally.add((measure, turn.arrival.route.name), bad, grant.name)
         if bad and tally is trial.own:
             self.on_bad(trial)
+
+
+def _kind(measure: str, turn: RoutedTurn) -> str:
+    """Give the kind of answer that a time is compared with."""
+    return f"{measure}/{turn.arrival.route.name}/{turn.model}"
--- a/walnutquay/coordination/trials/news.py
+++ b/walnutquay/coordination/trials/news.py
@@ -10,12 +10,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Protocol
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.routed.facts import SHARE_DIGITS, whole_ms
+from walnutquay.coordination.trials.record import TrialRecord
 from walnutquay.coordination.trials.task import FIRST_WRITE_SPREAD, TrialTask
 from walnutquay.protocol.messages import (
     AskTrial,
@@ -25,10 +27,11 @@
     TrialNews,
 )
 from walnutquay.state.events import EventKind
-from walnutquay.state.ids import HallName, ServiceName, VmName
+from walnutquay.state.ids import HallName, ServiceName, VmName, VmProcess
 from walnutquay.state.trialcounts import Measure
 from walnutquay.state.trialreports import TrialReport
 from walnutquay.state.trials import Trial
+from walnutquay.state.usual import UsualTimes
 from walnutquay.transport.timers import monotonic
 
 # How often VMs tell each other what they have seen.
@@ -39,6 +42,8 @@
 # those of its data hall, and relays tell the other halls what all of them have seen:
 # else each of 195 VMs hears 194, and four of five of these bytes cross between halls.
 VMS_IN_ONE_ROUND = 30
+# How long the store is waited for, while callers wait: it answers within some ms.
+RECOVER_SECONDS = 0.4
 # Kept sessions are told as the trial begins, again so long before the new version gets
 # its first ones, and from then on at once.
 LAST_CALL_SECONDS = 0.3
@@ -88,6 +93,7 @@
     :param context: what this process shares.
     :param peers: the other VMs.
     :param tasks: the trials, by service.
+    :param usual: how long answers of the old versions take.
     :param on_unknown: called when others tell of a trial that is not known here.
     """
 
@@ -96,12 +102,16 @@
         context: Context,
         peers: Peers,
         tasks: Mapping[ServiceName, TrialTask],
+        usual: UsualTimes,
         on_unknown: Callable[[TrialReport], None],
     ) -> None:
         self.context = context
         self.peers = peers
         self.tasks = tasks
+        self.usual = usual
         self.on_unknown = on_unknown
+        # What VMs that are lost had seen, where it is kept.
+        self.record: TrialRecord | None = None
 
     def tell_if_due(self, task: TrialTask) -> None:
         """Tell the others of a trial, if it is time and there is news.
@@ -117,12 +127,20 @@
         elif due:
             # Also where there is no news: what comes next waits for its turn.
             task.told_at = now
-            if trial.own.frozen() != task.told:
+            if trial.own.frozen() != task.told or self._has_usual_to_tell(task):
                 self.tell(task)
         if now - task.relayed_at >= period:
             task.relayed_at = now
             self._relay(task, now)
 
+    def _has_usual_to_tell(self, task: TrialTask) -> bool:
+        """Whether this VM knows what is usual, and has never told it.
+
+        Others that get answers of the new version may not know it.
+        """
+        service = task.trial.order.service
+        return not task.told_usual and bool(self.usual.rows(service))
+
     def _by_halls(self) -> bool:
         """Whether counts go from hall to hall, and not from each VM to all."""
         return self.peers.size > VMS_IN_ONE_ROUND
@@ -138,21 +156,25 @@
         task.told_at = now
         task.told = trial.own.frozen()
         task.tells = max(0, task.tells - 1)
-        report = trial.report(now)
+        usual = self.usual.rows(trial.order.service)
+        task.told_usual = bool(usual)
+        report = replace(trial.report(now), usual=usual)
         if not self._by_halls():
             self.peers.tell_all(TrialNews(report))
         else:
             self.peers.tell_hall(self.context.hall, TrialNews(report))
             if decided:
                 # These must not wait for relays: sessions would be moved meanwhile.
-                self.peers.tell_other_halls(TrialNews(replace(report, counts=())))
+                decisions = replace(report, counts=(), usual=())
+                self.peers.tell_other_halls(TrialNews(decisions))
         self._log(task, trial.order.service, **facts_of(trial))
 
     def _relay(self, task: TrialTask, now: float) -> None:
         """Tell the other data halls what this one has seen, if that is news."""
         if not self._by_halls() or not self.peers.is_relay():
             return
-        report = task.trial.report_of_hall(now)
+        usual = self.usual.rows_of_hall(task.trial.order.service)
+        report = replace(task.trial.report_of_hall(now), usual=usual)
         if report.counts != task.relayed:
             task.relayed = report.counts
             self.peers.tell_relays(TrialNews(report, self.context.hall))
@@ -184,12 +206,12 @@
         if task is None:
             self.on_unknown(body.report)
             return
-        self._take(task, VmName(envelope.vm), body)
+        self._take(task, envelope, body)
 
-    def _take(self, task: TrialTask, vm: VmName, news: TrialNews) -> None:
+    def _take(self, task: TrialTask, envelope: Envelope, news: TrialNews) -> None:
         trial = task.trial
         braked = trial.braked
-        self._take_counts(trial, vm, news)
+        self._take_counts(trial, envelope, news)
         if trial.braked and not braked:
             # The VM that found it writes it; the others do where it cannot.
             spread = FIRST_WRITE_SPREAD * (1.0 + self.context.rng.random())
@@ -198,16 +220,19 @@
                 EventKind.BRAKED,
                 version=trial.order.version,
                 detail=trial.order.service,
-                told_by=vm,
+                told_by=envelope.vm,
                 **facts_of(trial),
             )
 
-    def _take_counts(self, trial: Trial, vm: VmName, news: TrialNews) -> None:
+    def _take_counts(self, trial: Trial, envelope: Envelope, news: TrialNews) -> None:
         """Take in what was seen, each answer once, and pass it on in this hall."""
         now = monotonic()
+        vm = VmName(envelope.vm)
         here = self.context.hall
         sender = self.peers.hall_of(vm)
+        service = trial.order.service
         if news.hall and news.hall != here:
+            self.usual.hear_hall(service, news.hall, news.report.usual)
             told = trial.hear_hall(news.hall, news.report, now)
             # Two relays of that hall tell the same to two of this one.
             if told and sender != here:
@@ -216,7 +241,9 @@
             # What this VM has seen comes with the counts of its hall.
             trial.hear_decided(news.report, now)
         else:
-            trial.hear(vm, news.report, now)
+            self.usual.hear(service, vm, news.report.usual)
+            process = VmProcess(f"{vm}/{envelope.incarnation}")
+            trial.hear(process, news.report, now)
 
     def _task_of(self, report: TrialReport) -> TrialTask | None:
         for task in self.tasks.values():
@@ -236,7 +263,9 @@
             order = task.trial.order
             known = (order.name, order.version) == (question.order, question.version)
             if known and not task.asking:
-                return TrialNews(task.trial.report(monotonic(), whole=True))
+                report = task.trial.report(monotonic(), whole=True)
+                usual = self.usual.all_rows(order.service)
+                return TrialNews(replace(report, usual=usual))
         return Failure(f"no trial of {question.version} is known here")
 
     async def catch_up(self, task: TrialTask) -> None:
@@ -249,10 +278,25 @@
         told = None
         try:
             told = await self.peers.ask_any(AskTrial(order.name, order.version))
+            known = told.report.seen if isinstance(told, TrialNews) else 0
+            if not known:
+                await self._recover(trial)
         finally:
             # Whatever comes, callers are not kept waiting for longer.
             self._join(task, told)
 
+    async def _recover(self, trial: Trial) -> None:
+        """Look for what VMs that are lost had seen of a trial, for none lives."""
+        if self.record is None:
+            return
+        try:
+            async with asyncio.timeout(RECOVER_SECONDS):
+                found = await self.record.recover(trial)
+        except TimeoutError:
+            found = False
+        if found:
+            self.context.metrics.count("trials_recovered")
+
     def _join(self, task: TrialTask, told: Message | None) -> None:
         """Take over where a trial stands, if another VM has told."""
         trial = task.trial
@@ -260,6 +304,7 @@
         if isinstance(told, TrialNews):
             # Only what holds for all VMs: the sender's counts come with its news.
             trial.join(told.report, now)
+            self.usual.recover(trial.order.service, told.report.usual)
         else:
             # None that could be asked knows more than what stands in the store.
             trial.open = now >= trial.opens_at
@@ -276,7 +321,7 @@
     found = {}
     for measure in Measure:
         new = trial.tally().total(measure)
-        old = trial.old.total(measure)
+        old = trial.old_total(measure)
         found[f"{measure.value}"] = new.bad
         found[f"{measure.value}_of"] = new.bad + new.good
         found[f"old_{measure.value}"] = old.bad
--- a/walnutquay/coordination/trials/task.py
+++ b/walnutquay/coordination/trials/task.py
@@ -23,6 +23,7 @@
     :param write_at: when to write its next status, unless another VM has.
     :param told_at: when this VM has last told the others of it.
     :param told: the counts that it has told then.
+    :param told_usual: whether it has told how long answers of the old version take.
     :param relayed_at: when this VM, as a relay, has last told the other data halls.
     :param relayed: the counts of this hall that it has told then.
     :param tells: how often the others are still to be told, soon, what was decided.
@@ -34,6 +35,7 @@
     write_at: float
     told_at: float = float("-inf")
     told: tuple = ()
+    told_usual: bool = False
     relayed_at: float = float("-inf")
     relayed: tuple = ()
     tells: int = 0
--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -47,6 +47,8 @@
 # The same from when its first endpoint is known: VMs are told of an endpoint within
 # 0.2 s of each other, and one that does not know it would use the old version.
 SPREAD_SECONDS = 0.3
+# Why a version is taken back that nothing else tells against.
+DOUBTED = "it is in doubt late in its trial"
 # Names of orders are the operators'; those of a day are few.
 MAX_HEARD_OF = 100
 
@@ -83,11 +85,13 @@
         self.heard_of: LatestTable[tuple[str, str], bool] = LatestTable(
             MAX_HEARD_OF, bool
         )
-        self.exchange = TrialExchange(context, peers, self.tasks, self._on_unknown)
+        self.judge = AnswerJudge(self.trial_of, self._judge)
+        self.exchange = TrialExchange(
+            context, peers, self.tasks, self.judge.usual, self._on_unknown
+        )
         self.sessions = SessionKeeper(
             self.tasks, peers, self.exchange.tell, promises.session_seconds
         )
-        self.judge = AnswerJudge(self.trial_of, self._judge)
         self.background = Tasks()
         # Whether this VM has once known all that others decided before it started.
         self.caught_up = False
@@ -99,8 +103,10 @@
         self.context.timers.every("version trials", DECIDE_SECONDS, self.decide)
 
     def stop(self) -> None:
-        """Ask the other VMs no more."""
+        """Ask the other VMs, and write, no more."""
         self.background.stop()
+        if self.exchange.record is not None:
+            self.exchange.record.stop()
 
     def has_caught_up(self) -> bool:
         """:returns: whether callers may be served, as far as trials are concerned.
@@ -293,6 +299,15 @@
         :param grant: the endpoint.
         """
         self.sessions.began(turn, grant)
+        self.judge.sent(turn, grant)
+
+    def answer_began(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
+        """:param turn: a request whose answer begins.
+
+        :param grant: who answers.
+        :param seconds: since it was sent.
+        """
+        self.judge.begun(turn, grant, seconds)
 
     def left(self, turn: RoutedTurn, grant: Grant) -> None:
         """:param turn: a request that an endpoint is done with, however it ended.
@@ -300,6 +315,7 @@
         :param grant: the endpoint.
         """
         self.sessions.left(turn, grant)
+        self.judge.left(turn)
 
     def succeeded(self, turn: RoutedTurn, grant: Grant, seconds: float) -> None:
         """:param turn: a request that was answered, or a short stream.
@@ -334,6 +350,7 @@
     def _judge(self, trial: Trial) -> None:
         if trial.braked or not trial.is_bad(monotonic()):
             return
+        fault = trial.fault()
         trial.braked = True
         task = self.tasks.get(trial.order.service)
         if task is not None:
@@ -343,11 +360,13 @@
             EventKind.BRAKED,
             version=trial.order.version,
             detail=trial.order.service,
+            reason=DOUBTED if fault is None else fault.value,
             **facts_of(trial),
         )
 
     async def decide(self) -> None:
         """Look at each trial, and do what it needs."""
+        self.judge.look()
         for task in list(self.tasks.values()):
             try:
                 await self._decide(task)
@@ -365,6 +384,8 @@
         # Also where no request asks: a VM that starts is told of it.
         self._is_open(task, now)
         self.exchange.tell_if_due(task)
+        if self.exchange.record is not None:
+            self.exchange.record.keep(task)
         if trial.braked:
             await self._withdraw(task)
         elif trial.ready_to_end(now):
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -32,6 +32,7 @@
 from walnutquay.coordination.store.following import watch_times
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.store.relaying import Relay, RelayedFeed
+from walnutquay.coordination.trials.record import TrialRecord
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
@@ -146,6 +147,12 @@
             self.peers,
             options.promises,
         )
+        self.versions.exchange.record = TrialRecord(
+            self.peers,
+            ValueStore(self.store),
+            self.versions.judge.usual,
+            self._reads_store,
+        )
         self.dispatcher.on(TrialNews, self.versions.exchange.hear)
         self.dispatcher.on(AskTrial, self.versions.exchange.answer)
         self.dispatcher.on(SessionsSeen, self.versions.sessions.take_over)
@@ -275,8 +282,8 @@
         self.crash_record = CrashRecord(crashes, ValueStore(self.store))
         return crashes
 
-    async def _reads_crashes(self) -> bool:
-        """Tell whether only the store can tell this VM of blocked requests."""
+    async def _reads_store(self) -> bool:
+        """Tell whether only the store can tell this VM what lost ones have known."""
         if self.options.peers.first_start:
             return False
         return await self.starting.get() is None
@@ -320,7 +327,7 @@
         self.path.cascading.start()
         self.context.timers.on_wake(self.path.limits.woke)
         self.path.parts.crashes.start()
-        self.crash_record.start(self._reads_crashes)
+        self.crash_record.start(self._reads_store)
         await self.api.ready_server.start(self.listener(options.ready.address))
         await self.metrics_api.server.start(self.listener(options.metrics.address))
         await self.api.server.start(self.listener(options.callers.address))
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -147,6 +147,18 @@
   opensIn @6 :Float32;
   # The data hall whose VMs have seen this together; empty for the sender alone.
   hall @7 :Text;
+  usual @8 :List(UsualTime);
+  # Answers of the new version that the sender knows of, of all VMs.
+  seen @9 :UInt32;
+  # What the sender has seen of the old version meanwhile.
+  oldRows @10 :List(TrialRow);
+}
+
+# How long one kind of answer takes at the old version; the kind as a number.
+struct UsualTime {
+  kind @0 :UInt64;
+  seconds @1 :Float32;
+  seen @2 :UInt16;
 }
 
 # Which version served a session last, and how long ago; seconds.
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -33,7 +33,8 @@
 from walnutquay.state.sessionnotes import SeenSession
 from walnutquay.state.tallies import TallyRow
 from walnutquay.state.trialcounts import Measure, TrialCounts
-from walnutquay.state.trialreports import TrialReport, Verdict
+from walnutquay.state.trialreports import AnswerCounts, TrialReport, Verdict
+from walnutquay.state.usual import UsualTime
 
 schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
@@ -100,24 +101,30 @@
     )
 
 
-def _trial(reader: Any) -> m.TrialNews:
-    counts = tuple(
+def _counts(rows: Any) -> AnswerCounts:
+    return tuple(
         (
             (Measure(row.measure), RouteName(row.route)),
             TrialCounts(
                 row.good, row.bad, frozenset(map(EndpointName, row.badEndpoints))
             ),
         )
-        for row in reader.rows
+        for row in rows
     )
+
+
+def _trial(reader: Any) -> m.TrialNews:
     report = TrialReport(
         reader.order,
         VersionName(reader.version),
-        counts,
+        _counts(reader.rows),
         tuple(reader.kept),
         Verdict(reader.verdict),
         reader.elapsed if reader.elapsed >= 0.0 else None,
         reader.opensIn,
+        tuple(UsualTime(row.kind, row.seconds, row.seen) for row in reader.usual),
+        reader.seen,
+        _counts(reader.oldRows),
     )
     return m.TrialNews(report, HallName(reader.hall))
 
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -12,6 +12,7 @@
 from walnutquay.protocol import messages as m
 from walnutquay.state.ends import CrashTrace
 from walnutquay.state.membership import MemberNews
+from walnutquay.state.trialreports import AnswerCounts
 
 # Stands for a time that is not known; times that are known are not negative.
 UNKNOWN_TIME = -1.0
@@ -166,29 +167,35 @@
     }
 
 
-@body_fields.register
-def _(body: m.TrialNews) -> dict[str, Any]:
-    report = body.report
-    rows = [
+def _count_fields(counts: AnswerCounts) -> list[dict[str, Any]]:
+    return [
         {
             "measure": measure.value,
             "route": route,
-            "good": counts.good,
-            "bad": counts.bad,
-            "badEndpoints": sorted(counts.bad_endpoints),
+            "good": seen.good,
+            "bad": seen.bad,
+            "badEndpoints": sorted(seen.bad_endpoints),
         }
-        for (measure, route), counts in report.counts
+        for (measure, route), seen in counts
     ]
+
+
+@body_fields.register
+def _(body: m.TrialNews) -> dict[str, Any]:
+    report = body.report
     elapsed = UNKNOWN_TIME if report.elapsed is None else report.elapsed
     fields = {
         "order": report.order,
         "version": report.version,
-        "rows": rows,
+        "rows": _count_fields(report.counts),
+        "oldRows": _count_fields(report.old),
         "kept": list(report.kept),
         "verdict": report.verdict.value,
         "elapsed": elapsed,
         "opensIn": report.opens_in,
         "hall": body.hall,
+        "usual": [asdict(row) for row in report.usual],
+        "seen": report.seen,
     }
     return {"trial": fields}
 
--- a/walnutquay/state/counts.py
+++ b/walnutquay/state/counts.py
@@ -65,6 +65,14 @@
         """
         return self.entries.get(key)
 
+    def set(self, key: Key, value: Value) -> None:
+        """:param key: a key that is used now.
+
+        :param value: what stands for it from now on.
+        """
+        self.touch(key)
+        self.entries[key] = value
+
     def drop(self, belongs: Callable[[Key], bool]) -> None:
         """:param belongs: tells whether a key is to be forgotten."""
         for key in [key for key in self.entries if belongs(key)]:
--- a/walnutquay/state/ids.py
+++ b/walnutquay/state/ids.py
@@ -8,6 +8,8 @@
 from typing import NewType
 
 VmName = NewType("VmName", str)
+# One start of a VM: its name and its incarnation.
+VmProcess = NewType("VmProcess", str)
 Incarnation = NewType("Incarnation", str)
 HallName = NewType("HallName", str)
 OrganisationName = NewType("OrganisationName", str)
--- a/walnutquay/state/trialcounts.py
+++ b/walnutquay/state/trialcounts.py
@@ -37,6 +37,11 @@
 MIN_SEEN = 12
 MIN_SLUGGISH_SHARE = 0.3
 SLUGGISH_DEVIATIONS = 2.5
+# The same for the latest answers alone: a version may be slow under load only.  They
+# are so many, and this part of all: answers that are late by one cause come together.
+RECENT_SEEN = 20
+RECENT_SHARE = 0.4
+RECENT_DEVIATIONS = 4.0
 # The share of bad answers that condemns a version.  Times vary by themselves.
 BAD_SHARE = {Measure.FAILED: 0.15, Measure.SLOW: 0.25}
 
@@ -80,6 +85,20 @@
             self.bad_endpoints | other.bad_endpoints,
         )
 
+    def since(self, earlier: TrialCounts) -> TrialCounts:
+        """:param earlier: the counts as they were.
+
+        :returns: what has come since.
+        """
+        return TrialCounts(
+            self.good - earlier.good, self.bad - earlier.bad, self.bad_endpoints
+        )
+
+    @property
+    def seen(self) -> int:
+        """All answers, good and bad."""
+        return self.good + self.bad
+
     @property
     def bad_share(self) -> float:
         """The share of bad answers; 0 where there are none at all."""
@@ -118,6 +137,11 @@
                 total = total + counts
         return total
 
+    @property
+    def seen(self) -> int:
+        """All answers, each as often as it was judged by something."""
+        return sum(counts.seen for counts in self.by_subject.values())
+
     def merged(self, others: Iterable[TrialTally]) -> TrialTally:
         """:param others: what other VMs have seen.
 
@@ -149,15 +173,19 @@
     return counts.bad >= needed and counts.bad_share >= limit
 
 
-def is_sluggish(counts: TrialCounts, old: TrialCounts) -> bool:
+def is_sluggish(
+    counts: TrialCounts, old: TrialCounts, deviations: float = SLUGGISH_DEVIATIONS
+) -> bool:
     """Judge whether more answers are sluggish than chance makes.
 
     :param counts: the new version's.
     :param old: the old version's, as this VM has seen them.
+    :param deviations: by how many standard deviations.
     """
-    seen = counts.good + counts.bad
     usual = max(USUAL_SLUGGISH_SHARE, old.bad_share)
-    if seen < MIN_SEEN or counts.bad_share < MIN_SLUGGISH_SHARE:
+    if counts.seen < MIN_SEEN or counts.bad_share < MIN_SLUGGISH_SHARE:
+        return False
+    if len(counts.bad_endpoints) == 1 and counts.bad < MIN_BAD_OF_ONE:
         return False
-    deviation = math.sqrt(usual * (1.0 - usual) / seen)
-    return counts.bad_share - usual >= SLUGGISH_DEVIATIONS * deviation
+    deviation = math.sqrt(usual * (1.0 - usual) / counts.seen)
+    return counts.bad_share - usual >= deviations * deviation
--- a/walnutquay/state/trialreports.py
+++ b/walnutquay/state/trialreports.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.ids import VersionName
-from walnutquay.state.trialcounts import Subject, TrialCounts, TrialTally
+from walnutquay.state.ids import RouteName, VersionName
+from walnutquay.state.trialcounts import Measure, Subject, TrialCounts, TrialTally
+from walnutquay.state.usual import UsualTime
 
 
 class Verdict(Enum):
@@ -19,6 +20,8 @@
     BAD = "bad"
 
 
+# Stands for all routes, where counts are told of them together.
+ALL_ROUTES = RouteName("")
 # Answers of a version that some VMs have seen, as they stood at one moment.
 AnswerCounts = tuple[tuple[Subject, TrialCounts], ...]
 
@@ -36,6 +39,9 @@
         this from the time of day only, which may differ between VMs.
     :param opens_in: seconds until the sender gives the new version its first sessions
         at the earliest; 0 where it does already.
+    :param usual: how long answers of the old version take, by what it has seen.
+    :param old: what it has seen of the old version meanwhile, all routes together.
+    :param seen: how many answers of the new version it knows of, of all VMs.
     """
 
     order: str
@@ -45,9 +51,33 @@
     verdict: Verdict = Verdict.UNSURE
     elapsed: float | None = None
     opens_in: float = 0.0
+    usual: tuple[UsualTime, ...] = ()
+    seen: int = 0
+    old: AnswerCounts = ()
 
     def tally(self) -> TrialTally:
-        """:returns: its counts."""
-        found = TrialTally()
-        found.by_subject.update(self.counts)
-        return found
+        """:returns: its counts of the new version."""
+        return _tally(self.counts)
+
+    def old_tally(self) -> TrialTally:
+        """:returns: its counts of the old version."""
+        return _tally(self.old)
+
+
+def _tally(counts: AnswerCounts) -> TrialTally:
+    found = TrialTally()
+    found.by_subject.update(counts)
+    return found
+
+
+def summed(tally: TrialTally) -> AnswerCounts:
+    """:param tally: counts of answers.
+
+    :returns: those of all routes together, without the endpoints.
+    """
+    totals = ((measure, tally.total(measure)) for measure in Measure)
+    return tuple(
+        ((measure, ALL_ROUTES), TrialCounts(total.good, total.bad))
+        for measure, total in totals
+        if total.seen
+    )
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials.py
@@ -11,18 +11,13 @@
 
 from dataclasses import replace
 
-from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.ids import HallName, VmProcess
 from walnutquay.state.keptsessions import KeptSessions
 from walnutquay.state.orders import RolloutOrder
 from walnutquay.state.sessionnumbers import HASH_SPAN, session_number
-from walnutquay.state.trialcounts import (
-    BASE_FACTOR,
-    Measure,
-    TrialTally,
-    condemned,
-    is_sluggish,
-)
-from walnutquay.state.trialreports import AnswerCounts, TrialReport, Verdict
+from walnutquay.state.trialcounts import Measure
+from walnutquay.state.trialevidence import LOST, TrialEvidence
+from walnutquay.state.trialreports import TrialReport, Verdict, summed
 
 # The share of new sessions in the first half, of what a bad version may get.  The
 # rest is left for the time in which it turns bad and is found out.
@@ -44,11 +39,9 @@
 MIN_OPENS_IN = 0.001
 # What a version has to have little of to be trusted.
 TRUSTED_BY = (Measure.FAILED, Measure.SLOW)
-# The share that a version which is trusted may have beyond the old one's.
-TRUSTED_BAD_SHARE = {Measure.FAILED: 0.04, Measure.SLOW: 0.1}
 
 
-class Trial:
+class Trial(TrialEvidence):
     """One order to bring in a version, as one VM sees it.
 
     :param order: the order.
@@ -64,6 +57,7 @@
         share_limit: float,
         witnessed: bool = False,
     ) -> None:
+        super().__init__()
         self.order = order
         self.started = started
         self.share_limit = share_limit
@@ -74,15 +68,6 @@
         self.open = False
         self.opens_at = float("-inf")
         self.kept = KeptSessions()
-        # What this VM has seen of the new version, and of the old at that time.
-        self.own = TrialTally()
-        self.old = TrialTally()
-        # What other VMs have told of the new version; in large fleets those of this
-        # data hall, and of the other halls what all their VMs have seen together.
-        self.told: dict[VmName, TrialTally] = {}
-        self.told_by_hall: dict[HallName, TrialTally] = {}
-        # All of it together, with what it was made of; see :meth:`tally`.
-        self.all_seen: tuple[AnswerCounts, TrialTally] | None = None
         # Set when the first half has shown the version to be good; from then on
         # only answers under more load count.
         self.trusted = False
@@ -96,15 +81,14 @@
         """
         return max(0.0, now - self.started) / max(1.0, self.order.seconds)
 
-    def hear(self, vm: VmName, report: TrialReport, now: float) -> None:
+    def hear(self, vm: VmProcess, report: TrialReport, now: float) -> None:
         """Take in what another VM has seen and decided.
 
-        :param vm: the VM.
+        :param vm: its process: what an earlier one has seen there is still true.
         :param report: its counts stand in place of those that it told before.
         :param now: monotonic seconds.
         """
-        self.told[vm] = report.tally()
-        self.all_seen = None
+        self.hear_counts(vm, report)
         self.hear_decided(report, now)
 
     def hear_hall(self, hall: HallName, report: TrialReport, now: float) -> bool:
@@ -116,9 +100,8 @@
         :returns: whether there was anything new.
         """
         before = self.told_by_hall.get(hall)
-        told = report.tally()
-        self.told_by_hall[hall] = told
-        self.all_seen = None
+        self.hear_counts_of_hall(hall, report)
+        told = self.told_by_hall[hall]
         decided = self.braked, self.trusted
         self.hear_decided(report, now)
         if decided != (self.braked, self.trusted):
@@ -192,6 +175,8 @@
             self._acted_on(now),
             now - self.started if self.witnessed else None,
             self.opens_in(now),
+            seen=self.tally().seen,
+            old=summed(self.old),
         )
 
     def report_of_hall(self, now: float) -> TrialReport:
@@ -199,8 +184,30 @@
 
         :returns: what to tell other data halls of all VMs of this one.
         """
-        seen = self.own.merged(self.told.values())
-        return replace(self.report(now), counts=seen.frozen(), kept=())
+        counts = self.seen_in_hall().frozen()
+        old = self.old_of_hall()
+        return replace(self.report(now), counts=counts, kept=(), old=old)
+
+    def report_of_all(self, now: float) -> TrialReport:
+        """:param now: monotonic seconds.
+
+        :returns: what all VMs have seen and decided, to be kept.
+        """
+        return TrialReport(
+            self.order.name,
+            self.order.version,
+            self.tally().frozen(),
+            verdict=self._acted_on(now),
+        )
+
+    def recover(self, report: TrialReport, now: float) -> None:
+        """Take in what was kept of VMs that are lost.
+
+        :param report: what they had seen and decided.
+        :param now: monotonic seconds.
+        """
+        self.hear_decided(report, now)
+        self.hear_counts(LOST, report)
 
     def _acted_on(self, now: float) -> Verdict:
         """Give the verdict by which this VM moves sessions already."""
@@ -245,61 +252,19 @@
         since = self.kept.since(session_number(session, self.order.version))
         return since is not None and seen_on_new <= since
 
-    def tally(self) -> TrialTally:
-        """Give what all VMs together have seen of the new version.
-
-        Each request asks for it, so it is put together only where something has come:
-        of 194 other VMs that took 3.5 ms each time.
-        """
-        own = self.own.frozen()
-        if self.all_seen is not None and self.all_seen[0] == own:
-            return self.all_seen[1]
-        told = [*self.told.values(), *self.told_by_hall.values()]
-        seen = self.own.merged(told)
-        self.all_seen = (own, seen)
-        return seen
-
     def verdict(self) -> Verdict:
         """:returns: what is thought of the version now."""
         if self.braked:
             return Verdict.BAD
-        tally = self.tally()
-        if self._fails(tally) or self._is_slow(tally):
+        if self.fault() is not None:
             return Verdict.BAD
         if self.trusted:
             return Verdict.GOOD
-        trusted = all(self._harmless(tally, measure) for measure in TRUSTED_BY)
+        tally = self.tally()
+        trusted = all(self.is_harmless(tally, measure) for measure in TRUSTED_BY)
         enough = tally.total(Measure.FAILED).good >= MIN_GOOD
         return Verdict.GOOD if trusted and enough else Verdict.UNSURE
 
-    def _fails(self, tally: TrialTally) -> bool:
-        """Whether too many answers fail, on all routes or on one."""
-        failed = Measure.FAILED
-        if condemned(failed, tally.total(failed), self.old.total(failed)):
-            return True
-        return any(
-            condemned(failed, counts, self.old.of(subject))
-            for subject, counts in tally.by_subject.items()
-            if subject[0] is failed
-        )
-
-    def _is_slow(self, tally: TrialTally) -> bool:
-        """Whether too many answers are slow, or more are sluggish than usual.
-
-        Of one route alone a few are slow by chance, as engines have little cached
-        when a version is new: judged by it, good versions were taken back.
-        """
-        slow = Measure.SLOW
-        if condemned(slow, tally.total(slow), self.old.total(slow)):
-            return True
-        sluggish = Measure.SLUGGISH
-        return is_sluggish(tally.total(sluggish), self.old.total(sluggish))
-
-    def _harmless(self, tally: TrialTally, measure: Measure) -> bool:
-        """Whether there are hardly more bad answers than the old version gives."""
-        usual = BASE_FACTOR * self.old.total(measure).bad_share
-        return tally.total(measure).bad_share <= TRUSTED_BAD_SHARE[measure] + usual
-
     def advance(self, now: float) -> None:
         """Begin the second half with new counts, if the first one was good.
 
@@ -308,6 +273,12 @@
 
         :param now: monotonic seconds.
         """
+        if self.progress(now) < RAMP_END:
+            self.note_sluggish()
+        else:
+            # Its engines have all requests now, and the old version's had a part: good
+            # versions had 14 of 22 and 28 of 78 answers sluggish then for a while.
+            self.sluggish.clear()
         if self.trusted or not self.ramping(now):
             return
         if self.verdict() is Verdict.GOOD:
@@ -317,10 +288,7 @@
         if self.trusted or not self.ramping(now):
             return
         self.trusted = True
-        self.own = TrialTally()
-        self.told.clear()
-        self.told_by_hall.clear()
-        self.all_seen = None
+        self.begin_anew()
 
     def ramping(self, now: float) -> bool:
         """:param now: monotonic seconds.
