Stand-ins hold their ports while they are away

Change: the ports are held as those of the processes are. Measured: the test failed before (another socket got the port).

--- a/standins/link.py
+++ b/standins/link.py
@@ -16,6 +16,8 @@
 import random
 import socket
 
+from standins.ports import HOST, HeldPorts
+
 CHUNK = 1 << 16
 
 
@@ -33,6 +35,8 @@
         # Share of datagrams that are lost.
         self.loss = 0.0
         self.port = 0
+        # Nobody else is given the port while it is closed.
+        self.held = HeldPorts()
         self.writers: set[asyncio.StreamWriter] = set()
         # Streams that carry nothing any more, by the writers of their two ends.
         self.silenced: set[asyncio.StreamWriter] = set()
@@ -42,22 +46,12 @@
 
     async def start(self) -> None:
         """Listen at a free port of the loopback."""
-        while True:
-            stream = socket.socket()
-            # The port can be opened again while old streams of it end.
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            stream.bind(("127.0.0.1", 0))
-            self.port = stream.getsockname()[1]
-            loop = asyncio.get_running_loop()
-            try:
-                self.datagrams, _ = await loop.create_datagram_endpoint(
-                    lambda: self, local_addr=("127.0.0.1", self.port)
-                )
-            except OSError:
-                stream.close()
-                continue
-            break
-        self.server = await asyncio.start_server(self._serve, sock=stream)
+        (self.port,) = self.held.take(1)
+        loop = asyncio.get_running_loop()
+        self.datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(HOST, self.port)
+        )
+        await self.open_port()
 
     def close_port(self) -> None:
         """Refuse new streams, as where nothing listens, and end the others."""
@@ -67,11 +61,12 @@
 
     async def open_port(self) -> None:
         """Take new streams again, at the same port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
 
     def stop(self) -> None:
         """Close everything."""
         self.set_cut(True)
+        self.held.close()
         self.server.close()
         self.datagrams.close()
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -15,6 +15,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from standins.ports import HOST, HeldPorts
+
 # Seconds for which a mute endpoint says nothing.
 MUTE_SECONDS = 60.0
 
@@ -93,6 +95,8 @@
         self.turned_away: list[Seen] = []
         self.connections = 0
         self.server: asyncio.Server | None = None
+        # Nobody else is given the port while the endpoint is away.
+        self.held = HeldPorts()
         self.tasks: set[asyncio.Task] = set()
         self.address = ""
         # The connections that are open now, and how often the endpoint has ended.
@@ -103,13 +107,15 @@
         # Whether it has ended, and is not back yet.
         self.ended = False
 
-    async def start(self, host: str = "127.0.0.1") -> None:
+    async def start(self) -> None:
         """Listen at a free port."""
-        self.server = await asyncio.start_server(self._serve, host, 0)
-        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+        (port,) = self.held.take(1)
+        self.server = await asyncio.start_server(self._serve, HOST, port)
+        self.address = f"{HOST}:{port}"
 
     async def stop(self) -> None:
         """Close everything."""
+        self.held.close()
         if self.server is not None:
             self.server.close()
         for task in self.tasks:
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -4,12 +4,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import unittest
 from unittest import mock
 
 from standins import ports
+from standins.link import Link
 from standins.ports import HOST, HeldPorts
+from standins.worker import WorkerStandIn
 from walnutquay.transport.listeners import listen
 
 
@@ -57,3 +60,31 @@
             port = probe.getsockname()[1]
             self.assertFalse(ports._is_free_for_datagrams(port))
         self.assertTrue(ports._is_free_for_datagrams(port))
+
+
+class AwayTest(unittest.IsolatedAsyncioTestCase):
+    """A stand-in that is away for a while comes back at its port.
+
+    In a soak beside others the port of an endpoint that had ended was some connection's
+    own when it was to come back ("address already in use"), and the soak ended.
+    """
+
+    async def test_nobody_else_gets_it_meanwhile(self):
+        worker = WorkerStandIn("e1")
+        await worker.start()
+        self.addAsyncCleanup(worker.stop)
+        host, _, port = worker.address.partition(":")
+        link = Link((host, int(port)))
+        await link.start()
+        self.addCleanup(link.stop)
+        worker.on_crash = link.close_port
+        worker.crash()
+        for port_away in (int(port), link.port):
+            with socket.socket() as other, self.assertRaises(OSError):
+                other.bind((host, port_away))
+            with self.assertRaises(ConnectionRefusedError):
+                await asyncio.open_connection(host, port_away)
+        await worker.come_back("e1")
+        await link.open_port()
+        _, writer = await asyncio.open_connection(host, link.port)
+        writer.close()
