VMs that are lost for good are taken out of the list of VMs

Cause: an entry is written by its VM and removed by it as it stops; one that loses power and is replaced under another name leaves its entry for ever. Change: three VMs of its data hall ask each VM every 30 s whether it lives, and take it out after five minutes, unless they reach nobody. A call each 10 s a VM, whatever the fleet's size; a store call for each VM that is gone.

--- /dev/null
+++ b/walnutquay/coordination/fleet/register.py
@@ -0,0 +1,26 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The list of entry VMs in the store, as the fleet uses it."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from walnutquay.state.ids import VmName
+from walnutquay.state.membership import VmPlace
+
+
+class Register(Protocol):
+    """The list of entry VMs in the store."""
+
+    async def enter(self, vm: VmName, place: VmPlace) -> None:
+        """:param vm: this VM.
+
+        :param place: where its peers reach it.
+        """
+
+    async def leave(self, vm: VmName) -> None:
+        """:param vm: this VM."""
+
+    async def read(self) -> dict[VmName, VmPlace]:
+        """:returns: where each VM is."""
--- a/walnutquay/coordination/fleet/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -13,11 +13,12 @@
 import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Protocol
 
 import logbook
 
+from walnutquay.coordination.fleet.absentees import Absentees
 from walnutquay.coordination.fleet.peers import FleetPeers
+from walnutquay.coordination.fleet.register import Register
 from walnutquay.coordination.fleet.starting import StartingKnowledge
 from walnutquay.coordination.fleet.watchers import Watchers
 from walnutquay.coordination.process.context import Context
@@ -48,22 +49,6 @@
 NEWS_SECONDS = 2.0 * READ_SECONDS + 5.0
 
 
-class Register(Protocol):
-    """The list of entry VMs in the store."""
-
-    async def enter(self, vm: VmName, place: VmPlace) -> None:
-        """:param vm: this VM.
-
-        :param place: where its peers reach it.
-        """
-
-    async def leave(self, vm: VmName) -> None:
-        """:param vm: this VM."""
-
-    async def read(self) -> dict[VmName, VmPlace]:
-        """:returns: where each VM is."""
-
-
 @dataclass(frozen=True, slots=True)
 class Heard:
     """What a VM has said of itself.
@@ -109,15 +94,18 @@
         self.news: dict[VmName, Heard] = {}
         # When this VM last wrote its entry; monotonic seconds.
         self.entered_at = float("-inf")
+        self.absentees = Absentees(context, peers, register)
         self.tasks = Tasks()
 
     def start(self) -> None:
         """Enter this VM into the list, and keep reading it."""
         self.tasks.forever("list of VMs", self._keep_up)
+        self.absentees.start()
 
     async def stop(self) -> None:
         """Take this VM out of the list."""
         self.tasks.stop()
+        self.absentees.stop()
         self._tell(leaving=True)
         try:
             await self.register.leave(self.context.vm)
