Long prompts of another hall's engine are told to one VM there, which passes them on

Cause: each long prompt is told to the VMs of its engine's hall; from another hall that is one datagram to each of 30 or 39, all of which cross between halls, where bytes have a price. Change: one VM of that hall, drawn anew each time, is told and tells the others. A lost datagram costs the whole hall that prompt; it is one of many, and forecasts only.

--- a/tests/test_fleetpeers.py
+++ b/tests/test_fleetpeers.py
@@ -77,15 +77,47 @@
 
     def test_the_vms_of_one_hall(self):
         for hall, others in ((HERE, 38), (THERE, 39)):
-            for tell in (FleetPeers.tell_hall, FleetPeers.tell_users):
-                made = peers(195)
-                tell(made, hall, BODY)
-                self.assertEqual(self.halls_told(made), [hall] * others)
+            made = peers(195)
+            made.tell_hall(hall, BODY)
+            self.assertEqual(self.halls_told(made), [hall] * others)
+
+    def told_users(self, vms: int, hall: HallName) -> tuple[set[Address], int]:
+        """Tell the users of a hall, and let those who are to pass it on.
+
+        :returns: who hears of it, and how often it crosses between halls.
+        """
+        made = peers(vms)
+        places = {place.address: vm for vm, place in made.known.items()}
+        made.tell_users(hall, BODY)
+        heard = set(made.node.sent)
+        crossed = sum(made.known[places[one]].hall != HERE for one in heard)
+        for address in list(heard):
+            there = peers(vms)
+            vm = places[address]
+            there.context = SimpleNamespace(
+                vm=vm, hall=there.known[vm].hall, rng=random.Random(1)
+            )
+            there.pass_on_here(VmName("vm-0"), BODY)
+            self.assertLessEqual(
+                {there.known[places[one]].hall for one in there.node.sent}, {hall}
+            )
+            heard |= set(there.node.sent)
+        return heard, crossed
+
+    def test_the_users_of_one_hall(self):
+        for hall, others, crossed in ((HERE, 38, 0), (THERE, 39, 1)):
+            heard, far = self.told_users(195, hall)
+            self.assertEqual((len(heard), far), (others, crossed))
 
     def test_users_in_a_very_large_hall(self):
-        made = peers(640)
-        made.tell_users(THERE, BODY)
-        self.assertEqual(self.halls_told(made), [THERE] * TOLD_IN_HALL)
+        for hall in (HERE, THERE):
+            heard, far = self.told_users(640, hall)
+            self.assertEqual((len(heard), far), (TOLD_IN_HALL, hall is THERE))
+
+    def test_a_small_fleet_passes_nothing_on(self):
+        made = peers(TOLD + 1)
+        made.pass_on_here(VmName("vm-3"), BODY)
+        self.assertEqual(made.node.sent, [])
 
     def test_the_other_halls(self):
         made = peers(195)
--- a/tests/test_worknews.py
+++ b/tests/test_worknews.py
@@ -35,7 +35,11 @@
             hear=self.heard.append,
             work=SimpleNamespace(rate=lambda model: RATE),
         )
-        peers = SimpleNamespace(tell_users=lambda *told: self.told.append(told))
+        self.passed: list[tuple] = []
+        peers = SimpleNamespace(
+            tell_users=lambda *told: self.told.append(told),
+            pass_on_here=lambda *passed: self.passed.append(passed),
+        )
         self.dispatcher = Dispatcher()
         WorkExchange(places, peers).listen(self.dispatcher)
         self.sent = places.listeners[0]
@@ -54,3 +58,4 @@
         news = WorkNews("e", 0.2, "", "m", RATE)
         await self.dispatcher.deliver(Envelope("vm", "1", Stamp(1, 0), news))
         self.assertEqual(self.heard, [news])
+        self.assertEqual(self.passed, [("vm", news)])
--- a/walnutquay/coordination/fleet/peers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -120,16 +120,31 @@
     def tell_users(self, hall: HallName, body: Message) -> None:
         """Send a message that may be lost to VMs that use what stands in a data hall.
 
-        In small fleets all do; in larger ones mostly those of the hall.
+        In small fleets all do; in larger ones mostly those of the hall.  In another
+        hall one VM is told, which passes it on there; see :meth:`pass_on_here`.
 
         :param hall: the data hall.
         :param body: the message.
         """
         addresses = self.addresses()
         if len(addresses) > TOLD:
-            addresses = self._some(self._by_hall(hall)[0], TOLD_IN_HALL)
+            most = TOLD_IN_HALL if hall == self.context.hall else 1
+            addresses = self._some(self._by_hall(hall)[0], most)
         self.node.send_all(addresses, body)
 
+    def pass_on_here(self, vm: VmName, body: Message) -> None:
+        """Pass a message on in this hall, which a VM of another one told this VM alone.
+
+        Told each of 30 VMs from there it would cross between halls 30 times.
+
+        :param vm: the VM that told it.
+        :param body: the message, as it was told for those who use what stands here.
+        """
+        far = self.hall_of(vm) not in (None, self.context.hall)
+        if far and len(self.addresses()) > TOLD:
+            near = self._by_hall(self.context.hall)[0]
+            self.node.send_all(self._some(near, TOLD_IN_HALL - 1), body)
+
     def spread(self, body: Message) -> None:
         """Send a message that may be lost to all, in larger fleets by relays.
 
--- a/walnutquay/coordination/routed/worknews.py
+++ b/walnutquay/coordination/routed/worknews.py
@@ -9,7 +9,7 @@
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.routed.places import ReadingNote, RoutedPlaces
 from walnutquay.protocol.messages import Envelope, Message, WorkNews
-from walnutquay.state.ids import HallName
+from walnutquay.state.ids import HallName, VmName
 
 # Prompts that take an engine less time to read are not told: bytes between data halls
 # have a price, and these delay nobody for long.
@@ -25,6 +25,12 @@
         :param body: a message to VMs that use what stands there; it may be lost.
         """
 
+    def pass_on_here(self, vm: VmName, body: Message) -> None:
+        """:param vm: the VM that told it.
+
+        :param body: a message for those who use what stands in this data hall.
+        """
+
 
 class WorkExchange:
     """Keeps VMs from sending a request behind a long prompt of another VM.
@@ -63,3 +69,4 @@
         """
         assert isinstance(envelope.body, WorkNews)
         self.places.hear(envelope.body)
+        self.peers.pass_on_here(VmName(envelope.vm), envelope.body)
