--- a/lab/claimways.py
+++ b/lab/claimways.py
@@ -23,7 +23,8 @@
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.exceptions import PeerError, PlatformError
 from walnutquay.platform.values import ABSENT
-from walnutquay.protocol.messages import AskRun, Envelope, RunIs
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import AskRun, RunIs
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import PlatformSection
 from walnutquay.state.claims import RunState
--- a/lab/fakepeers.py
+++ b/lab/fakepeers.py
@@ -17,6 +17,7 @@
 from standins.fleet import FLEET_KEY, HOST
 from walnutquay.coordination.own.tallies import LARGE_ROUNDS, TALLY_SECONDS
 from walnutquay.protocol import messages as m
+from walnutquay.protocol import ownmessages as own
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.state.clock import HybridClock
 from walnutquay.state.ids import HallName, Incarnation, VmName
@@ -45,11 +46,11 @@
 
     :returns: what a peer would answer.
     """
-    if isinstance(envelope.body, m.BillCopy):
-        return m.BillTaken()
-    if isinstance(envelope.body, m.AskHead):
-        return m.HeadIs(b"")
-    if isinstance(envelope.body, m.Heartbeat):
+    if isinstance(envelope.body, own.BillCopy):
+        return own.BillTaken()
+    if isinstance(envelope.body, own.AskHead):
+        return own.HeadIs(b"")
+    if isinstance(envelope.body, own.Heartbeat):
         return None
     return m.Failure("a played peer")
 
@@ -74,7 +75,7 @@
             )
             for row in range(rows)
         )
-        node.send(target, m.TallyNews(news))
+        node.send(target, own.TallyNews(news))
         await asyncio.sleep(TALLY_SECONDS * LARGE_ROUNDS)
 
 
@@ -122,7 +123,7 @@
                     | counter
                     for other in heard
                 )
-                node.send(target, m.Heartbeat(news(number), rumours, digests))
+                node.send(target, own.Heartbeat(news(number), rumours, digests))
             if number % 50 == 49:
                 await asyncio.sleep(0)
         await asyncio.sleep(period)
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -10,7 +10,8 @@
 from tests.interleavings import Scheduler, explore
 from tests.worlds import World
 from walnutquay.coordination.own.billing import Billing
-from walnutquay.protocol.messages import BillCopy, Envelope
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import BillCopy
 from walnutquay.state.bills import (
     BillLog,
     BillRecord,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,6 +16,7 @@
 from walnutquay.exceptions import MessageError, TokenError
 from walnutquay.protocol import chat
 from walnutquay.protocol import messages as m
+from walnutquay.protocol import ownmessages as own
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.replay.player import judge
 from walnutquay.replay.traces import ReplayOutcome, TraceRequest
@@ -55,27 +56,27 @@
 UNANSWERED = st.sampled_from([s for s in RunState if s is not RunState.ANSWERED])
 MESSAGES = st.one_of(
     st.builds(
-        m.Heartbeat,
+        own.Heartbeat,
         NEWS,
         st.lists(NEWS, max_size=3).map(tuple),
         st.lists(st.integers(0, 2**64 - 1), max_size=3).map(tuple),
     ),
-    st.builds(m.AskHead),
-    st.builds(m.HeadIs, DATA),
-    st.builds(m.AskPart, TEXTS),
-    st.builds(m.PartIs, DATA),
-    st.builds(m.BillCopy, TEXTS, DATA, NUMBERS),
-    st.builds(m.BillTaken),
-    st.builds(m.BillStored, TEXTS, NUMBERS),
-    st.builds(m.AskRun, TEXTS),
-    st.builds(m.RunIs, st.just(RunState.ANSWERED), ANSWERS),
-    st.builds(m.RunIs, UNANSWERED),
-    st.just(m.RunIs(None)),
-    st.builds(m.AskPin, TEXTS, TEXTS, TEXTS),
-    st.builds(m.CopyPin, TEXTS, TEXTS, TEXTS),
-    st.builds(m.PinIs, TEXTS),
-    st.builds(m.EndpointLeaving, TEXTS, TEXTS),
-    st.builds(m.VersionBrake, TEXTS),
+    st.builds(own.AskHead),
+    st.builds(own.HeadIs, DATA),
+    st.builds(own.AskPart, TEXTS),
+    st.builds(own.PartIs, DATA),
+    st.builds(own.BillCopy, TEXTS, DATA, NUMBERS),
+    st.builds(own.BillTaken),
+    st.builds(own.BillStored, TEXTS, NUMBERS),
+    st.builds(own.AskRun, TEXTS),
+    st.builds(own.RunIs, st.just(RunState.ANSWERED), ANSWERS),
+    st.builds(own.RunIs, UNANSWERED),
+    st.just(own.RunIs(None)),
+    st.builds(own.AskPin, TEXTS, TEXTS, TEXTS),
+    st.builds(own.CopyPin, TEXTS, TEXTS, TEXTS),
+    st.builds(own.PinIs, TEXTS),
+    st.builds(own.EndpointLeaving, TEXTS, TEXTS),
+    st.builds(own.VersionBrake, TEXTS),
     st.builds(m.Failure, TEXTS),
 )
 ENVELOPES = st.builds(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,6 +17,7 @@
 from standins.link import Link  # noqa: E402
 from walnutquay.exceptions import MessageError, PeerError  # noqa: E402
 from walnutquay.protocol import messages as m  # noqa: E402
+from walnutquay.protocol import ownmessages as own  # noqa: E402
 from walnutquay.protocol.lists import (  # noqa: E402
     MAX_BYTES,
     pack,
@@ -53,8 +54,8 @@
 
 async def answer(envelope: m.Envelope) -> m.Message | None:
     """:returns: the answer to a call."""
-    if isinstance(envelope.body, m.AskPart):
-        return m.PartIs(envelope.body.hash.encode())
+    if isinstance(envelope.body, own.AskPart):
+        return own.PartIs(envelope.body.hash.encode())
     raise ValueError("not taken")
 
 
@@ -216,10 +217,10 @@
 
     def test_calls_and_failures(self):
         async def use(node: PeerNode, address: Address, other: PeerNode) -> None:
-            got = await node.call(address, m.AskPart("x"), 5.0)
-            self.assertEqual(got, m.PartIs(b"x"))
+            got = await node.call(address, own.AskPart("x"), 5.0)
+            self.assertEqual(got, own.PartIs(b"x"))
             with self.assertRaises(PeerError) as caught:
-                await node.call(address, m.AskHead(), 5.0, "vm-b")
+                await node.call(address, own.AskHead(), 5.0, "vm-b")
             self.assertEqual(
                 (caught.exception.step, caught.exception.peer), ("AskHead", "vm-b")
             )
@@ -229,13 +230,13 @@
     def test_a_stream_that_has_just_been_aborted(self):
         async def use(node: PeerNode, address: Address, other: PeerNode) -> None:
             for turns in range(8):
-                await node.call(address, m.AskPart("x"), 5.0)
+                await node.call(address, own.AskPart("x"), 5.0)
                 node.connections[address].writer.transport.abort()
                 # Nobody, or not everybody, has noticed yet.
                 for _ in range(turns + 1):
                     await asyncio.sleep(0)
-                got = await node.call(address, m.AskPart("y"), 5.0)
-                self.assertEqual(got, m.PartIs(b"y"))
+                got = await node.call(address, own.AskPart("y"), 5.0)
+                self.assertEqual(got, own.PartIs(b"y"))
 
         self.run_between(use)
 
@@ -261,7 +262,7 @@
                 node._connect = connect if slow else node._connect
                 for _ in range(20):
                     with self.assertRaises(PeerError):
-                        await node.call(Address(HOST, port), m.AskPart("x"), 5.0)
+                        await node.call(Address(HOST, port), own.AskPart("x"), 5.0)
             server.close()
 
         self.run_between(use)
@@ -271,12 +272,12 @@
             link = Link((HOST, other.port))
             await link.start()
             through = Address(HOST, link.port)
-            await node.call(through, m.AskPart("x"), 5.0)
+            await node.call(through, own.AskPart("x"), 5.0)
             link.silence()
             with self.assertRaises(PeerError):
-                await node.call(through, m.AskPart("y"), 0.2)
-            got = await node.call(through, m.AskPart("z"), 5.0)
-            self.assertEqual(got, m.PartIs(b"z"))
+                await node.call(through, own.AskPart("y"), 0.2)
+            got = await node.call(through, own.AskPart("z"), 5.0)
+            self.assertEqual(got, own.PartIs(b"z"))
             link.stop()
 
         self.run_between(use)
@@ -287,16 +288,16 @@
             answers = other.handler
 
             async def hold(envelope: m.Envelope) -> m.Message | None:
-                if envelope.body == m.AskPart("held"):
+                if envelope.body == own.AskPart("held"):
                     await held.wait()
                 return await answers(envelope)
 
             other.handler = hold
-            await node.call(address, m.AskPart("x"), 5.0)
+            await node.call(address, own.AskPart("x"), 5.0)
             before = node.connections[address]
-            late = asyncio.ensure_future(node.call(address, m.AskPart("held"), 0.3))
+            late = asyncio.ensure_future(node.call(address, own.AskPart("held"), 0.3))
             while not late.done():
-                await node.call(address, m.AskPart("y"), 5.0)
+                await node.call(address, own.AskPart("y"), 5.0)
                 await asyncio.sleep(0.01)
             with self.assertRaises(PeerError):
                 await late
@@ -307,10 +308,10 @@
 
     def test_a_peer_that_is_gone(self):
         async def use(node: PeerNode, address: Address, other: PeerNode) -> None:
-            await node.call(address, m.AskPart("x"), 5.0)
+            await node.call(address, own.AskPart("x"), 5.0)
             await other.stop()
             for _ in range(3):
                 with self.assertRaises(PeerError):
-                    await node.call(address, m.AskPart("x"), 1.0)
+                    await node.call(address, own.AskPart("x"), 1.0)
 
         self.run_between(use)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,7 +16,8 @@
     PlatformUnavailableError,
     PlatformUnclearError,
 )
-from walnutquay.platform.feeds import StoredOrders, VmRegister, instance_feed
+from walnutquay.platform.feeds import instance_feed
+from walnutquay.platform.registers import StoredOrders, VmRegister
 from walnutquay.platform.store import StoreClient
 from walnutquay.state.ids import HallName, VmName
 from walnutquay.state.membership import Address, VmPlace
--- a/walnutquay/coordination/own/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -22,7 +22,8 @@
     PlatformError,
 )
 from walnutquay.platform.values import ABSENT
-from walnutquay.protocol.messages import BillCopy, BillStored, BillTaken, Envelope
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import BillCopy, BillStored, BillTaken
 from walnutquay.state.bills import (
     BillLog,
     BillRecord,
--- a/walnutquay/coordination/own/claims.py
+++ b/walnutquay/coordination/own/claims.py
@@ -21,7 +21,8 @@
     PlatformUnclearError,
 )
 from walnutquay.platform.values import ABSENT
-from walnutquay.protocol.messages import AskRun, Envelope, RunIs
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import AskRun, RunIs
 from walnutquay.state.claims import (
     CLAIM_PREFIX,
     Claim,
--- a/walnutquay/coordination/own/configurations.py
+++ b/walnutquay/coordination/own/configurations.py
@@ -27,7 +27,8 @@
     PlatformError,
 )
 from walnutquay.platform.values import Stored
-from walnutquay.protocol.messages import AskHead, AskPart, Envelope, HeadIs, PartIs
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import AskHead, AskPart, HeadIs, PartIs
 from walnutquay.state.configuration import (
     Configuration,
     Head,
--- a/walnutquay/coordination/own/endpoints.py
+++ b/walnutquay/coordination/own/endpoints.py
@@ -15,7 +15,8 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import EndpointError
-from walnutquay.protocol.messages import EndpointLeaving, Envelope
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import EndpointLeaving
 from walnutquay.state.configuration import Configuration
 from walnutquay.state.endpoints import EndpointTable
 from walnutquay.state.events import EventKind
--- a/walnutquay/coordination/own/health.py
+++ b/walnutquay/coordination/own/health.py
@@ -9,7 +9,8 @@
 from walnutquay.coordination.own.tallies import Tallies
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
-from walnutquay.protocol.messages import Envelope, VersionBrake
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import VersionBrake
 from walnutquay.state.brakes import BrakeTable, Measure, Stage
 from walnutquay.state.configuration import Configuration
 from walnutquay.state.events import EventKind
--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -13,7 +13,8 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import EndpointError, PeerError
-from walnutquay.protocol.messages import Envelope, Heartbeat, Message
+from walnutquay.protocol.messages import Envelope, Message
+from walnutquay.protocol.ownmessages import Heartbeat
 from walnutquay.state.events import EventKind
 from walnutquay.state.ids import MemberState
 from walnutquay.state.membership import Address, MemberNews, MemberTable
--- a/walnutquay/coordination/own/pins.py
+++ b/walnutquay/coordination/own/pins.py
@@ -17,7 +17,8 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import PeerError, TokenError
-from walnutquay.protocol.messages import AskPin, CopyPin, Envelope, PinIs
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import AskPin, CopyPin, PinIs
 from walnutquay.state.membership import rendezvous
 from walnutquay.state.sessions import Pin, PinSealer
 from walnutquay.transport.timers import monotonic
--- a/walnutquay/coordination/own/tallies.py
+++ b/walnutquay/coordination/own/tallies.py
@@ -9,7 +9,8 @@
 from walnutquay.coordination.own.members import Members
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
-from walnutquay.protocol.messages import Envelope, TallyNews
+from walnutquay.protocol.messages import Envelope
+from walnutquay.protocol.ownmessages import TallyNews
 from walnutquay.state.membership import HEARTBEAT_FANOUT
 from walnutquay.state.tallies import TallyBoard
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -40,13 +40,12 @@
 from walnutquay.logs import open_line_log
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.feeds import (
-    StoredOrders,
     Unreadable,
-    VmRegister,
     catalogue_feed,
     instance_feed,
     order_feed,
 )
+from walnutquay.platform.registers import StoredOrders, VmRegister
 from walnutquay.platform.store import StoreClient
 from walnutquay.platform.values import ValueStore
 from walnutquay.protocol.messages import (
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -16,31 +16,25 @@
     HistoryGoneError,
     MessageError,
     MissingObjectError,
-    PlatformConflictError,
 )
 from walnutquay.platform.names import (
     CONFIGURATION_NAME,
     KIND_CONFIGURATION,
     KIND_INSTANCES,
     KIND_ROLLOUTS,
-    KIND_VMS,
 )
 from walnutquay.platform.records import (
     decode_catalogue,
     decode_instance,
     decode_order,
-    decode_vm,
-    encode_order_status,
 )
 from walnutquay.platform.schemas import MAX_NAME
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
 from walnutquay.protocol.lists import pack, unpack
 from walnutquay.state.catalogue import Catalogue
 from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.ids import VmName
 from walnutquay.state.instances import Instance
-from walnutquay.state.membership import VmPlace
-from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.orders import RolloutOrder
 
 log = logbook.Logger(__name__)
 
@@ -324,78 +318,3 @@
         KIND_ROLLOUTS,
         lambda s: decode_order(s.name, s.revision, s.spec, s.status),
     )
-
-
-class VmRegister:
-    """The list of entry VMs, each of which writes its own entry.
-
-    :param store: the store's client.
-    """
-
-    def __init__(self, store: StoreClient) -> None:
-        self.store = store
-
-    async def enter(self, vm: VmName, place: VmPlace) -> None:
-        """Write a VM's entry.
-
-        :param vm: the VM.
-        :param place: where its peers reach it.
-        """
-        address = place.address
-        spec = {"host": address.host, "port": address.port, "hall": place.hall}
-        try:
-            await self.store.create(KIND_VMS, vm, spec)
-        except PlatformConflictError:
-            await self.store.replace(KIND_VMS, vm, spec, None)
-
-    async def leave(self, vm: VmName) -> None:
-        """:param vm: a VM that stops."""
-        await self.store.delete(KIND_VMS, vm)
-
-    async def read(self) -> dict[VmName, VmPlace]:
-        """:returns: where each VM is reached, as it was some seconds ago."""
-        try:
-            found, _ = await self.store.list(KIND_VMS, stale=True)
-        except MissingObjectError:
-            return {}
-        places = {}
-        for stored in found:
-            try:
-                places[VmName(stored.name)] = decode_vm(stored.name, stored.spec)
-            except MessageError as error:
-                log.error("{}/{} is left out: {}", KIND_VMS, stored.name, error)
-        return places
-
-
-class StoredOrders:
-    """Reads and answers roll-out orders.
-
-    :param store: the store's client.
-    """
-
-    def __init__(self, store: StoreClient) -> None:
-        self.store = store
-
-    async def read(self, name: str) -> RolloutOrder | None:
-        """:param name: an order's name.
-
-        :returns: it as it stands now, or None where there is none.
-        """
-        stored = await self.store.get(KIND_ROLLOUTS, name)
-        if stored is None:
-            return None
-        return decode_order(stored.name, stored.revision, stored.spec, stored.status)
-
-    async def answer(self, order: RolloutOrder, state: OrderState) -> RolloutOrder:
-        """Say where an order stands, if it is still as it was read.
-
-        :param order: the order.
-        :param state: what to say.
-        :returns: the order as it is then.
-        :raises PlatformConflictError: if it has changed.
-        """
-        status = encode_order_status(order, state)
-        stored = await self.store.write_status(
-            KIND_ROLLOUTS, order.name, status, order.revision
-        )
-        return decode_order(stored.name, stored.revision, stored.spec, stored.status)
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -13,6 +13,7 @@
 
 from walnutquay.exceptions import MessageError
 from walnutquay.protocol import messages as m
+from walnutquay.protocol import ownmessages as own
 from walnutquay.protocol.peerfields import body_fields
 from walnutquay.state.claims import RunState, WholeAnswer
 from walnutquay.state.clock import Stamp
@@ -64,24 +65,24 @@
     return m.VmRow(VmName(reader.vm), place)
 
 
-def _heartbeat(reader: Any) -> m.Heartbeat:
+def _heartbeat(reader: Any) -> own.Heartbeat:
     rumours = tuple(_news(rumour) for rumour in reader.rumours)
-    return m.Heartbeat(_news(reader.own), rumours, tuple(reader.digests))
+    return own.Heartbeat(_news(reader.own), rumours, tuple(reader.digests))
 
 
-def _run(reader: Any) -> m.RunIs:
+def _run(reader: Any) -> own.RunIs:
     if not reader.known:
-        return m.RunIs(None)
+        return own.RunIs(None)
     state = RunState(reader.state)
     if state is not RunState.ANSWERED:
-        return m.RunIs(state)
+        return own.RunIs(state)
     headers = tuple((header.name, header.value) for header in reader.headers)
     answer = WholeAnswer(reader.status, reader.contentType, bytes(reader.body), headers)
-    return m.RunIs(state, answer)
+    return own.RunIs(state, answer)
 
 
-def _tallies(reader: Any) -> m.TallyNews:
-    return m.TallyNews(
+def _tallies(reader: Any) -> own.TallyNews:
+    return own.TallyNews(
         tuple(
             TallyRow(row.vm, row.incarnation, row.subject, row.good, row.bad)
             for row in reader
@@ -153,20 +154,20 @@
 
 READERS: dict[str, Callable[[Any], m.Message]] = {
     "heartbeat": _heartbeat,
-    "askHead": lambda r: m.AskHead(),
-    "head": lambda r: m.HeadIs(bytes(r)),
-    "askPart": lambda r: m.AskPart(str(r)),
-    "part": lambda r: m.PartIs(bytes(r)),
-    "billCopy": lambda r: m.BillCopy(r.incarnation, bytes(r.records), r.nextBatch),
-    "billTaken": lambda r: m.BillTaken(),
-    "billStored": lambda r: m.BillStored(r.incarnation, r.nextBatch),
-    "askRun": lambda r: m.AskRun(str(r)),
+    "askHead": lambda r: own.AskHead(),
+    "head": lambda r: own.HeadIs(bytes(r)),
+    "askPart": lambda r: own.AskPart(str(r)),
+    "part": lambda r: own.PartIs(bytes(r)),
+    "billCopy": lambda r: own.BillCopy(r.incarnation, bytes(r.records), r.nextBatch),
+    "billTaken": lambda r: own.BillTaken(),
+    "billStored": lambda r: own.BillStored(r.incarnation, r.nextBatch),
+    "askRun": lambda r: own.AskRun(str(r)),
     "run": _run,
-    "askPin": lambda r: m.AskPin(r.organisation, r.session, r.token),
-    "copyPin": lambda r: m.CopyPin(r.organisation, r.session, r.token),
-    "pin": lambda r: m.PinIs(str(r)),
-    "endpointLeaving": lambda r: m.EndpointLeaving(r.endpoint, r.incarnation),
-    "versionBrake": lambda r: m.VersionBrake(str(r)),
+    "askPin": lambda r: own.AskPin(r.organisation, r.session, r.token),
+    "copyPin": lambda r: own.CopyPin(r.organisation, r.session, r.token),
+    "pin": lambda r: own.PinIs(str(r)),
+    "endpointLeaving": lambda r: own.EndpointLeaving(r.endpoint, r.incarnation),
+    "versionBrake": lambda r: own.VersionBrake(str(r)),
     "tallies": _tallies,
     "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning, r.model, r.rate),
     "opinions": _opinions,
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -10,6 +10,7 @@
 
 from walnutquay.exceptions import MessageError
 from walnutquay.protocol import messages as m
+from walnutquay.protocol import ownmessages as own
 from walnutquay.state.ends import CrashTrace
 from walnutquay.state.membership import MemberNews
 from walnutquay.state.trialreports import AnswerCounts
@@ -45,7 +46,7 @@
 
 
 @body_fields.register
-def _(body: m.Heartbeat) -> dict[str, Any]:
+def _(body: own.Heartbeat) -> dict[str, Any]:
     rumours = [_news_fields(news) for news in body.rumours]
     fields = {
         "own": _news_fields(body.own),
@@ -56,27 +57,27 @@
 
 
 @body_fields.register
-def _(body: m.AskHead) -> dict[str, Any]:
+def _(body: own.AskHead) -> dict[str, Any]:
     return {"askHead": None}
 
 
 @body_fields.register
-def _(body: m.HeadIs) -> dict[str, Any]:
+def _(body: own.HeadIs) -> dict[str, Any]:
     return {"head": body.data}
 
 
 @body_fields.register
-def _(body: m.AskPart) -> dict[str, Any]:
+def _(body: own.AskPart) -> dict[str, Any]:
     return {"askPart": body.hash}
 
 
 @body_fields.register
-def _(body: m.PartIs) -> dict[str, Any]:
+def _(body: own.PartIs) -> dict[str, Any]:
     return {"part": body.data}
 
 
 @body_fields.register
-def _(body: m.BillCopy) -> dict[str, Any]:
+def _(body: own.BillCopy) -> dict[str, Any]:
     fields = {
         "incarnation": body.incarnation,
         "records": body.records,
@@ -86,23 +87,23 @@
 
 
 @body_fields.register
-def _(body: m.BillTaken) -> dict[str, Any]:
+def _(body: own.BillTaken) -> dict[str, Any]:
     return {"billTaken": None}
 
 
 @body_fields.register
-def _(body: m.BillStored) -> dict[str, Any]:
+def _(body: own.BillStored) -> dict[str, Any]:
     fields = {"incarnation": body.incarnation, "nextBatch": body.next_batch}
     return {"billStored": fields}
 
 
 @body_fields.register
-def _(body: m.AskRun) -> dict[str, Any]:
+def _(body: own.AskRun) -> dict[str, Any]:
     return {"askRun": body.request}
 
 
 @body_fields.register
-def _(body: m.RunIs) -> dict[str, Any]:
+def _(body: own.RunIs) -> dict[str, Any]:
     if body.state is None:
         return {"run": {"known": False}}
     fields: dict[str, Any] = {"known": True, "state": body.state.value}
@@ -116,7 +117,7 @@
     return {"run": fields}
 
 
-def _pin_fields(body: m.AskPin | m.CopyPin) -> dict[str, str]:
+def _pin_fields(body: own.AskPin | own.CopyPin) -> dict[str, str]:
     return {
         "organisation": body.organisation,
         "session": body.session,
@@ -125,33 +126,33 @@
 
 
 @body_fields.register
-def _(body: m.AskPin) -> dict[str, Any]:
+def _(body: own.AskPin) -> dict[str, Any]:
     return {"askPin": _pin_fields(body)}
 
 
 @body_fields.register
-def _(body: m.CopyPin) -> dict[str, Any]:
+def _(body: own.CopyPin) -> dict[str, Any]:
     return {"copyPin": _pin_fields(body)}
 
 
 @body_fields.register
-def _(body: m.PinIs) -> dict[str, Any]:
+def _(body: own.PinIs) -> dict[str, Any]:
     return {"pin": body.token}
 
 
 @body_fields.register
-def _(body: m.EndpointLeaving) -> dict[str, Any]:
+def _(body: own.EndpointLeaving) -> dict[str, Any]:
     fields = {"endpoint": body.endpoint, "incarnation": body.incarnation}
     return {"endpointLeaving": fields}
 
 
 @body_fields.register
-def _(body: m.VersionBrake) -> dict[str, Any]:
+def _(body: own.VersionBrake) -> dict[str, Any]:
     return {"versionBrake": body.version}
 
 
 @body_fields.register
-def _(body: m.TallyNews) -> dict[str, Any]:
+def _(body: own.TallyNews) -> dict[str, Any]:
     return {"tallies": [asdict(row) for row in body.rows]}
 
 
