--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -7,8 +7,6 @@
 from dataclasses import replace
 from functools import partial
 
-import aiohttp
-
 from walnutquay.coordination.requests.outcomes import Outcome, Streamed, Unknown, Whole
 from walnutquay.coordination.requests.pathparts import PathParts
 from walnutquay.coordination.requests.paths import RequestPath
@@ -16,6 +14,7 @@
 from walnutquay.coordination.routed.answers import FailedAnswerError, as_whole
 from walnutquay.coordination.routed.bodies import WatchedExchange, whole_body
 from walnutquay.coordination.routed.budgets import RetryBudgets
+from walnutquay.coordination.routed.calls import EndpointCalls
 from walnutquay.coordination.routed.cascading import Cascading
 from walnutquay.coordination.routed.facts import RoutedFacts
 from walnutquay.coordination.routed.places import RoutedPlaces
@@ -24,21 +23,18 @@
 from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.events import Facts
 from walnutquay.state.ids import EndpointName
 from walnutquay.state.instances import Instance
 from walnutquay.state.refusals import Refusal, RefusalCode
 from walnutquay.state.requests import Continuing, Dispatched, Received
-from walnutquay.state.work import reading_rank
 from walnutquay.transport.client import (
     STEP_CONNECT,
     STEP_REACH,
     STEP_SILENT,
     Exchange,
     HttpClient,
-    header_pairs,
 )
 from walnutquay.transport.timers import monotonic
 
@@ -50,12 +46,6 @@
 UNREADY_RETRY = 0.5
 # Timers of the client fire this much before the deadline at the most.
 TIMER_SECONDS = 0.02
-# An answer that has not begun after so many times the time that its prompt should
-# take, and so many times its route's aim, is looked for elsewhere.
-HEAD_FACTOR = 4.0
-HEAD_AIMS = 2.0
-# Retries that must be left for a wait to be given up.
-MIN_BUDGET = 2.0
 CODE_TIMEOUT = "timeout"
 # The index of the model that is asked first: its opinion tells whether it will do, and
 # it reads and costs a small part of what the others do.
@@ -89,8 +79,7 @@
         super().__init__(parts)
         self.places = places
         self.knowledge = knowledge
-        self.client = client
-        self.dialect = dialect
+        self.calls = EndpointCalls(client, dialect, places, budgets, parts.table)
         self.cascading = cascading
         self.versions = versions
         self.budgets = budgets
@@ -293,8 +282,8 @@
         self, turn: RoutedTurn, running: Dispatched, grant: Grant
     ) -> Outcome | Received | Continuing:
         started = monotonic()
-        async with self._watched(turn, self._send(turn, grant), grant) as answer:
-            head = self._read_head(turn, grant, answer)
+        async with self._watched(turn, self.calls.send(turn, grant), grant) as answer:
+            head = self.calls.read_head(turn, grant, answer)
             grant.began = monotonic()
             seconds = grant.began - started
             self.places.began(grant, seconds)
@@ -329,71 +318,6 @@
             exchange, tried_every(turn), lambda: self.places.still_there(grant)
         )
 
-    def _send(self, turn: RoutedTurn, grant: Grant) -> Exchange:
-        arrival = turn.arrival
-        left = turn.seconds_left()
-        order = SendOrder(
-            instance=grant.name,
-            organisation=arrival.organisation.name if arrival.keyed else None,
-            seconds_left=left,
-            model=turn.model_name,
-            last_event=turn.progress.last_event,
-            urgency=self._rank(turn, grant),
-        )
-        return self.client.request(
-            arrival.method,
-            grant.endpoint.address + arrival.target,
-            peer=grant.name,
-            data=arrival.body or None,
-            headers=self.dialect.encode_call(arrival.head, order),
-            timeout=max(0.01, left),
-            idle=self._head_limit(turn, grant),
-            repeatable=arrival.route.repeatable,
-        )
-
-    def _head_limit(self, turn: RoutedTurn, grant: Grant) -> float | None:
-        """Bound the wait for an answer's head, where another endpoint may be asked.
-
-        An endpoint can be silent for ever with its connection up.
-        """
-        if not turn.repeatable or self.budgets.of(turn.service).left < MIN_BUDGET:
-            return None
-        aim = turn.arrival.route.objective_seconds
-        return max(HEAD_AIMS * aim, HEAD_FACTOR * self.places.expected(grant))
-
-    def _rank(self, turn: RoutedTurn, grant: Grant) -> int | None:
-        """Rank a prompt at its engine; None leaves it to the engine."""
-        reading = self.places.reading_of(grant)
-        if reading is None or not turn.streamed:
-            return None
-        return reading_rank(reading, turn.arrival.route.objective_seconds)
-
-    def _read_head(
-        self, turn: RoutedTurn, grant: Grant, answer: aiohttp.ClientResponse
-    ) -> AnswerHead:
-        """Read an answer's head, and check that it is ours.
-
-        :raises NotStartedError: if the endpoint says that it did not begin.
-        :raises EndpointError: if the answer belongs to another request.
-        """
-        raw = header_pairs(answer)
-        head = self.dialect.decode_answer(answer.status, answer.headers, raw)
-        if head.running is not None:
-            load = head.running + head.waiting
-            self.parts.table.report(grant.name, load, "", monotonic())
-        if head.request and head.request != turn.arrival.head.request:
-            answer.close()
-            raise EndpointError(
-                "the answer belongs to another request", step="answer", peer=grant.name
-            )
-        if head.not_run:
-            raise NotStartedError(
-                f"the endpoint did not begin ({head.status})",
-                step="refused",
-                peer=grant.name,
-            )
-        return head
-
     def _learn(
         self, turn: RoutedTurn, grant: Grant, seconds: float, judged: bool = False
     ) -> None:
