An endpoint's next start shows its end where its port does not

Change: what broke where something listens is kept for 10 s; where the endpoint's entry shows another start meanwhile, what broke there last and within a second before is evidence.

--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -19,7 +19,7 @@
 from lab.crashways import WAYS, Findings, Way
 from lab.virtualtime import VirtualLoop, run_virtually
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.requests import crashes
+from walnutquay.coordination.requests import crashes, crashnews
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.outcomes import FINGERPRINT_DIGITS
 from walnutquay.exceptions import PeerError
@@ -122,7 +122,7 @@
         await self.fleet.way()
         for watch in self.fleet.vms:
             if watch.context.vm == name and self.fleet.way_of.told:
-                return watch.answer(self.fleet.envelope(self.vm, body))
+                return watch.news.answer(self.fleet.envelope(self.vm, body))
         raise PeerError("there is no such VM")
 
 
@@ -167,7 +167,10 @@
 
     def run(self) -> Findings:
         """:returns: what the run has shown."""
-        with mock.patch.object(crashes, "monotonic", self.loop.time):
+        with (
+            mock.patch.object(crashes, "monotonic", self.loop.time),
+            mock.patch.object(crashnews, "monotonic", self.loop.time),
+        ):
             return run_virtually(self.loop, self._run())
 
     async def _run(self) -> Findings:
@@ -224,7 +227,9 @@
 
     async def _deliver(self, watch: CrashWatch, envelope: Envelope) -> None:
         await self.way()
-        handlers = SimpleNamespace(CrashNews=watch.hear, CrashDigest=watch.compare)
+        handlers = SimpleNamespace(
+            CrashNews=watch.news.hear, CrashDigest=watch.news.compare
+        )
         getattr(handlers, type(envelope.body).__name__)(envelope)
 
     # Callers.
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -5,12 +5,14 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from standins.worker import Behaviour, Seen
 from tests.gatewaycase import GatewayCase, Got
 from walnutquay.commands.fleetstate import concerns, read_figures, state_of
 from walnutquay.coordination.requests.limits import STEP_ENDED
 from walnutquay.daemon.gateway import GatewayDaemon
+from walnutquay.state import crashes
 from walnutquay.state.crashes import CrashBook
 from walnutquay.state.culprits import ENDS_TO_BLOCK
 from walnutquay.state.events import EventKind
@@ -297,3 +299,59 @@
             # One is tried at a time; the next may come when this one's time is over.
             await asyncio.sleep(SHORT_SECONDS)
         self.assertEqual(self.crashes - before, 1)
+
+
+class ForwarderTest(CrashCase):
+    """Engines behind a forwarder, which takes connections for them when they are gone.
+
+    The port that a VM tries is the forwarder's, so an end seems to be a broken
+    connection: a request that ended each engine was sent to 8 of 8, and to all of them
+    again as they were back.  What tells of the end is the start after it.
+    """
+
+    workers = {"p1": "plain"}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # These are back within some 0.2 s, real ones after seconds.
+        patch = mock.patch.object(crashes, "SAME_END_SECONDS", 0.05)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.links = {}
+        for number in range(1, 9):
+            name = f"e{number}"
+            self.links[name] = await self.add_linked_worker(name, "engine")
+            self.endpoints[name].choose = by_body
+            await self.enter(name)
+
+    async def enter(self, name: str) -> None:
+        """Write the entry of an engine's start, and wait until it is known."""
+        worker = self.endpoints[name]
+        born = 1000 + worker.crashes
+        address = f"127.0.0.1:{self.links[name].port}"
+        spec = worker.spec("engine", address=address, born=born)
+        await self.store.put("servers", name, spec)
+        book = self.gateway.knowledge.instances.book
+        await self.until(lambda: book.known[name].born == born)
+
+    async def start_again(self) -> None:
+        """Start the engines again that have ended."""
+        for name, worker in self.endpoints.items():
+            if worker.ended:
+                await worker.come_back(name)
+                await self.enter(name)
+
+    async def test_the_next_start_of_an_engine_tells_that_it_has_ended(self):
+        for _ in range(4):
+            await self.call("/once/x", CRASHING, Model="tiny")
+            await self.start_again()
+        self.assertEqual(self.crashes, ENDS_TO_BLOCK)
+        ended = self.events_of(EventKind.ENDPOINT_ENDED)
+        self.assertEqual(len(ended), ENDS_TO_BLOCK)
+
+    async def test_a_broken_connection_without_another_start_is_no_end(self):
+        once = [Behaviour(events=EVENTS, cut_after=1)]
+        for worker in self.endpoints.values():
+            worker.choose = lambda seen: once.pop() if once else by_body(seen)
+        self.assertTrue((await self.stream(b"harmless")).whole)
+        self.assertEqual(self.book_of(self.gateway).ends, [])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,9 @@
 
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, catalogue
+from walnutquay.protocol.messages import CrashDigest, Envelope, VmNews, VmRow
+from walnutquay.state.clock import Stamp
+from walnutquay.state.membership import VmPlace
 
 
 class ReadinessTest(GatewayCase):
@@ -39,6 +42,25 @@
         await stopping
 
 
+class ReturnTest(GatewayCase):
+    """A VM that has left, and is back, is told all news again."""
+
+    async def test_any_message_of_its_next_process_shows_it(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        name = second.context.vm
+        row = VmRow(name, self.gateway.peers.known[name])
+        left = VmNews(row, leaving=True, incarnation="an earlier process")
+        await self.gateway.dispatcher.deliver(
+            Envelope("vm-3", "its own", Stamp(1, 0), left)
+        )
+        self.assertNotIn(name, self.gateway.peers.known)
+        second.peers.known[self.gateway.context.vm] = VmPlace(
+            self.gateway.peers.own, self.gateway.context.hall
+        )
+        second.peers.tell_all(CrashDigest(0))
+        await self.until(lambda: name in self.gateway.peers.known)
+
+
 class TimeTest(GatewayCase):
     """A request whose time is over is answered then."""
 
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -31,10 +31,11 @@
 )
 from walnutquay.state.metrics import Metrics
 from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.pace import MIN_SEEN
 from walnutquay.state.trialcounts import Measure, TrialCounts
 from walnutquay.state.trialreports import TrialReport, Verdict
 from walnutquay.state.trials import Trial
-from walnutquay.state.usual import UsualTimes
+from walnutquay.state.usual import UsualTime, UsualTimes, kind_number
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
@@ -256,6 +257,24 @@
         return hall if hall in (HERE, THERE) else None
 
 
+class UsualTest(ExchangeCase):
+    """A VM that knows little of the old version knows what the others do."""
+
+    KIND = "head/r/0"
+
+    def test_what_another_vm_tells(self):
+        row = UsualTime(kind_number(self.KIND), 0.1, MIN_SEEN)
+        self.hear(TrialReport("order", V2, (), usual=(row,)))
+        self.assertAlmostEqual(self.usual.ratio(SERVICE, self.KIND, 0.3), 3.0)
+
+    def test_one_that_starts_is_told_all(self):
+        row = UsualTime(kind_number(self.KIND), 0.1, MIN_SEEN)
+        self.hear(TrialReport("order", V2, (), usual=(row,)))
+        question = AskTrial(ORDER.name, V2)
+        answer = self.exchange.answer(Envelope("vm-3", "inc", Stamp(1, 0), question))
+        self.assertEqual(answer.report.usual, (row,))
+
+
 class HallsTest(ExchangeCase):
     """In a large fleet counts go from hall to hall, and no answer counts twice."""
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -6,7 +6,9 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
+from walnutquay.coordination.trials import judging
 from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import Message
@@ -84,6 +86,30 @@
                 self.assertEqual(own.total(Measure.SLUGGISH).bad, int(sluggish))
 
 
+class WaitingTest(unittest.IsolatedAsyncioTestCase):
+    """Answers that do not begin are looked for as trials are."""
+
+    async def test_one_that_waits_counts(self):
+        orders = SimpleNamespace(listeners=[])
+        knowledge = SimpleNamespace(orders=orders, conditions=[])
+        found = VersionTrials(None, knowledge, None, None, PromisesSection())
+        trial = Trial(ORDER, 0.0, 0.15)
+        found._decide = mock.AsyncMock()
+        found.tasks[ServiceName("s")] = SimpleNamespace(trial=trial)
+        for _ in range(20):
+            found.answer_began(turn(), grant("v1"), USUAL)
+        now = 100.0
+        with mock.patch.object(judging, "monotonic", lambda: now):
+            found.judge.sent(turn(), grant("v2"))
+            now += 2 * USUAL
+            other = turn()
+            other.arrival.request = "r2"
+            found.answer_began(other, grant("v2"), USUAL)
+            await found.decide()
+        total = trial.own.total(Measure.SLUGGISH)
+        self.assertEqual((total.good, total.bad), (1, 1))
+
+
 class ChoiceTest(unittest.TestCase):
     """A choice tells what decided it."""
 
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -11,23 +11,20 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import replace
-from typing import Protocol
 
 import logbook
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.requests.crashnews import CrashExchange, Peers
 from walnutquay.coordination.requests.outcomes import Arrival
-from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import (
     AskCrashes,
     CrashDigest,
     CrashNews,
-    Envelope,
-    Message,
 )
+from walnutquay.state.broken import Broken, BrokenRequests
 from walnutquay.state.crashes import CrashBook
 from walnutquay.state.ends import CrashTarget, CrashTrace
 from walnutquay.state.events import EventKind
@@ -40,44 +37,12 @@
 
 log = logbook.Logger(__name__)
 
-# What breaks together is told together: the requests of one end break within some ms.
-GATHER_SECONDS = 0.004
 # News of one end have come from all VMs by then: they try its port and tell within some
 # 10 ms of the break.
 SETTLE_SECONDS = 0.03
-# News are told once more, for a datagram may be lost.
-AGAIN_SECONDS = 0.2
-# Traces in one datagram: some 100 bytes each, so that it fits one packet.
-TRACES_TOLD = 12
 # VMs compare what they know so often: one that was cut off has it before it is to keep
 # to it, 3 s after its return at the soonest.
 COMPARE_SECONDS = 1.0
-ASK_SECONDS = 0.4
-
-
-class Peers(Protocol):
-    """The other entry VMs."""
-
-    def tell_all(self, body: Message) -> None:
-        """:param body: a message to all of them; it may be lost."""
-
-    def tell(self, body: Message) -> None:
-        """:param body: a message to some of them; it may be lost."""
-
-    def is_keeper(self, key: str) -> bool:
-        """:param key: a name.
-
-        :returns: whether this VM, of all, does what is done once for it.
-        """
-
-    async def call(self, name: str, body: Message, timeout: float) -> Message:
-        """:param name: one of them.
-
-        :param body: a question.
-        :param timeout: seconds to wait.
-        :returns: its answer.
-        :raises PeerError: if none comes.
-        """
 
 
 class CrashWatch:
@@ -91,11 +56,12 @@
         self.context = context
         self.peers = peers
         self.book = CrashBook()
+        # What broke where nobody could tell whether the endpoint has ended.
+        self.broken = BrokenRequests()
         self.tasks = Tasks()
         # Tries that are under way, shared by all requests that broke there.
         self.tries: dict[EndpointName, asyncio.Task[bool]] = {}
-        # What is to be told with the next news.
-        self.untold: list[CrashTrace] = []
+        self.news = CrashExchange(peers, self.book, self.take)
         # Blocked requests that another version is tried with, and until when.
         self.trying: dict[Fingerprint, float] = {}
         # The requests that were blocked when it was last looked.
@@ -104,22 +70,21 @@
         self.on_blocked: Callable[[], None] = _nothing
         # Told of requests that have stayed blocked, whichever VM found them.
         self.stoppers: list[Callable[[frozenset[Fingerprint]], None]] = []
-        # The VM that is asked what it knows, if one is.
-        self.asking: asyncio.Task | None = None
 
     def listen(self, dispatcher: Dispatcher) -> None:
         """:param dispatcher: where the other VMs' messages come from."""
-        dispatcher.on(CrashNews, self.hear)
-        dispatcher.on(CrashDigest, self.compare)
-        dispatcher.on(AskCrashes, self.answer)
+        dispatcher.on(CrashNews, self.news.hear)
+        dispatcher.on(CrashDigest, self.news.compare)
+        dispatcher.on(AskCrashes, self.news.answer)
 
     def start(self) -> None:
         """Begin to compare with the other VMs, and to forget."""
         self.context.timers.every("crashes", COMPARE_SECONDS, self._compare)
 
     def close(self) -> None:
-        """End all tries."""
+        """End all tries, and tell no more."""
         self.tasks.stop()
+        self.news.stop()
 
     # Requests.
 
@@ -191,14 +156,47 @@
     async def _try(self, endpoint: Endpoint | Instance) -> bool:
         ended = await is_refused(endpoint.address)
         if ended:
-            self.context.metrics.count("endpoints_ended")
-            self.context.timeline.emit(
-                EventKind.ENDPOINT_ENDED,
-                endpoint=endpoint.name,
-                detail="connections to it broke, and its port is closed",
-            )
+            self._tell_ended(endpoint.name, "its port is closed")
         return ended
 
+    def _tell_ended(self, name: str, shown_by: str) -> None:
+        self.context.metrics.count("endpoints_ended")
+        self.context.timeline.emit(
+            EventKind.ENDPOINT_ENDED,
+            endpoint=name,
+            detail=f"connections to it broke, and {shown_by}",
+        )
+
+    def broke(
+        self,
+        arrival: Arrival,
+        target: CrashTarget,
+        endpoint: EndpointName,
+        ran: float | None,
+    ) -> None:
+        """Note that a connection broke, and that something listens at its port.
+
+        That may be a forwarder's port, or the endpoint was back at once.
+
+        :param arrival: the request.
+        :param target: what the endpoint ran.
+        :param endpoint: the endpoint.
+        :param ran: seconds for which its answer had begun; None where none had.
+        """
+        fingerprint = arrival.fingerprint()
+        self.broken.note(Broken(monotonic(), fingerprint, target, endpoint, ran))
+
+    def started_again(self, endpoint: EndpointName) -> None:
+        """Take what broke there lately for broken by the endpoint's end.
+
+        :param endpoint: an endpoint of which another start has become known.
+        """
+        traces = self.broken.ended(endpoint, monotonic())
+        if traces:
+            self._tell_ended(endpoint, "it has started again")
+        for trace in traces:
+            self._note(trace)
+
     def ended(
         self,
         arrival: Arrival,
@@ -243,34 +241,10 @@
         if not self.book.take(trace, monotonic()):
             return
         self._tell_blocked("")
-        if not self.untold:
-            self.tasks.spawn(self._tell())
-        self.untold.append(trace)
+        self.news.tell(trace)
 
     # The other VMs.
 
-    async def _tell(self) -> None:
-        """Tell all VMs what has been noted, twice."""
-        await asyncio.sleep(GATHER_SECONDS)
-        told, self.untold = self.untold, []
-        noted = monotonic()
-        self._send(told)
-        await asyncio.sleep(AGAIN_SECONDS)
-        passed = monotonic() - noted
-        self._send([replace(trace, age=trace.age + passed) for trace in told])
-
-    def _send(self, traces: Sequence[CrashTrace]) -> None:
-        for first in range(0, len(traces), TRACES_TOLD):
-            self.peers.tell_all(CrashNews(tuple(traces[first : first + TRACES_TOLD])))
-
-    def hear(self, envelope: Envelope) -> None:
-        """Take in what another VM has noted.
-
-        :param envelope: its message.
-        """
-        assert isinstance(envelope.body, CrashNews)
-        self.take(envelope.body.traces, envelope.vm)
-
     def take(self, traces: Sequence[CrashTrace], vm: str) -> None:
         """Take in what another VM has noted.
 
@@ -335,35 +309,7 @@
             return
         self.book.expire(monotonic())
         self._tell_blocked("")
-        self.peers.tell(CrashDigest(self.book.digest()))
-
-    def compare(self, envelope: Envelope) -> None:
-        """Ask a VM what it knows, if that is not what this one knows.
-
-        :param envelope: what stands for its knowledge.
-        """
-        body = envelope.body
-        assert isinstance(body, CrashDigest)
-        if body.digest == self.book.digest():
-            return
-        if self.asking is None or self.asking.done():
-            self.asking = self.tasks.spawn(self._ask(envelope.vm))
-
-    async def _ask(self, vm: str) -> None:
-        try:
-            answer = await self.peers.call(vm, AskCrashes(), ASK_SECONDS)
-        except PeerError as error:
-            log.debug("{} does not tell of crashes: {}", vm, error)
-            return
-        if isinstance(answer, CrashNews):
-            self.take(answer.traces, vm)
-
-    def answer(self, envelope: Envelope) -> CrashNews:
-        """:param envelope: another VM's question.
-
-        :returns: all that is known here.
-        """
-        return CrashNews(tuple(self.book.traces(monotonic())))
+        self.news.tell_digest()
 
 
 def _nothing() -> None:
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -150,7 +150,7 @@
         :param turn: the request.
         :param grant: the endpoint.
         """
-        ran = None if grant.began is None else monotonic() - grant.began
+        ran = _seconds_since(grant.began)
         target = grant.target_of(turn.target)
         self.parts.crashes.ended(turn.arrival, target, grant.name, ran)
 
@@ -301,9 +301,13 @@
         ended = not self.is_current(grant)
         if broke and not ended:
             ended = await self.parts.crashes.has_ended(grant.endpoint)
+        target = grant.target_of(turn.target)
         if ended:
             self.on_ended(turn, grant)
-            await self.parts.crashes.settle(turn.arrival, grant.target_of(turn.target))
+            await self.parts.crashes.settle(turn.arrival, target)
+        elif broke:
+            ran = _seconds_since(grant.began)
+            self.parts.crashes.broke(turn.arrival, target, grant.name, ran)
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
@@ -353,5 +357,9 @@
         return self.unready()
 
 
+def _seconds_since(began: float | None) -> float | None:
+    return None if began is None else monotonic() - began
+
+
 def _ms_since(started: float) -> int:
     return round((monotonic() - started) * MILLISECONDS)
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -80,6 +80,8 @@
         self.first_versions: dict[ServiceName, set[VersionName]] = {}
         # Told of each instance that is new, leaving or gone.
         self.listeners: list[Callable[[EndpointName, Instance | None], None]] = []
+        # Told of each endpoint that has started again under its name.
+        self.restart_listeners: list[Callable[[EndpointName], None]] = []
 
     def take_listing(self, listing: Listing[Instance]) -> None:
         """:param listing: all endpoints' entries."""
@@ -122,6 +124,8 @@
         before = self.book.known.get(instance.name)
         if before is not None and not before.is_same_start(instance):
             self._tell_gone(instance.name, "it has started again")
+            for listener in self.restart_listeners:
+                listener(instance.name)
             before = None
         self.book.put(instance, now)
         if before == instance:
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -256,13 +256,10 @@
         )
         self.knowledge.instances.listeners.append(places.on_instance)
         WorkExchange(places, self.peers).listen(self.dispatcher)
+        crashes = self._make_crashes()
+        self.knowledge.instances.restart_listeners.append(crashes.started_again)
         parts = PathParts(
-            self.context,
-            places,
-            table,
-            RetryBudget(),
-            TraceRecorder(),
-            self._make_crashes(),
+            self.context, places, table, RetryBudget(), TraceRecorder(), crashes
         )
         return RoutedPath(
             parts,
--- /dev/null
+++ b/walnutquay/state/broken.py
@@ -0,0 +1,70 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Requests that broke at endpoints of which it is not known whether they have ended."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from walnutquay.state.ends import CrashTarget, CrashTrace
+from walnutquay.state.ids import EndpointName, Fingerprint
+
+# An endpoint that has ended is back, and listed, within so long; what broke before that
+# had another reason.
+KEPT_SECONDS = 10.0
+# What broke within so long before an end was noticed broke by it.
+TOGETHER_SECONDS = 1.0
+# Some 150 bytes each; the oldest go first.
+MAX_KEPT = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A request whose connection to an endpoint broke.
+
+    :param at: when; monotonic seconds.
+    :param fingerprint: the request.
+    :param target: what the endpoint ran.
+    :param endpoint: the endpoint.
+    :param ran: seconds for which its answer had begun; None where none had.
+    """
+
+    at: float
+    fingerprint: Fingerprint
+    target: CrashTarget
+    endpoint: EndpointName
+    ran: float | None
+
+
+class BrokenRequests:
+    """Keeps what broke until the endpoint's next start tells that it has ended."""
+
+    def __init__(self) -> None:
+        self.kept: deque[Broken] = deque(maxlen=MAX_KEPT)
+
+    def note(self, broken: Broken) -> None:
+        """:param broken: a request that broke now, for a reason that is not known."""
+        self.kept.append(broken)
+
+    def ended(self, endpoint: EndpointName, now: float) -> list[CrashTrace]:
+        """Give what broke by an endpoint's end: what broke last, and with it.
+
+        :param endpoint: an endpoint of which another start is known now.
+        :param now: monotonic seconds.
+        """
+        lately = [
+            one
+            for one in self.kept
+            if one.endpoint == endpoint and now - one.at <= KEPT_SECONDS
+        ]
+        if not lately:
+            return []
+        last = max(one.at for one in lately)
+        kept = [one for one in self.kept if one.endpoint != endpoint]
+        self.kept = deque(kept, maxlen=MAX_KEPT)
+        return [
+            CrashTrace(one.fingerprint, one.target, endpoint, now - one.at, one.ran)
+            for one in lately
+            if last - one.at <= TOGETHER_SECONDS
+        ]
