--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -281,6 +281,23 @@
         async def all_there() -> bool:
             return answered <= {r.request for r in await self.bill_records()}
 
-        await self.until(all_there, "each answered request is billed")
+        try:
+            await self.until(all_there, "each answered request is billed")
+        except AssertionError as error:
+            raise AssertionError(await self.told_of_missing(answered)) from error
         records = Counter(record.request for record in await self.bill_records())
         self.assertEqual(set(records.values()), {1})
+
+    async def told_of_missing(self, answered: set[str]) -> str:
+        """:param answered: requests that are owed a bill.
+
+        :returns: those without one, and what the VMs say of them.
+        """
+        missing = answered - {r.request for r in await self.bill_records()}
+        lines = [f"{len(missing)} answered requests have no bill"]
+        for request in sorted(missing):
+            for vm in ENTRANCES:
+                events = await self.events(vm, request=request)
+                kinds = [f"{event['at']} {event['kind']}" for event in events]
+                lines.append(f"{request} at {vm}: {', '.join(kinds) or 'nothing'}")
+        return "\n".join(lines)
