--- a/walnutquay/state/usual.py
+++ b/walnutquay/state/usual.py
@@ -58,6 +58,9 @@
         # What each other VM has told last, and each other data hall; by kind.
         self.told: dict[ServiceName, dict[VmName, dict[int, UsualTime]]] = {}
         self.told_by_hall: dict[ServiceName, dict[HallName, dict[int, UsualTime]]] = {}
+        # All of that together: from 194 VMs' rows a ratio takes 5 microseconds so, and
+        # 151 where they are put together each time (processor time of 2,000 ratios).
+        self.all_told: dict[ServiceName, dict[int, UsualTime]] = {}
 
     def learn(self, service: ServiceName, kind: str, seconds: float) -> None:
         """:param service: a service.
@@ -78,13 +81,21 @@
         ratio = own.ratio(kind, seconds) if own is not None else None
         if ratio is not None:
             return ratio
-        number = kind_number(kind)
-        rows = [row for row in self._all(service) if row.kind == number]
-        usual = _mean(number, rows)
+        usual = self._usual_of(service, kind)
         if usual.seen < MIN_SEEN or not usual.seconds:
             return None
         return seconds / usual.seconds
 
+    def _usual_of(self, service: ServiceName, kind: str) -> UsualTime:
+        """Give what this VM and the others have seen of one kind."""
+        number = kind_number(kind)
+        if service not in self.all_told:
+            rows = _merged(self._told(service))
+            self.all_told[service] = {row.kind: row for row in rows}
+        told = self.all_told[service].get(number)
+        own = [row for row in self.rows(service) if row.kind == number]
+        return _mean(number, own + ([told] if told is not None else []))
+
     def rows(self, service: ServiceName) -> tuple[UsualTime, ...]:
         """:param service: a service.
 
@@ -111,7 +122,7 @@
 
         :returns: all that is known here, for a VM that starts.
         """
-        return _merged(self._all(service))
+        return _merged([*self.rows(service), *self._told(service)])
 
     def hear(self, service: ServiceName, vm: VmName, rows: Iterable[UsualTime]) -> None:
         """Take in what another VM has seen, in place of what it told before.
@@ -123,6 +134,7 @@
         by_kind = {row.kind: row for row in rows}
         if by_kind:
             self.told.setdefault(service, {})[vm] = by_kind
+            self.all_told.pop(service, None)
 
     def hear_hall(
         self, service: ServiceName, hall: HallName, rows: Iterable[UsualTime]
@@ -136,6 +148,7 @@
         by_kind = {row.kind: row for row in rows}
         if by_kind:
             self.told_by_hall.setdefault(service, {})[hall] = by_kind
+            self.all_told.pop(service, None)
 
     def recover(self, service: ServiceName, rows: Iterable[UsualTime]) -> None:
         """Take in what many VMs had seen, as this one starts.
@@ -145,10 +158,10 @@
         """
         self.hear(service, MANY, rows)
 
-    def _all(self, service: ServiceName) -> list[UsualTime]:
+    def _told(self, service: ServiceName) -> list[UsualTime]:
         vms = self.told.get(service, {}).values()
         halls = self.told_by_hall.get(service, {}).values()
-        return [*self.rows(service), *_flat(vms), *_flat(halls)]
+        return [*_flat(vms), *_flat(halls)]
 
 
 def _flat(told: Iterable[dict[int, UsualTime]]) -> list[UsualTime]:
