Requests that met endpoints which were lost together are not held to have ended them

Change: a trace tells for how long the endpoint had had the request. What was sent after an end was first noticed by any VM is no evidence; nor are ends within 50 ms of an end at which the request was not, unless what was there comes again.

--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -267,6 +267,7 @@
             if watch.refusal(request, TARGET) is not None:
                 return "refused"
             sends += 1
+            sent = self.loop.time()
             began = await self._try(watch, engine, request)
             if began is True:
                 watch.answered(request, TARGET, engine.name)
@@ -278,7 +279,8 @@
             if self.way_of.known and not engine.up:
                 sends -= 1
                 ran = None if began is None else self.loop.time() - began
-                watch.ended(request, TARGET, engine.name, ran)
+                held = self.loop.time() - sent
+                watch.ended(request, TARGET, engine.name, ran, held)
                 await watch.settle(request, TARGET)
         return "lost"
 
--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -309,4 +309,11 @@
         "raise",
         "tests.test_silence.ClosingConnectionTest",
     ),
+    Mutation(
+        "ends of endpoints: what was sent there later is no evidence",
+        "state/ends.py",
+        "return self.sent.get(fingerprint, -math.inf) < self.at",
+        "return True",
+        "tests.test_crashbook.SentLaterTest",
+    ),
 ]
--- a/tests/test_broken.py
+++ b/tests/test_broken.py
@@ -13,7 +13,7 @@
     Broken,
     BrokenRequests,
 )
-from walnutquay.state.ends import CrashTarget
+from walnutquay.state.ends import CrashTarget, CrashTrace
 from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
 
 TARGET = CrashTarget(ServiceName("s"), VersionName("v1"))
@@ -22,7 +22,8 @@
 
 def broken(name: str, at: float, endpoint: str = ENDPOINT) -> Broken:
     """:returns: a request that broke."""
-    return Broken(at, Fingerprint(name), TARGET, EndpointName(endpoint), 0.1)
+    name = Fingerprint(name)
+    return Broken(at, CrashTrace(name, TARGET, EndpointName(endpoint), 0.0, 0.1))
 
 
 class EndedTest(unittest.TestCase):
@@ -61,4 +62,4 @@
         for number in range(MAX_KEPT + 5):
             requests.note(broken(f"r{number}", 1.0))
         self.assertEqual(len(requests.kept), MAX_KEPT)
-        self.assertEqual(requests.kept[0].fingerprint, "r5")
+        self.assertEqual(requests.kept[0].trace.fingerprint, "r5")
--- a/tests/test_crashbook.py
+++ b/tests/test_crashbook.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from hypothesis import given, settings
@@ -62,6 +63,72 @@
         return set(self.book.blocked.get(target, ()))
 
 
+class SentLaterTest(BookCase):
+    """What was sent to an endpoint after its end did not end it.
+
+    Four endpoints had ended at one moment.  A request that broke at one of them was
+    sent to a second and a third, whose connections were reset 3 and 32 ms later: all
+    three counted against it, and it was refused for good.  "endpoint-ended" of the two
+    others stood in other VMs' lines at 25.37 s, and it was sent to them at 25.391 and
+    25.394 s.
+    """
+
+    # Which request broke, where, when, and how long its endpoint had had it.
+    OWN = (
+        (BAD, "a", 25.391, 1.035),
+        (BAD, "b", 25.394, 0.003),
+        (BAD, "c", 25.426, 0.032),
+    )
+    OTHERS = (("x", "a", 25.38, 2.0), ("y", "b", 25.37, 2.0), ("z", "c", 25.37, 2.0))
+
+    def take_all(self, *rows: tuple[str, str, float, float]) -> None:
+        """Take in what VMs have noticed, some time after it."""
+        for name, endpoint, at, held in rows:
+            seen = trace(name, endpoint, age=26.0 - at)
+            self.book.take(dataclasses.replace(seen, held=held), 26.0)
+
+    def test_it_is_not_held_to_have_ended_them(self):
+        self.take_all(*self.OTHERS, *self.OWN)
+        self.assertEqual(self.blocked(), set())
+        self.assertEqual(len(self.book.evidence(BAD, OLD.service)), 1)
+
+    def test_news_of_the_others_that_come_later_free_it(self):
+        self.take_all(*self.OWN)
+        self.assertEqual(self.blocked(), {BAD})
+        self.take_all(*self.OTHERS)
+        self.assertEqual(self.blocked(), set())
+
+    def test_what_was_there_before_counts(self):
+        for at, endpoint in ((25.1, "a"), (25.25, "b"), (25.4, "c")):
+            beside = (f"beside at {endpoint}", endpoint, at - 0.002, 2.0)
+            self.take_all((BAD, endpoint, at, 0.1), beside)
+        self.assertEqual(self.blocked(), {BAD})
+
+
+class SameMomentTest(BookCase):
+    """Endpoints that are lost together are not ended by a request that met three.
+
+    Of four that were lost within 30 ms a request had been at three: it broke at the
+    first, and was sent on to the second and the third before anybody had noticed that
+    these were gone.
+    """
+
+    def lose(self, *times: float) -> None:
+        """Let endpoints be lost, of which all but the last had the request."""
+        for number, at in enumerate(times):
+            self.now = at
+            name = "beside" if number == len(times) - 1 else BAD
+            self.book.take(trace(name, f"e{number}"), at)
+
+    def test_it_is_not_blocked(self):
+        self.lose(25.375, 25.378, 25.380, 25.400)
+        self.assertEqual(self.blocked(), set())
+
+    def test_one_that_ended_all_of_them_is(self):
+        self.lose(25.1, 25.2, 25.3, 25.5)
+        self.assertEqual(self.blocked(), {BAD})
+
+
 class BlockingTest(BookCase):
     """Three ends block a request, fewer do not."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -140,6 +140,7 @@
         body = m.CrashNews(
             (
                 CrashTrace(mark, target, name, 0.5, 0.25),
+                CrashTrace(mark, target, name, 0.5, 0.25, held=1.5),
                 CrashTrace(mark, target, name, 0.5),
                 CrashTrace(mark, target, name, 0.5, answered=True),
             )
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -173,6 +173,7 @@
         target: CrashTarget,
         endpoint: EndpointName,
         ran: float | None,
+        held: float,
     ) -> None:
         """Note that a connection broke, and that something listens at its port.
 
@@ -182,9 +183,10 @@
         :param target: what the endpoint ran.
         :param endpoint: the endpoint.
         :param ran: seconds for which its answer had begun; None where none had.
+        :param held: seconds for which the endpoint had it.
         """
-        fingerprint = arrival.fingerprint()
-        self.broken.note(Broken(monotonic(), fingerprint, target, endpoint, ran))
+        trace = CrashTrace(arrival.fingerprint(), target, endpoint, 0.0, ran, held=held)
+        self.broken.note(Broken(monotonic(), trace))
 
     def started_again(self, endpoint: EndpointName) -> None:
         """Take what broke there lately for broken by the endpoint's end.
@@ -203,6 +205,7 @@
         target: CrashTarget,
         endpoint: EndpointName,
         ran: float | None,
+        held: float,
     ) -> None:
         """Note that an endpoint has ended that had a request.
 
@@ -210,8 +213,10 @@
         :param target: what the endpoint ran.
         :param endpoint: the endpoint.
         :param ran: seconds for which its answer had begun; None where none had.
+        :param held: seconds for which the endpoint had it.
         """
-        self._note(CrashTrace(arrival.fingerprint(), target, endpoint, 0.0, ran))
+        fingerprint = arrival.fingerprint()
+        self._note(CrashTrace(fingerprint, target, endpoint, 0.0, ran, held=held))
 
     async def settle(self, arrival: Arrival, target: CrashTarget) -> None:
         """Wait for the other VMs' news of an end that makes a request seem guilty.
--- a/walnutquay/coordination/requests/crashrecord.py
+++ b/walnutquay/coordination/requests/crashrecord.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -137,6 +138,7 @@
             "endpoint": trace.endpoint,
             "at": round(now - trace.age, 3),
             "ran": trace.ran,
+            "held": None if math.isinf(trace.held) else round(trace.held, 3),
         }
         for trace in traces
     ]
@@ -163,4 +165,5 @@
         # The VM that wrote it may have had a clock that was ahead.
         max(0.0, now - float(row["at"])),
         None if row["ran"] is None else float(row["ran"]),
+        held=math.inf if row.get("held") is None else float(row["held"]),
     )
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -152,7 +152,8 @@
         """
         ran = _seconds_since(grant.began)
         target = grant.target_of(turn.target)
-        self.parts.crashes.ended(turn.arrival, target, grant.name, ran)
+        held = monotonic() - grant.started
+        self.parts.crashes.ended(turn.arrival, target, grant.name, ran, held)
 
     def on_whole(self, turn: Turn, grant: Grant) -> None:
         """Note that an endpoint has answered a request whole.
@@ -307,7 +308,8 @@
             await self.parts.crashes.settle(turn.arrival, target)
         elif broke:
             ran = _seconds_since(grant.began)
-            self.parts.crashes.broke(turn.arrival, target, grant.name, ran)
+            held = monotonic() - grant.started
+            self.parts.crashes.broke(turn.arrival, target, grant.name, ran, held)
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -232,4 +232,5 @@
   age @4 :Float64;
   ran @5 :Float64;
   answered @6 :Bool;
+  held @7 :Float64;
 }
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import hmac
+import math
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -149,6 +150,8 @@
         reader.age,
         reader.ran if reader.ran >= 0.0 else None,
         reader.answered,
+        # A VM that does not tell it yet leaves it at nothing.
+        reader.held or math.inf,
     )
 
 
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -286,6 +286,7 @@
         "age": trace.age,
         "ran": UNKNOWN_TIME if trace.ran is None else trace.ran,
         "answered": trace.answered,
+        "held": trace.held,
     }
 
 
--- a/walnutquay/state/broken.py
+++ b/walnutquay/state/broken.py
@@ -5,10 +5,10 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from walnutquay.state.ends import CrashTarget, CrashTrace
-from walnutquay.state.ids import EndpointName, Fingerprint
+from walnutquay.state.ends import CrashTrace
+from walnutquay.state.ids import EndpointName
 
 # An endpoint that has ended is back, and listed, within so long; what broke before that
 # had another reason.
@@ -24,17 +24,11 @@
     """A request whose connection to an endpoint broke.
 
     :param at: when; monotonic seconds.
-    :param fingerprint: the request.
-    :param target: what the endpoint ran.
-    :param endpoint: the endpoint.
-    :param ran: seconds for which its answer had begun; None where none had.
+    :param trace: the request, as it will be told of if the endpoint has ended.
     """
 
     at: float
-    fingerprint: Fingerprint
-    target: CrashTarget
-    endpoint: EndpointName
-    ran: float | None
+    trace: CrashTrace
 
 
 class BrokenRequests:
@@ -56,15 +50,15 @@
         lately = [
             one
             for one in self.kept
-            if one.endpoint == endpoint and now - one.at <= KEPT_SECONDS
+            if one.trace.endpoint == endpoint and now - one.at <= KEPT_SECONDS
         ]
         if not lately:
             return []
         last = max(one.at for one in lately)
-        kept = [one for one in self.kept if one.endpoint != endpoint]
+        kept = [one for one in self.kept if one.trace.endpoint != endpoint]
         self.kept = deque(kept, maxlen=MAX_KEPT)
         return [
-            CrashTrace(one.fingerprint, one.target, endpoint, now - one.at, one.ran)
+            replace(one.trace, age=now - one.at)
             for one in lately
             if last - one.at <= TOGETHER_SECONDS
         ]
--- a/walnutquay/state/crashes.py
+++ b/walnutquay/state/crashes.py
@@ -22,6 +22,9 @@
 # What broke at one endpoint within so long broke by the same end; it is back seconds
 # later at the soonest, and may have the same name then.
 SAME_END_SECONDS = 1.0
+# Endpoints that end within so long of each other end by one cause: VMs notice an end
+# some 10 ms after it, and one that is sent a request begins to run it later than that.
+SAME_MOMENT_SECONDS = 0.05
 # A request that broke once and never came back is forgotten after so long.
 FORGOTTEN_SECONDS = 600.0
 # One that is blocked comes free after a day, for an engine may have been mended without
@@ -63,11 +66,40 @@
     def _ends_by_request(self, target: CrashTarget) -> dict[Fingerprint, list[End]]:
         """Give the requests at several ends of a version's endpoints."""
         return {
-            fingerprint: self._ends_at(fingerprint, target)
-            for fingerprint, ends in self.ends_of.items()
-            if len(ends) > 1
+            fingerprint: self._own_ends(fingerprint, target)
+            for fingerprint, known in self.ends_of.items()
+            if len(known) > 1
         }
 
+    def _own_ends(self, fingerprint: Fingerprint, target: CrashTarget) -> list[End]:
+        """Give the ends that a request may have brought about by itself.
+
+        Where another endpoint ended at the same moment without it, both had another
+        cause: a request that was sent on from one of several endpoints that are lost
+        together to the next of them is at three such ends within 10 ms.  But the other
+        may have been ended by a request that comes again and again, too.
+
+        :param fingerprint: the request.
+        :param target: the version.
+        """
+        others = [
+            end.at
+            for end in self.ends
+            if end.target == target
+            and fingerprint not in end.ran
+            and not any(self._recurs(other) for other in end.ran)
+        ]
+        return [
+            end
+            for end in self._ends_at(fingerprint, target)
+            if not any(abs(at - end.at) < SAME_MOMENT_SECONDS for at in others)
+        ]
+
+    def _recurs(self, fingerprint: Fingerprint) -> bool:
+        """Whether endpoints have ended under a request at different moments."""
+        times = [end.at for end in self.ends_of[fingerprint]]
+        return max(times) - min(times) >= SAME_MOMENT_SECONDS
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """:param fingerprint: a request.
 
@@ -110,10 +142,14 @@
         :returns: the ends of its endpoints at which the request was, in order.
         """
         known = self.ends_of.get(fingerprint, ())
-        return [end for end in known if end.target.service == service]
+        return [
+            end
+            for end in known
+            if end.target.service == service and end.had(fingerprint)
+        ]
 
     def _ends_at(self, fingerprint: Fingerprint, target: CrashTarget) -> list[End]:
-        known = self.ends_of.get(fingerprint, ())
+        known = self.evidence(fingerprint, target.service)
         return [end for end in known if end.target == target]
 
     # Taking in.
@@ -132,9 +168,14 @@
         if trace.age > BLOCKED_SECONDS or at <= self.answered.get(key, float("-inf")):
             return False
         end = self._end_of(trace, at)
+        if at < end.at:
+            # What seemed to be there may have been sent later than that.
+            end.at = at
+            self.unjudged.add(trace.target)
         if trace.fingerprint in end.ran:
             return False
         end.ran[trace.fingerprint] = trace.ran
+        end.sent[trace.fingerprint] = at - trace.held
         self.ends_of.setdefault(trace.fingerprint, []).append(end)
         self._bound()
         if len(self.ends_of.get(trace.fingerprint, ())) > 1:
@@ -160,7 +201,8 @@
         self.answered[key] = at
         while len(self.answered) > MAX_ANSWERED:
             del self.answered[next(iter(self.answered))]
-        before = [e for e in self._ends_at(*key) if e.at <= at]
+        known = self.ends_of.get(trace.fingerprint, ())
+        before = [e for e in known if e.target == trace.target and e.at <= at]
         for end in before:
             self._forget(trace.fingerprint, end)
         if before:
@@ -169,6 +211,7 @@
 
     def _forget(self, fingerprint: Fingerprint, end: End) -> None:
         del end.ran[fingerprint]
+        del end.sent[fingerprint]
         left = [other for other in self.ends_of[fingerprint] if other is not end]
         if left:
             self.ends_of[fingerprint] = left
@@ -233,7 +276,12 @@
         for end in self.ends:
             for fingerprint, ran in end.ran.items():
                 yield CrashTrace(
-                    fingerprint, end.target, end.endpoint, now - end.at, ran
+                    fingerprint,
+                    end.target,
+                    end.endpoint,
+                    now - end.at,
+                    ran,
+                    held=end.at - end.sent[fingerprint],
                 )
         for (fingerprint, target), at in self.answered.items():
             yield CrashTrace(
--- a/walnutquay/state/ends.py
+++ b/walnutquay/state/ends.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
@@ -31,6 +32,7 @@
     :param age: seconds since.
     :param ran: seconds for which its answer had begun; None where none had.
     :param answered: whether it was answered, and the endpoint lived on.
+    :param held: seconds for which the endpoint had it; infinite where that is not told.
     """
 
     fingerprint: Fingerprint
@@ -39,6 +41,7 @@
     age: float
     ran: float | None = None
     answered: bool = False
+    held: float = math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -47,12 +50,22 @@
 
     :param endpoint: its name.
     :param target: what it ran.
-    :param at: when; monotonic seconds.
-    :param ran: the requests that were there, with the seconds for which their answers
+    :param at: when any VM noticed it first; monotonic seconds.
+    :param ran: the requests that broke there, with the seconds for which their answers
         had begun; None where none had.
+    :param sent: when each of them was sent there; monotonic seconds.
     """
 
     endpoint: EndpointName
     target: CrashTarget
     at: float
     ran: dict[Fingerprint, float | None] = field(default_factory=dict)
+    sent: dict[Fingerprint, float] = field(default_factory=dict)
+
+    def had(self, fingerprint: Fingerprint) -> bool:
+        """:param fingerprint: a request that broke there.
+
+        :returns: whether it was sent there before the end was noticed: else it broke
+            for there was nobody any more.
+        """
+        return self.sent.get(fingerprint, -math.inf) < self.at
