--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -17,7 +17,7 @@
 from walnutquay.replay.player import Player
 from walnutquay.replay.report import ReplayResult, report_text
 from walnutquay.replay.traces import read_trace
-from walnutquay.state.bills import decode_records
+from walnutquay.state.own.bills import decode_records
 
 TRACE = Path(__file__).with_name("trace.jsonl")
 VMS = {"vm-a1": "hall-a", "vm-a2": "hall-a", "vm-b1": "hall-b"}
--- a/lab/admission.py
+++ b/lab/admission.py
@@ -21,7 +21,7 @@
 import aiohttp
 
 from standins.fleet import Fleet
-from walnutquay.state.keys import key_hash
+from walnutquay.state.process.keys import key_hash
 
 VMS = {"vm-a1": "hall-a", "vm-a2": "hall-a"}
 ENGINES = 2
--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from lab import aims
 from lab.slopes import HEARTBEAT, OUTPUT
 from walnutquay.coordination.own.billing import DEAD_SECONDS, FLEET_FLUSHES
 from walnutquay.coordination.own.configurations import WATCHERS
@@ -18,39 +19,22 @@
 from walnutquay.coordination.own.members import FLEET_LIST_READS
 from walnutquay.coordination.own.platform import WATCH_SECONDS
 from walnutquay.coordination.own.tallies import LARGE_ROUNDS, TALLY_SECONDS
-from walnutquay.state.bills import BillRecord
-from walnutquay.state.clock import Stamp
-from walnutquay.state.endpoints import SUBSET
-from walnutquay.state.events import Event, EventKind
-from walnutquay.state.membership import (
+from walnutquay.state.fleet.membership import (
     DIGESTS,
     HEARTBEAT_FANOUT,
     RUMOURS,
     SILENT_REFRESHES,
     SILENT_SECONDS,
 )
-from walnutquay.state.requests import CostLine
-from walnutquay.state.tallies import ROWS_SENT
+from walnutquay.state.own.bills import BillRecord
+from walnutquay.state.own.tallies import ROWS_SENT
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.events import Event, EventKind
+from walnutquay.state.requests.endpoints import SUBSET
+from walnutquay.state.requests.stages import CostLine
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 
-# Letter 1's size.
-NODES = 640
-HALLS = 4
-WORKERS = 6_800
-REQUESTS = 35_000
-TOKENS = 11_000_000
-CHANGES_A_DAY = 6_900
-FAILURES_A_DAY = 39
-REPLACED_A_DAY = 420
-DAY = 86_400
-LIMIT_CPU = 0.022
-LIMIT_MB = 128
-LIMIT_BYTES = 27_000
-LIMIT_WRITES = 300
-LIMIT_READS = 2_000
-LIMIT_IN_FORCE = 11
-
 SAMPLES = 10_000
 EVENTS_A_STREAM = 66
 LEASE_SECONDS = 6.0
@@ -60,6 +44,8 @@
 # A change writes the part that it moves and the head.
 WRITES_A_CHANGE = 2
 VMS_A_RACK = 20
+# Rounds of heartbeats in which news reach all VMs.
+GOSSIP_ROUNDS = 4
 
 
 @dataclass(frozen=True)
@@ -118,18 +104,18 @@
 
     def rows(self) -> list[Row]:
         """:returns: the table."""
-        per_node = REQUESTS / NODES
-        tokens = TOKENS / NODES
+        per_node = aims.REQUESTS / aims.NODES
+        tokens = aims.TOKENS / aims.NODES
         request = self.slope("requests", "cpu")
         event = self.slope("streams", "cpu") / EVENTS_A_STREAM
-        idle = self.at("peers", NODES, "cpu")
-        sent = self.at("peers", NODES, "bytes_out")
-        received = self.at("peers", NODES, "bytes_in")
+        idle = self.at("peers", aims.NODES, "cpu")
+        sent = self.at("peers", aims.NODES, "bytes_out")
+        received = self.at("peers", aims.NODES, "bytes_in")
         reports = MAX_REPORTERS / REPORT_PERIOD
         extra = self.report_cpu()
-        changes = CHANGES_A_DAY / DAY
+        changes = aims.CHANGES_A_DAY / aims.DAY
         change_cpu = self.slope("changes", "cpu") * self.seconds_of_change()
-        bills = min(NODES, FLEET_FLUSHES)
+        bills = min(aims.NODES, FLEET_FLUSHES)
         keyed = self.keyed_room()
         told = 1 / (TALLY_SECONDS * LARGE_ROUNDS)
         return [
@@ -154,29 +140,34 @@
             Row(
                 "membership",
                 f"heartbeats to {HEARTBEAT_FANOUT} a round, {RUMOURS} rumours each",
-                f"{NODES} members",
+                f"{aims.NODES} members",
                 f"{HEARTBEAT_FANOUT / HEARTBEAT:.0f}/s out, as many in; "
                 f"{(sent + received) / 1000:.1f} KB/s in all",
                 idle,
-                f"{self.at('peers', NODES, 'memory_mb'):.0f} MB, the whole process",
-                _verdict(idle <= LIMIT_CPU and sent + received <= LIMIT_BYTES),
+                f"{self.at('peers', aims.NODES, 'memory_mb'):.0f} MB, "
+                "the whole process",
+                _verdict(
+                    idle <= aims.LIMIT_CPU and sent + received <= aims.LIMIT_BYTES
+                ),
             ),
             Row(
                 "configuration spread",
                 "head watched by a few, heartbeats, parts from peers",
-                f"{WORKERS} endpoints in 16 parts",
-                f"{WATCHERS * HALLS} watches, {changes:.2f} changes/s",
+                f"{aims.WORKERS} endpoints in 16 parts",
+                f"{WATCHERS * aims.HALLS} watches, {changes:.2f} changes/s",
                 change_cpu * changes,
-                f"{self.at('endpoints', WORKERS, 'memory_mb'):.0f} MB, the whole "
-                f"process with {WORKERS} endpoints",
-                _verdict(self.at("endpoints", WORKERS, "memory_mb") <= LIMIT_MB),
+                f"{self.at('endpoints', aims.WORKERS, 'memory_mb'):.0f} MB, the whole "
+                f"process with {aims.WORKERS} endpoints",
+                _verdict(
+                    self.at("endpoints", aims.WORKERS, "memory_mb") <= aims.LIMIT_MB
+                ),
             ),
             Row(
                 "load reports",
                 f"each VM uses {SUBSET} endpoints a version, asks {MAX_REPORTERS}/s",
                 f"{SUBSET} endpoints a version",
                 f"{reports:.0f} calls/s a node; "
-                f"{reports * NODES / WORKERS:.1f}/s an endpoint",
+                f"{reports * aims.NODES / aims.WORKERS:.1f}/s an endpoint",
                 extra,
                 "small",
                 "see control together",
@@ -199,16 +190,16 @@
                 None,
                 "bounded by `memory.answer_bytes`",
                 f"**over** above {keyed:.0f} keyed requests/s in the fleet "
-                f"({keyed / REQUESTS:.1%} of all)",
+                f"({keyed / aims.REQUESTS:.1%} of all)",
             ),
             Row(
                 "billing",
                 "a copy at a peer, a batch now and then",
                 "records that are not stored",
                 f"{bills} writes/s in the fleet, each VM every "
-                f"{NODES / FLEET_FLUSHES:.0f} s",
+                f"{aims.NODES / FLEET_FLUSHES:.0f} s",
                 None,
-                f"{NODES / FLEET_FLUSHES * per_node:.0f} records a batch",
+                f"{aims.NODES / FLEET_FLUSHES * per_node:.0f} records a batch",
                 "fits",
             ),
             Row(
@@ -220,7 +211,7 @@
                 None,
                 "small",
                 "fits; orders go one after another: "
-                f"{WORKERS} of them at 2 ms take {WORKERS * 0.002:.0f} s",
+                f"{aims.WORKERS} of them at 2 ms take {aims.WORKERS * 0.002:.0f} s",
             ),
             Row(
                 "time line",
@@ -253,17 +244,17 @@
 
     def keyed_room(self) -> float:
         """:returns: platform writes a second that are left for claims."""
-        bills = min(NODES, FLEET_FLUSHES)
-        changes = CHANGES_A_DAY / DAY * WRITES_A_CHANGE
-        return LIMIT_WRITES - bills - changes - RENEWALS / LEASE_SECONDS
+        bills = min(aims.NODES, FLEET_FLUSHES)
+        changes = aims.CHANGES_A_DAY / aims.DAY * WRITES_A_CHANGE
+        return aims.LIMIT_WRITES - bills - changes - RENEWALS / LEASE_SECONDS
 
     def reads(self) -> float:
         """:returns: platform reads a second of the whole fleet."""
-        watches = WATCHERS * HALLS / WATCH_SECONDS
+        watches = WATCHERS * aims.HALLS / WATCH_SECONDS
         return (
             watches
-            + CHANGES_A_DAY / DAY * WATCHERS * HALLS * 2
-            + NODES / ANTI_ENTROPY
+            + aims.CHANGES_A_DAY / aims.DAY * WATCHERS * aims.HALLS * 2
+            + aims.NODES / ANTI_ENTROPY
             + FLEET_LIST_READS
             + (LOOKERS - 1) * RENEWALS / LEASE_SECONDS
         )
@@ -336,31 +327,30 @@
     :returns: the page.
     """
     account = Account(measured)
-    idle = account.at("peers", NODES, "cpu")
-    sent = account.at("peers", NODES, "bytes_out")
-    received = account.at("peers", NODES, "bytes_in")
+    idle = account.at("peers", aims.NODES, "cpu")
+    sent = account.at("peers", aims.NODES, "bytes_out")
+    received = account.at("peers", aims.NODES, "bytes_in")
     report_cpu = account.report_cpu()
-    silent = SILENT_SECONDS + SILENT_REFRESHES * NODES / (
+    silent = SILENT_SECONDS + SILENT_REFRESHES * aims.NODES / (
         HEARTBEAT_FANOUT * (1 + DIGESTS)
     )
     event = account.slope("streams", "cpu") / EVENTS_A_STREAM
     control = idle + report_cpu + account.told_cpu()
     control_bytes = sent + received + account.told_bytes()
-    within = control <= LIMIT_CPU and control_bytes <= LIMIT_BYTES
-    rounds = 4
-    per_node = REQUESTS / NODES
+    within = control <= aims.LIMIT_CPU and control_bytes <= aims.LIMIT_BYTES
+    per_node = aims.REQUESTS / aims.NODES
     return TEMPLATE.read_text(encoding="utf-8").format(
-        nodes=NODES,
-        halls=HALLS,
-        workers=f"{WORKERS:,}",
-        requests=f"{REQUESTS:,}",
-        tokens=f"{TOKENS:,}",
-        changes=f"{CHANGES_A_DAY:,}",
-        cpu=LIMIT_CPU,
-        mb=LIMIT_MB,
-        kb=LIMIT_BYTES // 1000,
-        writes=LIMIT_WRITES,
-        reads=f"{LIMIT_READS:,}",
+        nodes=aims.NODES,
+        halls=aims.HALLS,
+        workers=f"{aims.WORKERS:,}",
+        requests=f"{aims.REQUESTS:,}",
+        tokens=f"{aims.TOKENS:,}",
+        changes=f"{aims.CHANGES_A_DAY:,}",
+        cpu=aims.LIMIT_CPU,
+        mb=aims.LIMIT_MB,
+        kb=aims.LIMIT_BYTES // 1000,
+        writes=aims.LIMIT_WRITES,
+        reads=f"{aims.LIMIT_READS:,}",
         rows="\n".join(row.text() for row in account.rows()),
         idle=idle,
         idle_kb=(sent + received) / 1000,
@@ -370,25 +360,25 @@
         control_kb=control_bytes / 1000,
         told_cpu=account.told_cpu(),
         control_verdict="within" if within else "**over**",
-        base_writes=LIMIT_WRITES - account.keyed_room(),
+        base_writes=aims.LIMIT_WRITES - account.keyed_room(),
         keyed=account.keyed_room(),
         fleet_reads=account.reads(),
         token_us=event * 1e6,
-        node_tokens=TOKENS / NODES,
-        token_cores=event * TOKENS / NODES,
-        in_force=LIMIT_IN_FORCE,
+        node_tokens=aims.TOKENS / aims.NODES,
+        token_cores=event * aims.TOKENS / aims.NODES,
+        in_force=aims.LIMIT_IN_FORCE,
         fanout=HEARTBEAT_FANOUT,
-        rounds=rounds,
-        spread=rounds * HEARTBEAT + 1,
-        failures=FAILURES_A_DAY,
-        replaced=REPLACED_A_DAY,
+        rounds=GOSSIP_ROUNDS,
+        spread=GOSSIP_ROUNDS * HEARTBEAT + 1,
+        failures=aims.FAILURES_A_DAY,
+        replaced=aims.REPLACED_A_DAY,
         parts=23,
-        replaced_reads=REPLACED_A_DAY * 24,
+        replaced_reads=aims.REPLACED_A_DAY * 24,
         silent=silent,
         dead=max(silent, DEAD_SECONDS),
         rack=VMS_A_RACK,
-        rack_share=VMS_A_RACK / NODES,
-        hall=NODES // HALLS,
+        rack_share=VMS_A_RACK / aims.NODES,
+        hall=aims.NODES // aims.HALLS,
         cut_records=per_node * 3600,
         cut_mb=per_node * 3600 * record_bytes() / 1e6,
         record_bytes=record_bytes(),
--- a/lab/cascades.py
+++ b/lab/cascades.py
@@ -20,8 +20,8 @@
 from standins.generation import is_good
 from walnutquay.replay.traces import RequestKind, TraceRequest, words
 from walnutquay.replay.workloads import Workload, WorkloadGenerator
-from walnutquay.state.bills import decode_records
-from walnutquay.state.keys import key_hash
+from walnutquay.state.own.bills import decode_records
+from walnutquay.state.process.keys import key_hash
 
 CALLERS = 24
 SECONDS = 60.0
--- a/lab/choice.py
+++ b/lab/choice.py
@@ -28,9 +28,13 @@
 from walnutquay.protocol import chat
 from walnutquay.replay.traces import RequestKind, TraceRequest, prompt_of
 from walnutquay.replay.workloads import Workload, WorkloadGenerator
-from walnutquay.state.endpoints import LOAD_BOUND, MIN_SHARE_BUSY, EndpointTable
-from walnutquay.state.pace import SLOW_FACTOR
-from walnutquay.state.parts import Endpoint
+from walnutquay.state.requests.endpoints import (
+    LOAD_BOUND,
+    MIN_SHARE_BUSY,
+    EndpointTable,
+)
+from walnutquay.state.requests.pace import SLOW_FACTOR
+from walnutquay.state.store.parts import Endpoint
 
 ENGINES = 8
 VMS = 3
--- a/lab/claimcost.py
+++ b/lab/claimcost.py
@@ -14,7 +14,7 @@
 
 from lab.overhead import KEY
 from standins.fleet import Fleet
-from walnutquay.state.keys import key_hash
+from walnutquay.state.process.keys import key_hash
 
 CALLS = 600
 LEAVING_RUNS = 5
--- a/lab/claimways.py
+++ b/lab/claimways.py
@@ -27,9 +27,9 @@
 from walnutquay.protocol.ownmessages import AskRun, RunIs
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import PlatformSection
-from walnutquay.state.claims import RunState
-from walnutquay.state.ids import HallName, RequestId, VmName
-from walnutquay.state.membership import Address, rendezvous
+from walnutquay.state.fleet.membership import Address, rendezvous
+from walnutquay.state.own.claims import RunState
+from walnutquay.state.process.ids import HallName, RequestId, VmName
 from walnutquay.transport.peers import PeerNode
 
 VMS = 6
--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -25,10 +25,9 @@
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.peer import PeerCodec
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ends import CrashTarget
-from walnutquay.state.fingerprints import fingerprint
-from walnutquay.state.ids import (
+from walnutquay.state.fleet.membership import rendezvous
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import (
     EndpointName,
     Fingerprint,
     HallName,
@@ -36,8 +35,9 @@
     VersionName,
     VmName,
 )
-from walnutquay.state.membership import rendezvous
-from walnutquay.state.work import preferred_of
+from walnutquay.state.requests.ends import CrashTarget
+from walnutquay.state.requests.fingerprints import fingerprint
+from walnutquay.state.routed.work import preferred_of
 
 TARGET = CrashTarget(ServiceName("engine"), VersionName("v1"))
 # Datagrams and connections between machines: seconds one way, and the share lost.
--- a/lab/fakepeers.py
+++ b/lab/fakepeers.py
@@ -19,9 +19,7 @@
 from walnutquay.protocol import messages as m
 from walnutquay.protocol import ownmessages as own
 from walnutquay.protocol.peer import PeerCodec
-from walnutquay.state.clock import HybridClock
-from walnutquay.state.ids import HallName, Incarnation, VmName
-from walnutquay.state.membership import (
+from walnutquay.state.fleet.membership import (
     COUNTER_BITS,
     DIGESTS,
     HEARTBEAT_FANOUT,
@@ -30,8 +28,10 @@
     MemberNews,
     digest_of,
 )
-from walnutquay.state.metrics import Metrics
-from walnutquay.state.tallies import TallyRow
+from walnutquay.state.own.tallies import TallyRow
+from walnutquay.state.process.clock import HybridClock
+from walnutquay.state.process.ids import HallName, Incarnation, VmName
+from walnutquay.state.process.metrics import Metrics
 from walnutquay.transport.peers import PeerNode
 
 SEED = 7
--- a/lab/mutants/own.py
+++ b/lab/mutants/own.py
@@ -9,7 +9,7 @@
 MUTATIONS = [
     Mutation(
         "only allowed versions",
-        "state/routing.py",
+        "state/own/routing.py",
         "if owner is None or version not in owner.versions:",
         "if owner is None:",
         "tests.test_routing.AllowedTest",
@@ -23,7 +23,7 @@
     ),
     Mutation(
         "withdrawn: a cut hall ends it by itself",
-        "state/routing.py",
+        "state/own/routing.py",
         "if entry.unconfirmed_for and doubts",
         "if False and doubts",
         "tests.test_configurations.CutHallTest."
@@ -31,7 +31,7 @@
     ),
     Mutation(
         "a session keeps its version: the token binds",
-        "state/routing.py",
+        "state/own/routing.py",
         "    if pinned is None:\n        candidates",
         "    if True:\n        candidates",
         "tests.test_sessions.SessionTest",
@@ -46,7 +46,7 @@
     ),
     Mutation(
         "billed once: the position follows the stored numbers",
-        "state/bills.py",
+        "state/own/bills.py",
         "self.skip_to(records[-1].number + 1)",
         "self.next_batch += len(records)",
         "tests.test_bills.InterleavingTest",
@@ -89,14 +89,14 @@
     ),
     Mutation(
         "the true refusal: a stage that was left is of no use",
-        "state/requests.py",
+        "state/requests/stages.py",
         "if self.journey.stage is not self:",
         "if False:",
         "tests.test_requests",
     ),
     Mutation(
         "at most once: a silent holder may have dispatched",
-        "state/claims.py",
+        "state/own/claims.py",
         "if holder is None or holder is RunState.UNKNOWN:",
         "if holder is None:\n        return RepeatAction.TAKE_OVER\n"
         "    if holder is RunState.UNKNOWN:",
@@ -118,7 +118,7 @@
     ),
     Mutation(
         "a leaving endpoint: the first word wins",
-        "state/endpoints.py",
+        "state/requests/endpoints.py",
         "if facts.incarnation and incarnation > facts.incarnation:",
         "if True:",
         "tests.test_whole_answers.LeavingTest",
@@ -169,7 +169,7 @@
     ),
     Mutation(
         "faults in pairs, at most once: a silent holder may have dispatched",
-        "state/claims.py",
+        "state/own/claims.py",
         "if holder is None or holder is RunState.UNKNOWN:",
         "if holder is None:\n        return RepeatAction.TAKE_OVER\n"
         "    if holder is RunState.UNKNOWN:",
@@ -199,14 +199,14 @@
     ),
     Mutation(
         "exposure: two versions that do alike are alike",
-        "state/sequential.py",
+        "state/own/sequential.py",
         "if self._differs():",
         "if True:",
         "tests.test_rollouts.SequentialTestTest",
     ),
     Mutation(
         "admission: what cannot be answered in time does not begin",
-        "state/admission.py",
+        "state/own/admission.py",
         "return deadline - self.mean_seconds",
         "return deadline",
         "tests.test_admission",
@@ -220,14 +220,14 @@
     ),
     Mutation(
         "leases: others wait until the holder's time is over",
-        "state/leases.py",
+        "state/own/leases.py",
         "return now > self.seen_at + self.value.seconds",
         "return True",
         "tests.test_leases.InterleavingTest",
     ),
     Mutation(
         "leases: a holder that slept is not in charge",
-        "state/leases.py",
+        "state/own/leases.py",
         "in_time = now + self.order_seconds < self.held_until",
         "in_time = self.held_until > 0",
         "tests.test_leases.InterleavingTest",
--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -24,7 +24,7 @@
     ),
     Mutation(
         "roll-outs: versions that are slow in part are found",
-        "state/trialcounts.py",
+        "state/trials/counts.py",
         "counts.bad_share < MIN_SLUGGISH_SHARE",
         "True",
         "tests.test_trials.VerdictTest.test_a_version_that_is_slow_in_part",
@@ -92,14 +92,14 @@
     ),
     Mutation(
         "models: what others lose counts",
-        "state/sizing.py",
+        "state/routed/sizing.py",
         "return DEAREST_RUN * own + self.harm(model)",
         "return DEAREST_RUN * own",
         "tests.test_sizing.StepTest.test_on_busy_engines_less_is_asked",
     ),
     Mutation(
         "models: how far opinions scatter is learnt",
-        "state/gains.py",
+        "state/routed/gains.py",
         "deviations = sum(item.deviations for item in counts) / 2.0",
         "deviations = FIRST_SCATTER * FIRST_SCATTER * seen",
         "tests.test_gains.ScatterTest.test_it_is_learnt",
@@ -141,7 +141,7 @@
     ),
     Mutation(
         "roll-outs: a session is in use while its stream lasts",
-        "state/sessionnotes.py",
+        "state/trials/notes.py",
         "return 0.0 if self.running else now - self.at",
         "return now - self.at",
         "tests.test_sessionnotes",
@@ -190,7 +190,7 @@
     ),
     Mutation(
         "ends of endpoints: what was only beside is not blocked",
-        "state/culprits.py",
+        "state/requests/culprits.py",
         "chosen = _without_spare_ones(_cover(suspects))",
         "chosen = suspects",
         "tests.test_crashbook.BesideTest",
@@ -205,7 +205,7 @@
     ),
     Mutation(
         "ends of endpoints: another version is tried once",
-        "state/crashes.py",
+        "state/requests/crashes.py",
         "return len(self._ends_at(fingerprint, target)) >= ENDS_OF_KNOWN_ONE",
         "return False",
         "tests.test_crashes.MendedTest",
@@ -311,7 +311,7 @@
     ),
     Mutation(
         "ends of endpoints: what was sent there later is no evidence",
-        "state/ends.py",
+        "state/requests/ends.py",
         "return self.sent.get(fingerprint, -math.inf) < self.at",
         "return True",
         "tests.test_crashbook.SentLaterTest",
--- a/lab/overhead.py
+++ b/lab/overhead.py
@@ -16,7 +16,7 @@
 from statistics import median
 
 from standins.fleet import Fleet, Process
-from walnutquay.state.keys import key_hash
+from walnutquay.state.process.keys import key_hash
 
 KEY = "key-of-the-lab"
 SECONDS = 4.0
--- a/lab/reference.py
+++ b/lab/reference.py
@@ -13,7 +13,7 @@
 from pydantic_core import PydanticUndefined
 
 from walnutquay.settings import GatewayOptions, Options, Section
-from walnutquay.state.configuration import PART_MODELS
+from walnutquay.state.own.configuration import PART_MODELS
 
 PAGE = Path(__file__).parent.parent / "docs" / "reference.md"
 HEAD = """# Reference
--- a/lab/rollouts.py
+++ b/lab/rollouts.py
@@ -17,8 +17,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 
-from walnutquay.state.brakes import BrakeTable, Measure, Stage
-from walnutquay.state.tallies import TallyBoard
+from walnutquay.state.own.brakes import BrakeTable, Measure, Stage
+from walnutquay.state.own.tallies import TallyBoard
 
 VMS = 7
 REQUESTS_PER_SECOND = 60.0
--- a/lab/trialablation.py
+++ b/lab/trialablation.py
@@ -17,8 +17,8 @@
 from walnutquay.coordination.trials import versions
 from walnutquay.coordination.trials.news import TrialExchange
 from walnutquay.coordination.trials.task import TrialTask
-from walnutquay.state.trialreports import TrialReport
-from walnutquay.state.trials import Trial
+from walnutquay.state.trials.reports import TrialReport
+from walnutquay.state.trials.trial import Trial
 
 VMS = 6
 # New sessions a second.
--- a/lab/trialcosts.py
+++ b/lab/trialcosts.py
@@ -10,10 +10,10 @@
 import click
 
 from lab.trialfleet import NEW, SERVICE, TRIAL_SECONDS, simulate
-from walnutquay.state.ids import VmName
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trialreports import TrialReport
-from walnutquay.state.trials import Trial
+from walnutquay.state.process.ids import VmName
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.reports import TrialReport
+from walnutquay.state.trials.trial import Trial
 
 
 def memory_of(kept: int) -> int:
--- a/lab/trialfleet.py
+++ b/lab/trialfleet.py
@@ -31,8 +31,8 @@
 from walnutquay.protocol.messages import Envelope, Failure, Message, SessionsSeen
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import PromisesSection
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ids import (
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
     Incarnation,
@@ -40,8 +40,8 @@
     VersionName,
     VmName,
 )
-from walnutquay.state.instances import Instance, InstanceBook
-from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.store.instances import Instance, InstanceBook
+from walnutquay.state.store.orders import OrderState, RolloutOrder
 
 SERVICE = ServiceName("engine")
 OLD = VersionName("v1")
--- a/lab/trialports.py
+++ b/lab/trialports.py
@@ -9,9 +9,9 @@
 
 from walnutquay.coordination.fleet.peers import RELAY_DUTY, RELAYS
 from walnutquay.protocol.messages import Message
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import rendezvous
-from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.fleet.membership import rendezvous
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.store.orders import OrderState, RolloutOrder
 
 if TYPE_CHECKING:
     from lab.trialfleet import TrialFleet
--- a/lab/trialrecords.py
+++ b/lab/trialrecords.py
@@ -8,8 +8,8 @@
 from types import SimpleNamespace
 
 from walnutquay.coordination.trials.versions import VersionTrials
-from walnutquay.state.ids import HallName, VersionName, VmName
-from walnutquay.state.instances import InstanceBook
+from walnutquay.state.process.ids import HallName, VersionName, VmName
+from walnutquay.state.store.instances import InstanceBook
 
 
 @dataclass
--- a/soak/calm.py
+++ b/soak/calm.py
@@ -10,7 +10,7 @@
 from soak.callers import Callers, Kind, Sent
 from soak.fleet import CONTACT_SECONDS, HANG_SECONDS, PROMISES, Endpoint, SoakFleet
 from standins.worker import WorkerStandIn
-from walnutquay.state.culprits import ENDS_TO_BLOCK
+from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # Requests that every VM must serve of each kind.
 LAST_REQUESTS = 5
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -18,7 +18,7 @@
     SoakFleet,
 )
 from standins.worker import Seen
-from walnutquay.state.culprits import ENDS_TO_BLOCK
+from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # Statuses by which a VM promises that a request has not run and will not.
 PROMISES_NOT_RUN = (408, 421, 429, 503)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,7 +20,7 @@
 
 from standins.link import Link
 from standins.processes import HOST, Process, Vm
-from walnutquay.state.keys import key_hash
+from walnutquay.state.process.keys import key_hash
 
 OPERATOR_TOKEN = "operator-token-of-the-stand-in-fleet"
 FLEET_KEY = "fleet-key-of-the-stand-in-fleet"
--- a/tests/fleetcase.py
+++ b/tests/fleetcase.py
@@ -15,8 +15,8 @@
 from yarl import URL
 
 from standins.fleet import HANG_SECONDS, Fleet, Vm
-from walnutquay.state.bills import BillRecord, decode_records
-from walnutquay.state.keys import key_hash
+from walnutquay.state.own.bills import BillRecord, decode_records
+from walnutquay.state.process.keys import key_hash
 
 KEY = "key-of-the-first-organisation"
 OTHER_KEY = "key-of-the-second-organisation"
--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -17,7 +17,7 @@
 from standins.worker import WorkerStandIn
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.settings import GatewayOptions, Settings
-from walnutquay.state.membership import VmPlace
+from walnutquay.state.fleet.membership import VmPlace
 
 HOST = "app.example"
 KEY = "key-of-org-a"
--- a/tests/test_absentees.py
+++ b/tests/test_absentees.py
@@ -19,9 +19,9 @@
 from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.exceptions import PeerError, PlatformUnavailableError
 from walnutquay.protocol.messages import VmsAre
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.metrics import Metrics
 
 HALLS = 3
 PORT = 7000
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,10 +7,10 @@
 import unittest
 from collections import Counter
 
-from walnutquay.state.admission import PoolQueue, RetryBudget, Waiting
-from walnutquay.state.ids import WorkKind
-from walnutquay.state.parts import Pool
-from walnutquay.state.refusals import RefusalCode
+from walnutquay.state.own.admission import PoolQueue, RetryBudget, Waiting
+from walnutquay.state.process.ids import WorkKind
+from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.store.parts import Pool
 
 
 def queue(length: int = 10) -> PoolQueue:
--- a/tests/test_bills.py
+++ b/tests/test_bills.py
@@ -12,15 +12,15 @@
 from walnutquay.coordination.own.billing import Billing
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import BillCopy
-from walnutquay.state.bills import (
+from walnutquay.state.own.bills import (
     BillLog,
     BillRecord,
     batch_name,
     decode_records,
     encode_records,
 )
-from walnutquay.state.clock import Stamp
-from walnutquay.state.requests import CostLine
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.requests.stages import CostLine
 
 OWNER = "inc-a"
 LINES = (CostLine("small-1", "e1", 3, 4, 0.5),)
--- a/tests/test_broken.py
+++ b/tests/test_broken.py
@@ -6,15 +6,20 @@
 
 import unittest
 
-from walnutquay.state.broken import (
+from walnutquay.state.process.ids import (
+    EndpointName,
+    Fingerprint,
+    ServiceName,
+    VersionName,
+)
+from walnutquay.state.requests.broken import (
     KEPT_SECONDS,
     MAX_KEPT,
     TOGETHER_SECONDS,
     Broken,
     BrokenRequests,
 )
-from walnutquay.state.ends import CrashTarget, CrashTrace
-from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace
 
 TARGET = CrashTarget(ServiceName("s"), VersionName("v1"))
 ENDPOINT = EndpointName("e1")
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -9,7 +9,7 @@
 
 from walnutquay.coordination.routed import budgets
 from walnutquay.coordination.routed.budgets import FIRST_RETRIES, RetryBudgets
-from walnutquay.state.ids import ServiceName
+from walnutquay.state.process.ids import ServiceName
 
 SERVICE = ServiceName("s")
 # Seconds in which the bound holds.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -11,7 +11,7 @@
 from tests.worlds import World
 from walnutquay.coordination.own import claims as claims_module
 from walnutquay.coordination.own.claims import Claims
-from walnutquay.state.claims import (
+from walnutquay.state.own.claims import (
     Claim,
     RepeatAction,
     RunState,
@@ -20,7 +20,7 @@
     claim_name,
     on_repeat,
 )
-from walnutquay.state.fingerprints import fingerprint
+from walnutquay.state.requests.fingerprints import fingerprint
 
 HOUR = 1.0
 MEGABYTE = 1 << 20
--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -17,16 +17,16 @@
 from walnutquay.coordination.own.acceptance import Acceptance, Accepted
 from walnutquay.coordination.own.configurations import HEAD, Configurations
 from walnutquay.exceptions import ConflictError, PlatformError, PlatformUnclearError
-from walnutquay.state.checking import parse_content
-from walnutquay.state.configuration import (
+from walnutquay.state.own.checking import parse_content
+from walnutquay.state.own.configuration import (
     Configuration,
     Content,
     Head,
     configuration_from_parts,
     first_head,
 )
-from walnutquay.state.ids import NO_REVISION
-from walnutquay.state.parts import Pool
+from walnutquay.state.process.ids import NO_REVISION
+from walnutquay.state.store.parts import Pool
 
 BAD_PROGRAM = "def route(request, candidates):\n    return 1 // 0\n"
 
--- a/tests/test_crashbook.py
+++ b/tests/test_crashbook.py
@@ -10,10 +10,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from walnutquay.state import crashes
-from walnutquay.state.crashes import CrashBook
-from walnutquay.state.ends import CrashTarget, CrashTrace
-from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    Fingerprint,
+    ServiceName,
+    VersionName,
+)
+from walnutquay.state.requests import crashes
+from walnutquay.state.requests.crashes import CrashBook
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace
 
 OLD = CrashTarget(ServiceName("engine"), VersionName("v1"))
 NEW = CrashTarget(ServiceName("engine"), VersionName("v2"))
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -12,11 +12,11 @@
 from walnutquay.commands.fleetstate import concerns, read_figures, state_of
 from walnutquay.coordination.requests.limits import STEP_ENDED
 from walnutquay.daemon.gateway import GatewayDaemon
-from walnutquay.state import crashes
-from walnutquay.state.crashes import CrashBook
-from walnutquay.state.culprits import ENDS_TO_BLOCK
-from walnutquay.state.events import EventKind
-from walnutquay.state.membership import VmPlace
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.requests import crashes
+from walnutquay.state.requests.crashes import CrashBook
+from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # A body that ends each engine that begins to run it.
 CRASHING = b"crash"
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -12,7 +12,7 @@
 
 from lab.crashcosts import SIZES
 from lab.crashfleet import CrashFleet
-from walnutquay.state.culprits import ENDS_TO_BLOCK
+from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # Sends of a blocked request that may come after a time in which VMs are in touch.
 SENDS_AFTER = 3
--- a/tests/test_crashing_chats.py
+++ b/tests/test_crashing_chats.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 from tests.fleetcase import FleetCase
-from walnutquay.state.culprits import ENDS_TO_BLOCK
+from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # Prompts with it end the engine that begins to run them.
 WORD = "crash"
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -8,7 +8,8 @@
 import unittest
 from collections import Counter
 
-from walnutquay.state.endpoints import (
+from walnutquay.state.process.ids import LeavingSource
+from walnutquay.state.requests.endpoints import (
     EJECT_SECONDS,
     FAILURES_TO_EJECT,
     FULL_SECONDS,
@@ -16,8 +17,7 @@
     EndpointTable,
     subset,
 )
-from walnutquay.state.ids import LeavingSource
-from walnutquay.state.parts import Endpoint
+from walnutquay.state.store.parts import Endpoint
 
 OLD, NEW = "1-old", "2-new"
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,8 +6,8 @@
 
 import unittest
 
-from walnutquay.state.clock import Stamp
-from walnutquay.state.events import Event, EventKind, EventRing
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.events import Event, EventKind, EventRing
 
 
 def event(number: int, request: str = "", session: str = "") -> Event:
--- a/tests/test_fleetpeers.py
+++ b/tests/test_fleetpeers.py
@@ -16,8 +16,8 @@
     FleetPeers,
 )
 from walnutquay.protocol.messages import AskStart
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.ids import HallName, VmName
 
 HALLS = [HallName(f"hall-{number}") for number in range(5)]
 HERE, THERE = HALLS[0], HALLS[3]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -20,12 +20,12 @@
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.replay.player import judge
 from walnutquay.replay.traces import ReplayOutcome, TraceRequest
-from walnutquay.state.checking import parse_content
-from walnutquay.state.claims import RunState, WholeAnswer
-from walnutquay.state.clock import HybridClock, Stamp
-from walnutquay.state.configuration import PART_MODELS, Content
-from walnutquay.state.membership import Address, MemberNews
-from walnutquay.state.sessions import Pin, PinSealer
+from walnutquay.state.fleet.membership import Address, MemberNews
+from walnutquay.state.own.checking import parse_content
+from walnutquay.state.own.claims import RunState, WholeAnswer
+from walnutquay.state.own.configuration import PART_MODELS, Content
+from walnutquay.state.own.sessions import Pin, PinSealer
+from walnutquay.state.process.clock import HybridClock, Stamp
 
 settings.register_profile("fixed", derandomize=True, max_examples=200, deadline=None)
 settings.load_profile("fixed")
--- a/tests/test_gains.py
+++ b/tests/test_gains.py
@@ -7,9 +7,9 @@
 import random
 import unittest
 
-from walnutquay.state.gains import Gains, ModelPair
-from walnutquay.state.ids import ModelName, VmName
-from walnutquay.state.opinions import FIRST_SCATTER
+from walnutquay.state.process.ids import ModelName, VmName
+from walnutquay.state.routed.gains import Gains, ModelPair
+from walnutquay.state.routed.opinions import FIRST_SCATTER
 
 PAIR = ModelPair(ModelName("small"), ModelName("large"))
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,8 +9,8 @@
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, catalogue
 from walnutquay.protocol.messages import CrashDigest, Envelope, VmNews, VmRow
-from walnutquay.state.clock import Stamp
-from walnutquay.state.membership import VmPlace
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.clock import Stamp
 
 
 class ReadinessTest(GatewayCase):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -15,8 +15,8 @@
 from walnutquay.history.lost import SILENT_SECONDS, lost_requests, lost_text
 from walnutquay.history.requests import histories
 from walnutquay.history.sessions import version_changes
-from walnutquay.state.clock import Stamp
-from walnutquay.state.events import Event, EventKind
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.events import Event, EventKind
 
 HOST = "127.0.0.1"
 START_SECONDS = 20.0
--- a/tests/test_history_processes.py
+++ b/tests/test_history_processes.py
@@ -23,7 +23,7 @@
 from walnutquay.history.causes import Cause
 from walnutquay.history.lines import read_files
 from walnutquay.history.report import judge
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 HOST = "127.0.0.1"
 START_SECONDS = 20.0
--- a/tests/test_judging.py
+++ b/tests/test_judging.py
@@ -14,20 +14,20 @@
     SLUGGISH_FACTOR,
     AnswerJudge,
 )
-from walnutquay.state.ids import (
+from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
     ServiceName,
     VersionName,
     VmName,
 )
-from walnutquay.state.instances import Instance
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.pace import MIN_SEEN
-from walnutquay.state.trialcounts import Measure, TrialCounts
-from walnutquay.state.trialevidence import Fault
-from walnutquay.state.trials import Trial
-from walnutquay.state.usual import UsualTime, UsualTimes, kind_number
+from walnutquay.state.requests.pace import MIN_SEEN
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.counts import Measure, TrialCounts
+from walnutquay.state.trials.evidence import Fault
+from walnutquay.state.trials.trial import Trial
+from walnutquay.state.trials.usual import UsualTime, UsualTimes, kind_number
 
 SERVICE = ServiceName("s")
 USUAL = 0.1
--- a/tests/test_keptsessions.py
+++ b/tests/test_keptsessions.py
@@ -7,8 +7,8 @@
 import unittest
 from unittest import mock
 
-from walnutquay.state import keptsessions
-from walnutquay.state.keptsessions import KeptSessions
+from walnutquay.state.trials import kept as kept_sessions
+from walnutquay.state.trials.kept import KeptSessions
 
 
 class KeptSessionsTest(unittest.TestCase):
@@ -31,8 +31,8 @@
     def test_both_tables_are_bounded(self):
         found = KeptSessions()
         with (
-            mock.patch.object(keptsessions, "MAX_OWN", 2),
-            mock.patch.object(keptsessions, "MAX_HEARD", 3),
+            mock.patch.object(kept_sessions, "MAX_OWN", 2),
+            mock.patch.object(kept_sessions, "MAX_HEARD", 3),
         ):
             kept = [found.keep(number, 0.0) for number in range(4)]
             found.hear(range(10, 20), 0.0)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -7,9 +7,14 @@
 import unittest
 
 from tests.gatewaycase import KEY, GatewayCase, catalogue
-from walnutquay.state.ids import EndpointName, HallName, ServiceName, VersionName
-from walnutquay.state.instances import Instance, InstanceBook
-from walnutquay.state.membership import VmPlace
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.ids import (
+    EndpointName,
+    HallName,
+    ServiceName,
+    VersionName,
+)
+from walnutquay.state.store.instances import Instance, InstanceBook
 
 
 def instance(name: str, leaving: bool = False) -> Instance:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,8 +21,11 @@
     "daemon",
     "commands",
 )
-# The rooms of the coordination layer, from the lowest to the highest.
+# The rooms of these layers, from the lowest to the highest.
+ROOMED = ("state", "coordination")
 ROOMS = ("process", "fleet", "store", "requests", "routed", "trials", "own")
+# The longest file of code that a reader should have to take in.
+MAX_LINES = 400
 # What pure decisions must not touch.
 IMPURE = {"asyncio", "socket", "aiohttp", "sanic", "uvloop", "time", "os"}
 
@@ -52,22 +55,50 @@
         self.assertGreater(seen, 30)
 
     def test_state_is_pure(self):
-        for path in (ROOT / "state").glob("*.py"):
+        for path in (ROOT / "state").rglob("*.py"):
             tops = {module.split(".")[0] for module in imports(path)}
             self.assertFalse(tops & IMPURE, path)
 
-    def test_rooms_import_downwards_only(self):
-        folder = ROOT / "coordination"
-        found = {
-            path.name for path in folder.iterdir() if (path / "__init__.py").exists()
-        }
-        self.assertEqual(found, set(ROOMS))
-        for rank, room in enumerate(ROOMS):
-            higher = {f"walnutquay.coordination.{name}" for name in ROOMS[rank + 1 :]}
-            for path in (folder / room).glob("*.py"):
-                used = {".".join(m.split(".")[:3]) for m in imports(path)}
-                self.assertFalse(used & higher, path)
+
+class FileSizeTest(unittest.TestCase):
+    """No file is longer than a reader should have to take in."""
+
+    def test_each(self):
+        folders = ("walnutquay", "lab", "soak", "standins", "tests", "demo", "deploy")
+        for folder in folders:
+            for path in (ROOT.parent / folder).rglob("*.py"):
+                lines = len(path.read_text(encoding="utf-8").splitlines())
+                self.assertLessEqual(lines, MAX_LINES, path)
+
+
+class RoomsTest(unittest.TestCase):
+    """Layers with rooms have the same ones, and no room imports from a higher one."""
+
+    def test_both_layers_have_the_same_rooms(self):
+        for layer in ROOMED:
+            folder = ROOT / layer
+            found = {
+                path.name
+                for path in folder.iterdir()
+                if (path / "__init__.py").exists()
+            }
+            self.assertEqual(found, set(ROOMS), layer)
+
+    def test_downwards_only(self):
+        for layer in ROOMED:
+            for rank, room in enumerate(ROOMS):
+                higher = {f"walnutquay.{layer}.{name}" for name in ROOMS[rank + 1 :]}
+                for path in (ROOT / layer / room).glob("*.py"):
+                    used = {".".join(m.split(".")[:3]) for m in imports(path)}
+                    self.assertFalse(used & higher, path)
 
     def test_nothing_stands_between_the_rooms(self):
-        files = {path.name for path in (ROOT / "coordination").glob("*.py")}
-        self.assertEqual(files, {"__init__.py"})
+        for layer in ROOMED:
+            files = {path.name for path in (ROOT / layer).glob("*.py")}
+            self.assertEqual(files, {"__init__.py"}, layer)
+
+    def test_each_room_says_what_it_is_for(self):
+        for layer in ROOMED:
+            for room in ROOMS:
+                text = (ROOT / layer / room / "__init__.py").read_text(encoding="utf-8")
+                self.assertGreater(len(ast.get_docstring(ast.parse(text)) or ""), 80)
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -11,8 +11,8 @@
 
 from tests.fleetcase import FleetCase
 from walnutquay.protocol import chat
-from walnutquay.state.learning import MAX_WEIGHT, MIN_RATED, StepLearner, WorthKey
-from walnutquay.state.parts import Version
+from walnutquay.state.own.learning import MAX_WEIGHT, MIN_RATED, StepLearner, WorthKey
+from walnutquay.state.store.parts import Version
 
 CHEAP = Version(name="cheap", model="cheap", price_output=1.0)
 MIDDLE = Version(name="middle", model="middle", price_output=4.0)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,8 +14,8 @@
 from tests.worlds import World
 from walnutquay.coordination.own import leases as leases_module
 from walnutquay.coordination.own.leases import Lease
-from walnutquay.state.ids import Incarnation, VmName
-from walnutquay.state.leases import LeaseValue, LeaseView
+from walnutquay.state.own.leases import LeaseValue, LeaseView
+from walnutquay.state.process.ids import Incarnation, VmName
 
 SECONDS = 6.0
 ORDER = 0.5
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -12,9 +12,9 @@
     LINES_PER_SECOND,
     EventLog,
 )
-from walnutquay.state.clock import Stamp
-from walnutquay.state.events import Event, EventKind
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.events import Event, EventKind
+from walnutquay.state.process.metrics import Metrics
 from walnutquay.transport.lines import MAX_WAITING_BYTES, LineWriter
 
 LINE = b"x" * 1000 + b"\n"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,8 +8,7 @@
 import unittest
 from dataclasses import replace
 
-from walnutquay.state.ids import MemberState
-from walnutquay.state.membership import (
+from walnutquay.state.fleet.membership import (
     SILENT_SECONDS,
     Address,
     Distance,
@@ -19,6 +18,7 @@
     distance,
     rendezvous,
 )
+from walnutquay.state.process.ids import MemberState
 
 FLEET = 150
 DEAD = "vm-0"
--- a/tests/test_metrics_address.py
+++ b/tests/test_metrics_address.py
@@ -11,8 +11,8 @@
 
 import walnutquay
 from tests.gatewaycase import GatewayCase
-from walnutquay.state.events import EventKind
-from walnutquay.state.trialcounts import Measure
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.trials.counts import Measure
 
 LABEL = r'[a-z_]+="[^"]*"'
 LINE = re.compile(rf"^walnutquay_[a-z_]+(\{{{LABEL}(,{LABEL})*\}})? -?[\d.]+$")
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 
 from lab import capacity, reference, slopes
-from walnutquay.state.parts import Policy, Version
-from walnutquay.state.policies import PolicyProgram, PolicyPrograms, PolicyRequest
+from walnutquay.state.own.policies import PolicyProgram, PolicyPrograms, PolicyRequest
+from walnutquay.state.store.parts import Policy, Version
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -26,10 +26,9 @@
     unpack_places,
 )
 from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
-from walnutquay.state.clock import HybridClock, Stamp  # noqa: E402
-from walnutquay.state.ends import CrashTarget, CrashTrace  # noqa: E402
-from walnutquay.state.gains import GainCounts, GainRow, ModelPair  # noqa: E402
-from walnutquay.state.ids import (  # noqa: E402
+from walnutquay.state.fleet.membership import Address, VmPlace  # noqa: E402
+from walnutquay.state.process.clock import HybridClock, Stamp  # noqa: E402
+from walnutquay.state.process.ids import (  # noqa: E402
     EndpointName,
     Fingerprint,
     HallName,
@@ -39,12 +38,13 @@
     VersionName,
     VmName,
 )
-from walnutquay.state.membership import Address, VmPlace  # noqa: E402
-from walnutquay.state.metrics import Metrics  # noqa: E402
-from walnutquay.state.sessionnotes import SeenSession  # noqa: E402
-from walnutquay.state.trialcounts import Measure, TrialCounts  # noqa: E402
-from walnutquay.state.trialreports import TrialReport, Verdict  # noqa: E402
-from walnutquay.state.usual import UsualTime  # noqa: E402
+from walnutquay.state.process.metrics import Metrics  # noqa: E402
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace  # noqa: E402
+from walnutquay.state.routed.gains import GainCounts, GainRow, ModelPair  # noqa: E402
+from walnutquay.state.trials.counts import Measure, TrialCounts  # noqa: E402
+from walnutquay.state.trials.notes import SeenSession  # noqa: E402
+from walnutquay.state.trials.reports import TrialReport, Verdict  # noqa: E402
+from walnutquay.state.trials.usual import UsualTime  # noqa: E402
 from walnutquay.transport.peers import PeerNode  # noqa: E402
 
 KEY = b"a-key-of-the-whole-fleet"
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -22,9 +22,9 @@
 from walnutquay.platform.feeds import KEPT_BATCHES, Batch, Feed
 from walnutquay.platform.store import WATCH_SLACK_SECONDS, StoredEvent, StoredObject
 from walnutquay.protocol.messages import ChangesAre
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.metrics import Metrics
 
 HALLS = ("h1", "h2", "h3")
 PER_HALL = 6
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator
 
 from walnutquay.exceptions import EndpointError, NotStartedError, SpentStageError
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.requests import (
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import (
     Admitted,
     Continuing,
     Dispatched,
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -12,9 +12,9 @@
 from tests.gatewaycase import GatewayCase
 from tests.test_knowledge import instance
 from walnutquay.coordination.requests.places import Grant
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import EndpointName, ServiceName, WorkKind
-from walnutquay.state.instances import InstanceBook
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, ServiceName, WorkKind
+from walnutquay.state.store.instances import InstanceBook
 
 # Unix milliseconds of an endpoint's first start, and of its next one.
 FIRST, NEXT = 1_700_000_000_000, 1_700_000_060_000
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from walnutquay.state.retries import RetryWindow
+from walnutquay.state.routed.retries import RetryWindow
 
 SHARE = 0.83
 SPAN = 10.0
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -10,10 +10,10 @@
 import unittest
 
 from tests.fleetcase import FleetCase
-from walnutquay.state.brakes import BrakeTable, Measure, Stage
-from walnutquay.state.pace import MIN_SEEN, PaceTable
-from walnutquay.state.sequential import Verdict
-from walnutquay.state.tallies import ROWS_SENT, TallyBoard
+from walnutquay.state.own.brakes import BrakeTable, Measure, Stage
+from walnutquay.state.own.sequential import Verdict
+from walnutquay.state.own.tallies import ROWS_SENT, TallyBoard
+from walnutquay.state.requests.pace import MIN_SEEN, PaceTable
 
 SEEDS = 200
 MOST = 4000
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,19 +7,9 @@
 import unittest
 from typing import Any
 
-from walnutquay.state.configuration import Configuration, Content
-from walnutquay.state.ids import (
-    OnWithdrawn,
-    OrganisationName,
-    Revision,
-    RolloutState,
-    SessionId,
-    VersionState,
-)
-from walnutquay.state.parts import Cascade, Organisation, Policy, Rollout, Version
-from walnutquay.state.policies import PolicyPrograms, PolicyRequest
-from walnutquay.state.refusals import RefusalCode
-from walnutquay.state.routing import (
+from walnutquay.state.own.configuration import Configuration, Content
+from walnutquay.state.own.policies import PolicyPrograms, PolicyRequest
+from walnutquay.state.own.routing import (
     Doubts,
     Question,
     allowed,
@@ -27,7 +17,17 @@
     rollout_share,
     session_fraction,
 )
-from walnutquay.state.sessions import Pin
+from walnutquay.state.own.sessions import Pin
+from walnutquay.state.process.ids import (
+    OnWithdrawn,
+    OrganisationName,
+    Revision,
+    RolloutState,
+    SessionId,
+    VersionState,
+)
+from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.store.parts import Cascade, Organisation, Policy, Rollout, Version
 
 VERSIONS = ("small-1", "small-2", "large-1")
 NO_DOUBTS = Doubts()
--- a/tests/test_session_versions.py
+++ b/tests/test_session_versions.py
@@ -29,7 +29,7 @@
 from standins.worker import Behaviour
 from tests.gatewaycase import POLL_SECONDS, WAIT_SECONDS, GatewayCase
 from walnutquay.daemon.gateway import GatewayDaemon
-from walnutquay.state.sessionnumbers import falls_to_new
+from walnutquay.state.trials.numbers import falls_to_new
 
 # The trial lasts so long that none of its parts ends during a test; seconds.
 TRIAL_SECONDS = 600.0
--- a/tests/test_sessionnotes.py
+++ b/tests/test_sessionnotes.py
@@ -6,8 +6,8 @@
 
 import unittest
 
-from walnutquay.state.ids import ServiceName, VersionName
-from walnutquay.state.sessionnotes import SeenSession, SessionNotes
+from walnutquay.state.process.ids import ServiceName, VersionName
+from walnutquay.state.trials.notes import SeenSession, SessionNotes
 
 KEEP_SECONDS = 6.0
 S = ServiceName("s")
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -13,7 +13,7 @@
 
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 
 class SilenceTest(GatewayCase):
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -8,10 +8,10 @@
 import unittest
 from dataclasses import replace
 
-from walnutquay.state.catalogue import Destination, Route, RouteKind
-from walnutquay.state.ids import ModelName, RouteName, ServiceName
-from walnutquay.state.opinions import FadingMean, chance_good, step_of
-from walnutquay.state.sizing import Case, Demand, Forecast, ModelChoice
+from walnutquay.state.process.ids import ModelName, RouteName, ServiceName
+from walnutquay.state.routed.opinions import FadingMean, chance_good, step_of
+from walnutquay.state.routed.sizing import Case, Demand, Forecast, ModelChoice
+from walnutquay.state.store.catalogue import Destination, Route, RouteKind
 
 MODELS = (ModelName("small"), ModelName("middle"), ModelName("large"))
 ROUTE = Route(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -19,9 +19,9 @@
 from walnutquay.platform.feeds import instance_feed
 from walnutquay.platform.registers import StoredOrders, VmRegister
 from walnutquay.platform.store import StoreClient
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
-from walnutquay.state.orders import OrderState
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.store.orders import OrderState
 
 SPEC = {
     "service": "s",
--- a/tests/test_suspended.py
+++ b/tests/test_suspended.py
@@ -15,7 +15,7 @@
 
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, catalogue
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 from walnutquay.transport.timers import WAKE_SECONDS, TimerService
 
 # Longer than any time that is waited here.
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -8,7 +8,7 @@
 import random
 import unittest
 
-from walnutquay.state.traffic import (
+from walnutquay.state.routed.traffic import (
     MAX_PROMPTS,
     PROMPTS,
     PromptTraffic,
--- a/tests/test_trialnews.py
+++ b/tests/test_trialnews.py
@@ -21,21 +21,21 @@
     TrialNews,
 )
 from walnutquay.settings import PromisesSection
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ids import (
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
     ServiceName,
     VersionName,
     VmName,
 )
-from walnutquay.state.metrics import Metrics
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.pace import MIN_SEEN
-from walnutquay.state.trialcounts import Measure, TrialCounts
-from walnutquay.state.trialreports import TrialReport, Verdict
-from walnutquay.state.trials import Trial
-from walnutquay.state.usual import UsualTime, UsualTimes, kind_number
+from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.requests.pace import MIN_SEEN
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.counts import Measure, TrialCounts
+from walnutquay.state.trials.reports import TrialReport, Verdict
+from walnutquay.state.trials.trial import Trial
+from walnutquay.state.trials.usual import UsualTime, UsualTimes, kind_number
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
--- a/tests/test_trialrecord.py
+++ b/tests/test_trialrecord.py
@@ -17,7 +17,7 @@
 from walnutquay.exceptions import PlatformConflictError, PlatformUnavailableError
 from walnutquay.platform.values import Stored
 from walnutquay.protocol.messages import TrialNews
-from walnutquay.state.ids import (
+from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
     RouteName,
@@ -25,11 +25,11 @@
     VersionName,
     VmName,
 )
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trialreports import TrialReport, Verdict
-from walnutquay.state.trials import RAMP_START, Trial
-from walnutquay.state.usual import UsualTimes
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.counts import Measure
+from walnutquay.state.trials.reports import TrialReport, Verdict
+from walnutquay.state.trials.trial import RAMP_START, Trial
+from walnutquay.state.trials.usual import UsualTimes
 
 SERVICE = ServiceName("s")
 SECONDS = 20.0
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -7,18 +7,18 @@
 import itertools
 import unittest
 
-from walnutquay.state.ids import (
+from walnutquay.state.process.ids import (
     EndpointName,
     RouteName,
     ServiceName,
     VersionName,
     VmName,
 )
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.sessionnumbers import falls_to_new, session_number
-from walnutquay.state.trialcounts import Measure, TrialCounts, TrialTally
-from walnutquay.state.trialreports import TrialReport, Verdict
-from walnutquay.state.trials import RAMP_END, RAMP_START, Trial
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.counts import Measure, TrialCounts, TrialTally
+from walnutquay.state.trials.numbers import falls_to_new, session_number
+from walnutquay.state.trials.reports import TrialReport, Verdict
+from walnutquay.state.trials.trial import RAMP_END, RAMP_START, Trial
 
 SECONDS = 100.0
 NEVER = float("-inf")
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -22,7 +22,7 @@
     decode_order,
     decode_vm,
 )
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 ENDPOINT = {
     "service": "plain",
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -13,14 +13,19 @@
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import Message
 from walnutquay.settings import PromisesSection
-from walnutquay.state.ids import EndpointName, HallName, ServiceName, VersionName
-from walnutquay.state.instances import Instance, InstanceBook
-from walnutquay.state.metrics import Metrics
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.sessionnumbers import falls_to_new, session_number
-from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trials import Trial
-from walnutquay.state.versionchoice import ChoiceReason
+from walnutquay.state.process.ids import (
+    EndpointName,
+    HallName,
+    ServiceName,
+    VersionName,
+)
+from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.store.instances import Instance, InstanceBook
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.choice import ChoiceReason
+from walnutquay.state.trials.counts import Measure
+from walnutquay.state.trials.numbers import falls_to_new, session_number
+from walnutquay.state.trials.trial import Trial
 from walnutquay.transport.timers import monotonic
 
 USUAL = 0.1
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -17,10 +17,10 @@
 from walnutquay.coordination.fleet.watchers import Watchers
 from walnutquay.exceptions import PeerError, PlatformUnavailableError
 from walnutquay.protocol.messages import AskStart, Envelope, KnownList, VmNews, VmRow
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.metrics import Metrics
 
 HALLS = 5
 FLEET = 195
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -6,8 +6,8 @@
 
 import unittest
 
-from walnutquay.state.ids import EndpointName
-from walnutquay.state.work import (
+from walnutquay.state.process.ids import EndpointName
+from walnutquay.state.routed.work import (
     PACES,
     PromptWork,
     WorkTable,
--- a/tests/test_worknews.py
+++ b/tests/test_worknews.py
@@ -11,9 +11,9 @@
 from walnutquay.coordination.routed.places import ReadingNote
 from walnutquay.coordination.routed.worknews import HEAVY_SECONDS, WorkExchange
 from walnutquay.protocol.messages import Envelope, WorkNews
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ids import EndpointName, HallName
-from walnutquay.state.work import PromptWork
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import EndpointName, HallName
+from walnutquay.state.routed.work import PromptWork
 
 RATE = 0.00002
 
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -24,9 +24,9 @@
 )
 from walnutquay.platform.values import Stored
 from walnutquay.protocol.messages import Envelope, Message
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ids import HallName, Incarnation, VmName
-from walnutquay.state.membership import MemberTable
+from walnutquay.state.fleet.membership import MemberTable
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import HallName, Incarnation, VmName
 
 # How a write may go: done and answered; done, the answer lost; not done, the
 # answer lost; done later, at any time; refused.
--- a/walnutquay/commands/check.py
+++ b/walnutquay/commands/check.py
@@ -12,7 +12,7 @@
 from walnutquay.commands.tomlfile import read_configuration
 from walnutquay.exceptions import ConfigurationError, SettingsError
 from walnutquay.settings import Settings
-from walnutquay.state.checking import parse_content
+from walnutquay.state.own.checking import parse_content
 
 
 @click.command()
--- a/walnutquay/coordination/fleet/absentees.py
+++ b/walnutquay/coordination/fleet/absentees.py
@@ -20,9 +20,9 @@
 from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.exceptions import PeerError, PlatformError
 from walnutquay.protocol.messages import AskVms
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import VmName
-from walnutquay.state.membership import rendezvous
+from walnutquay.state.fleet.membership import rendezvous
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import VmName
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/fleet/peers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -14,8 +14,8 @@
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.lists import pack_places
 from walnutquay.protocol.messages import Message
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace, rendezvous
+from walnutquay.state.fleet.membership import Address, VmPlace, rendezvous
+from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/fleet/register.py
+++ b/walnutquay/coordination/fleet/register.py
@@ -6,8 +6,8 @@
 
 from typing import Protocol
 
-from walnutquay.state.ids import VmName
-from walnutquay.state.membership import VmPlace
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.ids import VmName
 
 
 class Register(Protocol):
--- a/walnutquay/coordination/fleet/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -26,9 +26,9 @@
 from walnutquay.exceptions import MessageError, PlatformError
 from walnutquay.protocol.lists import unpack_places
 from walnutquay.protocol.messages import AskVms, Envelope, VmNews, VmRow, VmsAre
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import VmName
-from walnutquay.state.membership import VmPlace
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import VmName
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/fleet/watchers.py
+++ b/walnutquay/coordination/fleet/watchers.py
@@ -12,8 +12,8 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import AskChanges, ChangesAre, Message
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import rendezvous
+from walnutquay.state.fleet.membership import rendezvous
+from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/acceptance.py
+++ b/walnutquay/coordination/own/acceptance.py
@@ -18,14 +18,14 @@
     PlatformUnavailableError,
     PlatformUnclearError,
 )
-from walnutquay.state.configuration import (
+from walnutquay.state.own.configuration import (
     Configuration,
     Content,
     Head,
     first_head,
     part_hash,
 )
-from walnutquay.state.ids import NO_REVISION
+from walnutquay.state.process.ids import NO_REVISION
 
 # Tries to learn what became of a change whose answer was lost.
 SETTLE_TRIES = 5
--- a/walnutquay/coordination/own/admission.py
+++ b/walnutquay/coordination/own/admission.py
@@ -13,13 +13,13 @@
 from walnutquay.coordination.own.configurations import Configurations
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.requests.places import Grant, Need
-from walnutquay.state.admission import PoolQueue, Waiting
-from walnutquay.state.configuration import Configuration
-from walnutquay.state.endpoints import FULL_SECONDS, EndpointTable, subset
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import RequestId
-from walnutquay.state.parts import Endpoint
-from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.own.admission import PoolQueue, Waiting
+from walnutquay.state.own.configuration import Configuration
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import RequestId
+from walnutquay.state.requests.endpoints import FULL_SECONDS, EndpointTable, subset
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.parts import Endpoint
 from walnutquay.transport.timers import monotonic
 
 NO_ENDPOINT_RETRY = 2.0
--- a/walnutquay/coordination/own/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -24,17 +24,22 @@
 from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import BillCopy, BillStored, BillTaken
-from walnutquay.state.bills import (
+from walnutquay.state.fleet.membership import Distance, distance, rendezvous
+from walnutquay.state.own.bills import (
     BillLog,
     BillRecord,
     batch_name,
     decode_records,
     encode_records,
 )
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import Incarnation, MemberState, OrganisationName, RequestId
-from walnutquay.state.membership import Distance, distance, rendezvous
-from walnutquay.state.requests import CostLine
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import (
+    Incarnation,
+    MemberState,
+    OrganisationName,
+    RequestId,
+)
+from walnutquay.state.requests.stages import CostLine
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/chats.py
+++ b/walnutquay/coordination/own/chats.py
@@ -28,15 +28,15 @@
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol import chat
-from walnutquay.state.claims import RunState, WholeAnswer
-from walnutquay.state.events import EventKind
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.requests import (
+from walnutquay.state.own.claims import RunState, WholeAnswer
+from walnutquay.state.own.routing import allowed
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import (
     Continuing,
     Dispatched,
     Received,
 )
-from walnutquay.state.routing import allowed
 from walnutquay.transport.timers import monotonic
 
 
--- a/walnutquay/coordination/own/claims.py
+++ b/walnutquay/coordination/own/claims.py
@@ -23,7 +23,7 @@
 from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import AskRun, RunIs
-from walnutquay.state.claims import (
+from walnutquay.state.own.claims import (
     CLAIM_PREFIX,
     Claim,
     RepeatAction,
@@ -33,8 +33,8 @@
     claim_name,
     on_repeat,
 )
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import OrganisationName, RequestId
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import OrganisationName, RequestId
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/configurations.py
+++ b/walnutquay/coordination/own/configurations.py
@@ -29,7 +29,8 @@
 from walnutquay.platform.values import Stored
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import AskHead, AskPart, HeadIs, PartIs
-from walnutquay.state.configuration import (
+from walnutquay.state.fleet.membership import MemberNews
+from walnutquay.state.own.configuration import (
     Configuration,
     Head,
     configuration_from_parts,
@@ -37,10 +38,9 @@
     first_head,
     part_hash,
 )
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import NO_REVISION
-from walnutquay.state.membership import MemberNews
-from walnutquay.state.policies import PolicyPrograms
+from walnutquay.state.own.policies import PolicyPrograms
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import NO_REVISION
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/endpoints.py
+++ b/walnutquay/coordination/own/endpoints.py
@@ -17,11 +17,11 @@
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import EndpointLeaving
-from walnutquay.state.configuration import Configuration
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import EndpointName, LeavingSource
-from walnutquay.state.parts import Endpoint
+from walnutquay.state.own.configuration import Configuration
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, LeavingSource
+from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.store.parts import Endpoint
 from walnutquay.transport.client import get_json
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/own/engines.py
+++ b/walnutquay/coordination/own/engines.py
@@ -16,7 +16,7 @@
 
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol import chat
-from walnutquay.state.parts import Endpoint
+from walnutquay.state.store.parts import Endpoint
 from walnutquay.transport.client import READ_BYTES, HttpClient
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/own/health.py
+++ b/walnutquay/coordination/own/health.py
@@ -11,11 +11,11 @@
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import VersionBrake
-from walnutquay.state.brakes import BrakeTable, Measure, Stage
-from walnutquay.state.configuration import Configuration
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import RolloutState
-from walnutquay.state.pace import PaceTable
+from walnutquay.state.own.brakes import BrakeTable, Measure, Stage
+from walnutquay.state.own.configuration import Configuration
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import RolloutState
+from walnutquay.state.requests.pace import PaceTable
 from walnutquay.transport.timers import monotonic
 
 # What the counts of a stage are called: this, the stage, the measure, the version.
--- a/walnutquay/coordination/own/keyed.py
+++ b/walnutquay/coordination/own/keyed.py
@@ -17,10 +17,10 @@
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import NotStartedError
-from walnutquay.state.claims import RepeatAction, RunState
-from walnutquay.state.fingerprints import fingerprint
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.requests import Received, Unclaimed, receive_keyed
+from walnutquay.state.own.claims import RepeatAction, RunState
+from walnutquay.state.requests.fingerprints import fingerprint
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import Received, Unclaimed, receive_keyed
 
 CLAIM_RETRY = 2.0
 IN_PROGRESS_RETRY = 1.0
--- a/walnutquay/coordination/own/leases.py
+++ b/walnutquay/coordination/own/leases.py
@@ -12,9 +12,9 @@
 from walnutquay.coordination.own.platform import Platform
 from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import PlatformError
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import Incarnation, VmName
-from walnutquay.state.leases import LEASE_PREFIX, LeaseValue, LeaseView
+from walnutquay.state.own.leases import LEASE_PREFIX, LeaseValue, LeaseView
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import Incarnation, VmName
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -15,9 +15,9 @@
 from walnutquay.exceptions import EndpointError, PeerError
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.ownmessages import Heartbeat
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import MemberState
-from walnutquay.state.membership import Address, MemberNews, MemberTable
+from walnutquay.state.fleet.membership import Address, MemberNews, MemberTable
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import MemberState
 from walnutquay.transport.client import get_json
 from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.timers import monotonic
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -34,12 +34,12 @@
 from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import Settings
-from walnutquay.state.admission import RetryBudget
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, MemberNews
-from walnutquay.state.metrics import Metrics
-from walnutquay.state.sessions import PinSealer
+from walnutquay.state.fleet.membership import Address, MemberNews
+from walnutquay.state.own.admission import RetryBudget
+from walnutquay.state.own.sessions import PinSealer
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.peers import PeerNode
 
--- a/walnutquay/coordination/own/partstore.py
+++ b/walnutquay/coordination/own/partstore.py
@@ -10,7 +10,7 @@
 from walnutquay.coordination.own.platform import Platform
 from walnutquay.exceptions import PlatformConflictError, PlatformUnclearError
 from walnutquay.platform.values import ABSENT
-from walnutquay.state.configuration import part_hash
+from walnutquay.state.own.configuration import part_hash
 
 PART_PREFIX = "config/parts/"
 # Tries of a write whose answer was lost.
--- a/walnutquay/coordination/own/pins.py
+++ b/walnutquay/coordination/own/pins.py
@@ -19,8 +19,8 @@
 from walnutquay.exceptions import PeerError, TokenError
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import AskPin, CopyPin, PinIs
-from walnutquay.state.membership import rendezvous
-from walnutquay.state.sessions import Pin, PinSealer
+from walnutquay.state.fleet.membership import rendezvous
+from walnutquay.state.own.sessions import Pin, PinSealer
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/planning.py
+++ b/walnutquay/coordination/own/planning.py
@@ -14,10 +14,10 @@
 from walnutquay.coordination.own.turns import ChatTurn
 from walnutquay.coordination.requests.outcomes import ChatArrival
 from walnutquay.exceptions import TokenError
-from walnutquay.state.ids import SessionId
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.routing import Doubts, Plan, Question, plan
-from walnutquay.state.sessions import Pin, PinSealer
+from walnutquay.state.own.routing import Doubts, Plan, Question, plan
+from walnutquay.state.own.sessions import Pin, PinSealer
+from walnutquay.state.process.ids import SessionId
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
 
 
 class ChatPlanner:
--- a/walnutquay/coordination/own/quality.py
+++ b/walnutquay/coordination/own/quality.py
@@ -11,9 +11,9 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.protocol import chat
-from walnutquay.state.events import EventKind
-from walnutquay.state.learning import StepLearner, WorthKey
-from walnutquay.state.parts import Cascade, Version
+from walnutquay.state.own.learning import StepLearner, WorthKey
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.store.parts import Cascade, Version
 
 # What the counts of ratings are called: this, cascade, class and version.
 RATED = "rated"
--- a/walnutquay/coordination/own/rollouts.py
+++ b/walnutquay/coordination/own/rollouts.py
@@ -14,13 +14,13 @@
 from walnutquay.coordination.own.leases import Lease
 from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import ConfigurationError, WalnutquayError
-from walnutquay.state.configuration import Content
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import RolloutState
-from walnutquay.state.parts import Endpoint, Rollout
-from walnutquay.state.rollouts import Order, OrderAction, change_rollout, orders_for
-from walnutquay.state.rollouts import RolloutAction as Action
-from walnutquay.state.sequential import Verdict
+from walnutquay.state.own.configuration import Content
+from walnutquay.state.own.rollouts import Order, OrderAction, change_rollout, orders_for
+from walnutquay.state.own.rollouts import RolloutAction as Action
+from walnutquay.state.own.sequential import Verdict
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import RolloutState
+from walnutquay.state.store.parts import Endpoint, Rollout
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/coordination/own/services.py
+++ b/walnutquay/coordination/own/services.py
@@ -15,9 +15,9 @@
     HEADER_REQUEST_ID,
     answer_headers,
 )
-from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.requests import CostLine, Dispatched, Received
+from walnutquay.state.own.claims import WholeAnswer
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import CostLine, Dispatched, Received
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/own/tallies.py
+++ b/walnutquay/coordination/own/tallies.py
@@ -11,8 +11,8 @@
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import TallyNews
-from walnutquay.state.membership import HEARTBEAT_FANOUT
-from walnutquay.state.tallies import TallyBoard
+from walnutquay.state.fleet.membership import HEARTBEAT_FANOUT
+from walnutquay.state.own.tallies import TallyBoard
 
 TALLY_SECONDS = 0.5
 # A large fleet tells only in every so many rounds.
--- a/walnutquay/coordination/own/turns.py
+++ b/walnutquay/coordination/own/turns.py
@@ -9,11 +9,11 @@
 from walnutquay.coordination.requests.outcomes import ChatArrival, ServiceArrival
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.protocol import chat
-from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.parts import Version
-from walnutquay.state.requests import CostLine
-from walnutquay.state.routing import Plan
-from walnutquay.state.sessions import Pin
+from walnutquay.state.own.claims import WholeAnswer
+from walnutquay.state.own.routing import Plan
+from walnutquay.state.own.sessions import Pin
+from walnutquay.state.requests.stages import CostLine
+from walnutquay.state.store.parts import Version
 
 # Prices are those of so many tokens.
 TOKENS_PER_PRICE = 1000
--- a/walnutquay/coordination/process/context.py
+++ b/walnutquay/coordination/process/context.py
@@ -9,10 +9,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from walnutquay.state.clock import HybridClock
-from walnutquay.state.events import Event, EventKind, EventRing, Fact
-from walnutquay.state.ids import HallName, Incarnation, RequestId, SessionId, VmName
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.process.clock import HybridClock
+from walnutquay.state.process.events import Event, EventKind, EventRing, Fact
+from walnutquay.state.process.ids import (
+    HallName,
+    Incarnation,
+    RequestId,
+    SessionId,
+    VmName,
+)
+from walnutquay.state.process.metrics import Metrics
 from walnutquay.transport.timers import TimerService, unix_microseconds
 
 RANDOM_BYTES = 6
--- a/walnutquay/coordination/process/eventlog.py
+++ b/walnutquay/coordination/process/eventlog.py
@@ -13,8 +13,8 @@
 
 import logbook
 
-from walnutquay.state.events import Event, EventKind
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.process.events import Event, EventKind
+from walnutquay.state.process.metrics import Metrics
 
 log = logbook.Logger("walnutquay.events")
 
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -24,14 +24,14 @@
     CrashDigest,
     CrashNews,
 )
-from walnutquay.state.broken import Broken, BrokenRequests
-from walnutquay.state.crashes import CrashBook
-from walnutquay.state.ends import CrashTarget, CrashTrace
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import EndpointName, Fingerprint
-from walnutquay.state.instances import Instance
-from walnutquay.state.parts import Endpoint
-from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, Fingerprint
+from walnutquay.state.requests.broken import Broken, BrokenRequests
+from walnutquay.state.requests.crashes import CrashBook
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.store.parts import Endpoint
 from walnutquay.transport.client import is_refused
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/requests/crashnews.py
+++ b/walnutquay/coordination/requests/crashnews.py
@@ -20,8 +20,8 @@
     Envelope,
     Message,
 )
-from walnutquay.state.crashes import CrashBook
-from walnutquay.state.ends import CrashTrace
+from walnutquay.state.requests.crashes import CrashBook
+from walnutquay.state.requests.ends import CrashTrace
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/requests/crashrecord.py
+++ b/walnutquay/coordination/requests/crashrecord.py
@@ -20,9 +20,14 @@
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.exceptions import MessageError, PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
-from walnutquay.state.crashes import MAX_ENDS
-from walnutquay.state.ends import CrashTarget, CrashTrace
-from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    Fingerprint,
+    ServiceName,
+    VersionName,
+)
+from walnutquay.state.requests.crashes import MAX_ENDS
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace
 from walnutquay.transport.timers import MICROSECONDS, unix_microseconds
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/requests/hooks.py
+++ b/walnutquay/coordination/requests/hooks.py
@@ -10,8 +10,8 @@
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.events import Facts
-from walnutquay.state.refusals import Refusal
+from walnutquay.state.process.events import Facts
+from walnutquay.state.requests.refusals import Refusal
 
 
 class PathHooks(ABC):
--- a/walnutquay/coordination/requests/limits.py
+++ b/walnutquay/coordination/requests/limits.py
@@ -11,7 +11,7 @@
 
 from walnutquay.coordination.requests.outcomes import Arrival
 from walnutquay.exceptions import EndpointError
-from walnutquay.state.ids import EndpointName, Fingerprint
+from walnutquay.state.process.ids import EndpointName, Fingerprint
 from walnutquay.transport.timers import monotonic
 
 # The step of an error by which a call was ended here.
--- a/walnutquay/coordination/requests/outcomes.py
+++ b/walnutquay/coordination/requests/outcomes.py
@@ -9,11 +9,11 @@
 from typing import Protocol
 
 from walnutquay.protocol.chat import ChatCall
-from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.fingerprints import fingerprint
-from walnutquay.state.ids import Fingerprint, RequestId
-from walnutquay.state.parts import Organisation, Service
-from walnutquay.state.requests import NotRun, OutcomeUnknown
+from walnutquay.state.own.claims import WholeAnswer
+from walnutquay.state.process.ids import Fingerprint, RequestId
+from walnutquay.state.requests.fingerprints import fingerprint
+from walnutquay.state.requests.stages import NotRun, OutcomeUnknown
+from walnutquay.state.store.parts import Organisation, Service
 
 # Digits of a fingerprint that are kept and told: 128 bits, which nobody can make meet.
 FINGERPRINT_DIGITS = 32
--- a/walnutquay/coordination/requests/pathparts.py
+++ b/walnutquay/coordination/requests/pathparts.py
@@ -10,8 +10,8 @@
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.places import Places
 from walnutquay.coordination.requests.recorder import TraceRecorder
-from walnutquay.state.admission import RetryBudget
-from walnutquay.state.endpoints import EndpointTable
+from walnutquay.state.own.admission import RetryBudget
+from walnutquay.state.requests.endpoints import EndpointTable
 
 
 @dataclass
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -21,10 +21,10 @@
 from walnutquay.coordination.requests.telling import tell_outcome
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import RequestId
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.requests import (
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import RequestId
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import (
     Admitted,
     Continuing,
     Dispatched,
--- a/walnutquay/coordination/requests/places.py
+++ b/walnutquay/coordination/requests/places.py
@@ -9,8 +9,7 @@
 
 from expression import Result
 
-from walnutquay.state.ends import CrashTarget
-from walnutquay.state.ids import (
+from walnutquay.state.process.ids import (
     EndpointName,
     OrganisationName,
     RequestId,
@@ -18,10 +17,11 @@
     VersionName,
     WorkKind,
 )
-from walnutquay.state.instances import Instance
-from walnutquay.state.parts import Endpoint
-from walnutquay.state.refusals import Refusal
-from walnutquay.state.work import PromptWork
+from walnutquay.state.requests.ends import CrashTarget
+from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.routed.work import PromptWork
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.store.parts import Endpoint
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/coordination/requests/telling.py
+++ b/walnutquay/coordination/requests/telling.py
@@ -13,7 +13,7 @@
     Unknown,
     Whole,
 )
-from walnutquay.state.events import EventKind, Facts
+from walnutquay.state.process.events import EventKind, Facts
 from walnutquay.transport.timers import monotonic
 
 MILLISECONDS = 1000.0
--- a/walnutquay/coordination/routed/answers.py
+++ b/walnutquay/coordination/routed/answers.py
@@ -6,7 +6,7 @@
 
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.calls import AnswerHead
-from walnutquay.state.claims import WholeAnswer
+from walnutquay.state.own.claims import WholeAnswer
 
 
 class FailedAnswerError(EndpointError):
--- a/walnutquay/coordination/routed/budgets.py
+++ b/walnutquay/coordination/routed/budgets.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
-from walnutquay.state.ids import ServiceName
-from walnutquay.state.retries import RetryWindow
+from walnutquay.state.process.ids import ServiceName
+from walnutquay.state.routed.retries import RetryWindow
 from walnutquay.transport.timers import monotonic
 
 # Retries of a service that a VM may make besides in its first span: one that starts
--- a/walnutquay/coordination/routed/calls.py
+++ b/walnutquay/coordination/routed/calls.py
@@ -13,8 +13,8 @@
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.work import reading_rank
+from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.routed.work import reading_rank
 from walnutquay.transport.client import Exchange, HttpClient, header_pairs
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/routed/cascading.py
+++ b/walnutquay/coordination/routed/cascading.py
@@ -14,10 +14,10 @@
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.messages import Envelope, Message, OpinionNews
-from walnutquay.state.events import EventKind
-from walnutquay.state.gains import GainRow
-from walnutquay.state.ids import EndpointName, ModelName, VmName
-from walnutquay.state.sizing import Case, Forecast, ModelChoice, Step
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, ModelName, VmName
+from walnutquay.state.routed.gains import GainRow
+from walnutquay.state.routed.sizing import Case, Forecast, ModelChoice, Step
 from walnutquay.transport.timers import monotonic
 
 # Values are logged to so many digits.
--- a/walnutquay/coordination/routed/facts.py
+++ b/walnutquay/coordination/routed/facts.py
@@ -15,10 +15,10 @@
 from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.protocol.calls import AnswerHead
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.events import Facts
-from walnutquay.state.instances import Instance
-from walnutquay.state.versionchoice import VersionChoice
+from walnutquay.state.process.events import Facts
+from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.trials.choice import VersionChoice
 from walnutquay.transport.timers import monotonic
 
 MILLISECONDS = 1000.0
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -24,11 +24,11 @@
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol.streams import StreamProgress
-from walnutquay.state.events import Facts
-from walnutquay.state.ids import EndpointName
-from walnutquay.state.instances import Instance
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.requests import Continuing, Dispatched, Received
+from walnutquay.state.process.events import Facts
+from walnutquay.state.process.ids import EndpointName
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import Continuing, Dispatched, Received
+from walnutquay.state.store.instances import Instance
 from walnutquay.transport.client import (
     STEP_CONNECT,
     STEP_REACH,
--- a/walnutquay/coordination/routed/places.py
+++ b/walnutquay/coordination/routed/places.py
@@ -14,19 +14,19 @@
 from walnutquay.coordination.routed.promptengines import EngineBeliefs, PromptEngines
 from walnutquay.coordination.routed.reach import Reach
 from walnutquay.protocol.messages import WorkNews
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.ids import (
+from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
     ServiceName,
     VersionName,
     WorkKind,
 )
-from walnutquay.state.instances import Instance, InstanceBook
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.sizing import Demand, weight_of
-from walnutquay.state.traffic import PromptTraffic, SentPrompt
-from walnutquay.state.work import PromptWork, WorkTable, preferred_of
+from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.routed.sizing import Demand, weight_of
+from walnutquay.state.routed.traffic import PromptTraffic, SentPrompt
+from walnutquay.state.routed.work import PromptWork, WorkTable, preferred_of
+from walnutquay.state.store.instances import Instance, InstanceBook
 from walnutquay.transport.timers import monotonic
 
 # When to come back where no endpoint runs: one that starts is listed within a second.
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -10,7 +10,7 @@
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
-from walnutquay.state.versionchoice import VersionChoice
+from walnutquay.state.trials.choice import VersionChoice
 
 
 class Dialect(Protocol):
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass
 
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.ids import HallName
-from walnutquay.state.instances import Instance
-from walnutquay.state.work import PromptWork, WorkTable, preferred_of
+from walnutquay.state.process.ids import HallName
+from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.routed.work import PromptWork, WorkTable, preferred_of
+from walnutquay.state.store.instances import Instance
 
 # A wait grows harmful with its square, for only long ones make an answer late; an
 # engine in another data hall, to which bytes have a price, counts as much as a wait
--- a/walnutquay/coordination/routed/reach.py
+++ b/walnutquay/coordination/routed/reach.py
@@ -9,9 +9,9 @@
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.tasks import Tasks
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import EndpointName, HallName
-from walnutquay.state.instances import Instance, InstanceBook
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, HallName
+from walnutquay.state.store.instances import Instance, InstanceBook
 from walnutquay.transport.client import is_reachable
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/routed/streaming.py
+++ b/walnutquay/coordination/routed/streaming.py
@@ -17,7 +17,7 @@
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.chat import StreamParser
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 from walnutquay.transport.client import STEP_BROKEN, ConnectionEnd
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -11,11 +11,11 @@
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.protocol.calls import AnswerHead, CallHead
 from walnutquay.protocol.streams import StreamProgress
-from walnutquay.state.catalogue import Route, RouteKind
-from walnutquay.state.ids import ModelName, ServiceName
-from walnutquay.state.refusals import Refusal
-from walnutquay.state.versionchoice import VersionChoice
-from walnutquay.state.work import PromptWork
+from walnutquay.state.process.ids import ModelName, ServiceName
+from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.routed.work import PromptWork
+from walnutquay.state.store.catalogue import Route, RouteKind
+from walnutquay.state.trials.choice import VersionChoice
 from walnutquay.transport.timers import monotonic
 
 
--- a/walnutquay/coordination/routed/worknews.py
+++ b/walnutquay/coordination/routed/worknews.py
@@ -9,7 +9,7 @@
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.routed.places import ReadingNote, RoutedPlaces
 from walnutquay.protocol.messages import Envelope, Message, WorkNews
-from walnutquay.state.ids import HallName, VmName
+from walnutquay.state.process.ids import HallName, VmName
 
 # Prompts that take an engine less time to read are not told: bytes between data halls
 # have a price, and these delay nobody for long.
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -13,8 +13,8 @@
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.exceptions import HistoryGoneError, MessageError, PlatformError
-from walnutquay.state.events import EventKind
-from walnutquay.state.feeds import Changes, Listing
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.store.feeds import Changes, Listing
 from walnutquay.transport.timers import monotonic
 
 # A watch of the configuration ends so much before a change has to be in force: an
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -24,10 +24,10 @@
 )
 from walnutquay.coordination.store.sinks import CatalogueSink, InstanceSink, OrderSink
 from walnutquay.exceptions import HistoryGoneError, PlatformError
-from walnutquay.state.catalogue import Catalogue
-from walnutquay.state.events import EventKind
-from walnutquay.state.instances import Instance
-from walnutquay.state.orders import RolloutOrder
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.store.catalogue import Catalogue
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.store.orders import RolloutOrder
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -30,7 +30,7 @@
     ChangesAre,
     Envelope,
 )
-from walnutquay.state.feeds import Changes, Listing
+from walnutquay.state.store.feeds import Changes, Listing
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 
 from walnutquay.coordination.process.context import Context
-from walnutquay.state.catalogue import Catalogue
-from walnutquay.state.events import EventKind
-from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.ids import EndpointName, ServiceName, VersionName
-from walnutquay.state.instances import Instance, InstanceBook
-from walnutquay.state.orders import RolloutOrder
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, ServiceName, VersionName
+from walnutquay.state.store.catalogue import Catalogue
+from walnutquay.state.store.feeds import Change, Changes, Listing
+from walnutquay.state.store.instances import Instance, InstanceBook
+from walnutquay.state.store.orders import RolloutOrder
 from walnutquay.transport.timers import monotonic
 
 # Endpoints write their entries again within some two seconds of the store's
--- a/walnutquay/coordination/trials/answers.py
+++ b/walnutquay/coordination/trials/answers.py
@@ -11,8 +11,8 @@
 
 from walnutquay.coordination.store.knowledge import OrderSink
 from walnutquay.exceptions import PlatformError
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.trials import Trial
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.trial import Trial
 from walnutquay.transport.timers import monotonic, unix_microseconds
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/trials/judging.py
+++ b/walnutquay/coordination/trials/judging.py
@@ -9,12 +9,12 @@
 
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.coordination.routed.turn import RoutedTurn
-from walnutquay.state.counts import LatestTable
-from walnutquay.state.ids import EndpointName, RequestId, ServiceName
-from walnutquay.state.instances import Instance
-from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trials import Trial
-from walnutquay.state.usual import UsualTimes
+from walnutquay.state.process.counts import LatestTable
+from walnutquay.state.process.ids import EndpointName, RequestId, ServiceName
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.trials.counts import Measure
+from walnutquay.state.trials.trial import Trial
+from walnutquay.state.trials.usual import UsualTimes
 from walnutquay.transport.timers import monotonic
 
 # An answer that takes so many times as long as the old version's is a bad one.
--- a/walnutquay/coordination/trials/news.py
+++ b/walnutquay/coordination/trials/news.py
@@ -26,12 +26,12 @@
     Message,
     TrialNews,
 )
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import HallName, ServiceName, VmName, VmProcess
-from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trialreports import TrialReport
-from walnutquay.state.trials import Trial
-from walnutquay.state.usual import UsualTimes
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import HallName, ServiceName, VmName, VmProcess
+from walnutquay.state.trials.counts import Measure
+from walnutquay.state.trials.reports import TrialReport
+from walnutquay.state.trials.trial import Trial
+from walnutquay.state.trials.usual import UsualTimes
 from walnutquay.transport.timers import monotonic
 
 # How often VMs tell each other what they have seen.
--- a/walnutquay/coordination/trials/record.py
+++ b/walnutquay/coordination/trials/record.py
@@ -18,11 +18,11 @@
 from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
-from walnutquay.state.ids import EndpointName, RouteName
-from walnutquay.state.trialcounts import Measure, TrialCounts
-from walnutquay.state.trialreports import TrialReport, Verdict
-from walnutquay.state.trials import Trial
-from walnutquay.state.usual import UsualTime, UsualTimes
+from walnutquay.state.process.ids import EndpointName, RouteName
+from walnutquay.state.trials.counts import Measure, TrialCounts
+from walnutquay.state.trials.reports import TrialReport, Verdict
+from walnutquay.state.trials.trial import Trial
+from walnutquay.state.trials.usual import UsualTime, UsualTimes
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/trials/sessions.py
+++ b/walnutquay/coordination/trials/sessions.py
@@ -13,10 +13,10 @@
 from walnutquay.coordination.trials.news import LAST_CALL_SECONDS, Peers
 from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.protocol.messages import Envelope, SessionsSeen, SessionsTaken
-from walnutquay.state.ids import ServiceName, VersionName
-from walnutquay.state.instances import Instance
-from walnutquay.state.sessionnotes import SessionNote, SessionNotes
-from walnutquay.state.trials import Trial
+from walnutquay.state.process.ids import ServiceName, VersionName
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.trials.notes import SessionNote, SessionNotes
+from walnutquay.state.trials.trial import Trial
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/trials/task.py
+++ b/walnutquay/coordination/trials/task.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from walnutquay.state.trials import Trial
+from walnutquay.state.trials.trial import Trial
 
 # VMs write the same status at once; each waits up to so long for another's; seconds.
 FIRST_WRITE_SPREAD = 1.0
--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -24,15 +24,16 @@
 from walnutquay.coordination.trials.task import FIRST_WRITE_SPREAD, TrialTask
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.settings import PromisesSection
-from walnutquay.state.counts import LatestTable
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import ServiceName, VersionName
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.sessionnotes import SessionNote
-from walnutquay.state.sessionnumbers import falls_to_new
-from walnutquay.state.trialreports import TrialReport
-from walnutquay.state.trials import Trial
-from walnutquay.state.versionchoice import ChoiceReason, VersionChoice
+from walnutquay.state.process.counts import LatestTable
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import ServiceName, VersionName
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.trials.choice import ChoiceReason, VersionChoice
+from walnutquay.state.trials.notes import SessionNote
+from walnutquay.state.trials.numbers import falls_to_new
+from walnutquay.state.trials.reports import TrialReport
+from walnutquay.state.trials.settled import SettledVersions
+from walnutquay.state.trials.trial import Trial
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -76,11 +77,7 @@
         self.answers = OrderAnswers(order_store, knowledge.orders)
         self.promises = promises
         self.tasks: dict[ServiceName, TrialTask] = {}
-        # Versions that orders have made the ones to use, or have taken back.
-        self.done: dict[ServiceName, VersionName] = {}
-        self.withdrawn: dict[ServiceName, set[VersionName]] = {}
-        # Versions that ran before any order was known.
-        self.established: dict[ServiceName, set[VersionName]] = {}
+        self.settled = SettledVersions()
         # Orders that other VMs knew before this one did.
         self.heard_of: LatestTable[tuple[str, str], bool] = LatestTable(
             MAX_HEARD_OF, bool
@@ -147,7 +144,7 @@
 
     def _begin(self, order: RolloutOrder) -> None:
         """Begin a trial, and let the other VMs know which sessions it must not move."""
-        self.withdrawn.get(order.service, set()).discard(order.version)
+        self.settled.begun(order)
         now = monotonic()
         witnessed = order.state is OrderState.NEW
         elapsed = 0.0
@@ -182,11 +179,7 @@
     def _ended(self, order: RolloutOrder, task: TrialTask | None) -> None:
         if task is not None:
             del self.tasks[order.service]
-        if order.state is OrderState.DONE:
-            self.done[order.service] = order.version
-            self.withdrawn.pop(order.service, None)
-        else:
-            self.withdrawn.setdefault(order.service, set()).add(order.version)
+        self.settled.ended(order)
 
     def allowed(self, service: ServiceName) -> frozenset[VersionName] | None:
         """:param service: a service.
@@ -194,34 +187,12 @@
         :returns: the versions that requests may use which no trial has chosen for;
             None for all.
         """
-        running = self.knowledge.instances.book.versions_of(service)
-        blocked = set(self.withdrawn.get(service, ()))
-        task = self.tasks.get(service)
-        if task is not None:
-            blocked.add(task.trial.order.version)
-        known = self._established(service, running, blocked)
-        if len(running) < 2:
-            return None
-        done = self.done.get(service)
-        if done in running:
-            return frozenset((done,))
-        # A version that nobody has ordered waits for its order.
-        left = (running & known) - blocked
-        return frozenset(left) if left else None
-
-    def _established(
-        self, service: ServiceName, running: set[VersionName], blocked: set[VersionName]
-    ) -> set[VersionName]:
-        """Give the versions that ran before this VM knew of any order.
-
-        Those of the first list, not of the first request: meanwhile endpoints of a
-        version may have been listed whose order is not known here yet.
-        """
-        known = self.established.get(service)
-        if not known:
-            first = self.knowledge.instances.first_versions.get(service, running)
-            known = self.established[service] = first - blocked
-        return known
+        instances = self.knowledge.instances
+        running = instances.book.versions_of(service)
+        first = instances.first_versions.get(service, running)
+        trial = self.trial_of(service)
+        on_trial = trial.order.version if trial is not None else None
+        return self.settled.allowed(service, running, first, on_trial)
 
     # Requests.
 
--- a/walnutquay/daemon/administration.py
+++ b/walnutquay/daemon/administration.py
@@ -26,12 +26,12 @@
     WalnutquayError,
 )
 from walnutquay.settings import AdministrationSection
-from walnutquay.state.checking import check_content, parse_content, problems_of
-from walnutquay.state.configuration import PART_MODELS, Configuration, Content
-from walnutquay.state.ids import MemberState
-from walnutquay.state.parts import Policy, Rollout
-from walnutquay.state.policies import PolicyPrograms, PolicyRequest
-from walnutquay.state.rollouts import RolloutAction, change_rollout
+from walnutquay.state.own.checking import check_content, parse_content, problems_of
+from walnutquay.state.own.configuration import PART_MODELS, Configuration, Content
+from walnutquay.state.own.policies import PolicyPrograms, PolicyRequest
+from walnutquay.state.own.rollouts import RolloutAction, change_rollout
+from walnutquay.state.process.ids import MemberState
+from walnutquay.state.store.parts import Policy, Rollout
 from walnutquay.transport.server import HttpServer, ServerLimits
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/daemon/authentication.py
+++ b/walnutquay/daemon/authentication.py
@@ -6,9 +6,9 @@
 
 import hmac
 
-from walnutquay.state.configuration import Configuration
-from walnutquay.state.keys import bearer_key, key_hash
-from walnutquay.state.parts import Organisation
+from walnutquay.state.own.configuration import Configuration
+from walnutquay.state.process.keys import bearer_key, key_hash
+from walnutquay.state.store.parts import Organisation
 
 
 def caller_of(configuration: Configuration, header: str | None) -> Organisation | None:
--- a/walnutquay/daemon/callers.py
+++ b/walnutquay/daemon/callers.py
@@ -28,8 +28,8 @@
 from walnutquay.protocol import chat
 from walnutquay.protocol.services import call_headers
 from walnutquay.settings import CallersSection
-from walnutquay.state.parts import Organisation
-from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.server import HttpServer, ServerLimits
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -19,7 +19,7 @@
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.logs import open_log
 from walnutquay.settings import Settings
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -64,13 +64,13 @@
 )
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.settings import GatewayOptions, Settings, host_and_port
-from walnutquay.state.admission import RetryBudget
-from walnutquay.state.endpoints import EndpointTable
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import HallName, ServiceName, VmName
-from walnutquay.state.membership import Address
-from walnutquay.state.metrics import Metrics
-from walnutquay.state.sizing import ModelChoice
+from walnutquay.state.fleet.membership import Address
+from walnutquay.state.own.admission import RetryBudget
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import HallName, ServiceName, VmName
+from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.routed.sizing import ModelChoice
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.listeners import listen
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -29,13 +29,13 @@
 from walnutquay.platform import names
 from walnutquay.platform.calls import decode_call
 from walnutquay.protocol.calls import AnswerHead, CallHead
-from walnutquay.state.catalogue import PUBLIC, Catalogue, Route, RouteKind
-from walnutquay.state.claims import WholeAnswer
-from walnutquay.state.events import EventKind
-from walnutquay.state.ids import RequestId
-from walnutquay.state.keys import key_hash
-from walnutquay.state.parts import Organisation
-from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.own.claims import WholeAnswer
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import RequestId
+from walnutquay.state.process.keys import key_hash
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route, RouteKind
+from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -15,8 +15,8 @@
 from walnutquay.coordination.routed.turn import RoutedArrival
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.versions import VersionTrials
-from walnutquay.state.metrics import PERCENTILES, summary
-from walnutquay.state.trialcounts import Measure
+from walnutquay.state.process.metrics import PERCENTILES, summary
+from walnutquay.state.trials.counts import Measure
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.timers import monotonic
--- a/walnutquay/history/beliefs.py
+++ b/walnutquay/history/beliefs.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from walnutquay.history.lines import LogLine
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 # Lines that are of no request and change nothing that is believed.
 REPEATED = frozenset({EventKind.SHARES})
--- a/walnutquay/history/causes.py
+++ b/walnutquay/history/causes.py
@@ -12,8 +12,8 @@
 from walnutquay.history.beliefs import Beliefs
 from walnutquay.history.lines import LogLine
 from walnutquay.history.requests import RequestHistory
-from walnutquay.state.events import EventKind
-from walnutquay.state.refusals import RefusalCode
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.requests.refusals import RefusalCode
 
 # An engine that had so much to read before a prompt explains a late answer by itself.
 BUSY_READING_MS = 300.0
--- a/walnutquay/history/crashes.py
+++ b/walnutquay/history/crashes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from walnutquay.history.lines import LogLine
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 # What breaks within so long of the first break at an endpoint broke by the same end;
 # an endpoint is back seconds later at the soonest.
--- a/walnutquay/history/lines.py
+++ b/walnutquay/history/lines.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from walnutquay.state.events import EventKind, Facts
+from walnutquay.state.process.events import EventKind, Facts
 
 MICROSECONDS = 1_000_000
 # What every line has, and facts that tell nothing about a decision.
--- a/walnutquay/history/lost.py
+++ b/walnutquay/history/lost.py
@@ -9,7 +9,7 @@
 
 from walnutquay.history.lines import LogLine
 from walnutquay.history.requests import RequestHistory, histories
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 # A VM that writes nothing for so long before the lines end, while others do, is taken
 # for lost.  VMs that serve callers write several lines a second.
--- a/walnutquay/history/picture.py
+++ b/walnutquay/history/picture.py
@@ -14,7 +14,7 @@
 
 from walnutquay.history.report import Judged
 from walnutquay.history.requests import MILLISECONDS
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 SIZE = (11.0, 9.0)
 DOTS_PER_INCH = 110
--- a/walnutquay/history/requests.py
+++ b/walnutquay/history/requests.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from walnutquay.history.lines import LogLine
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 MILLISECONDS = 1000.0
 ENDS = frozenset(
--- a/walnutquay/history/sessions.py
+++ b/walnutquay/history/sessions.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from walnutquay.history.lines import LogLine
-from walnutquay.state.events import EventKind
+from walnutquay.state.process.events import EventKind
 
 # Facts of a sent request that tell why it went to its version, in this order.
 CHOSEN_BY = ("chosen_by", "share", "trial_ms", "session_age_ms")
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -10,9 +10,9 @@
 from walnutquay.platform import names
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
 from walnutquay.protocol.services import HOP_BY_HOP
-from walnutquay.state.ids import ModelName, RequestId, SessionId
-from walnutquay.state.keys import bearer_key
-from walnutquay.state.prompts import Prompt, PromptPart
+from walnutquay.state.process.ids import ModelName, RequestId, SessionId
+from walnutquay.state.process.keys import bearer_key
+from walnutquay.state.routed.prompts import Prompt, PromptPart
 
 MILLISECONDS = 1000.0
 MAX_EVENT_ID = 1 << 62
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -31,10 +31,10 @@
 from walnutquay.platform.schemas import MAX_NAME
 from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
 from walnutquay.protocol.lists import pack, unpack
-from walnutquay.state.catalogue import Catalogue
-from walnutquay.state.feeds import Change, Changes, Listing
-from walnutquay.state.instances import Instance
-from walnutquay.state.orders import RolloutOrder
+from walnutquay.state.store.catalogue import Catalogue
+from walnutquay.state.store.feeds import Change, Changes, Listing
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.store.orders import RolloutOrder
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -21,15 +21,8 @@
     VmSpec,
     read_spec,
 )
-from walnutquay.state.catalogue import (
-    CallerLimits,
-    Catalogue,
-    Destination,
-    EngineModel,
-    Route,
-    RoutedService,
-)
-from walnutquay.state.ids import (
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
     ModelName,
@@ -37,11 +30,18 @@
     ServiceName,
     VersionName,
 )
-from walnutquay.state.instances import Instance
-from walnutquay.state.keys import key_hash
-from walnutquay.state.membership import Address, VmPlace
-from walnutquay.state.orders import OrderState, RolloutOrder
-from walnutquay.state.parts import Organisation
+from walnutquay.state.process.keys import key_hash
+from walnutquay.state.store.catalogue import (
+    CallerLimits,
+    Catalogue,
+    Destination,
+    EngineModel,
+    Route,
+    RoutedService,
+)
+from walnutquay.state.store.instances import Instance
+from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.store.parts import Organisation
 
 MILLISECONDS = 1000.0
 # Where an object leaves the number out.
--- a/walnutquay/platform/registers.py
+++ b/walnutquay/platform/registers.py
@@ -14,9 +14,9 @@
 from walnutquay.platform.names import KIND_ROLLOUTS, KIND_VMS
 from walnutquay.platform.records import decode_order, decode_vm, encode_order_status
 from walnutquay.platform.store import StoreClient
-from walnutquay.state.ids import VmName
-from walnutquay.state.membership import VmPlace
-from walnutquay.state.orders import OrderState, RolloutOrder
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.ids import VmName
+from walnutquay.state.store.orders import OrderState, RolloutOrder
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/platform/schemas.py
+++ b/walnutquay/platform/schemas.py
@@ -24,7 +24,7 @@
 from pydantic.alias_generators import to_camel
 
 from walnutquay.exceptions import MessageError
-from walnutquay.state.catalogue import RouteKind
+from walnutquay.state.store.catalogue import RouteKind
 
 # The longest names and the largest numbers that anything can have to do with.
 MAX_NAME = 500
--- a/walnutquay/protocol/calls.py
+++ b/walnutquay/protocol/calls.py
@@ -6,8 +6,8 @@
 
 from dataclasses import dataclass
 
-from walnutquay.state.ids import ModelName, RequestId, SessionId
-from walnutquay.state.prompts import Prompt
+from walnutquay.state.process.ids import ModelName, RequestId, SessionId
+from walnutquay.state.routed.prompts import Prompt
 
 HeaderPairs = tuple[tuple[str, str], ...]
 
--- a/walnutquay/protocol/chat.py
+++ b/walnutquay/protocol/chat.py
@@ -11,7 +11,7 @@
 import orjson
 
 from walnutquay.exceptions import WalnutquayError
-from walnutquay.state.refusals import Refusal
+from walnutquay.state.requests.refusals import Refusal
 
 STREAM_TYPE = "text/event-stream"
 JSON_TYPE = "application/json"
--- a/walnutquay/protocol/lists.py
+++ b/walnutquay/protocol/lists.py
@@ -10,8 +10,8 @@
 import orjson
 
 from walnutquay.exceptions import MessageError
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import Address, VmPlace
+from walnutquay.state.fleet.membership import Address, VmPlace
+from walnutquay.state.process.ids import HallName, VmName
 
 # The fastest level.
 COMPRESSION_LEVEL = 1
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -7,13 +7,13 @@
 import math
 from dataclasses import dataclass, field
 
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ends import CrashTrace
-from walnutquay.state.gains import GainRow
-from walnutquay.state.ids import HallName, VmName
-from walnutquay.state.membership import VmPlace
-from walnutquay.state.sessionnotes import SeenSession
-from walnutquay.state.trialreports import TrialReport
+from walnutquay.state.fleet.membership import VmPlace
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.requests.ends import CrashTrace
+from walnutquay.state.routed.gains import GainRow
+from walnutquay.state.trials.notes import SeenSession
+from walnutquay.state.trials.reports import TrialReport
 
 
 class Message:
--- a/walnutquay/protocol/ownmessages.py
+++ b/walnutquay/protocol/ownmessages.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 from walnutquay.protocol.messages import Message
-from walnutquay.state.claims import RunState, WholeAnswer
-from walnutquay.state.membership import MemberNews
-from walnutquay.state.tallies import TallyRow
+from walnutquay.state.fleet.membership import MemberNews
+from walnutquay.state.own.claims import RunState, WholeAnswer
+from walnutquay.state.own.tallies import TallyRow
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +57,7 @@
     """Asks a peer to keep copies of bill records until they are stored.
 
     :param incarnation: whose records they are.
-    :param records: as :func:`walnutquay.state.bills.encode_records` wrote them.
+    :param records: as :func:`walnutquay.state.own.bills.encode_records` wrote them.
     :param next_batch: all records below this number are stored.
     """
 
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -16,11 +16,11 @@
 from walnutquay.protocol import messages as m
 from walnutquay.protocol import ownmessages as own
 from walnutquay.protocol.peerfields import body_fields
-from walnutquay.state.claims import RunState, WholeAnswer
-from walnutquay.state.clock import Stamp
-from walnutquay.state.ends import CrashTarget, CrashTrace
-from walnutquay.state.gains import GainCounts, GainRow, ModelPair
-from walnutquay.state.ids import (
+from walnutquay.state.fleet.membership import Address, MemberNews, VmPlace
+from walnutquay.state.own.claims import RunState, WholeAnswer
+from walnutquay.state.own.tallies import TallyRow
+from walnutquay.state.process.clock import Stamp
+from walnutquay.state.process.ids import (
     EndpointName,
     Fingerprint,
     HallName,
@@ -31,12 +31,12 @@
     VersionName,
     VmName,
 )
-from walnutquay.state.membership import Address, MemberNews, VmPlace
-from walnutquay.state.sessionnotes import SeenSession
-from walnutquay.state.tallies import TallyRow
-from walnutquay.state.trialcounts import Measure, TrialCounts
-from walnutquay.state.trialreports import AnswerCounts, TrialReport, Verdict
-from walnutquay.state.usual import UsualTime
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace
+from walnutquay.state.routed.gains import GainCounts, GainRow, ModelPair
+from walnutquay.state.trials.counts import Measure, TrialCounts
+from walnutquay.state.trials.notes import SeenSession
+from walnutquay.state.trials.reports import AnswerCounts, TrialReport, Verdict
+from walnutquay.state.trials.usual import UsualTime
 
 schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -11,9 +11,9 @@
 from walnutquay.exceptions import MessageError
 from walnutquay.protocol import messages as m
 from walnutquay.protocol import ownmessages as own
-from walnutquay.state.ends import CrashTrace
-from walnutquay.state.membership import MemberNews
-from walnutquay.state.trialreports import AnswerCounts
+from walnutquay.state.fleet.membership import MemberNews
+from walnutquay.state.requests.ends import CrashTrace
+from walnutquay.state.trials.reports import AnswerCounts
 
 # Stands for a time that is not known; times that are known are not negative.
 UNKNOWN_TIME = -1.0
--- a/walnutquay/replay/report.py
+++ b/walnutquay/replay/report.py
@@ -12,7 +12,7 @@
 from hdrh.histogram import HdrHistogram
 
 from walnutquay.replay.traces import ReplayOutcome, TraceRequest
-from walnutquay.state.metrics import (
+from walnutquay.state.process.metrics import (
     HIGHEST,
     LOWEST,
     MICROSECONDS,
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -21,8 +21,8 @@
 )
 
 from walnutquay.exceptions import SettingsError
-from walnutquay.state.checking import problems_of
-from walnutquay.state.parts import KeyHash, Name, Share
+from walnutquay.state.own.checking import problems_of
+from walnutquay.state.store.parts import KeyHash, Name, Share
 
 # `WALNUTQUAY_PLATFORM__URL` sets `url` in `[platform]`.
 ENV_PREFIX = "WALNUTQUAY_"
--- a/walnutquay/state/membership.py
+++ b/walnutquay/state/fleet/membership.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from walnutquay.state.ids import HallName, Incarnation, MemberState, VmName
+from walnutquay.state.process.ids import HallName, Incarnation, MemberState, VmName
 
 # Heartbeats go to this many members a round; with no more members than that,
 # each hears every other directly, and beyond it news spreads by rumour.
--- a/walnutquay/state/admission.py
+++ b/walnutquay/state/own/admission.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from walnutquay.state.ids import OrganisationName, RequestId
-from walnutquay.state.parts import Pool
-from walnutquay.state.refusals import Refusal, RefusalCode
+from walnutquay.state.process.ids import OrganisationName, RequestId
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.parts import Pool
 
 # Until a pool has answered something, its requests are taken to last this long.
 FIRST_GUESS_SECONDS = 0.5
--- a/walnutquay/state/bills.py
+++ b/walnutquay/state/own/bills.py
@@ -15,8 +15,8 @@
 
 import orjson
 
-from walnutquay.state.ids import Incarnation, OrganisationName, RequestId
-from walnutquay.state.requests import CostLine
+from walnutquay.state.process.ids import Incarnation, OrganisationName, RequestId
+from walnutquay.state.requests.stages import CostLine
 
 BILL_PREFIX = "bills/"
 NUMBER_DIGITS = 12
--- a/walnutquay/state/brakes.py
+++ b/walnutquay/state/own/brakes.py
@@ -7,7 +7,12 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from walnutquay.state.sequential import Contrast, ErrorRates, SequentialTest, Verdict
+from walnutquay.state.own.sequential import (
+    Contrast,
+    ErrorRates,
+    SequentialTest,
+    Verdict,
+)
 
 
 class Measure(Enum):
--- a/walnutquay/state/checking.py
+++ b/walnutquay/state/own/checking.py
@@ -11,9 +11,9 @@
 
 from pydantic import BaseModel, ValidationError
 
-from walnutquay.state.configuration import Content
-from walnutquay.state.ids import RolloutState
-from walnutquay.state.policies import PolicyPrograms
+from walnutquay.state.own.configuration import Content
+from walnutquay.state.own.policies import PolicyPrograms
+from walnutquay.state.process.ids import RolloutState
 
 
 @dataclass(frozen=True)
--- a/walnutquay/state/claims.py
+++ b/walnutquay/state/own/claims.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from walnutquay.state.ids import OrganisationName, RequestId
+from walnutquay.state.process.ids import OrganisationName, RequestId
 
 CLAIM_PREFIX = "claims/"
 
--- a/walnutquay/state/configuration.py
+++ b/walnutquay/state/own/configuration.py
@@ -13,8 +13,8 @@
 import xxhash
 from pydantic import BaseModel
 
-from walnutquay.state.ids import NO_REVISION, Revision
-from walnutquay.state.parts import (
+from walnutquay.state.process.ids import NO_REVISION, Revision
+from walnutquay.state.store.parts import (
     Cascade,
     Endpoint,
     Organisation,
--- a/walnutquay/state/learning.py
+++ b/walnutquay/state/own/learning.py
@@ -15,8 +15,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from walnutquay.state.counts import LatestTable, RecentCounts
-from walnutquay.state.parts import Version
+from walnutquay.state.process.counts import LatestTable, RecentCounts
+from walnutquay.state.store.parts import Version
 
 # No step is left out before its version has been rated so often.
 MIN_RATED = 20
--- a/walnutquay/state/leases.py
+++ b/walnutquay/state/own/leases.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from walnutquay.state.ids import Incarnation, VmName
+from walnutquay.state.process.ids import Incarnation, VmName
 
 LEASE_PREFIX = "leases/"
 
--- a/walnutquay/state/policies.py
+++ b/walnutquay/state/own/policies.py
@@ -9,7 +9,7 @@
 ``price_output``.  It returns a list of candidate names, best first.
 
 What a program returns is only ever a choice among what it was given: the guard
-in :mod:`walnutquay.state.routing` comes after it.
+in :mod:`walnutquay.state.own.routing` comes after it.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 import starlark
 
 from walnutquay.exceptions import PolicyError
-from walnutquay.state.parts import Policy, Version
+from walnutquay.state.store.parts import Policy, Version
 
 # Starlark asks about every thousand instructions whether to go on.  Counting
 # the questions, not time, makes the bound the same on every run.
--- a/walnutquay/state/rollouts.py
+++ b/walnutquay/state/own/rollouts.py
@@ -12,10 +12,10 @@
 from pydantic import ValidationError
 
 from walnutquay.exceptions import ConfigurationError
-from walnutquay.state.checking import check_content, problems_of
-from walnutquay.state.configuration import Content
-from walnutquay.state.ids import RolloutState, VersionState
-from walnutquay.state.parts import Endpoint, Rollout
+from walnutquay.state.own.checking import check_content, problems_of
+from walnutquay.state.own.configuration import Content
+from walnutquay.state.process.ids import RolloutState, VersionState
+from walnutquay.state.store.parts import Endpoint, Rollout
 
 
 class RolloutAction(Enum):
--- a/walnutquay/state/routing.py
+++ b/walnutquay/state/own/routing.py
@@ -14,18 +14,18 @@
 import xxhash
 from expression import Error, Ok, Result
 
-from walnutquay.state.configuration import Configuration
-from walnutquay.state.ids import (
+from walnutquay.state.own.configuration import Configuration
+from walnutquay.state.own.policies import PolicyPrograms, PolicyRequest
+from walnutquay.state.own.sessions import Pin
+from walnutquay.state.process.ids import (
     OnWithdrawn,
     RolloutState,
     SessionId,
     VersionName,
     VersionState,
 )
-from walnutquay.state.parts import Cascade, Organisation, Rollout, Version
-from walnutquay.state.policies import PolicyPrograms, PolicyRequest
-from walnutquay.state.refusals import Refusal, RefusalCode
-from walnutquay.state.sessions import Pin
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.parts import Cascade, Organisation, Rollout, Version
 
 HASH_RANGE = 1 << 64
 # A version that cannot be confirmed may be confirmed again this much later.
--- a/walnutquay/state/sequential.py
+++ b/walnutquay/state/own/sequential.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.counts import RecentCounts
+from walnutquay.state.process.counts import RecentCounts
 
 # The baseline is taken for known so well before anything has been seen of it.
 BASELINE_WEIGHT = 50.0
--- a/walnutquay/state/sessions.py
+++ b/walnutquay/state/own/sessions.py
@@ -12,7 +12,12 @@
 from itsdangerous import BadData, TimestampSigner
 
 from walnutquay.exceptions import TokenError
-from walnutquay.state.ids import NO_REVISION, OrganisationName, Revision, SessionId
+from walnutquay.state.process.ids import (
+    NO_REVISION,
+    OrganisationName,
+    Revision,
+    SessionId,
+)
 
 TOKEN_SALT = "walnutquay.session"
 # Stands before the fields, so that nothing else signed by these keys passes.
--- a/walnutquay/state/events.py
+++ b/walnutquay/state/process/events.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.clock import Stamp
+from walnutquay.state.process.clock import Stamp
 
 # A value of a log line.
 Fact = str | int | float | bool | None
--- a/walnutquay/state/broken.py
+++ b/walnutquay/state/requests/broken.py
@@ -7,8 +7,8 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
-from walnutquay.state.ends import CrashTrace
-from walnutquay.state.ids import EndpointName
+from walnutquay.state.process.ids import EndpointName
+from walnutquay.state.requests.ends import CrashTrace
 
 # An endpoint that has ended is back, and listed, within so long; what broke before that
 # had another reason.
--- a/walnutquay/state/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -13,9 +13,9 @@
 
 import xxhash
 
-from walnutquay.state.culprits import culprits
-from walnutquay.state.ends import CrashTarget, CrashTrace, End
-from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName
+from walnutquay.state.process.ids import EndpointName, Fingerprint, ServiceName
+from walnutquay.state.requests.culprits import culprits
+from walnutquay.state.requests.ends import CrashTarget, CrashTrace, End
 
 # So many ends are enough where another version of the service is kept from a request.
 ENDS_OF_KNOWN_ONE = 1
--- a/walnutquay/state/culprits.py
+++ b/walnutquay/state/requests/culprits.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Mapping
 
-from walnutquay.state.ends import End
-from walnutquay.state.ids import Fingerprint
+from walnutquay.state.process.ids import Fingerprint
+from walnutquay.state.requests.ends import End
 
 # A request that so many endpoints have ended under is sent to no other one: with fewer,
 # one that was beside another such request by chance would be taken for one.
--- a/walnutquay/state/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -11,9 +11,9 @@
 
 import xxhash
 
-from walnutquay.state.ids import EndpointName, LeavingSource
-from walnutquay.state.pace import SLOW_FACTOR, PaceTable
-from walnutquay.state.parts import Endpoint
+from walnutquay.state.process.ids import EndpointName, LeavingSource
+from walnutquay.state.requests.pace import SLOW_FACTOR, PaceTable
+from walnutquay.state.store.parts import Endpoint
 
 # After this many failures in a row an endpoint is left out for a while.
 FAILURES_TO_EJECT = 3
--- a/walnutquay/state/ends.py
+++ b/walnutquay/state/requests/ends.py
@@ -7,7 +7,12 @@
 import math
 from dataclasses import dataclass, field
 
-from walnutquay.state.ids import EndpointName, Fingerprint, ServiceName, VersionName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    Fingerprint,
+    ServiceName,
+    VersionName,
+)
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/walnutquay/state/fingerprints.py
+++ b/walnutquay/state/requests/fingerprints.py
@@ -6,7 +6,7 @@
 
 import hashlib
 
-from walnutquay.state.ids import Fingerprint
+from walnutquay.state.process.ids import Fingerprint
 
 LENGTH_BYTES = 8
 
--- a/walnutquay/state/pace.py
+++ b/walnutquay/state/requests/pace.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from walnutquay.state.counts import LatestTable
+from walnutquay.state.process.counts import LatestTable
 
 # An answer is slow that takes this many times as long as usual.
 SLOW_FACTOR = 2.0
--- a/walnutquay/state/requests.py
+++ b/walnutquay/state/requests/stages.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 
 from walnutquay.exceptions import NotStartedError, SpentStageError
-from walnutquay.state.ids import EndpointName, RequestId
-from walnutquay.state.refusals import Refusal
+from walnutquay.state.process.ids import EndpointName, RequestId
+from walnutquay.state.requests.refusals import Refusal
 
 
 class Journey:
--- a/walnutquay/state/gains.py
+++ b/walnutquay/state/routed/gains.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from walnutquay.state.ids import ModelName, VmName
-from walnutquay.state.opinions import FIRST_SCATTER, GUESS_COUNT, MEMORY, inside
+from walnutquay.state.process.ids import ModelName, VmName
+from walnutquay.state.routed.opinions import FIRST_SCATTER, GUESS_COUNT, MEMORY, inside
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/state/sizing.py
+++ b/walnutquay/state/routed/sizing.py
@@ -13,10 +13,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from walnutquay.state.catalogue import Route
-from walnutquay.state.gains import Gains, ModelPair
-from walnutquay.state.ids import RouteName
-from walnutquay.state.opinions import FadingMean, chance_good, step_of
+from walnutquay.state.process.ids import RouteName
+from walnutquay.state.routed.gains import Gains, ModelPair
+from walnutquay.state.routed.opinions import FadingMean, chance_good, step_of
+from walnutquay.state.store.catalogue import Route
 
 # What a good answer after its aim is worth, beside one in time.
 LATE_VALUE = 0.3
--- a/walnutquay/state/work.py
+++ b/walnutquay/state/routed/work.py
@@ -15,8 +15,8 @@
 
 import xxhash
 
-from walnutquay.state.counts import LatestTable
-from walnutquay.state.ids import EndpointName
+from walnutquay.state.process.counts import LatestTable
+from walnutquay.state.process.ids import EndpointName
 
 # Times are learnt from prompts of this size, whose reading outweighs the rest.
 MIN_LEARNT_TOKENS = 1_000
--- a/walnutquay/state/catalogue.py
+++ b/walnutquay/state/store/catalogue.py
@@ -8,8 +8,8 @@
 from enum import Enum
 from functools import cached_property
 
-from walnutquay.state.ids import ModelName, RouteName, ServiceName
-from walnutquay.state.parts import Organisation
+from walnutquay.state.process.ids import ModelName, RouteName, ServiceName
+from walnutquay.state.store.parts import Organisation
 
 # Whose requests those without a key are, on routes that need none.
 PUBLIC = Organisation(name="public")
--- a/walnutquay/state/instances.py
+++ b/walnutquay/state/store/instances.py
@@ -7,7 +7,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from walnutquay.state.ids import EndpointName, HallName, ServiceName, VersionName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    HallName,
+    ServiceName,
+    VersionName,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/state/orders.py
+++ b/walnutquay/state/store/orders.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.ids import ServiceName, VersionName
+from walnutquay.state.process.ids import ServiceName, VersionName
 
 
 class OrderState(Enum):
--- a/walnutquay/state/parts.py
+++ b/walnutquay/state/store/parts.py
@@ -8,7 +8,12 @@
 
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 
-from walnutquay.state.ids import OnWithdrawn, RolloutState, VersionState, WorkKind
+from walnutquay.state.process.ids import (
+    OnWithdrawn,
+    RolloutState,
+    VersionState,
+    WorkKind,
+)
 
 Name = Annotated[
     str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$", strict=True)
--- a/walnutquay/state/versionchoice.py
+++ b/walnutquay/state/trials/choice.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.ids import VersionName
+from walnutquay.state.process.ids import VersionName
 
 
 class ChoiceReason(Enum):
--- a/walnutquay/state/trialcounts.py
+++ b/walnutquay/state/trials/counts.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.ids import EndpointName, RouteName
+from walnutquay.state.process.ids import EndpointName, RouteName
 
 # One endpoint may be ill by itself: so many are needed where only it fails.
 MIN_BAD_OF_ONE = 8
--- a/walnutquay/state/trialevidence.py
+++ b/walnutquay/state/trials/evidence.py
@@ -7,8 +7,8 @@
 from collections import deque
 from enum import Enum
 
-from walnutquay.state.ids import HallName, VmProcess
-from walnutquay.state.trialcounts import (
+from walnutquay.state.process.ids import HallName, VmProcess
+from walnutquay.state.trials.counts import (
     BASE_FACTOR,
     RECENT_DEVIATIONS,
     RECENT_SEEN,
@@ -19,7 +19,7 @@
     condemned,
     is_sluggish,
 )
-from walnutquay.state.trialreports import AnswerCounts, TrialReport, summed
+from walnutquay.state.trials.reports import AnswerCounts, TrialReport, summed
 
 # Stands for all VMs that were lost together.
 LOST = VmProcess("")
--- a/walnutquay/state/keptsessions.py
+++ b/walnutquay/state/trials/kept.py
@@ -17,7 +17,7 @@
     """The numbers of sessions that all VMs leave on the old version.
 
     A session's number tells whether it falls to the new version, see
-    :func:`walnutquay.state.trials.session_number`.
+    :func:`walnutquay.state.trials.trial.session_number`.
     """
 
     def __init__(self) -> None:
--- a/walnutquay/state/sessionnotes.py
+++ b/walnutquay/state/trials/notes.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from walnutquay.state.counts import LatestTable
-from walnutquay.state.ids import ServiceName, VersionName
+from walnutquay.state.process.counts import LatestTable
+from walnutquay.state.process.ids import ServiceName, VersionName
 
 # Callers name their sessions, so their number is bounded.  A VM at the largest size
 # serves some 60 requests a second, so this is a matter of minutes.
--- a/walnutquay/state/trialreports.py
+++ b/walnutquay/state/trials/reports.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from walnutquay.state.ids import RouteName, VersionName
-from walnutquay.state.trialcounts import Measure, Subject, TrialCounts, TrialTally
-from walnutquay.state.usual import UsualTime
+from walnutquay.state.process.ids import RouteName, VersionName
+from walnutquay.state.trials.counts import Measure, Subject, TrialCounts, TrialTally
+from walnutquay.state.trials.usual import UsualTime
 
 
 class Verdict(Enum):
--- a/walnutquay/state/trials.py
+++ b/walnutquay/state/trials/trial.py
@@ -11,13 +11,13 @@
 
 from dataclasses import replace
 
-from walnutquay.state.ids import HallName, VmProcess
-from walnutquay.state.keptsessions import KeptSessions
-from walnutquay.state.orders import RolloutOrder
-from walnutquay.state.sessionnumbers import HASH_SPAN, session_number
-from walnutquay.state.trialcounts import Measure
-from walnutquay.state.trialevidence import LOST, TrialEvidence
-from walnutquay.state.trialreports import TrialReport, Verdict, summed
+from walnutquay.state.process.ids import HallName, VmProcess
+from walnutquay.state.store.orders import RolloutOrder
+from walnutquay.state.trials.counts import Measure
+from walnutquay.state.trials.evidence import LOST, TrialEvidence
+from walnutquay.state.trials.kept import KeptSessions
+from walnutquay.state.trials.numbers import HASH_SPAN, session_number
+from walnutquay.state.trials.reports import TrialReport, Verdict, summed
 
 # The share of new sessions in the first half, of what a bad version may get.  The
 # rest is left for the time in which it turns bad and is found out.
--- a/walnutquay/state/usual.py
+++ b/walnutquay/state/trials/usual.py
@@ -13,9 +13,9 @@
 
 import xxhash
 
-from walnutquay.state.counts import LatestTable
-from walnutquay.state.ids import HallName, ServiceName, VmName
-from walnutquay.state.pace import MIN_SEEN, PaceTable
+from walnutquay.state.process.counts import LatestTable
+from walnutquay.state.process.ids import HallName, ServiceName, VmName
+from walnutquay.state.requests.pace import MIN_SEEN, PaceTable
 
 # Services that are kept; a platform has a few.
 MAX_SERVICES = 100
--- a/walnutquay/transport/peers.py
+++ b/walnutquay/transport/peers.py
@@ -15,9 +15,9 @@
 from walnutquay.exceptions import MessageError, PeerError
 from walnutquay.protocol.messages import Envelope, Failure, Message
 from walnutquay.protocol.peer import PeerCodec
-from walnutquay.state.clock import HybridClock
-from walnutquay.state.membership import Address
-from walnutquay.state.metrics import Metrics
+from walnutquay.state.fleet.membership import Address
+from walnutquay.state.process.clock import HybridClock
+from walnutquay.state.process.metrics import Metrics
 from walnutquay.transport.sockets import limit_silence
 from walnutquay.transport.timers import monotonic, unix_microseconds
 
