An endpoint's own failure is passed on where no other endpoint can be asked

Cause: a request that may run once more, and whose endpoint answered 500, was ended with a 502 of ours when no second endpoint was left: its caller lost the answer that was there. Found by a test in which a data hall with one of two endpoints is emptied (502 instead of 500). The last such answer is kept with the request, and delivered.

--- a/tests/test_routed.py
+++ b/tests/test_routed.py
@@ -65,6 +65,14 @@
         self.assertEqual((answer.status, answer.body), (500, b"mine"))
         self.assertEqual(self.runs(), 2)
 
+    async def test_the_endpoints_own_answer_returns_where_no_other_is_left(self):
+        await self.store.remove("servers", "p2")
+        book = self.gateway.knowledge.instances.book
+        await self.until(lambda: "p2" not in book.known)
+        self.endpoints["p1"].default = Behaviour(status=500, body=b"mine")
+        answer = await self.call("/safe/x")
+        self.assertEqual((answer.status, answer.body), (500, b"mine"))
+
     async def test_an_unsafe_request_runs_once(self):
         for fault in (
             Behaviour(status=500),
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -222,6 +222,8 @@
         :param grant: the endpoint.
         :param error: how it failed.
         """
+        if isinstance(error, FailedAnswerError):
+            turn.failed_answer = error.answer
         if error.step == STEP_SILENT:
             # What was sent was never acknowledged: it has not arrived.
             turn.prepaid = True
@@ -259,6 +261,12 @@
         if turn.progress.begun and isinstance(stage, Continuing):
             stage.unknown()
             return Streamed(whole=False)
+        blocked = refusal.code is RefusalCode.ENDS_ENDPOINTS
+        answer = turn.failed_answer
+        if isinstance(stage, Continuing) and answer is not None and not blocked:
+            # It tells the caller more than that nobody else could be asked.
+            stage.answered()
+            return Whole(answer)
         return await super().no_place(turn, stage, refusal)
 
     # One endpoint.
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -11,6 +11,7 @@
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.protocol.calls import AnswerHead, CallHead
 from walnutquay.protocol.streams import StreamProgress
+from walnutquay.state.own.claims import WholeAnswer
 from walnutquay.state.process.ids import ModelName, ServiceName
 from walnutquay.state.requests.refusals import Refusal
 from walnutquay.state.routed.work import PromptWork
@@ -107,6 +108,7 @@
     :param avoid_new: whether a version on trial has failed it.
     :param choice: which version is to serve it; None where none is on trial.
     :param last_refusal: why the last endpoint did not begin.
+    :param failed_answer: the last answer by which an endpoint said that it failed.
     :param first_opinion: what the model that answered first thought of its answer,
         where a larger one was asked then.
     """
@@ -121,6 +123,7 @@
     avoid_new: bool = False
     choice: VersionChoice | None = None
     last_refusal: Refusal | None = None
+    failed_answer: WholeAnswer | None = None
     first_opinion: Opinion | None = None
 
     @property
