Data halls that operators empty get nothing more, by any path

Cause: no part of the program read the platform's objects that empty a data hall.

Change: a fourth kind of the store's objects is followed as the others are: listed, watched, relayed, told to VMs that start, kept while the store is away, confirmed after a suspension. Endpoints of an emptied hall are left out in the one place that gives endpoints to first sends, retries, larger models, streams that resume and requests kept apart. What runs there runs on.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -316,4 +316,11 @@
         "return True",
         "tests.test_crashbook.SentLaterTest",
     ),
+    Mutation(
+        "emptied halls: their endpoints are chosen all the same",
+        "state/store/instances.py",
+        "and instance.hall not in self.emptied",
+        "and True",
+        "tests.test_emptied.SendingTest",
+    ),
 ]
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -112,7 +112,7 @@
     """A VM that starts learns from the others what there is, not from the store."""
 
     async def test_without_any_call_for_a_list(self):
-        kinds = ("config", "servers", "rollouts")
+        kinds = ("config", "servers", "rollouts", "evacuations")
         before = [self.store.calls[f"GET {kind}"] for kind in kinds]
         second = await self.add_gateway("vm-2", [self.gateway])
         await self.until(lambda: second.knowledge.ready)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -304,11 +304,13 @@
     def test_a_silent_store_is_noticed_while_leaving_endpoints_are_served(self):
         # The least times that the users' deployments give, and longer ones.
         for seconds in (2.0, 4.0, 8.0):
-            times = watch_times(seconds, seconds)
+            times = watch_times(seconds, seconds, seconds)
             noticed = times.endpoints + WATCH_SLACK_SECONDS
             self.assertLess(noticed + watchers_module.ANSWER_SECONDS, seconds)
             noticed = times.configuration + WATCH_SLACK_SECONDS
             self.assertLessEqual(noticed, seconds)
+            noticed = times.halls + WATCH_SLACK_SECONDS
+            self.assertLessEqual(noticed, seconds)
 
     async def test_a_watcher_that_returns_to_a_vm_that_was_never_cut_off(self):
         knowledge = self.follower.knowledge
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -50,22 +50,28 @@
     :param configuration: of the operators' configuration.
     :param endpoints: of the endpoints' entries.
     :param orders: of roll-out orders.
+    :param halls: of data halls that are emptied.
     """
 
     configuration: float
     endpoints: float
     orders: float
+    halls: float
 
 
-def watch_times(config_seconds: float, drain_seconds: float) -> WatchTimes:
+def watch_times(
+    config_seconds: float, drain_seconds: float, empty_seconds: float
+) -> WatchTimes:
     """:param config_seconds: in which a configuration must be in force everywhere.
 
     :param drain_seconds: in which a leaving endpoint is still to be served.
+    :param empty_seconds: in which an emptied data hall is still to be served.
     """
     return WatchTimes(
         max(PROBE_SECONDS, config_seconds - NOTICE_SECONDS),
         ENTRY_WATCH_SHARE * drain_seconds,
         ORDER_WATCH_SECONDS,
+        max(PROBE_SECONDS, empty_seconds - NOTICE_SECONDS),
     )
 
 
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -22,10 +22,17 @@
     Follower,
     WatchTimes,
 )
-from walnutquay.coordination.store.sinks import CatalogueSink, InstanceSink, OrderSink
+from walnutquay.coordination.store.sinks import (
+    CatalogueSink,
+    HallSink,
+    InstanceSink,
+    OrderSink,
+)
 from walnutquay.exceptions import HistoryGoneError, PlatformError
+from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, KnownList
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.store.catalogue import Catalogue
+from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
 from walnutquay.transport.timers import monotonic
@@ -50,6 +57,7 @@
     :param catalogues: the operators' configuration.
     :param instances: the running endpoints.
     :param orders: the roll-out orders.
+    :param halls: the data halls that are emptied.
     :param ask_peers: asks the other VMs while the store does not answer.
     :param times: how long one watch of each kind waits.
     """
@@ -60,6 +68,7 @@
         catalogues: Feed[Catalogue],
         instances: Feed[Instance],
         orders: Feed[RolloutOrder],
+        halls: Feed[EmptiedHall],
         ask_peers: AskPeers,
         times: WatchTimes,
     ) -> None:
@@ -67,6 +76,7 @@
         self.catalogue = CatalogueSink(context)
         self.instances = InstanceSink(context)
         self.orders = OrderSink(context)
+        self.halls = HallSink(context, self.instances.book.emptied)
         self.catalogue_follower = Follower(
             context,
             catalogues,
@@ -93,6 +103,15 @@
             ask_peers,
             WATCH_GAP_SECONDS,
         )
+        self.hall_follower = Follower(
+            context,
+            halls,
+            self.halls,
+            times.halls,
+            _nothing,
+            ask_peers,
+            WATCH_GAP_SECONDS,
+        )
         self.tasks = Tasks()
         # When this VM last woke after it was away, and the look at the store that was
         # begun then.
@@ -148,6 +167,7 @@
         self._entries_return()
         self.instance_follower.nudge()
         self.order_follower.nudge()
+        self.hall_follower.nudge()
 
     def _entries_return(self) -> None:
         """Expect that entries which lapsed with the store come back soon."""
@@ -172,18 +192,32 @@
 
     def followers(self) -> tuple[Follower, ...]:
         """:returns: the followers, one for each kind."""
-        return (self.catalogue_follower, self.instance_follower, self.order_follower)
+        return (
+            self.catalogue_follower,
+            self.instance_follower,
+            self.order_follower,
+            self.hall_follower,
+        )
 
-    def export(self, kind: str, revision: int) -> bytes:
-        """:param kind: a kind of the store's objects.
+    def answer(self, envelope: Envelope) -> KnownIs:
+        """Tell another VM what is known of one kind of the store's objects.
 
-        :param revision: what a peer knows of it.
-        :returns: what is known here, if it is newer; else nothing.
+        :param envelope: its question.
         """
+        question = envelope.body
+        assert isinstance(question, AskKnown)
         for follower in self.followers():
-            if follower.feed.kind == kind:
-                return follower.feed.export(revision)
-        return b""
+            if follower.feed.kind == question.kind:
+                return KnownIs(follower.feed.export(question.revision))
+        return KnownIs(b"")
+
+    def lists(self) -> tuple[KnownList, ...]:
+        """:returns: all that is known, for a VM that starts; nothing until all is."""
+        lists = tuple(
+            KnownList(follower.feed.kind, follower.feed.export(0))
+            for follower in self.followers()
+        )
+        return lists if all(known.data for known in lists) else ()
 
     @property
     def ready(self) -> bool:
@@ -192,6 +226,7 @@
             self.catalogue.current is not None
             and self.instances.listed
             and self.orders.listed
+            and self.halls.listed
             and all(condition() for condition in self.conditions)
         )
 
@@ -230,4 +265,4 @@
 
 
 def _nothing() -> None:
-    """Do nothing: roll-out orders do not lapse."""
+    """Do nothing: operators' orders do not lapse."""
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -8,9 +8,15 @@
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.process.ids import EndpointName, ServiceName, VersionName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    HallName,
+    ServiceName,
+    VersionName,
+)
 from walnutquay.state.store.catalogue import Catalogue
 from walnutquay.state.store.feeds import Change, Changes, Listing
+from walnutquay.state.store.halls import EmptiedHall, EmptiedHalls
 from walnutquay.state.store.instances import Instance, InstanceBook
 from walnutquay.state.store.orders import RolloutOrder
 from walnutquay.transport.timers import monotonic
@@ -195,3 +201,54 @@
         )
         for listener in self.listeners:
             listener(order)
+
+
+class HallSink:
+    """Takes in which data halls are emptied.
+
+    :param context: what this process shares.
+    :param emptied: where that is kept.
+    """
+
+    def __init__(self, context: Context, emptied: EmptiedHalls) -> None:
+        self.context = context
+        self.emptied = emptied
+        self.listed = False
+        # Told of each data hall whose endpoints may be sent requests again.
+        self.back_listeners: list[Callable[[HallName], None]] = []
+
+    def take_listing(self, listing: Listing[EmptiedHall]) -> None:
+        """:param listing: all orders."""
+        self.listed = True
+        for hall in self.emptied.missing(listing.items):
+            self._take_back(hall)
+        for order in listing.items.values():
+            self._put(order)
+
+    def take_changes(self, changes: Changes[EmptiedHall]) -> None:
+        """:param changes: orders that have changed, in order."""
+        for change in changes.changes:
+            if change.item is None:
+                self._take_back(HallName(change.name))
+            else:
+                self._put(change.item)
+
+    def _put(self, order: EmptiedHall) -> None:
+        if self.emptied.put(order):
+            self.context.timeline.emit(
+                EventKind.HALL_EMPTIED,
+                detail="its endpoints get nothing more",
+                hall=order.hall,
+                revision=order.revision,
+            )
+
+    def _take_back(self, hall: HallName) -> None:
+        if not self.emptied.take_back(hall):
+            return
+        self.context.timeline.emit(
+            EventKind.HALL_BACK,
+            detail="its endpoints may be sent requests again",
+            hall=hall,
+        )
+        for listener in self.back_listeners:
+            listener(hall)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -29,22 +29,15 @@
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.places import RoutedPlaces
 from walnutquay.coordination.routed.worknews import WorkExchange
-from walnutquay.coordination.store.following import watch_times
-from walnutquay.coordination.store.knowledge import Knowledge
-from walnutquay.coordination.store.relaying import Relay, RelayedFeed
+from walnutquay.coordination.store.relaying import Relay
 from walnutquay.coordination.trials.record import TrialRecord
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.daemon.collector import tune_collector
 from walnutquay.daemon.gatewayapi import GatewayApi
 from walnutquay.daemon.metricsapi import MetricsApi
+from walnutquay.daemon.storefeeds import StoreLinks
 from walnutquay.logs import open_line_log
 from walnutquay.platform.calls import PlatformDialect
-from walnutquay.platform.feeds import (
-    Unreadable,
-    catalogue_feed,
-    instance_feed,
-    order_feed,
-)
 from walnutquay.platform.registers import StoredOrders, VmRegister
 from walnutquay.platform.store import StoreClient
 from walnutquay.platform.values import ValueStore
@@ -54,9 +47,6 @@
     AskStart,
     AskTrial,
     AskVms,
-    Envelope,
-    KnownIs,
-    KnownList,
     OpinionNews,
     SessionsSeen,
     TrialNews,
@@ -83,9 +73,6 @@
 # Repeated requests are kept to this part of what the platform allows, as its
 # spans and ours do not begin together.
 BUDGET_MARGIN = 0.92
-# VMs that do not watch the store ask those that do so much more often: a watcher that
-# falls silent is to be noticed, and another asked, in the same time.
-POLL_SHARE = 0.5
 # Until the list of VMs has been read, so many are taken to share the retries: a
 # small fleet, of which some are always being replaced.
 ASSUMED_VMS = 7
@@ -121,7 +108,7 @@
         first_start = options.peers.first_start
         self.watchers = Watchers(self.context, self.peers)
         self.starting = StartingKnowledge(
-            self.context, self.peers, self._known_lists, first_start
+            self.context, self.peers, lambda: self.knowledge.lists(), first_start
         )
         self.dispatcher.on(AskStart, self.starting.answer)
         self.vm_list = VmList(
@@ -135,8 +122,11 @@
         self.dispatcher.on(AskVms, self.vm_list.answer)
         self.dispatcher.on(VmNews, self.vm_list.hear)
         self.dispatcher.listeners.append(self.vm_list.heard_from)
-        self.knowledge = self._make_knowledge()
-        self.dispatcher.on(AskKnown, self._known)
+        links = StoreLinks(
+            self.context, self.store, self.peers, self.watchers, self.starting
+        )
+        self.knowledge = links.knowledge(options.promises)
+        self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
         self.client = HttpClient()
         self.versions = VersionTrials(
@@ -183,61 +173,6 @@
         seeds = [Address(host, own.port) for host in hosts]
         return FleetPeers(self.context, self.node, own, seeds)
 
-    def _make_knowledge(self) -> Knowledge:
-        promises = self.options.promises
-        times = watch_times(promises.config_seconds, promises.drain_seconds)
-        catalogues = catalogue_feed(self.store)
-        instances = instance_feed(self.store)
-        orders = order_feed(self.store)
-        for feed in (catalogues, instances, orders):
-            feed.on_unreadable = self._tell_unreadable
-        return Knowledge(
-            self.context,
-            RelayedFeed(
-                catalogues,
-                self.watchers,
-                poll=times.configuration * POLL_SHARE,
-                starting=self.starting,
-            ),
-            RelayedFeed(
-                instances,
-                self.watchers,
-                lambda ago: self.knowledge.watcher_returned(ago),
-                times.endpoints * POLL_SHARE,
-                self.starting,
-            ),
-            RelayedFeed(orders, self.watchers, starting=self.starting),
-            self._ask_peers,
-            times,
-        )
-
-    def _tell_unreadable(self, found: Unreadable) -> None:
-        self.context.metrics.count(f"unreadable_{found.kind}")
-        self.context.timeline.emit(
-            EventKind.UNREADABLE,
-            detail=found.reason,
-            object_kind=found.kind,
-            name=found.name,
-            revision=found.revision,
-        )
-
-    async def _ask_peers(self, kind: str, revision: int) -> bytes:
-        answer = await self.peers.ask(AskKnown(kind, revision))
-        return answer.data if isinstance(answer, KnownIs) else b""
-
-    def _known_lists(self) -> tuple[KnownList, ...]:
-        """Give what is known here to a VM that starts; nothing until all is listed."""
-        lists = tuple(
-            KnownList(follower.feed.kind, follower.feed.export(0))
-            for follower in self.knowledge.followers()
-        )
-        return lists if all(known.data for known in lists) else ()
-
-    def _known(self, envelope: Envelope) -> KnownIs:
-        body = envelope.body
-        assert isinstance(body, AskKnown)
-        return KnownIs(self.knowledge.export(body.kind, body.revision))
-
     def _memory_of(self, service: ServiceName) -> int:
         catalogue = self.knowledge.catalogue.current
         known = catalogue.services.get(service) if catalogue is not None else None
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -20,11 +20,13 @@
 from walnutquay.platform.names import (
     CONFIGURATION_NAME,
     KIND_CONFIGURATION,
+    KIND_EMPTIED,
     KIND_INSTANCES,
     KIND_ROLLOUTS,
 )
 from walnutquay.platform.records import (
     decode_catalogue,
+    decode_emptied,
     decode_instance,
     decode_order,
 )
@@ -33,6 +35,7 @@
 from walnutquay.protocol.lists import pack, unpack
 from walnutquay.state.store.catalogue import Catalogue
 from walnutquay.state.store.feeds import Change, Changes, Listing
+from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
 
@@ -318,3 +321,11 @@
         KIND_ROLLOUTS,
         lambda s: decode_order(s.name, s.revision, s.spec, s.status),
     )
+
+
+def emptied_feed(store: StoreClient) -> Feed[EmptiedHall]:
+    """:param store: the store's client.
+
+    :returns: the data halls whose endpoints are to get nothing more.
+    """
+    return Feed(store, KIND_EMPTIED, lambda s: decode_emptied(s.name, s.revision))
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -59,6 +59,9 @@
 CONFIGURATION_NAME = "main"
 KIND_INSTANCES = "servers"
 KIND_ROLLOUTS = "rollouts"
+# An object of this kind stands for a data hall, by its name, whose endpoints are to get
+# nothing more; it has no content.
+KIND_EMPTIED = "evacuations"
 # A kind of our own: the entry VMs.
 KIND_VMS = "entry-vms"
 # Begins the kinds that hold values of our own interface.
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -39,6 +39,7 @@
     Route,
     RoutedService,
 )
+from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 from walnutquay.state.store.parts import Organisation
@@ -160,6 +161,14 @@
     )
 
 
+def decode_emptied(name: str, revision: int) -> EmptiedHall:
+    """:param name: the object's name, which is the data hall's; it has no content.
+
+    :param revision: the object's revision.
+    """
+    return EmptiedHall(HallName(name), revision)
+
+
 def decode_order(name: str, revision: int, spec: Any, status: Any) -> RolloutOrder:
     """:param name: the object's name.
 
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -239,6 +239,12 @@
     """How long after its acknowledgement a configuration may not be in force yet."""
     drain_seconds: Positive = 2.0
     """How long a leaving endpoint may still be sent requests."""
+    empty_seconds: Positive = 5.0
+    """How long the endpoints of an emptied data hall may still be sent requests."""
+    cold_over: Annotated[float, Field(ge=1.0)] = 1.5
+    """So many times what a cold endpoint bears may reach it in any second."""
+    cold_extra: NotNegative = 5.0
+    """Requests that may reach it in that second besides."""
     balancer_seconds: NotNegative = 2.6
     """From SIGTERM until no new connections are taken: the platform asks each second
     whether a VM is ready and takes it out after two misses."""
--- a/walnutquay/state/store/instances.py
+++ b/walnutquay/state/store/instances.py
@@ -13,6 +13,7 @@
     ServiceName,
     VersionName,
 )
+from walnutquay.state.store.halls import EmptiedHalls
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,8 @@
     def __init__(self, overdue_seconds: float) -> None:
         self.overdue_seconds = overdue_seconds
         self.known: dict[EndpointName, Instance] = {}
+        # Data halls whose instances get nothing, though they run.
+        self.emptied = EmptiedHalls()
         # Instances without an entry that are still used, and until when.
         self.overdue: dict[EndpointName, float] = {}
         # Deletions are only doubted until then; monotonic seconds.
@@ -153,20 +156,22 @@
         """:param service: a service.
 
         :param version: only instances of this version; None for all.
-        :returns: those that have not announced their end.
+        :returns: those that may be sent requests: they have not announced their end,
+            and their data hall is not emptied.
         """
         return [
             instance
             for instance in self.known.values()
             if instance.service == service
             and not instance.leaving
+            and instance.hall not in self.emptied
             and version in (None, instance.version)
         ]
 
     def versions_of(self, service: ServiceName) -> set[VersionName]:
         """:param service: a service.
 
-        :returns: the versions of its instances that have not announced their end.
+        :returns: the versions of its instances that may be sent requests.
         """
         return {instance.version for instance in self.of_service(service)}
 
