Cold endpoints get from all VMs together no more than they bear

Cause: an endpoint that has just started, or comes back from an emptied hall, has nothing to do, so each of 61 VMs finds it free. Nothing read that an endpoint was cold.

Change: what the entry of an endpoint says of its coldness is believed until it ends or another entry says otherwise; the endpoints of a hall that is taken back are taken for cold for as long as ones that have started. What a cold endpoint bears in a second (and no more than half of what operators allow) is given to as many VMs of its hall as may send a whole request each; all find the same ones from the names alone. It holds for first sends, retries, larger models and streams that go on. Where all endpoints are cold a request waits for half its aim at the most, the more urgent first, and is refused then with a time to come back that is spread. An answer is kept where no endpoint could run a larger model.

The check that facts of log lines are documented looked for a file that had another name, and found none; it looks into the file again.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -323,4 +323,25 @@
         "and True",
         "tests.test_emptied.SendingTest",
     ),
+    Mutation(
+        "cold endpoints: each VM sends as if it were their only keeper",
+        "coordination/routed/cold.py",
+        "if self.context.vm not in keepers_of(instance.name, vms, count):",
+        "if False:",
+        "tests.test_cold.KeepersTest",
+    ),
+    Mutation(
+        "cold endpoints: what is sent there is not counted",
+        "coordination/routed/cold.py",
+        "self.endpoints.sent(instance.name, quota.count, now)",
+        "pass",
+        "tests.test_cold.SendingTest",
+    ),
+    Mutation(
+        "a hall that was emptied: its endpoints are warm at once",
+        "daemon/gateway.py",
+        "self.knowledge.halls.back_listeners.append(places.cold.on_hall_back)",
+        "pass",
+        "tests.test_cold.HallBackTest",
+    ),
 ]
--- a/tests/test_fleetstate.py
+++ b/tests/test_fleetstate.py
@@ -82,6 +82,25 @@
         self.assertIn("look at: 127.0.0.1:9 does not answer", text)
         self.assertIn("plain/ready=2", text)
 
+    async def test_a_hall_that_is_emptied_and_what_still_runs_there(self):
+        gate = asyncio.Event()
+        self.endpoints["e1"].default = Behaviour(events=2, gate=gate)
+        stream = asyncio.ensure_future(self.call("/once/x", b"b", Model="tiny"))
+        await self.until(lambda: self.runs("e1") == 1)
+        await self.store.put("evacuations", "hall-a", {})
+        await self.until(lambda: "hall-a" in self.gateway.knowledge.halls.emptied)
+        address = f"127.0.0.1:{self.gateway.metrics_api.server.port}"
+        (state,) = await read_states([address])
+        self.assertEqual(state.emptied, {"hall-a": 1})
+        self.assertEqual(state.endpoints["plain/emptied"], 2)
+        text = states_text([state])
+        self.assertIn("emptied: hall-a, known to 1 of 1 VMs, 1 requests still", text)
+        self.assertIn(f"{address} has no ready endpoint of plain", text)
+        gate.set()
+        await stream
+        (state,) = await read_states([address])
+        self.assertEqual(state.emptied, {"hall-a": 0})
+
     async def test_whose_work_waits(self):
         for name in ("p1", "p2"):
             self.endpoints[name].default = Behaviour(mute=True)
--- a/tests/test_metrics_address.py
+++ b/tests/test_metrics_address.py
@@ -34,7 +34,7 @@
         for node in ast.walk(tree):
             if isinstance(node, ast.Call) and _name_of(node.func) == "emit":
                 found |= {word.arg for word in node.keywords if word.arg}
-            if isinstance(node, ast.FunctionDef) and path.stem == "routedfacts":
+            if isinstance(node, ast.FunctionDef) and path.stem == "facts":
                 found |= _keys(node) if node.name in MAKERS else set()
     return found - FIELDS
 
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -78,6 +78,10 @@
         slow = (QUICK[0], QUICK[1], Forecast(15.0, 5.0, 0.12))
         self.assertNotEqual(ModelChoice().next(case(forecasts=slow), 0, 0.0).larger, 2)
 
+    def test_a_model_that_no_endpoint_could_run_is_not_asked(self):
+        nobody = tuple(replace(one, wait=float("inf")) for one in QUICK)
+        self.assertIsNone(ModelChoice().next(case(forecasts=nobody), 0, 1.0).larger)
+
     def test_a_late_answer_is_worth_less(self):
         early, late = case().worth_at(0.5), case().worth_at(8.0)
         self.assertEqual(early, 1.0)
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -58,6 +58,7 @@
     :param waiting: its requests without an outcome, by whose they are.
     :param blocked: requests that are held to end endpoints.
     :param unreadable: objects of the store that cannot be read.
+    :param emptied: what it still has running in each data hall that is emptied.
     """
 
     address: str
@@ -75,6 +76,7 @@
     waiting: tuple[Waiting, ...] = ()
     blocked: int = 0
     unreadable: int = 0
+    emptied: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +138,11 @@
         waiting=tuple(_waiting_of(figures)),
         blocked=_total(figures, "requests_blocked"),
         unreadable=_total(figures, "unreadable"),
+        emptied={
+            one.labels["hall"]: int(one.value)
+            for one in figures
+            if one.name == "emptied_hall_running"
+        },
     )
 
 
@@ -199,7 +206,8 @@
             found.append(f"{one.address} last heard of the store {one.age:.0f} s ago")
         services = {name.partition("/")[0] for name in one.endpoints}
         for service in sorted(services):
-            if not one.endpoints.get(f"{service}/ready"):
+            usable = (f"{service}/ready", f"{service}/cold")
+            if not any(one.endpoints.get(state) for state in usable):
                 found.append(f"{one.address} has no ready endpoint of {service}")
     return found
 
@@ -225,6 +233,7 @@
             f"{one.answered:>10}{one.refused:>9}{one.unknown:>7}"
             f"{one.p99_seconds * 1000:>8.0f}  {endpoints}"
         )
+    text += _emptied_text(states)
     waiting = all_waiting(states)
     if waiting:
         text.append("waiting:")
@@ -237,6 +246,20 @@
     return "\n".join(text)
 
 
+def _emptied_text(states: list[VmState]) -> list[str]:
+    """Tell which data halls are emptied, what still runs there, and who knows."""
+    up = [one for one in states if one.reached]
+    lines = []
+    for hall in sorted({hall for one in up for hall in one.emptied}):
+        know = [one for one in up if hall in one.emptied]
+        running = sum(one.emptied[hall] for one in know)
+        lines.append(
+            f"emptied: {hall}, known to {len(know)} of {len(up)} VMs, "
+            f"{running} requests still run there"
+        )
+    return lines
+
+
 async def read_states(addresses: Iterable[str]) -> list[VmState]:
     """:param addresses: metrics addresses, ``IP:port``.
 
--- a/walnutquay/coordination/fleet/peers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import logbook
 import xxhash
@@ -195,6 +195,19 @@
         first = rendezvous(key, self.known)[:1]
         return first in ([], [self.context.vm])
 
+    def names_near(self, hall: HallName) -> Collection[VmName]:
+        """:param hall: a data hall.
+
+        :returns: the VMs of it that are known, or of all halls where it has none; none
+            before there is a list, but in a fleet of one.
+        """
+        if not self.known:
+            return [] if self.seeds else [self.context.vm]
+        names = [vm for vm, place in self.known.items() if place.hall == hall]
+        if hall == self.context.hall and self.context.vm not in names:
+            names.append(self.context.vm)
+        return names or list(self.known)
+
     def hall_of(self, vm: VmName) -> HallName | None:
         """:param vm: a VM.
 
--- a/walnutquay/coordination/routed/facts.py
+++ b/walnutquay/coordination/routed/facts.py
@@ -78,6 +78,7 @@
             "load": facts.load(now),
             "load_age_ms": whole_ms(now - facts.reported_at),
             "slots": endpoint.slots,
+            "cold": self.places.cold.is_bound(endpoint, now),
             "reading_ms": whole_ms(self.places.work.wait(endpoint.name, now)),
             "list_age_ms": whole_ms(self.knowledge.instance_follower.age()),
             "left_ms": whole_ms(turn.seconds_left()),
--- a/walnutquay/coordination/routed/places.py
+++ b/walnutquay/coordination/routed/places.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.requests.places import Grant, Need
+from walnutquay.coordination.routed.cold import ColdGate
 from walnutquay.coordination.routed.promptengines import EngineBeliefs, PromptEngines
 from walnutquay.coordination.routed.reach import Reach
 from walnutquay.protocol.messages import WorkNews
@@ -68,6 +70,7 @@
     :param allowed: tells which versions may be used.
     :param memory: tells how many tokens an engine of a service keeps; 0 if unknown.
     :param vms: tells how many entry VMs there are.
+    :param cold: which endpoints may be sent requests though some are cold.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         allowed: AllowedVersions,
         memory: Callable[[ServiceName], int],
         vms: Callable[[], int],
+        cold: ColdGate,
     ) -> None:
         self.context = context
         self.book = book
@@ -86,6 +90,7 @@
         self.work = WorkTable()
         self.memory = memory
         self.vms = vms
+        self.cold = cold
         self.reach = Reach(context, book)
         self.beliefs = EngineBeliefs(context.hall, table, self.work)
         # The prompts that this VM has sent last, by service.
@@ -115,9 +120,7 @@
         :returns: a place, or why there is none.
         """
         service = ServiceName(need.target)
-        candidates = self.candidates(service, need.version)
-        left = [item for item in candidates if item.name not in need.tried]
-        if not left:
+        if not self._untried(need):
             return Error(
                 Refusal(
                     RefusalCode.NO_ENDPOINT,
@@ -125,6 +128,15 @@
                     NO_ENDPOINT_RETRY,
                 )
             )
+        left = await self.cold.wait_for(lambda: self._untried(need), need)
+        if not left:
+            return Error(
+                Refusal(
+                    RefusalCode.NO_ENDPOINT,
+                    f"the endpoints of {service} are cold, and have what they may get",
+                    self.cold.retry_after(),
+                )
+            )
         now = monotonic()
         left = self.reach.within(left)
         if need.suspect:
@@ -143,11 +155,17 @@
                     FULL_RETRY,
                 )
             )
+        self.cold.sent(chosen, now)
         self.table.of(chosen.name).in_flight += 1
         if need.work is None:
             return Ok(Grant(chosen, now, WorkKind.QUICK))
         return Ok(self._with_work(Grant(chosen, now, WorkKind.PATIENT), need))
 
+    def _untried(self, need: Need) -> list[Instance]:
+        """Give the endpoints that could serve a request and have not failed it."""
+        candidates = self.candidates(ServiceName(need.target), need.version)
+        return [item for item in candidates if item.name not in need.tried]
+
     def unreached(self, grant: Grant, silent: bool) -> None:
         """Avoid an endpoint that could not be connected to, until it can be.
 
@@ -217,13 +235,14 @@
         :param service: the service.
         :param work: the prompt.
         :param aim: the time in which its answer should begin; seconds.
-        :returns: seconds of reading before it, and to read it.
+        :returns: seconds of reading before it, and to read it; an infinite wait where
+            no endpoint may be sent it now.
         """
         now = monotonic()
-        left = self.reach.within(self.candidates(service))
+        left = self.reach.within(self.cold.open(self.candidates(service), now))
         open_ones = self._open_ones(left, now, frozenset()) or left
         if not open_ones:
-            return 0.0, 0.0
+            return math.inf, 0.0
         engines = self._engines(open_ones, service, work, now)
         return engines.times(engines.best(aim))
 
@@ -332,6 +351,7 @@
         :param instance: its entry; None where it has none any more, or is about to
             have that of a later start.
         """
+        self.cold.on_instance(name, instance)
         if instance is not None:
             return
         self.table.forget(name)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -26,6 +26,7 @@
 from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.cascading import Cascading
+from walnutquay.coordination.routed.cold import ColdGate
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.places import RoutedPlaces
 from walnutquay.coordination.routed.worknews import WorkExchange
@@ -61,6 +62,7 @@
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.sizing import ModelChoice
+from walnutquay.state.store.catalogue import RoutedService
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.listeners import listen
@@ -173,9 +175,12 @@
         seeds = [Address(host, own.port) for host in hosts]
         return FleetPeers(self.context, self.node, own, seeds)
 
-    def _memory_of(self, service: ServiceName) -> int:
+    def _service(self, name: ServiceName) -> RoutedService | None:
         catalogue = self.knowledge.catalogue.current
-        known = catalogue.services.get(service) if catalogue is not None else None
+        return catalogue.services.get(name) if catalogue is not None else None
+
+    def _memory_of(self, name: ServiceName) -> int:
+        known = self._service(name)
         return known.memory_tokens if known is not None else 0
 
     def _make_path(self) -> RoutedPath:
@@ -188,8 +193,10 @@
             versions.allowed,
             self._memory_of,
             lambda: self.peers.size,
+            self._make_cold(),
         )
         self.knowledge.instances.listeners.append(places.on_instance)
+        self.knowledge.halls.back_listeners.append(places.cold.on_hall_back)
         WorkExchange(places, self.peers).listen(self.dispatcher)
         crashes = self._make_crashes()
         self.knowledge.instances.restart_listeners.append(crashes.started_again)
@@ -207,6 +214,17 @@
             self._make_budgets(),
         )
 
+    def _make_cold(self) -> ColdGate:
+        promises = self.options.promises
+        return ColdGate(
+            self.context,
+            self.knowledge.instances.book,
+            self._service,
+            self.peers,
+            promises.cold_over,
+            promises.cold_extra,
+        )
+
     def _make_crashes(self) -> CrashWatch:
         crashes = CrashWatch(self.context, self.peers)
         crashes.listen(self.dispatcher)
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -96,6 +96,7 @@
         dropped = self.writer.dropped if self.writer is not None else 0
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
         yield from self._endpoints()
+        yield from self._emptied()
         yield from self._crashes()
         for service, budget in self.path.budgets.known.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
@@ -132,6 +133,17 @@
             label = f'service="{target.service}",version="{escaped(target.version)}"'
             yield f"{PREFIX}_requests_blocked{{{label}}} {len(blocked)}"
 
+    def _emptied(self) -> Iterator[str]:
+        """Tell which data halls are emptied, and what this VM still has there."""
+        book = self.knowledge.instances.book
+        for hall in sorted(self.knowledge.halls.emptied.orders):
+            running = sum(
+                self.path.parts.table.of(item.name).in_flight
+                for item in book.known.values()
+                if item.hall == hall
+            )
+            yield f'{PREFIX}_emptied_hall_running{{hall="{escaped(hall)}"}} {running}'
+
     def _endpoints(self) -> Iterator[str]:
         now = monotonic()
         states: Counter[tuple[str, str]] = Counter()
@@ -139,8 +151,12 @@
             facts = self.path.parts.table.of(item.name)
             if item.leaving:
                 state = "leaving"
+            elif item.hall in self.knowledge.halls.emptied:
+                state = "emptied"
             elif facts.ejected_until > now:
                 state = "ejected"
+            elif self.path.places.cold.is_bound(item, now):
+                state = "cold"
             else:
                 state = "ready"
             states[item.service, state] += 1
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -109,6 +109,8 @@
         name=ServiceName(item.name),
         connections=item.max_conns or DEFAULT_CONNECTIONS,
         engine=item.engine is not None,
+        cold_seconds=item.cold_start_s or 0.0,
+        cold_per_second=item.cold_per_s or 0.0,
         memory_tokens=engine.kv_tokens or 0,
         models=tuple(
             EngineModel(ModelName(model.name), model.cost or 0.0)
--- a/walnutquay/platform/schemas.py
+++ b/walnutquay/platform/schemas.py
@@ -150,6 +150,8 @@
 
     name: Name
     max_conns: Count | None = None
+    cold_start_s: Number | None = None
+    cold_per_s: Number | None = None
     engine: EngineSpec | None = None
 
 
--- a/walnutquay/state/routed/sizing.py
+++ b/walnutquay/state/routed/sizing.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -36,7 +37,8 @@
 class Forecast:
     """How one model would serve a request now.
 
-    :param wait: seconds of reading before it at the engine that it would go to.
+    :param wait: seconds of reading before it at the engine that it would go to;
+        infinite where there is none.
     :param reading: seconds to read its prompt there.
     :param cost: the model's price of a thousand tokens.
     """
@@ -208,6 +210,9 @@
             gain = self._gain(case.route, model, step_of(opinion), larger)
             chance = chance_good(opinion + gain, scatter)
             forecast = case.forecasts[larger]
+            if math.isinf(forecast.wait):
+                # Nobody could answer, and the answer that is there would be lost.
+                continue
             worth = case.worth_at(forecast.wait + forecast.reading)
             value = chance * worth - case.price(larger)
             if value > best.value:
--- a/walnutquay/state/store/catalogue.py
+++ b/walnutquay/state/store/catalogue.py
@@ -114,6 +114,9 @@
     :param engine: whether its endpoints run models.
     :param memory_tokens: tokens that an engine's memory holds; 0 for others.
     :param models: the models that its engines run.
+    :param cold_seconds: for how long an endpoint that has started is cold.
+    :param cold_per_second: requests a second that a cold one bears; 0 where nothing
+        is said.
     """
 
     name: ServiceName
@@ -121,6 +124,8 @@
     engine: bool = False
     memory_tokens: int = 0
     models: tuple[EngineModel, ...] = ()
+    cold_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
