A connection that is given up as it opens is closed once

The daemons' loop takes a socket that it is handed for its own: opening the connection goes on when nobody waits for it any more, and ends it then. Nobody is left who closes its descriptor again.

Ruled out: aiohappyeyeballs closes what it gives up; our own copies of descriptors (to look for a reset) are closed where they are made; standard output keeps its number.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -344,4 +344,11 @@
         "pass",
         "tests.test_cold.HallBackTest",
     ),
+    Mutation(
+        "connections made of sockets: given up midway",
+        "transport/loops.py",
+        "return await asyncio.shield(opening)",
+        "return await opening",
+        "tests.test_loops",
+    ),
 ]
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -29,6 +29,8 @@
 
 # A connection opens within fewer turns of the loop.
 TURNS = 40
+# A connected socket is the loop's within fewer turns.
+HANDING_TURNS = 6
 
 
 async def give_up_after(turns: int, port: int) -> list[socket.socket]:
@@ -86,6 +88,30 @@
     assert opened > TURNS / 2
 
 
+async def give_up_handing_over() -> None:
+    """Give up handing connected sockets to the loop, at each moment of it."""
+    server = await mute_endpoint()
+    loop = asyncio.get_running_loop()
+    for turns in range(HANDING_TURNS):
+        made = socket.socket()
+        made.setblocking(False)
+        await loop.sock_connect(made, server.sockets[0].getsockname())
+        opening = asyncio.ensure_future(
+            loop.create_connection(asyncio.Protocol, sock=made)
+        )
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        opening.cancel()
+        await asyncio.gather(opening, return_exceptions=True)
+        for _ in range(HANDING_TURNS):
+            await asyncio.sleep(0)
+        if is_closed_elsewhere(made):
+            made.detach()
+            raise AssertionError(f"its descriptor is closed twice: {turns} turns")
+        made.close()
+    server.close()
+
+
 async def open_and_speak() -> bytes:
     """:returns: what comes back over a connection made of a socket."""
 
@@ -119,5 +145,8 @@
     def test_at_each_turn_of_the_loop(self):
         self.run_on_loop(give_up_at_each_turn())
 
+    def test_while_a_socket_is_handed_over(self):
+        self.run_on_loop(give_up_handing_over())
+
     def test_connections_made_of_sockets_work(self):
         self.assertEqual(self.run_on_loop(open_and_speak()), b"word")
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -20,6 +20,7 @@
 from walnutquay.logs import open_log
 from walnutquay.settings import Settings
 from walnutquay.state.process.events import EventKind
+from walnutquay.transport.loops import new_loop
 
 log = logbook.Logger(__name__)
 
@@ -119,4 +120,4 @@
     :param settings: the daemon's settings.
     """
     open_log(settings.options.log, settings.options.vm.name)
-    uvloop.run(_serve(settings))
+    uvloop.run(_serve(settings), loop_factory=new_loop)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -66,6 +66,7 @@
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.listeners import listen
+from walnutquay.transport.loops import new_loop
 from walnutquay.transport.peers import PeerNode
 
 log = logbook.Logger(__name__)
@@ -345,4 +346,4 @@
     :param listeners: sockets that listen already, by address.
     """
     writer = open_line_log(settings.options.log, settings.options.vm.name)
-    uvloop.run(_serve(settings, writer, listeners))
+    uvloop.run(_serve(settings, writer, listeners), loop_factory=new_loop)
