A VM that stops does not wait for a silent store until it is killed

Cause: of the time to stop 0.4 s are left when requests must have ended, and a call of the store takes 0.8 s to be given up.

The last words to the store and to the other VMs have 0.2 s. The test fails without that (its store never gives up).

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from standins.worker import Behaviour
-from tests.gatewaycase import GatewayCase, catalogue
+from tests.gatewaycase import WAIT_SECONDS, GatewayCase, catalogue
 from walnutquay.protocol.messages import CrashDigest, Envelope, VmNews, VmRow
 from walnutquay.state.fleet.membership import VmPlace
 from walnutquay.state.process.clock import Stamp
@@ -88,6 +88,14 @@
         # The stream's own connection, begun before the stop, is closed as well.
         await self.until(lambda: not server.web.connections)
 
+    async def test_a_store_that_is_silent_does_not_hold_it(self):
+        # A process that still waited for the store was killed at the end of its time.
+        await self.until(lambda: self.gateway.vm_list.entered_at > 0)
+        self.store.silent = True
+        self.gateway.store.call_seconds = 3600.0
+        async with asyncio.timeout(WAIT_SECONDS):
+            await self.close_gateway(self.gateway)
+
     async def test_a_request_that_crosses_the_close_is_not_passed_on(self):
         server = self.gateway.api.server
         # Kept connections: what is sent by them is sent at once.
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -73,6 +73,9 @@
 
 # What is left of the time to stop once requests must have ended.
 EXIT_SECONDS = 0.4
+# Of it, what may go on telling the store and the other VMs that this one leaves: the
+# store may be silent, and a process that is killed takes its log lines with it.
+LEAVING_SECONDS = 0.2
 # Repeated requests are kept to this part of what the platform allows, as its
 # spans and ours do not begin together.
 BUDGET_MARGIN = 0.92
@@ -317,7 +320,12 @@
         self.crash_record.stop()
         self.path.parts.crashes.close()
         # Both at once: little time is left where requests took long to end.
-        await asyncio.gather(self.versions.sessions.hand_over(), self.vm_list.stop())
+        leaving = (self.versions.sessions.hand_over(), self.vm_list.stop())
+        try:
+            async with asyncio.timeout(LEAVING_SECONDS):
+                await asyncio.gather(*leaving)
+        except TimeoutError:
+            log.warning("nobody has answered that this VM leaves")
         await self.node.stop()
         self.context.timers.stop()
         await self.api.server.stop()
