--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -256,6 +256,14 @@
             ((7, 1), EventKind.FAILED, "r", {"step": "answer"}),
         )
 
+    def test_behind_a_line_that_was_cut(self):
+        event = Event(Stamp(7, 1), "vm-1", EventKind.FAILED, "r")
+        line = orjson.dumps({"time": "2026-02-06T06:32:43", **event.plain()})
+        for cut in (1, 20, len(line) - 1):
+            found = read_line(line[:cut] + line + b"\n")
+            assert found is not None
+            self.assertEqual(found.request, "r")
+
     def test_what_is_no_event(self):
         for data in (b"", b"text", b"{", b"[1]", b'{"message":"x"}', b'{"at":1}'):
             with self.subTest(data):
--- a/walnutquay/history/lines.py
+++ b/walnutquay/history/lines.py
@@ -15,6 +15,8 @@
 from walnutquay.state.process.events import EventKind, Facts
 
 MICROSECONDS = 1_000_000
+# How each line begins.
+LINE_BEGINS = b'{"time":'
 # What every line has, and facts that tell nothing about a decision.
 COMMON = frozenset(
     {
@@ -115,19 +117,21 @@
 
 
 def read_line(data: bytes) -> LogLine | None:
-    """Read one line; what a log collector has put before the JSON is passed over.
+    """Read one line; what stands before its JSON is passed over.
+
+    That may be what a log collector has put there, or a line that was cut in its middle
+    and has lost its end.
 
     :param data: the line.
     :returns: the event, or None where the line is none.
     """
     start = data.find(b"{")
-    if start < 0:
-        return None
-    try:
-        plain = orjson.loads(data[start:])
-        return _event_of(plain)
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
-        return None
+    while start >= 0:
+        try:
+            return _event_of(orjson.loads(data[start:]))
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+            start = data.find(LINE_BEGINS, start + 1)
+    return None
 
 
 def _event_of(plain: dict[str, Any]) -> LogLine:
