Operators of our own interface empty a data hall with one command

walnutquay hall empty NAME and hall fill NAME change one part of the configuration; admission leaves out the endpoints of emptied halls, as the platform's face does, and walnutquay status tells what a VM still has running there. Heads that were stored without that part are read as before. What a VM tells of itself stands in daemon/status.py.

--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -33,6 +33,9 @@
     ["rollout", "pause"],
     ["rollout", "resume"],
     ["rollout", "withdraw"],
+    ["hall"],
+    ["hall", "empty"],
+    ["hall", "fill"],
     ["policy"],
     ["policy", "test"],
     ["timeline"],
@@ -197,6 +200,21 @@
         states = {v["name"]: v.get("state") for v in content["versions"]}
         self.assertEqual(states["small-2"], "withdrawn")
 
+    async def test_a_hall_that_is_emptied_and_used_again(self):
+        code, output, _ = await self.run_command("hall", "empty", "hall-a")
+        self.assertEqual((code, output), (0, "revision 2 is in force\n"))
+        answer = await self.chat("vm-b1", model="small-1")
+        self.assertEqual((answer.status, answer.ran), (503, "not_run"))
+        _, output, _ = await self.run_command("status")
+        self.assertIn("emptied: hall-a, 0 requests of this VM", output)
+        code, _, errors = await self.run_command("hall", "empty", "hall-x")
+        self.assertEqual(code, 1)
+        self.assertIn("did you mean 'hall-a'?", errors)
+        code, _, _ = await self.run_command("hall", "fill", "hall-a")
+        self.assertEqual(code, 0)
+        answer = await self.chat("vm-b1", model="small-1")
+        self.assertEqual(answer.status, 200)
+
     async def test_timeline_debug_and_policy(self):
         answer = await self.chat("vm-b1", model="small-1")
         request = answer.headers["x-walnutquay-request"]
--- a/walnutquay/cmdline.py
+++ b/walnutquay/cmdline.py
@@ -24,6 +24,7 @@
     "get": "administer",
     "status": "administer",
     "rollout": "administer",
+    "hall": "halls",
     "policy": "administer",
     "timeline": "administer",
     "trace": "trace",
--- a/walnutquay/commands/administer.py
+++ b/walnutquay/commands/administer.py
@@ -57,13 +57,20 @@
         "operation": operation or secrets.token_hex(OPERATION_BYTES),
     }
     accepted = await fleet.call("PUT", "/v1/configuration", body)
-    await _report(fleet, accepted, wait, seconds, as_json)
+    await report(fleet, accepted, wait, seconds, as_json)
 
 
-async def _report(
+async def report(
     fleet: Fleet, accepted: dict[str, Any], wait: bool, seconds: float, as_json: bool
 ) -> None:
-    """Print what was accepted, and where it is in force."""
+    """Print what was accepted, and where it is in force.
+
+    :param fleet: where the fleet is.
+    :param accepted: what the administration API has answered.
+    :param wait: whether to wait until each VM has it.
+    :param seconds: how long at the most.
+    :param as_json: whether to print JSON.
+    """
     if not wait:
         show(accepted, as_json, lambda a: f"revision {a['revision']} is accepted")
         return
@@ -135,6 +142,10 @@
         )
     for rollout in value["rollouts"]:
         lines.extend(_rollout_lines(rollout))
+    lines.extend(
+        f"  emptied: {hall}, {running} requests of this VM still run there"
+        for hall, running in value["emptied"].items()
+    )
     lines.extend(f"  braked: {name}" for name in value["braked"])
     lines.extend(f"  policy {n}: {why}" for n, why in value["failed_policies"].items())
     metrics = value["metrics"]
@@ -176,7 +187,7 @@
 ) -> None:
     body["operation"] = secrets.token_hex(OPERATION_BYTES)
     accepted = await fleet.call("POST", f"/v1/rollouts/{name}/{action}", body)
-    await _report(fleet, accepted, wait=True, seconds=30.0, as_json=as_json)
+    await report(fleet, accepted, wait=True, seconds=30.0, as_json=as_json)
 
 
 @rollout.command()
--- a/walnutquay/coordination/own/admission.py
+++ b/walnutquay/coordination/own/admission.py
@@ -69,9 +69,9 @@
     def _all_endpoints_of(self, target: str) -> list[Endpoint]:
         current = self.configurations.current
         found = current.endpoints_of_version.get(target)
-        if found is not None:
-            return found
-        return current.endpoints_of_service.get(target, [])
+        if found is None:
+            found = current.endpoints_of_service.get(target, [])
+        return [item for item in found if item.hall not in current.emptied_halls]
 
     def used(self) -> list[Endpoint]:
         """:returns: the endpoints that this VM uses for anything."""
--- a/walnutquay/daemon/administration.py
+++ b/walnutquay/daemon/administration.py
@@ -18,6 +18,7 @@
 from walnutquay.coordination.own.parts import Parts
 from walnutquay.daemon.authentication import is_operator
 from walnutquay.daemon.beliefs import BELIEFS
+from walnutquay.daemon.status import vm_status
 from walnutquay.exceptions import (
     ConfigurationError,
     ConflictError,
@@ -28,12 +29,11 @@
 from walnutquay.settings import AdministrationSection
 from walnutquay.state.own.checking import check_content, parse_content, problems_of
 from walnutquay.state.own.configuration import PART_MODELS, Configuration, Content
+from walnutquay.state.own.halls import HallAction, change_hall
 from walnutquay.state.own.policies import PolicyPrograms, PolicyRequest
 from walnutquay.state.own.rollouts import RolloutAction, change_rollout
-from walnutquay.state.process.ids import MemberState
-from walnutquay.state.store.parts import Policy, Rollout
+from walnutquay.state.store.parts import Policy
 from walnutquay.transport.server import HttpServer, ServerLimits
-from walnutquay.transport.timers import monotonic
 
 JSON_TYPE = "application/json"
 BODY_LIMIT = 8 << 20
@@ -101,6 +101,7 @@
         route("/v1/timeline", ["GET"], self.timeline, "timeline")
         route("/v1/metrics", ["GET"], self.metrics, "metrics")
         route("/v1/rollouts/<name:str>/<action:str>", ["POST"], self.rollout, "roll")
+        route("/v1/halls/<name:str>/<action:str>", ["POST"], self.hall, "hall")
         route("/v1/policies/test", ["POST"], self.policy_test, "policy-test")
         route("/v1/trace", ["POST"], self.record_trace, "record-trace")
         route("/v1/trace", ["GET"], self.get_trace, "get-trace")
@@ -176,6 +177,28 @@
         )
         return reply({"revision": accepted.revision, "operation": accepted.operation})
 
+    @_guarded
+    async def hall(self, request: Request, name: str, action: str) -> HTTPResponse:
+        """Empty a data hall, or use it again.
+
+        :param request: the operator's request; its body may have ``operation``.
+        :param name: the data hall.
+        :param action: what to do with it.
+        """
+        body = _json_object(request) if request.body else {}
+        try:
+            wanted = HallAction(action)
+        except ValueError:
+            names = ", ".join(item.value for item in HallAction)
+            raise ConfigurationError(
+                f"{action!r} is no action; there are {names}"
+            ) from None
+        accepted = await self.parts.acceptance.apply(
+            lambda content: change_hall(content, name, wanted),
+            str(body.get("operation") or secrets.token_hex(OPERATION_BYTES)),
+        )
+        return reply({"revision": accepted.revision, "operation": accepted.operation})
+
     @_guarded
     async def policy_test(self, request: Request) -> HTTPResponse:
         """Run a policy on sample requests, without putting it in force.
@@ -315,69 +338,3 @@
         return changed
 
     return change
-
-
-def rollout_status(parts: Parts, rollout: Rollout) -> dict[str, Any]:
-    """Show a roll-out, and how far it has come.
-
-    :param parts: the parts of a daemon.
-    :param rollout: the roll-out.
-    :returns: it, its tests, and which engines that are to run the new version
-        have it, as far as this VM knows.
-    """
-    loaded = parts.endpoint_news.loaded
-    wanted = parts.configurations.current.endpoints_of_version.get(rollout.new, [])
-    return {
-        **rollout.model_dump(mode="json"),
-        "tests": parts.health.table.counts(rollout.new),
-        "verdict": parts.health.table.verdict(rollout.new).value,
-        "loaded": [e.name for e in wanted if rollout.new in loaded.get(e.name, ())],
-        "wanted": [e.name for e in wanted],
-        "unchanged_for": parts.health.unchanged_for(rollout.new),
-    }
-
-
-def vm_status(parts: Parts) -> dict[str, Any]:
-    """:param parts: the parts of a daemon.
-
-    :returns: how its VM and, as it sees them, the others are.
-    """
-    now = monotonic()
-    configurations = parts.configurations
-    members = [
-        {
-            "vm": member.news.vm,
-            "hall": member.news.hall,
-            "incarnation": member.news.incarnation,
-            "state": parts.members.table.state_of(member, now).value,
-            "revision": member.news.revision,
-            "heard": round(now - member.heard_at, 3),
-            "listed": member.listed,
-            "administration": f"{member.news.address.host}:"
-            f"{member.news.administration}",
-        }
-        for member in parts.members.table.members.values()
-    ]
-    live = [m for m in members if m["state"] != MemberState.SILENT.value]
-    metrics = parts.context.metrics.plain()
-    return {
-        "vm": parts.context.vm,
-        "hall": parts.context.hall,
-        "incarnation": parts.context.incarnation,
-        "revision": configurations.current.revision,
-        "ready": configurations.ready and not parts.chats.closed,
-        "confirmed": round(configurations.confirmed_age(), 3),
-        "platform_up": parts.platform.up,
-        "in_flight": parts.chats.in_flight + parts.services.in_flight,
-        "behind": [
-            m["vm"] for m in live if m["revision"] < configurations.current.revision
-        ],
-        "members": sorted(members, key=lambda m: m["vm"]),
-        "rollouts": [
-            rollout_status(parts, rollout)
-            for rollout in configurations.current.content.rollouts
-        ],
-        "braked": sorted(parts.health.table.braked),
-        "failed_policies": configurations.programs.failed,
-        "metrics": metrics,
-    }
--- a/walnutquay/state/own/configuration.py
+++ b/walnutquay/state/own/configuration.py
@@ -17,6 +17,7 @@
 from walnutquay.state.store.parts import (
     Cascade,
     Endpoint,
+    Hall,
     Organisation,
     Part,
     Policy,
@@ -37,6 +38,7 @@
     "pools": Pool,
     "endpoints": Endpoint,
     "services": Service,
+    "halls": Hall,
 }
 
 # Endpoints are kept in this many buckets, for all of them together may be larger
@@ -61,6 +63,7 @@
     pools: tuple[Pool, ...] = ()
     endpoints: tuple[Endpoint, ...] = ()
     services: tuple[Service, ...] = ()
+    halls: tuple[Hall, ...] = ()
 
 
 def encode_part(items: tuple[BaseModel, ...]) -> bytes:
@@ -217,6 +220,11 @@
         """Endpoint by name."""
         return {item.name: item for item in self.content.endpoints}
 
+    @cached_property
+    def emptied_halls(self) -> frozenset[str]:
+        """The data halls whose endpoints get nothing more."""
+        return frozenset(item.name for item in self.content.halls if item.emptied)
+
     @cached_property
     def endpoints_of_version(self) -> dict[str, list[Endpoint]]:
         """Endpoints that have a version loaded."""
--- a/walnutquay/state/store/parts.py
+++ b/walnutquay/state/store/parts.py
@@ -159,6 +159,15 @@
     """Whether it refuses orders that carry an older fence."""
 
 
+class Hall(Part):
+    """A data hall whose endpoints are treated unlike others."""
+
+    name: Name
+    """The data hall, as endpoints name it."""
+    emptied: bool = False
+    """Whether its endpoints get nothing more; what runs there runs on."""
+
+
 class Service(Part):
     """A plain service beside the model engines."""
 
