Requests run in the regions that their route and their organisation allow

The platform's configuration may keep a route's or an organisation's requests to regions; nothing read it. The regions of data halls come with the settings. First sends, retries, larger models and forecasts know endpoints in those regions only; where both name regions both bind, and a hall whose region is not known is in none. Our own interface has the same for organisations, by the regions of its halls.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -351,4 +351,11 @@
         "return await opening",
         "tests.test_loops",
     ),
+    Mutation(
+        "regions: a route's endpoints are asked wherever they stand",
+        "coordination/routed/places.py",
+        "allowed = within(candidates, need.regions, self.region_of)",
+        "allowed = candidates",
+        "tests.test_regions.RouteTest",
+    ),
 ]
--- a/walnutquay/coordination/own/admission.py
+++ b/walnutquay/coordination/own/admission.py
@@ -19,6 +19,7 @@
 from walnutquay.state.process.ids import RequestId
 from walnutquay.state.requests.endpoints import FULL_SECONDS, EndpointTable, subset
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.regions import within
 from walnutquay.state.store.parts import Endpoint
 from walnutquay.transport.timers import monotonic
 
@@ -53,6 +54,17 @@
         self.subsets: dict[str, list[Endpoint]] = {}
         configurations.listeners.append(self.on_configuration)
 
+    def endpoints_for(self, need: Need) -> list[Endpoint]:
+        """:param need: a request.
+
+        :returns: the endpoints that this VM uses for it, where it may run.
+        """
+        region_of = self.configurations.current.regions
+        near = within(self.endpoints_of(need.target), need.regions, region_of)
+        if near or need.regions is None:
+            return near
+        return within(self._all_endpoints_of(need.target), need.regions, region_of)
+
     def endpoints_of(self, target: str) -> list[Endpoint]:
         """Give the endpoints that this VM uses for a version or service.
 
@@ -86,7 +98,7 @@
         :param need: what for.
         :returns: the place, or why there is none.
         """
-        endpoints = self.endpoints_of(need.target)
+        endpoints = self.endpoints_for(need)
         refusal = self._unusable(need, endpoints)
         if refusal is not None:
             return Error(refusal)
@@ -131,7 +143,7 @@
             if waiting is None:
                 return
             waiter = self.waiters.pop(waiting.request)
-            endpoints = self.endpoints_of(waiting.target)
+            endpoints = self.endpoints_for(waiter.need)
             endpoint = self._choose(endpoints, now, waiter.need)
             assert endpoint is not None
             waiter.future.set_result(Ok(self._grant(endpoint, now)))
@@ -143,7 +155,7 @@
         """
         self.subsets.clear()
         for request, waiter in list(self.waiters.items()):
-            endpoints = self.endpoints_of(waiter.need.target)
+            endpoints = self.endpoints_for(waiter.need)
             refusal = self._unusable(waiter.need, endpoints)
             if refusal is None:
                 continue
@@ -189,12 +201,13 @@
 
     def _has_room(self, now: float) -> Callable[[Waiting], bool]:
         """Make the test whether a request that waits can have a place now."""
-        known: dict[tuple[str, frozenset[str]], bool] = {}
+        known: dict[tuple[str, frozenset[str], object], bool] = {}
 
         def has_room(waiting: Waiting) -> bool:
-            question = (waiting.target, waiting.tried)
+            need = self.waiters[waiting.request].need
+            question = (waiting.target, waiting.tried, need.regions)
             if question not in known:
-                endpoints = self.endpoints_of(waiting.target)
+                endpoints = self.endpoints_for(need)
                 choice = self.table.choose(endpoints, now, tried=waiting.tried)
                 known[question] = choice is not None
             return known[question]
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -24,6 +24,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import RequestId
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.regions import allowed_regions
 from walnutquay.state.requests.stages import (
     Admitted,
     Continuing,
@@ -135,6 +136,7 @@
             turn.tried,
             turn.prefix,
             suspect=self.parts.crashes.suspected(arrival) or "",
+            regions=allowed_regions(arrival.organisation.regions),
         )
 
     def may_retry(self, turn: Turn) -> bool:
--- a/walnutquay/coordination/requests/places.py
+++ b/walnutquay/coordination/requests/places.py
@@ -12,6 +12,7 @@
 from walnutquay.state.process.ids import (
     EndpointName,
     OrganisationName,
+    RegionName,
     RequestId,
     ServiceName,
     VersionName,
@@ -42,6 +43,7 @@
     :param aim: the time in which its answer should begin; seconds.
     :param priority: its rank, 0 the most urgent.
     :param suspect: its fingerprint, where an endpoint has ended under it; empty else.
+    :param regions: the regions in which it may run; None for all.
     """
 
     request: RequestId
@@ -58,6 +60,7 @@
     aim: float = 0.0
     priority: int = 0
     suspect: str = ""
+    regions: frozenset[RegionName] | None = None
 
 
 @dataclass(slots=True)
--- a/walnutquay/coordination/routed/cascading.py
+++ b/walnutquay/coordination/routed/cascading.py
@@ -151,7 +151,7 @@
         if work is None:
             return Forecast(0.0, 0.0, self._cost(turn, model))
         aim = turn.arrival.route.objective_seconds
-        wait, reading = self.places.forecast(turn.service, work, aim)
+        wait, reading = self.places.forecast(turn.service, work, aim, turn.regions)
         return Forecast(wait, reading, self._cost(turn, model))
 
     def _cost(self, turn: RoutedTurn, model: ModelName) -> float:
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -151,6 +151,7 @@
             work=turn.work,
             aim=arrival.route.objective_seconds,
             priority=arrival.priority,
+            regions=turn.regions,
         )
 
     def still_allowed(self, turn: RoutedTurn) -> Refusal | None:
--- a/walnutquay/coordination/routed/places.py
+++ b/walnutquay/coordination/routed/places.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
@@ -19,12 +19,14 @@
 from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
+    RegionName,
     ServiceName,
     VersionName,
     WorkKind,
 )
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.regions import within
 from walnutquay.state.routed.sizing import Demand, weight_of
 from walnutquay.state.routed.traffic import PromptTraffic, SentPrompt
 from walnutquay.state.routed.work import PromptWork, WorkTable, preferred_of
@@ -71,6 +73,7 @@
     :param memory: tells how many tokens an engine of a service keeps; 0 if unknown.
     :param vms: tells how many entry VMs there are.
     :param cold: which endpoints may be sent requests though some are cold.
+    :param region_of: the region of each data hall.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         memory: Callable[[ServiceName], int],
         vms: Callable[[], int],
         cold: ColdGate,
+        region_of: Mapping[HallName, RegionName],
     ) -> None:
         self.context = context
         self.book = book
@@ -91,6 +95,7 @@
         self.memory = memory
         self.vms = vms
         self.cold = cold
+        self.region_of = region_of
         self.reach = Reach(context, book)
         self.beliefs = EngineBeliefs(context.hall, table, self.work)
         # The prompts that this VM has sent last, by service.
@@ -164,7 +169,8 @@
     def _untried(self, need: Need) -> list[Instance]:
         """Give the endpoints that could serve a request and have not failed it."""
         candidates = self.candidates(ServiceName(need.target), need.version)
-        return [item for item in candidates if item.name not in need.tried]
+        allowed = within(candidates, need.regions, self.region_of)
+        return [item for item in allowed if item.name not in need.tried]
 
     def unreached(self, grant: Grant, silent: bool) -> None:
         """Avoid an endpoint that could not be connected to, until it can be.
@@ -228,18 +234,24 @@
         return self._traffic(service).demand(monotonic(), self.vms(), engines)
 
     def forecast(
-        self, service: ServiceName, work: PromptWork, aim: float
+        self,
+        service: ServiceName,
+        work: PromptWork,
+        aim: float,
+        regions: frozenset[RegionName] | None = None,
     ) -> tuple[float, float]:
         """Forecast how soon a prompt could be read, at the engine that is best for it.
 
         :param service: the service.
         :param work: the prompt.
         :param aim: the time in which its answer should begin; seconds.
+        :param regions: the regions in which it may run; None for all.
         :returns: seconds of reading before it, and to read it; an infinite wait where
             no endpoint may be sent it now.
         """
         now = monotonic()
-        left = self.reach.within(self.cold.open(self.candidates(service), now))
+        allowed = within(self.candidates(service), regions, self.region_of)
+        left = self.reach.within(self.cold.open(allowed, now))
         open_ones = self._open_ones(left, now, frozenset()) or left
         if not open_ones:
             return math.inf, 0.0
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -12,8 +12,9 @@
 from walnutquay.protocol.calls import AnswerHead, CallHead
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.own.claims import WholeAnswer
-from walnutquay.state.process.ids import ModelName, ServiceName
+from walnutquay.state.process.ids import ModelName, RegionName, ServiceName
 from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.requests.regions import allowed_regions
 from walnutquay.state.routed.work import PromptWork
 from walnutquay.state.store.catalogue import Route, RouteKind
 from walnutquay.state.trials.choice import VersionChoice
@@ -142,6 +143,12 @@
         """Whether it is answered by a stream of events."""
         return self.arrival.route.kind is RouteKind.STREAM
 
+    @property
+    def regions(self) -> frozenset[RegionName] | None:
+        """The regions in which it may run; None for all."""
+        arrival = self.arrival
+        return allowed_regions(arrival.route.regions, arrival.organisation.regions)
+
     @property
     def session(self) -> str:
         """The session that it belongs to; empty if none."""
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -58,7 +58,7 @@
 from walnutquay.state.fleet.membership import Address
 from walnutquay.state.own.admission import RetryBudget
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.process.ids import HallName, ServiceName, VmName
+from walnutquay.state.process.ids import HallName, RegionName, ServiceName, VmName
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.sizing import ModelChoice
@@ -198,6 +198,10 @@
             self._memory_of,
             lambda: self.peers.size,
             self._make_cold(),
+            {
+                HallName(hall): RegionName(region)
+                for hall, region in self.options.vm.regions.items()
+            },
         )
         self.knowledge.instances.listeners.append(places.on_instance)
         self.knowledge.halls.back_listeners.append(places.cold.on_hall_back)
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -26,6 +26,7 @@
     EndpointName,
     HallName,
     ModelName,
+    RegionName,
     RouteName,
     ServiceName,
     VersionName,
@@ -100,6 +101,7 @@
         cached=bool(item.sticky),
         resumable=bool(item.resumable),
         models=tuple(ModelName(name) for name in item.sizes or ()),
+        regions=tuple(RegionName(name) for name in item.allowed_regions or ()),
     )
 
 
@@ -126,6 +128,7 @@
         name=item.name,
         keys=tuple(key_hash(key) for key in item.api_keys or ()),
         priority=item.priority,
+        regions=tuple(item.allowed_regions or ()),
     )
 
 
--- a/walnutquay/platform/schemas.py
+++ b/walnutquay/platform/schemas.py
@@ -122,6 +122,7 @@
     sticky: bool | None = None
     resumable: bool | None = None
     sizes: list[Name] | None = None
+    allowed_regions: list[Name] | None = None
 
     @model_validator(mode="after")
     def _has_a_destination(self) -> RouteSpec:
@@ -161,6 +162,7 @@
     name: Name
     api_keys: list[Text] | None = None
     priority: Count | None = None
+    allowed_regions: list[Name] | None = None
 
 
 class LimitsSpec(Spec):
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -57,6 +57,9 @@
     region: Name = "default"
     """The region of the data hall: copies of bills stay within it where they can, for
     regions may lose each other."""
+    regions: dict[Name, Name] = {}
+    """The region of each data hall, where the platform's callers are served; a request
+    that may run in some regions only runs in no hall that is missing here."""
 
 
 class CallersSection(Section):
--- a/walnutquay/state/own/configuration.py
+++ b/walnutquay/state/own/configuration.py
@@ -13,7 +13,12 @@
 import xxhash
 from pydantic import BaseModel
 
-from walnutquay.state.process.ids import NO_REVISION, Revision
+from walnutquay.state.process.ids import (
+    NO_REVISION,
+    HallName,
+    RegionName,
+    Revision,
+)
 from walnutquay.state.store.parts import (
     Cascade,
     Endpoint,
@@ -46,6 +51,8 @@
 BUCKETED = "endpoints"
 BUCKETS = 16
 BUCKET_MARK = "/"
+# The region of data halls of which nothing is said.
+DEFAULT_REGION = "default"
 
 # Operations that the head remembers, so that an operator whose answer was
 # lost can still learn whether the change took effect.
@@ -225,6 +232,13 @@
         """The data halls whose endpoints get nothing more."""
         return frozenset(item.name for item in self.content.halls if item.emptied)
 
+    @cached_property
+    def regions(self) -> dict[HallName, RegionName]:
+        """The region of each data hall that endpoints stand in."""
+        known = {item.hall: DEFAULT_REGION for item in self.content.endpoints}
+        known |= {item.name: item.region for item in self.content.halls}
+        return {HallName(hall): RegionName(name) for hall, name in known.items()}
+
     @cached_property
     def endpoints_of_version(self) -> dict[str, list[Endpoint]]:
         """Endpoints that have a version loaded."""
--- a/walnutquay/state/own/halls.py
+++ b/walnutquay/state/own/halls.py
@@ -35,7 +35,8 @@
         near = difflib.get_close_matches(name, known, n=1, cutoff=0.4)
         hint = f"; did you mean {near[0]!r}?" if near else ""
         raise ConfigurationError(f"no endpoint stands in data hall {name!r}{hint}")
-    left = tuple(item for item in content.halls if item.name != name)
-    if action is HallAction.EMPTY:
-        left = (*left, Hall(name=name, emptied=True))
-    return content.model_copy(update={"halls": left})
+    halls = {item.name: item for item in content.halls}
+    emptied = action is HallAction.EMPTY
+    present = halls.get(name, Hall(name=name))
+    halls[name] = present.model_copy(update={"emptied": emptied})
+    return content.model_copy(update={"halls": tuple(halls.values())})
--- a/walnutquay/state/store/catalogue.py
+++ b/walnutquay/state/store/catalogue.py
@@ -8,7 +8,12 @@
 from enum import Enum
 from functools import cached_property
 
-from walnutquay.state.process.ids import ModelName, RouteName, ServiceName
+from walnutquay.state.process.ids import (
+    ModelName,
+    RegionName,
+    RouteName,
+    ServiceName,
+)
 from walnutquay.state.store.parts import Organisation
 
 # Whose requests those without a key are, on routes that need none.
@@ -58,6 +63,7 @@
     :param resumable: whether a stream may go on at another endpoint.
     :param models: models that may answer, smallest first; empty where the
         caller names the one.
+    :param regions: the regions in which its requests may run; empty for all.
     """
 
     name: RouteName
@@ -74,6 +80,7 @@
     cached: bool = False
     resumable: bool = False
     models: tuple[ModelName, ...] = ()
+    regions: tuple[RegionName, ...] = ()
 
     @property
     def repeatable(self) -> bool:
--- a/walnutquay/state/store/parts.py
+++ b/walnutquay/state/store/parts.py
@@ -51,6 +51,8 @@
     """Its rank among organisations, 0 the most urgent; none leaves it to the route."""
     policy: Name | None = None
     """The policy program that orders its candidates; none keeps the given order."""
+    regions: tuple[Name, ...] = ()
+    """The regions in which its requests may run; none sets no limit."""
     on_withdrawn: OnWithdrawn = OnWithdrawn.REFUSE
     """What happens to a turn whose session's version has been withdrawn."""
 
@@ -166,6 +168,8 @@
     """The data hall, as endpoints name it."""
     emptied: bool = False
     """Whether its endpoints get nothing more; what runs there runs on."""
+    region: Name = "default"
+    """The region that it stands in."""
 
 
 class Service(Part):
