--- a/lab/mutants/own.py
+++ b/lab/mutants/own.py
@@ -12,21 +12,21 @@
         "state/own/routing.py",
         "if owner is None or version not in owner.versions:",
         "if owner is None:",
-        "tests.test_routing.AllowedTest",
+        "tests.state.own.test_routing.AllowedTest",
     ),
     Mutation(
         "withdrawn: asked again right before the dispatch",
         "coordination/requests/paths.py",
         "refusal = self.still_allowed(turn)",
         "refusal = None",
-        "tests.test_sessions.WithdrawnWhileWaitingTest",
+        "tests.processes.test_sessions.WithdrawnWhileWaitingTest",
     ),
     Mutation(
         "withdrawn: a cut hall ends it by itself",
         "state/own/routing.py",
         "if entry.unconfirmed_for and doubts",
         "if False and doubts",
-        "tests.test_configurations.CutHallTest."
+        "tests.processes.test_configurations.CutHallTest."
         "test_a_young_version_ends_by_itself_and_a_settled_one_goes_on",
     ),
     Mutation(
@@ -34,14 +34,14 @@
         "state/own/routing.py",
         "    if pinned is None:\n        candidates",
         "    if True:\n        candidates",
-        "tests.test_sessions.SessionTest",
+        "tests.processes.test_sessions.SessionTest",
     ),
     Mutation(
         "a session keeps its version: bare sessions are kept twice",
         "coordination/own/pins.py",
         "if standing:\n            self.tokens",
         "if False:\n            self.tokens",
-        "tests.test_sessions.SessionTest."
+        "tests.processes.test_sessions.SessionTest."
         "test_a_bare_session_id_through_a_roll_out_and_a_lost_keeper",
     ),
     Mutation(
@@ -49,21 +49,21 @@
         "state/own/bills.py",
         "self.skip_to(records[-1].number + 1)",
         "self.next_batch += len(records)",
-        "tests.test_bills.InterleavingTest",
+        "tests.state.own.test_bills.InterleavingTest",
     ),
     Mutation(
         "billed once: a copy before the end mark",
         "coordination/own/billing.py",
         "safe = await self._copy([item.record for item in batch])",
         "safe = True",
-        "tests.test_billed_once.BilledOnceTest.test_a_kill_between_answer_and_flush",
+        "tests.processes.test_billed_once.BilledOnceTest.test_a_kill_between_answer_and_flush",
     ),
     Mutation(
         "billed once: a caller who leaves pays for what it got",
         "coordination/own/chats.py",
         "if passed.begun and not passed.billed:",
         "if False:",
-        "tests.test_whole_answers.WholeAnswerTest."
+        "tests.processes.test_whole_answers.WholeAnswerTest."
         "test_a_caller_who_leaves_is_billed_once_for_what_it_got",
     ),
     Mutation(
@@ -71,28 +71,28 @@
         "coordination/own/billing.py",
         "for wanted in Distance:",
         "for wanted in reversed(Distance):",
-        "tests.test_billed_once.BilledOnceTest.test_a_whole_hall_is_lost_before_the_flush",
+        "tests.processes.test_billed_once.BilledOnceTest.test_a_whole_hall_is_lost_before_the_flush",
     ),
     Mutation(
         "the whole answer: another request's answer is not passed on",
         "coordination/own/engines.py",
         "if headers.get(HEADER_REQUEST_ID) != call.dispatch:",
         "if False:",
-        "tests.test_whole_answers.WholeAnswerTest.test_crossed_and_cut_answers_are_never_passed_on",
+        "tests.processes.test_whole_answers.WholeAnswerTest.test_crossed_and_cut_answers_are_never_passed_on",
     ),
     Mutation(
         "the whole answer: a broken stream is taken up",
         "coordination/own/engines.py",
         "RESUME_TRIES = 2",
         "RESUME_TRIES = 0",
-        "tests.test_whole_answers.WholeAnswerTest.test_a_broken_stream_is_taken_up_byte_for_byte",
+        "tests.processes.test_whole_answers.WholeAnswerTest.test_a_broken_stream_is_taken_up_byte_for_byte",
     ),
     Mutation(
         "the true refusal: a stage that was left is of no use",
         "state/requests/stages.py",
         "if self.journey.stage is not self:",
         "if False:",
-        "tests.test_requests",
+        "tests.state.requests.test_requests",
     ),
     Mutation(
         "at most once: a silent holder may have dispatched",
@@ -100,49 +100,49 @@
         "if holder is None or holder is RunState.UNKNOWN:",
         "if holder is None:\n        return RepeatAction.TAKE_OVER\n"
         "    if holder is RunState.UNKNOWN:",
-        "tests.test_at_most_once.AtMostOnceTest.test_a_repeat_after_the_first_vm_was_killed",
+        "tests.processes.test_at_most_once.AtMostOnceTest.test_a_repeat_after_the_first_vm_was_killed",
     ),
     Mutation(
         "at most once: an abandoned claim's version goes on counting",
         "coordination/own/claims.py",
         "await self.platform.write(run.claim_name, claim.encode(), run.version)",
         "await self.platform.delete(run.claim_name, run.version)",
-        "tests.test_claims.InterleavingTest.test_repeats_through_both_vms",
+        "tests.state.own.test_claims.InterleavingTest.test_repeats_through_both_vms",
     ),
     Mutation(
         "at most once: no repeat without the caller's leave",
         "coordination/own/turns.py",
         "return self.arrival.method in methods and not self.arrival.key",
         "return True",
-        "tests.test_at_most_once.RepeatableTest.test_one_that_may_not_be_repeated",
+        "tests.processes.test_at_most_once.RepeatableTest.test_one_that_may_not_be_repeated",
     ),
     Mutation(
         "a leaving endpoint: the first word wins",
         "state/requests/endpoints.py",
         "if facts.incarnation and incarnation > facts.incarnation:",
         "if True:",
-        "tests.test_whole_answers.LeavingTest",
+        "tests.processes.test_whole_answers.LeavingTest",
     ),
     Mutation(
         "a leaving endpoint: peers are told",
         "coordination/own/endpoints.py",
         "if source is not LeavingSource.PEER:",
         "if False:",
-        "tests.test_whole_answers.LeavingTest.test_a_peers_word",
+        "tests.processes.test_whole_answers.LeavingTest.test_a_peers_word",
     ),
     Mutation(
         "a planned stop waits for what runs",
         "coordination/own/parts.py",
         "end = loop.time() + seconds",
         "end = 0.0",
-        "tests.test_billed_once.PlannedStopTest",
+        "tests.processes.test_billed_once.PlannedStopTest",
     ),
     Mutation(
         "a planned stop tells callers to leave their connections",
         "daemon/entry.py",
         "self.callers.server.draining = True",
         "self.callers.server.draining = False",
-        "tests.test_billed_once.PlannedStopTest."
+        "tests.processes.test_billed_once.PlannedStopTest."
         "test_a_caller_who_keeps_its_connection_is_never_cut",
     ),
     Mutation(
@@ -150,14 +150,14 @@
         "coordination/own/configurations.py",
         "if news.revision > self.head.revision:",
         "if False:",
-        "tests.test_configurations.SpreadTest.test_an_outage_right_after_acceptance",
+        "tests.processes.test_configurations.SpreadTest.test_an_outage_right_after_acceptance",
     ),
     Mutation(
         "configuration: a restored store does not bring it back",
         "coordination/own/configurations.py",
         "if head.revision < self.head.revision:\n            await self._repair",
         "if False:\n            await self._repair",
-        "tests.test_configurations.SpreadTest."
+        "tests.processes.test_configurations.SpreadTest."
         "test_a_restored_older_store_does_not_bring_it_back",
     ),
     Mutation(
@@ -165,7 +165,7 @@
         "coordination/own/acceptance.py",
         "if if_revision is not None and head.revision != if_revision:",
         "if False:",
-        "tests.test_configurations.SpreadTest.test_racing_operators",
+        "tests.processes.test_configurations.SpreadTest.test_racing_operators",
     ),
     Mutation(
         "faults in pairs, at most once: a silent holder may have dispatched",
@@ -173,28 +173,28 @@
         "if holder is None or holder is RunState.UNKNOWN:",
         "if holder is None:\n        return RepeatAction.TAKE_OVER\n"
         "    if holder is RunState.UNKNOWN:",
-        "tests.test_pairs",
+        "tests.processes.test_pairs",
     ),
     Mutation(
         "faults in pairs, billed once: a copy before the end mark",
         "coordination/own/billing.py",
         "safe = await self._copy([item.record for item in batch])",
         "safe = True",
-        "tests.test_pairs",
+        "tests.processes.test_pairs",
     ),
     Mutation(
         "faults in pairs, configuration: one of two racing operators wins",
         "coordination/own/acceptance.py",
         "if if_revision is not None and head.revision != if_revision:",
         "if False:",
-        "tests.test_pairs",
+        "tests.processes.test_pairs",
     ),
     Mutation(
         "exposure: the counts of all VMs are one",
         "coordination/own/tallies.py",
         "good, bad = self.board.hear(row)",
         "good, bad = 0, 0",
-        "tests.test_rollouts.FleetRolloutTest."
+        "tests.state.own.test_rollouts.FleetRolloutTest."
         "test_failures_that_are_spread_over_all_vms_brake_it",
     ),
     Mutation(
@@ -202,41 +202,41 @@
         "state/own/sequential.py",
         "if self._differs():",
         "if True:",
-        "tests.test_rollouts.SequentialTestTest",
+        "tests.state.own.test_rollouts.SequentialTestTest",
     ),
     Mutation(
         "admission: what cannot be answered in time does not begin",
         "state/own/admission.py",
         "return deadline - self.mean_seconds",
         "return deadline",
-        "tests.test_admission",
+        "tests.state.own.test_admission",
     ),
     Mutation(
         "a session stays with what has served it, whatever is learnt",
         "coordination/own/planning.py",
         "if served:",
         "if False:",
-        "tests.test_learning.FleetLearningTest",
+        "tests.state.own.test_learning.FleetLearningTest",
     ),
     Mutation(
         "leases: others wait until the holder's time is over",
         "state/own/leases.py",
         "return now > self.seen_at + self.value.seconds",
         "return True",
-        "tests.test_leases.InterleavingTest",
+        "tests.state.own.test_leases.InterleavingTest",
     ),
     Mutation(
         "leases: a holder that slept is not in charge",
         "state/own/leases.py",
         "in_time = now + self.order_seconds < self.held_until",
         "in_time = self.held_until > 0",
-        "tests.test_leases.InterleavingTest",
+        "tests.state.own.test_leases.InterleavingTest",
     ),
     Mutation(
         "leases: a renewal is seen though the platform keeps versions of what stays",
         "coordination/own/leases.py",
         "writes=self.value.writes + 1",
         "writes=0",
-        "tests.test_leases.InterleavingTest",
+        "tests.state.own.test_leases.InterleavingTest",
     ),
 ]
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -80,7 +80,7 @@
 
     :returns: its name, its output, its exit code.
     """
-    name = f"tests.{path.stem}"
+    name = ".".join(path.relative_to(ROOT).with_suffix("").parts)
     done = subprocess.run(
         [sys.executable, "-m", "tests", name],
         cwd=ROOT,
@@ -96,7 +96,7 @@
 
     :returns: the exit code.
     """
-    files = sorted((ROOT / "tests").glob("test_*.py"))
+    files = sorted((ROOT / "tests").rglob("test_*.py"))
     totals = [0, 0, 0]
     with ThreadPoolExecutor(FILES_AT_ONCE) as pool:
         for name, output, code in pool.map(run_file, files):
--- a/tests/test_restarts.py
+++ b/tests/coordination/store/test_restarts.py
@@ -9,8 +9,8 @@
 from dataclasses import replace
 
 from standins.worker import Behaviour
+from tests.coordination.store.test_knowledge import instance
 from tests.gatewaycase import GatewayCase
-from tests.test_knowledge import instance
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, ServiceName, WorkKind
--- a/tests/test_metrics_address.py
+++ b/tests/daemon/test_metrics_address.py
@@ -16,7 +16,7 @@
 
 LABEL = r'[a-z_]+="[^"]*"'
 LINE = re.compile(rf"^walnutquay_[a-z_]+(\{{{LABEL}(,{LABEL})*\}})? -?[\d.]+$")
-PAGE = Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
+PAGE = Path(walnutquay.__file__).parent.parent / "docs" / "OPERATIONS.md"
 
 
 # What each event has; all other names are facts.
--- a/tests/test_pages.py
+++ b/tests/lab/test_pages.py
@@ -13,7 +13,7 @@
 from walnutquay.state.own.policies import PolicyProgram, PolicyPrograms, PolicyRequest
 from walnutquay.state.store.parts import Policy, Version
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parent.parent.parent
 
 
 class PagesTest(unittest.TestCase):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -97,6 +97,13 @@
             files = {path.name for path in (ROOT / layer).glob("*.py")}
             self.assertEqual(files, {"__init__.py"}, layer)
 
+    def test_the_tests_have_the_same_ones(self):
+        for layer in ROOMED:
+            folder = ROOT.parent / "tests" / layer
+            found = {path.name for path in folder.iterdir() if path.is_dir()}
+            self.assertLessEqual(found - {"__pycache__"}, set(ROOMS), layer)
+            self.assertEqual(list(folder.glob("test_*.py")), [], layer)
+
     def test_each_room_says_what_it_is_for(self):
         for layer in ROOMED:
             for room in ROOMS:
