--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,8 @@
 
 # Seconds for which a mute endpoint says nothing.
 MUTE_SECONDS = 60.0
+# Seconds between two pieces of an answer.
+PIECE_SECONDS = 0.01
 
 
 @dataclass
@@ -49,9 +51,14 @@
     :param within: bytes of the next event that are sent before the cut.
     :param framed: whether a plain answer says its length.
     :param crossed: whether the answer carries another request's id.
+    :param named: whether the answer carries an id at all.
     :param not_run: whether it says that nothing was run.
     :param mute: whether nothing is answered at all.
     :param extra: whether a second answer follows the first.
+    :param extra_late: whether it follows only when the connection's next request has
+        come, in the place of that one's answer.
+    :param extra_pieces: bytes of the second answer that come by themselves, before the
+        rest of it; 0 for all at once.
     :param headers: more headers.
     :param pause: seconds between two events, or before a plain answer.
     :param crash_after: whole events after which the endpoint itself ends, with all
@@ -67,9 +74,12 @@
     within: int = 0
     framed: bool = True
     crossed: bool = False
+    named: bool = True
     not_run: bool = False
     mute: bool = False
     extra: bool = False
+    extra_late: bool = False
+    extra_pieces: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     pause: float = 0.0
     crash_after: int | None = None
@@ -94,6 +104,8 @@
         self.runs: list[Seen] = []
         self.turned_away: list[Seen] = []
         self.connections = 0
+        # Second answers that are still to come, by the connection that they are owed on.
+        self.owed: dict[asyncio.StreamWriter, bytes] = {}
         self.server: asyncio.Server | None = None
         # Nobody else is given the port while the endpoint is away.
         self.held = HeldPorts()
@@ -175,6 +187,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.owed.pop(writer, None)
             writer.close()
 
     async def _one(
@@ -185,6 +198,7 @@
         :returns: whether the connection goes on.
         """
         seen = await _read_request(reader)
+        writer.write(self.owed.pop(writer, b""))
         expected = seen.headers.get("target-instance", self.name)
         if expected != self.name:
             self.turned_away.append(seen)
@@ -208,7 +222,9 @@
 
     def _head(self, seen: Seen, behaviour: Behaviour, framing: str) -> bytes:
         request = "another" if behaviour.crossed else seen.headers.get("request-id", "")
-        lines = [f"HTTP/1.1 {behaviour.status} X", f"Request-Id: {request}"]
+        lines = [f"HTTP/1.1 {behaviour.status} X"]
+        if behaviour.named:
+            lines.append(f"Request-Id: {request}")
         if behaviour.not_run:
             lines.append("Not-Run: 1")
         else:
@@ -231,11 +247,25 @@
             _reset(writer)
             return False
         writer.write(answer)
-        if behaviour.extra:
-            writer.write(answer)
         await writer.drain()
+        if behaviour.extra:
+            await self._answer_again(writer, answer, behaviour)
         return behaviour.framed
 
+    async def _answer_again(
+        self, writer: asyncio.StreamWriter, answer: bytes, behaviour: Behaviour
+    ) -> None:
+        if behaviour.extra_late:
+            self.owed[writer] = answer
+            return
+        first = answer[: behaviour.extra_pieces]
+        writer.write(first)
+        if first:
+            # The caller's loop gets the pieces one by one.
+            await asyncio.sleep(PIECE_SECONDS)
+        writer.write(answer[len(first) :])
+        await writer.drain()
+
     async def _stream(
         self,
         reader: asyncio.StreamReader,
