Bytes that come while no request is under way are counted and told

The incident's first hypothesis needs them: what an endpoint sends after an answer is taken for the next answer on that connection. Nothing told of such bytes until now. Connections to endpoints have a module of their own, and know whether a request is under way; what arrives otherwise is counted (strays_idle) and told in a line with the endpoint's address. What is done with the bytes is unchanged.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -54,7 +54,7 @@
     ),
     Mutation(
         "what is given up does not arrive later",
-        "transport/client.py",
+        "transport/connections.py",
         "if transport is None or self._answer_is_whole():",
         "if True:",
         "tests.coordination.routed.test_silence.GivenUpTest.test_what_waits_on_a_full_link",
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -104,7 +104,7 @@
         self.runs: list[Seen] = []
         self.turned_away: list[Seen] = []
         self.connections = 0
-        # Second answers that are still to come, by the connection that they are owed on.
+        # Second answers that are still to come, by the connection they are owed on.
         self.owed: dict[asyncio.StreamWriter, bytes] = {}
         self.server: asyncio.Server | None = None
         # Nobody else is given the port while the endpoint is away.
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -29,6 +29,7 @@
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.eventlog import EventLog
+from walnutquay.coordination.process.strays import stray_teller
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.crashrecord import CrashRecord
 from walnutquay.coordination.requests.recorder import TraceRecorder
@@ -102,7 +103,7 @@
         """Make what deals with requests."""
         options = self.settings.options
         context = self.context
-        self.client = HttpClient()
+        self.client = HttpClient(stray_teller(context))
         self.table = EndpointTable(context.hall, context.rng)
         self.endpoint_news = EndpointNews(
             context, self.table, self.configurations, self.members, self.dispatcher
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -20,6 +20,7 @@
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.eventlog import EventLog
+from walnutquay.coordination.process.strays import stray_teller
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.crashrecord import CrashRecord
 from walnutquay.coordination.requests.pathparts import PathParts
@@ -134,7 +135,7 @@
         self.knowledge = links.knowledge(options.promises)
         self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
-        self.client = HttpClient()
+        self.client = HttpClient(stray_teller(self.context))
         self.versions = VersionTrials(
             self.context,
             self.knowledge,
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -61,6 +61,7 @@
     REQUEST_BLOCKED = "request-blocked"
     REQUEST_FREED = "request-freed"
     ORDERED = "ordered"
+    STRAY = "stray"
     STARTED = "started"
     WOKE = "woke"
     RELOADED = "reloaded"
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -11,21 +11,21 @@
 
 import asyncio
 import errno
-import functools
-import os
-import socket
 from collections.abc import Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from types import TracebackType
-from typing import Any
 
 import aiohttp
 import orjson
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.transport.sockets import limited_socket, reset_on_close
+from walnutquay.transport.connections import (
+    KeptConnector,
+    KeptProtocol,
+    OnStray,
+    ignore_stray,
+)
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
@@ -82,76 +82,6 @@
     return False
 
 
-class EndpointProtocol(ResponseHandler):
-    """An aiohttp connection that notices a reset which looks like an end.
-
-    libuv reports the end of a stream where data and a reset come together.  An
-    answer without a length would then seem whole.
-    """
-
-    # Whether the peer has reset the connection.
-    was_reset = False
-
-    def close(self) -> None:
-        """Close the connection; reset it if its request is given up.
-
-        What a plain close leaves in a full or cut link still arrives when the link
-        works again: it would run for nobody, and at an endpoint that has said
-        seconds before that it leaves.
-        """
-        transport = self.transport
-        if transport is None or self._answer_is_whole():
-            super().close()
-            return
-        reset_on_close(transport.get_extra_info("socket"))
-        self.abort()
-
-    def _answer_is_whole(self) -> bool:
-        # aiohttp offers no public way to the answer that is being read.
-        return self._payload is not None and self._payload.is_eof()
-
-    def eof_received(self) -> None:
-        """Ask the socket itself how the connection ended."""
-        super().eof_received()
-        transport = self.transport
-        if transport is not None:
-            self.was_reset = _is_reset(transport.get_extra_info("socket"))
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """:param exc: how the connection broke; None where it was closed."""
-        if isinstance(exc, OSError):
-            self.was_reset = True
-        super().connection_lost(exc)
-
-
-def _is_reset(bound: socket.socket | None) -> bool:
-    """Tell whether a socket whose stream has ended was reset."""
-    if bound is None:
-        return False
-    # The loop's own object offers no reading.
-    with socket.socket(fileno=os.dup(bound.fileno())) as copy:
-        try:
-            copy.setblocking(False)
-            if copy.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                return True
-            copy.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return False
-
-
-def _connector(**options: Any) -> aiohttp.TCPConnector:
-    """Make a connector whose connections notice silence and resets."""
-    made = aiohttp.TCPConnector(
-        limit=CONNECTIONS, socket_factory=limited_socket, **options
-    )
-    # aiohttp offers no public way to a protocol of one's own.
-    made._factory = functools.partial(EndpointProtocol, loop=made._loop)
-    return made
-
-
 class ConnectionEnd:
     """Tells whether an answer that ends with its connection is whole.
 
@@ -175,7 +105,7 @@
 
         :raises EndpointError: if the connection was reset, not closed.
         """
-        if isinstance(self.protocol, EndpointProtocol) and self.protocol.was_reset:
+        if isinstance(self.protocol, KeptProtocol) and self.protocol.was_reset:
             raise EndpointError(
                 "the connection was reset within the answer",
                 step=STEP_BROKEN,
@@ -189,11 +119,15 @@
     Calls that may not be repeated get a connection of their own each time:
     aiohttp repeats some calls by itself when a kept connection turns out to be
     closed, and on a kept connection a lost call cannot be told from a late one.
+
+    :param on_stray: told of bytes that belong to no request.
     """
 
-    def __init__(self) -> None:
-        kept = _connector(keepalive_timeout=KEEP_SECONDS)
-        fresh = _connector(force_close=True)
+    def __init__(self, on_stray: OnStray = ignore_stray) -> None:
+        kept = KeptConnector(
+            on_stray, limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
+        )
+        fresh = KeptConnector(on_stray, limit=CONNECTIONS, force_close=True)
         plain = {
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
