Failing tests: a second answer of an endpoint reaches another caller

An endpoint answers each request twice: at once behind the first answer, in pieces, or in the place of the next answer, with and without the request's id, also where the next request has the same id.

--- /dev/null
+++ b/tests/coordination/routed/test_second_answers.py
@@ -0,0 +1,57 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Endpoints that answer a request twice on a connection that is kept."""
+
+from __future__ import annotations
+
+import asyncio
+
+from standins.worker import Behaviour, Seen
+from tests.gatewaycase import GatewayCase
+
+# Long enough for a second answer to be read while nobody waits for one; where it comes
+# later it is in the place of the next answer, and what must hold is the same.
+IDLE_SECONDS = 0.03
+CALLS = 4
+
+
+class SecondAnswerTest(GatewayCase):
+    """A second answer of an endpoint never reaches another caller."""
+
+    workers = {"p1": "plain", "e1": "engine"}
+
+    def answer_twice(self, **more: object) -> None:
+        """Have each request answered twice, with its own target as the body."""
+
+        def choose(seen: Seen) -> Behaviour:
+            return Behaviour(body=seen.target.encode(), extra=True, **more)
+
+        self.endpoints["p1"].choose = choose
+
+    async def assert_own_answers(self, status: int = 200, **headers: str) -> None:
+        """Call one after another; each caller is to get its own answer."""
+        for number in range(CALLS):
+            path = f"/safe/{number}"
+            answer = await self.call(path, **headers)
+            self.assertEqual((answer.status, answer.body), (status, path.encode()))
+            await asyncio.sleep(IDLE_SECONDS)
+
+    async def test_while_nobody_waits(self):
+        for named in (True, False):
+            for pieces in (0, 1, 30):
+                with self.subTest(named=named, pieces=pieces):
+                    self.answer_twice(named=named, extra_pieces=pieces)
+                    await self.assert_own_answers()
+
+    async def test_in_the_place_of_the_next_answer(self):
+        for status in (200, 500):
+            for named in (True, False):
+                with self.subTest(status=status, named=named):
+                    self.answer_twice(status=status, named=named, extra_late=True)
+                    await self.assert_own_answers(status)
+
+    async def test_of_a_request_with_the_same_id(self):
+        for late in (True, False):
+            with self.subTest(late=late):
+                self.answer_twice(extra_late=late)
+                await self.assert_own_answers(Request_Id="same")
