A second answer of an endpoint belongs to no request

What callers saw: on kept connections to endpoints that answer twice, the answer of the caller before them, or 502 where the ids differed.

Cause: the library hands out a kept connection whatever has arrived there since its last answer, and whatever came next was taken for the next answer. Only an id told them apart, where there was one, where it differed, and at the price of the request: its connection was closed while the endpoint ran it, an attempt was used up, and the failure counted against the endpoint.

Now the connection itself knows whose answer is due. Bytes that come while no request is under way end it. An answer that names an earlier request of the connection is read to its end and skipped; the request's own follows. A connection is kept only after an answer that repeated the id (a later one without it could not be told apart), carries each id once (requests sent again with theirs get another connection), and requests without an id get connections of their own. Bytes that are no answer count as a bad answer, not as a broken connection, so they are no evidence that the request ended the endpoint.

--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -34,6 +34,7 @@
 from walnutquay.coordination.requests.crashrecord import CrashRecord
 from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.protocol.peer import PeerCodec
+from walnutquay.protocol.services import HEADER_REQUEST_ID
 from walnutquay.settings import Settings
 from walnutquay.state.fleet.membership import Address, MemberNews
 from walnutquay.state.own.admission import RetryBudget
@@ -103,7 +104,7 @@
         """Make what deals with requests."""
         options = self.settings.options
         context = self.context
-        self.client = HttpClient(stray_teller(context))
+        self.client = HttpClient(HEADER_REQUEST_ID, stray_teller(context))
         self.table = EndpointTable(context.hall, context.rng)
         self.endpoint_news = EndpointNews(
             context, self.table, self.configurations, self.members, self.dispatcher
--- a/walnutquay/coordination/own/services.py
+++ b/walnutquay/coordination/own/services.py
@@ -101,14 +101,6 @@
             timeout=max(0.05, left),
             repeatable=turn.repeatable,
         ) as answer:
-            # Services need not repeat the id; one that does must repeat ours.
-            echoed = answer.headers.get(HEADER_REQUEST_ID, dispatch)
-            if echoed != dispatch:
-                raise EndpointError(
-                    "the answer belongs to another request",
-                    step="answer",
-                    peer=grant.name,
-                )
             if (answer.content_length or 0) > MAX_ANSWER:
                 raise EndpointError(
                     "the answer is too large", step="answer", peer=grant.name
--- a/walnutquay/coordination/process/strays.py
+++ b/walnutquay/coordination/process/strays.py
@@ -19,9 +19,11 @@
         context.metrics.count(f"strays_{stray.kind.value}")
         context.timeline.emit(
             EventKind.STRAY,
+            request=stray.request,
             endpoint=stray.address,
             detail=stray.kind.value,
             bytes=stray.size,
+            named=stray.named,
         )
 
     return tell
--- a/walnutquay/coordination/routed/calls.py
+++ b/walnutquay/coordination/routed/calls.py
@@ -11,7 +11,7 @@
 from walnutquay.coordination.routed.places import RoutedPlaces
 from walnutquay.coordination.routed.ports import Dialect
 from walnutquay.coordination.routed.turn import RoutedTurn
-from walnutquay.exceptions import EndpointError, NotStartedError
+from walnutquay.exceptions import NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.work import reading_rank
@@ -94,28 +94,19 @@
             return None
         return reading_rank(reading, turn.arrival.route.objective_seconds)
 
-    def read_head(
-        self, turn: RoutedTurn, grant: Grant, answer: aiohttp.ClientResponse
-    ) -> AnswerHead:
-        """Read an answer's head, and check that it is ours.
+    def read_head(self, grant: Grant, answer: aiohttp.ClientResponse) -> AnswerHead:
+        """Read an answer's head.
 
-        :param turn: the request.
         :param grant: the endpoint.
         :param answer: its answer.
         :returns: the head.
         :raises NotStartedError: if the endpoint says that it did not begin.
-        :raises EndpointError: if the answer belongs to another request.
         """
         raw = header_pairs(answer)
         head = self.dialect.decode_answer(answer.status, answer.headers, raw)
         if head.running is not None:
             load = head.running + head.waiting
             self.table.report(grant.name, load, "", monotonic())
-        if head.request and head.request != turn.arrival.head.request:
-            answer.close()
-            raise EndpointError(
-                "the answer belongs to another request", step="answer", peer=grant.name
-            )
         if head.not_run:
             raise NotStartedError(
                 f"the endpoint did not begin ({head.status})",
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -292,7 +292,7 @@
     ) -> Outcome | Received | Continuing:
         started = monotonic()
         async with self._watched(turn, self.calls.send(turn, grant), grant) as answer:
-            head = self.calls.read_head(turn, grant, answer)
+            head = self.calls.read_head(grant, answer)
             grant.began = monotonic()
             seconds = grant.began - started
             self.places.began(grant, seconds)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -39,6 +39,7 @@
 from walnutquay.daemon.metricsapi import MetricsApi
 from walnutquay.daemon.storefeeds import StoreLinks
 from walnutquay.logs import open_line_log
+from walnutquay.platform import names
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.registers import StoredOrders, VmRegister
 from walnutquay.platform.store import StoreClient
@@ -135,7 +136,7 @@
         self.knowledge = links.knowledge(options.promises)
         self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
-        self.client = HttpClient(stray_teller(self.context))
+        self.client = HttpClient(names.REQUEST_ID, stray_teller(self.context))
         self.versions = VersionTrials(
             self.context,
             self.knowledge,
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 import orjson
+from multidict import CIMultiDict
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
@@ -24,6 +25,7 @@
     KeptConnector,
     KeptProtocol,
     OnStray,
+    StrayAnswerError,
     ignore_stray,
 )
 
@@ -47,6 +49,9 @@
 STEP_SILENT = "silent"
 # The step of an error by which the connection ended after something was sent.
 STEP_BROKEN = "broken"
+# The step of an error by which what came is not an answer to the request.
+STEP_ANSWER = "answer"
+NO_ANSWERS = (aiohttp.ClientResponseError, StrayAnswerError)
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -119,15 +124,18 @@
     Calls that may not be repeated get a connection of their own each time:
     aiohttp repeats some calls by itself when a kept connection turns out to be
     closed, and on a kept connection a lost call cannot be told from a late one.
+    So do requests without an id: their answers could not be told from others.
 
-    :param on_stray: told of bytes that belong to no request.
+    :param id_header: the header of requests that their answers repeat.
+    :param on_stray: told of bytes and answers that belong to no request.
     """
 
-    def __init__(self, on_stray: OnStray = ignore_stray) -> None:
+    def __init__(self, id_header: str = "", on_stray: OnStray = ignore_stray) -> None:
+        self.id_header = id_header
         kept = KeptConnector(
-            on_stray, limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
+            on_stray, id_header, limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
         )
-        fresh = KeptConnector(on_stray, limit=CONNECTIONS, force_close=True)
+        fresh = KeptConnector(on_stray, id_header, limit=CONNECTIONS, force_close=True)
         plain = {
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
@@ -171,7 +179,9 @@
         :raises NotStartedError: if the endpoint cannot have begun.
         :raises EndpointError: if it may have.
         """
-        session = self.kept if repeatable else self.fresh
+        sent = CIMultiDict(headers or ())
+        matched = bool(sent.get(self.id_header))
+        session = self.kept if repeatable and matched else self.fresh
         limits = aiohttp.ClientTimeout(
             total=timeout, sock_connect=CONNECT_SECONDS, sock_read=idle
         )
@@ -182,7 +192,7 @@
                 method,
                 target,
                 data=data,
-                headers=headers,
+                headers=sent,
                 timeout=limits,
                 allow_redirects=False,
             ),
@@ -239,6 +249,8 @@
             return NotStartedError(reason, step=STEP_CONNECT, peer=self.peer)
         if getattr(error, "errno", None) == errno.ETIMEDOUT:
             return EndpointError(reason, step=STEP_SILENT, peer=self.peer)
+        if isinstance(error, NO_ANSWERS):
+            return EndpointError(reason, step=STEP_ANSWER, peer=self.peer)
         if not isinstance(error, TimeoutError):
             return EndpointError(reason, step=STEP_BROKEN, peer=self.peer)
         return EndpointError(reason, step="exchange", peer=self.peer)
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -2,8 +2,10 @@
 
 """Connections that are kept for several requests, by aiohttp.
 
-What arrives on a connection while no request is under way there belongs to no
-request: endpoints may answer twice, or send bytes behind an answer.
+Endpoints may answer a request twice, the second time late, or send bytes behind an
+answer.  What arrives while no request is under way ends the connection.  What arrives
+in the place of the next answer is told from it by the request's id, so a connection is
+kept only where answers repeat the id, and carries each id once.
 """
 
 from __future__ import annotations
@@ -15,21 +17,34 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
+from aiohttp.http_parser import RawResponseMessage
 
 from walnutquay.transport.sockets import limited_socket, reset_on_close
 
+# Requests that one connection carries; it remembers their ids.
+MAX_CARRIED = 256
+
+Message = tuple[RawResponseMessage, aiohttp.StreamReader]
+
 
 class StrayKind(Enum):
     """How it is known that bytes are no answer to the request under way."""
 
     # No request was under way.
     IDLE = "idle"
+    # It names an earlier request of the connection.
+    EARLIER = "earlier"
+    # It names a request that the connection has never carried.
+    FOREIGN = "foreign"
+    # It names no request, though earlier answers on the connection did.
+    UNNAMED = "unnamed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +53,16 @@
 
     :param kind: how that is known.
     :param address: ``IP:port`` of who sent them.
-    :param size: how many bytes came at once.
+    :param size: how many bytes came at once; 0 for an answer.
+    :param request: the request that was under way.
+    :param named: the request that an answer names.
     """
 
     kind: StrayKind
     address: str
     size: int = 0
+    request: str = ""
+    named: str = ""
 
 
 OnStray = Callable[[Stray], None]
@@ -53,8 +72,12 @@
     """:param stray: bytes that nobody is told of."""
 
 
+class StrayAnswerError(aiohttp.ClientError):
+    """An answer that is not the one to the request under way."""
+
+
 class KeptProtocol(ResponseHandler):
-    """An aiohttp connection that notices strays, and a reset which looks like an end.
+    """An aiohttp connection that ends with a stray, and notices resets.
 
     libuv reports the end of a stream where data and a reset come together.  An
     answer without a length would then seem whole.
@@ -71,24 +94,42 @@
         # Whether the peer has reset the connection.
         self.was_reset = False
 
-    def begin(self) -> None:
-        """Note that a request is sent now."""
+    def may_carry(self, request: str) -> bool:
+        """:param request: the id of a request; empty if it has none.
+
+        :returns: whether its answer could be told from what else may come here.
+        """
+        return not self.should_close
+
+    def begin(self, request: str) -> None:
+        """:param request: the id of the request that is sent now."""
         self.under_way = True
 
     def _end(self) -> None:
         self.under_way = False
 
-    async def read(self) -> Any:
+    async def read(self) -> Message:
         """:returns: the next answer's head and body, for the library."""
-        message, payload = await super().read()
-        if message.code >= 200:
-            payload.on_eof(self._end)
-        return message, payload
+        while True:
+            message, payload = await super().read()
+            if message.code < HTTPStatus.OK:
+                return message, payload
+            if await self._is_awaited(message, payload):
+                payload.on_eof(self._end)
+                return message, payload
+
+    async def _is_awaited(
+        self, message: RawResponseMessage, payload: aiohttp.StreamReader
+    ) -> bool:
+        """:returns: whether an answer is to the request under way."""
+        return True
 
     def data_received(self, data: bytes) -> None:
         """:param data: what has arrived."""
         if data and not self.under_way:
             self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
+            self.close()
+            return
         super().data_received(data)
 
     def address(self) -> str:
@@ -147,19 +188,102 @@
         return False
 
 
+class MatchingProtocol(KeptProtocol):
+    """A connection whose answers repeat the ids of their requests.
+
+    :param loop: the loop.
+    :param on_stray: told of answers that belong to no request under way.
+    :param id_header: the header that holds the id.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_stray: OnStray, id_header: str
+    ) -> None:
+        super().__init__(loop, on_stray)
+        self.id_header = id_header
+        self.request = ""
+        # The ids that were sent here: each might be answered once more.
+        self.carried: set[str] = set()
+
+    def may_carry(self, request: str) -> bool:
+        """:param request: the id of a request; empty if it has none.
+
+        :returns: whether its answer could be told from what else may come here.
+        """
+        if not self.carried:
+            return True
+        fits = bool(request) and request not in self.carried
+        return fits and len(self.carried) < MAX_CARRIED and super().may_carry(request)
+
+    def begin(self, request: str) -> None:
+        """:param request: the id of the request that is sent now."""
+        super().begin(request)
+        self.request = request
+        self.carried.add(request)
+
+    async def _is_awaited(
+        self, message: RawResponseMessage, payload: aiohttp.StreamReader
+    ) -> bool:
+        """Read a second answer to an earlier request to its end.
+
+        :returns: whether an answer is to the request under way.
+        :raises StrayAnswerError: if it cannot be told whose answer it is.
+        """
+        named = message.headers.get(self.id_header, "")
+        kind = self._stray_kind(named)
+        if kind is None:
+            if not named:
+                # A second answer without an id could not be told from the next.
+                self.force_close()
+            return True
+        address = self.address()
+        self.on_stray(Stray(kind, address, request=self.request, named=named))
+        self.force_close()
+        if kind is not StrayKind.EARLIER:
+            raise StrayAnswerError(f"not the request's own answer ({kind.value})")
+        await self._skip(payload)
+        return False
+
+    async def _skip(self, payload: aiohttp.StreamReader) -> None:
+        while not payload.at_eof():
+            await payload.readany()
+        # The end of a body stops the time limit between two reads.
+        self.start_timeout()
+
+    def _stray_kind(self, named: str) -> StrayKind | None:
+        """:returns: why an answer is a stray; None where it is the awaited one."""
+        first = len(self.carried) == 1
+        if named == self.request or (first and not (named and self.request)):
+            return None
+        if not named:
+            return StrayKind.UNNAMED
+        return StrayKind.EARLIER if named in self.carried else StrayKind.FOREIGN
+
+
 class KeptConnector(aiohttp.TCPConnector):
-    """Makes connections that notice strays, resets and silence.
+    """Makes connections that end with a stray, and notice resets and silence.
 
     :param on_stray: told of bytes that belong to no request.
+    :param id_header: the header by which answers are matched to requests; None
+        where answers repeat none.
     :param options: the library's own.
     """
 
-    def __init__(self, on_stray: OnStray = ignore_stray, **options: Any) -> None:
+    def __init__(
+        self,
+        on_stray: OnStray = ignore_stray,
+        id_header: str | None = None,
+        **options: Any,
+    ) -> None:
         super().__init__(socket_factory=limited_socket, **options)
+        self.id_header = id_header
+        factory = functools.partial(KeptProtocol, self._loop, on_stray)
+        if id_header is not None:
+            factory = functools.partial(
+                MatchingProtocol, self._loop, on_stray, id_header
+            )
         # aiohttp offers no public way to a protocol of one's own.
-        self._factory = functools.partial(
-            KeptProtocol, loop=self._loop, on_stray=on_stray
-        )
+        self._factory = factory
 
     async def connect(
         self,
@@ -167,13 +291,18 @@
         traces: list[aiohttp.tracing.Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> Connection:
-        """Give a request a connection.
+        """Give a request a connection on which its answer can be told from others.
 
         :param req: the request.
         :param traces: the library's.
         :param timeout: the request's time limits.
         """
-        connection = await super().connect(req, traces, timeout)
-        assert isinstance(connection.protocol, KeptProtocol)
-        connection.protocol.begin()
-        return connection
+        request = req.headers.get(self.id_header, "") if self.id_header else ""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            assert isinstance(protocol, KeptProtocol)
+            if protocol.may_carry(request):
+                protocol.begin(request)
+                return connection
+            connection.close()
