Connections to endpoints that send more than they owe: tests on the daemons' loop

A scripted endpoint answers second, late, in pieces, under other ids and none; four mutations take out one part of the mend each, and fail as they must.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -7,6 +7,38 @@
 from lab.mutants.mutation import Mutation
 
 MUTATIONS = [
+    Mutation(
+        "second answers: bytes while no request is under way end the connection",
+        "transport/connections.py",
+        "if data and not self.under_way:",
+        "if False:",
+        "tests.transport.test_connections.StrayTest."
+        "test_bytes_while_nobody_waits_end_the_connection",
+    ),
+    Mutation(
+        "second answers: one to an earlier request is skipped",
+        "transport/connections.py",
+        "if kind is not StrayKind.EARLIER:",
+        "if True:",
+        "tests.coordination.routed.test_second_answers.SecondAnswerTest."
+        "test_in_the_place_of_the_next_answer",
+    ),
+    Mutation(
+        "second answers: a connection carries each id once",
+        "transport/connections.py",
+        "fits = bool(request) and request not in self.carried",
+        "fits = bool(request)",
+        "tests.coordination.routed.test_second_answers.SecondAnswerTest."
+        "test_of_a_request_with_the_same_id",
+    ),
+    Mutation(
+        "second answers: only answers that repeat the id keep a connection",
+        "transport/connections.py",
+        "            if not named:\n                # A second",
+        "            if False:\n                # A second",
+        "tests.transport.test_connections.KeptConnectionTest."
+        "test_answers_without_an_id",
+    ),
     Mutation(
         "relays: entries that lapse with the store are doubted by all",
         "coordination/store/relaying.py",
--- /dev/null
+++ b/tests/transport/test_connections.py
@@ -0,0 +1,250 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Connections to endpoints that send more than they owe."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+from walnutquay.exceptions import EndpointError
+from walnutquay.transport.client import STEP_ANSWER, HttpClient
+from walnutquay.transport.connections import Stray, StrayKind
+from walnutquay.transport.loops import new_loop
+
+ID = "x-id"
+# What a test waits for has come long before.
+LIMIT_SECONDS = 5.0
+
+
+@dataclass
+class Asked:
+    """A request as the endpoint got it.
+
+    :param path: its path.
+    :param request: its id.
+    :param number: how many came on its connection before it.
+    """
+
+    path: str
+    request: str
+    number: int
+
+
+def head(request: str = "", length: int | None = None, *more: str) -> bytes:
+    """:returns: the head of an answer."""
+    lines = ["HTTP/1.1 200 OK", *more]
+    if request:
+        lines.append(f"{ID}: {request}")
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def answer(request: str = "", body: bytes = b"", *more: str) -> bytes:
+    """:returns: an answer."""
+    return head(request, len(body), *more) + body
+
+
+def chunked(request: str, *parts: bytes) -> bytes:
+    """:returns: an answer in chunks."""
+    sent = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (*parts, b""))
+    return head(request, None, "Transfer-Encoding: chunked") + sent
+
+
+Script = Callable[[Asked], AsyncIterator[bytes]]
+
+
+class DaemonLoops(asyncio.DefaultEventLoopPolicy):
+    """Has tests run on the daemons' loop."""
+
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        """:returns: a loop as the daemons use it."""
+        return new_loop()
+
+
+class ScriptedEndpointCase(unittest.IsolatedAsyncioTestCase):
+    """Starts an endpoint that answers each request by a script."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        asyncio.set_event_loop_policy(DaemonLoops())
+        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+
+    async def asyncSetUp(self) -> None:
+        self.strays: list[Stray] = []
+        self.client = HttpClient(ID, self.strays.append)
+        self.addAsyncCleanup(self.client.close)
+        self.connections = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, script: Script) -> None:
+        """Listen."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            self.connections += 1
+            number = 0
+            try:
+                while True:
+                    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                    ids = [line.split(": ")[1] for line in lines if ID in line.lower()]
+                    asked = Asked(lines[0].split()[1], (ids or [""])[0], number)
+                    number += 1
+                    async for data in script(asked):
+                        writer.write(data)
+                        await writer.drain()
+            except (EOFError, OSError):
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def call(self, path: str, request: str = "", **more: object) -> bytes:
+        """:returns: the body of the answer to a request."""
+        async with self.client.request(
+            "GET",
+            f"http://127.0.0.1:{self.port}{path}",
+            peer="endpoint",
+            headers={ID: request} if request else None,
+            timeout=LIMIT_SECONDS,
+            **more,
+        ) as got:
+            return await got.read()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until something is so."""
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+
+    def kinds(self) -> list[StrayKind]:
+        """:returns: the strays that were told of."""
+        return [stray.kind for stray in self.strays]
+
+
+class StrayTest(ScriptedEndpointCase):
+    """Bytes that answer no request are no request's answer."""
+
+    async def test_bytes_while_nobody_waits_end_the_connection(self):
+        extra = asyncio.Event()
+
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer(asked.request, asked.path.encode())
+            if asked.path == "/a":
+                await extra.wait()
+                yield answer(asked.request, b"again")
+
+        await self.start(script)
+        self.assertEqual(await self.call("/a", "a"), b"/a")
+        extra.set()
+        await self.until(lambda: bool(self.strays))
+        self.assertEqual(await self.call("/b", "b"), b"/b")
+        self.assertEqual(self.kinds(), [StrayKind.IDLE])
+        self.assertEqual(self.strays[0].address, f"127.0.0.1:{self.port}")
+        self.assertEqual(self.connections, 2)
+
+    async def test_the_second_answer_to_an_earlier_request_is_skipped(self):
+        for second in (
+            answer("a", b"again"),
+            chunked("a", b"id: 1\n\n", b"id: 2\n\n"),
+            head("a", 0),
+        ):
+            for parts in (1, 2, 7):
+                with self.subTest(second=second, parts=parts):
+                    self.strays.clear()
+
+                    async def script(
+                        asked: Asked, second: bytes = second, parts: int = parts
+                    ) -> AsyncIterator[bytes]:
+                        if asked.path == "/b":
+                            size = len(second) // parts + 1
+                            for begin in range(0, len(second), size):
+                                yield second[begin : begin + size]
+                                await asyncio.sleep(0.002)
+                        yield answer(asked.request, asked.path.encode())
+
+                    await self.start(script)
+                    self.assertEqual(await self.call("/a", "a"), b"/a")
+                    self.assertEqual(await self.call("/b", "b"), b"/b")
+                    self.assertEqual(self.kinds(), [StrayKind.EARLIER])
+                    self.assertEqual(self.strays[0].named, "a")
+                    before = self.connections
+                    self.assertEqual(await self.call("/c", "c"), b"/c")
+                    self.assertEqual(self.connections, before + 1)
+
+    async def test_the_time_limit_between_reads_holds_behind_a_second_answer(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            if asked.number:
+                yield answer("a", b"again")
+                await asyncio.sleep(LIMIT_SECONDS)
+            yield answer(asked.request)
+
+        await self.start(script)
+        await self.call("/a", "a")
+        with self.assertRaises(EndpointError) as caught:
+            await self.call("/b", "b", idle=0.05)
+        self.assertIn("Timeout on reading", str(caught.exception))
+
+    async def test_an_answer_to_a_request_that_was_never_sent_there_is_refused(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer("somebody", b"else's")
+
+        await self.start(script)
+        for repeatable in (True, False):
+            with self.subTest(repeatable=repeatable):
+                with self.assertRaises(EndpointError) as caught:
+                    await self.call("/a", "a", repeatable=repeatable)
+                self.assertEqual(caught.exception.step, STEP_ANSWER)
+        self.assertEqual(self.kinds(), [StrayKind.FOREIGN] * 2)
+
+    async def test_an_answer_without_an_id_is_refused_where_others_had_one(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer("" if asked.number else asked.request, b"whose?")
+
+        await self.start(script)
+        await self.call("/a", "a")
+        with self.assertRaises(EndpointError) as caught:
+            await self.call("/b", "b")
+        self.assertEqual(caught.exception.step, STEP_ANSWER)
+        self.assertEqual(self.kinds(), [StrayKind.UNNAMED])
+
+
+class KeptConnectionTest(ScriptedEndpointCase):
+    """A connection is used again only where the next answer can be told from others."""
+
+    async def calls(self, *requests: str) -> int:
+        """:returns: how many connections requests with these ids took."""
+        before = self.connections
+        for request in requests:
+            await self.call("/x", request)
+        return self.connections - before
+
+    async def test_answers_that_repeat_the_id(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer(asked.request)
+
+        await self.start(script)
+        self.assertEqual(await self.calls("a", "b", "c"), 1)
+        # Each id once: a second answer to the first "a" could not be told apart.
+        self.assertEqual(await self.calls("a"), 1)
+        self.assertEqual(await self.calls("", ""), 2)
+
+    async def test_answers_without_an_id(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer("")
+
+        await self.start(script)
+        self.assertEqual(await self.calls("a", "b", "c"), 3)
+
+    async def test_a_connection_remembers_a_bounded_number_of_ids(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer(asked.request)
+
+        await self.start(script)
+        ids = [f"r{number}" for number in range(300)]
+        self.assertEqual(await self.calls(*ids), 2)
