A whole answer is not lost with the bytes behind it

What callers saw: 502 where their endpoint had answered whole, on unsafe requests too, when bytes that are no answer, or a second answer behind one that said that the connection closes, came in the same read.

Cause: the library's parser takes bytes as a whole or not at all; an error behind an answer undid the answer that was parsed before it. The head of an answer is parsed apart from what follows now, so the answer stands when the rest cannot be read, and the connection ends.

--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -97,7 +97,7 @@
                     async for data in script(asked):
                         writer.write(data)
                         await writer.drain()
-            except (EOFError, OSError):
+            except (EOFError, OSError, asyncio.CancelledError):
                 writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -248,3 +248,50 @@
         await self.start(script)
         ids = [f"r{number}" for number in range(300)]
         self.assertEqual(await self.calls(*ids), 2)
+
+
+class BytesBehindAnAnswerTest(ScriptedEndpointCase):
+    """Bytes behind an answer do not take it away from its caller."""
+
+    async def test_behind_a_second_answer_that_is_skipped(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            if asked.number:
+                yield answer("a", b"again")
+                await asyncio.sleep(0.002)
+            behind = b"bytes that are no answer\r\n\r\n" if asked.number else b""
+            yield answer(asked.request, b"ok") + behind
+
+        await self.start(script)
+        self.assertEqual(await self.call("/a", "a"), b"ok")
+        self.assertEqual(await self.call("/b", "b"), b"ok")
+
+    async def test_in_the_same_read(self):
+        garbage = b"bytes that are no answer\r\n\r\n"
+        for sent in (
+            answer("a", b"ok") + garbage,
+            answer("a", b"ok") + answer("a", b"again"),
+            answer("a", b"ok", "Connection: close") + answer("a", b"again"),
+            chunked("a", b"o", b"k") + garbage,
+            b"HTTP/1.1 100 Continue\r\n\r\n" + answer("a", b"ok") + garbage,
+        ):
+            for repeatable in (True, False):
+                for cuts in ((0, 0), (0, len(head("a", 2)) - 2), (30, 31)):
+                    with self.subTest(sent=sent, repeatable=repeatable, cuts=cuts):
+
+                        async def script(
+                            asked: Asked,
+                            sent: bytes = sent,
+                            cuts: tuple[int, int] = cuts,
+                        ) -> AsyncIterator[bytes]:
+                            first, second = cuts
+                            for part in (
+                                sent[:first],
+                                sent[first:second],
+                                sent[second:],
+                            ):
+                                yield part
+                                await asyncio.sleep(0.002)
+
+                        await self.start(script)
+                        got = await self.call("/a", "a", repeatable=repeatable)
+                        self.assertEqual(got, b"ok")
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -30,6 +30,7 @@
 
 # Requests that one connection carries; it remembers their ids.
 MAX_CARRIED = 256
+HEAD_END = b"\r\n\r\n"
 
 Message = tuple[RawResponseMessage, aiohttp.StreamReader]
 
@@ -91,6 +92,9 @@
         self.on_stray = on_stray
         # Whether a request is under way, whose answer has not ended.
         self.under_way = False
+        # Whether the head of an answer is due, and the last bytes that came before it.
+        self.head_due = False
+        self.before = b""
         # Whether the peer has reset the connection.
         self.was_reset = False
 
@@ -104,6 +108,8 @@
     def begin(self, request: str) -> None:
         """:param request: the id of the request that is sent now."""
         self.under_way = True
+        self.head_due = True
+        self.before = b""
 
     def _end(self) -> None:
         self.under_way = False
@@ -130,8 +136,34 @@
             self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
             self.close()
             return
+        while self.head_due and (size := self._head_size(data)):
+            super().data_received(data[:size])
+            data = data[size:]
+            if not data:
+                return
+        self.before = (self.before + data[1 - len(HEAD_END) :])[1 - len(HEAD_END) :]
         super().data_received(data)
 
+    def _head_size(self, data: bytes) -> int:
+        """Find the end of a head, which is parsed apart from what follows.
+
+        The parser reads bytes as a whole or not at all: what is no answer would undo
+        the whole answer before it.
+
+        :returns: how many bytes belong to the head; 0 if its end has not come.
+        """
+        at = (self.before + data).find(HEAD_END)
+        return 0 if at < 0 else at + len(HEAD_END) - len(self.before)
+
+    def feed_data(self, data: Message, size: int = 0) -> None:
+        """:param data: the head and body of an answer.
+
+        :param size: the library's.
+        """
+        self.head_due = data[0].code < HTTPStatus.OK
+        self.before = b""
+        super().feed_data(data, size)
+
     def address(self) -> str:
         """:returns: ``IP:port`` of the other side; empty once it is closed."""
         transport = self.transport
@@ -247,6 +279,7 @@
     async def _skip(self, payload: aiohttp.StreamReader) -> None:
         while not payload.at_eof():
             await payload.readany()
+        self.head_due = True
         # The end of a body stops the time limit between two reads.
         self.start_timeout()
 
