The clients of the store and of our own interface end connections with strays too

The same cause elsewhere: the store's client, the VM list, endpoints' reports and orders keep connections, and took what an earlier call still had coming for the next answer. They use the same connections now, which end with bytes that no call waits for. The store's answers carry no id; one that is a single object is compared by its name, and another object makes the outcome unclear (it was taken for the one that was asked for).

Evidence: with a plain connector and without the comparison both new tests fail, one as nothing tells of the second answer, one as a call gets the object of the call before it. Lists and watches that come in another's place cannot be told apart: open.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,9 +7,11 @@
 import asyncio
 import unittest
 from collections import Counter
+from collections.abc import AsyncIterator
 
 from standins.link import Link
 from standins.store import StoreStandIn
+from tests.scriptedendpoint import Asked, ScriptedEndpointCase, answer
 from walnutquay.exceptions import (
     HistoryGoneError,
     PlatformConflictError,
@@ -202,3 +204,45 @@
         self.assertEqual(await register.read(), {"vm-1": place(2)})
         await register.leave(VmName("vm-1"))
         self.assertEqual(await register.read(), {})
+
+
+class SecondAnswerTest(ScriptedEndpointCase):
+    """A store's second answer is no answer to the next call."""
+
+    async def answer_twice(self, late: bool) -> StoreClient:
+        """Have each call answered twice, with an object of its own name.
+
+        :param late: whether the second answer comes in the place of the next one.
+        :returns: a client.
+        """
+        owed: list[bytes] = []
+
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            name = asked.path.rpartition("/")[2]
+            body = b'{"metadata": {"name": "%s", "revision": 1}}' % name.encode()
+            if late and asked.number:
+                yield owed.pop()
+            yield answer("", body)
+            owed.append(answer("", body))
+            if not late:
+                await asyncio.sleep(0.005)
+                yield owed.pop()
+
+        await self.start(script)
+        client = StoreClient(f"127.0.0.1:{self.port}", on_stray=self.strays.append)
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def test_while_no_call_is_under_way(self):
+        client = await self.answer_twice(late=False)
+        for name in ("a", "b", "c"):
+            before = len(self.strays)
+            stored = await client.get("config", name)
+            self.assertEqual(stored and stored.name, name)
+            await self.until(lambda: len(self.strays) > before)  # noqa: B023
+
+    async def test_in_the_place_of_the_next_answer(self):
+        client = await self.answer_twice(late=True)
+        await client.get("config", "a")
+        with self.assertRaises(PlatformUnclearError):
+            await client.get("config", "b")
--- a/walnutquay/coordination/own/endpoints.py
+++ b/walnutquay/coordination/own/endpoints.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.own.members import ListedEndpoint, Members
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
+from walnutquay.coordination.process.strays import stray_teller
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import EndpointLeaving
@@ -23,6 +24,7 @@
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.store.parts import Endpoint
 from walnutquay.transport.client import get_json
+from walnutquay.transport.connections import KeptConnector
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -57,7 +59,9 @@
         self.table = table
         self.configurations = configurations
         self.members = members
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(
+            connector=KeptConnector(stray_teller(context))
+        )
         # The versions that each endpoint last reported as loaded.
         self.loaded: dict[str, frozenset[str]] = {}
         configurations.listeners.append(self.on_configuration)
--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -12,6 +12,7 @@
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
+from walnutquay.coordination.process.strays import stray_teller
 from walnutquay.exceptions import EndpointError, PeerError
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.ownmessages import Heartbeat
@@ -19,6 +20,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import MemberState
 from walnutquay.transport.client import get_json
+from walnutquay.transport.connections import KeptConnector
 from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.timers import monotonic
 
@@ -67,7 +69,10 @@
         self.own = own
         self.counter = 0
         self.table = MemberTable(context.vm, context.rng)
-        self.session = aiohttp.ClientSession(headers={"User-Agent": context.vm})
+        self.session = aiohttp.ClientSession(
+            connector=KeptConnector(stray_teller(context)),
+            headers={"User-Agent": context.vm},
+        )
         self.list_read_at = float("-inf")
         # Whom to tell of newer news of a VM, and whether it came from that VM
         # itself; and whom to tell of the endpoints on the list.
--- a/walnutquay/coordination/own/rollouts.py
+++ b/walnutquay/coordination/own/rollouts.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.own.health import VersionHealth
 from walnutquay.coordination.own.leases import Lease
 from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.process.strays import stray_teller
 from walnutquay.exceptions import ConfigurationError, WalnutquayError
 from walnutquay.state.own.configuration import Content
 from walnutquay.state.own.rollouts import Order, OrderAction, change_rollout, orders_for
@@ -21,6 +22,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import RolloutState
 from walnutquay.state.store.parts import Endpoint, Rollout
+from walnutquay.transport.connections import KeptConnector
 
 log = logbook.Logger(__name__)
 
@@ -56,7 +58,9 @@
         self.news = news
         self.health = health
         self.lease = lease
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(
+            connector=KeptConnector(stray_teller(context))
+        )
 
     def start(self) -> None:
         """Begin the duty, and to keep its lease."""
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -109,7 +109,10 @@
         self.context = Context(
             vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
         )
-        self.store = StoreClient(options.store.address, count=metrics.count)
+        on_stray = stray_teller(self.context)
+        self.store = StoreClient(
+            options.store.address, count=metrics.count, on_stray=on_stray
+        )
         self.dispatcher = Dispatcher()
         self.node = self._make_node()
         self.peers = self._make_peers()
@@ -136,7 +139,7 @@
         self.knowledge = links.knowledge(options.promises)
         self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
-        self.client = HttpClient(names.REQUEST_ID, stray_teller(self.context))
+        self.client = HttpClient(names.REQUEST_ID, on_stray)
         self.versions = VersionTrials(
             self.context,
             self.knowledge,
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -24,7 +24,7 @@
 )
 from walnutquay.platform.lenient import is_plain, read_json
 from walnutquay.platform.names import OBJECTS_PATH
-from walnutquay.transport.sockets import limited_socket
+from walnutquay.transport.connections import KeptConnector, OnStray, ignore_stray
 
 log = logbook.Logger(__name__)
 
@@ -73,6 +73,7 @@
     :param call_seconds: how long a call may take; a watch takes its wait on top.
     :param count: told of each call, by what it is and for which kind; calls have a
         price, and whoever looks at it asks which ones there are.
+    :param on_stray: told of bytes that answer no call.
     """
 
     def __init__(
@@ -81,14 +82,14 @@
         caller: str = "walnutquay",
         call_seconds: float = CALL_SECONDS,
         count: Callable[[str], None] = lambda name: None,
+        on_stray: OnStray = ignore_stray,
     ) -> None:
         self.count = count
         self.base = f"http://{address}{OBJECTS_PATH}"
         self.address = address
         self.call_seconds = call_seconds
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=limited_socket)
         self.session = aiohttp.ClientSession(
-            connector=connector,
+            connector=KeptConnector(on_stray, limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
             headers={"User-Agent": caller},
         )
@@ -153,7 +154,7 @@
         :returns: the object, or None where there is none.
         """
         try:
-            return _stored(await self._call("GET", kind, name))
+            return _stored_as(name, await self._call("GET", kind, name))
         except MissingObjectError:
             return None
 
@@ -166,7 +167,7 @@
         :raises PlatformConflictError: if it exists.
         """
         body = {"metadata": {"name": name}, "spec": spec}
-        return _stored(await self._call("POST", kind, body=body))
+        return _stored_as(name, await self._call("POST", kind, body=body))
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: int | None
@@ -183,7 +184,7 @@
         if revision is not None:
             metadata["revision"] = revision
         body = {"metadata": metadata, "spec": spec}
-        return _stored(await self._call("PUT", kind, name, body=body))
+        return _stored_as(name, await self._call("PUT", kind, name, body=body))
 
     async def write_status(
         self, kind: str, name: str, status: Any, revision: int
@@ -197,7 +198,8 @@
         :raises PlatformConflictError: if it has another.
         """
         body = {"metadata": {"name": name, "revision": revision}, "status": status}
-        return _stored(await self._call("PUT", kind, name, "status", body=body))
+        written = await self._call("PUT", kind, name, "status", body=body)
+        return _stored_as(name, written)
 
     async def delete(self, kind: str, name: str, revision: int | None = None) -> None:
         """Remove an object; one that is gone already is no error.
@@ -307,6 +309,19 @@
     return StoredObject(stored.name, stored.revision, None)
 
 
+def _stored_as(name: str, plain: Mapping[str, Any]) -> StoredObject:
+    """Read the object of an answer.
+
+    :raises PlatformUnclearError: if it is another one: the answer is another call's.
+    """
+    stored = _stored(plain)
+    if stored.name != name:
+        raise PlatformUnclearError(
+            f"the store answered with {stored.name!r}", step="answer", peer=name
+        )
+    return stored
+
+
 def _stored(plain: Mapping[str, Any]) -> StoredObject:
     metadata = plain["metadata"]
     name = metadata["name"]
