A connection on which an answer is overlong is not used again

What callers saw: 502 for a request whose connection had got the beginning of a second answer together with the end of the answer before it.

Cause: the parser keeps the beginning of a head to itself, so the connection looked clean and was used again; a new parser then read the rest of that head as the next answer. The bytes behind a head are counted against the length of its body now, and a chunked answer ends as its last chunk does.

--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 
 from tests.scriptedendpoint import (
+    ID,
     LIMIT_SECONDS,
     Asked,
     ScriptedEndpointCase,
@@ -19,6 +20,9 @@
 from walnutquay.transport.client import STEP_ANSWER
 from walnutquay.transport.connections import StrayKind
 
+# Bytes that do not fit into the buffers between two processes.
+LONG_BODY = 32 << 20
+
 
 class StrayTest(ScriptedEndpointCase):
     """Bytes that answer no request are no request's answer."""
@@ -134,6 +138,19 @@
         await self.start(script)
         self.assertEqual(await self.calls("a", "b", "c"), 3)
 
+    async def test_an_answer_before_the_whole_body_was_sent(self):
+        # What is left of the body would be read as the beginning of the next request.
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield answer(asked.request, asked.path.encode())
+            if asked.path == "/long":
+                await asyncio.sleep(LIMIT_SECONDS)
+
+        await self.start(script)
+        body = bytes(LONG_BODY)
+        self.assertEqual(await self.call("/long", "a", data=body), b"/long")
+        self.assertEqual(await self.call("/b", "b"), b"/b")
+        self.assertEqual(self.connections, 2)
+
     async def test_a_connection_remembers_a_bounded_number_of_ids(self):
         async def script(asked: Asked) -> AsyncIterator[bytes]:
             yield answer(asked.request)
@@ -143,6 +160,43 @@
         self.assertEqual(await self.calls(*ids), 2)
 
 
+class StreamTest(ScriptedEndpointCase):
+    """A second answer behind one that is passed on as it comes."""
+
+    async def stream(self, request: str) -> list[bytes]:
+        """:returns: the pieces of a streamed answer, as they came."""
+        async with self.client.request(
+            "GET",
+            f"http://127.0.0.1:{self.port}/stream",
+            peer="endpoint",
+            headers={ID: request},
+            timeout=LIMIT_SECONDS,
+        ) as got:
+            return [data async for data in got.content.iter_any()]
+
+    async def test_in_any_pieces(self):
+        for size in (1, 5, 40, 1000):
+            for late in (True, False):
+                with self.subTest(size=size, late=late):
+
+                    async def script(
+                        asked: Asked, size: int = size, late: bool = late
+                    ) -> AsyncIterator[bytes]:
+                        own = chunked(asked.request, b"id: 1\n\n", b"id: 2\n\n")
+                        if late and asked.number:
+                            own = chunked("a", b"id: 9\n\n") + own
+                        if not late:
+                            own += chunked(asked.request, b"id: 9\n\n")
+                        for begin in range(0, len(own), size):
+                            yield own[begin : begin + size]
+                            await asyncio.sleep(0)
+
+                    await self.start(script)
+                    for request in ("a", "b", "c"):
+                        got = b"".join(await self.stream(request))
+                        self.assertEqual(got, b"id: 1\n\nid: 2\n\n")
+
+
 class BytesBehindAnAnswerTest(ScriptedEndpointCase):
     """Bytes behind an answer do not take it away from its caller."""
 
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -95,6 +95,8 @@
         # Whether the head of an answer is due, and the last bytes that came before it.
         self.head_due = False
         self.before = b""
+        # Bytes that have come behind that head.
+        self.behind_head = 0
         # Whether the peer has reset the connection.
         self.was_reset = False
 
@@ -139,10 +141,28 @@
         while self.head_due and (size := self._head_size(data)):
             super().data_received(data[:size])
             data = data[size:]
+            self.behind_head = 0
             if not data:
                 return
-        self.before = (self.before + data[1 - len(HEAD_END) :])[1 - len(HEAD_END) :]
+        self.before = (self.before + data[-len(HEAD_END) :])[-len(HEAD_END) :]
+        self.behind_head += len(data)
         super().data_received(data)
+        if self._is_overlong():
+            self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
+            self.force_close()
+
+    def _is_overlong(self) -> bool:
+        """:returns: whether more bytes have come than the answer that has ended.
+
+        The parser keeps the beginning of another head to itself.
+        """
+        if self.head_due or self._payload is None or not self._payload.is_eof():
+            return False
+        size = self._payload.total_bytes
+        if self.behind_head <= size:
+            return False
+        # Chunks are longer than what they hold, and end as a head does.
+        return not (size and self.before == HEAD_END)
 
     def _head_size(self, data: bytes) -> int:
         """Find the end of a head, which is parsed apart from what follows.
@@ -152,8 +172,9 @@
 
         :returns: how many bytes belong to the head; 0 if its end has not come.
         """
-        at = (self.before + data).find(HEAD_END)
-        return 0 if at < 0 else at + len(HEAD_END) - len(self.before)
+        before = self.before[1 - len(HEAD_END) :]
+        at = (before + data).find(HEAD_END)
+        return 0 if at < 0 else at + len(HEAD_END) - len(before)
 
     def feed_data(self, data: Message, size: int = 0) -> None:
         """:param data: the head and body of an answer.
