A request that is given up on a kept connection does not arrive later

What was seen: of two requests on one connection to an endpoint behind a full link, the second was given up at its deadline and still ran when the link worked again.

Cause: whether a connection's request was given up was told from the answer that it got last, which on a kept connection was the answer to the request before. The connection knows now itself whether its request is under way, and is reset if so.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -87,7 +87,7 @@
     Mutation(
         "what is given up does not arrive later",
         "transport/connections.py",
-        "if transport is None or self._answer_is_whole():",
+        "if transport is None or not self.under_way:",
         "if True:",
         "tests.coordination.routed.test_silence.GivenUpTest.test_what_waits_on_a_full_link",
     ),
--- a/tests/coordination/routed/test_silence.py
+++ b/tests/coordination/routed/test_silence.py
@@ -104,6 +104,16 @@
 
     workers = {"e1": "engine"}
 
+    async def test_what_waits_on_a_full_link_of_a_kept_connection(self):
+        link = await self.add_linked_worker("p1", "plain")
+        self.assertEqual((await self.call("/safe/x")).status, 200)
+        link.hold()
+        answer = await self.call("/safe/x", Deadline="300")
+        self.assertEqual(answer.status, 504)
+        link.release()
+        await self.until(lambda: not link.writers)
+        self.assertEqual(self.runs("p1"), 1)
+
     async def test_what_waits_on_a_full_link(self):
         link = await self.add_linked_worker("p1", "plain")
         link.hold()
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -199,16 +199,12 @@
         seconds before that it leaves.
         """
         transport = self.transport
-        if transport is None or self._answer_is_whole():
+        if transport is None or not self.under_way:
             super().close()
             return
         reset_on_close(transport.get_extra_info("socket"))
         self.abort()
 
-    def _answer_is_whole(self) -> bool:
-        # aiohttp offers no public way to the answer that is being read.
-        return self._payload is not None and self._payload.is_eof()
-
     def eof_received(self) -> None:
         """Ask the socket itself how the connection ended."""
         super().eof_received()
