lab: one package for each subject

Cause: 33 modules stood flat in lab/, told apart by prefixes of their names.

Imports, commands in pages and docstrings follow; nothing else changes. tests/coordination/routed/test_cold.py follows with its two imports.

No module goes: each prints a figure that a page names (ACCOUNT, CAPACITY, DECISIONS, GUARANTEES, design) or is imported or started by one that does, and no function, class or constant in lab/ stands unused (names counted over lab/ and tests/).

Result: tests/lab, tests.test_layers and tests.coordination.routed.test_cold pass; all modules import; lab.mutants.run 0 fails as it must.

--- a/lab/__init__.py
+++ b/lab/__init__.py
@@ -1,3 +1,3 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Experiments and measurements."""
+"""Experiments and measurements, in one package for each subject."""
--- a/lab/decoding.py
+++ b/lab/capacity/decoding.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What it takes to read one object of the store: ``python -m lab.decoding``.
+"""What it takes to read one object of the store: ``python -m lab.capacity.decoding``.
 
 Processor time of this process, the least of some rounds, for others run beside it.
 """
--- a/lab/fakepeers.py
+++ b/lab/capacity/fakepeers.py
@@ -1,10 +1,11 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Plays many entry VMs in one process: ``python -m lab.fakepeers N PORT PERIOD [R]``.
+"""Plays many entry VMs in one process.
 
-They send real heartbeats with rumours to the VM at PORT, as often as N VMs
-would that each choose their targets at random, and answer its calls.  With R,
-they tell R counts of outcomes each second, which is what one VM is told.
+``python -m lab.capacity.fakepeers N PORT PERIOD [R]``: they send real heartbeats with
+rumours to the VM at PORT, as often as N VMs would that each choose their targets at
+random, and answer its calls. With R, they tell R counts of outcomes each second, which
+is what one VM is told.
 """
 
 from __future__ import annotations
--- a/lab/overhead.py
+++ b/lab/capacity/overhead.py
@@ -2,8 +2,8 @@
 
 """Added latency and requests a second of an entry VM against a pass-through.
 
-``python -m lab.overhead [ROUNDS]`` runs both by turns in one run and prints the
-ratio.  The entry VM has a second VM beside it, which keeps copies of its bills.
+``python -m lab.capacity.overhead [ROUNDS]`` runs both by turns in one run and prints
+the ratio. The entry VM has a second VM beside it, which keeps copies of its bills.
 """
 
 from __future__ import annotations
@@ -70,7 +70,7 @@
     """
     target = f"http://127.0.0.1:{process.ports['callers']}/v1/chat/completions"
     used = cpu_seconds(process.handle.pid)
-    arguments = ("-m", "lab.load", target, KEY, str(connections), str(SECONDS))
+    arguments = ("-m", "lab.capacity.load", target, KEY, str(connections), str(SECONDS))
     handles = [
         await asyncio.create_subprocess_exec(
             sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
@@ -113,9 +113,13 @@
         await fleet.start_platform()
         engines = []
         for number in range(2):
-            process = await fleet.start_process(f"e{number}", "-m", "lab.fastengine")
+            process = await fleet.start_process(
+                f"e{number}", "-m", "lab.capacity.fastengine"
+            )
             engines.append(f"http://127.0.0.1:{process.ports['http']}")
-        bare = await fleet.start_process("bare", "-m", "lab.passthrough", *engines)
+        bare = await fleet.start_process(
+            "bare", "-m", "lab.capacity.passthrough", *engines
+        )
         entry = await fleet.start_vm("vm-a1", "hall-a")
         await fleet.start_vm("vm-a2", "hall-a")
         await fleet.wait_for_members()
--- a/lab/capacity.py
+++ b/lab/capacity/page.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Writes docs/CAPACITY.md from the measured slopes: ``python -m lab.capacity``."""
+"""Writes docs/CAPACITY.md from the measured slopes: ``python -m lab.capacity.page``."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Any
 
-from lab import aims
-from lab.slopes import HEARTBEAT, OUTPUT
+from lab.capacity import aims
+from lab.capacity.slopes import HEARTBEAT, OUTPUT
 from walnutquay.coordination.own.billing import DEAD_SECONDS, FLEET_FLUSHES
 from walnutquay.coordination.own.configurations import WATCHERS
 from walnutquay.coordination.own.endpoints import MAX_REPORTERS, REPORT_PERIOD
@@ -33,7 +33,7 @@
 from walnutquay.state.requests.endpoints import SUBSET
 from walnutquay.state.requests.stages import CostLine
 
-PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+PAGE = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
 
 SAMPLES = 10_000
 EVENTS_A_STREAM = 66
@@ -87,7 +87,7 @@
 class Account:
     """The page's numbers, worked out from the measured rows.
 
-    :param measured: what ``lab.slopes`` wrote.
+    :param measured: what ``lab.capacity.slopes`` wrote.
     """
 
     def __init__(self, measured: dict[str, Any]) -> None:
@@ -318,11 +318,11 @@
     return "fits" if fits else "**over**"
 
 
-TEMPLATE = Path(__file__).with_name("capacity.template.md")
+TEMPLATE = Path(__file__).with_name("page.template.md")
 
 
 def page(measured: dict[str, Any]) -> str:
-    """:param measured: what ``lab.slopes`` wrote.
+    """:param measured: what ``lab.capacity.slopes`` wrote.
 
     :returns: the page.
     """
--- a/lab/slopes.py
+++ b/lab/capacity/slopes.py
@@ -2,9 +2,9 @@
 
 """Measures how the cost of an entry VM grows, for docs/CAPACITY.md.
 
-``python -m lab.slopes [NAME ...]`` varies one size at a time, four values each,
-fits a line to each cost, and writes all rows to lab/slopes.json; with names, only
-those experiments are run anew.
+``python -m lab.capacity.slopes [NAME ...]`` varies one size at a time, four values
+each, fits a line to each cost, and writes all rows to lab/capacity/slopes.json; with
+names, only those experiments are run anew.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from statistics import correlation, linear_regression
 from typing import Any
 
-from lab.overhead import KEY, content, cpu_seconds
+from lab.capacity.overhead import KEY, content, cpu_seconds
 from standins.fleet import HOST, Fleet, Process, Vm
 
 OUTPUT = Path(__file__).with_name("slopes.json")
@@ -100,7 +100,9 @@
     if kind == "fast":
         found = []
         for number in range(2):
-            process = await fleet.start_process(f"e{number}", "-m", "lab.fastengine")
+            process = await fleet.start_process(
+                f"e{number}", "-m", "lab.capacity.fastengine"
+            )
             found.append(f"http://{HOST}:{process.ports['http']}")
         return found
     return [
@@ -125,7 +127,15 @@
     :param kind: ``stream`` or ``whole``.
     """
     url = f"{vm.url('callers')}/v1/chat/completions"
-    arguments = ("-m", "lab.streamload", url, KEY, str(rate), kind, str(SECONDS))
+    arguments = (
+        "-m",
+        "lab.capacity.streamload",
+        url,
+        KEY,
+        str(rate),
+        kind,
+        str(SECONDS),
+    )
     handle = await asyncio.create_subprocess_exec(
         sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
     )
@@ -147,7 +157,13 @@
         assert vm.process is not None
         port = str(vm.process.ports["peers"])
         fake = await fleet.start_process(
-            "peers", "-m", "lab.fakepeers", str(count), port, str(HEARTBEAT), str(rows)
+            "peers",
+            "-m",
+            "lab.capacity.fakepeers",
+            str(count),
+            port,
+            str(HEARTBEAT),
+            str(rows),
         )
         fleet.listed_endpoints = [
             {
--- a/lab/streamload.py
+++ b/lab/capacity/streamload.py
@@ -1,6 +1,9 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Streams answers at a set rate: ``python -m lab.streamload URL KEY RATE SECONDS``."""
+"""Sends chat requests at a set rate, whole or streamed.
+
+``python -m lab.capacity.streamload URL KEY RATE KIND SECONDS``
+"""
 
 from __future__ import annotations
 
--- a/lab/claimcost.py
+++ b/lab/claims/cost.py
@@ -2,7 +2,7 @@
 
 """What a claim adds to a call, and how soon a leaving endpoint is left alone.
 
-``python -m lab.claimcost`` prints both, measured over a fleet of three VMs.
+``python -m lab.claims.cost`` prints both, measured over a fleet of three VMs.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 import time
 from statistics import quantiles
 
-from lab.overhead import KEY
+from lab.capacity.overhead import KEY
 from standins.fleet import Fleet
 from walnutquay.state.process.keys import key_hash
 
--- a/lab/claimways.py
+++ b/lab/claims/ways.py
@@ -2,7 +2,7 @@
 
 """Three ways to claim an idempotency key, tried beside each other.
 
-``python -m lab.claimways`` prints, for each way and rate, how many claims were
+``python -m lab.claims.ways`` prints, for each way and rate, how many claims were
 granted, how long they took, and what the platform had to do; and the share that
 is granted while the platform is down.  One create per key is what the product
 does; the other two are trials, without the recovery that a product would need.
--- a/lab/coldcosts.py
+++ b/lab/cold/costs.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What cold endpoints get, by way and size: ``python -m lab.coldcosts``."""
+"""What cold endpoints get, by way and size: ``python -m lab.cold.costs``."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 import click
 
-from lab.coldfleet import SIZES, Case, ColdFleet, Findings
-from lab.coldways import WAYS, ColdWay
+from lab.cold.fleet import SIZES, Case, ColdFleet, Findings
+from lab.cold.ways import WAYS, ColdWay
 from walnutquay.state.routed.cold import ColdLimit
 
 # As the shifted work's sheet has it: 10 a second, over by a half and five.
--- a/lab/coldfleet.py
+++ b/lab/cold/fleet.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lab.coldways import ColdWay, Fleet, Granted, Relay
+from lab.cold.ways import ColdWay, Fleet, Granted, Relay
 from walnutquay.state.process.ids import EndpointName, VmName
 from walnutquay.state.routed.cold import ColdLimit
 
--- a/lab/crashcosts.py
+++ b/lab/crashes/costs.py
@@ -2,7 +2,7 @@
 
 """What requests that end engines cost fleets of several sizes.
 
-``python -m lab.crashcosts`` prints, for each way to deal with them, the engines that
+``python -m lab.crashes.costs`` prints, for each way to deal with them, the engines that
 ended for each such request, and what became of the others.
 """
 
@@ -13,8 +13,8 @@
 
 import click
 
-from lab.crashfleet import CrashFleet
-from lab.crashways import WAYS, Findings, Way
+from lab.crashes.fleet import CrashFleet
+from lab.crashes.ways import WAYS, Findings, Way
 
 
 @dataclass(frozen=True)
--- a/lab/crashfleet.py
+++ b/lab/crashes/fleet.py
@@ -16,8 +16,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from lab.crashways import WAYS, Findings, Way
-from lab.virtualtime import VirtualLoop, run_virtually
+from lab.crashes.virtualtime import VirtualLoop, run_virtually
+from lab.crashes.ways import WAYS, Findings, Way
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.requests import crashes, crashnews
 from walnutquay.coordination.requests.crashes import CrashWatch
--- a/lab/derived.py
+++ b/lab/days/derived.py
@@ -2,7 +2,7 @@
 
 """Plays deployments that nobody has tuned for, derived from one that is given.
 
-``python -m lab.derived --bench PROGRAM --site FILE --folder DIR --seed N [...]``
+``python -m lab.days.derived --bench PROGRAM --site FILE --folder DIR --seed N [...]``
 writes each derived deployment below DIR, which must stand outside the repository and
 outside /tmp, plays the days there, and prints what each was worth.
 """
@@ -20,7 +20,7 @@
 import click
 import tomli_w
 
-from lab.plays import Bench
+from lab.days.plays import Bench
 
 Site = dict[str, Any]
 
--- a/lab/losses.py
+++ b/lab/days/losses.py
@@ -2,7 +2,7 @@
 
 """Charges what played days lost to causes, by joining the bench's reports with logs.
 
-``python -m lab.losses --bench PROGRAM --site FILE --day NAME [--day ...]
+``python -m lab.days.losses --bench PROGRAM --site FILE --day NAME [--day ...]
 --seed N [--seed ...]`` plays the days and prints a table.
 
 How much each kind of request lost by failures, by lateness and by answers of too
@@ -21,7 +21,7 @@
 
 import click
 
-from lab.plays import Bench, Played, RequestClass, read_classes
+from lab.days.plays import Bench, Played, RequestClass, read_classes
 from walnutquay.history.causes import Cause
 from walnutquay.history.lines import read_files
 from walnutquay.history.report import Judged, judge
--- a/lab/admission.py
+++ b/lab/decisions/admission.py
@@ -2,10 +2,10 @@
 
 """What a fleet does with more work than it can do, and after an outage.
 
-``python -m lab.admission [SEED]`` sends patient work at 0.8 to 3 times what two
-engines can do, six parts in ten of it from one organisation of ten, beside a steady
-stream of quick calls, through two entry VMs.  Callers come back once, after the
-time that a refusal names.  Then the engines fail all requests for some seconds.
+``python -m lab.decisions.admission [SEED]`` sends patient work at 0.8 to 3 times what
+two engines can do, six parts in ten of it from one organisation of ten, beside a steady
+stream of quick calls, through two entry VMs. Callers come back once, after the time
+that a refusal names. Then the engines fail all requests for some seconds.
 """
 
 from __future__ import annotations
--- a/lab/cascades.py
+++ b/lab/decisions/cascades.py
@@ -2,11 +2,11 @@
 
 """What an answer of the wanted quality costs, by four ways to use a cascade.
 
-``python -m lab.cascades [SEED]`` sends the same trace of each user's chats through
-a fleet three times, once to a cascade that learns, once to one that always begins
-with the cheap model, once to the strong model alone, and works out from the same
-answers what an oracle would have paid that knows every rating beforehand.  Cost is
-what the bills say.
+``python -m lab.decisions.cascades [SEED]`` sends the same trace of each user's chats
+through a fleet three times, once to a cascade that learns, once to one that always
+begins with the cheap model, once to the strong model alone, and works out from the same
+answers what an oracle would have paid that knows every rating beforehand. Cost is what
+the bills say.
 """
 
 from __future__ import annotations
--- a/lab/choice.py
+++ b/lab/decisions/choice.py
@@ -2,10 +2,10 @@
 
 """How well endpoints are chosen: latency and cache hits, against simpler ways.
 
-``python -m lab.choice [SEED [WAY ...]]`` sends a trace to eight stand-in engines, one
-of them slow and one failing a fifth of its requests, through the real decision and
-through simpler ones, as three VMs would that each know their own work and lagging
-reports.  One way is a trial: it follows the engines' cache events.
+``python -m lab.decisions.choice [SEED [WAY ...]]`` sends a trace to eight stand-in
+engines, one of them slow and one failing a fifth of its requests, through the real
+decision and through simpler ones, as three VMs would that each know their own work and
+lagging reports. One way is a trial: it follows the engines' cache events.
 """
 
 from __future__ import annotations
--- a/lab/rollouts.py
+++ b/lab/decisions/rollouts.py
@@ -2,10 +2,10 @@
 
 """What a bad version is given before it is braked, and false alarms on a good one.
 
-``python -m lab.rollouts [FIRST_SEED]`` plays roll-outs over the real decisions
-(tallies, tests, brakes) of seven VMs that tell each other as they do, against a
-rule with fixed thresholds on each VM alone.  Chance and time are the program's
-own, so a run gives the same table each time.
+``python -m lab.decisions.rollouts [FIRST_SEED]`` plays roll-outs over the real
+decisions (tallies, tests, brakes) of seven VMs that tell each other as they do, against
+a rule with fixed thresholds on each VM alone. Chance and time are the program's own, so
+a run gives the same table each time.
 """
 
 from __future__ import annotations
--- a/lab/mutations.py
+++ b/lab/mutants/run.py
@@ -2,7 +2,7 @@
 
 """Shows that each guarantee's proof fails where its mechanism is taken out.
 
-``python -m lab.mutations [NUMBER ...]`` copies the tree, takes one mechanism out
+``python -m lab.mutants.run [NUMBER ...]`` copies the tree, takes one mechanism out
 at a time, and runs the tests that prove it; each must fail.
 """
 
@@ -17,7 +17,7 @@
 from lab.mutants import own, routed
 from lab.mutants.mutation import Mutation
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 COPIED = ("walnutquay", "standins", "tests", "demo", "lab")
 
 # Each is known by its place here.
--- a/lab/reference.py
+++ b/lab/pages/reference.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Writes docs/reference.md from the typed models: ``python -m lab.reference``."""
+"""Writes docs/reference.md from the typed models: ``python -m lab.pages.reference``."""
 
 from __future__ import annotations
 
@@ -15,10 +15,11 @@
 from walnutquay.settings import GatewayOptions, Options, Section
 from walnutquay.state.own.configuration import PART_MODELS
 
-PAGE = Path(__file__).parent.parent / "docs" / "reference.md"
+PAGE = Path(__file__).parents[2] / "docs" / "reference.md"
 HEAD = """# Reference
 
-Made from the typed models by `python -m lab.reference`; a test checks that it is so.
+Made from the typed models by `python -m lab.pages.reference`; a test checks that it is
+so.
 
 """
 
--- a/lab/trialablation.py
+++ b/lab/trials/ablation.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What each part of a trial's agreement is worth: ``python -m lab.trialablation``.
+"""What each part of a trial's agreement is worth: ``python -m lab.trials.ablation``.
 
 Switches the parts off one by one, in simulated trials of a small fleet, and counts the
 requests of sessions that changed their version though they must not.
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from unittest import mock
 
-from lab.trialfleet import simulate
+from lab.trials.fleet import simulate
 from walnutquay.coordination.trials import task as trialtask
 from walnutquay.coordination.trials import versions
 from walnutquay.coordination.trials.news import TrialExchange
--- a/lab/trialcosts.py
+++ b/lab/trials/costs.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Messages, memory and moved sessions of trials: ``python -m lab.trialcosts``."""
+"""Messages, memory and moved sessions of trials: ``python -m lab.trials.costs``."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 import click
 
-from lab.trialfleet import NEW, SERVICE, TRIAL_SECONDS, simulate
+from lab.trials.fleet import NEW, SERVICE, TRIAL_SECONDS, simulate
 from walnutquay.state.process.ids import VmName
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 from walnutquay.state.trials.reports import TrialReport
--- a/lab/trialfleet.py
+++ b/lab/trials/fleet.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""A trial of a version in a fleet in simulated time; ``lab.trialcosts`` prints it.
+"""A trial of a version in a fleet in simulated time; ``lab.trials.costs`` prints it.
 
 Sessions whose requests come to any VM, an order that VMs learn of one after the other,
 datagrams that are delayed and lost, planned restarts.  The VMs' own code decides; what
@@ -20,8 +20,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from lab.trialports import SimulatedOrders, SimulatedPeers, hall_of
-from lab.trialrecords import Findings, Served, Vm
+from lab.trials.ports import SimulatedOrders, SimulatedPeers, hall_of
+from lab.trials.records import Findings, Served, Vm
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.trials import answers as orderanswers
 from walnutquay.coordination.trials import news as trialnews
--- a/lab/trialports.py
+++ b/lab/trials/ports.py
@@ -14,7 +14,7 @@
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 
 if TYPE_CHECKING:
-    from lab.trialfleet import TrialFleet
+    from lab.trials.fleet import TrialFleet
 
 
 # Data halls of a simulated fleet.
--- a/tests/coordination/routed/test_cold.py
+++ b/tests/coordination/routed/test_cold.py
@@ -16,8 +16,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lab.coldfleet import SIZES, Case, ColdFleet
-from lab.coldways import Keepers, Nothing
+from lab.cold.fleet import SIZES, Case, ColdFleet
+from lab.cold.ways import Keepers, Nothing
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, Got, catalogue
 from walnutquay.state.process.events import EventKind
--- a/tests/lab/test_crashfleet.py
+++ b/tests/lab/test_crashfleet.py
@@ -3,15 +3,15 @@
 """Requests that end engines, in whole fleets in simulated time.
 
 Seeds are fixed; more, larger fleets and other ways are played by hand with
-``python -m lab.crashcosts``.
+``python -m lab.crashes.costs``.
 """
 
 from __future__ import annotations
 
 import unittest
 
-from lab.crashcosts import SIZES
-from lab.crashfleet import CrashFleet
+from lab.crashes.costs import SIZES
+from lab.crashes.fleet import CrashFleet
 from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # Sends of a blocked request that may come after a time in which VMs are in touch.
--- a/tests/lab/test_losses.py
+++ b/tests/lab/test_losses.py
@@ -9,8 +9,8 @@
 
 import orjson
 
-from lab.losses import NO_LINE, TOO_SMALL, UNEXPLAINED, Loss, losses_of, table
-from lab.plays import ClassCount, Played, Report, RequestClass, read_report
+from lab.days.losses import NO_LINE, TOO_SMALL, UNEXPLAINED, Loss, losses_of, table
+from lab.days.plays import ClassCount, Played, Report, RequestClass, read_report
 from tests.history.test_history import line
 from walnutquay.history.causes import Cause
 from walnutquay.history.report import judge
--- a/tests/lab/test_mutations.py
+++ b/tests/lab/test_mutations.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from lab.mutations import MUTATIONS, is_there
+from lab.mutants.run import MUTATIONS, is_there
 
 
 class MutationsTest(unittest.TestCase):
--- a/tests/lab/test_pages.py
+++ b/tests/lab/test_pages.py
@@ -9,7 +9,9 @@
 import unittest
 from pathlib import Path
 
-from lab import capacity, reference, slopes
+from lab.capacity import page as capacity
+from lab.capacity import slopes
+from lab.pages import reference
 from walnutquay.state.own.policies import PolicyProgram, PolicyPrograms, PolicyRequest
 from walnutquay.state.store.parts import Policy, Version
 
--- a/tests/lab/test_trialfleet.py
+++ b/tests/lab/test_trialfleet.py
@@ -5,15 +5,15 @@
 The platform counts a session's request that runs on the new version in the first half
 of its trial though the one before ran on the old, and one that runs on the old version
 though the one before ran on the new.  Seeds are fixed; more are played by hand with
-``python -m lab.trialcosts``.
+``python -m lab.trials.costs``.
 """
 
 from __future__ import annotations
 
 import unittest
 
-from lab.trialfleet import simulate
-from lab.trialrecords import Findings
+from lab.trials.fleet import simulate
+from lab.trials.records import Findings
 
 # New sessions a second.
 RATE = 40.0
