--- a/lab/trials/ports.py
+++ b/lab/trials/ports.py
@@ -4,19 +4,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from lab.trials.records import Vm
 from walnutquay.coordination.fleet.peers import RELAY_DUTY, RELAYS
 from walnutquay.protocol.messages import Message
 from walnutquay.state.fleet.membership import rendezvous
 from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 
-if TYPE_CHECKING:
-    from lab.trials.fleet import TrialFleet
-
-
 # Data halls of a simulated fleet.
 HALLS = 5
 
@@ -26,6 +24,37 @@
     return HallName(f"hall-{int(vm.rpartition('-')[2]) % HALLS}")
 
 
+class Network(Protocol):
+    """The fleet, as its VMs reach each other.
+
+    :param size: how many VMs there are.
+    :param vms: those that are there now.
+    """
+
+    size: int
+    vms: Sequence[Vm]
+
+    def send(
+        self, sender: VmName, body: Message, meant: Callable[[Vm], bool] = ...
+    ) -> None:
+        """Send a datagram to the other VMs that it is meant for."""
+
+    def ask(self, sender: VmName, body: Message) -> Message | None:
+        """:returns: the first answer of some other VMs, or None."""
+
+
+class OrderStore(Protocol):
+    """The fleet, as its VMs reach the store.
+
+    :param order: the order as it stands; None before it is given.
+    """
+
+    order: RolloutOrder | None
+
+    def write(self, order: RolloutOrder) -> None:
+        """:param order: the order as it stands from now on."""
+
+
 @dataclass
 class SimulatedPeers:
     """The other VMs of one simulated VM.
@@ -34,7 +63,7 @@
     :param vm: the VM.
     """
 
-    fleet: TrialFleet
+    fleet: Network
     vm: VmName
 
     @property
@@ -96,7 +125,7 @@
     :param fleet: the fleet.
     """
 
-    fleet: TrialFleet
+    fleet: OrderStore
 
     async def read(self, name: str) -> RolloutOrder | None:
         """:returns: the order as it stands."""
