--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -42,7 +42,7 @@
 DECIDE_SECONDS = 0.25
 # From when a VM learns of an order until it gives the new version its first sessions:
 # by then all VMs know of the order, and which sessions the others keep on the old one.
-# VMs learnt of orders within 0.04 s of each other (61 VMs, calm days), and one whose
+# VMs learn of an order within 0.04 s of each other (fleet of 61 VMs), and one whose
 # watcher of the store falls silent asks another after 0.9 s.
 SETTLE_SECONDS = 1.0
 # The same from when its first endpoint is known: VMs are told of an endpoint within
