docs: one capacity page with one table of slopes

Bytes received were fitted before but not shown. The 5 s of an experiment come from lab.capacity.slopes instead of a second constant.

Check added: the table of slopes is compared with lab/capacity/slopes.json with its figures (test_the_slopes); the comparison of the page without them stays.

--- a/lab/capacity/page.py
+++ b/lab/capacity/page.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 from lab.capacity import aims
-from lab.capacity.slopes import HEARTBEAT, OUTPUT
+from lab.capacity.slopes import HEARTBEAT, OUTPUT, SECONDS
+from lab.capacity.slopetable import EVENTS_A_STREAM, slope_rows
 from walnutquay.coordination.own.billing import DEAD_SECONDS, FLEET_FLUSHES
 from walnutquay.coordination.own.configurations import WATCHERS
 from walnutquay.coordination.own.endpoints import MAX_REPORTERS, REPORT_PERIOD
@@ -36,7 +37,6 @@
 PAGE = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
 
 SAMPLES = 10_000
-EVENTS_A_STREAM = 66
 LEASE_SECONDS = 6.0
 RENEWALS = 3
 LOOKERS = 2
@@ -114,7 +114,7 @@
         reports = MAX_REPORTERS / REPORT_PERIOD
         extra = self.report_cpu()
         changes = aims.CHANGES_A_DAY / aims.DAY
-        change_cpu = self.slope("changes", "cpu") * self.seconds_of_change()
+        change_cpu = self.slope("changes", "cpu") * SECONDS
         bills = min(aims.NODES, FLEET_FLUSHES)
         keyed = self.keyed_room()
         told = 1 / (TALLY_SECONDS * LARGE_ROUNDS)
@@ -238,10 +238,6 @@
         """:returns: share of a core for the reports of one second."""
         return self.slope("reports", "cpu") * MAX_REPORTERS
 
-    def seconds_of_change(self) -> float:
-        """:returns: the seconds over which changes were counted."""
-        return 5.0
-
     def keyed_room(self) -> float:
         """:returns: platform writes a second that are left for claims."""
         bills = min(aims.NODES, FLEET_FLUSHES)
@@ -259,32 +255,6 @@
             + (LOOKERS - 1) * RENEWALS / LEASE_SECONDS
         )
 
-    def fits_text(self) -> str:
-        """:returns: slopes and residuals, a line each."""
-        lines = ["| varied | cost | slope | at zero | largest residual |"]
-        lines.append("| --- | --- | --- | --- | --- |")
-        for experiment, found in self.measured.items():
-            for cost in ("cpu", "bytes_out", "memory_mb", "platform_reads"):
-                fit = found["fits"][cost]
-                lines.append(
-                    f"| {experiment} | {cost} | {fit['slope']:.3g} | "
-                    f"{fit['intercept']:.3g} | {fit['residual']:.2g} |"
-                )
-        return "\n".join(lines)
-
-    def sizes_text(self) -> str:
-        """:returns: the measured rows."""
-        lines = ["| varied | size | share of a core | KB/s out | KB/s in | MB |"]
-        lines.append("| --- | --- | --- | --- | --- | --- |")
-        for experiment, found in self.measured.items():
-            for row in found["rows"]:
-                lines.append(
-                    f"| {experiment} | {row['size']} | {row['cpu']:.2%} | "
-                    f"{row['bytes_out'] / 1000:.1f} | {row['bytes_in'] / 1000:.1f} | "
-                    f"{row['memory_mb']:.0f} |"
-                )
-        return "\n".join(lines)
-
 
 def bytes_each(make: Callable[[int], object]) -> float:
     """:param make: makes one of many things.
@@ -382,8 +352,7 @@
         cut_records=per_node * 3600,
         cut_mb=per_node * 3600 * record_bytes() / 1e6,
         record_bytes=record_bytes(),
-        sizes=account.sizes_text(),
-        fits=account.fits_text(),
+        slopes="\n".join(slope_rows(measured)),
     )
 
 
--- a/tests/lab/test_pages.py
+++ b/tests/lab/test_pages.py
@@ -11,6 +11,7 @@
 
 from lab.capacity import page as capacity
 from lab.capacity import slopes
+from lab.capacity.slopetable import slope_rows
 from lab.pages import reference
 from walnutquay.state.own.policies import PolicyProgram, PolicyPrograms, PolicyRequest
 from walnutquay.state.store.parts import Policy, Version
@@ -33,6 +34,12 @@
             numbers.sub("#", capacity.PAGE.read_text()), numbers.sub("#", made)
         )
 
+    def test_the_slopes(self):
+        measured = json.loads(slopes.OUTPUT.read_text())
+        rows = "\n".join(slope_rows(measured))
+        self.assertGreater(len(rows.splitlines()), 30)
+        self.assertIn(rows, capacity.PAGE.read_text())
+
     def test_links_lead_somewhere(self):
         for page in [ROOT / "README.md", *ROOT.glob("docs/**/*.md")]:
             for target in re.findall(r"\]\(([^)#]+)\)", page.read_text()):
