--- a/lab/pages/__init__.py
+++ b/lab/pages/__init__.py
@@ -1,3 +1,3 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What the documents show and is made from the code."""
+"""Pages and pictures of the docs that are made from the code."""
