--- a/tests/lab/test_pages.py
+++ b/tests/lab/test_pages.py
@@ -41,10 +41,25 @@
         self.assertIn(rows, capacity.PAGE.read_text())
 
     def test_links_lead_somewhere(self):
+        seen = 0
         for page in [ROOT / "README.md", *ROOT.glob("docs/**/*.md")]:
-            for target in re.findall(r"\]\(([^)#]+)\)", page.read_text()):
-                if not target.startswith("http"):
-                    self.assertTrue((page.parent / target).exists(), (page, target))
+            for target in re.findall(r"\]\(([^)]+)\)", page.read_text()):
+                if target.startswith("http"):
+                    continue
+                seen += 1
+                name, _, anchor = target.partition("#")
+                leads_to = page.parent / name if name else page
+                self.assertTrue(leads_to.exists(), (page, target))
+                if anchor:
+                    self.assertIn(anchor, anchors(leads_to), (page, target))
+        self.assertGreater(seen, 50)
+
+
+def anchors(page: Path) -> set[str]:
+    """:returns: what links may name of a page: its headings, as forges write them."""
+    headings = re.findall(r"^#+ (.+)$", page.read_text(), re.MULTILINE)
+    words = (re.sub(r"[^\w\- ]", "", heading).strip().lower() for heading in headings)
+    return {text.replace(" ", "-") for text in words}
 
 
 CHEAP = Version(name="cheap", model="cheap", price_output=0.5)
