--- a/tests/lab/test_pages.py
+++ b/tests/lab/test_pages.py
@@ -42,7 +42,7 @@
 
     def test_links_lead_somewhere(self):
         seen = 0
-        for page in [ROOT / "README.md", *ROOT.glob("docs/**/*.md")]:
+        for page in [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]:
             for target in re.findall(r"\]\(([^)]+)\)", page.read_text()):
                 if target.startswith("http"):
                     continue
@@ -54,6 +54,16 @@
                     self.assertIn(anchor, anchors(leads_to), (page, target))
         self.assertGreater(seen, 50)
 
+    def test_the_index_leads_to_each_page(self):
+        docs = ROOT / "docs"
+        index = (docs / "README.md").read_text()
+        linked = {
+            (docs / target.partition("#")[0]).resolve()
+            for target in re.findall(r"\]\(([^)]+)\)", index)
+        }
+        pages = {page.resolve() for page in docs.glob("**/*.md")}
+        self.assertEqual(pages - linked, {docs / "README.md"})
+
 
 def anchors(page: Path) -> set[str]:
     """:returns: what links may name of a page: its headings, as forges write them."""
