--- a/lab/capacity/fakepeers.py
+++ b/lab/capacity/fakepeers.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Plays many entry VMs in one process.
+"""Simulates many entry VMs in one process.
 
 ``python -m lab.capacity.fakepeers N PORT PERIOD [R]``: they send real heartbeats with
 rumours to the VM at PORT, as often as N VMs would that each choose their targets at
@@ -39,7 +39,7 @@
 INCARNATION = Incarnation("0-fake")
 # As long as a real one, for the size of messages.
 INCARNATION_SHAPE = "0" * 14 + "-" + "0" * 8
-PLAYED_COUNTERS = 400
+FAKE_COUNTERS = 400
 
 
 async def answer(envelope: m.Envelope) -> m.Message | None:
@@ -53,7 +53,7 @@
         return own.HeadIs(b"")
     if isinstance(envelope.body, own.Heartbeat):
         return None
-    return m.Failure("a played peer")
+    return m.Failure("a simulated peer")
 
 
 async def tell_counts(node: PeerNode, target: Address, rows: int) -> None:
@@ -68,7 +68,7 @@
         told += 1
         news = tuple(
             TallyRow(
-                f"fake-{(told + row) % PLAYED_COUNTERS:04d}",
+                f"fake-{(told + row) % FAKE_COUNTERS:04d}",
                 INCARNATION_SHAPE,
                 f"rated|a-cascade|a-class-{row}|a-version-1",
                 told,
@@ -80,8 +80,8 @@
         await asyncio.sleep(TALLY_SECONDS * LARGE_ROUNDS)
 
 
-async def play(count: int, port: int, period: float, rows: int) -> None:
-    """Play peers until ended.
+async def run(count: int, port: int, period: float, rows: int) -> None:
+    """Run peers until ended.
 
     :param count: how many.
     :param port: where the VM listens.
@@ -132,4 +132,4 @@
 
 if __name__ == "__main__":
     told = int(sys.argv[4]) if sys.argv[4:] else 0
-    asyncio.run(play(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), told))
+    asyncio.run(run(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), told))
--- a/lab/capacity/slopes.py
+++ b/lab/capacity/slopes.py
@@ -145,7 +145,7 @@
 
 
 async def by_peers(count: int, rows: int = 0) -> dict[str, float]:
-    """:param count: other entry VMs, played by one process.
+    """:param count: other entry VMs, simulated by one process.
 
     :param rows: counts of outcomes that they tell each second.
     """
--- a/lab/claims/ways.py
+++ b/lab/claims/ways.py
@@ -7,7 +7,7 @@
 is granted while the platform is down.  One create per key is what the product
 does; the other two are trials, without the recovery that a product would need.
 The claims go over real sockets to the platform stand-in and between VMs that
-this one process plays.
+this one process simulates.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
 BEHIND_SECONDS = 0.2
 
 
-class PlayedVm:
+class SimulatedVm:
     """One VM: its sockets, its connection to the platform, its part of a way.
 
     :param name: its name.
@@ -89,7 +89,7 @@
         granted = await self.way.serve(self, envelope.body.request)
         return RunIs(RunState.PENDING if granted else None)
 
-    async def ask(self, other: PlayedVm, key: str) -> bool:
+    async def ask(self, other: SimulatedVm, key: str) -> bool:
         """:param other: whom to ask.
 
         :param key: the key, as this way writes it.
@@ -114,7 +114,7 @@
 
     name: str
 
-    def __init__(self, vms: list[PlayedVm]) -> None:
+    def __init__(self, vms: list[SimulatedVm]) -> None:
         self.vms = vms
         self.by_name = {vm.name: vm for vm in vms}
         for vm in vms:
@@ -122,7 +122,7 @@
         self.tasks: list[asyncio.Task] = []
 
     @abstractmethod
-    async def claim(self, vm: PlayedVm, key: str) -> bool:
+    async def claim(self, vm: SimulatedVm, key: str) -> bool:
         """:param vm: the VM that a caller has come to.
 
         :param key: the key.
@@ -130,7 +130,7 @@
         """
 
     @abstractmethod
-    async def serve(self, vm: PlayedVm, key: str) -> bool:
+    async def serve(self, vm: SimulatedVm, key: str) -> bool:
         """:param vm: the VM that another one asks.
 
         :param key: the key.
@@ -142,7 +142,7 @@
         for task in self.tasks:
             task.cancel()
 
-    def ranked(self, shard: int) -> list[PlayedVm]:
+    def ranked(self, shard: int) -> list[SimulatedVm]:
         """:param shard: a shard of the keys.
 
         :returns: the VMs in its rank.
@@ -160,7 +160,7 @@
 
     name = "one create per key"
 
-    async def claim(self, vm: PlayedVm, key: str) -> bool:
+    async def claim(self, vm: SimulatedVm, key: str) -> bool:
         """Make the object."""
         try:
             await vm.platform.write(f"claims/{key}", b"x", ABSENT)
@@ -168,7 +168,7 @@
             return False
         return True
 
-    async def serve(self, vm: PlayedVm, key: str) -> bool:
+    async def serve(self, vm: SimulatedVm, key: str) -> bool:
         """Grant nothing: in this way no VM asks another."""
         return False
 
@@ -178,7 +178,7 @@
 
     name = "group commit per shard"
 
-    def __init__(self, vms: list[PlayedVm]) -> None:
+    def __init__(self, vms: list[SimulatedVm]) -> None:
         super().__init__(vms)
         self.waiting: list[list[tuple[str, asyncio.Future[bool]]]] = [
             [] for _ in range(SHARDS)
@@ -187,14 +187,14 @@
         self.run = str(time.time_ns())
         self.tasks = [asyncio.ensure_future(self._commit(s)) for s in range(SHARDS)]
 
-    async def claim(self, vm: PlayedVm, key: str) -> bool:
+    async def claim(self, vm: SimulatedVm, key: str) -> bool:
         """Ask the shard's sequencer."""
         sequencer = self.ranked(shard_of(key))[0]
         if sequencer is vm:
             return await self.serve(vm, key)
         return await vm.ask(sequencer, key)
 
-    async def serve(self, vm: PlayedVm, key: str) -> bool:
+    async def serve(self, vm: SimulatedVm, key: str) -> bool:
         """Put the claim into the next batch."""
         if key in self.claimed:
             return False
@@ -229,7 +229,7 @@
 
     name = "authority granted ahead"
 
-    async def serve(self, vm: PlayedVm, key: str) -> bool:
+    async def serve(self, vm: SimulatedVm, key: str) -> bool:
         """Decide as the holder, or keep a copy."""
         if key.startswith("copy "):
             return True
@@ -318,7 +318,7 @@
     async with Fleet() as fleet:
         await fleet.start_platform(writes=PLATFORM_WRITES)
         for kind in (OneCreate, GroupCommit, GrantedAhead):
-            vms = [PlayedVm(f"vm-{number}", fleet.platform) for number in range(VMS)]
+            vms = [SimulatedVm(f"vm-{number}", fleet.platform) for number in range(VMS)]
             await asyncio.gather(*(vm.start() for vm in vms))
             way = kind(vms)
             for rate in RATES:
--- a/lab/cold/costs.py
+++ b/lab/cold/costs.py
@@ -13,7 +13,7 @@
 from lab.cold.ways import WAYS, ColdWay
 from walnutquay.state.routed.cold import ColdLimit
 
-# As the shifted work's sheet has it: 10 a second, over by a half and five.
+# Requests a second that a cold endpoint bears, and the most that operators allow.
 LIMIT = ColdLimit(10.0, 20.0)
 HEADINGS = (
     "VMs",
--- a/lab/cold/fleet.py
+++ b/lab/cold/fleet.py
@@ -130,7 +130,7 @@
 
 
 class ColdFleet:
-    """Plays one case with one way.
+    """Simulates one case with one way.
 
     :param seed: the source of all chance.
     :param size: the fleet.
--- a/lab/days/plays.py
+++ b/lab/days/bench.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Plays days of a deployment on the users' bench, several seeds at a time.
+"""Runs days of a deployment on the users' bench, several seeds at a time.
 
 The bench is theirs and stands outside the repository: its path is an argument, and
 all that is known of its reports stands here.
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A kind of request, as a deployment's sheet values it.
+    """A kind of request, as a deployment values it.
 
     :param name: its name.
     :param kind: ``safe``, ``unsafe`` or ``stream``.
@@ -74,8 +74,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Played:
-    """A day that was played.
+class DayRun:
+    """A run of a day.
 
     :param day: the day.
     :param seed: its seed.
@@ -132,10 +132,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Bench:
-    """Where and how days are played.
+    """Where and how days are run.
 
     :param program: the bench.
-    :param repository: the sources to play.
+    :param repository: the sources to run.
     :param site: the deployment's file.
     :param folder: where reports and logs go.
     :param why: a line for the journal.
@@ -149,8 +149,8 @@
     why: str
     timed: bool = False
 
-    def play(self, day: str, seed: int) -> Played:
-        """Play one day.
+    def run(self, day: str, seed: int) -> DayRun:
+        """Run one day.
 
         :param day: its name, or a file with a day of one's own.
         :param seed: its seed.
@@ -169,12 +169,12 @@
                 stderr=subprocess.STDOUT,
                 check=True,
             )
-        return Played(day, seed, read_report(report.read_bytes()), log)
+        return DayRun(day, seed, read_report(report.read_bytes()), log)
 
-    def play_all(
+    def run_all(
         self, days: Sequence[str], seeds: Iterable[int], jobs: int
-    ) -> list[Played]:
-        """Play days, several at once.
+    ) -> list[DayRun]:
+        """Run days, several at once.
 
         :param days: the days.
         :param seeds: the seeds of each.
@@ -182,4 +182,4 @@
         """
         wanted = [(day, seed) for day in days for seed in seeds]
         with ThreadPoolExecutor(jobs) as pool:
-            return list(pool.map(lambda one: self.play(*one), wanted))
+            return list(pool.map(lambda one: self.run(*one), wanted))
--- a/lab/days/derived.py
+++ b/lab/days/derived.py
@@ -1,10 +1,10 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Plays deployments that nobody has tuned for, derived from one that is given.
+"""Runs deployments that nobody has tuned for, derived from a given one.
 
 ``python -m lab.days.derived --bench PROGRAM --site FILE --folder DIR --seed N [...]``
 writes each derived deployment below DIR, which must stand outside the repository and
-outside /tmp, plays the days there, and prints what each was worth.
+outside /tmp, runs the days there, and prints what each was worth.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 import click
 import tomli_w
 
-from lab.days.plays import Bench
+from lab.days.bench import Bench
 
 Site = dict[str, Any]
 
@@ -121,7 +121,7 @@
 @click.option("--jobs", default=3, help="Days at once.")
 @click.option("--why", default="deployments that nobody has tuned for")
 def main(bench, site, folder, repository, only, days, seeds, jobs, why) -> None:
-    """Play derived deployments and print what their days were worth."""
+    """Run derived deployments and print what their days were worth."""
     click.echo("| deployment | day | worth by seed | mean | broken |")
     click.echo("| --- | --- | --- | --- | --- |")
     for name in only or DERIVED:
@@ -129,9 +129,9 @@
         with tempfile.TemporaryDirectory(prefix="walnutquay-derived-") as reports:
             told = f"{why}: {name}"
             setup = Bench(bench, repository.resolve(), derived, Path(reports), told)
-            played = setup.play_all(days, seeds, jobs)
+            runs = setup.run_all(days, seeds, jobs)
         for day in days:
-            own = [one.report for one in played if one.day == day]
+            own = [one.report for one in runs if one.day == day]
             worths = [report.worth for report in own]
             broken = sorted({rule for report in own for rule in report.broken})
             cells = [name, day, " ".join(f"{worth:.3f}" for worth in worths)]
--- a/lab/days/losses.py
+++ b/lab/days/losses.py
@@ -1,9 +1,9 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Charges what played days lost to causes, by joining the bench's reports with logs.
+"""Charges the losses of bench days to causes, from the bench's reports and logs.
 
 ``python -m lab.days.losses --bench PROGRAM --site FILE --day NAME [--day ...]
---seed N [--seed ...]`` plays the days and prints a table.
+--seed N [--seed ...]`` runs the days and prints a table.
 
 How much each kind of request lost by failures, by lateness and by answers of too
 small a model is exact: it follows from the report.  The first two are shared out over
@@ -21,7 +21,7 @@
 
 import click
 
-from lab.days.plays import Bench, Played, RequestClass, read_classes
+from lab.days.bench import Bench, DayRun, RequestClass, read_classes
 from walnutquay.history.causes import Cause
 from walnutquay.history.lines import read_files
 from walnutquay.history.report import Judged, judge
@@ -61,7 +61,7 @@
         return None
     kind, aim = line.facts.get("route_kind"), line.number("aim_ms")
     left = line.number("left_ms")
-    # Sheets may give aims for another scale of traffic than the one that is played.
+    # A site file may give aims for another scale of traffic than the one that is run.
     return min(
         (one for one in classes if one.kind == kind),
         key=lambda one: (abs(one.aim_ms - aim), abs(one.deadline_ms - left)),
@@ -70,11 +70,11 @@
 
 
 def losses_of(
-    played: Played, judged: Iterable[Judged], classes: Sequence[RequestClass]
+    run: DayRun, judged: Iterable[Judged], classes: Sequence[RequestClass]
 ) -> list[Loss]:
     """Charge what one day lost.
 
-    :param played: the day.
+    :param run: the day.
     :param judged: its tries, with what the lines say of them.
     :param classes: the deployment's kinds of request.
     """
@@ -84,7 +84,7 @@
         found = class_of(one.history, classes)
         if found is not None and one.finding is not None:
             (late if one.history.late else failed)[found.name].append(one)
-    counts = played.report.classes
+    counts = run.report.classes
     owed = sum(one.worth * counts[one.name].asked for one in classes)
     losses: list[Loss] = []
     for one in classes:
@@ -96,7 +96,7 @@
         losses += _shared(by_failure, failed[one.name], one.name, count.failed)
         losses += _shared(by_lateness, late[one.name], one.name, 0.0)
         losses.append(Loss(TOO_SMALL, one.name, whole - by_failure - by_lateness))
-    prices = played.report.prices.items()
+    prices = run.report.prices.items()
     return losses + [Loss(f"price: {name}", "", price) for name, price in prices]
 
 
@@ -143,10 +143,10 @@
     return "\n".join(text)
 
 
-def draw(played: Sequence[Played], judged: Sequence[Sequence[Judged]], path: Path):
+def draw(runs: Sequence[DayRun], judged: Sequence[Sequence[Judged]], path: Path):
     """Draw the credit and the causes over time.
 
-    :param played: the days.
+    :param runs: the days.
     :param judged: the tries of each.
     :param path: the picture to write.
     """
@@ -155,7 +155,7 @@
     figure = Figure(figsize=(11.0, 8.0), layout="constrained")
     upper, lower = figure.subplots(2, 1, sharex=True)
     seconds: dict[str, list[float]] = defaultdict(list)
-    for day, tries in zip(played, judged, strict=True):
+    for day, tries in zip(runs, judged, strict=True):
         windows = day.report.windows
         upper.plot(list(windows), list(windows.values()), alpha=0.5, linewidth=1)
         first = min(one.history.came for one in tries)
@@ -183,25 +183,24 @@
 @click.option("--seed", "seeds", required=True, multiple=True, type=int)
 @click.option("--jobs", default=3, help="Days at once.")
 @click.option("--timed", is_flag=True, help="Charge processor time.")
-@click.option("--why", default="what played days lost, by cause")
+@click.option("--why", default="losses of bench days, by cause")
 @click.option("--picture", type=click.Path(path_type=Path))
 def main(bench, site, days, seeds, jobs, timed, why, picture) -> None:
-    """Play days and charge what they lost to causes."""
+    """Run days and charge what they lost to causes."""
     with tempfile.TemporaryDirectory(prefix="walnutquay-losses-") as folder:
         setup = Bench(bench, Path.cwd(), site, Path(folder), why, timed)
-        played = setup.play_all(days, seeds, jobs)
-        judged = [judge(read_files([day.log]).lines) for day in played]
+        runs = setup.run_all(days, seeds, jobs)
+        judged = [judge(read_files([day.log]).lines) for day in runs]
     classes = read_classes(site)
     losses = [
-        losses_of(day, tries, classes)
-        for day, tries in zip(played, judged, strict=True)
+        losses_of(day, tries, classes) for day, tries in zip(runs, judged, strict=True)
     ]
-    for day in played:
+    for day in runs:
         broken = ", ".join(day.report.broken) or "none"
         click.echo(f"{day.day} {day.seed}: {day.report.worth:.3f}, broken: {broken}")
     click.echo(table(losses))
     if picture is not None:
-        draw(played, judged, picture)
+        draw(runs, judged, picture)
 
 
 if __name__ == "__main__":
--- a/lab/decisions/cascades.py
+++ b/lab/decisions/cascades.py
@@ -115,7 +115,7 @@
         return value["choices"][0]["message"]["content"].startswith("good")
 
 
-async def play(fleet: Fleet, trace: list[TraceRequest], key: str, model: str) -> int:
+async def replay(fleet: Fleet, trace: list[TraceRequest], key: str, model: str) -> int:
     """Send a trace by some callers at once.
 
     :returns: how many answers were good.
@@ -193,7 +193,7 @@
                 if request.kind is RequestKind.CHAT
             ]
             good = {
-                way: await play(fleet, trace, key_of(workload, way), model)
+                way: await replay(fleet, trace, key_of(workload, way), model)
                 for way, model in WAYS.items()
             }
             billed = await costs(fleet)
--- a/lab/decisions/choice.py
+++ b/lab/decisions/choice.py
@@ -53,7 +53,7 @@
 
 
 @dataclass
-class PlayedVm:
+class SimulatedVm:
     """What one VM knows: the real table, and a turn of its own."""
 
     table: EndpointTable
@@ -102,7 +102,7 @@
     news: CacheNews
 
 
-Choice = Callable[[PlayedVm, list[Endpoint], Prompt, frozenset[str]], Endpoint]
+Choice = Callable[[SimulatedVm, list[Endpoint], Prompt, frozenset[str]], Endpoint]
 
 
 def blocks_of(messages: list[dict]) -> list[str]:
@@ -189,7 +189,7 @@
             for n, url in urls.items()
         ]
         self.vms = [
-            PlayedVm(
+            SimulatedVm(
                 EndpointTable("hall-a", random.Random(number)),
                 itertools.cycle(self.endpoints),
             )
@@ -218,7 +218,7 @@
                     )
             await asyncio.sleep(REPORT_SECONDS)
 
-    async def one(self, request: TraceRequest, vm: PlayedVm) -> None:
+    async def one(self, request: TraceRequest, vm: SimulatedVm) -> None:
         """Send a request, and again elsewhere where an engine fails or is full."""
         started = time.monotonic()
         messages = [{"role": "user", "content": prompt_of(request)}]
@@ -246,7 +246,7 @@
         self.lost += 1
 
     async def _send(
-        self, vm: PlayedVm, endpoint: Endpoint, body: dict, kind: str
+        self, vm: SimulatedVm, endpoint: Endpoint, body: dict, kind: str
     ) -> bool:
         facts = vm.table.of(endpoint.name)
         facts.in_flight += 1
@@ -269,7 +269,7 @@
             vm.table.failed(endpoint.name, time.monotonic())
         return status == 200
 
-    async def play(self, trace: list[TraceRequest]) -> None:
+    async def replay(self, trace: list[TraceRequest]) -> None:
         """Send the trace, open loop."""
         reports = asyncio.ensure_future(self.report())
         started = time.monotonic()
@@ -305,7 +305,7 @@
         await fleet.control(urls["engine-0"], "answers", {"slowness": SLOWNESS})
         await fleet.control(urls["engine-1"], "answers", {"fail": {VERSION: FAILING}})
         run = Run(fleet, urls, WAYS[name])
-        await run.play(trace)
+        await run.replay(trace)
         hits = [(await fleet.control(u, "effects"))["cache"] for u in urls.values()]
     hit, seen = (sum(column) for column in zip(*hits, strict=True))
     percent = quantiles(run.seconds, n=100)
--- a/lab/decisions/rollouts.py
+++ b/lab/decisions/rollouts.py
@@ -2,7 +2,7 @@
 
 """What a bad version is given before it is braked, and false alarms on a good one.
 
-``python -m lab.decisions.rollouts [FIRST_SEED]`` plays roll-outs over the real
+``python -m lab.decisions.rollouts [FIRST_SEED]`` simulates roll-outs over the real
 decisions (tallies, tests, brakes) of seven VMs that tell each other as they do, against
 a rule with fixed thresholds on each VM alone. Chance and time are the program's own, so
 a run gives the same table each time.
@@ -161,8 +161,8 @@
             self.tables[vm].take(STAGE.key, version, Measure(measure), good, bad)
 
 
-def play(case: Case, rule: Rule, rng: random.Random) -> int | None:
-    """Play one roll-out.
+def simulate(case: Case, rule: Rule, rng: random.Random) -> int | None:
+    """Simulate one roll-out.
 
     :param case: how the versions behave.
     :param rule: how the VMs brake.
@@ -197,7 +197,7 @@
 
 
 def row(case: Case, kind: str, first_seed: int) -> str:
-    """Play a case over many seeds.
+    """Simulate a case over many seeds.
 
     :returns: a row of the table.
     """
@@ -207,7 +207,7 @@
         rng = random.Random(seed)
         rule = FixedRule() if kind == "fixed" else SequentialRule(rng)
         name = rule.name
-        found.append(play(case, rule, rng))
+        found.append(simulate(case, rule, rng))
     braked = sorted(count for count in found if count is not None)
     share = len(braked) / len(found)
     if not case.bad:
--- a/lab/trials/fleet.py
+++ b/lab/trials/fleet.py
@@ -134,7 +134,7 @@
             yield
 
     async def run(self) -> Findings:
-        """Play the trial.
+        """Simulate the trial.
 
         :returns: what it showed.
         """
--- a/tests/lab/test_losses.py
+++ b/tests/lab/test_losses.py
@@ -9,8 +9,8 @@
 
 import orjson
 
+from lab.days.bench import ClassCount, DayRun, Report, RequestClass, read_report
 from lab.days.losses import NO_LINE, TOO_SMALL, UNEXPLAINED, Loss, losses_of, table
-from lab.days.plays import ClassCount, Played, Report, RequestClass, read_report
 from tests.history.test_history import line
 from walnutquay.history.causes import Cause
 from walnutquay.history.report import judge
@@ -19,11 +19,11 @@
 LOOKUP = RequestClass("lookup", "safe", 400.0, 3000.0, 1.0, 0.25)
 
 
-def played(**counts: ClassCount) -> Played:
+def a_day(**counts: ClassCount) -> DayRun:
     """:returns: a day that ended so."""
     full = {"draft": ClassCount(10, 0, 0, 1.0), "lookup": ClassCount(10, 0, 0, 1.0)}
     report = Report(0.5, full | counts, {"machines": 0.02}, {}, ())
-    return Played("day", 1, report, Path("unused"))
+    return DayRun("day", 1, report, Path("unused"))
 
 
 def lookup(number: int, *rest) -> list:
@@ -48,7 +48,7 @@
 class LossTest(unittest.TestCase):
     """One day."""
 
-    def losses(self, day: Played, lines: list) -> list[Loss]:
+    def losses(self, day: DayRun, lines: list) -> list[Loss]:
         """:returns: what it lost."""
         return losses_of(day, judge(lines), (DRAFT, LOOKUP))
 
@@ -57,7 +57,7 @@
         return sum(loss.share for loss in losses if loss.cause == cause)
 
     def test_failures_go_to_their_causes(self):
-        day = played(lookup=ClassCount(10, 0, 2, 0.8))
+        day = a_day(lookup=ClassCount(10, 0, 2, 0.8))
         losses = self.losses(day, lookup(1, *FAILED) + lookup(2, *FAILED))
         # Two of ten requests, each a fortieth of all that was owed.
         expected = 2 / 40
@@ -65,17 +65,17 @@
         self.assertAlmostEqual(found, expected)
 
     def test_requests_without_a_line_are_a_cause_of_their_own(self):
-        day = played(lookup=ClassCount(10, 0, 4, 0.6))
+        day = a_day(lookup=ClassCount(10, 0, 4, 0.6))
         losses = self.losses(day, lookup(1, *FAILED) + lookup(2, *FAILED))
         self.assertAlmostEqual(self.by_cause(losses, NO_LINE), 2 / 40)
 
     def test_what_the_lines_do_not_tell_is_unexplained(self):
-        day = played(lookup=ClassCount(10, 0, 1, 0.9))
+        day = a_day(lookup=ClassCount(10, 0, 1, 0.9))
         losses = self.losses(day, lookup(1, ("dispatched", {"endpoint": "p1"})))
         self.assertAlmostEqual(self.by_cause(losses, UNEXPLAINED), 1 / 40)
 
     def test_all_that_was_lost_is_charged(self):
-        day = played(draft=ClassCount(10, 3, 1, 0.6), lookup=ClassCount(10, 2, 1, 0.7))
+        day = a_day(draft=ClassCount(10, 3, 1, 0.6), lookup=ClassCount(10, 2, 1, 0.7))
         losses = self.losses(day, lookup(1, *FAILED))
         credit = sum(loss.share for loss in losses if loss.name)
         self.assertAlmostEqual(credit, (10 * 3 * 0.4 + 10 * 0.3) / 40)
--- a/tests/lab/test_trialfleet.py
+++ b/tests/lab/test_trialfleet.py
@@ -4,7 +4,7 @@
 
 The platform counts a session's request that runs on the new version in the first half
 of its trial though the one before ran on the old, and one that runs on the old version
-though the one before ran on the new.  Seeds are fixed; more are played by hand with
+though the one before ran on the new.  Seeds are fixed; more are run by hand with
 ``python -m lab.trials.costs``.
 """
 
