lab.claims.ways writes JSON, which the store takes

Cause: values of our own interface have become objects of the platform's store, which take JSON only; the command ended with JSONDecodeError at the first claim.

Change: a claim and a batch are written as JSON.

--- a/lab/claims/ways.py
+++ b/lab/claims/ways.py
@@ -18,6 +18,8 @@
 from dataclasses import dataclass
 from statistics import quantiles
 
+import orjson
+
 from standins.fleet import FLEET_KEY, HOST, Fleet
 from walnutquay.coordination.own.platform import Platform
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
@@ -43,6 +45,8 @@
 BATCH_SECONDS = 0.05
 # Granted ahead, claims are written to the platform so often.
 BEHIND_SECONDS = 0.2
+# What a claim's object holds; the store takes JSON.
+CLAIMED = b"true"
 
 
 class SimulatedVm:
@@ -163,7 +167,7 @@
     async def claim(self, vm: SimulatedVm, key: str) -> bool:
         """Make the object."""
         try:
-            await vm.platform.write(f"claims/{key}", b"x", ABSENT)
+            await vm.platform.write(f"claims/{key}", CLAIMED, ABSENT)
         except PlatformError:
             return False
         return True
@@ -212,7 +216,7 @@
             if not batch:
                 continue
             number += 1
-            value = "\n".join(key for key, _ in batch).encode()
+            value = orjson.dumps([key for key, _ in batch])
             name = f"claims/{self.run}/{shard}/{number:08d}"
             try:
                 await platform.write(name, value, ABSENT)
@@ -250,7 +254,7 @@
             batch = self.waiting[shard]
             if not batch:
                 continue
-            value = "\n".join(key for key, _ in batch).encode()
+            value = orjson.dumps([key for key, _ in batch])
             name = f"claims/{self.run}/{shard}/{number:08d}"
             try:
                 await platform.write(name, value, ABSENT)
