A stream that only a close can end is followed by nothing

A caller by HTTP/1.0 with `Connection: keep-alive` got the answer to its next request as the end of a stream's body; one that sent no other waited until the connection was idle for 15 s.

Cause: such a stream has neither a length nor chunks, and ends with its connection. aiohttp sends it that way, but keeps the connection, for it remembers what the request asked for before it finds that there is no framing. Found by the property test of callers' connections; its reader waited for an end that did not come.

Mend: the connection ends with each stream to a caller before HTTP/1.1. The test failed before: the end of the stream's body did not come.

--- /dev/null
+++ b/tests/daemon/test_gatewayapi.py
@@ -0,0 +1,52 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Answers to the platform's callers, where a connection could pass for their end."""
+
+from __future__ import annotations
+
+import asyncio
+
+from standins.answers import ReadAnswer
+from standins.worker import Behaviour
+from tests.gatewaycase import HOST, KEY, GatewayCase
+from tests.rawcaller import RawCaller
+
+EVENTS = 3
+
+
+def request(method: str, path: str, version: str = "1.1", *headers: str) -> bytes:
+    """:returns: a request without a body."""
+    usual = (f"Host: {HOST}", f"Authorization: Bearer {KEY}", "Model: tiny")
+    lines = (f"{method} {path} HTTP/{version}", *usual, *headers, "", "")
+    return "\r\n".join(lines).encode()
+
+
+class StreamConnectionTest(GatewayCase):
+    """A stream's connection after it, and where it is cut."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.endpoints["e1"].default = Behaviour(events=EVENTS)
+
+    async def answers(self, *sent: tuple[str, bytes]) -> list[ReadAnswer | None]:
+        """Send requests at once, and read an answer for each.
+
+        :param sent: methods and requests.
+        """
+
+        def talk() -> list[ReadAnswer | None]:
+            with RawCaller(self.gateway.api.server.port) as caller:
+                caller.send(b"".join(data for _, data in sent))
+                return [caller.answer(method) for method, _ in sent]
+
+        return await asyncio.to_thread(talk)
+
+    async def test_another_answer_follows_a_stream_that_only_a_close_can_end(self):
+        keep = "Connection: keep-alive"
+        stream, other = await self.answers(
+            ("GET", request("GET", "/stream/x", "1.0", keep)),
+            ("GET", request("GET", "/open/x", "1.0", keep)),
+        )
+        self.assertEqual(stream.body.count(b"id: "), EVENTS)
+        self.assertTrue(stream.body.endswith(b"word 3\n\n"), stream.body)
+        self.assertIsNone(other)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -10,7 +10,7 @@
 
 import logbook
 import orjson
-from aiohttp import HttpVersion10, web
+from aiohttp import HttpVersion10, HttpVersion11, web
 from multidict import CIMultiDict
 
 from walnutquay.coordination.process.context import Context
@@ -73,6 +73,8 @@
         self.request = request
         self.server = server
         self.response: web.StreamResponse | None = None
+        # Before HTTP/1.1 a stream ends with its connection.
+        self.framed = request.version >= HttpVersion11
 
     async def begin(self, head: AnswerHead) -> None:
         """Send the status and the headers.
@@ -83,7 +85,7 @@
         if head.content_type:
             headers["Content-Type"] = head.content_type
         self.response = web.StreamResponse(status=head.status, headers=headers)
-        if self.server.draining:
+        if self.server.draining or not self.framed:
             self.response.force_close()
         with _writing():
             await self.response.prepare(self.request)
