A stream that is cut does not end like a whole one before HTTP/1.1

A caller by HTTP/1.0 whose stream broke off got a plain end of its connection, by which a whole stream ends as well.

Cause: an abort of a connection drops what it has not sent, and closes it; that is seen as a reset only where bytes are unread. With chunks the missing last one shows the cut. Mend: where only the connection's end is the end of the stream, it is reset. The test failed before: the stream, cut after its first event, was whole.

--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -50,3 +50,8 @@
         self.assertEqual(stream.body.count(b"id: "), EVENTS)
         self.assertTrue(stream.body.endswith(b"word 3\n\n"), stream.body)
         self.assertIsNone(other)
+
+    async def test_a_cut_stream_that_a_close_ends_is_not_whole(self):
+        self.endpoints["e1"].default = Behaviour(events=EVENTS, cut_after=1)
+        (answer,) = await self.answers(("GET", request("GET", "/once/x", "1.0")))
+        self.assertFalse(answer is not None and answer.whole, answer)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -37,6 +37,7 @@
 from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route, RouteKind
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
+from walnutquay.transport.sockets import reset_on_close
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -108,10 +109,20 @@
         if whole:
             with _writing():
                 await self.response.write_eof()
-        elif self.request.transport is not None:
-            self.request.transport.abort()
+        else:
+            self.cut()
         return self.response
 
+    def cut(self) -> None:
+        """End the connection within the answer."""
+        transport = self.request.transport
+        if transport is None:
+            return
+        if self.response is not None and not self.framed:
+            # A plain close would be the end of a whole answer.
+            reset_on_close(transport.get_extra_info("socket"))
+        transport.abort()
+
 
 @contextmanager
 def _writing() -> Iterator[None]:
