A planned stop waits until answers have been sent

A caller who reads slowly got the beginning of a large answer, and the end of its connection, when the VM was stopped as planned.

Cause: a request counted as ended once its handler had returned, and its answer is written after that. The stop took it for an idle one and ended the process with what buffers still held. Found by reading: what may be owed on a connection that no request is under way on.

Mend: the stop waits, within its time, until the connections owe no bytes either. The test failed before: the server was idle with 16 MB of an answer unread.

--- a/tests/transport/test_gateway.py
+++ b/tests/transport/test_gateway.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from tests.rawcaller import RawCaller
+from tests.rawcaller import WAIT_SECONDS, RawCaller
 from walnutquay.transport.gateway import (
     GatewayLimits,
     GatewayServer,
@@ -21,6 +21,9 @@
 
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n%s\r\n"
 
+# More than the buffers of both sides hold.
+LARGE_BYTES = 16 << 20
+
 
 class ServerCase(unittest.IsolatedAsyncioTestCase):
     """Starts a server whose answers are the paths of their requests."""
@@ -67,6 +70,36 @@
         self.addCleanup(setattr, logger, "disabled", False)
 
 
+class StopTest(ServerCase):
+    """A planned stop waits for answers as well as for handlers."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.begun = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer with more than buffers hold."""
+        self.begun.set()
+        return web.Response(body=bytes(LARGE_BYTES))
+
+    async def test_an_answer_that_is_still_being_sent_is_cut_by_the_end(self):
+        caller = RawCaller(self.server.port)
+        self.addCleanup(caller.socket.close)
+        await asyncio.to_thread(caller.send, GET % (1, b""))
+        async with asyncio.timeout(WAIT_SECONDS):
+            await self.begun.wait()
+            while self.server.in_flight:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.server.draining = True
+        self.server.close_idle()
+        self.assertFalse(await self.server.idle(0.0))
+        reading = asyncio.ensure_future(asyncio.to_thread(caller.answer))
+        self.assertTrue(await self.server.idle(WAIT_SECONDS))
+        answer = await reading
+        self.assertTrue(answer.whole)
+        self.assertEqual(len(answer.body), LARGE_BYTES)
+
+
 class SplitTest(unittest.TestCase):
     """Bytes are split behind the ends of heads, wherever these were cut."""
 
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -91,7 +91,37 @@
 
 
 class CallerConnections(web.Server):
-    """Makes the connections of callers."""
+    """Makes the connections of callers, and knows which of them are owed bytes."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        # aiohttp's connections let go of theirs when they are closed, with what is
+        # not sent yet.
+        self.transports: dict[web.RequestHandler, asyncio.Transport] = {}
+
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """:param handler: a connection that is open now.
+
+        :param transport: its transport.
+        """
+        super().connection_made(handler, transport)
+        self.transports[handler] = transport
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """:param handler: a connection that has ended.
+
+        :param exc: how it broke.
+        """
+        super().connection_lost(handler, exc)
+        self.transports.pop(handler, None)
+
+    def owe_bytes(self) -> bool:
+        """:returns: whether an answer has not been handed to the system yet."""
+        return any(t.get_write_buffer_size() for t in self.transports.values())
 
     def __call__(self) -> CallerConnection:
         """:returns: one for a caller who has just connected."""
@@ -160,16 +190,19 @@
         await self.web.shutdown(SHUTDOWN_SECONDS)
 
     async def idle(self, seconds: float) -> bool:
-        """Wait until no request is under way.
+        """Wait until no request is under way, and all answers are sent.
 
         :param seconds: how long to wait at the most.
-        :returns: whether all have ended.
+        :returns: whether that is so.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        while self.in_flight and loop.time() < end:  # noqa: ASYNC110
+        while self._owes() and loop.time() < end:  # noqa: ASYNC110
             await asyncio.sleep(POLL_SECONDS)
-        return not self.in_flight
+        return not self._owes()
+
+    def _owes(self) -> bool:
+        return bool(self.in_flight) or self.web.owe_bytes()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.transport is None or request.transport.is_closing():
