--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,7 @@
 
 # Seconds for which a mute endpoint says nothing.
 MUTE_SECONDS = 60.0
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass
@@ -52,6 +53,11 @@
     :param not_run: whether it says that nothing was run.
     :param mute: whether nothing is answered at all.
     :param extra: whether a second answer follows the first.
+    :param late: seconds until the second answer comes.
+    :param named: whether the answer carries its request's id.
+    :param chunked: whether a plain answer comes in chunks.
+    :param lacking: bytes of a plain body that are left out; the connection ends then.
+    :param junk: bytes that follow a plain answer.
     :param headers: more headers.
     :param pause: seconds between two events, or before a plain answer.
     :param crash_after: whole events after which the endpoint itself ends, with all
@@ -70,6 +76,11 @@
     not_run: bool = False
     mute: bool = False
     extra: bool = False
+    late: float = 0.0
+    named: bool = True
+    chunked: bool = False
+    lacking: int = 0
+    junk: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     pause: float = 0.0
     crash_after: int | None = None
@@ -208,7 +219,9 @@
 
     def _head(self, seen: Seen, behaviour: Behaviour, framing: str) -> bytes:
         request = "another" if behaviour.crossed else seen.headers.get("request-id", "")
-        lines = [f"HTTP/1.1 {behaviour.status} X", f"Request-Id: {request}"]
+        lines = [f"HTTP/1.1 {behaviour.status} X"]
+        if behaviour.named:
+            lines.append(f"Request-Id: {request}")
         if behaviour.not_run:
             lines.append("Not-Run: 1")
         else:
@@ -221,21 +234,45 @@
     ) -> bool:
         await asyncio.sleep(behaviour.pause)
         framing = f"Content-Length: {len(behaviour.body)}"
+        body = behaviour.body
         if not behaviour.framed:
             framing = "Connection: close"
-        answer = self._head(seen, behaviour, framing) + behaviour.body
+        elif behaviour.chunked:
+            framing = "Transfer-Encoding: chunked"
+            body = b"".join(_chunk(bytes([byte])) for byte in body) + LAST_CHUNK
+        answer = self._head(seen, behaviour, framing) + body
         if behaviour.cut_after is not None:
             left = len(behaviour.body) - behaviour.cut_after
             writer.write(answer[: len(answer) - left])
             await writer.drain()
             _reset(writer)
             return False
-        writer.write(answer)
+        if behaviour.lacking:
+            writer.write(answer[: -behaviour.lacking])
+            return False
+        writer.write(answer + behaviour.junk)
         if behaviour.extra:
-            writer.write(answer)
+            self._answer_again(writer, answer, behaviour.late)
         await writer.drain()
         return behaviour.framed
 
+    def _answer_again(
+        self, writer: asyncio.StreamWriter, answer: bytes, late: float
+    ) -> None:
+        """Send an answer a second time, in the place of the next one if it is late."""
+
+        async def send() -> None:
+            await asyncio.sleep(late)
+            if not writer.is_closing():
+                writer.write(answer)
+
+        if not late:
+            writer.write(answer)
+            return
+        task = asyncio.ensure_future(send())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def _stream(
         self,
         reader: asyncio.StreamReader,
@@ -269,7 +306,7 @@
             if left.done():
                 seen.left = True
                 return False
-        writer.write(b"0\r\n\r\n")
+        writer.write(LAST_CHUNK)
         await writer.drain()
         left.cancel()
         return False
