A stream that its VM's end cuts does not end like a whole one before HTTP/1.1

A caller by HTTP/1.0 whose stream was under way when its VM ended (a stop whose time was over, an error, a kill) got a plain end of its connection, by which a whole stream ends.

Cause: only the cut that an endpoint brought about reset the connection; all other ways close it. Mend: such a stream's connection is reset by whatever ends it, from its head on, until the stream is whole. The test failed before: the stream, cut after its first event, was whole.

--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -55,3 +55,14 @@
         self.endpoints["e1"].default = Behaviour(events=EVENTS, cut_after=1)
         (answer,) = await self.answers(("GET", request("GET", "/once/x", "1.0")))
         self.assertFalse(answer is not None and answer.whole, answer)
+
+    async def test_a_stream_that_a_stop_cuts_is_not_whole(self):
+        gate = asyncio.Event()
+        self.endpoints["e1"].default = Behaviour(events=EVENTS, gate=gate)
+        caller = RawCaller(self.gateway.api.server.port)
+        self.addCleanup(caller.socket.close)
+        caller.send(request("GET", "/once/x", "1.0"))
+        await asyncio.to_thread(caller.until, b"word 1\n\n")
+        await self.gateway.api.server.stop()
+        answer = await asyncio.to_thread(caller.answer)
+        self.assertFalse(answer is not None and answer.whole, answer)
--- a/tests/rawcaller.py
+++ b/tests/rawcaller.py
@@ -63,6 +63,11 @@
                 return None
             self._receive()
 
+    def until(self, mark: bytes) -> None:
+        """Receive until some bytes have come, or the connection has ended."""
+        while mark not in self.unread and self.end is End.OPEN:
+            self._receive()
+
     def rest(self) -> bytes:
         """:returns: all that comes until the connection ends."""
         while self.end is End.OPEN:
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -5,7 +5,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from asyncio.trsock import TransportSocket
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import logbook
@@ -37,7 +38,7 @@
 from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route, RouteKind
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
-from walnutquay.transport.sockets import reset_on_close
+from walnutquay.transport.sockets import close_plainly, reset_on_close
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -88,6 +89,8 @@
         self.response = web.StreamResponse(status=head.status, headers=headers)
         if self.server.draining or not self.framed:
             self.response.force_close()
+        # However it ends from now on, a plain close would make it seem whole.
+        self._on_close(reset_on_close)
         with _writing():
             await self.response.prepare(self.request)
 
@@ -109,19 +112,17 @@
         if whole:
             with _writing():
                 await self.response.write_eof()
-        else:
-            self.cut()
+            self._on_close(close_plainly)
+        elif self.request.transport is not None:
+            self.request.transport.abort()
         return self.response
 
-    def cut(self) -> None:
-        """End the connection within the answer."""
+    def _on_close(self, decide: Callable[[TransportSocket | None], None]) -> None:
+        """Decide how the connection ends where that is the end of the stream."""
         transport = self.request.transport
-        if transport is None:
+        if self.framed or transport is None or transport.is_closing():
             return
-        if self.response is not None and not self.framed:
-            # A plain close would be the end of a whole answer.
-            reset_on_close(transport.get_extra_info("socket"))
-        transport.abort()
+        decide(transport.get_extra_info("socket"))
 
 
 @contextmanager
--- a/walnutquay/transport/sockets.py
+++ b/walnutquay/transport/sockets.py
@@ -19,6 +19,8 @@
 # The option SO_LINGER, switched on, with a wait of 0 s: closing resets the connection,
 # and what has not reached the peer yet is dropped.
 NO_LINGER = struct.pack("ii", 1, 0)
+# The option switched off, as it is at first.
+PLAIN_LINGER = struct.pack("ii", 0, 0)
 
 
 def limit_silence(made: socket.socket) -> None:
@@ -57,3 +59,12 @@
     """
     if made is not None:
         made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+def close_plainly(made: asyncio.trsock.TransportSocket | None) -> None:
+    """Take :func:`reset_on_close` back.
+
+    :param made: the connection's socket; None where it is gone already.
+    """
+    if made is not None:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, PLAIN_LINGER)
