A connection that opens as the listener closes is not served after the stop

A caller whose connection was accepted in the turn of the loop in which a VM stopped listening could have its request passed on to an endpoint and cut right after that.

Cause: on the daemons' loop a connection is accepted one turn before its protocol knows it, so the closing of idle connections did not see it, and the end of the requests under way could be over before its request came. Mend: once the listener is closed, a connection that opens is closed unread, as an idle one is. The test failed before: with the listener closed one turn after the connection, its request was begun.

asyncio's own loop, which no daemon uses, has another gap there: it drops a connection accepted in that turn without closing it ("Error on transport creation").

--- a/tests/transport/test_gateway.py
+++ b/tests/transport/test_gateway.py
@@ -18,11 +18,14 @@
     split_after_heads,
 )
 from walnutquay.transport.listeners import listen
+from walnutquay.transport.loops import new_loop
 
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n%s\r\n"
 
 # More than the buffers of both sides hold.
 LARGE_BYTES = 16 << 20
+# A connection opens within fewer turns of the loop.
+OPENING_TURNS = 5
 
 
 class ServerCase(unittest.IsolatedAsyncioTestCase):
@@ -100,6 +103,38 @@
         self.assertEqual(len(answer.body), LARGE_BYTES)
 
 
+class ClosedListenerTest(unittest.TestCase):
+    """A connection that opens while the listener closes, on the daemons' loop."""
+
+    def test_its_request_is_begun_after_all_others_have_ended(self):
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            for turns in range(OPENING_TURNS):
+                with self.subTest(turns=turns):
+                    self.assertEqual(runner.run(requests_after(turns)), 0)
+
+
+async def requests_after(turns: int) -> int:
+    """Connect, and close the listener some turns of the loop later.
+
+    :returns: how many requests were begun that were sent after that.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response()
+
+    server = GatewayServer(handle, GatewayLimits())
+    await server.start(listen("127.0.0.1", 0))
+    with RawCaller(server.port) as caller:
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        server.close_listener()
+        server.close_idle()
+        caller.send(GET % (1, b"Connection: close\r\n"))
+        await asyncio.to_thread(caller.rest)
+    await server.stop()
+    return server.web.requests_count
+
+
 class SplitTest(unittest.TestCase):
     """Bytes are split behind the ends of heads, wherever these were cut."""
 
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -98,6 +98,8 @@
         # aiohttp's connections let go of theirs when they are closed, with what is
         # not sent yet.
         self.transports: dict[web.RequestHandler, asyncio.Transport] = {}
+        # Whether new connections are closed at once.
+        self.closed = False
 
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
@@ -108,6 +110,8 @@
         """
         super().connection_made(handler, transport)
         self.transports[handler] = transport
+        if self.closed:
+            handler.force_close()
 
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
@@ -169,7 +173,11 @@
         self.server = await loop.create_server(self.web, sock=listener, backlog=BACKLOG)
 
     def close_listener(self) -> None:
-        """Take no new connections; those that are open go on."""
+        """Take no new connections; those that are open go on.
+
+        One that has been accepted, and is not open yet, is closed unread.
+        """
+        self.web.closed = True
         if self.server is not None:
             self.server.close()
             self.server = None
