A stream of our own interface that broke off does not end like a whole one

Callers of our own interface whose stream broke off got the last chunk of a whole body: only the event with the error told the two apart, and a connection that was kept.

Cause: both ends of a stream sent the server's end of the body. Mend: a stream that is not whole ends with its connection, behind its last event.

--- a/tests/daemon/callerplans.py
+++ b/tests/daemon/callerplans.py
@@ -90,6 +90,9 @@
     LONG_BODY = "long body"
 
 
+HALF_CLOSING = (Ending.HALF_CLOSED, Ending.IN_HEAD, Ending.IN_BODY)
+
+
 @dataclass(frozen=True)
 class Ask:
     """One request.
@@ -365,7 +368,7 @@
         elif ending is Ending.LONG_BODY:
             self.sent.append(last)
             self.caller.send(last.data + b"\r\n\x00and more\r\n\r\n")
-        if ending in (Ending.HALF_CLOSED, Ending.IN_HEAD, Ending.IN_BODY):
+        if ending in HALF_CLOSING:
             self.caller.half_close()
 
     # Reading.
--- a/walnutquay/daemon/callers.py
+++ b/walnutquay/daemon/callers.py
@@ -89,7 +89,11 @@
         :param whole: whether its end mark was sent.
         """
         assert self.response is not None
-        await self.response.eof()
+        if whole:
+            await self.response.eof()
+        else:
+            # The server would send the end of a whole body.
+            self.request.transport.close()
 
 
 class CallersApi:
