A stream that an error ends does not end like a whole one

Callers of our own interface whose stream was ended by an error that nobody foresaw got the last chunk of a whole body, and a connection that was kept; nothing else told it.

Cause: Sanic ends an answer that has begun like a whole one when its handler fails. Mend: the server closes the connection of an answer that an error ends. Test: StreamEndTest.test_one_that_an_error_ended, which failed before: the answer was whole.

--- a/walnutquay/transport/server.py
+++ b/walnutquay/transport/server.py
@@ -16,6 +16,8 @@
 import logbook
 from sanic import HTTPResponse, Request, Sanic
 from sanic.exceptions import SanicException, ServerError
+from sanic.http import Stage
+from sanic.signals import Event
 
 log = logbook.Logger(__name__)
 
@@ -69,6 +71,7 @@
         self.draining = False
         self.app.middleware("response")(self._end_connection)
         self.app.exception(Exception)(self._error)
+        self.app.signal(Event.HTTP_LIFECYCLE_EXCEPTION)(self._cut_answer)
         self.server = None
         self.port = 0
 
@@ -81,6 +84,15 @@
         if self.draining and request.stream is not None:
             request.stream.keep_alive = False
 
+    async def _cut_answer(self, request: Request, exception: BaseException) -> None:
+        """Close the connection of an answer that an error ends.
+
+        Sanic ends its body like a whole one, and keeps the connection.
+        """
+        stream = request.stream
+        if stream is not None and stream.stage is Stage.RESPONSE:
+            request.transport.close()
+
     async def _error(self, request: Request, error: Exception) -> HTTPResponse:
         if not isinstance(error, SanicException):
             log.error("{} {} failed", request.method, request.path, exc_info=error)
