--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,8 @@
 
 # Seconds for which a mute endpoint says nothing.
 MUTE_SECONDS = 60.0
+# Seconds between two pieces of an answer.
+PIECE_SECONDS = 0.01
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -50,11 +52,17 @@
     :param within: bytes of the next event that are sent before the cut.
     :param framed: whether a plain answer says its length.
     :param crossed: whether the answer carries another request's id.
+    :param named: whether the answer carries an id at all.
     :param not_run: whether it says that nothing was run.
     :param mute: whether nothing is answered at all.
     :param extra: whether a second answer follows the first.
-    :param late: seconds until the second answer comes.
-    :param named: whether the answer carries its request's id.
+    :param extra_late: whether it follows only when the connection's next request has
+        come, in the place of that one's answer.
+    :param extra_after: seconds after which it follows otherwise, whatever comes till
+        then.
+    :param extra_pieces: bytes of the second answer that come by themselves, before the
+        rest of it; 0 for all at once.
+    :param pieces: the same of the first answer, if it is plain.
     :param chunked: whether a plain answer comes in chunks.
     :param lacking: bytes of a plain body that are left out; the connection ends then.
     :param junk: bytes that follow a plain answer.
@@ -73,11 +81,14 @@
     within: int = 0
     framed: bool = True
     crossed: bool = False
+    named: bool = True
     not_run: bool = False
     mute: bool = False
     extra: bool = False
-    late: float = 0.0
-    named: bool = True
+    extra_late: bool = False
+    extra_after: float = 0.0
+    extra_pieces: int = 0
+    pieces: int = 0
     chunked: bool = False
     lacking: int = 0
     junk: bytes = b""
@@ -105,6 +116,8 @@
         self.runs: list[Seen] = []
         self.turned_away: list[Seen] = []
         self.connections = 0
+        # Second answers that are still to come, by the connection they are owed on.
+        self.owed: dict[asyncio.StreamWriter, bytes] = {}
         self.server: asyncio.Server | None = None
         # Nobody else is given the port while the endpoint is away.
         self.held = HeldPorts()
@@ -186,6 +199,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.owed.pop(writer, None)
             writer.close()
 
     async def _one(
@@ -196,6 +210,7 @@
         :returns: whether the connection goes on.
         """
         seen = await _read_request(reader)
+        writer.write(self.owed.pop(writer, b""))
         expected = seen.headers.get("target-instance", self.name)
         if expected != self.name:
             self.turned_away.append(seen)
@@ -250,28 +265,23 @@
         if behaviour.lacking:
             writer.write(answer[: -behaviour.lacking])
             return False
-        writer.write(answer + behaviour.junk)
+        await _write_in_pieces(writer, answer + behaviour.junk, behaviour.pieces)
         if behaviour.extra:
-            self._answer_again(writer, answer, behaviour.late)
-        await writer.drain()
+            await self._answer_again(writer, answer, behaviour)
         return behaviour.framed
 
-    def _answer_again(
-        self, writer: asyncio.StreamWriter, answer: bytes, late: float
+    async def _answer_again(
+        self, writer: asyncio.StreamWriter, answer: bytes, behaviour: Behaviour
     ) -> None:
-        """Send an answer a second time, in the place of the next one if it is late."""
-
-        async def send() -> None:
-            await asyncio.sleep(late)
-            if not writer.is_closing():
-                writer.write(answer)
-
-        if not late:
-            writer.write(answer)
-            return
-        task = asyncio.ensure_future(send())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        if behaviour.extra_late:
+            self.owed[writer] = answer
+        elif behaviour.extra_after:
+            sending = _write_after(writer, answer, behaviour.extra_after)
+            task = asyncio.ensure_future(sending)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            await _write_in_pieces(writer, answer, behaviour.extra_pieces)
 
     async def _stream(
         self,
@@ -320,6 +330,26 @@
         return True
 
 
+async def _write_in_pieces(
+    writer: asyncio.StreamWriter, answer: bytes, size: int
+) -> None:
+    """Write an answer, the first bytes by themselves."""
+    writer.write(answer[:size])
+    if size:
+        # The caller's loop gets the pieces one by one.
+        await asyncio.sleep(PIECE_SECONDS)
+    writer.write(answer[size:])
+    await writer.drain()
+
+
+async def _write_after(
+    writer: asyncio.StreamWriter, answer: bytes, seconds: float
+) -> None:
+    await asyncio.sleep(seconds)
+    if not writer.is_closing():
+        writer.write(answer)
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
--- a/tests/daemon/callerplans.py
+++ b/tests/daemon/callerplans.py
@@ -31,7 +31,8 @@
     "good": {},
     "chunked": {"chunked": True},
     "twice": {"extra": True},
-    "late": {"extra": True, "late": LATE_SECONDS},
+    "late": {"extra": True, "extra_after": LATE_SECONDS},
+    "late, next": {"extra": True, "extra_late": True},
     "too much": {"junk": b"more than was said"},
     "too little": {"lacking": 2},
     "too few chunks": {"chunked": True, "lacking": 5},
@@ -51,7 +52,8 @@
 # Second answers that nothing tells from those of the next requests.
 SECOND_ANSWERS: dict[str, dict] = {
     "twice, unnamed": {"extra": True, "named": False},
-    "late, unnamed": {"extra": True, "late": LATE_SECONDS, "named": False},
+    "late, unnamed": {"extra": True, "extra_after": LATE_SECONDS, "named": False},
+    "late, next, unnamed": {"extra": True, "extra_late": True, "named": False},
 }
 EVENT_STREAMS: dict[str, dict] = {
     "good": {"events": EVENTS},
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -20,6 +20,7 @@
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.eventlog import EventLog
+from walnutquay.coordination.process.strays import stray_teller
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.crashrecord import CrashRecord
 from walnutquay.coordination.requests.pathparts import PathParts
@@ -38,6 +39,7 @@
 from walnutquay.daemon.metricsapi import MetricsApi
 from walnutquay.daemon.storefeeds import StoreLinks
 from walnutquay.logs import open_line_log
+from walnutquay.platform import names
 from walnutquay.platform.calls import PlatformDialect
 from walnutquay.platform.registers import StoredOrders, VmRegister
 from walnutquay.platform.store import StoreClient
@@ -107,7 +109,10 @@
         self.context = Context(
             vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
         )
-        self.store = StoreClient(options.store.address, count=metrics.count)
+        on_stray = stray_teller(self.context)
+        self.store = StoreClient(
+            options.store.address, count=metrics.count, on_stray=on_stray
+        )
         self.dispatcher = Dispatcher()
         self.node = self._make_node()
         self.peers = self._make_peers()
@@ -134,7 +139,7 @@
         self.knowledge = links.knowledge(options.promises)
         self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
-        self.client = HttpClient()
+        self.client = HttpClient(names.REQUEST_ID, on_stray)
         self.versions = VersionTrials(
             self.context,
             self.knowledge,
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -11,21 +11,23 @@
 
 import asyncio
 import errno
-import functools
-import os
-import socket
 from collections.abc import Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from types import TracebackType
-from typing import Any
 
 import aiohttp
 import orjson
-from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.transport.sockets import limited_socket, reset_on_close
+from walnutquay.transport.connections import (
+    KeptConnector,
+    KeptProtocol,
+    OnStray,
+    StrayAnswerError,
+    ignore_stray,
+)
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
@@ -47,6 +49,9 @@
 STEP_SILENT = "silent"
 # The step of an error by which the connection ended after something was sent.
 STEP_BROKEN = "broken"
+# The step of an error by which what came is not an answer to the request.
+STEP_ANSWER = "answer"
+NO_ANSWERS = (aiohttp.ClientResponseError, StrayAnswerError)
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -82,76 +87,6 @@
     return False
 
 
-class EndpointProtocol(ResponseHandler):
-    """An aiohttp connection that notices a reset which looks like an end.
-
-    libuv reports the end of a stream where data and a reset come together.  An
-    answer without a length would then seem whole.
-    """
-
-    # Whether the peer has reset the connection.
-    was_reset = False
-
-    def close(self) -> None:
-        """Close the connection; reset it if its request is given up.
-
-        What a plain close leaves in a full or cut link still arrives when the link
-        works again: it would run for nobody, and at an endpoint that has said
-        seconds before that it leaves.
-        """
-        transport = self.transport
-        if transport is None or self._answer_is_whole():
-            super().close()
-            return
-        reset_on_close(transport.get_extra_info("socket"))
-        self.abort()
-
-    def _answer_is_whole(self) -> bool:
-        # aiohttp offers no public way to the answer that is being read.
-        return self._payload is not None and self._payload.is_eof()
-
-    def eof_received(self) -> None:
-        """Ask the socket itself how the connection ended."""
-        super().eof_received()
-        transport = self.transport
-        if transport is not None:
-            self.was_reset = _is_reset(transport.get_extra_info("socket"))
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """:param exc: how the connection broke; None where it was closed."""
-        if isinstance(exc, OSError):
-            self.was_reset = True
-        super().connection_lost(exc)
-
-
-def _is_reset(bound: socket.socket | None) -> bool:
-    """Tell whether a socket whose stream has ended was reset."""
-    if bound is None:
-        return False
-    # The loop's own object offers no reading.
-    with socket.socket(fileno=os.dup(bound.fileno())) as copy:
-        try:
-            copy.setblocking(False)
-            if copy.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                return True
-            copy.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return False
-
-
-def _connector(**options: Any) -> aiohttp.TCPConnector:
-    """Make a connector whose connections notice silence and resets."""
-    made = aiohttp.TCPConnector(
-        limit=CONNECTIONS, socket_factory=limited_socket, **options
-    )
-    # aiohttp offers no public way to a protocol of one's own.
-    made._factory = functools.partial(EndpointProtocol, loop=made._loop)
-    return made
-
-
 class ConnectionEnd:
     """Tells whether an answer that ends with its connection is whole.
 
@@ -175,7 +110,7 @@
 
         :raises EndpointError: if the connection was reset, not closed.
         """
-        if isinstance(self.protocol, EndpointProtocol) and self.protocol.was_reset:
+        if isinstance(self.protocol, KeptProtocol) and self.protocol.was_reset:
             raise EndpointError(
                 "the connection was reset within the answer",
                 step=STEP_BROKEN,
@@ -189,11 +124,18 @@
     Calls that may not be repeated get a connection of their own each time:
     aiohttp repeats some calls by itself when a kept connection turns out to be
     closed, and on a kept connection a lost call cannot be told from a late one.
+    So do requests without an id: their answers could not be told from others.
+
+    :param id_header: the header of requests that their answers repeat.
+    :param on_stray: told of bytes and answers that belong to no request.
     """
 
-    def __init__(self) -> None:
-        kept = _connector(keepalive_timeout=KEEP_SECONDS)
-        fresh = _connector(force_close=True)
+    def __init__(self, id_header: str = "", on_stray: OnStray = ignore_stray) -> None:
+        self.id_header = id_header
+        kept = KeptConnector(
+            on_stray, id_header, limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
+        )
+        fresh = KeptConnector(on_stray, id_header, limit=CONNECTIONS, force_close=True)
         plain = {
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
@@ -237,7 +179,9 @@
         :raises NotStartedError: if the endpoint cannot have begun.
         :raises EndpointError: if it may have.
         """
-        session = self.kept if repeatable else self.fresh
+        sent = CIMultiDict(headers or ())
+        matched = bool(sent.get(self.id_header))
+        session = self.kept if repeatable and matched else self.fresh
         limits = aiohttp.ClientTimeout(
             total=timeout, sock_connect=CONNECT_SECONDS, sock_read=idle
         )
@@ -248,7 +192,7 @@
                 method,
                 target,
                 data=data,
-                headers=headers,
+                headers=sent,
                 timeout=limits,
                 allow_redirects=False,
             ),
@@ -305,6 +249,8 @@
             return NotStartedError(reason, step=STEP_CONNECT, peer=self.peer)
         if getattr(error, "errno", None) == errno.ETIMEDOUT:
             return EndpointError(reason, step=STEP_SILENT, peer=self.peer)
+        if isinstance(error, NO_ANSWERS):
+            return EndpointError(reason, step=STEP_ANSWER, peer=self.peer)
         if not isinstance(error, TimeoutError):
             return EndpointError(reason, step=STEP_BROKEN, peer=self.peer)
         return EndpointError(reason, step="exchange", peer=self.peer)
--- /dev/null
+++ b/walnutquay/transport/connections.py
@@ -0,0 +1,341 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Connections that are kept for several requests, by aiohttp.
+
+Endpoints may answer a request twice, the second time late, or send bytes behind an
+answer.  What arrives while no request is under way ends the connection.  What arrives
+in the place of the next answer is told from it by the request's id, so a connection is
+kept only where answers repeat the id, and carries each id once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientRequest
+from aiohttp.connector import Connection
+from aiohttp.http_parser import RawResponseMessage
+
+from walnutquay.transport.sockets import limited_socket, reset_on_close
+
+# Requests that one connection carries; it remembers their ids.
+MAX_CARRIED = 256
+HEAD_END = b"\r\n\r\n"
+
+Message = tuple[RawResponseMessage, aiohttp.StreamReader]
+
+
+class StrayKind(Enum):
+    """How it is known that bytes are no answer to the request under way."""
+
+    # No request was under way.
+    IDLE = "idle"
+    # It names an earlier request of the connection.
+    EARLIER = "earlier"
+    # It names a request that the connection has never carried.
+    FOREIGN = "foreign"
+    # It names no request, though earlier answers on the connection did.
+    UNNAMED = "unnamed"
+
+
+@dataclass(frozen=True, slots=True)
+class Stray:
+    """Bytes on a connection that belong to no request.
+
+    :param kind: how that is known.
+    :param address: ``IP:port`` of who sent them.
+    :param size: how many bytes came at once; 0 for an answer.
+    :param request: the request that was under way.
+    :param named: the request that an answer names.
+    """
+
+    kind: StrayKind
+    address: str
+    size: int = 0
+    request: str = ""
+    named: str = ""
+
+
+OnStray = Callable[[Stray], None]
+
+
+def ignore_stray(stray: Stray) -> None:
+    """:param stray: bytes that nobody is told of."""
+
+
+class StrayAnswerError(aiohttp.ClientError):
+    """An answer that is not the one to the request under way."""
+
+
+class KeptProtocol(ResponseHandler):
+    """An aiohttp connection that ends with a stray, and notices resets.
+
+    libuv reports the end of a stream where data and a reset come together.  An
+    answer without a length would then seem whole.
+
+    :param loop: the loop.
+    :param on_stray: told of bytes that belong to no request.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, on_stray: OnStray) -> None:
+        super().__init__(loop)
+        self.on_stray = on_stray
+        # Whether a request is under way, whose answer has not ended.
+        self.under_way = False
+        # Whether the head of an answer is due, and the last bytes that came before it.
+        self.head_due = False
+        self.before = b""
+        # Whether the peer has reset the connection.
+        self.was_reset = False
+
+    def may_carry(self, request: str) -> bool:
+        """:param request: the id of a request; empty if it has none.
+
+        :returns: whether its answer could be told from what else may come here.
+        """
+        return not self.should_close
+
+    def begin(self, request: str) -> None:
+        """:param request: the id of the request that is sent now."""
+        self.under_way = True
+        self.head_due = True
+        self.before = b""
+
+    def _end(self) -> None:
+        self.under_way = False
+
+    async def read(self) -> Message:
+        """:returns: the next answer's head and body, for the library."""
+        while True:
+            message, payload = await super().read()
+            if message.code < HTTPStatus.OK:
+                return message, payload
+            if await self._is_awaited(message, payload):
+                payload.on_eof(self._end)
+                return message, payload
+
+    async def _is_awaited(
+        self, message: RawResponseMessage, payload: aiohttp.StreamReader
+    ) -> bool:
+        """:returns: whether an answer is to the request under way."""
+        return True
+
+    def data_received(self, data: bytes) -> None:
+        """:param data: what has arrived."""
+        if data and not self.under_way:
+            self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
+            self.close()
+            return
+        while self.head_due and (size := self._head_size(data)):
+            super().data_received(data[:size])
+            data = data[size:]
+            if not data:
+                return
+        self.before = (self.before + data[1 - len(HEAD_END) :])[1 - len(HEAD_END) :]
+        super().data_received(data)
+
+    def _head_size(self, data: bytes) -> int:
+        """Find the end of a head, which is parsed apart from what follows.
+
+        The parser reads bytes as a whole or not at all: what is no answer would undo
+        the whole answer before it.
+
+        :returns: how many bytes belong to the head; 0 if its end has not come.
+        """
+        at = (self.before + data).find(HEAD_END)
+        return 0 if at < 0 else at + len(HEAD_END) - len(self.before)
+
+    def feed_data(self, data: Message, size: int = 0) -> None:
+        """:param data: the head and body of an answer.
+
+        :param size: the library's.
+        """
+        self.head_due = data[0].code < HTTPStatus.OK
+        self.before = b""
+        super().feed_data(data, size)
+
+    def address(self) -> str:
+        """:returns: ``IP:port`` of the other side; empty once it is closed."""
+        transport = self.transport
+        name = transport.get_extra_info("peername") if transport is not None else None
+        return f"{name[0]}:{name[1]}" if name else ""
+
+    def close(self) -> None:
+        """Close the connection; reset it if its request is given up.
+
+        What a plain close leaves in a full or cut link still arrives when the link
+        works again: it would run for nobody, and at an endpoint that has said
+        seconds before that it leaves.
+        """
+        transport = self.transport
+        if transport is None or self._answer_is_whole():
+            super().close()
+            return
+        reset_on_close(transport.get_extra_info("socket"))
+        self.abort()
+
+    def _answer_is_whole(self) -> bool:
+        # aiohttp offers no public way to the answer that is being read.
+        return self._payload is not None and self._payload.is_eof()
+
+    def eof_received(self) -> None:
+        """Ask the socket itself how the connection ended."""
+        super().eof_received()
+        transport = self.transport
+        if transport is not None:
+            self.was_reset = _is_reset(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """:param exc: how the connection broke; None where it was closed."""
+        if isinstance(exc, OSError):
+            self.was_reset = True
+        super().connection_lost(exc)
+
+
+def _is_reset(bound: socket.socket | None) -> bool:
+    """Tell whether a socket whose stream has ended was reset."""
+    if bound is None:
+        return False
+    # The loop's own object offers no reading.
+    with socket.socket(fileno=os.dup(bound.fileno())) as copy:
+        try:
+            copy.setblocking(False)
+            if copy.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return True
+            copy.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return False
+
+
+class MatchingProtocol(KeptProtocol):
+    """A connection whose answers repeat the ids of their requests.
+
+    :param loop: the loop.
+    :param on_stray: told of answers that belong to no request under way.
+    :param id_header: the header that holds the id.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_stray: OnStray, id_header: str
+    ) -> None:
+        super().__init__(loop, on_stray)
+        self.id_header = id_header
+        self.request = ""
+        # The ids that were sent here: each might be answered once more.
+        self.carried: set[str] = set()
+
+    def may_carry(self, request: str) -> bool:
+        """:param request: the id of a request; empty if it has none.
+
+        :returns: whether its answer could be told from what else may come here.
+        """
+        if not self.carried:
+            return True
+        fits = bool(request) and request not in self.carried
+        return fits and len(self.carried) < MAX_CARRIED and super().may_carry(request)
+
+    def begin(self, request: str) -> None:
+        """:param request: the id of the request that is sent now."""
+        super().begin(request)
+        self.request = request
+        self.carried.add(request)
+
+    async def _is_awaited(
+        self, message: RawResponseMessage, payload: aiohttp.StreamReader
+    ) -> bool:
+        """Read a second answer to an earlier request to its end.
+
+        :returns: whether an answer is to the request under way.
+        :raises StrayAnswerError: if it cannot be told whose answer it is.
+        """
+        named = message.headers.get(self.id_header, "")
+        kind = self._stray_kind(named)
+        if kind is None:
+            if not named:
+                # A second answer without an id could not be told from the next.
+                self.force_close()
+            return True
+        address = self.address()
+        self.on_stray(Stray(kind, address, request=self.request, named=named))
+        self.force_close()
+        if kind is not StrayKind.EARLIER:
+            raise StrayAnswerError(f"not the request's own answer ({kind.value})")
+        await self._skip(payload)
+        return False
+
+    async def _skip(self, payload: aiohttp.StreamReader) -> None:
+        while not payload.at_eof():
+            await payload.readany()
+        self.head_due = True
+        # The end of a body stops the time limit between two reads.
+        self.start_timeout()
+
+    def _stray_kind(self, named: str) -> StrayKind | None:
+        """:returns: why an answer is a stray; None where it is the awaited one."""
+        first = len(self.carried) == 1
+        if named == self.request or (first and not (named and self.request)):
+            return None
+        if not named:
+            return StrayKind.UNNAMED
+        return StrayKind.EARLIER if named in self.carried else StrayKind.FOREIGN
+
+
+class KeptConnector(aiohttp.TCPConnector):
+    """Makes connections that end with a stray, and notice resets and silence.
+
+    :param on_stray: told of bytes that belong to no request.
+    :param id_header: the header by which answers are matched to requests; None
+        where answers repeat none.
+    :param options: the library's own.
+    """
+
+    def __init__(
+        self,
+        on_stray: OnStray = ignore_stray,
+        id_header: str | None = None,
+        **options: Any,
+    ) -> None:
+        super().__init__(socket_factory=limited_socket, **options)
+        self.id_header = id_header
+        factory = functools.partial(KeptProtocol, self._loop, on_stray)
+        if id_header is not None:
+            factory = functools.partial(
+                MatchingProtocol, self._loop, on_stray, id_header
+            )
+        # aiohttp offers no public way to a protocol of one's own.
+        self._factory = factory
+
+    async def connect(
+        self,
+        req: ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Give a request a connection on which its answer can be told from others.
+
+        :param req: the request.
+        :param traces: the library's.
+        :param timeout: the request's time limits.
+        """
+        request = req.headers.get(self.id_header, "") if self.id_header else ""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            assert isinstance(protocol, KeptProtocol)
+            if protocol.may_carry(request):
+                protocol.begin(request)
+                return connection
+            connection.close()
