--- a/standins/worker.py
+++ b/standins/worker.py
@@ -21,6 +21,7 @@
 MUTE_SECONDS = 60.0
 # Seconds between two pieces of an answer.
 PIECE_SECONDS = 0.01
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @dataclass
@@ -57,8 +58,14 @@
     :param extra: whether a second answer follows the first.
     :param extra_late: whether it follows only when the connection's next request has
         come, in the place of that one's answer.
+    :param extra_after: seconds after which it follows otherwise, whatever comes till
+        then.
     :param extra_pieces: bytes of the second answer that come by themselves, before the
         rest of it; 0 for all at once.
+    :param pieces: the same of the first answer, if it is plain.
+    :param chunked: whether a plain answer comes in chunks.
+    :param lacking: bytes of a plain body that are left out; the connection ends then.
+    :param junk: bytes that follow a plain answer.
     :param headers: more headers.
     :param pause: seconds between two events, or before a plain answer.
     :param crash_after: whole events after which the endpoint itself ends, with all
@@ -79,7 +86,12 @@
     mute: bool = False
     extra: bool = False
     extra_late: bool = False
+    extra_after: float = 0.0
     extra_pieces: int = 0
+    pieces: int = 0
+    chunked: bool = False
+    lacking: int = 0
+    junk: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     pause: float = 0.0
     crash_after: int | None = None
@@ -237,17 +249,23 @@
     ) -> bool:
         await asyncio.sleep(behaviour.pause)
         framing = f"Content-Length: {len(behaviour.body)}"
+        body = behaviour.body
         if not behaviour.framed:
             framing = "Connection: close"
-        answer = self._head(seen, behaviour, framing) + behaviour.body
+        elif behaviour.chunked:
+            framing = "Transfer-Encoding: chunked"
+            body = b"".join(_chunk(bytes([byte])) for byte in body) + LAST_CHUNK
+        answer = self._head(seen, behaviour, framing) + body
         if behaviour.cut_after is not None:
             left = len(behaviour.body) - behaviour.cut_after
             writer.write(answer[: len(answer) - left])
             await writer.drain()
             _reset(writer)
             return False
-        writer.write(answer)
-        await writer.drain()
+        if behaviour.lacking:
+            writer.write(answer[: -behaviour.lacking])
+            return False
+        await _write_in_pieces(writer, answer + behaviour.junk, behaviour.pieces)
         if behaviour.extra:
             await self._answer_again(writer, answer, behaviour)
         return behaviour.framed
@@ -257,14 +275,13 @@
     ) -> None:
         if behaviour.extra_late:
             self.owed[writer] = answer
-            return
-        first = answer[: behaviour.extra_pieces]
-        writer.write(first)
-        if first:
-            # The caller's loop gets the pieces one by one.
-            await asyncio.sleep(PIECE_SECONDS)
-        writer.write(answer[len(first) :])
-        await writer.drain()
+        elif behaviour.extra_after:
+            sending = _write_after(writer, answer, behaviour.extra_after)
+            task = asyncio.ensure_future(sending)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            await _write_in_pieces(writer, answer, behaviour.extra_pieces)
 
     async def _stream(
         self,
@@ -299,7 +316,7 @@
             if left.done():
                 seen.left = True
                 return False
-        writer.write(b"0\r\n\r\n")
+        writer.write(LAST_CHUNK)
         await writer.drain()
         left.cancel()
         return False
@@ -313,6 +330,26 @@
         return True
 
 
+async def _write_in_pieces(
+    writer: asyncio.StreamWriter, answer: bytes, size: int
+) -> None:
+    """Write an answer, the first bytes by themselves."""
+    writer.write(answer[:size])
+    if size:
+        # The caller's loop gets the pieces one by one.
+        await asyncio.sleep(PIECE_SECONDS)
+    writer.write(answer[size:])
+    await writer.drain()
+
+
+async def _write_after(
+    writer: asyncio.StreamWriter, answer: bytes, seconds: float
+) -> None:
+    await asyncio.sleep(seconds)
+    if not writer.is_closing():
+        writer.write(answer)
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -5,12 +5,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from asyncio.trsock import TransportSocket
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import logbook
 import orjson
-from aiohttp import HttpVersion10, web
+from aiohttp import HttpVersion10, HttpVersion11, web
 from multidict import CIMultiDict
 
 from walnutquay.coordination.process.context import Context
@@ -37,6 +38,7 @@
 from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route, RouteKind
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
+from walnutquay.transport.sockets import close_plainly, reset_on_close
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -73,6 +75,8 @@
         self.request = request
         self.server = server
         self.response: web.StreamResponse | None = None
+        # Before HTTP/1.1 a stream ends with its connection.
+        self.framed = request.version >= HttpVersion11
 
     async def begin(self, head: AnswerHead) -> None:
         """Send the status and the headers.
@@ -83,8 +87,10 @@
         if head.content_type:
             headers["Content-Type"] = head.content_type
         self.response = web.StreamResponse(status=head.status, headers=headers)
-        if self.server.draining:
+        if self.server.draining or not self.framed:
             self.response.force_close()
+        # However it ends from now on, a plain close would make it seem whole.
+        self._on_close(reset_on_close)
         with _writing():
             await self.response.prepare(self.request)
 
@@ -106,10 +112,18 @@
         if whole:
             with _writing():
                 await self.response.write_eof()
+            self._on_close(close_plainly)
         elif self.request.transport is not None:
             self.request.transport.abort()
         return self.response
 
+    def _on_close(self, decide: Callable[[TransportSocket | None], None]) -> None:
+        """Decide how the connection ends where that is the end of the stream."""
+        transport = self.request.transport
+        if self.framed or transport is None or transport.is_closing():
+            return
+        decide(transport.get_extra_info("socket"))
+
 
 @contextmanager
 def _writing() -> Iterator[None]:
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -12,6 +12,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import logbook
 from aiohttp import web
@@ -27,6 +28,9 @@
 # What is still under way when the server is closed; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 0.05
 
+# What ends the head of a request.
+HEAD_END = b"\r\n\r\n"
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -42,6 +46,92 @@
     idle_seconds: float = 15.0
 
 
+class CallerConnection(web.RequestHandler):
+    """A connection whose requests are answered up to the first that cannot be read.
+
+    aiohttp drops the requests that come in one piece with bytes that it cannot read:
+    the first of them would get the refusal of those bytes for its answer.
+    """
+
+    __slots__ = ("read_before",)
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        # The last bytes that have come, which a head's end may begin with.
+        self.read_before = b""
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has come, one head at a time.
+
+        :param data: what has come.
+        """
+        for part in split_after_heads(self.read_before, data):
+            super().data_received(part)
+        self.read_before = (self.read_before + data)[1 - len(HEAD_END) :]
+
+
+def split_after_heads(before: bytes, data: bytes) -> list[bytes]:
+    """Split bytes behind each end of a head.
+
+    :param before: what came just before them.
+    :param data: the bytes.
+    """
+    known = before + data
+    start = len(before)
+    parts = []
+    found = known.find(HEAD_END)
+    while found >= 0:
+        end = found + len(HEAD_END)
+        parts.append(known[start:end])
+        start = end
+        found = known.find(HEAD_END, start)
+    if start < len(known) or not parts:
+        parts.append(known[start:])
+    return parts
+
+
+class CallerConnections(web.Server):
+    """Makes the connections of callers, and knows which of them are owed bytes."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        # aiohttp's connections let go of theirs when they are closed, with what is
+        # not sent yet.
+        self.transports: dict[web.RequestHandler, asyncio.Transport] = {}
+        # Whether new connections are closed at once.
+        self.closed = False
+
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """:param handler: a connection that is open now.
+
+        :param transport: its transport.
+        """
+        super().connection_made(handler, transport)
+        self.transports[handler] = transport
+        if self.closed:
+            handler.force_close()
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """:param handler: a connection that has ended.
+
+        :param exc: how it broke.
+        """
+        super().connection_lost(handler, exc)
+        self.transports.pop(handler, None)
+
+    def owe_bytes(self) -> bool:
+        """:returns: whether an answer has not been handed to the system yet."""
+        return any(t.get_write_buffer_size() for t in self.transports.values())
+
+    def __call__(self) -> CallerConnection:
+        """:returns: one for a caller who has just connected."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
 class GatewayServer:
     """One listening port with one handler for all requests.
 
@@ -62,7 +152,7 @@
         self.busy: set[web.RequestHandler] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
-        self.web = web.Server(
+        self.web = CallerConnections(
             self._handle,
             handler_cancellation=True,
             access_log=None,
@@ -83,7 +173,11 @@
         self.server = await loop.create_server(self.web, sock=listener, backlog=BACKLOG)
 
     def close_listener(self) -> None:
-        """Take no new connections; those that are open go on."""
+        """Take no new connections; those that are open go on.
+
+        One that has been accepted, and is not open yet, is closed unread.
+        """
+        self.web.closed = True
         if self.server is not None:
             self.server.close()
             self.server = None
@@ -104,16 +198,19 @@
         await self.web.shutdown(SHUTDOWN_SECONDS)
 
     async def idle(self, seconds: float) -> bool:
-        """Wait until no request is under way.
+        """Wait until no request is under way, and all answers are sent.
 
         :param seconds: how long to wait at the most.
-        :returns: whether all have ended.
+        :returns: whether that is so.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        while self.in_flight and loop.time() < end:  # noqa: ASYNC110
+        while self._owes() and loop.time() < end:  # noqa: ASYNC110
             await asyncio.sleep(POLL_SECONDS)
-        return not self.in_flight
+        return not self._owes()
+
+    def _owes(self) -> bool:
+        return bool(self.in_flight) or self.web.owe_bytes()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.transport is None or request.transport.is_closing():
