--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -26,11 +26,11 @@
 from aiohttp.connector import Connection
 from aiohttp.http_parser import RawResponseMessage
 
+from walnutquay.transport.heads import HEAD_END, last_bytes, split_after_heads
 from walnutquay.transport.sockets import limited_socket, reset_on_close
 
 # Requests that one connection carries; it remembers their ids.
 MAX_CARRIED = 256
-HEAD_END = b"\r\n\r\n"
 
 Message = tuple[RawResponseMessage, aiohttp.StreamReader]
 
@@ -92,11 +92,11 @@
         self.on_stray = on_stray
         # Whether a request is under way, whose answer has not ended.
         self.under_way = False
-        # Whether the head of an answer is due, and the last bytes that came before it.
+        # Whether the head of an answer is due, and how many bytes have come behind it.
         self.head_due = False
-        self.before = b""
-        # Bytes that have come behind that head.
         self.behind_head = 0
+        # The last bytes that have come.
+        self.before = b""
         # Whether the peer has reset the connection.
         self.was_reset = False
 
@@ -134,19 +134,15 @@
 
     def data_received(self, data: bytes) -> None:
         """:param data: what has arrived."""
-        if data and not self.under_way:
-            self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
-            self.close()
-            return
-        while self.head_due and (size := self._head_size(data)):
-            super().data_received(data[:size])
-            data = data[size:]
-            self.behind_head = 0
-            if not data:
+        for part in split_after_heads(self.before, data):
+            if part and not self.under_way:
+                self.on_stray(Stray(StrayKind.IDLE, self.address(), len(part)))
+                self.close()
                 return
-        self.before = (self.before + data[-len(HEAD_END) :])[-len(HEAD_END) :]
-        self.behind_head += len(data)
-        super().data_received(data)
+            within_head = self.head_due
+            super().data_received(part)
+            self.behind_head = 0 if within_head else self.behind_head + len(part)
+        self.before = last_bytes(self.before, data)
         if self._is_overlong():
             self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
             self.force_close()
@@ -164,25 +160,12 @@
         # Chunks are longer than what they hold, and end as a head does.
         return not (size and self.before == HEAD_END)
 
-    def _head_size(self, data: bytes) -> int:
-        """Find the end of a head, which is parsed apart from what follows.
-
-        The parser reads bytes as a whole or not at all: what is no answer would undo
-        the whole answer before it.
-
-        :returns: how many bytes belong to the head; 0 if its end has not come.
-        """
-        before = self.before[1 - len(HEAD_END) :]
-        at = (before + data).find(HEAD_END)
-        return 0 if at < 0 else at + len(HEAD_END) - len(before)
-
     def feed_data(self, data: Message, size: int = 0) -> None:
         """:param data: the head and body of an answer.
 
         :param size: the library's.
         """
         self.head_due = data[0].code < HTTPStatus.OK
-        self.before = b""
         super().feed_data(data, size)
 
     def address(self) -> str:
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -17,6 +17,7 @@
 import logbook
 from aiohttp import web
 
+from walnutquay.transport.heads import last_bytes, split_after_heads
 from walnutquay.transport.listeners import BACKLOG
 
 log = logbook.Logger(__name__)
@@ -28,9 +29,6 @@
 # What is still under way when the server is closed; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 0.05
 
-# What ends the head of a request.
-HEAD_END = b"\r\n\r\n"
-
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -67,27 +65,7 @@
         """
         for part in split_after_heads(self.read_before, data):
             super().data_received(part)
-        self.read_before = (self.read_before + data)[1 - len(HEAD_END) :]
-
-
-def split_after_heads(before: bytes, data: bytes) -> list[bytes]:
-    """Split bytes behind each end of a head.
-
-    :param before: what came just before them.
-    :param data: the bytes.
-    """
-    known = before + data
-    start = len(before)
-    parts = []
-    found = known.find(HEAD_END)
-    while found >= 0:
-        end = found + len(HEAD_END)
-        parts.append(known[start:end])
-        start = end
-        found = known.find(HEAD_END, start)
-    if start < len(known) or not parts:
-        parts.append(known[start:])
-    return parts
+        self.read_before = last_bytes(self.read_before, data)
 
 
 class CallerConnections(web.Server):
