What the review of the mend found: bodies that hang, trailers, answers out of turn

Broken by it, each with a test: - a body that breaks off in the read of its head hung until the deadline (504 after 4.0 s; 502 after 0.03 s before the mend), for the parser's error ends heads only: it ends the body now, also where the broken chunk comes later (which hung before the mend too); - a refusal that is sent before its request was read was lost, and 502 in place of 503; - a 101 was passed on unchecked. Not reached by it: - a trailer of a second answer became a header of the next one (two seals, and by an id the wrong body): what follows a whole answer is read by a new parser, and an answer with two ids names no request; - a second answer that trickles used up the whole time of the call: it has the time between two reads; - the second answer to a HEAD swallowed the next one: such a connection is not kept.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -10,7 +10,7 @@
     Mutation(
         "second answers: bytes while no request is under way end the connection",
         "transport/connections.py",
-        "if part and not self.under_way:",
+        "if self.used and not self.under_way:",
         "if False:",
         "tests.transport.test_connections.StrayTest."
         "test_bytes_while_nobody_waits_end_the_connection",
--- a/tests/scriptedendpoint.py
+++ b/tests/scriptedendpoint.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
+from unittest import mock
 
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.connections import Stray, StrayKind
@@ -73,6 +74,12 @@
         cls.addClassCleanup(asyncio.set_event_loop_policy, None)
 
     async def asyncSetUp(self) -> None:
+        # On a busy machine a connection may take longer than callers wait for one.
+        patience = mock.patch(
+            "walnutquay.transport.client.CONNECT_SECONDS", LIMIT_SECONDS
+        )
+        patience.start()
+        self.addCleanup(patience.stop)
         self.strays: list[Stray] = []
         self.client = HttpClient(ID, self.strays.append)
         self.addAsyncCleanup(self.client.close)
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -16,7 +16,7 @@
     chunked,
     head,
 )
-from walnutquay.exceptions import EndpointError
+from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.transport.client import STEP_ANSWER
 from walnutquay.transport.connections import StrayKind
 
@@ -111,6 +111,137 @@
         self.assertEqual(self.kinds(), [StrayKind.UNNAMED])
 
 
+class OutOfTurnTest(ScriptedEndpointCase):
+    """Answers that come before their request, or that break off within themselves."""
+
+    async def test_a_refusal_before_the_request_was_read(self):
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(answer("", b"", "x-not-started: 1", "Connection: close"))
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+        for repeatable in (True, False):
+            with (
+                self.subTest(repeatable=repeatable),
+                self.assertRaises(NotStartedError),
+            ):
+                await self.call("/a", "a", repeatable=repeatable)
+
+    async def test_bytes_within_a_body_that_are_no_chunk(self):
+        for late in (False, True):
+            with self.subTest(late=late):
+
+                async def script(
+                    asked: Asked, late: bool = late
+                ) -> AsyncIterator[bytes]:
+                    begun = head(asked.request, None, "Transfer-Encoding: chunked")
+                    yield begun + b"2\r\nok\r\n"
+                    if late:
+                        await asyncio.sleep(0.005)
+                    yield b"bytes that are no chunk\r\n"
+
+                await self.start(script)
+                # The call has the time of an answer, which is never waited for.
+                with self.assertRaises(EndpointError) as caught:
+                    await self.call("/a", "a")
+                self.assertEqual(caught.exception.step, STEP_ANSWER)
+
+    async def test_a_switch_of_protocols(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            yield (
+                b"HTTP/1.1 101 Switching\r\nx-id: somebody\r\n"
+                b"Connection: upgrade\r\nUpgrade: x\r\n\r\n"
+            )
+
+        await self.start(script)
+        with self.assertRaises(EndpointError):
+            await self.call("/a", "a")
+
+    async def call_after(self, trailer: bytes, pause: float) -> list[str]:
+        """Call twice; a second answer with a trailer takes the place of the next.
+
+        :returns: the own body, the ids and the seals of the second call's answer.
+        """
+
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            if asked.number:
+                yield chunked("a", b"again")[:-2] + trailer + b"\r\n\r\n"
+                await asyncio.sleep(pause)
+                yield answer("a", b"and again")
+                await asyncio.sleep(pause)
+            yield answer(asked.request, asked.path.encode())
+
+        await self.start(script)
+        await self.call("/a", "a")
+        async with self.client.request(
+            "GET",
+            f"http://127.0.0.1:{self.port}/b",
+            peer="endpoint",
+            headers={ID: "b"},
+            timeout=LIMIT_SECONDS,
+        ) as got:
+            found = [(await got.read()).decode(), *got.headers.getall(ID)]
+            return found + got.headers.getall("x-seal", [])
+
+    async def test_a_trailer_of_a_second_answer_is_not_in_the_next_head(self):
+        for pause in (0, 0.002):
+            with self.subTest(pause=pause):
+                found = await self.call_after(b"x-seal: of-a", pause)
+                self.assertEqual(found, ["/b", "b"])
+
+    async def test_a_second_answer_with_another_id_in_its_trailer_is_refused(self):
+        for trailer in (b"x-id: b", b"x-id: a"):
+            for pause in (0, 0.002):
+                with (
+                    self.subTest(trailer=trailer, pause=pause),
+                    self.assertRaises(EndpointError) as caught,
+                ):
+                    await self.call_after(trailer, pause)
+                self.assertEqual(caught.exception.step, STEP_ANSWER)
+
+    async def test_the_second_answer_to_a_head_request(self):
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            if asked.number:
+                yield head("a", 20)
+                await asyncio.sleep(0.002)
+            yield head(asked.request, 20) if asked.path == "/h" else answer("b", b"own")
+
+        await self.start(script)
+        async with self.client.request(
+            "HEAD",
+            f"http://127.0.0.1:{self.port}/h",
+            peer="endpoint",
+            headers={ID: "a"},
+        ):
+            pass
+        self.assertEqual(await self.call("/b", "b"), b"own")
+
+    async def test_a_second_answer_that_trickles_has_the_time_between_two_reads(self):
+        enough = asyncio.Event()
+
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            if asked.number:
+                yield head("a", None, "Transfer-Encoding: chunked")
+                while not enough.is_set():
+                    yield b"1\r\nx\r\n"
+                    await asyncio.sleep(0.01)
+            yield answer(asked.request)
+
+        await self.start(script)
+        await self.call("/a", "a")
+        with self.assertRaises(EndpointError) as caught:
+            await self.call("/b", "b", idle=0.1)
+        enough.set()
+        # The time of the whole call would be over with another reason.
+        self.assertEqual(caught.exception.step, "exchange")
+        self.assertFalse(self.client.kept.connector._acquired)
+
+
 class KeptConnectionTest(ScriptedEndpointCase):
     """A connection is used again only where the next answer can be told from others."""
 
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -22,6 +22,7 @@
 
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.transport.connections import (
+    GarbledBodyError,
     KeptConnector,
     KeptProtocol,
     OnStray,
@@ -51,7 +52,7 @@
 STEP_BROKEN = "broken"
 # The step of an error by which what came is not an answer to the request.
 STEP_ANSWER = "answer"
-NO_ANSWERS = (aiohttp.ClientResponseError, StrayAnswerError)
+NO_ANSWERS = (aiohttp.ClientResponseError, GarbledBodyError, StrayAnswerError)
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -24,6 +24,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 
 from walnutquay.transport.heads import HEAD_END, last_bytes, split_after_heads
@@ -77,6 +78,17 @@
     """An answer that is not the one to the request under way."""
 
 
+class GarbledBodyError(aiohttp.ClientPayloadError):
+    """A body that holds bytes which cannot belong to it."""
+
+
+def is_interim(message: RawResponseMessage) -> bool:
+    """:returns: whether another head follows; no request asks to switch protocols."""
+    return (
+        message.code < HTTPStatus.OK and message.code != HTTPStatus.SWITCHING_PROTOCOLS
+    )
+
+
 class KeptProtocol(ResponseHandler):
     """An aiohttp connection that ends with a stray, and notices resets.
 
@@ -90,13 +102,16 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, on_stray: OnStray) -> None:
         super().__init__(loop)
         self.on_stray = on_stray
-        # Whether a request is under way, whose answer has not ended.
+        # Whether a request was sent, and one is under way, whose answer has not ended.
+        self.used = False
         self.under_way = False
         # Whether the head of an answer is due, and how many bytes have come behind it.
         self.head_due = False
         self.behind_head = 0
         # The last bytes that have come.
         self.before = b""
+        # How the library has answers read.
+        self.params: dict[str, Any] = {}
         # Whether the peer has reset the connection.
         self.was_reset = False
 
@@ -109,6 +124,7 @@
 
     def begin(self, request: str) -> None:
         """:param request: the id of the request that is sent now."""
+        self.used = True
         self.under_way = True
         self.head_due = True
         self.before = b""
@@ -120,7 +136,7 @@
         """:returns: the next answer's head and body, for the library."""
         while True:
             message, payload = await super().read()
-            if message.code < HTTPStatus.OK:
+            if is_interim(message):
                 return message, payload
             if await self._is_awaited(message, payload):
                 payload.on_eof(self._end)
@@ -134,12 +150,18 @@
 
     def data_received(self, data: bytes) -> None:
         """:param data: what has arrived."""
+        if not data:
+            # The library goes on with what it has read already.
+            super().data_received(data)
+            return
         for part in split_after_heads(self.before, data):
-            if part and not self.under_way:
+            # Some endpoints refuse a connection before they have read a request.
+            if self.used and not self.under_way:
                 self.on_stray(Stray(StrayKind.IDLE, self.address(), len(part)))
                 self.close()
                 return
             within_head = self.head_due
+            self._renew_parser()
             super().data_received(part)
             self.behind_head = 0 if within_head else self.behind_head + len(part)
         self.before = last_bytes(self.before, data)
@@ -147,6 +169,36 @@
             self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
             self.force_close()
 
+    def set_response_params(self, **params: Any) -> None:
+        """:param params: how answers are read, for the library."""
+        self.params = params
+        super().set_response_params(**params)
+
+    def _renew_parser(self) -> None:
+        """Read what follows a whole answer by a new parser.
+
+        The library's keeps a trailer for the head of the next answer.
+        """
+        answer = self._payload
+        if not self.head_due and answer is not None and answer.is_eof():
+            super().set_response_params(**self.params)
+            self.head_due = True
+            self.force_close()
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException | None = None
+    ) -> None:
+        """End a body that cannot be read any further; the library ends heads only.
+
+        :param exc: what is wrong with the connection, or what came on it.
+        :param exc_cause: what brought it about.
+        """
+        super().set_exception(exc, exc_cause or exc)
+        body = self._payload
+        garbled = isinstance(exc, HttpProcessingError) and not self.head_due
+        if garbled and body is not None and not body.is_eof():
+            body.set_exception(GarbledBodyError(str(exc)), exc)
+
     def _is_overlong(self) -> bool:
         """:returns: whether more bytes have come than the answer that has ended.
 
@@ -165,7 +217,7 @@
 
         :param size: the library's.
         """
-        self.head_due = data[0].code < HTTPStatus.OK
+        self.head_due = is_interim(data[0])
         super().feed_data(data, size)
 
     def address(self) -> str:
@@ -261,7 +313,8 @@
         :returns: whether an answer is to the request under way.
         :raises StrayAnswerError: if it cannot be told whose answer it is.
         """
-        named = message.headers.get(self.id_header, "")
+        # An answer with two ids names neither of its requests.
+        named = ",".join(message.headers.getall(self.id_header, ()))
         kind = self._stray_kind(named)
         if kind is None:
             if not named:
@@ -277,8 +330,9 @@
         return False
 
     async def _skip(self, payload: aiohttp.StreamReader) -> None:
-        while not payload.at_eof():
-            await payload.readany()
+        async with asyncio.timeout(self.read_timeout):
+            while not payload.at_eof():
+                await payload.readany()
         self.head_due = True
         # The end of a body stops the time limit between two reads.
         self.start_timeout()
@@ -337,5 +391,8 @@
             assert isinstance(protocol, KeptProtocol)
             if protocol.may_carry(request):
                 protocol.begin(request)
+                if req.method == "HEAD":
+                    # A second answer would be read as one with a body.
+                    protocol.force_close()
                 return connection
             connection.close()
