--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -122,9 +122,8 @@
 class HttpClient:
     """Calls endpoints; owns the connections to them.
 
-    Calls that may not be repeated get a connection of their own each time:
-    aiohttp repeats some calls by itself when a kept connection turns out to be
-    closed, and on a kept connection a lost call cannot be told from a late one.
+    Calls that may not be repeated get a connection of their own each time: on a kept
+    connection a lost call cannot be told from a late one.
     So do requests without an id: their answers could not be told from others.
 
     :param id_header: the header of requests that their answers repeat.
@@ -149,6 +148,10 @@
         }
         self.kept = aiohttp.ClientSession(connector=kept, **plain)
         self.fresh = aiohttp.ClientSession(connector=fresh, **plain)
+        for session in (self.kept, self.fresh):
+            # The library sends some calls once more by itself, unsafe ones too, and a
+            # second connection that is refused hides that the first had carried them.
+            session._retry_connection = False
 
     async def close(self) -> None:
         """Close all connections."""
