--- a/lab/pages/pictures.py
+++ b/lab/pages/pictures.py
@@ -109,7 +109,7 @@
         y = HALL_TOP + 58
         drawing.line((left - 20, y), (left + 55, y), arrow=True)
         drawing.line((left + 55, y), (left - 20, y), arrow=True)
-    drawing.text(490, 374, "all VMs tell each other news: datagrams, calls", SMALL_SIZE)
+    drawing.text(540, 374, "all VMs tell each other news: datagrams, calls", SMALL_SIZE)
     drawing.box(20, 400, 940, 50, OTHER_FILL)
     drawing.text(
         490, 422, "the platform's store: configuration, endpoints, orders", bold=True
