lab.mutants.run takes names as well as numbers

Change: an argument is a number or the beginning of what a mutation serves; one that fits nothing is an error.

--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -2,7 +2,7 @@
 
 """Shows that each guarantee's proof fails where its mechanism is taken out.
 
-``python -m lab.mutants.run [NUMBER ...]`` copies the tree, takes one mechanism out
+``python -m lab.mutants.run [NAME ...]`` copies the tree, takes one mechanism out
 at a time, and runs the tests that prove it; each must fail.
 """
 
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 from lab.mutants import own, routed
@@ -20,7 +21,7 @@
 ROOT = Path(__file__).parents[2]
 COPIED = ("walnutquay", "standins", "tests", "demo", "lab")
 
-# Each is known by its place here.
+# Each is known by its place here, or by what it serves.
 MUTATIONS = [*own.MUTATIONS, *routed.MUTATIONS]
 
 
@@ -60,9 +61,23 @@
     return done.returncode != 0
 
 
+def is_wanted(number: int, mutation: Mutation, names: Sequence[str]) -> bool:
+    """:param number: a mutation's place in the list.
+
+    :param mutation: the mutation.
+    :param names: numbers, or beginnings of what mutations serve; all if there are none.
+    """
+    return not names or any(
+        name == str(number) or mutation.guarantee.startswith(name) for name in names
+    )
+
+
 def main() -> int:
     """:returns: the exit code: 0 if every test failed as it must."""
-    wanted = [int(text) for text in sys.argv[1:]] or range(len(MUTATIONS))
+    names = sys.argv[1:]
+    wanted = [n for n, one in enumerate(MUTATIONS) if is_wanted(n, one, names)]
+    if not wanted:
+        sys.exit(f"no mutation has such a number or name: {' '.join(names)}")
     missed = 0
     for number in wanted:
         mutation = MUTATIONS[number]
--- a/tests/lab/test_mutations.py
+++ b/tests/lab/test_mutations.py
@@ -6,7 +6,7 @@
 
 import unittest
 
-from lab.mutants.run import MUTATIONS, is_there
+from lab.mutants.run import MUTATIONS, is_there, is_wanted
 
 
 class MutationsTest(unittest.TestCase):
@@ -23,3 +23,12 @@
                 found = unittest.defaultTestLoader.loadTestsFromName(mutation.test)
                 self.assertGreater(found.countTestCases(), 0)
                 self.assertNotIn("_FailedTest", str(found))
+
+    def test_some_are_chosen_by_number_or_name(self):
+        def chosen(*names: str) -> list[int]:
+            return [n for n, m in enumerate(MUTATIONS) if is_wanted(n, m, names)]
+
+        self.assertEqual(chosen(), list(range(len(MUTATIONS))))
+        self.assertEqual(chosen("3", "7"), [3, 7])
+        self.assertGreater(len(chosen("roll-outs")), 3)
+        self.assertEqual(chosen("nothing is named so"), [])
