--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -20,7 +20,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import MemberState
 from walnutquay.transport.client import get_json
-from walnutquay.transport.connections import KeptConnector
+from walnutquay.transport.connectors import KeptConnector
 from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/own/rollouts.py
+++ b/walnutquay/coordination/own/rollouts.py
@@ -22,7 +22,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import RolloutState
 from walnutquay.state.store.parts import Endpoint, Rollout
-from walnutquay.transport.connections import KeptConnector
+from walnutquay.transport.connectors import KeptConnector
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -24,7 +24,8 @@
 )
 from walnutquay.platform.lenient import is_plain, read_json
 from walnutquay.platform.names import OBJECTS_PATH
-from walnutquay.transport.connections import KeptConnector, OnStray, ignore_stray
+from walnutquay.transport.connections import OnStray, ignore_stray
+from walnutquay.transport.connectors import KeptConnector
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -23,12 +23,12 @@
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.transport.connections import (
     GarbledBodyError,
-    KeptConnector,
     KeptProtocol,
     OnStray,
     StrayAnswerError,
     ignore_stray,
 )
+from walnutquay.transport.connectors import KeptConnector
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
