--- a/tests/daemon/test_own_callers.py
+++ b/tests/daemon/test_own_callers.py
@@ -174,7 +174,7 @@
 
     def check_runs(self) -> None:
         """Check what reached the paths."""
-        for name, came in self.endpoints.came.items():
+        for name, came in dict(self.endpoints.came).items():
             sent = self.endpoints.sent[name]
             for method, body in came:
                 self._hold((method, body) == (sent.ask.method, sent.body), body)
