A request that ends engines stays blocked when its ends are told again

Cause: news say how long ago an end was, and the time on their way adds to that. Told again with less delay, an end moved to before the time at which the request was held to have been sent there, which stayed as it was first told: 4 and 7 ms before its ends. Such a request broke for nobody was there any more, and the ends no longer counted. Evidence: vm-2's lines, `request-blocked` at :30.434 with three ends told by vm-1, `request-freed` at :30.622 with one.

Mend: the time of the send moves with the earliest news, as the time of the end does. ToldAgainTest failed before: the request was not blocked any more.

--- a/tests/state/requests/test_crashbook.py
+++ b/tests/state/requests/test_crashbook.py
@@ -110,6 +110,30 @@
         self.assertEqual(self.blocked(), {BAD})
 
 
+class ToldAgainTest(BookCase):
+    """News that are told again with less delay move a request's send as well.
+
+    A VM took in three ends 27 ms after they were noticed, and took in the same again
+    without a delay: two of them were now before the request was sent there, 4 and 7 ms
+    before its ends.  "request-freed" stood in its lines, and it ended two more engines.
+    """
+
+    # Where it broke, and how long its endpoint had had it.
+    HELD = (("a", 0.007), ("b", 0.004), ("c", 0.012))
+
+    def take_after(self, delay: float) -> None:
+        """Take in all ends, which another VM noticed at one moment."""
+        for endpoint, held in self.HELD:
+            told = dataclasses.replace(trace(BAD, endpoint), held=held)
+            self.book.take(told, self.now + delay)
+
+    def test_it_stays_blocked(self):
+        self.take_after(0.027)
+        self.assertEqual(self.blocked(), {BAD})
+        self.take_after(0.0)
+        self.assertEqual(self.blocked(), {BAD})
+
+
 class SameMomentTest(BookCase):
     """Endpoints that are lost together are not ended by a request that met three.
 
--- a/walnutquay/state/requests/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -172,10 +172,15 @@
             # What seemed to be there may have been sent later than that.
             end.at = at
             self.unjudged.add(trace.target)
+        sent = at - trace.held
         if trace.fingerprint in end.ran:
+            # Told again with less delay, it was sent earlier than that seemed as well.
+            if sent < end.sent[trace.fingerprint]:
+                end.sent[trace.fingerprint] = sent
+                self.unjudged.add(trace.target)
             return False
         end.ran[trace.fingerprint] = trace.ran
-        end.sent[trace.fingerprint] = at - trace.held
+        end.sent[trace.fingerprint] = sent
         self.ends_of.setdefault(trace.fingerprint, []).append(end)
         self._bound()
         if len(self.ends_of.get(trace.fingerprint, ())) > 1:
