Soaks: endpoints that stutter, emptied halls, cold endpoints, changes of work

Endpoints answer some requests twice, some late, in pieces, without an id or a length. Operators empty data halls and take them back, endpoints turn cold, and the work changes. Callers read answers by the strict parser over connections that they keep until a process is gone; what comes while no request waits, an answer with another request's id, and a failure with a signature are broken promises. By hand, nothing may reach an emptied hall's endpoints late, nor more than is allowed a cold one.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-import aiohttp
-
-from soak.fleet import APP, CRASHING, HOST, SoakFleet, Vm
+from soak.behaviours import CRASHING
+from soak.connections import Connections, encode_request
+from soak.fleet import APP, HOST, SoakFleet, Vm
+from standins.answers import NotAnAnswerError
 
 # A caller waits no longer, whatever the VM does.
 PATIENCE_SECONDS = 12.0
@@ -23,6 +24,9 @@
 LEAVE_SHARE = 0.05
 # Requests that end engines are brought again so often, and as often again.
 CRASH_TRIES = 5
+# Requests a second, and the weight of each kind of them, as the work changes.
+RATES = (10.0, 40.0)
+WEIGHTS = (0.1, 1.0)
 
 
 class Kind(Enum):
@@ -47,6 +51,8 @@
     :param answer: what came of the body.
     :param whole: whether the answer ended as its framing says.
     :param seal: the endpoint's signature.
+    :param named: the id that the answer carries.
+    :param junk: what came in place of an answer, in words.
     :param left: whether its caller left on purpose.
     :param ended_at: when its caller was done with it; monotonic seconds.
     """
@@ -61,6 +67,8 @@
     answer: bytes = b""
     whole: bool = False
     seal: str = ""
+    named: str = ""
+    junk: str = ""
     left: bool = False
     ended_at: float = float("inf")
 
@@ -81,10 +89,12 @@
         self.numbers = itertools.count(1)
         self.sent: list[Sent] = []
         self.tasks: set[asyncio.Task[Sent]] = set()
+        # How often each kind is sent, as against the others.
+        self.weights = dict.fromkeys(Kind, 1.0)
         # Kept connections stay open until the process that holds them is gone.
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
-        )
+        self.connections = {
+            vm.name: Connections(HOST, vm.ports["callers"]) for vm in fleet.vms
+        }
 
     async def run(self, seconds: float) -> None:
         """Send requests for some time.
@@ -93,13 +103,27 @@
         """
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            self.spawn(self.rng.choice(list(Kind)), self.rng.choice(self.fleet.vms))
+            (kind,) = self.rng.choices(list(Kind), list(self.weights.values()))
+            self.spawn(kind, self.rng.choice(self.fleet.vms))
             await asyncio.sleep(self.rng.expovariate(self.rate))
 
+    def change_work(self, rng: random.Random) -> None:
+        """Send more or fewer requests from now on, and another mix of them.
+
+        :param rng: draws them.
+        """
+        self.rate = rng.uniform(*RATES)
+        self.weights = {kind: rng.uniform(*WEIGHTS) for kind in Kind}
+
     async def close(self) -> None:
         """Wait for the last answers, and close all connections."""
         await asyncio.gather(*self.tasks)
-        await self.session.close()
+        for connections in self.connections.values():
+            connections.close()
+
+    def strays(self) -> list[tuple[str, bytes]]:
+        """:returns: what came while no request was waiting, by the VM's name."""
+        return [(n, data) for n, own in self.connections.items() for data in own.strays]
 
     def spawn(self, kind: Kind, vm: Vm, body: bytes = b"") -> asyncio.Task[Sent]:
         """Send a request in the background."""
@@ -143,14 +167,15 @@
         try:
             async with asyncio.timeout(patience):
                 await self._exchange(sent, path)
-        except (TimeoutError, OSError, aiohttp.ClientError):
+        except (TimeoutError, OSError):
             # What came until then is kept; the judge decides what it must be.
             pass
+        except NotAnAnswerError as error:
+            sent.junk = str(error)
         sent.ended_at = time.monotonic()
         return sent
 
     async def _exchange(self, sent: Sent, path: str) -> None:
-        port = sent.vm.ports["callers"]
         headers = {
             "Host": APP,
             "Request-Id": sent.request,
@@ -159,10 +184,21 @@
             "Model": "*",
             "Token-Count": "100,10",
         }
-        url = f"http://{HOST}:{port}/{sent.kind.value}/{path}"
-        async with self.session.post(url, data=sent.body, headers=headers) as answer:
-            sent.status = answer.status
-            sent.seal = answer.headers.get("Reply-Seal", "")
-            async for part in answer.content.iter_any():
-                sent.answer += part
-            sent.whole = True
+        target = f"/{sent.kind.value}/{path}"
+        request = encode_request("POST", target, headers, sent.body)
+        connections = self.connections[sent.vm.name]
+        connection = await connections.take()
+        kept = False
+        try:
+            answer = await connection.exchange(request, "POST")
+            if answer is not None:
+                sent.status = answer.status
+                sent.seal = answer.headers.get("reply-seal", "")
+                sent.named = answer.headers.get("request-id", "")
+                sent.answer, sent.whole = answer.body, answer.whole
+                kept = answer.whole and not answer.closes
+        finally:
+            if kept:
+                connections.give_back(connection)
+            else:
+                connection.abort()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 import logbook
 
 from soak.callers import Callers
-from soak.fleet import SoakFleet, Vm
+from soak.fleet import HALLS, SoakFleet, Vm
 
 log = logbook.Logger(__name__)
 
@@ -25,6 +25,8 @@
 GAP_SECONDS = (0.2, 2.0)
 # An endpoint that leaves serves on for so long.
 LEAVING_SECONDS = 4.0
+# A data hall stays emptied for so long: longer than VMs may take to know.
+EMPTIED_SECONDS = (3.5, 7.0)
 JUNK = ("text", None, {"service": "plain"}, {"slots": 1e400}, {"zone": "\udcff"})
 
 
@@ -59,10 +61,13 @@
             self.crash_endpoint,
             self.leave_endpoint,
             self.silence_endpoint,
+            self.turn_cold,
+            self.empty_hall,
             self.write_junk,
             self.change_configuration,
             self.take_key,
             self.bring_crashing,
+            self.change_work,
         ]
 
     async def run(self, seconds: float) -> None:
@@ -206,6 +211,20 @@
         for vm in self.fleet.vms:
             await self._disturb(vm, 0.0)
 
+    async def turn_cold(self) -> None:
+        """Have an endpoint turn cold."""
+        name = self.rng.choice(list(self.fleet.endpoints))
+        endpoint = self.fleet.endpoints[name]
+        if endpoint.leaving_since is None and not endpoint.worker.ended:
+            await self.fleet.turn_cold(name)
+
+    async def empty_hall(self) -> None:
+        """Have operators empty a data hall, and take that back."""
+        hall = self.rng.choice(HALLS)
+        seconds = self.rng.uniform(*EMPTIED_SECONDS)
+        if hall not in self.fleet.store.kinds.get("evacuations", {}):
+            await self.fleet.empty_hall(hall, seconds)
+
     # What others write.
 
     async def write_junk(self) -> None:
@@ -226,3 +245,7 @@
         """Have a caller bring a request that ends engines."""
         self.crashing += 1
         await self.callers.bring_crashing(f"crash-{self.crashing}")
+
+    async def change_work(self) -> None:
+        """Have callers bring another mix of requests, more or fewer of them."""
+        self.callers.change_work(self.rng)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,10 +18,11 @@
 import aiohttp
 import tomli_w
 
+from soak.behaviours import behave
 from standins.link import Link
 from standins.ports import HeldPorts
 from standins.store import StoreStandIn
-from standins.worker import Behaviour, Seen, WorkerStandIn
+from standins.worker import WorkerStandIn
 
 HOST = "127.0.0.1"
 APP = "app.example"
@@ -30,15 +31,23 @@
 POLL_SECONDS = 0.05
 # The end of a log that is told where a VM does not start.
 TOLD_BYTES = 500
-EVENTS = 5
 # After a fault a VM is given so long before what is bound by time is judged.
 CONTACT_SECONDS = 3.0
-# How long a plain answer takes: some endpoints end within it.
-WORK_SECONDS = 0.2
-# A body that ends each engine that begins to run it.
-CRASHING = b"crash"
 KEYS = {"org-a": ["key-a1", "key-a2"], "org-b": ["key-b1"]}
-PROMISES = {"config_seconds": 2.0, "drain_seconds": 2.0, "balancer_seconds": 0.5}
+HALLS = ("hall-0", "hall-1")
+# What a cold endpoint bears in a second, what operators allow there, and how long
+# endpoints are cold that have started.
+COLD_PER_SECOND = 2.0
+COLD_OVER, COLD_EXTRA = 1.5, 1.0
+COLD_SECONDS = 3.0
+PROMISES = {
+    "config_seconds": 2.0,
+    "drain_seconds": 2.0,
+    "balancer_seconds": 0.5,
+    "empty_seconds": 2.0,
+    "cold_over": COLD_OVER,
+    "cold_extra": COLD_EXTRA,
+}
 
 
 def _route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
@@ -59,6 +68,7 @@
 
 def configuration(version: int, keys: dict[str, list[str]]) -> dict[str, Any]:
     """:returns: a configuration as the platform writes it."""
+    cold = {"coldPerS": COLD_PER_SECOND, "coldStartS": COLD_SECONDS}
     stream = {"sticky": True, "resumable": True, "gapAimMs": 500, "sizes": ["tiny"]}
     return {
         "version": version,
@@ -68,10 +78,11 @@
             _route("stream", "stream", "engine", **stream),
         ],
         "services": [
-            {"name": "plain", "healthPath": "/healthz", "maxConns": 100},
+            {"name": "plain", "healthPath": "/healthz", "maxConns": 100, **cold},
             {
                 "name": "engine",
                 "maxConns": 100,
+                **cold,
                 "engine": {
                     "kvTokens": 100_000,
                     "models": [{"name": "tiny", "cost": 0.01}],
@@ -82,16 +93,6 @@
     }
 
 
-def behave(seen: Seen) -> Behaviour:
-    """:returns: how endpoints answer: engines end within some bodies' answers."""
-    if not seen.target.startswith("/stream/"):
-        body = seen.headers["request-id"].encode()
-        return Behaviour(body=body, pause=WORK_SECONDS)
-    if seen.body == CRASHING:
-        return Behaviour(events=EVENTS, crash_after=1)
-    return Behaviour(events=EVENTS, pause=0.01)
-
-
 @dataclass
 class Endpoint:
     """An endpoint, which is reached through a link.
@@ -99,21 +100,29 @@
     :param worker: the stand-in.
     :param link: the link.
     :param service: the service that it runs.
+    :param hall: its data hall.
     :param leaving_since: when the store acknowledged that it leaves; monotonic.
     """
 
     worker: WorkerStandIn
     link: Link
     service: str
+    hall: str
     leaving_since: float | None = None
     # Its entry in the store.
     entry: dict[str, object] = field(default_factory=dict)
+    # When it was cold: from and until; monotonic seconds.
+    cold: list[tuple[float, float]] = field(default_factory=list)
 
     def start_entry(self) -> None:
         """Make the entry of a start that is now."""
         address = f"{HOST}:{self.link.port}"
         born = round(time.time() * 1000.0)
-        self.entry = self.worker.spec(self.service, address=address, born=born)
+        self.entry = self.worker.spec(
+            self.service, address=address, born=born, zone=self.hall
+        )
+        now = time.monotonic()
+        self.cold = [(since, min(until, now)) for since, until in self.cold]
 
 
 @dataclass
@@ -209,6 +218,10 @@
         # Keys that were taken away from their organisation, org-b.
         self.former_keys: set[str] = set()
         self.version = 1
+        # Endpoints that were ever started.
+        self.made = 0
+        # Data halls that were emptied: which, from and until; monotonic seconds.
+        self.emptied: list[tuple[str, float, float]] = []
         self.ports = HeldPorts()
         self.session = aiohttp.ClientSession()
 
@@ -222,7 +235,7 @@
         for number in range(engines):
             await self.add_endpoint(f"e{number}", "engine")
         for number in range(vms):
-            await self._add_vm(f"vm-{number}", f"hall-{number % 2}")
+            await self._add_vm(f"vm-{number}", HALLS[number % len(HALLS)])
         for vm in self.vms:
             await vm.start()
         for vm in self.vms:
@@ -251,7 +264,9 @@
         link = Link((host, int(port)))
         await link.start()
         worker.on_crash = link.close_port
-        endpoint = self.endpoints[name] = Endpoint(worker, link, service)
+        self.made += 1
+        hall = HALLS[self.made % len(HALLS)]
+        endpoint = self.endpoints[name] = Endpoint(worker, link, service, hall)
         await self.enter(name)
         return endpoint
 
@@ -276,6 +291,24 @@
         await endpoint.worker.stop()
         endpoint.link.stop()
 
+    async def turn_cold(self, name: str) -> None:
+        """Have an endpoint say that it bears little for a while."""
+        endpoint = self.endpoints[name]
+        entry = {**endpoint.entry, "coldLeftMs": round(COLD_SECONDS * 1000.0)}
+        await self.store.put("servers", name, entry)
+        now = time.monotonic()
+        endpoint.cold.append((now, now + COLD_SECONDS))
+
+    async def empty_hall(self, hall: str, seconds: float) -> None:
+        """Empty a data hall for some time."""
+        await self.store.put("evacuations", hall, {})
+        since = time.monotonic()
+        self.emptied.append((hall, since, float("inf")))
+        await asyncio.sleep(seconds)
+        self.emptied.remove((hall, since, float("inf")))
+        self.emptied.append((hall, since, time.monotonic()))
+        await self.store.remove("evacuations", hall)
+
     def workers(self) -> list[WorkerStandIn]:
         """:returns: all endpoints that there ever were."""
         return [e.worker for e in (*self.endpoints.values(), *self.gone)]
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -8,12 +8,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from soak.behaviours import CRASHING, EVENTS
 from soak.callers import Callers, Kind, Sent
 from soak.faults import Faults
 from soak.fleet import (
+    COLD_EXTRA,
+    COLD_OVER,
+    COLD_PER_SECOND,
     CONTACT_SECONDS,
-    CRASHING,
-    EVENTS,
     PROMISES,
     SoakFleet,
 )
@@ -44,6 +46,7 @@
     def __init__(self, fleet: SoakFleet, callers: Callers, faults: Faults) -> None:
         self.fleet = fleet
         self.faults = faults
+        self.strays = callers.strays()
         self.sent = {one.request: one for one in callers.sent}
         # What ran, by the id of the request.
         self.runs: dict[str, list[Seen]] = {}
@@ -56,11 +59,12 @@
         found = [words for sent in self.sent.values() for words in self._request(sent)]
         found += self._crashing()
         found += self._ends()
+        found += [f"{vm} sent unasked {data[:80]!r}" for vm, data in self.strays]
         return found + list(self._lines())
 
     def timed(self) -> list[str]:
         """:returns: what has not held in its time, at VMs that nothing disturbed."""
-        return [*self._keys(), *self._leaving()]
+        return [*self._keys(), *self._leaving(), *self._emptied(), *self._cold()]
 
     # Requests.
 
@@ -70,8 +74,14 @@
             yield f"{sent.request} ran {len(runs)} times"
         if sent.status in PROMISES_NOT_RUN and runs:
             yield f"{sent.request} was told {sent.status} and has run"
+        if sent.junk:
+            yield f"{sent.request} got no answer: {sent.junk}"
+        if sent.named not in ("", sent.request):
+            yield f"{sent.request} got the answer to {sent.named}"
         if sent.status == 200:
             yield from self._answer(sent, runs)
+        elif sent.seal:
+            yield f"{sent.request} got {sent.status} with a signature"
         for seen in runs:
             if seen.body != sent.body:
                 yield f"{sent.request} ran with another body"
@@ -131,6 +141,29 @@
                 if seen.at > late and self._in_touch(seen):
                     yield f"{endpoint.worker.name} was sent a request after its end"
 
+    def _emptied(self) -> Iterator[str]:
+        late = PROMISES["empty_seconds"] + SLACK_SECONDS
+        for hall, since, until in self.fleet.emptied:
+            for endpoint in (*self.fleet.endpoints.values(), *self.fleet.gone):
+                for seen in endpoint.worker.runs:
+                    in_time = not since + late < seen.at < until
+                    if endpoint.hall == hall and not in_time and self._in_touch(seen):
+                        yield f"{endpoint.worker.name} in {hall}, which is emptied"
+
+    def _cold(self) -> Iterator[str]:
+        most = COLD_OVER * COLD_PER_SECOND + COLD_EXTRA
+        for endpoint in (*self.fleet.endpoints.values(), *self.fleet.gone):
+            for since, until in endpoint.cold:
+                known = since + SLACK_SECONDS
+                times = sorted(
+                    seen.at
+                    for seen in endpoint.worker.runs
+                    if known < seen.at < until and self._in_touch(seen)
+                )
+                count = max((_within_second(times, at) for at in times), default=0)
+                if count > most:
+                    yield f"{endpoint.worker.name} got {count} in a second while cold"
+
     # Processes.
 
     def _ends(self) -> list[str]:
@@ -145,6 +178,10 @@
             yield from (f"{vm.name}: {words}" for words in _grave(vm.log))
 
 
+def _within_second(times: list[float], begin: float) -> int:
+    return sum(begin <= at < begin + 1.0 for at in times)
+
+
 def _keys_of(organisation: str, fleet: SoakFleet) -> set[str]:
     """Give all keys that an organisation ever had."""
     former = fleet.former_keys if organisation == "org-b" else set()
