Encoded bodies of requests reach endpoints as they came

A caller's body with `Content-Encoding` was decoded, and passed on decoded under the same header: the endpoint got another body than was sent, of any size; one that could not be decoded was refused with 400.

Cause: aiohttp's server decodes bodies unless it is told not to. Found by reading what the server does between a caller's bytes and the handler. Mend: it is told. BodyTest failed before: 1,000 bytes in place of 29, and 400 in place of 200.

--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 from standins.answers import ReadAnswer
 from standins.worker import Behaviour
@@ -66,3 +67,18 @@
         await self.gateway.api.server.stop()
         answer = await asyncio.to_thread(caller.answer)
         self.assertFalse(answer is not None and answer.whole, answer)
+
+
+class BodyTest(GatewayCase):
+    """Bodies reach endpoints as callers sent them."""
+
+    async def test_an_encoded_body_is_decoded_on_its_way(self):
+        for body in (gzip.compress(b"x" * 1000), b"no gzip at all"):
+            with self.subTest(body=body):
+                answer = await self.call("/unsafe/x", body, Content_Encoding="gzip")
+                self.assertEqual(answer.status, 200)
+                (run,) = self.endpoints["p1"].runs + self.endpoints["p2"].runs
+                self.assertEqual(run.headers["content-encoding"], "gzip")
+                self.assertEqual(run.body, body)
+                self.endpoints["p1"].runs.clear()
+                self.endpoints["p2"].runs.clear()
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -156,6 +156,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            auto_decompress=False,
             keepalive_timeout=limits.idle_seconds,
             lingering_time=LINGER_SECONDS,
             max_line_size=limits.header,
