Our own interface refuses streams to callers who cannot read chunks

A caller by HTTP/1.0 who asked for a stream got chunks, whose sizes it takes for a part of the body. Cause: Sanic frames answers without a length in chunks whatever version of HTTP was asked in. Mend: such a request is refused with 400 before it runs. The test failed before: 200. The plans of callers' connections are in two files now.

--- a/tests/daemon/test_caller_connections.py
+++ b/tests/daemon/test_caller_connections.py
@@ -19,8 +19,8 @@
     STOPPED_PLANS,
     Endpoints,
     Plan,
-    PlayedPlan,
 )
+from tests.daemon.playedplans import PlayedPlan
 from tests.gatewaycase import GatewayCase
 from tests.rawcaller import RawCaller
 from walnutquay.daemon.gateway import GatewayDaemon
--- a/tests/daemon/test_own_callers.py
+++ b/tests/daemon/test_own_callers.py
@@ -22,9 +22,9 @@
     Ending,
     Framing,
     Plan,
-    PlayedPlan,
     SentAsk,
 )
+from tests.daemon.playedplans import PlayedPlan
 from tests.daemon.test_caller_connections import EXAMPLES, SEED, settings
 from tests.rawcaller import RawCaller
 from walnutquay.coordination.requests.outcomes import (
@@ -143,7 +143,7 @@
     chats = route in answers
     methods = ("POST",) if chats else ("GET", "POST", "HEAD", "PUT", "OPTIONS")
     framings = (Framing.LENGTH, Framing.CHUNKS) if chats else tuple(Framing)
-    # Sanic sends chunks to callers before HTTP/1.1 as well.
+    # Others are refused.
     versions = ("1.1",) if route == "stream" else ("1.1", "1.1", "1.0")
     version = draw(st.sampled_from(versions))
     framing = draw(st.sampled_from(framings))
@@ -249,9 +249,9 @@
 class StreamEndTest(OwnCallersCase):
     """Streams that are not whole do not end like whole ones."""
 
-    def answer(self, outcome: str) -> ReadAnswer | None:
+    def answer(self, outcome: str, version: str = "1.1") -> ReadAnswer | None:
         """:returns: the stream that a path ends in some way."""
-        ask = Ask("stream", "POST", (outcome,), framing=Framing.LENGTH)
+        ask = Ask("stream", "POST", (outcome,), version, framing=Framing.LENGTH)
         with RawCaller(self.api.server.port) as caller:
             caller.send(self.paths.make(ask).data)
             return caller.answer("POST")
@@ -266,6 +266,12 @@
         self.assertFalse(answer.whole)
         self.assertEqual(answer.body, b"".join(EVENTS))
 
+    async def test_one_that_its_caller_cannot_read(self):
+        answer = await asyncio.to_thread(self.answer, "good", "1.0")
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(json.loads(answer.body)["error"]["ran"], "not_run")
+        self.assertEqual(self.paths.came, {})
+
 
 class AsyncioTest(OwnCallersCase):
     """On asyncio's own loop."""
--- a/walnutquay/daemon/callers.py
+++ b/walnutquay/daemon/callers.py
@@ -37,6 +37,8 @@
 MAX_KEY_LENGTH = 255
 MAX_NAME_LENGTH = 128
 INTERNAL_ERROR = "internal_error"
+# Sanic sends chunks whatever version of HTTP a caller speaks.
+CHUNKED_VERSIONS = ("1.1",)
 
 
 class BadArrivalError(Exception):
@@ -241,6 +243,8 @@
             call = chat.parse_chat(request.body)
         except chat.BadBodyError as error:
             raise _bad(error.reason) from error
+        if call.stream and request.version not in CHUNKED_VERSIONS:
+            raise _bad("a stream comes in chunks, which need HTTP/1.1")
         token = request.headers.get(chat.HEADER_TOKEN, "")
         if not token and "cookie" in request.headers:
             token = request.cookies.get(chat.COOKIE_TOKEN, "") or ""
