Requests that come alone are parsed in one piece

What most callers send, a head and nothing behind it, needs no splitting. More requests in one piece than aiohttp keeps waiting are answered in order (a test of it).

--- a/tests/transport/test_gateway.py
+++ b/tests/transport/test_gateway.py
@@ -24,6 +24,8 @@
 
 # More than the buffers of both sides hold.
 LARGE_BYTES = 16 << 20
+# aiohttp keeps fewer requests of one connection waiting.
+MANY = 200
 # A connection opens within fewer turns of the loop.
 OPENING_TURNS = 5
 
@@ -66,6 +68,15 @@
                 answer = await self.first_of(GET % (1, more) + behind)
                 self.assertEqual(answer, (200, b"/1"))
 
+    async def test_more_requests_than_are_queued_are_answered_in_order(self):
+        def talk() -> list[bytes]:
+            with RawCaller(self.server.port) as caller:
+                caller.send(b"".join(GET % (n, b"") for n in range(MANY)))
+                return [caller.answer().body for _ in range(MANY)]
+
+        bodies = await asyncio.to_thread(talk)
+        self.assertEqual(bodies, [b"/%d" % number for number in range(MANY)])
+
     def silence(self) -> None:
         """Drop aiohttp's lines on requests that it cannot read."""
         logger = logging.getLogger("aiohttp.server")
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -65,9 +65,16 @@
 
         :param data: what has come.
         """
-        for part in split_after_heads(self.read_before, data):
+        if self.read_before or data.find(HEAD_END) != len(data) - len(HEAD_END):
+            parts = split_after_heads(self.read_before, data)
+        else:
+            # Most requests come alone, and have no body.
+            parts = [data]
+        for part in parts:
             super().data_received(part)
-        self.read_before = (self.read_before + data)[1 - len(HEAD_END) :]
+        last = self.read_before + data[-len(HEAD_END) :]
+        ended = last.endswith(HEAD_END)
+        self.read_before = b"" if ended else last[1 - len(HEAD_END) :]
 
 
 def split_after_heads(before: bytes, data: bytes) -> list[bytes]:
