An answer that only announces another one is not a caller's answer

A caller whose endpoint answered 101 got that, with the endpoint's signature, and nothing more: its client waits for the final answer, and takes the next request's for it where the connection is kept.

Cause: aiohttp's client skips statuses below 200 but for 101, which it gives out as the answer; nothing looked at it. Found by the property test of callers' connections, with endpoints that answer 101. Mend: the head of such an answer is a failure of its endpoint, so another one is asked where that may be. InterimTest failed before: 101 in place of 502.

--- a/tests/daemon/callerplans.py
+++ b/tests/daemon/callerplans.py
@@ -42,6 +42,7 @@
     "gone": {"status": 410},
     "empty": {"status": 204},
     "unchanged": {"status": 304},
+    "switching": {"status": 101},
     "mute": {"mute": True},
     "unnamed": {"named": False},
     "closing": {"headers": {"Connection": "close"}},
--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -82,3 +82,19 @@
                 self.assertEqual(run.body, body)
                 self.endpoints["p1"].runs.clear()
                 self.endpoints["p2"].runs.clear()
+
+
+class InterimTest(GatewayCase):
+    """An endpoint's answer that announces another one is not a caller's answer."""
+
+    async def test_a_caller_waits_for_an_answer_behind_one_that_switches(self):
+        for worker in self.endpoints.values():
+            worker.default = Behaviour(status=101)
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn("Reply-Seal", answer.headers)
+
+    async def test_another_endpoint_is_asked_where_that_may_be(self):
+        self.endpoints["p1"].default = Behaviour(status=101)
+        for _ in range(4):
+            self.assertEqual((await self.call("/safe/x")).status, 200)
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
-from walnutquay.exceptions import MessageError
+from walnutquay.exceptions import EndpointError, MessageError
 from walnutquay.platform import names
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
 from walnutquay.protocol.services import HOP_BY_HOP
@@ -16,6 +16,8 @@
 
 MILLISECONDS = 1000.0
 MAX_EVENT_ID = 1 << 62
+# Statuses below it announce an answer; a caller would wait for that one.
+FIRST_FINAL_STATUS = 200
 
 
 def decode_call(headers: Mapping[str, str], raw: Iterable[tuple[str, str]]) -> CallHead:
@@ -118,7 +120,10 @@
 
     :param headers: the answer's headers, by name without regard to case.
     :param raw: the same in order, as they came.
+    :raises EndpointError: if another answer must follow it.
     """
+    if status < FIRST_FINAL_STATUS:
+        raise EndpointError(f"{status} is no final answer", step="answer")
     load = [part.strip() for part in headers.get(names.LOAD, "").split(",")]
     known = len(load) >= 3 and all(part.isdigit() for part in load[:3])
     confidence = headers.get(names.CONFIDENCE, "")
