Soaks: a cold endpoint's entry changes back

The VMs' lines show one turn by its entry, at 08:17:15, and the soak had two: the second wrote what the entry said already, which is no change and so no news, as on the platform an entry that does not change makes no event. The soak writes the entry warm when the time is over, and does not begin again before; the bound is judged as before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -201,6 +201,7 @@
         spec = {**endpoint.entry, "state": "draining"}
         await self.fleet.store.put("servers", name, spec)
         endpoint.leaving_since = time.monotonic()
+        endpoint.end_cold()
         await asyncio.sleep(LEAVING_SECONDS)
         await self.fleet.remove_endpoint(name)
 
@@ -215,7 +216,8 @@
         """Have an endpoint turn cold."""
         name = self.rng.choice(list(self.fleet.endpoints))
         endpoint = self.fleet.endpoints[name]
-        if endpoint.leaving_since is None and not endpoint.worker.ended:
+        cold = any(time.monotonic() < until for _, until in endpoint.cold)
+        if not (cold or endpoint.worker.ended or endpoint.leaving_since is not None):
             await self.fleet.turn_cold(name)
 
     async def empty_hall(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -121,6 +121,10 @@
         self.entry = self.worker.spec(
             self.service, address=address, born=born, zone=self.hall
         )
+        self.end_cold()
+
+    def end_cold(self) -> None:
+        """Take it for warm from now on, as its entry says."""
         now = time.monotonic()
         self.cold = [(since, min(until, now)) for since, until in self.cold]
 
@@ -292,12 +296,19 @@
         endpoint.link.stop()
 
     async def turn_cold(self, name: str) -> None:
-        """Have an endpoint say that it bears little for a while."""
+        """Have an endpoint say that it bears little, and some time later that it does.
+
+        The entry must change back: one that is written as it was is no news to anybody.
+        """
         endpoint = self.endpoints[name]
-        entry = {**endpoint.entry, "coldLeftMs": round(COLD_SECONDS * 1000.0)}
+        warm = endpoint.entry
+        entry = {**warm, "coldLeftMs": round(COLD_SECONDS * 1000.0)}
         await self.store.put("servers", name, entry)
         now = time.monotonic()
         endpoint.cold.append((now, now + COLD_SECONDS))
+        await asyncio.sleep(COLD_SECONDS)
+        if endpoint.entry is warm and endpoint.leaving_since is None:
+            await self.store.put("servers", name, warm)
 
     async def empty_hall(self, hall: str, seconds: float) -> None:
         """Empty a data hall for some time."""
