--- a/tests/daemon/callerplans.py
+++ b/tests/daemon/callerplans.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""What a caller may do with one connection, and what endpoints answer."""
+"""What a caller may do with one connection, and how endpoints may answer."""
 
 from __future__ import annotations
 
@@ -42,6 +42,7 @@
     "gone": {"status": 410},
     "empty": {"status": 204},
     "unchanged": {"status": 304},
+    "switching": {"status": 101},
     "mute": {"mute": True},
     "unnamed": {"named": False},
     "closing": {"headers": {"Connection": "close"}},
--- a/tests/daemon/playedplans.py
+++ b/tests/daemon/playedplans.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Plays plans of callers on a connection, and checks what comes back."""
+"""Plays what a caller does with a connection, and checks what comes back."""
 
 from __future__ import annotations
 
--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 from standins.answers import ReadAnswer
 from standins.worker import Behaviour
@@ -66,3 +67,34 @@
         await self.gateway.api.server.stop()
         answer = await asyncio.to_thread(caller.answer)
         self.assertFalse(answer is not None and answer.whole, answer)
+
+
+class BodyTest(GatewayCase):
+    """Bodies reach endpoints as callers sent them."""
+
+    async def test_an_encoded_body_is_decoded_on_its_way(self):
+        for body in (gzip.compress(b"x" * 1000), b"no gzip at all"):
+            with self.subTest(body=body):
+                answer = await self.call("/unsafe/x", body, Content_Encoding="gzip")
+                self.assertEqual(answer.status, 200)
+                (run,) = self.endpoints["p1"].runs + self.endpoints["p2"].runs
+                self.assertEqual(run.headers["content-encoding"], "gzip")
+                self.assertEqual(run.body, body)
+                self.endpoints["p1"].runs.clear()
+                self.endpoints["p2"].runs.clear()
+
+
+class InterimTest(GatewayCase):
+    """An endpoint's answer that announces another one is not a caller's answer."""
+
+    async def test_a_caller_waits_for_an_answer_behind_one_that_switches(self):
+        for worker in self.endpoints.values():
+            worker.default = Behaviour(status=101)
+        answer = await self.call("/unsafe/x", b"b")
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn("Reply-Seal", answer.headers)
+
+    async def test_another_endpoint_is_asked_where_that_may_be(self):
+        self.endpoints["p1"].default = Behaviour(status=101)
+        for _ in range(4):
+            self.assertEqual((await self.call("/safe/x")).status, 200)
--- a/walnutquay/transport/heads.py
+++ b/walnutquay/transport/heads.py
@@ -20,6 +20,11 @@
     :param data: the bytes.
     :returns: all of them, in parts; at least one.
     """
+    if data.find(HEAD_END) == len(data) - len(HEAD_END) and (
+        not before or before == HEAD_END
+    ):
+        # Most requests come alone, and have no body.
+        return [data]
     known = before[1 - len(HEAD_END) :] + data
     start = len(known) - len(data)
     parts: list[bytes] = []
