--- a/lab/reference.py
+++ b/lab/reference.py
@@ -4,6 +4,10 @@
 
 from __future__ import annotations
 
+import ast
+import inspect
+import itertools
+import textwrap
 from collections.abc import Iterator
 from enum import Enum
 from pathlib import Path
@@ -33,10 +37,36 @@
     return f"`{value!r}`" if value not in (None, "", []) else "none"
 
 
+def _meanings(model: type[BaseModel]) -> dict[str, str]:
+    """Give the docstrings of a model's attributes, those that it inherits too.
+
+    Read from the source: daemons that had them collected would start later.
+    """
+    found: dict[str, str] = {}
+    for base in reversed(model.__mro__):
+        if issubclass(base, BaseModel) and base is not BaseModel:
+            source = textwrap.dedent(inspect.getsource(base))
+            found.update(_attribute_docstrings(ast.parse(source).body[0]))
+    return found
+
+
+def _attribute_docstrings(definition: ast.stmt) -> Iterator[tuple[str, str]]:
+    """Yield each attribute of a class definition that a docstring follows."""
+    assert isinstance(definition, ast.ClassDef)
+    for statement, following in itertools.pairwise(definition.body):
+        if not isinstance(statement, ast.AnnAssign):
+            continue
+        assert isinstance(statement.target, ast.Name)
+        match following:
+            case ast.Expr(value=ast.Constant(value=str(text))):
+                yield statement.target.id, text
+
+
 def _table(model: type[BaseModel]) -> str:
     lines = ["| key | default | meaning |", "| --- | --- | --- |"]
+    meanings = _meanings(model)
     for name, field in model.model_fields.items():
-        meaning = " ".join((field.description or "").split())
+        meaning = " ".join(meanings.get(name, "").split())
         lines.append(f"| `{name}` | {_default(field.default)} | {meaning} |")
     return "\n".join(lines) + "\n"
 
--- a/walnutquay/commands/gateway.py
+++ b/walnutquay/commands/gateway.py
@@ -11,6 +11,8 @@
 import click
 
 from walnutquay.commands.output import fail
+from walnutquay.daemon.collector import pause_collector
+from walnutquay.env import skip_certificates
 from walnutquay.exceptions import SettingsError
 from walnutquay.transport.listeners import listen
 
@@ -27,6 +29,8 @@
 def gateway(path: Path) -> None:
     """Serve the platform's callers until SIGTERM."""
     listeners = open_listeners(path)
+    pause_collector()
+    skip_certificates()
     from walnutquay.daemon.gateway import run_gateway
     from walnutquay.settings import GatewayOptions, Settings
 
--- a/walnutquay/daemon/collector.py
+++ b/walnutquay/daemon/collector.py
@@ -10,12 +10,17 @@
 GC_THRESHOLD = 20_000
 
 
+def pause_collector() -> None:
+    """Keep the garbage collector off the imports, which make hardly any garbage."""
+    gc.disable()
+
+
 def tune_collector() -> None:
     """Keep the garbage collector off what lives as long as the process.
 
     A request makes some hundred objects and few cycles; with the default
     threshold each request set off a collection.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
--- a/walnutquay/env.py
+++ b/walnutquay/env.py
@@ -13,3 +13,12 @@
     libuv reads this variable when the first loop is made.
     """
     os.environ["UV_USE_IO_URING"] = "0"
+
+
+def skip_certificates() -> None:
+    """Keep aiohttp from reading all certificate authorities as it is imported.
+
+    For daemons that speak plain HTTP only: a TLS connection could not be verified.
+    """
+    os.environ["SSL_CERT_FILE"] = os.devnull
+    os.environ["SSL_CERT_DIR"] = os.devnull
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -42,9 +42,7 @@
 class Section(BaseModel):
     """The base of the sections: unknown keys are errors."""
 
-    model_config = ConfigDict(
-        extra="forbid", frozen=True, use_attribute_docstrings=True
-    )
+    model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 class VmSection(Section):
--- a/walnutquay/state/store/parts.py
+++ b/walnutquay/state/store/parts.py
@@ -27,9 +27,7 @@
 class Part(BaseModel):
     """The base of each model: unknown keys are errors, values never change."""
 
-    model_config = ConfigDict(
-        extra="forbid", frozen=True, use_attribute_docstrings=True
-    )
+    model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 class Organisation(Part):
