--- a/tests/coordination/store/test_restarts.py
+++ b/tests/coordination/store/test_restarts.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.requests.places import Grant
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, ServiceName, WorkKind
+from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import InstanceBook
 
 # Unix milliseconds of an endpoint's first start, and of its next one.
@@ -53,6 +54,19 @@
         self.book.put(replace(self.first, born=None), 2.0)
         self.assertFalse(self.usable())
 
+    def test_what_was_usable_before_a_change(self):
+        order = EmptiedHall(self.first.hall, 1)
+        emptied = self.book.emptied
+        for change, usable in (
+            (lambda: emptied.put(order), False),
+            (lambda: emptied.take_back(order.hall), True),
+            (lambda: self.book.remove(EndpointName("a"), 1.0), False),
+            (lambda: self.book.put(self.first, 2.0), True),
+            (lambda: self.book.replace_all([], 3.0), False),
+        ):
+            change()
+            self.assertEqual(self.usable(), usable)
+
     def test_since_when_it_is_known(self):
         self.book.put(replace(self.first, born=NEXT), 7.0)
         name = EndpointName("a")
--- a/walnutquay/coordination/routed/cascading.py
+++ b/walnutquay/coordination/routed/cascading.py
@@ -4,12 +4,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Protocol
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.routed.facts import whole_ms
 from walnutquay.coordination.routed.places import RoutedPlaces
+from walnutquay.coordination.routed.promptengines import PromptEngines
 from walnutquay.coordination.routed.turn import Opinion, RoutedTurn
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.protocol.calls import AnswerHead
@@ -143,16 +145,32 @@
             now - arrival.came,
             arrival.deadline - now,
             self.places.demand(turn.service),
-            [self._forecast(turn, model) for model in arrival.route.models],
+            self._forecasts(turn),
         )
 
-    def _forecast(self, turn: RoutedTurn, model: ModelName) -> Forecast:
+    def _forecasts(self, turn: RoutedTurn) -> list[Forecast]:
+        """Forecast what each larger model would take; smaller ones are not asked."""
+        route = turn.arrival.route
+        asked = -1 if turn.model is None else turn.model
+        engines = self.places.engines_for(turn.service, turn.regions)
+        return [
+            self._forecast(turn, model, engines)
+            if index > asked
+            else Forecast(math.inf, 0.0, self._cost(turn, model))
+            for index, model in enumerate(route.models)
+        ]
+
+    def _forecast(
+        self, turn: RoutedTurn, model: ModelName, engines: PromptEngines | None
+    ) -> Forecast:
+        cost = self._cost(turn, model)
         work = turn.work_of(model)
         if work is None:
-            return Forecast(0.0, 0.0, self._cost(turn, model))
+            return Forecast(0.0, 0.0, cost)
+        if engines is None:
+            return Forecast(math.inf, 0.0, cost)
         aim = turn.arrival.route.objective_seconds
-        wait, reading = self.places.forecast(turn.service, work, aim, turn.regions)
-        return Forecast(wait, reading, self._cost(turn, model))
+        return Forecast(*engines.forecast(work, aim), cost)
 
     def _cost(self, turn: RoutedTurn, model: ModelName) -> float:
         catalogue = self.knowledge.catalogue.current
--- a/walnutquay/coordination/routed/places.py
+++ b/walnutquay/coordination/routed/places.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -233,30 +232,20 @@
         engines = len(self.candidates(service))
         return self._traffic(service).demand(monotonic(), self.vms(), engines)
 
-    def forecast(
-        self,
-        service: ServiceName,
-        work: PromptWork,
-        aim: float,
-        regions: frozenset[RegionName] | None = None,
-    ) -> tuple[float, float]:
-        """Forecast how soon a prompt could be read, at the engine that is best for it.
+    def engines_for(
+        self, service: ServiceName, regions: frozenset[RegionName] | None = None
+    ) -> PromptEngines | None:
+        """Give the engines that a prompt could be sent to now, for a forecast.
 
         :param service: the service.
-        :param work: the prompt.
-        :param aim: the time in which its answer should begin; seconds.
         :param regions: the regions in which it may run; None for all.
-        :returns: seconds of reading before it, and to read it; an infinite wait where
-            no endpoint may be sent it now.
+        :returns: the engines; None where no endpoint may be sent it now.
         """
         now = monotonic()
         allowed = within(self.candidates(service), regions, self.region_of)
         left = self.reach.within(self.cold.open(allowed, now))
-        open_ones = self._open_ones(left, now, frozenset()) or left
-        if not open_ones:
-            return math.inf, 0.0
-        engines = self._engines(open_ones, service, work, now)
-        return engines.times(engines.best(aim))
+        open_ones = self.table.open_ones(left, now, frozenset()) or left
+        return self._engines(open_ones, service, now) if open_ones else None
 
     def reading_of(self, grant: Grant) -> float | None:
         """:param grant: a place.
@@ -305,35 +294,21 @@
         if note.wait <= 0 and not note.cached:
             self.work.learn(note.work.model, note.work.tokens, seconds)
 
-    def _open_ones(
-        self, left: list[Instance], now: float, tried: frozenset[str]
-    ) -> list[Instance]:
-        """Leave out the endpoints that fail, or have just said that they are full."""
-        return [
-            item
-            for item in self.table.usable(left, now, tried)
-            if self.table.of(item.name).full_until <= now
-        ]
-
     def _for_prompt(
         self, left: list[Instance], need: Need, work: PromptWork, now: float
     ) -> Instance | None:
         """Choose the engine that is likely to have read a prompt first."""
-        open_ones = self._open_ones(left, now, need.tried)
+        open_ones = self.table.open_ones(left, now, need.tried)
         if not open_ones:
             return None
         service = ServiceName(need.target)
-        return self._engines(open_ones, service, work, now).best(need.aim)
+        return self._engines(open_ones, service, now).best(work, need.aim)
 
     def _engines(
-        self,
-        engines: list[Instance],
-        service: ServiceName,
-        work: PromptWork,
-        now: float,
+        self, engines: list[Instance], service: ServiceName, now: float
     ) -> PromptEngines:
         kept = self.kept_seconds(service, now)
-        return PromptEngines(self.beliefs, engines, work, kept, now)
+        return PromptEngines(self.beliefs, engines, kept, now)
 
     def _apart(self, left: list[Instance], need: Need, now: float) -> Instance | None:
         """Choose the endpoint that all VMs choose for a request under which one ended.
@@ -341,7 +316,7 @@
         All tries of the request meet there, and what was beside it is spread over the
         others: so one more end tells it from most of these, and no two end at a time.
         """
-        open_ones = self._open_ones(left, now, need.tried) or left
+        open_ones = self.table.open_ones(left, now, need.tried) or left
         name = preferred_of([item.name for item in open_ones], need.suspect)
         return next((item for item in open_ones if item.name == name), None)
 
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -6,9 +6,9 @@
 
 from dataclasses import dataclass
 
-from walnutquay.state.process.ids import HallName
+from walnutquay.state.process.ids import EndpointName, HallName
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.routed.work import PromptWork, WorkTable, preferred_of
+from walnutquay.state.routed.work import PromptWork, WorkTable, preferences
 from walnutquay.state.store.instances import Instance
 
 # A wait grows harmful with its square, for only long ones make an answer late; an
@@ -34,60 +34,87 @@
 
 
 class PromptEngines:
-    """The engines that could read a prompt now.
+    """The engines that could read prompts now, and what lies before each of them.
+
+    What is the same for all prompts, and for all models that could read one, is looked
+    up once.
 
     :param beliefs: what is believed of them.
     :param engines: the engines; at least one.
-    :param prompt: the reading of the prompt.
     :param kept: seconds for which they keep what they have read.
     :param now: monotonic seconds.
     """
 
     def __init__(
-        self,
-        beliefs: EngineBeliefs,
-        engines: list[Instance],
-        prompt: PromptWork,
-        kept: float,
-        now: float,
+        self, beliefs: EngineBeliefs, engines: list[Instance], kept: float, now: float
     ) -> None:
         self.beliefs = beliefs
         self.engines = engines
-        self.prompt = prompt
         self.kept = kept
         self.now = now
-        # The engines that all VMs prefer for the beginning: of this data hall, and of
-        # all.  What is read long is worth the way to the one that has read it.
-        near = [item.name for item in engines if item.hall == beliefs.hall]
-        everywhere = [item.name for item in engines]
-        self.preferred = {
-            preferred_of(near, prompt.beginning),
-            preferred_of(everywhere, prompt.beginning),
-        }
+        self.names = [engine.name for engine in engines]
+        self.is_near = [engine.hall == beliefs.hall for engine in engines]
+        facts = [beliefs.table.of(name) for name in self.names]
+        # How many times as long as usual each takes, and seconds until it could begin.
+        self.slow = [known.slow_by(now) for known in facts]
+        self.waits = [
+            (beliefs.work.wait(name, now) + known.load(now) * RUNNING_SECONDS) * slow
+            for name, known, slow in zip(self.names, facts, self.slow, strict=True)
+        ]
+
+    def best(self, prompt: PromptWork, aim: float) -> Instance:
+        """:param prompt: the reading of a prompt.
+
+        :param aim: the time in which the answer should begin; seconds.
+        :returns: the engine where waiting and reading do the least harm.
+        """
+        return self.engines[self._best(self._readings(prompt), aim)]
 
-    def times(self, engine: Instance) -> tuple[float, float]:
-        """:param engine: one of them.
+    def forecast(self, prompt: PromptWork, aim: float) -> tuple[float, float]:
+        """:param prompt: the reading of a prompt.
 
-        :returns: seconds of reading before the prompt, and to read it.
+        :param aim: the time in which the answer should begin; seconds.
+        :returns: seconds of reading before the prompt at the best engine, and to read
+            it there.
         """
-        facts = self.beliefs.table.of(engine.name)
-        slow = facts.slow_by(self.now)
+        readings = self._readings(prompt)
+        best = self._best(readings, aim)
+        return self.waits[best], readings[best]
+
+    def _readings(self, prompt: PromptWork) -> list[float]:
+        """Give the seconds that each engine takes to read a prompt."""
         work = self.beliefs.work
-        running = facts.load(self.now) * RUNNING_SECONDS
-        preferred = engine.name in self.preferred
-        reading = work.reading(engine.name, self.prompt, self.now, preferred, self.kept)
-        return (work.wait(engine.name, self.now) + running) * slow, reading * slow
+        preferred = self._preferred(prompt.beginning)
+        usual = work.readings(self.names, prompt, self.now, preferred, self.kept)
+        return [seconds * slow for seconds, slow in zip(usual, self.slow, strict=True)]
 
-    def best(self, aim: float) -> Instance:
-        """:param aim: the time in which the answer should begin; seconds.
+    def _preferred(self, beginning: str) -> set[EndpointName]:
+        """Give the engines that all VMs prefer: of this data hall, and of all.
 
-        :returns: the engine where waiting and reading do the least harm.
+        What is read long is worth the way to the one that has read it.
         """
-        far = (OTHER_HALL_WAIT * aim) ** 2
-
-        def harm(engine: Instance) -> float:
-            seconds = sum(self.times(engine))
-            here = engine.hall == self.beliefs.hall
-            return seconds * seconds + (0.0 if here else far)
+        if not beginning:
+            return set()
+        numbers = preferences(self.names, beginning)
+        near = [
+            number
+            for number, is_near in zip(numbers, self.is_near, strict=True)
+            if is_near
+        ]
+        wanted = {max(numbers), max(near, default=None)}
+        return {
+            name
+            for name, number in zip(self.names, numbers, strict=True)
+            if number in wanted
+        }
 
-        return min(self.engines, key=harm)
+    def _best(self, readings: list[float], aim: float) -> int:
+        """Give the index of the engine where waiting and reading do the least harm."""
+        far = (OTHER_HALL_WAIT * aim) ** 2
+        harms = [
+            (wait + reading) ** 2 + (0.0 if is_near else far)
+            for wait, reading, is_near in zip(
+                self.waits, readings, self.is_near, strict=True
+            )
+        ]
+        return harms.index(min(harms))
--- a/walnutquay/state/requests/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -6,6 +6,7 @@
 
 import math
 import random
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -147,21 +148,15 @@
     def __init__(self, hall: str, rng: random.Random) -> None:
         self.hall = hall
         self.rng = rng
-        self.facts: dict[str, EndpointFacts] = {}
+        self.facts: defaultdict[str, EndpointFacts] = defaultdict(EndpointFacts)
         # How long each kind of work usually takes, over all endpoints.
         self.pace = PaceTable()
         # When any endpoint last answered for each version or service.
         self.answered_at: dict[str, float] = {}
 
     def of(self, name: str) -> EndpointFacts:
-        """:param name: an endpoint's name.
-
-        :returns: what is known of it; empty at first.
-        """
-        facts = self.facts.get(name)
-        if facts is None:
-            facts = self.facts[name] = EndpointFacts()
-        return facts
+        """:param name: an endpoint's name."""
+        return self.facts[name]
 
     def forget(self, name: str) -> None:
         """:param name: an endpoint that has ended."""
@@ -284,13 +279,29 @@
         :param now: monotonic seconds.
         :param tried: endpoints that have failed this request.
         """
+        facts = self.facts
         staying = [
             endpoint
             for endpoint in endpoints
-            if endpoint.name not in tried and not self.is_leaving(endpoint)
+            if endpoint.name not in tried
+            and not endpoint.leaving
+            and not facts[endpoint.name].leaving
         ]
         return self._not_ejected(staying, now)
 
+    def open_ones(
+        self, endpoints: list[Endpoint], now: float, tried: frozenset[str]
+    ) -> list[Endpoint]:
+        """Leave out those that are not usable, or have just said that they are full.
+
+        :param endpoints: those that have the version or service.
+        :param now: monotonic seconds.
+        :param tried: endpoints that have failed this request.
+        """
+        facts = self.facts
+        usable = self.usable(endpoints, now, tried)
+        return [item for item in usable if facts[item.name].full_until <= now]
+
     def choose(
         self,
         endpoints: list[Endpoint],
@@ -365,7 +376,8 @@
         return sum(not self.is_leaving(endpoint) for endpoint in endpoints)
 
     def _not_ejected(self, endpoints: list[Endpoint], now: float) -> list[Endpoint]:
-        fine = [e for e in endpoints if self.of(e.name).ejected_until <= now]
+        facts = self.facts
+        fine = [e for e in endpoints if facts[e.name].ejected_until <= now]
         if len(fine) >= FLOOR_SHARE * len(endpoints):
             return fine
         by_end = sorted(endpoints, key=lambda e: self.of(e.name).ejected_until)
--- a/walnutquay/state/routed/gains.py
+++ b/walnutquay/state/routed/gains.py
@@ -41,17 +41,6 @@
     total: float = 0.0
     squares: float = 0.0
 
-    def plus(self, other: GainCounts) -> GainCounts:
-        """:param other: what another VM has seen.
-
-        :returns: both together.
-        """
-        return GainCounts(
-            self.count + other.count,
-            self.total + other.total,
-            self.squares + other.squares,
-        )
-
     def with_pair(self, difference: float) -> GainCounts:
         """:param difference: of one more pair.
 
@@ -72,6 +61,10 @@
         return max(0.0, self.squares - self.total * self.total / self.count)
 
 
+# What is known of a pair that was never seen.
+NOTHING = GainCounts()
+
+
 @dataclass(frozen=True, slots=True)
 class GainRow:
     """What one VM has seen of two models.
@@ -137,7 +130,14 @@
         return math.sqrt((first + deviations) / (GUESS_COUNT + seen))
 
     def _counts(self, pair: ModelPair) -> GainCounts:
-        found = self.own.get(pair, GainCounts())
+        """Put together what all VMs have seen of a pair."""
+        # By plain numbers: each request asks several times, and 90 VMs tell.
+        own = self.own.get(pair, NOTHING)
+        count, total, squares = own.count, own.total, own.squares
         for told in self.told.values():
-            found = found.plus(told.get(pair, GainCounts()))
-        return found
+            counts = told.get(pair)
+            if counts is not None:
+                count += counts.count
+                total += counts.total
+                squares += counts.squares
+        return GainCounts(count, total, squares)
--- a/walnutquay/state/routed/work.py
+++ b/walnutquay/state/routed/work.py
@@ -11,6 +11,7 @@
 
 import math
 from collections import deque
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -141,12 +142,44 @@
         :param kept: seconds for which engines keep what they have read.
         :returns: seconds, without the wait before it.
         """
-        tokens = float(work.tokens)
-        if work.subject:
-            chance = PREFERRED_CHANCE if preferred else 0.0
-            if self.has(name, work.beginning, now, kept):
-                chance = 1.0
-            tokens -= chance * work.subject_tokens
+        preferring = {name} if preferred else set()
+        return self.readings([name], work, now, preferring, kept)[0]
+
+    def readings(
+        self,
+        names: Sequence[EndpointName],
+        work: PromptWork,
+        now: float,
+        preferred: Collection[EndpointName | None],
+        kept: float,
+    ) -> list[float]:
+        """Estimate the time to read a prompt at each of some engines.
+
+        :param names: the engines.
+        :param work: the prompt.
+        :param now: monotonic seconds.
+        :param preferred: those that all VMs prefer for its beginning.
+        :param kept: seconds for which engines keep what they have read.
+        :returns: seconds for each of them, without the wait before it.
+        """
+        new = self._seconds(work, 0.0)
+        if not work.subject:
+            return [new] * len(names)
+        found = self._seconds(work, 1.0)
+        likely = self._seconds(work, PREFERRED_CHANCE)
+        beginning = work.beginning
+        return [
+            found
+            if self.has(name, beginning, now, kept)
+            else likely
+            if name in preferred
+            else new
+            for name in names
+        ]
+
+    def _seconds(self, work: PromptWork, chance: float) -> float:
+        """Give the time to read a prompt whose beginning is kept with some chance."""
+        tokens = float(work.tokens) - chance * work.subject_tokens
         return max(0.0, tokens) * self.rate(work.model)
 
     def add(
@@ -193,7 +226,7 @@
             self.given.pop(name, None)
 
 
-def preferred_of(names: list[EndpointName], beginning: str) -> EndpointName | None:
+def preferred_of(names: Sequence[EndpointName], beginning: str) -> EndpointName | None:
     """Choose the engine that all VMs prefer for a beginning.
 
     :param names: the engines to choose among.
@@ -201,10 +234,18 @@
     """
     if not names or not beginning:
         return None
-    return max(
-        names,
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{beginning}\n{name}".encode()),
-    )
+    numbers = preferences(names, beginning)
+    return names[numbers.index(max(numbers))]
+
+
+def preferences(names: Sequence[EndpointName], beginning: str) -> list[int]:
+    """Number engines for a beginning; that with the greatest number is preferred.
+
+    :param names: the engines.
+    :param beginning: the beginning.
+    """
+    number = xxhash.xxh3_64_intdigest
+    return [number(f"{beginning}\n{name}".encode()) for name in names]
 
 
 def reading_rank(reading: float, aim: float) -> int:
--- a/walnutquay/state/store/halls.py
+++ b/walnutquay/state/store/halls.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from walnutquay.state.process.ids import HallName
@@ -29,6 +29,8 @@
 
     def __init__(self) -> None:
         self.orders: dict[HallName, EmptiedHall] = {}
+        # Called whenever a hall is emptied or back.
+        self.listeners: list[Callable[[], None]] = []
 
     def __contains__(self, hall: HallName) -> bool:
         return hall in self.orders
@@ -40,6 +42,7 @@
         """
         known = order.hall in self.orders
         self.orders[order.hall] = order
+        self._changed()
         return not known
 
     def take_back(self, hall: HallName) -> bool:
@@ -47,7 +50,13 @@
 
         :returns: whether it was emptied before.
         """
-        return self.orders.pop(hall, None) is not None
+        taken = self.orders.pop(hall, None)
+        self._changed()
+        return taken is not None
+
+    def _changed(self) -> None:
+        for listener in self.listeners:
+            listener()
 
     def missing(self, halls: Iterable[str]) -> list[HallName]:
         """:param halls: the halls of a whole list of orders.
--- a/walnutquay/state/store/instances.py
+++ b/walnutquay/state/store/instances.py
@@ -74,6 +74,10 @@
         self.doubt_until = float("-inf")
         # When this VM first heard of each instance; monotonic seconds.
         self.since: dict[EndpointName, float] = {}
+        # The instances that may be sent requests, by what was asked for: each request
+        # asks several times.  They hold until an entry or an order changes.
+        self.found: dict[tuple[ServiceName, VersionName | None], list[Instance]] = {}
+        self.emptied.listeners.append(self.found.clear)
 
     def is_current(self, instance: Instance) -> bool:
         """:param instance: an instance that was known once.
@@ -105,6 +109,7 @@
         if before is not None and instance.born is None:
             instance = replace(instance, born=before.born)
         self.known[instance.name] = instance
+        self.found.clear()
         self.since.setdefault(instance.name, now)
         self.overdue.pop(instance.name, None)
 
@@ -157,16 +162,20 @@
 
         :param version: only instances of this version; None for all.
         :returns: those that may be sent requests: they have not announced their end,
-            and their data hall is not emptied.
+            and their data hall is not emptied.  The list is shared, and not to be
+            changed.
         """
-        return [
-            instance
-            for instance in self.known.values()
-            if instance.service == service
-            and not instance.leaving
-            and instance.hall not in self.emptied
-            and version in (None, instance.version)
-        ]
+        found = self.found.get((service, version))
+        if found is None:
+            found = self.found[service, version] = [
+                instance
+                for instance in self.known.values()
+                if instance.service == service
+                and not instance.leaving
+                and instance.hall not in self.emptied
+                and version in (None, instance.version)
+            ]
+        return found
 
     def versions_of(self, service: ServiceName) -> set[VersionName]:
         """:param service: a service.
@@ -186,5 +195,6 @@
 
     def _forget(self, name: EndpointName) -> None:
         self.known.pop(name, None)
+        self.found.clear()
         self.overdue.pop(name, None)
         self.since.pop(name, None)
