VMs that serve the users' platform start without our own interface's messages

Cause: the codec of peer messages imported the sixteen messages, and the claims and counts in them, that only our own interface sends; a message class takes about a millisecond to define.

Change: they have a codec of their own, which adds them to the common one; both write the same schema, and the tests of the codec run on the one that knows all messages.

--- a/lab/claimways.py
+++ b/lab/claimways.py
@@ -25,7 +25,7 @@
 from walnutquay.platform.values import ABSENT
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import AskRun, RunIs
-from walnutquay.protocol.peer import PeerCodec
+from walnutquay.protocol.ownpeer import OwnPeerCodec
 from walnutquay.settings import PlatformSection
 from walnutquay.state.fleet.membership import Address, rendezvous
 from walnutquay.state.own.claims import RunState
@@ -62,7 +62,7 @@
             calls_per_second=PLATFORM_WRITES / VMS,
         )
         self.platform = Platform(context, section)
-        codec = PeerCodec([FLEET_KEY.encode()])
+        codec = OwnPeerCodec([FLEET_KEY.encode()])
         self.node = PeerNode(
             vm,
             context.incarnation,
--- a/lab/fakepeers.py
+++ b/lab/fakepeers.py
@@ -18,7 +18,7 @@
 from walnutquay.coordination.own.tallies import LARGE_ROUNDS, TALLY_SECONDS
 from walnutquay.protocol import messages as m
 from walnutquay.protocol import ownmessages as own
-from walnutquay.protocol.peer import PeerCodec
+from walnutquay.protocol.ownpeer import OwnPeerCodec
 from walnutquay.state.fleet.membership import (
     COUNTER_BITS,
     DIGESTS,
@@ -88,7 +88,7 @@
     :param rows: counts of outcomes in each message.
     """
     rng = random.Random(SEED)
-    codec = PeerCodec([FLEET_KEY.encode()])
+    codec = OwnPeerCodec([FLEET_KEY.encode()])
     node = PeerNode("fake", "fake", codec, HybridClock(), Metrics(), answer)
     await node.start(HOST, 0)
     print(json.dumps({"ready": {"peers": node.port}}), flush=True)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -17,7 +17,7 @@
 from walnutquay.protocol import chat
 from walnutquay.protocol import messages as m
 from walnutquay.protocol import ownmessages as own
-from walnutquay.protocol.peer import PeerCodec
+from walnutquay.protocol.ownpeer import OwnPeerCodec
 from walnutquay.replay.player import judge
 from walnutquay.replay.traces import ReplayOutcome, TraceRequest
 from walnutquay.state.fleet.membership import Address, MemberNews
@@ -101,19 +101,19 @@
 
     @given(ENVELOPES)
     def test_round_trip(self, envelope):
-        codec = PeerCodec(KEYS)
+        codec = OwnPeerCodec(KEYS)
         self.assertEqual(codec.decode(codec.encode(envelope)), envelope)
 
     @given(ENVELOPES)
     def test_keys_may_be_changed_one_vm_after_the_other(self, envelope):
-        old, both = PeerCodec(KEYS[:1]), PeerCodec(KEYS)
+        old, both = OwnPeerCodec(KEYS[:1]), OwnPeerCodec(KEYS)
         self.assertEqual(both.decode(old.encode(envelope)), envelope)
         with self.assertRaises(MessageError):
             old.decode(both.encode(envelope))
 
     @given(ENVELOPES, st.data())
     def test_one_changed_byte_is_refused(self, envelope, data):
-        codec = PeerCodec(KEYS)
+        codec = OwnPeerCodec(KEYS)
         sealed = bytearray(codec.encode(envelope))
         place = data.draw(st.integers(0, len(sealed) - 1))
         sealed[place] ^= data.draw(st.integers(1, 255))
@@ -122,7 +122,7 @@
 
     @given(DATA)
     def test_sealed_rubbish_is_refused_cleanly(self, data):
-        codec = PeerCodec(KEYS)
+        codec = OwnPeerCodec(KEYS)
         with contextlib.suppress(MessageError):
             codec.decode(codec._seal(KEYS[-1], data) + data)
 
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -25,7 +25,8 @@
     unpack,
     unpack_places,
 )
-from walnutquay.protocol.peer import SEAL_BYTES, PeerCodec  # noqa: E402
+from walnutquay.protocol.ownpeer import OwnPeerCodec  # noqa: E402
+from walnutquay.protocol.peer import SEAL_BYTES  # noqa: E402
 from walnutquay.state.fleet.membership import Address, VmPlace  # noqa: E402
 from walnutquay.state.process.clock import HybridClock, Stamp  # noqa: E402
 from walnutquay.state.process.ids import (  # noqa: E402
@@ -83,10 +84,10 @@
             ((subject, TrialCounts(5, 1)),),
         )
         envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), m.TrialNews(report))
-        return PeerCodec([KEY]).encode(envelope)
+        return OwnPeerCodec([KEY]).encode(envelope)
 
     def test_there_and_back(self):
-        report = PeerCodec([KEY]).decode(self.sealed("failed")).body.report
+        report = OwnPeerCodec([KEY]).decode(self.sealed("failed")).body.report
         counts = TrialCounts(3, 2, frozenset({EndpointName("i-1")}))
         self.assertEqual(report.counts, (((Measure.FAILED, "r"), counts),))
         self.assertEqual((report.order, report.version), ("order", "v2"))
@@ -98,11 +99,11 @@
         self.assertEqual(report.old, (old,))
 
     def test_a_beginning_that_is_not_known(self):
-        report = PeerCodec([KEY]).decode(self.sealed("failed", None)).body.report
+        report = OwnPeerCodec([KEY]).decode(self.sealed("failed", None)).body.report
         self.assertIsNone(report.elapsed)
 
     def test_a_measure_that_is_not_known_is_no_message(self):
-        codec = PeerCodec([KEY])
+        codec = OwnPeerCodec([KEY])
         data = self.sealed("failed")[SEAL_BYTES:].replace(b"failed", b"faster")
         with self.assertRaises(MessageError):
             codec.decode(codec._seal(KEY, data) + data)
@@ -116,7 +117,7 @@
         for body in (m.SessionsSeen(rows), m.SessionsTaken()):
             with self.subTest(body=body):
                 envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), body)
-                codec = PeerCodec([KEY])
+                codec = OwnPeerCodec([KEY])
                 self.assertEqual(codec.decode(codec.encode(envelope)).body, body)
 
 
@@ -126,8 +127,10 @@
     def test_there_and_back(self):
         pair = ModelPair(ModelName("small"), ModelName("large"))
         body = m.OpinionNews((GainRow(pair, GainCounts(3.0, 150.0, 7_600.0)),))
-        sealed = PeerCodec([KEY]).encode(m.Envelope("vm-a", "inc", Stamp(1, 0), body))
-        self.assertEqual(PeerCodec([KEY]).decode(sealed).body, body)
+        sealed = OwnPeerCodec([KEY]).encode(
+            m.Envelope("vm-a", "inc", Stamp(1, 0), body)
+        )
+        self.assertEqual(OwnPeerCodec([KEY]).decode(sealed).body, body)
 
 
 class CrashNewsTest(unittest.TestCase):
@@ -148,7 +151,7 @@
         for one in (body, m.CrashDigest((1 << 64) - 1), m.AskCrashes()):
             with self.subTest(body=one):
                 envelope = m.Envelope("vm-a", "inc", Stamp(1, 0), one)
-                codec = PeerCodec([KEY])
+                codec = OwnPeerCodec([KEY])
                 self.assertEqual(codec.decode(codec.encode(envelope)).body, one)
 
 
@@ -161,7 +164,7 @@
     }
 
     def test_there_and_back(self):
-        codec = PeerCodec([KEY])
+        codec = OwnPeerCodec([KEY])
         row = m.VmRow(VmName("front-7"), self.places[VmName("front-7")])
         data = pack_places(self.places)
         known = (m.KnownList("servers", b"s"), m.KnownList("config", b"c"))
@@ -203,7 +206,7 @@
 
         async def run() -> None:
             nodes = [
-                PeerNode(n, n, PeerCodec([KEY]), HybridClock(), Metrics(), answer)
+                PeerNode(n, n, OwnPeerCodec([KEY]), HybridClock(), Metrics(), answer)
                 for n in ("a", "b")
             ]
             for node in nodes:
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -32,7 +32,7 @@
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.crashrecord import CrashRecord
 from walnutquay.coordination.requests.recorder import TraceRecorder
-from walnutquay.protocol.peer import PeerCodec
+from walnutquay.protocol.ownpeer import OwnPeerCodec
 from walnutquay.settings import Settings
 from walnutquay.state.fleet.membership import Address, MemberNews
 from walnutquay.state.own.admission import RetryBudget
@@ -84,7 +84,7 @@
         self.node = PeerNode(
             context.vm,
             context.incarnation,
-            PeerCodec([key.encode() for key in keys]),
+            OwnPeerCodec([key.encode() for key in keys]),
             context.timeline.clock,
             context.metrics,
             self.dispatcher.deliver,
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -8,23 +8,19 @@
 import math
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import capnp
 
 from walnutquay.exceptions import MessageError
 from walnutquay.protocol import messages as m
-from walnutquay.protocol import ownmessages as own
 from walnutquay.protocol.peerfields import body_fields
-from walnutquay.state.fleet.membership import Address, MemberNews, VmPlace
-from walnutquay.state.own.claims import RunState, WholeAnswer
-from walnutquay.state.own.tallies import TallyRow
+from walnutquay.state.fleet.membership import Address, VmPlace
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
     EndpointName,
     Fingerprint,
     HallName,
-    Incarnation,
     ModelName,
     RouteName,
     ServiceName,
@@ -46,51 +42,11 @@
 MAX_WORDS = 1 << 20
 
 
-def _news(reader: Any) -> MemberNews:
-    return MemberNews(
-        vm=VmName(reader.vm),
-        incarnation=Incarnation(reader.incarnation),
-        hall=HallName(reader.hall),
-        counter=reader.counter,
-        revision=reader.revision,
-        leaving=reader.leaving,
-        address=Address(reader.host, reader.port),
-        administration=reader.administration,
-        confirmed_age=reader.confirmedAge,
-        region=reader.region,
-    )
-
-
 def _row(reader: Any) -> m.VmRow:
     place = VmPlace(Address(reader.host, reader.port), HallName(reader.hall))
     return m.VmRow(VmName(reader.vm), place)
 
 
-def _heartbeat(reader: Any) -> own.Heartbeat:
-    rumours = tuple(_news(rumour) for rumour in reader.rumours)
-    return own.Heartbeat(_news(reader.own), rumours, tuple(reader.digests))
-
-
-def _run(reader: Any) -> own.RunIs:
-    if not reader.known:
-        return own.RunIs(None)
-    state = RunState(reader.state)
-    if state is not RunState.ANSWERED:
-        return own.RunIs(state)
-    headers = tuple((header.name, header.value) for header in reader.headers)
-    answer = WholeAnswer(reader.status, reader.contentType, bytes(reader.body), headers)
-    return own.RunIs(state, answer)
-
-
-def _tallies(reader: Any) -> own.TallyNews:
-    return own.TallyNews(
-        tuple(
-            TallyRow(row.vm, row.incarnation, row.subject, row.good, row.bad)
-            for row in reader
-        )
-    )
-
-
 def _opinions(reader: Any) -> m.OpinionNews:
     return m.OpinionNews(
         tuple(
@@ -155,23 +111,9 @@
     )
 
 
-READERS: dict[str, Callable[[Any], m.Message]] = {
-    "heartbeat": _heartbeat,
-    "askHead": lambda r: own.AskHead(),
-    "head": lambda r: own.HeadIs(bytes(r)),
-    "askPart": lambda r: own.AskPart(str(r)),
-    "part": lambda r: own.PartIs(bytes(r)),
-    "billCopy": lambda r: own.BillCopy(r.incarnation, bytes(r.records), r.nextBatch),
-    "billTaken": lambda r: own.BillTaken(),
-    "billStored": lambda r: own.BillStored(r.incarnation, r.nextBatch),
-    "askRun": lambda r: own.AskRun(str(r)),
-    "run": _run,
-    "askPin": lambda r: own.AskPin(r.organisation, r.session, r.token),
-    "copyPin": lambda r: own.CopyPin(r.organisation, r.session, r.token),
-    "pin": lambda r: own.PinIs(str(r)),
-    "endpointLeaving": lambda r: own.EndpointLeaving(r.endpoint, r.incarnation),
-    "versionBrake": lambda r: own.VersionBrake(str(r)),
-    "tallies": _tallies,
+Readers = Mapping[str, Callable[[Any], m.Message]]
+
+READERS: Readers = {
     "work": lambda r: m.WorkNews(r.endpoint, r.seconds, r.beginning, r.model, r.rate),
     "opinions": _opinions,
     "trial": _trial,
@@ -223,6 +165,9 @@
     :param keys: the fleet's keys, oldest first; the last one seals, all open.
     """
 
+    # Reads each member of the schema's union.
+    readers: ClassVar[Readers] = READERS
+
     def __init__(self, keys: list[bytes]) -> None:
         self.keys = keys
 
@@ -259,7 +204,7 @@
                 data, traversal_limit_in_words=MAX_WORDS
             ) as reader:
                 which = str(reader.body.which())
-                body = READERS[which](getattr(reader.body, which))
+                body = self.readers[which](getattr(reader.body, which))
                 stamp = Stamp(reader.physical, reader.logical)
                 return m.Envelope(
                     reader.vm, reader.incarnation, stamp, body, reader.call
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -9,8 +9,6 @@
 
 from walnutquay.exceptions import MessageError
 from walnutquay.protocol import messages as m
-from walnutquay.protocol import ownmessages as own
-from walnutquay.state.fleet.membership import MemberNews
 from walnutquay.state.requests.ends import CrashTrace
 from walnutquay.state.trials.reports import AnswerCounts
 
@@ -18,25 +16,12 @@
 UNKNOWN_TIME = -1.0
 
 
-def _flat(row: Any) -> dict[str, Any]:
-    """Give the fields of a message, or of a row of one, whose values are plain."""
-    return {name: getattr(row, name) for name in row.__dataclass_fields__}
-
+def flat_fields(row: Any) -> dict[str, Any]:
+    """:param row: a message, or a row of one, whose values are plain.
 
-def _news_fields(news: MemberNews) -> dict[str, Any]:
-    return {
-        "vm": news.vm,
-        "incarnation": news.incarnation,
-        "hall": news.hall,
-        "counter": news.counter,
-        "revision": news.revision,
-        "leaving": news.leaving,
-        "host": news.address.host,
-        "port": news.address.port,
-        "administration": news.administration,
-        "confirmedAge": news.confirmed_age,
-        "region": news.region,
-    }
+    :returns: its fields.
+    """
+    return {name: getattr(row, name) for name in row.__dataclass_fields__}
 
 
 @singledispatch
@@ -49,125 +34,18 @@
     raise MessageError(f"no codec for {type(body).__name__}", step="encode")
 
 
-@body_fields.register
-def _(body: own.Heartbeat) -> dict[str, Any]:
-    rumours = [_news_fields(news) for news in body.rumours]
-    fields = {
-        "own": _news_fields(body.own),
-        "rumours": rumours,
-        "digests": list(body.digests),
-    }
-    return {"heartbeat": fields}
-
-
-@body_fields.register
-def _(body: own.AskHead) -> dict[str, Any]:
-    return {"askHead": None}
-
-
-@body_fields.register
-def _(body: own.HeadIs) -> dict[str, Any]:
-    return {"head": body.data}
-
-
-@body_fields.register
-def _(body: own.AskPart) -> dict[str, Any]:
-    return {"askPart": body.hash}
-
-
-@body_fields.register
-def _(body: own.PartIs) -> dict[str, Any]:
-    return {"part": body.data}
-
-
-@body_fields.register
-def _(body: own.BillCopy) -> dict[str, Any]:
-    fields = {
-        "incarnation": body.incarnation,
-        "records": body.records,
-        "nextBatch": body.next_batch,
-    }
-    return {"billCopy": fields}
-
-
-@body_fields.register
-def _(body: own.BillTaken) -> dict[str, Any]:
-    return {"billTaken": None}
-
-
-@body_fields.register
-def _(body: own.BillStored) -> dict[str, Any]:
-    fields = {"incarnation": body.incarnation, "nextBatch": body.next_batch}
-    return {"billStored": fields}
-
-
-@body_fields.register
-def _(body: own.AskRun) -> dict[str, Any]:
-    return {"askRun": body.request}
-
-
-@body_fields.register
-def _(body: own.RunIs) -> dict[str, Any]:
-    if body.state is None:
-        return {"run": {"known": False}}
-    fields: dict[str, Any] = {"known": True, "state": body.state.value}
-    if body.answer is not None:
-        fields["status"] = body.answer.status
-        fields["contentType"] = body.answer.content_type
-        fields["body"] = body.answer.body
-        fields["headers"] = [
-            {"name": name, "value": value} for name, value in body.answer.headers
-        ]
-    return {"run": fields}
-
-
-def _pin_fields(body: own.AskPin | own.CopyPin) -> dict[str, str]:
-    return {
-        "organisation": body.organisation,
-        "session": body.session,
-        "token": body.token,
-    }
-
-
-@body_fields.register
-def _(body: own.AskPin) -> dict[str, Any]:
-    return {"askPin": _pin_fields(body)}
-
-
-@body_fields.register
-def _(body: own.CopyPin) -> dict[str, Any]:
-    return {"copyPin": _pin_fields(body)}
-
-
-@body_fields.register
-def _(body: own.PinIs) -> dict[str, Any]:
-    return {"pin": body.token}
-
-
-@body_fields.register
-def _(body: own.EndpointLeaving) -> dict[str, Any]:
-    fields = {"endpoint": body.endpoint, "incarnation": body.incarnation}
-    return {"endpointLeaving": fields}
-
-
-@body_fields.register
-def _(body: own.VersionBrake) -> dict[str, Any]:
-    return {"versionBrake": body.version}
-
-
-@body_fields.register
-def _(body: own.TallyNews) -> dict[str, Any]:
-    return {"tallies": [_flat(row) for row in body.rows]}
-
-
 @body_fields.register
 def _(body: m.WorkNews) -> dict[str, Any]:
-    return {"work": _flat(body)}
+    return {"work": flat_fields(body)}
 
 
 @body_fields.register
 def _(body: m.OpinionNews) -> dict[str, Any]:
-    return {"opinions": [{**_flat(row.pair), **_flat(row.counts)} for row in body.rows]}
+    return {
+        "opinions": [
+            {**flat_fields(row.pair), **flat_fields(row.counts)} for row in body.rows
+        ]
+    }
 
 
 def _count_fields(counts: AnswerCounts) -> list[dict[str, Any]]:
@@ -197,7 +75,7 @@
         "elapsed": elapsed,
         "opensIn": report.opens_in,
         "hall": body.hall,
-        "usual": [_flat(row) for row in report.usual],
+        "usual": [flat_fields(row) for row in report.usual],
         "seen": report.seen,
     }
     return {"trial": fields}
@@ -205,7 +83,7 @@
 
 @body_fields.register
 def _(body: m.SessionsSeen) -> dict[str, Any]:
-    return {"sessionsSeen": [_flat(row) for row in body.rows]}
+    return {"sessionsSeen": [flat_fields(row) for row in body.rows]}
 
 
 @body_fields.register
@@ -215,7 +93,7 @@
 
 @body_fields.register
 def _(body: m.AskTrial) -> dict[str, Any]:
-    return {"askTrial": _flat(body)}
+    return {"askTrial": flat_fields(body)}
 
 
 def _row_fields(row: m.VmRow) -> dict[str, Any]:
@@ -245,7 +123,9 @@
 
 @body_fields.register
 def _(body: m.StartIs) -> dict[str, Any]:
-    return {"start": {"vms": body.vms, "lists": [_flat(row) for row in body.lists]}}
+    return {
+        "start": {"vms": body.vms, "lists": [flat_fields(row) for row in body.lists]}
+    }
 
 
 @body_fields.register
@@ -261,17 +141,17 @@
 
 @body_fields.register
 def _(body: m.AskKnown) -> dict[str, Any]:
-    return {"askKnown": _flat(body)}
+    return {"askKnown": flat_fields(body)}
 
 
 @body_fields.register
 def _(body: m.AskChanges) -> dict[str, Any]:
-    return {"askChanges": _flat(body)}
+    return {"askChanges": flat_fields(body)}
 
 
 @body_fields.register
 def _(body: m.ChangesAre) -> dict[str, Any]:
-    return {"changes": _flat(body)}
+    return {"changes": flat_fields(body)}
 
 
 @body_fields.register
