--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -33,7 +33,7 @@
 from walnutquay.coordination.requests.crashes import CrashWatch
 from walnutquay.coordination.requests.crashrecord import CrashRecord
 from walnutquay.coordination.requests.recorder import TraceRecorder
-from walnutquay.protocol.peer import PeerCodec
+from walnutquay.protocol.ownpeer import OwnPeerCodec
 from walnutquay.protocol.services import HEADER_REQUEST_ID
 from walnutquay.settings import Settings
 from walnutquay.state.fleet.membership import Address, MemberNews
@@ -86,7 +86,7 @@
         self.node = PeerNode(
             context.vm,
             context.incarnation,
-            PeerCodec([key.encode() for key in keys]),
+            OwnPeerCodec([key.encode() for key in keys]),
             context.timeline.clock,
             context.metrics,
             self.dispatcher.deliver,
--- a/walnutquay/settings.py
+++ b/walnutquay/settings.py
@@ -21,7 +21,7 @@
 )
 
 from walnutquay.exceptions import SettingsError
-from walnutquay.state.own.checking import problems_of
+from walnutquay.state.process.problems import problems_of
 from walnutquay.state.store.parts import KeyHash, Name, Share
 
 # `WALNUTQUAY_PLATFORM__URL` sets `url` in `[platform]`.
@@ -42,9 +42,7 @@
 class Section(BaseModel):
     """The base of the sections: unknown keys are errors."""
 
-    model_config = ConfigDict(
-        extra="forbid", frozen=True, use_attribute_docstrings=True
-    )
+    model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 class VmSection(Section):
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -15,7 +15,10 @@
 from typing import Any
 
 import logbook
-from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
+from aiohttp.web_server import Server
 
 from walnutquay.transport.heads import last_bytes, split_after_heads
 from walnutquay.transport.listeners import BACKLOG
@@ -29,7 +32,7 @@
 # What is still under way when the server is closed; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 0.05
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 
 
 @dataclass(frozen=True)
@@ -44,7 +47,7 @@
     idle_seconds: float = 15.0
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(RequestHandler):
     """A connection whose requests are answered up to the first that cannot be read.
 
     aiohttp drops the requests that come in one piece with bytes that it cannot read:
@@ -68,19 +71,19 @@
         self.read_before = last_bytes(self.read_before, data)
 
 
-class CallerConnections(web.Server):
+class CallerConnections(Server):
     """Makes the connections of callers, and knows which of them are owed bytes."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         # aiohttp's connections let go of theirs when they are closed, with what is
         # not sent yet.
-        self.transports: dict[web.RequestHandler, asyncio.Transport] = {}
+        self.transports: dict[RequestHandler, asyncio.Transport] = {}
         # Whether new connections are closed at once.
         self.closed = False
 
     def connection_made(
-        self, handler: web.RequestHandler, transport: asyncio.Transport
+        self, handler: RequestHandler, transport: asyncio.Transport
     ) -> None:
         """:param handler: a connection that is open now.
 
@@ -92,7 +95,7 @@
             handler.force_close()
 
     def connection_lost(
-        self, handler: web.RequestHandler, exc: BaseException | None = None
+        self, handler: RequestHandler, exc: BaseException | None = None
     ) -> None:
         """:param handler: a connection that has ended.
 
@@ -127,7 +130,7 @@
         # Requests that have been read and not answered.
         self.in_flight = 0
         # The connections that they came by.
-        self.busy: set[web.RequestHandler] = set()
+        self.busy: set[RequestHandler] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
         self.web = CallerConnections(
@@ -191,7 +194,7 @@
     def _owes(self) -> bool:
         return bool(self.in_flight) or self.web.owe_bytes()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(self, request: BaseRequest) -> StreamResponse:
         if request.transport is None or request.transport.is_closing():
             # Its connection was closed as an idle one after it had been read: its
             # caller takes it for one that was not, so no endpoint may get it.
