Requests that crash endpoints before their answers begin are found

Seen by callers: on the small Desk, a harmless stream was refused for good with 500 ends_endpoints, and the request that crashed its endpoints went on to a fourth. Cause: of two requests at the same three ends, the one whose answer had begun at most of them was blamed. The harmless one had begun at all three (2172 ms before the first end), the crashing one at one of three (sent 111, 382 and 571 ms before): endpoints may crash before the first bytes of an answer.

Requests at as many ends are now ranked by the longest time that they can have run at any of them, which for one that had not begun is the time since it was sent.

--- a/lab/crashcosts.py
+++ b/lab/crashcosts.py
@@ -13,7 +13,7 @@
 
 import click
 
-from lab.crashfleet import CrashFleet
+from lab.crashfleet import CrashFleet, Moment
 from lab.crashways import WAYS, Findings, Way
 
 
@@ -35,12 +35,20 @@
 
 
 def played(
-    size: Size, way: Way, seeds: range, crashing: int, copies: int
+    size: Size, way: Way, seeds: range, crashing: int, copies: int, moment: Moment
 ) -> list[Findings]:
     """:returns: what the runs of all seeds have shown."""
     return [
         CrashFleet(
-            seed, size.vms, size.engines, size.slots, size.rate, crashing, copies, way
+            seed,
+            size.vms,
+            size.engines,
+            size.slots,
+            size.rate,
+            crashing,
+            copies,
+            way,
+            moment,
         ).run()
         for seed in seeds
     ]
@@ -67,7 +75,13 @@
 @click.option("--first", default=0, help="The first seed.")
 @click.option("--sizes", default="6,61,195", help="Entry VMs, separated by commas.")
 @click.option("--ways", default=len(WAYS), help="How many ways, the built one first.")
-def main(seeds: int, first: int, sizes: str, ways: int) -> None:
+@click.option(
+    "--moment",
+    type=click.Choice([one.name.lower() for one in Moment]),
+    default="first",
+    help="When they end their engines.",
+)
+def main(seeds: int, first: int, sizes: str, ways: int, moment: str) -> None:
     """Print the table."""
     click.echo(
         "| VMs | requests, copies at a time | way | engines ended a request: mean, "
@@ -78,7 +92,10 @@
     for size in (SIZES[int(name)] for name in sizes.split(",")):
         for crashing, copies in ((1, 1), (1, 4), (3, 1)):
             for way in WAYS[:ways]:
-                found = played(size, way, range(first, first + seeds), crashing, copies)
+                runs = range(first, first + seeds)
+                found = played(
+                    size, way, runs, crashing, copies, Moment[moment.upper()]
+                )
                 click.echo(row(size, way, found, f"{crashing}, {copies}"))
 
 
--- a/lab/crashfleet.py
+++ b/lab/crashfleet.py
@@ -12,6 +12,7 @@
 import itertools
 import random
 from dataclasses import dataclass, field
+from enum import Enum
 from functools import partial
 from types import SimpleNamespace
 from unittest import mock
@@ -43,8 +44,10 @@
 # Datagrams and connections between machines: seconds one way, and the share lost.
 WAY_SECONDS = (0.0005, 0.002)
 LOST_SHARE = 0.005
-# From a run's beginning to its engine's end, where it ends the engine.
+# From a run's beginning to its engine's end, where it ends the engine soon, and where
+# it ends it after some events.
 CRASH_SECONDS = (0.02, 0.12)
+LATE_CRASH_SECONDS = (0.4, 1.2)
 # How long an engine is away, and how long a request waits for its turn there.
 AWAY_SECONDS = (1.5, 4.0)
 QUEUE_SECONDS = 0.15
@@ -64,6 +67,14 @@
 KEY = b"lab"
 
 
+class Moment(Enum):
+    """When a crashing request ends its engine."""
+
+    FIRST = "on its first event"
+    BEFORE = "before its first event"
+    LATER = "after some events"
+
+
 @dataclass(eq=False)
 class Engine:
     """An engine's start.
@@ -137,6 +148,7 @@
     :param crashing: requests that end engines.
     :param copies: how often each is sent at a time, through any VMs.
     :param way: how it is dealt with.
+    :param moment: when it ends its engines.
     """
 
     def __init__(
@@ -149,10 +161,12 @@
         crashing: int = 1,
         copies: int = 1,
         way: Way = WAYS[0],
+        moment: Moment = Moment.FIRST,
     ) -> None:
         self.rng = random.Random(seed)
         self.size, self.slots, self.rate = size, slots, rate
         self.crashing, self.copies, self.way_of = crashing, copies, way
+        self.moment = moment
         self.loop = VirtualLoop()
         self.numbers = itertools.count()
         self.engines = [self._engine() for _ in range(engines)]
@@ -329,10 +343,12 @@
             return None
         began = self.loop.time()
         if request.crashes:
-            await asyncio.wait([broke], timeout=self.rng.uniform(*CRASH_SECONDS))
+            late = self.moment is Moment.LATER
+            after = self.rng.uniform(*(LATE_CRASH_SECONDS if late else CRASH_SECONDS))
+            await asyncio.wait([broke], timeout=after)
             if not broke.done():
                 self._crash(engine, request)
-            return began
+            return None if self.moment is Moment.BEFORE else began
         await asyncio.wait([broke], timeout=self.rng.expovariate(1 / RUN_SECONDS))
         if broke.done():
             return began
--- a/tests/lab/test_crashfleet.py
+++ b/tests/lab/test_crashfleet.py
@@ -11,7 +11,7 @@
 import unittest
 
 from lab.crashcosts import SIZES
-from lab.crashfleet import CrashFleet
+from lab.crashfleet import CrashFleet, Moment
 from walnutquay.state.requests.culprits import ENDS_TO_BLOCK
 
 # Sends of a blocked request that may come after a time in which VMs are in touch.
@@ -21,11 +21,20 @@
 class CrashFleetTest(unittest.TestCase):
     """Callers bring them again, through any VM, beside others' requests."""
 
-    def play(self, seed: int, crashing: int, copies: int) -> CrashFleet:
+    def play(
+        self, seed: int, crashing: int, copies: int, moment: Moment = Moment.FIRST
+    ) -> CrashFleet:
         """:returns: a small fleet that has been played."""
         size = SIZES[6]
         fleet = CrashFleet(
-            seed, size.vms, size.engines, size.slots, size.rate, crashing, copies
+            seed,
+            size.vms,
+            size.engines,
+            size.slots,
+            size.rate,
+            crashing,
+            copies,
+            moment=moment,
         )
         fleet.run()
         return fleet
@@ -38,6 +47,14 @@
                 self.assertEqual((found.refused, found.lost), (0, 0))
                 self.assertGreater(found.hit, 0)
 
+    def test_whenever_it_ends_them(self):
+        for moment in Moment:
+            for seed in range(3):
+                with self.subTest(moment=moment.value, seed=seed):
+                    found = self.play(seed, 1, 1, moment).found
+                    self.assertEqual(list(found.ended.values()), [ENDS_TO_BLOCK])
+                    self.assertEqual(found.refused, 0)
+
     def test_many_copies_at_once(self):
         found = self.play(1, 1, 4).found
         self.assertLessEqual(max(found.ended.values()), SIZES[6].engines)
--- a/tests/state/requests/test_crashbook.py
+++ b/tests/state/requests/test_crashbook.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import unittest
 
 from hypothesis import given, settings
@@ -34,11 +35,11 @@
     target: CrashTarget = OLD,
     ran: float | None = SOON,
     age: float = 0.0,
+    held: float = math.inf,
 ) -> CrashTrace:
     """:returns: that a request was at an endpoint which ended."""
-    return CrashTrace(
-        Fingerprint(fingerprint), target, EndpointName(endpoint), age, ran
-    )
+    name = Fingerprint(fingerprint)
+    return CrashTrace(name, target, EndpointName(endpoint), age, ran, held=held)
 
 
 def answer(fingerprint: str, target: CrashTarget = OLD, age: float = 0.0) -> CrashTrace:
@@ -178,6 +179,15 @@
             self.take(trace(BAD, f"e{number}"))
         self.assertEqual(self.blocked(), {BAD})
 
+    def test_at_all_of_its_ends_and_begun_where_it_had_not(self):
+        bad = ((None, 0.111), (0.083, 0.382), (None, 0.571))
+        good = ((2.172, 2.285), (0.256, 0.384), (0.412, 0.571))
+        for number, rows in enumerate(zip(bad, good, strict=True)):
+            self.now += 2.0 * crashes.SAME_END_SECONDS
+            for name, (ran, held) in zip((BAD, GOOD), rows, strict=True):
+                self.take(trace(name, f"e{number}", ran=ran, held=held))
+        self.assertEqual(self.blocked(), {BAD})
+
     def test_one_that_was_taken_for_it_is_freed_by_the_next_end(self):
         for number in range(3):
             self.end(f"e{number}", GOOD, ran=SOON / 2)
--- a/walnutquay/state/requests/culprits.py
+++ b/walnutquay/state/requests/culprits.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from walnutquay.state.process.ids import Fingerprint
@@ -80,16 +81,24 @@
     return left
 
 
-def _odds(name: Fingerprint, chosen: Chosen) -> tuple[int, float, str]:
+def _odds(name: Fingerprint, chosen: Chosen) -> tuple[int, float, float, str]:
     """Rank a request among others at as many ends, higher where it is likelier guilty.
 
-    Those whose answers had begun at the most ends, and then most lately: what ends an
-    endpoint that begins to run it does so soon; what was beside it had been there for
-    any time.
+    What ends an endpoint that begins to run it does so soon, whether its answer has
+    begun by then or not; what was beside it had been at the first for any time.
     """
-    ran = [end.ran[name] for end in chosen[name]]
-    known = [seconds for seconds in ran if seconds is not None]
-    return (len(known), -sum(known), name)
+    runs = [_longest_run(name, end) for end in chosen[name]]
+    known = [seconds for seconds in runs if math.isfinite(seconds)]
+    return (len(known), -max(known, default=0.0), -sum(known), name)
+
+
+def _longest_run(name: Fingerprint, end: End) -> float:
+    """Give the seconds for which an endpoint can have run a request as it ended.
+
+    One whose answer had not begun may have waited there, or just have begun to run.
+    """
+    ran = end.ran[name]
+    return end.at - end.sent[name] if ran is None else ran
 
 
 def _own(name: Fingerprint, chosen: Chosen) -> frozenset[End]:
