News of an end tell when it was seen, however late they are sent

Cause: the first message told a trace with the age that it had when it was noted, so the time until it was sent made the end seem later. A request that crashes its endpoint soon (here after less than that time) then seemed to have been sent there after the end, which another VM had told sooner, and the end was not counted against it. The second message had the same error, and was ignored as known.

The age of a trace is now taken when a message is sent, and of several messages the earliest time of sending counts: delays only add to it.

--- a/tests/coordination/requests/test_crashes.py
+++ b/tests/coordination/requests/test_crashes.py
@@ -233,6 +233,43 @@
         self.assertEqual(set(book.ends_of), blocked)
 
 
+class MomentTest(CrashCase):
+    """It is found whenever it ends its engines, and its neighbours are answered."""
+
+    async def come_again(self, events: int) -> None:
+        """Send it through two VMs in turn; it ends engines after some events."""
+        second = await self.add_gateway("vm-2", [self.gateway])
+        gate = asyncio.Event()
+        held = Behaviour(events=EVENTS, gate=gate)
+        crash = Behaviour(events=EVENTS, crash_after=events)
+        for worker in self.endpoints.values():
+            worker.choose = lambda seen: crash if seen.body == CRASHING else held
+        beside = [
+            asyncio.ensure_future(
+                self.stream(f"harmless {n}".encode(), vm, Deadline="9000")
+            )
+            for n, vm in enumerate([self.gateway, second] * 6)
+        ]
+        await self.until(lambda: self.runs() >= len(beside))
+        one, other = self.book_of(self.gateway), self.book_of(second)
+        for vm in (second, self.gateway, second, self.gateway):
+            await self.call("/once/x", CRASHING, gateway=vm, Model="tiny")
+            await self.until(lambda: one.digest() == other.digest())
+        gate.set()
+        answers = await asyncio.gather(*beside)
+        self.assertEqual({(a.status, a.whole) for a in answers}, {(200, True)})
+        self.assertEqual(self.crashes, ENDS_TO_BLOCK)
+
+    async def test_before_its_first_event(self):
+        await self.come_again(0)
+
+    async def test_after_its_first_event(self):
+        await self.come_again(1)
+
+    async def test_after_some_events(self):
+        await self.come_again(EVENTS - 1)
+
+
 class LateVmTest(CrashCase):
     """VMs that were not there when it was found know of it all the same."""
 
--- a/tests/state/requests/test_crashbook.py
+++ b/tests/state/requests/test_crashbook.py
@@ -104,6 +104,16 @@
         self.take_all(*self.OTHERS)
         self.assertEqual(self.blocked(), set())
 
+    def test_news_that_come_again_tell_when_it_was_sent(self):
+        rows = ((BAD, "a", 25.1, 0.04), (BAD, "b", 25.3, 0.04))
+        self.take_all(*rows, ("x", "c", 25.5, 2.0))
+        last = trace(BAD, "c", held=0.04)
+        # It was noted at 25.51, and the first news of it came 0.1 s later.
+        self.book.take(last, 25.61)
+        self.assertEqual(self.blocked(), set())
+        self.book.take(dataclasses.replace(last, age=0.2), 25.71)
+        self.assertEqual(self.blocked(), {BAD})
+
     def test_what_was_there_before_counts(self):
         for at, endpoint in ((25.1, "a"), (25.25, "b"), (25.4, "c")):
             beside = (f"beside at {endpoint}", endpoint, at - 0.002, 2.0)
--- a/walnutquay/coordination/requests/crashnews.py
+++ b/walnutquay/coordination/requests/crashnews.py
@@ -76,8 +76,8 @@
         self.book = book
         self.take = take
         self.tasks = Tasks()
-        # What is to be told with the next news.
-        self.untold: list[CrashTrace] = []
+        # What is to be told with the next news, and when it was noted.
+        self.untold: list[tuple[float, CrashTrace]] = []
         # The VM that is asked what it knows, if one is.
         self.asking: asyncio.Task | None = None
 
@@ -92,7 +92,7 @@
         """
         if not self.untold:
             self.tasks.spawn(self._tell())
-        self.untold.append(trace)
+        self.untold.append((monotonic(), trace))
 
     def tell_digest(self) -> None:
         """Let some other VMs see whether they know the same."""
@@ -102,13 +102,13 @@
         """Tell all VMs what has been noted, twice."""
         await asyncio.sleep(GATHER_SECONDS)
         told, self.untold = self.untold, []
-        noted = monotonic()
         self._send(told)
         await asyncio.sleep(AGAIN_SECONDS)
-        passed = monotonic() - noted
-        self._send([replace(trace, age=trace.age + passed) for trace in told])
+        self._send(told)
 
-    def _send(self, traces: Sequence[CrashTrace]) -> None:
+    def _send(self, told: Sequence[tuple[float, CrashTrace]]) -> None:
+        now = monotonic()
+        traces = [replace(trace, age=trace.age + now - noted) for noted, trace in told]
         for first in range(0, len(traces), TRACES_TOLD):
             self.peers.tell_all(CrashNews(tuple(traces[first : first + TRACES_TOLD])))
 
--- a/walnutquay/state/requests/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -172,16 +172,27 @@
             # What seemed to be there may have been sent later than that.
             end.at = at
             self.unjudged.add(trace.target)
+        sent = at - trace.held
         if trace.fingerprint in end.ran:
+            self._correct(end, trace, sent)
             return False
         end.ran[trace.fingerprint] = trace.ran
-        end.sent[trace.fingerprint] = at - trace.held
+        end.sent[trace.fingerprint] = sent
         self.ends_of.setdefault(trace.fingerprint, []).append(end)
         self._bound()
         if len(self.ends_of.get(trace.fingerprint, ())) > 1:
             self.unjudged.add(trace.target)
         return True
 
+    def _correct(self, end: End, trace: CrashTrace, sent: float) -> None:
+        """Take the earlier of two times at which a request was sent to an endpoint.
+
+        News that took long to come make both the end and the sending seem later.
+        """
+        if sent < end.sent[trace.fingerprint]:
+            end.sent[trace.fingerprint] = sent
+            self.unjudged.add(trace.target)
+
     def _end_of(self, trace: CrashTrace, at: float) -> End:
         for end in reversed(self.ends):
             same = end.endpoint == trace.endpoint and end.target == trace.target
