A request that fails everywhere is not held against the endpoints

Seen by callers: while one of them repeated a request that every endpoint answers with 500, a VM left out endpoints of the service for 2 s and more, and everybody else had what was left, half of them at least.

Cause: each failed answer counted against the endpoint that gave it, whatever other endpoints had said to the same request.

Broken connections and time-outs count as before. It concerns the users' platform: own engines' failures carry no status and count as they did.

--- a/walnutquay/coordination/own/chats.py
+++ b/walnutquay/coordination/own/chats.py
@@ -159,13 +159,14 @@
         self._succeeded(turn, grant, monotonic() - started)
         return await self._answered(turn, running, grant, answer)
 
-    def count_failure(self, turn: ChatTurn, grant: Grant) -> None:
+    def count_failure(self, turn: ChatTurn, grant: Grant, error: EndpointError) -> None:
         """Learn from a failure of an engine, and of the version there.
 
         :param turn: the request.
         :param grant: the engine.
+        :param error: how it failed.
         """
-        super().count_failure(turn, grant)
+        super().count_failure(turn, grant, error)
         self.parts.health.note(turn.target, good=False)
 
     def _engine_call(
@@ -185,6 +186,7 @@
         kind = f"{turn.target}/{turn.arrival.request_class}"
         self.parts.table.succeeded(grant.name, kind, seconds, monotonic())
         self.on_whole(turn, grant)
+        self.on_answered(turn)
         self.parts.health.note(turn.target, True, turn.arrival.request_class, seconds)
 
     # Whole answers.
--- a/walnutquay/coordination/requests/pathparts.py
+++ b/walnutquay/coordination/requests/pathparts.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.requests.crashes import CrashWatch
@@ -12,6 +12,7 @@
 from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.state.own.admission import RetryBudget
 from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.requests.failures import FailedRequests
 
 
 @dataclass
@@ -24,6 +25,7 @@
     :param retries: the budget that retries draw on.
     :param recorder: records traces, while asked to.
     :param crashes: endpoints that end while they run requests.
+    :param failures: requests that endpoints answer with a failure.
     """
 
     context: Context
@@ -32,3 +34,4 @@
     retries: RetryBudget
     recorder: TraceRecorder
     crashes: CrashWatch
+    failures: FailedRequests = field(default_factory=FailedRequests, kw_only=True)
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -298,7 +298,7 @@
         :param grant: the endpoint.
         :param error: how it failed.
         """
-        self.count_failure(turn, grant)
+        self.count_failure(turn, grant, error)
         self.on_failed(turn, grant, error)
         broke = error.step == STEP_BROKEN
         ended = not self.is_current(grant)
@@ -337,13 +337,27 @@
         """
         return Unknown(running.unknown(), f"the endpoint failed: {error}")
 
-    def count_failure(self, turn: Turn, grant: Grant) -> None:
+    def count_failure(self, turn: Turn, grant: Grant, error: EndpointError) -> None:
         """Learn from a failure of an endpoint.
 
         :param turn: the request.
         :param grant: the endpoint.
+        :param error: how it failed.
+        """
+        now = monotonic()
+        if error.status is not None:
+            name = turn.arrival.fingerprint()
+            if not self.parts.failures.blames(name, grant.name, now):
+                return
+        self.parts.table.failed(grant.name, now, turn.target)
+
+    def on_answered(self, turn: Turn) -> None:
+        """Note that an endpoint has answered a request well.
+
+        :param turn: the request.
         """
-        self.parts.table.failed(grant.name, monotonic(), turn.target)
+        if self.parts.failures.failed_at:
+            self.parts.failures.answered(turn.arrival.fingerprint())
 
     def refuse(self, stage: Undispatched, refusal: Refusal) -> Refused:
         """:param stage: a stage before any dispatch.
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -334,5 +334,6 @@
         now = monotonic()
         self.parts.table.succeeded(EndpointName(grant.name), kind, seconds, now)
         self.on_whole(turn, grant)
+        self.on_answered(turn)
         if not judged:
             self.versions.succeeded(turn, grant, seconds)
