--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""One VM of a large fleet, without sockets: its parts, for :mod:`lab.capacity.processortime`."""
+"""The parts of one VM of a large fleet, without sockets."""
 
 from __future__ import annotations
 
--- a/lab/capacity/processortime.py
+++ b/lab/capacity/processortime.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Processor time of what one VM of a large fleet does: ``python -m lab.capacity.processortime``.
+"""Processor time of what one VM of a large fleet does.
 
 Processor time of one process, the least of some rounds, for others run beside it.
 Before and after a change it is run by turns, on both trees.
--- a/walnutquay/state/requests/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -174,10 +174,7 @@
             self.unjudged.add(trace.target)
         sent = at - trace.held
         if trace.fingerprint in end.ran:
-            # Told again with less delay, it was sent earlier than that seemed as well.
-            if sent < end.sent[trace.fingerprint]:
-                end.sent[trace.fingerprint] = sent
-                self.unjudged.add(trace.target)
+            self._correct(end, trace, sent)
             return False
         end.ran[trace.fingerprint] = trace.ran
         end.sent[trace.fingerprint] = sent
@@ -187,6 +184,15 @@
             self.unjudged.add(trace.target)
         return True
 
+    def _correct(self, end: End, trace: CrashTrace, sent: float) -> None:
+        """Take the earlier of two times at which a request was sent to an endpoint.
+
+        News that took long to come make both the end and the sending seem later.
+        """
+        if sent < end.sent[trace.fingerprint]:
+            end.sent[trace.fingerprint] = sent
+            self.unjudged.add(trace.target)
+
     def _end_of(self, trace: CrashTrace, at: float) -> End:
         for end in reversed(self.ends):
             same = end.endpoint == trace.endpoint and end.target == trace.target
