--- a/lab/mutations.py
+++ b/lab/mutations.py
@@ -14,14 +14,14 @@
 import tempfile
 from pathlib import Path
 
-from lab.mutants import own, routed
+from lab.mutants import callers, own, routed
 from lab.mutants.mutation import Mutation
 
 ROOT = Path(__file__).parent.parent
 COPIED = ("walnutquay", "standins", "tests", "demo", "lab")
 
 # Each is known by its place here.
-MUTATIONS = [*own.MUTATIONS, *routed.MUTATIONS]
+MUTATIONS = [*own.MUTATIONS, *routed.MUTATIONS, *callers.MUTATIONS]
 
 
 def is_there(mutation: Mutation) -> bool:
