--- a/tests/daemon/playedplans.py
+++ b/tests/daemon/playedplans.py
@@ -46,6 +46,8 @@
         self.plan = plan
         self.stop = stop
         self.sent: list[SentAsk] = []
+        # A request of which only a part is sent, if there is one.
+        self.partial: SentAsk | None = None
         # One for each answer that was read.
         self.answers: list[ReadAnswer] = []
         # Whether an answer has said, or shown, that nothing follows it.
@@ -87,6 +89,9 @@
                 self._hold(not runs, f"{sent.name} ran though that was denied")
             if times == 1 and self._closed_before(sent):
                 self._hold(not runs, f"{sent.name} ran, and was not answered")
+        if self.partial is not None:
+            begun = self.endpoints.asked.get(self.partial.name)
+            self._hold(not begun, f"{begun} of a part of {self.partial.name}")
         self._hold(set(self.endpoints.asked) <= set(self.endpoints.sent), "smuggled")
 
     def _promised(self, sent: SentAsk) -> bool:
@@ -140,8 +145,10 @@
             Ask("unsafe", "POST", ("good",), framing=Framing.LENGTH)
         )
         if ending is Ending.IN_HEAD:
+            self.partial = last
             self.caller.send(last.data[:40])
         elif ending is Ending.IN_BODY:
+            self.partial = last
             self.caller.send(last.data[:-4])
         elif ending is Ending.JUNK:
             self.caller.send(b"these are no requests\r\n\r\n")
