A caller who takes an answer slowly gets all of it where its connection closes

A caller of our own interface who sent `Connection: close` and took more than 5 s for an answer larger than the buffers got a part of it, and the end of the connection: 3.9 of 16 MB where it began to read after 7 s.

Cause: Sanic aborts a connection that is closing after 5 s, whatever it still has to send. Mend: it is given as long as an answer itself. The test, of the setting, failed before; by hand the caller that waits 7 s gets all 16 MB now.

--- a/walnutquay/transport/server.py
+++ b/walnutquay/transport/server.py
@@ -63,6 +63,7 @@
         config.REQUEST_MAX_HEADER_SIZE = limits.header
         config.REQUEST_TIMEOUT = limits.request_seconds
         config.RESPONSE_TIMEOUT = RESPONSE_SECONDS
+        config.GRACEFUL_TCP_CLOSE_TIMEOUT = RESPONSE_SECONDS
         config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_SECONDS
         config.ACCESS_LOG = False
         config.MOTD = False
