A planned stop of our own interface waits until answers have been sent

A caller of our own interface who took a large answer slowly got a part of it when its VM was stopped as planned: 1 s after the last request had ended its connection was aborted.

Cause: as on the gateway, a request ended with its outcome, and its answer is written after that. Mend: the stop waits for what is still to be sent, within the time that requests are given. Test: SlowCallerTest.test_a_stop_cuts_it; there was nothing to wait by before.

--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -9,6 +9,7 @@
 
 from sanic import HTTPResponse, Request
 
+from tests.rawcaller import WAIT_SECONDS, RawCaller
 from walnutquay.transport.server import RESPONSE_SECONDS, HttpServer, ServerLimits
 
 # More than the buffers of both sides hold.
@@ -35,6 +36,21 @@
         """Say what was wrong."""
         return HTTPResponse(str(error), status=500)
 
+    async def test_a_stop_cuts_it(self):
+        caller = RawCaller(self.server.port)
+        self.addCleanup(caller.socket.close)
+        await asyncio.to_thread(caller.send, GET)
+        async with asyncio.timeout(WAIT_SECONDS):
+            await self.begun.wait()
+            while not self.server.owes_bytes():  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.assertFalse(await self.server.all_sent(0.0))
+        reading = asyncio.ensure_future(asyncio.to_thread(caller.answer))
+        self.assertTrue(await self.server.all_sent(WAIT_SECONDS))
+        answer = await reading
+        self.assertTrue(answer.whole)
+        self.assertEqual(len(answer.body), LARGE_BYTES)
+
     async def test_the_close_of_its_connection_cuts_it(self):
         # Sanic takes a connection for dead after this time of closing.
         closing = self.server.app.config.GRACEFUL_TCP_CLOSE_TIMEOUT
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -89,8 +89,12 @@
         await asyncio.sleep(section.balancer_seconds)
         self.callers.server.close_listener()
         parts.close_requests()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + section.finish_seconds
         if not await parts.finish_requests(section.finish_seconds):
             log.error("{} requests did not finish in time", parts.in_flight())
+        if not await self.callers.server.all_sent(end - loop.time()):
+            log.error("callers have not taken all answers in time")
         if not await parts.flush_bills():
             log.warn("bills are left to peer {!r}", parts.billing.copy_peer)
         await self.callers.server.stop()
--- a/walnutquay/transport/server.py
+++ b/walnutquay/transport/server.py
@@ -142,6 +142,28 @@
         if self.server is not None:
             self.server.close()
 
+    def owes_bytes(self) -> bool:
+        """:returns: whether an answer has not been handed to the system yet."""
+        if self.server is None:
+            return False
+        return any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size()
+            for connection in self.server.connections
+        )
+
+    async def all_sent(self, seconds: float) -> bool:
+        """Wait until all answers have been handed to the system.
+
+        :param seconds: how long to wait at the most.
+        :returns: whether they have.
+        """
+        end = asyncio.get_running_loop().time() + seconds
+        # Sanic offers no event for it.
+        while self.owes_bytes() and asyncio.get_running_loop().time() < end:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+        return not self.owes_bytes()
+
     async def stop(self, grace: float = 1.0) -> None:
         """Close everything; connections that are idle first.
 
