--- a/tests/daemon/playedplans.py
+++ b/tests/daemon/playedplans.py
@@ -210,7 +210,8 @@
 
     def _hold(self, condition: bool, words: object) -> None:
         if not condition:
-            raise BrokenError(f"{words}; {self.plan}")
+            end = self.caller.end.value
+            raise BrokenError(f"{words}; connection {end}; {self.plan}")
 
 
 def _is_body(sent: SentAsk, behaviour: Behaviour, answer: ReadAnswer) -> bool:
