The test of bytes between two requests waits for the connection's end

The mutation of that mechanism passed once overlong answers ended their connections at the next use: the test asserts now that it ends at once, and the mutation fails as it must.

--- a/tests/scriptedendpoint.py
+++ b/tests/scriptedendpoint.py
@@ -84,6 +84,8 @@
         self.client = HttpClient(ID, self.strays.append)
         self.addAsyncCleanup(self.client.close)
         self.connections = 0
+        # Connections that their caller has ended.
+        self.ended = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, script: Script) -> None:
@@ -104,6 +106,7 @@
                         writer.write(data)
                         await writer.drain()
             except (EOFError, OSError, asyncio.CancelledError):
+                self.ended += 1
                 writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -39,7 +39,7 @@
         await self.start(script)
         self.assertEqual(await self.call("/a", "a"), b"/a")
         extra.set()
-        await self.until(lambda: bool(self.strays))
+        await self.until(lambda: self.ended == 1)
         self.assertEqual(await self.call("/b", "b"), b"/b")
         self.assertEqual(self.kinds(), [StrayKind.IDLE])
         self.assertEqual(self.strays[0].address, f"127.0.0.1:{self.port}")
