test_pairs tells which faults and which VM an unbilled answer had; listed as red

The cause is only supposed (a bill without a copy at a VM that is killed). The check stays as it is, and names now the pair of faults, the VM and the bills that went without a copy.

--- a/tests/processes/test_pairs.py
+++ b/tests/processes/test_pairs.py
@@ -34,7 +34,8 @@
     keyed: dict[str, list[Answer]] = field(default_factory=lambda: defaultdict(list))
     plain: dict[str, list[Answer]] = field(default_factory=lambda: defaultdict(list))
     # Requests that were answered, replays aside: each is owed one bill.
-    answered: list[str] = field(default_factory=list)
+    # With the faults at that time, and the VM that answered.
+    answered: dict[str, str] = field(default_factory=dict)
     # The versions of the small model that each session was served by.
     versions: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     # The revisions that were promised to operators, by the revision they asked for
@@ -181,7 +182,7 @@
         except (aiohttp.ClientError, OSError):
             return
         told.append(answer)
-        self.note(answer)
+        self.note(answer, vm)
 
     async def turn(self, session: str, vm: str) -> None:
         """Take a session's next turn, by its newest token."""
@@ -191,23 +192,24 @@
             answer = await self.chat(vm, f"{session} {self.changes}", **headers)
         except (aiohttp.ClientError, OSError):
             return
-        self.note(answer)
+        self.note(answer, vm)
         if answer.status == 200:
             self.tokens.setdefault(session, answer.headers[HEADER_TOKEN])
             version = answer.headers["x-walnutquay-version"]
             if token and version.startswith("small"):
                 self.told.versions[token].add(version)
 
-    def note(self, answer: Answer) -> None:
+    def note(self, answer: Answer, vm: str) -> None:
         """Note whether an answer is owed a bill."""
         if answer.status == 200 and "x-walnutquay-replayed" not in answer.headers:
-            self.told.answered.append(answer.headers["x-walnutquay-request"])
+            request = answer.headers["x-walnutquay-request"]
+            self.told.answered[request] = f"answered by {vm}, {self.label}"
 
     # The pairs.
 
     async def bring_about(self, first: tuple, second: tuple) -> None:
         """Bring two faults about, with work before, between and after."""
-        label = f"{first[0]}+{second[0]}-{self.changes}"
+        label = self.label = f"{first[0]}+{second[0]}-{self.changes}"
         self.tasks: list[asyncio.Future] = []
         self.load(f"{label}-before")
         await first[1]()
@@ -238,6 +240,7 @@
         self.tokens: dict[str, str] = {}
         self.platform_faults: dict[str, float] = {}
         self.changes = 0
+        self.label = ""
         self.revision = 1
         table = self.faults()
         for first, second in itertools.combinations_with_replacement(table, 2):
@@ -295,7 +298,12 @@
         """
         missing = answered - {r.request for r in await self.bill_records()}
         lines = [f"{len(missing)} answered requests have no bill"]
+        for vm in ENTRANCES:
+            _, metrics = await self.fleet.administer(self.vm(vm), "GET", "/v1/metrics")
+            without = metrics["counters"].get("bills_without_copy", 0)
+            lines.append(f"{vm} answered without a copy of the bill: {without}")
         for request in sorted(missing):
+            lines.append(f"{request}: {self.told.answered[request]}")
             for vm in ENTRANCES:
                 events = await self.events(vm, request=request)
                 kinds = [f"{event['at']} {event['kind']}" for event in events]
