--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -181,6 +181,27 @@
         "pass",
         "tests.coordination.requests.test_crashes.LateVmTest.test_all_were_lost",
     ),
+    Mutation(
+        "ends of endpoints: news tell their age",
+        "coordination/requests/crashnews.py",
+        "age=trace.age + now - noted",
+        "age=trace.age",
+        "tests.coordination.requests.test_crashnews",
+    ),
+    Mutation(
+        "ends of endpoints: what had not begun may have run since it was sent",
+        "state/requests/culprits.py",
+        "end.at - end.sent[name] if ran is None else ran",
+        "math.inf if ran is None else ran",
+        "tests.state.requests.test_crashbook.BesideTest",
+    ),
+    Mutation(
+        "failures: a request that fails everywhere blames no endpoint",
+        "state/requests/failures.py",
+        "return len(endpoints) == 1",
+        "return True",
+        "tests.coordination.requests.test_failures",
+    ),
     Mutation(
         "ends of endpoints: an answer clears a request",
         "coordination/requests/paths.py",
