What other VMs told of models is added up without hashing the models

Cause: each decision about a larger model looked up each of three pairs of models at each of 90 VMs, and the pair's hash is Python code; what lies before engines, and which of them hold a beginning, was asked engine by engine.

Change: what was told is kept by pair; engines are looked up together.

--- a/lab/processortime.py
+++ b/lab/processortime.py
@@ -43,9 +43,9 @@
 from walnutquay.transport.timers import monotonic
 
 MICROSECONDS = 1e6
-ROUNDS = 5
+ROUNDS = 30
 # How long one round takes at the least; seconds of processor time.
-ROUND_SECONDS = 0.03
+ROUND_SECONDS = 0.01
 STARTS = 5
 # Sessions that one VM keeps on the old version during a trial.
 KEPT = 20
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -57,9 +57,10 @@
         facts = [beliefs.table.of(name) for name in self.names]
         # How many times as long as usual each takes, and seconds until it could begin.
         self.slow = [known.slow_by(now) for known in facts]
+        waits = beliefs.work.waits(self.names, now)
         self.waits = [
-            (beliefs.work.wait(name, now) + known.load(now) * RUNNING_SECONDS) * slow
-            for name, known, slow in zip(self.names, facts, self.slow, strict=True)
+            (wait + known.load(now) * RUNNING_SECONDS) * slow
+            for wait, known, slow in zip(waits, facts, self.slow, strict=True)
         ]
 
     def best(self, prompt: PromptWork, aim: float) -> Instance:
--- a/walnutquay/state/routed/gains.py
+++ b/walnutquay/state/routed/gains.py
@@ -83,7 +83,7 @@
     def __init__(self) -> None:
         self.own: dict[ModelPair, GainCounts] = {}
         # What each other VM has told last; it stands in place of what it told before.
-        self.told: dict[VmName, dict[ModelPair, GainCounts]] = {}
+        self.told: dict[ModelPair, dict[VmName, GainCounts]] = {}
 
     def add(self, pair: ModelPair, first: float, second: float) -> None:
         """Learn from two opinions; those at the ends of the scale are cut off there.
@@ -102,7 +102,10 @@
         :param vm: the VM.
         :param rows: all that it has seen.
         """
-        self.told[vm] = {row.pair: row.counts for row in rows}
+        for told in self.told.values():
+            told.pop(vm, None)
+        for row in rows:
+            self.told.setdefault(row.pair, {})[vm] = row.counts
 
     def rows(self) -> tuple[GainRow, ...]:
         """:returns: what this VM has seen itself."""
@@ -122,7 +125,7 @@
 
         The difference of two scatters with the root of two of that.
         """
-        pairs = set(self.own).union(*self.told.values())
+        pairs = self.own.keys() | self.told.keys()
         counts = [self._counts(pair) for pair in pairs]
         seen = sum(item.count for item in counts)
         deviations = sum(item.deviations for item in counts) / 2.0
@@ -134,10 +137,8 @@
         # By plain numbers: each request asks several times, and 90 VMs tell.
         own = self.own.get(pair, NOTHING)
         count, total, squares = own.count, own.total, own.squares
-        for told in self.told.values():
-            counts = told.get(pair)
-            if counts is not None:
-                count += counts.count
-                total += counts.total
-                squares += counts.squares
+        for counts in self.told.get(pair, {}).values():
+            count += counts.count
+            total += counts.total
+            squares += counts.squares
         return GainCounts(count, total, squares)
--- a/walnutquay/state/routed/work.py
+++ b/walnutquay/state/routed/work.py
@@ -112,7 +112,16 @@
         :param now: monotonic seconds.
         :returns: seconds until it has read all that is known to be before it.
         """
-        return max(0.0, self.busy_until.get(name, now) - now)
+        return self.waits([name], now)[0]
+
+    def waits(self, names: Sequence[EndpointName], now: float) -> list[float]:
+        """:param names: engines.
+
+        :param now: monotonic seconds.
+        :returns: for each, seconds until it has read all that is known to be before it.
+        """
+        until = self.busy_until.get
+        return [max(0.0, until(name, now) - now) for name in names]
 
     def has(self, name: EndpointName, beginning: str, now: float, kept: float) -> bool:
         """:param name: an engine.
@@ -122,8 +131,21 @@
         :param kept: seconds for which engines keep what they have read.
         :returns: whether it was sent that beginning within that time.
         """
-        times = self.sent.get((name, beginning))
-        return bool(times) and now - times[0] < kept
+        return self.holders([name], beginning, now, kept)[0]
+
+    def holders(
+        self, names: Sequence[EndpointName], beginning: str, now: float, kept: float
+    ) -> list[bool]:
+        """:param names: engines.
+
+        :param beginning: a beginning.
+        :param now: monotonic seconds.
+        :param kept: seconds for which engines keep what they have read.
+        :returns: for each, whether it was sent that beginning within that time.
+        """
+        sent = self.sent.entries
+        found = [sent.get((name, beginning)) for name in names]
+        return [bool(times) and now - times[0] < kept for times in found]
 
     def reading(
         self,
@@ -167,14 +189,10 @@
             return [new] * len(names)
         found = self._seconds(work, 1.0)
         likely = self._seconds(work, PREFERRED_CHANCE)
-        beginning = work.beginning
+        holders = self.holders(names, work.beginning, now, kept)
         return [
-            found
-            if self.has(name, beginning, now, kept)
-            else likely
-            if name in preferred
-            else new
-            for name in names
+            found if holds else likely if name in preferred else new
+            for name, holds in zip(names, holders, strict=True)
         ]
 
     def _seconds(self, work: PromptWork, chance: float) -> float:
