--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -7,38 +7,6 @@
 from lab.mutants.mutation import Mutation
 
 MUTATIONS = [
-    Mutation(
-        "second answers: bytes while no request is under way end the connection",
-        "transport/connections.py",
-        "if self.used and not self.under_way:",
-        "if False:",
-        "tests.transport.test_connections.StrayTest."
-        "test_bytes_while_nobody_waits_end_the_connection",
-    ),
-    Mutation(
-        "second answers: one to an earlier request is skipped",
-        "transport/connections.py",
-        "if kind is not StrayKind.EARLIER:",
-        "if True:",
-        "tests.coordination.routed.test_second_answers.SecondAnswerTest."
-        "test_in_the_place_of_the_next_answer",
-    ),
-    Mutation(
-        "second answers: a connection carries each id once",
-        "transport/connections.py",
-        "fits = bool(request) and request not in self.carried",
-        "fits = bool(request)",
-        "tests.coordination.routed.test_second_answers.SecondAnswerTest."
-        "test_of_a_request_with_the_same_id",
-    ),
-    Mutation(
-        "second answers: only answers that repeat the id keep a connection",
-        "transport/connections.py",
-        "            if not named:\n                # A second",
-        "            if False:\n                # A second",
-        "tests.transport.test_connections.KeptConnectionTest."
-        "test_answers_without_an_id",
-    ),
     Mutation(
         "relays: entries that lapse with the store are doubted by all",
         "coordination/store/relaying.py",
@@ -84,13 +52,6 @@
         "False:",
         "tests.transport.test_peers.PeerNodeTest.test_a_stream_that_fell_silent_is_replaced",
     ),
-    Mutation(
-        "what is given up does not arrive later",
-        "transport/connections.py",
-        "if transport is None or not self.under_way:",
-        "if True:",
-        "tests.coordination.routed.test_silence.GivenUpTest.test_what_waits_on_a_full_link",
-    ),
     Mutation(
         "a VM that left is not brought back by an older list",
         "coordination/fleet/vmlist.py",
@@ -106,14 +67,6 @@
         "if True:",
         "tests.coordination.store.test_knowledge.StartingVmTest.test_without_any_call_for_a_list",
     ),
-    Mutation(
-        "the whole answer: a reset is noticed late",
-        "transport/client.py",
-        "None if framed else answer._protocol",
-        "None if framed or answer.connection is None else answer._protocol",
-        "tests.coordination.routed.test_routed.WholeBodyTest."
-        "test_a_reset_is_noticed_after_the_connection_is_let_go_of",
-    ),
     Mutation(
         "planned stops: what crosses the close is not passed on",
         "transport/gateway.py",
--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -15,14 +15,19 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from lab.mutants import callers, own, routed
+from lab.mutants import callers, connections, own, routed
 from lab.mutants.mutation import Mutation
 
 ROOT = Path(__file__).parents[2]
 COPIED = ("walnutquay", "standins", "tests", "demo", "lab")
 
 # Each is known by its place here, or by what it serves.
-MUTATIONS = [*own.MUTATIONS, *routed.MUTATIONS, *callers.MUTATIONS]
+MUTATIONS = [
+    *own.MUTATIONS,
+    *routed.MUTATIONS,
+    *connections.MUTATIONS,
+    *callers.MUTATIONS,
+]
 
 
 def is_there(mutation: Mutation) -> bool:
