--- a/lab/mutants/callers.py
+++ b/lab/mutants/callers.py
@@ -10,8 +10,8 @@
     Mutation(
         "callers' connections: each head is parsed by itself",
         "transport/gateway.py",
-        "parts = split_after_heads(self.read_before, data)",
-        "parts = [data]",
+        "for part in split_after_heads(self.read_before, data):",
+        "for part in [data]:",
         "tests.transport.test_gateway.PipelinedTest."
         "test_a_request_gets_the_refusal_of_what_came_behind_it",
     ),
--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -10,7 +10,7 @@
     Mutation(
         "second answers: bytes while no request is under way end the connection",
         "transport/connections.py",
-        "if data and not self.under_way:",
+        "if self.used and not self.under_way:",
         "if False:",
         "tests.transport.test_connections.StrayTest."
         "test_bytes_while_nobody_waits_end_the_connection",
@@ -87,7 +87,7 @@
     Mutation(
         "what is given up does not arrive later",
         "transport/connections.py",
-        "if transport is None or self._answer_is_whole():",
+        "if transport is None or not self.under_way:",
         "if True:",
         "tests.coordination.routed.test_silence.GivenUpTest.test_what_waits_on_a_full_link",
     ),
--- a/tests/lab/test_pages.py
+++ b/tests/lab/test_pages.py
@@ -9,7 +9,10 @@
 import unittest
 from pathlib import Path
 
-from lab import capacity, reference, slopes
+from lab.capacity import page as capacity
+from lab.capacity import slopes
+from lab.capacity.slopetable import slope_rows
+from lab.pages import reference
 from walnutquay.state.own.policies import PolicyProgram, PolicyPrograms, PolicyRequest
 from walnutquay.state.store.parts import Policy, Version
 
@@ -31,11 +34,54 @@
             numbers.sub("#", capacity.PAGE.read_text()), numbers.sub("#", made)
         )
 
+    def test_the_slopes(self):
+        measured = json.loads(slopes.OUTPUT.read_text())
+        rows = "\n".join(slope_rows(measured))
+        self.assertGreater(len(rows.splitlines()), 30)
+        self.assertIn(rows, capacity.PAGE.read_text())
+
     def test_links_lead_somewhere(self):
-        for page in [ROOT / "README.md", *ROOT.glob("docs/**/*.md")]:
-            for target in re.findall(r"\]\(([^)#]+)\)", page.read_text()):
-                if not target.startswith("http"):
-                    self.assertTrue((page.parent / target).exists(), (page, target))
+        seen = 0
+        for page in [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]:
+            for target in re.findall(r"\]\(([^)]+)\)", page.read_text()):
+                if target.startswith("http"):
+                    continue
+                seen += 1
+                name, _, anchor = target.partition("#")
+                leads_to = page.parent / name if name else page
+                self.assertTrue(leads_to.exists(), (page, target))
+                if anchor:
+                    self.assertIn(anchor, anchors(leads_to), (page, target))
+        self.assertGreater(seen, 50)
+
+    def test_files_of_code_that_are_named_exist(self):
+        seen = 0
+        for page in ROOT.glob("docs/**/*.md"):
+            if page.parent.name == "incidents":
+                # They name files as they were then.
+                continue
+            for name in re.findall(r"`([\w./-]+/[\w./-]+\.py)`", page.read_text()):
+                seen += 1
+                places = (ROOT / name, ROOT / "walnutquay" / name)
+                self.assertTrue(any(path.exists() for path in places), (page, name))
+        self.assertGreater(seen, 50)
+
+    def test_the_index_leads_to_each_page(self):
+        docs = ROOT / "docs"
+        index = (docs / "README.md").read_text()
+        linked = {
+            (docs / target.partition("#")[0]).resolve()
+            for target in re.findall(r"\]\(([^)]+)\)", index)
+        }
+        pages = {page.resolve() for page in docs.glob("**/*.md")}
+        self.assertEqual(pages - linked, {docs / "README.md"})
+
+
+def anchors(page: Path) -> set[str]:
+    """:returns: what links may name of a page: its headings, as forges write them."""
+    headings = re.findall(r"^#+ (.+)$", page.read_text(), re.MULTILINE)
+    words = (re.sub(r"[^\w\- ]", "", heading).strip().lower() for heading in headings)
+    return {text.replace(" ", "-") for text in words}
 
 
 CHEAP = Version(name="cheap", model="cheap", price_output=0.5)
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import os
 import socket
 from collections.abc import Callable
@@ -22,15 +21,14 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.client_reqrep import ClientRequest
-from aiohttp.connector import Connection
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 
-from walnutquay.transport.sockets import limited_socket, reset_on_close
+from walnutquay.transport.heads import HEAD_END, last_bytes, split_after_heads
+from walnutquay.transport.sockets import reset_on_close
 
 # Requests that one connection carries; it remembers their ids.
 MAX_CARRIED = 256
-HEAD_END = b"\r\n\r\n"
 
 Message = tuple[RawResponseMessage, aiohttp.StreamReader]
 
@@ -77,6 +75,17 @@
     """An answer that is not the one to the request under way."""
 
 
+class GarbledBodyError(aiohttp.ClientPayloadError):
+    """A body that holds bytes which cannot belong to it."""
+
+
+def is_interim(message: RawResponseMessage) -> bool:
+    """:returns: whether another head follows; no request asks to switch protocols."""
+    return (
+        message.code < HTTPStatus.OK and message.code != HTTPStatus.SWITCHING_PROTOCOLS
+    )
+
+
 class KeptProtocol(ResponseHandler):
     """An aiohttp connection that ends with a stray, and notices resets.
 
@@ -90,11 +99,16 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, on_stray: OnStray) -> None:
         super().__init__(loop)
         self.on_stray = on_stray
-        # Whether a request is under way, whose answer has not ended.
+        # Whether a request was sent, and one is under way, whose answer has not ended.
+        self.used = False
         self.under_way = False
-        # Whether the head of an answer is due, and the last bytes that came before it.
+        # Whether the head of an answer is due, and how many bytes have come behind it.
         self.head_due = False
+        self.behind_head = 0
+        # The last bytes that have come.
         self.before = b""
+        # How the library has answers read.
+        self.params: dict[str, Any] = {}
         # Whether the peer has reset the connection.
         self.was_reset = False
 
@@ -107,6 +121,7 @@
 
     def begin(self, request: str) -> None:
         """:param request: the id of the request that is sent now."""
+        self.used = True
         self.under_way = True
         self.head_due = True
         self.before = b""
@@ -118,7 +133,7 @@
         """:returns: the next answer's head and body, for the library."""
         while True:
             message, payload = await super().read()
-            if message.code < HTTPStatus.OK:
+            if is_interim(message):
                 return message, payload
             if await self._is_awaited(message, payload):
                 payload.on_eof(self._end)
@@ -132,36 +147,74 @@
 
     def data_received(self, data: bytes) -> None:
         """:param data: what has arrived."""
-        if data and not self.under_way:
-            self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
-            self.close()
+        if not data:
+            # The library goes on with what it has read already.
+            super().data_received(data)
             return
-        while self.head_due and (size := self._head_size(data)):
-            super().data_received(data[:size])
-            data = data[size:]
-            if not data:
+        for part in split_after_heads(self.before, data):
+            # Some endpoints refuse a connection before they have read a request.
+            if self.used and not self.under_way:
+                self.on_stray(Stray(StrayKind.IDLE, self.address(), len(part)))
+                self.close()
                 return
-        self.before = (self.before + data[1 - len(HEAD_END) :])[1 - len(HEAD_END) :]
-        super().data_received(data)
+            within_head = self.head_due
+            self._renew_parser()
+            super().data_received(part)
+            self.behind_head = 0 if within_head else self.behind_head + len(part)
+        self.before = last_bytes(self.before, data)
+        if self._is_overlong():
+            self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
+            self.force_close()
+
+    def set_response_params(self, **params: Any) -> None:
+        """:param params: how answers are read, for the library."""
+        self.params = params
+        super().set_response_params(**params)
 
-    def _head_size(self, data: bytes) -> int:
-        """Find the end of a head, which is parsed apart from what follows.
+    def _renew_parser(self) -> None:
+        """Read what follows a whole answer by a new parser.
 
-        The parser reads bytes as a whole or not at all: what is no answer would undo
-        the whole answer before it.
+        The library's keeps a trailer for the head of the next answer.
+        """
+        answer = self._payload
+        if not self.head_due and answer is not None and answer.is_eof():
+            super().set_response_params(**self.params)
+            self.head_due = True
+            self.force_close()
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException | None = None
+    ) -> None:
+        """End a body that cannot be read any further; the library ends heads only.
 
-        :returns: how many bytes belong to the head; 0 if its end has not come.
+        :param exc: what is wrong with the connection, or what came on it.
+        :param exc_cause: what brought it about.
         """
-        at = (self.before + data).find(HEAD_END)
-        return 0 if at < 0 else at + len(HEAD_END) - len(self.before)
+        super().set_exception(exc, exc_cause or exc)
+        body = self._payload
+        garbled = isinstance(exc, HttpProcessingError) and not self.head_due
+        if garbled and body is not None and not body.is_eof():
+            body.set_exception(GarbledBodyError(str(exc)), exc)
+
+    def _is_overlong(self) -> bool:
+        """:returns: whether more bytes have come than the answer that has ended.
+
+        The parser keeps the beginning of another head to itself.
+        """
+        if self.head_due or self._payload is None or not self._payload.is_eof():
+            return False
+        size = self._payload.total_bytes
+        if self.behind_head <= size:
+            return False
+        # Chunks are longer than what they hold, and end as a head does.
+        return not (size and self.before == HEAD_END)
 
     def feed_data(self, data: Message, size: int = 0) -> None:
         """:param data: the head and body of an answer.
 
         :param size: the library's.
         """
-        self.head_due = data[0].code < HTTPStatus.OK
-        self.before = b""
+        self.head_due = is_interim(data[0])
         super().feed_data(data, size)
 
     def address(self) -> str:
@@ -178,16 +231,12 @@
         seconds before that it leaves.
         """
         transport = self.transport
-        if transport is None or self._answer_is_whole():
+        if transport is None or not self.under_way:
             super().close()
             return
         reset_on_close(transport.get_extra_info("socket"))
         self.abort()
 
-    def _answer_is_whole(self) -> bool:
-        # aiohttp offers no public way to the answer that is being read.
-        return self._payload is not None and self._payload.is_eof()
-
     def eof_received(self) -> None:
         """Ask the socket itself how the connection ended."""
         super().eof_received()
@@ -261,7 +310,8 @@
         :returns: whether an answer is to the request under way.
         :raises StrayAnswerError: if it cannot be told whose answer it is.
         """
-        named = message.headers.get(self.id_header, "")
+        # An answer with two ids names neither of its requests.
+        named = ",".join(message.headers.getall(self.id_header, ()))
         kind = self._stray_kind(named)
         if kind is None:
             if not named:
@@ -277,8 +327,9 @@
         return False
 
     async def _skip(self, payload: aiohttp.StreamReader) -> None:
-        while not payload.at_eof():
-            await payload.readany()
+        async with asyncio.timeout(self.read_timeout):
+            while not payload.at_eof():
+                await payload.readany()
         self.head_due = True
         # The end of a body stops the time limit between two reads.
         self.start_timeout()
@@ -291,51 +342,3 @@
         if not named:
             return StrayKind.UNNAMED
         return StrayKind.EARLIER if named in self.carried else StrayKind.FOREIGN
-
-
-class KeptConnector(aiohttp.TCPConnector):
-    """Makes connections that end with a stray, and notice resets and silence.
-
-    :param on_stray: told of bytes that belong to no request.
-    :param id_header: the header by which answers are matched to requests; None
-        where answers repeat none.
-    :param options: the library's own.
-    """
-
-    def __init__(
-        self,
-        on_stray: OnStray = ignore_stray,
-        id_header: str | None = None,
-        **options: Any,
-    ) -> None:
-        super().__init__(socket_factory=limited_socket, **options)
-        self.id_header = id_header
-        factory = functools.partial(KeptProtocol, self._loop, on_stray)
-        if id_header is not None:
-            factory = functools.partial(
-                MatchingProtocol, self._loop, on_stray, id_header
-            )
-        # aiohttp offers no public way to a protocol of one's own.
-        self._factory = factory
-
-    async def connect(
-        self,
-        req: ClientRequest,
-        traces: list[aiohttp.tracing.Trace],
-        timeout: aiohttp.ClientTimeout,
-    ) -> Connection:
-        """Give a request a connection on which its answer can be told from others.
-
-        :param req: the request.
-        :param traces: the library's.
-        :param timeout: the request's time limits.
-        """
-        request = req.headers.get(self.id_header, "") if self.id_header else ""
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            protocol = connection.protocol
-            assert isinstance(protocol, KeptProtocol)
-            if protocol.may_carry(request):
-                protocol.begin(request)
-                return connection
-            connection.close()
