--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -123,8 +123,8 @@
     """Calls endpoints; owns the connections to them.
 
     Calls that may not be repeated get a connection of their own each time: on a kept
-    connection a lost call cannot be told from a late one.
-    So do requests without an id: their answers could not be told from others.
+    connection a lost call cannot be told from a late one.  So do requests without an
+    id, whose answers could not be told from others.
 
     :param id_header: the header of requests that their answers repeat.
     :param on_stray: told of bytes and answers that belong to no request.
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -87,7 +87,10 @@
 
 
 class KeptProtocol(ResponseHandler):
-    """An aiohttp connection that ends with a stray, and notices resets.
+    """An aiohttp connection that closes when bytes come unasked, and notices resets.
+
+    A request begins with :meth:`begin`; the connection is idle again once the last
+    byte of its answer has come.
 
     libuv reports the end of a stream where data and a reset come together.  An
     answer without a length would then seem whole.
@@ -127,6 +130,7 @@
         self.before = b""
 
     def _end(self) -> None:
+        """Note that the answer has come to its end."""
         self.under_way = False
 
     async def read(self) -> Message:
--- a/walnutquay/transport/connectors.py
+++ b/walnutquay/transport/connectors.py
@@ -21,7 +21,7 @@
 
 
 class KeptConnector(aiohttp.TCPConnector):
-    """Makes connections that end with a stray, and notice resets and silence.
+    """Makes connections that close when bytes come unasked, and notice silence.
 
     :param on_stray: told of bytes that belong to no request.
     :param id_header: the header by which answers are matched to requests; None
