End a broken stream as broken when it cannot be resumed

Symptom: a stream broke at its endpoint, and the next endpoint answered the attempt to resume it with a status that is neither 200 nor 5xx (400, 404, 409 or 429 from a request that had run; 202, 204, 206). The caller's response never ended: its connection stayed open and no more data arrived (a test without a timeout hung for ten minutes).

Cause: RoutedPath._exchange treated such an answer as the complete answer, although the caller had already received the head and some events of a stream.

Evidence: tests.coordination.routed.test_resumed on: 7 of 17 tests fail, those of the seven statuses above; 421 is always read as "not run" and passes.

Change: once the caller has received the head of a stream, any answer other than a 200 counts as a failed attempt, as a 5xx already did: the next endpoint is asked if attempts and budget allow, otherwise the stream ends by closing its connection. All 17 tests pass, as do test_routed and test_second_answers.

--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -47,6 +47,7 @@
 # Timers of the client fire this much before the deadline at the most.
 TIMER_SECONDS = 0.02
 CODE_TIMEOUT = "timeout"
+STATUS_OK = 200
 # The index of the model that is asked first: its opinion tells whether it will do, and
 # it reads and costs a small part of what the others do.
 SMALLEST = 0
@@ -296,13 +297,15 @@
             grant.began = monotonic()
             seconds = grant.began - started
             self.places.began(grant, seconds)
-            if head.status >= 500:
+            # Once a stream has begun, only a 200 answer can continue it.
+            cannot_resume = turn.progress.begun and head.status != STATUS_OK
+            if head.status >= 500 or cannot_resume:
                 body = await whole_body(answer, grant.name)
                 self.on_whole(turn, grant)
                 self.versions.failed(turn, grant)
                 raise FailedAnswerError(as_whole(head, body), peer=grant.name)
             self.versions.answer_began(turn, grant, seconds)
-            if turn.streamed and head.status == 200:
+            if turn.streamed and head.status == STATUS_OK:
                 may_retry = partial(self.may_retry, turn)
                 larger = self.cascading.larger(turn, grant.name, head, may_retry)
                 if larger is not None:
