Wait for a copy of the bill record before answering

Impact on operators: bills were lost for requests that had been answered, if the VM that answered them was killed while the platform was down. Callers had their answers; nobody was billed for them.

Cause: a peer that failed once to take a copy within 0.3 s was excluded for 2 s. If both peers of a VM had failed in this way, no peer was asked at all. All answers in those 2 s were sent at once without a copy, and their records were copied only together with a later record.

Change: peers that failed recently are asked last instead of being excluded. An answer waits up to 4 s (the time after which silent peers stop counting as alive) while copying is retried in rounds, 0.1 s apart at first, with timeouts of 0.3, 0.6 and 1.2 s for each peer. If no peer is alive and the platform is unavailable, the answer does not wait, as before. Records without a copy are copied as soon as a peer can be reached, without waiting for the next record. A new event, bill-uncopied, names each request that was answered without a copy. Storing batches and choosing peers move to modules of their own.

--- a/lab/mutants/own.py
+++ b/lab/mutants/own.py
@@ -54,8 +54,8 @@
     Mutation(
         "billed once: a copy before the end mark",
         "coordination/own/billing.py",
-        "safe = await self._copy([item.record for item in batch])",
-        "safe = True",
+        "await self._send_copies(peer, records)",
+        "pass",
         "tests.processes.test_billed_once.BilledOnceTest.test_a_kill_between_answer_and_flush",
     ),
     Mutation(
@@ -68,11 +68,18 @@
     ),
     Mutation(
         "billed once: the copy stands in another hall",
-        "coordination/own/billing.py",
+        "coordination/own/billkeepers.py",
         "for wanted in Distance:",
         "for wanted in reversed(Distance):",
         "tests.processes.test_billed_once.BilledOnceTest.test_a_whole_hall_is_lost_before_the_flush",
     ),
+    Mutation(
+        "billed once: peers that failed recently are still asked",
+        "coordination/own/billkeepers.py",
+        "preferred or names",
+        "preferred",
+        "tests.coordination.own.test_billing.UncopiedAnswerTest",
+    ),
     Mutation(
         "the whole answer: another request's answer is not passed on",
         "coordination/own/engines.py",
@@ -178,8 +185,8 @@
     Mutation(
         "faults in pairs, billed once: a copy before the end mark",
         "coordination/own/billing.py",
-        "safe = await self._copy([item.record for item in batch])",
-        "safe = True",
+        "await self._send_copies(peer, records)",
+        "pass",
         "tests.processes.test_pairs",
     ),
     Mutation(
--- /dev/null
+++ b/tests/coordination/own/__init__.py
@@ -0,0 +1,3 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Tests of the coordination of our own interface."""
--- /dev/null
+++ b/walnutquay/coordination/own/billbatches.py
@@ -0,0 +1,78 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Storing of bill records in the platform, in batches."""
+
+from __future__ import annotations
+
+import logbook
+
+from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.process.context import Context
+from walnutquay.exceptions import PlatformConflictError, PlatformError
+from walnutquay.platform.values import ABSENT
+from walnutquay.state.own.bills import (
+    BillLog,
+    BillRecord,
+    batch_name,
+    decode_records,
+    encode_records,
+)
+
+log = logbook.Logger(__name__)
+
+# Maximum number of records in a batch or copy, which keeps it far below 1 MB.
+BATCH_RECORDS = 2000
+
+
+class BillBatches:
+    """Stores the records of bill logs in batches.
+
+    :param context: what this process shares.
+    :param platform: the store of values.
+    """
+
+    def __init__(self, context: Context, platform: Platform) -> None:
+        self.context = context
+        self.platform = platform
+
+    async def flush(self, bill_log: BillLog) -> None:
+        """Store all records of a log in batches, stopping at the first failure.
+
+        :param bill_log: the log of one incarnation.
+        """
+        while bill_log.records:
+            batch = bill_log.batch(BATCH_RECORDS)
+            name = batch_name(bill_log.incarnation, bill_log.next_batch)
+            try:
+                if batch:
+                    batch = await self._store_batch(name, batch)
+                else:
+                    # The log starts with a gap: another VM has stored that batch.
+                    batch = await self._stored_batch(name)
+            except PlatformError as error:
+                log.debug("bills cannot be stored now: {}", error)
+                return
+            if not batch:
+                return
+            bill_log.stored(batch)
+
+    async def _store_batch(
+        self, name: str, batch: list[BillRecord]
+    ) -> list[BillRecord]:
+        """Store a batch, or read the batch that already has its name.
+
+        The name exists if another VM has flushed for this incarnation, or if the
+        response to an earlier write was lost.
+
+        :returns: the records stored under the name.
+        """
+        try:
+            await self.platform.write(name, encode_records(batch), ABSENT)
+        except PlatformConflictError:
+            return await self._stored_batch(name)
+        self.context.metrics.count("bills_stored", len(batch))
+        return batch
+
+    async def _stored_batch(self, name: str) -> list[BillRecord]:
+        stored = await self.platform.read(name)
+        return decode_records(stored.value) if stored.version else []
--- a/walnutquay/coordination/own/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -5,30 +5,27 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import logbook
 
+from walnutquay.coordination.own.billbatches import BATCH_RECORDS, BillBatches
+from walnutquay.coordination.own.billkeepers import BillKeepers
 from walnutquay.coordination.own.members import Members
 from walnutquay.coordination.own.platform import Platform
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.tasks import Tasks
-from walnutquay.exceptions import (
-    PeerError,
-    PlatformConflictError,
-    PlatformError,
-)
-from walnutquay.platform.values import ABSENT
+from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import BillCopy, BillStored, BillTaken
-from walnutquay.state.fleet.membership import Distance, distance, rendezvous
+from walnutquay.state.fleet.membership import SILENT_SECONDS
 from walnutquay.state.own.bills import (
     BillLog,
     BillRecord,
-    batch_name,
     decode_records,
     encode_records,
 )
@@ -45,10 +42,14 @@
 log = logbook.Logger(__name__)
 
 COPY_SECONDS = 0.3
-# A peer that failed to take a copy is not asked again for so long.
-AVOID_SECONDS = 2.0
-# Records that one batch or copy holds at the most; far below a megabyte.
-BATCH_RECORDS = 2000
+# Each failed round of copying doubles the timeout, at most this many times.
+MAX_COPY_DOUBLINGS = 2
+# Pause before a failed round is retried; doubles with each failure up to the maximum.
+COPY_PAUSE_SECONDS = 0.1
+MAX_COPY_PAUSE_SECONDS = 1.0
+# Maximum time that an answer waits until its record is copied or stored: the time
+# after which peers that do not respond count as silent.
+COPY_WAIT_SECONDS = SILENT_SECONDS
 FLUSH_SECONDS = 1.0
 # Flushes of the whole fleet stay near this many a second.
 FLEET_FLUSHES = 50
@@ -58,11 +59,15 @@
 
 
 @dataclass(slots=True)
-class _Copied:
-    """A record whose copy is waited for."""
+class _Waiter:
+    """An answer that waits until its bill record is copied or stored.
+
+    :param number: the record's number.
+    :param safe: resolves to whether the record is copied or stored.
+    """
 
-    record: BillRecord
-    done: asyncio.Future[bool]
+    number: int
+    safe: asyncio.Future[bool]
 
 
 class Billing:
@@ -82,7 +87,7 @@
         dispatcher: Dispatcher,
     ) -> None:
         self.context = context
-        self.platform = platform
+        self.batches = BillBatches(context, platform)
         self.members = members
         self.next_number = 0
         self.log = BillLog(context.incarnation)
@@ -90,15 +95,17 @@
         self.kept: dict[Incarnation, BillLog] = {}
         # Which VM each kept incarnation is, or was.
         self.vm_of: dict[Incarnation, str] = {}
-        self.waiting: list[_Copied] = []
+        self.waiting: list[_Waiter] = []
         self.copy_wanted = asyncio.Event()
+        # Number of consecutive failed rounds of copying.
+        self.copy_failures = 0
         self.tasks = Tasks()
         self.flushing = asyncio.Lock()
         self.last_flush = monotonic()
-        # When a peer last failed to take a copy.
-        self.failed_at: dict[str, float] = {}
-        # The peer that has copies of all that is not stored.
+        self.keepers = BillKeepers(context, members)
+        # The peer that has copies of all unstored records below ``copied_below``.
         self.copy_peer = ""
+        self.copied_below = 0
         dispatcher.on(BillCopy, self.on_copy)
         dispatcher.on(BillStored, self.on_stored)
 
@@ -122,6 +129,10 @@
     ) -> BillRecord:
         """Bill a request; returns once a second VM, or the platform, has it.
 
+        If neither can be reached, it returns without a copy, after at most
+        ``COPY_WAIT_SECONDS``, and the record is copied or stored later, as soon as
+        one of them can be reached.
+
         :param request: the request.
         :param organisation: who pays.
         :param lines: what its steps cost.
@@ -131,76 +142,114 @@
         )
         self.next_number += 1
         self.log.add(record)
-        copied = _Copied(record, asyncio.get_running_loop().create_future())
-        self.waiting.append(copied)
-        self.copy_wanted.set()
         self.context.timeline.emit(EventKind.BILLED, request=request)
-        # The caller may go away; the record is made all the same.
-        safe = await asyncio.shield(copied.done)
-        if not safe:
+        started_at = monotonic()
+        if not await self._wait_until_safe(record.number):
             self.context.metrics.count("bills_without_copy")
+            self.context.timeline.emit(
+                EventKind.BILL_UNCOPIED,
+                request=request,
+                detail="no peer took a copy, and the platform has not stored it",
+                waited_ms=round((monotonic() - started_at) * 1000.0),
+                alive=len(self.keepers.choose()),
+            )
         return record
 
+    async def _wait_until_safe(self, number: int) -> bool:
+        """Wait until a record is copied or stored.
+
+        :param number: the record's number.
+        :returns: whether it is; False if the wait was given up.
+        """
+        waiter = _Waiter(number, asyncio.get_running_loop().create_future())
+        self.waiting.append(waiter)
+        self.copy_wanted.set()
+        try:
+            async with asyncio.timeout(COPY_WAIT_SECONDS):
+                return await waiter.safe
+        except TimeoutError:
+            return False
+
     async def _copy_forever(self) -> None:
+        pause: float | None = None
         while True:
-            await self.copy_wanted.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self.copy_wanted.wait()
             self.copy_wanted.clear()
-            batch, self.waiting = self.waiting, []
-            if not batch:
+            if await self._copy(self.log.records_from(self.copied_below)):
+                pause = None
+                self.copy_failures = 0
+            else:
+                pause = 2 * pause if pause else COPY_PAUSE_SECONDS
+                pause = min(pause, MAX_COPY_PAUSE_SECONDS)
+                self.copy_failures += 1
+            self._release_waiters()
+
+    def _release_waiters(self) -> None:
+        """Release answers whose records are safe, or all if no peer is alive."""
+        stored = self.log.next_batch
+        safe_below = max(self.copied_below, stored) if self.copy_peer else stored
+        no_peers = not self.keepers.choose()
+        waiting, self.waiting = self.waiting, []
+        for waiter in waiting:
+            if waiter.safe.done():
                 continue
-            safe = False
-            try:
-                safe = await self._copy([item.record for item in batch])
-            finally:
-                for item in batch:
-                    item.done.set_result(safe)
+            if waiter.number < safe_below or no_peers:
+                waiter.safe.set_result(waiter.number < safe_below)
+            else:
+                self.waiting.append(waiter)
 
     async def _copy(self, records: list[BillRecord]) -> bool:
         """Have records kept elsewhere.
 
         :returns: whether a peer or the platform has them.
         """
-        for peer in self._keepers():
-            wanted = records
-            if peer != self.copy_peer:
-                # A new keeper gets all that is not stored, not just the newest.
-                wanted = list(self.log.records.values())
-            if await self._copy_to(peer, wanted):
-                self.copy_peer = peer
+        if not records:
+            return True
+        for peer in self.keepers.choose():
+            if await self._copy_to(peer):
                 return True
-            self.failed_at[peer] = monotonic()
-        self.copy_peer = ""
+            self.keepers.record_failure(peer)
+        self._reset_copy_peer()
         await self.flush()
         return all(record.number < self.log.next_batch for record in records)
 
-    def _keepers(self) -> list[str]:
-        """Choose who may keep copies, one of each distance, the best one first."""
-        now = monotonic()
-        alive = self.members.table.alive(now)
-        found = []
-        for wanted in Distance:
-            names = [
-                member.news.vm
-                for member in alive
-                if distance(self.context.hall, self.context.region, member.news)
-                is wanted
-                and now - self.failed_at.get(member.news.vm, 0.0) > AVOID_SECONDS
-            ]
-            found.extend(rendezvous(f"bills/{self.context.vm}", names)[:1])
-        return found
-
-    async def _copy_to(self, peer: str, records: list[BillRecord]) -> bool:
+    def _reset_copy_peer(self) -> None:
+        self.copy_peer = ""
+        self.copied_below = self.log.next_batch
+
+    async def _copy_to(self, peer: str) -> bool:
+        """Send a peer the unstored records that it does not have yet.
+
+        :param peer: the peer's name.
+        :returns: whether the peer has all of them.
+        """
+        first = self.copied_below if peer == self.copy_peer else self.log.next_batch
+        records = self.log.records_from(first)
+        try:
+            await self._send_copies(peer, records)
+        except PeerError as error:
+            log.debug("bills cannot be copied: {}", error)
+            return False
+        self.copy_peer = peer
+        self.copied_below = records[-1].number + 1 if records else first
+        return True
+
+    async def _send_copies(self, peer: str, records: list[BillRecord]) -> None:
+        """Send records to a peer, at most ``BATCH_RECORDS`` in a message.
+
+        :param peer: the peer's name.
+        :param records: records in order.
+        :raises PeerError: if the peer does not answer.
+        """
+        timeout = COPY_SECONDS * 2 ** min(self.copy_failures, MAX_COPY_DOUBLINGS)
         for start in range(0, len(records), BATCH_RECORDS):
             chunk = records[start : start + BATCH_RECORDS]
             message = BillCopy(
                 self.context.incarnation, encode_records(chunk), self.log.next_batch
             )
-            try:
-                await self.members.call(peer, message, COPY_SECONDS)
-            except PeerError as error:
-                log.debug("bills cannot be copied: {}", error)
-                return False
-        return True
+            await self.members.call(peer, message, timeout)
 
     # Storing records.
 
@@ -216,50 +265,12 @@
         async with self.flushing:
             self.last_flush = monotonic()
             before = self.log.next_batch
-            await self._flush_log(self.log)
+            await self.batches.flush(self.log)
             if self.log.next_batch > before:
+                self._release_waiters()
                 stored = BillStored(self.context.incarnation, self.log.next_batch)
                 self.members.tell_all(stored)
 
-    async def _flush_log(self, bill_log: BillLog) -> None:
-        """Store batch after batch, until nothing is left or something fails."""
-        while bill_log.records:
-            batch = bill_log.batch(BATCH_RECORDS)
-            name = batch_name(bill_log.incarnation, bill_log.next_batch)
-            try:
-                if batch:
-                    batch = await self._store_batch(name, batch)
-                else:
-                    # Somebody has stored what comes before these records.
-                    batch = await self._stored_batch(name)
-            except PlatformError as error:
-                log.debug("bills cannot be stored now: {}", error)
-                return
-            if not batch:
-                return
-            bill_log.stored(batch)
-
-    async def _store_batch(
-        self, name: str, batch: list[BillRecord]
-    ) -> list[BillRecord]:
-        """Store a batch, or learn what stands under its name.
-
-        The name is taken where somebody else has flushed for this incarnation,
-        or where an earlier answer was lost.
-
-        :returns: the records that stand there.
-        """
-        try:
-            await self.platform.write(name, encode_records(batch), ABSENT)
-        except PlatformConflictError:
-            return await self._stored_batch(name)
-        self.context.metrics.count("bills_stored", len(batch))
-        return batch
-
-    async def _stored_batch(self, name: str) -> list[BillRecord]:
-        stored = await self.platform.read(name)
-        return decode_records(stored.value) if stored.version else []
-
     # Keeping copies for others.
 
     def on_copy(self, envelope: Envelope) -> BillTaken:
@@ -306,7 +317,7 @@
         for incarnation, kept in list(self.kept.items()):
             if not self._is_dead(incarnation):
                 continue
-            await self._flush_log(kept)
+            await self.batches.flush(kept)
             if not kept.records:
                 del self.kept[incarnation]
                 del self.vm_of[incarnation]
--- /dev/null
+++ b/walnutquay/coordination/own/billkeepers.py
@@ -0,0 +1,57 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Selection of the VMs that keep copies of this VM's bill records."""
+
+from __future__ import annotations
+
+from walnutquay.coordination.own.members import Members
+from walnutquay.coordination.process.context import Context
+from walnutquay.state.fleet.membership import Distance, distance, rendezvous
+from walnutquay.transport.timers import monotonic
+
+# For this long after a failed copy, a peer is asked after the others.
+AVOID_SECONDS = 2.0
+
+
+class BillKeepers:
+    """Selects the peers to which bill records are copied.
+
+    :param context: what this process shares.
+    :param members: the other VMs.
+    """
+
+    def __init__(self, context: Context, members: Members) -> None:
+        self.context = context
+        self.members = members
+        # Time of each peer's last failed copy.
+        self.failed_at: dict[str, float] = {}
+
+    def choose(self) -> list[str]:
+        """Choose one peer of each distance, in order of preference.
+
+        Peers that failed recently come last instead of being excluded, so that there
+        is a peer to ask even if all have failed.
+
+        :returns: names of live peers.
+        """
+        now = monotonic()
+        alive = self.members.table.alive(now)
+        found = []
+        for wanted in Distance:
+            names = [
+                member.news.vm
+                for member in alive
+                if distance(self.context.hall, self.context.region, member.news)
+                is wanted
+            ]
+            preferred = [n for n in names if not self._failed_recently(n, now)]
+            candidates = preferred or names
+            found.extend(rendezvous(f"bills/{self.context.vm}", candidates)[:1])
+        return sorted(found, key=lambda name: self._failed_recently(name, now))
+
+    def record_failure(self, peer: str) -> None:
+        """:param peer: a peer that did not take a copy."""
+        self.failed_at[peer] = monotonic()
+
+    def _failed_recently(self, peer: str, now: float) -> bool:
+        return now - self.failed_at.get(peer, float("-inf")) <= AVOID_SECONDS
--- a/walnutquay/state/own/bills.py
+++ b/walnutquay/state/own/bills.py
@@ -91,16 +91,31 @@
     :param incarnation: whose they are.
     :param records: by number.
     :param next_batch: the number at which the next batch begins.
+    :param end: the first number from ``next_batch`` on that has no record.
     """
 
     incarnation: Incarnation
     records: dict[int, BillRecord] = field(default_factory=dict)
     next_batch: int = 0
+    end: int = 0
 
     def add(self, record: BillRecord) -> None:
         """:param record: a record; one that is stored already is left out."""
         if record.number >= self.next_batch:
             self.records[record.number] = record
+            self._advance_end()
+
+    def _advance_end(self) -> None:
+        while self.end in self.records:
+            self.end += 1
+
+    def records_from(self, number: int) -> list[BillRecord]:
+        """:param number: a record's number.
+
+        :returns: the unstored records from that number on, up to the first gap.
+        """
+        first = max(number, self.next_batch)
+        return [self.records[n] for n in range(first, self.end)]
 
     def batch(self, limit: int) -> list[BillRecord]:
         """List what the next batch holds.
@@ -108,12 +123,8 @@
         :param limit: records at the most.
         :returns: records without a gap from ``next_batch`` on; empty if none.
         """
-        found: list[BillRecord] = []
-        number = self.next_batch
-        while number in self.records and len(found) < limit:
-            found.append(self.records[number])
-            number += 1
-        return found
+        end = min(self.end, self.next_batch + limit)
+        return [self.records[n] for n in range(self.next_batch, end)]
 
     def stored(self, records: list[BillRecord]) -> None:
         """Note a batch that stands in the platform, whoever wrote it.
@@ -134,3 +145,5 @@
         self.next_batch = number
         for stored in [n for n in self.records if n < number]:
             del self.records[stored]
+        self.end = max(self.end, number)
+        self._advance_end()
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -35,6 +35,7 @@
     BILLED = "billed"
     BILL_COPIED = "bill-copied"
     BILL_STORED = "bill-stored"
+    BILL_UNCOPIED = "bill-uncopied"
     BRAKED = "braked"
     CONFIGURED = "configured"
     CONFIGURATION_REFUSED = "configuration-refused"
