Keep bill copies when the VM that holds them restarts or leaves

Impact on operators: bills were lost if their only copy was at a peer that restarted, left or died before the platform became available again.

Cause: the owner recorded the peer that has its copies by VM name only. A keeper that restarted under the same name received only the newest records. The log it kept then started with a gap; it was neither stored nor dropped, and the platform was asked for the missing batch every 2 s. If a keeper left or died, the copies were not made again until the next bill. A keeper that was stopped as planned while the platform was unavailable dropped the records it kept for dead VMs.

Change: a peer that takes a copy confirms that it also has all earlier records. If it lacks some, it answers BillsMissing with the first missing number, and the owner sends the records from there on. Every second, the owner checks whether the incarnation that has its copies is alive, and copies its unstored records again if it is not. A VM that stops copies its unstored records, and those it keeps for other VMs, to a peer. A dead VM's log with a gap is dropped after the 31st flush that the platform answered; the lost bills are counted (bills_lost) and logged.

--- a/lab/mutants/own.py
+++ b/lab/mutants/own.py
@@ -54,8 +54,8 @@
     Mutation(
         "billed once: a copy before the end mark",
         "coordination/own/billing.py",
-        "await self._send_copies(peer, records)",
-        "pass",
+        "missing = await self.keepers.send(peer, self.log, records, timeout)",
+        "missing = None",
         "tests.processes.test_billed_once.BilledOnceTest.test_a_kill_between_answer_and_flush",
     ),
     Mutation(
@@ -73,6 +73,13 @@
         "for wanted in reversed(Distance):",
         "tests.processes.test_billed_once.BilledOnceTest.test_a_whole_hall_is_lost_before_the_flush",
     ),
+    Mutation(
+        "billed once: a peer that lacks earlier records requests them",
+        "coordination/own/billing.py",
+        "return BillsMissing(kept.end) if kept.has_gap() else BillTaken()",
+        "return BillTaken()",
+        "tests.coordination.own.test_billing.KeeperRestartTest",
+    ),
     Mutation(
         "billed once: peers that failed recently are still asked",
         "coordination/own/billkeepers.py",
@@ -185,8 +192,8 @@
     Mutation(
         "faults in pairs, billed once: a copy before the end mark",
         "coordination/own/billing.py",
-        "await self._send_copies(peer, records)",
-        "pass",
+        "missing = await self.keepers.send(peer, self.log, records, timeout)",
+        "missing = None",
         "tests.processes.test_pairs",
     ),
     Mutation(
--- a/tests/coordination/own/test_billing.py
+++ b/tests/coordination/own/test_billing.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
+from tests.interleavings import Scheduler, explore
 from walnutquay.coordination.own import billing as billing_module
 from walnutquay.coordination.own.billing import Billing
 from walnutquay.coordination.process.context import Context, Timeline
@@ -22,7 +23,7 @@
 from walnutquay.platform.values import Stored
 from walnutquay.protocol.messages import Envelope
 from walnutquay.state.fleet.membership import Address, MemberNews, MemberTable
-from walnutquay.state.own.bills import decode_records
+from walnutquay.state.own.bills import BillRecord, decode_records
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
@@ -164,6 +165,83 @@
         await self.fleet.billing[keeper].flush_for_dead()
 
 
+class KeeperRestartTest(BillingCase):
+    """Guards against lost bills after a restart of the keeper under the same name."""
+
+    async def test_the_next_copy_includes_the_lost_records(self):
+        await self.add("r0", "r1", "r2")
+        self.fleet.start("b")
+        await self.add("r3")
+        await self.kill_owner_and_flush("b")
+        self.assertEqual(
+            self.fleet.platform.bill_counts(), Counter(["r0", "r1", "r2", "r3"])
+        )
+
+    async def test_lost_records_are_copied_again_without_a_new_one(self):
+        await self.add("r0", "r1")
+        keeper = self.fleet.start("b")
+        self.fleet.announce("b")
+        self.owner.check_keeper()
+        await self.until(lambda: keeper.kept)
+        await self.kill_owner_and_flush("b")
+        self.assertEqual(self.fleet.platform.bill_counts(), Counter(["r0", "r1"]))
+
+    async def test_a_copy_after_a_gap_makes_the_owner_send_all(self):
+        await self.add("r0", "r1")
+        keeper = self.fleet.start("b")
+        await self.add("r2")
+        (kept,) = keeper.kept.values()
+        self.assertEqual(sorted(kept.records), [0, 1, 2])
+
+
+class KeeperLeavesTest(BillingCase):
+    """Guards against lost bills when the keeper of the only copies leaves or stops."""
+
+    vm_names = ("a", "b", "c")
+
+    def other_peer(self) -> str:
+        """:returns: the peer that keeps no copies."""
+        return "c" if self.owner.copy_peer == "b" else "b"
+
+    async def test_another_peer_gets_all_records_without_a_new_one(self):
+        await self.add("r0", "r1")
+        other = self.other_peer()
+        self.fleet.announce(self.owner.copy_peer, leaving=True)
+        self.owner.check_keeper()
+        await self.until(lambda: self.fleet.billing[other].kept)
+        await self.kill_owner_and_flush(other)
+        self.assertEqual(self.fleet.platform.bill_counts(), Counter(["r0", "r1"]))
+
+    async def test_a_stopping_keeper_copies_the_records_of_a_dead_vm(self):
+        await self.add("r0", "r1")
+        keeper, other = self.owner.copy_peer, self.other_peer()
+        self.fleet.kill("a")
+        self.assertTrue(await self.fleet.billing[keeper].leave_to_peer())
+        self.fleet.kill(keeper)
+        self.fleet.platform.available = True
+        await self.fleet.billing[other].flush_for_dead()
+        self.assertEqual(self.fleet.platform.bill_counts(), Counter(["r0", "r1"]))
+
+    async def test_a_stopping_keeper_without_peers_reports_failure(self):
+        await self.add("r0")
+        keeper, other = self.owner.copy_peer, self.other_peer()
+        self.fleet.kill("a")
+        self.fleet.kill(other)
+        self.assertFalse(await self.fleet.billing[keeper].leave_to_peer())
+
+    async def test_a_planned_stop_copies_records_behind_a_gap(self):
+        await self.add("r0", "r1")
+        keeper = self.fleet.billing[self.owner.copy_peer]
+        other = self.fleet.billing[self.other_peer()]
+        (kept,) = keeper.kept.values()
+        del kept.records[0]
+        kept.end = 0
+        self.fleet.kill("a")
+        self.assertTrue(await keeper.leave_to_peer())
+        (kept,) = other.kept.values()
+        self.assertEqual(list(kept.records), [1])
+
+
 class UncopiedAnswerTest(BillingCase):
     """Guards against answers whose bill is lost if the VM is killed."""
 
@@ -227,3 +305,57 @@
         await self.add("r2")
         await self.kill_owner_and_flush("b")
         self.assertEqual(self.fleet.platform.bill_counts(), Counter(["r0", "r1", "r2"]))
+
+
+class KeeperRestartOrdersTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against taken copies whose earlier records were lost in a restart."""
+
+    async def run_order(self, scheduler: Scheduler) -> None:
+        """Copy four records while the keeper restarts up to twice."""
+        fleet = FakeFleet()
+        owner = fleet.start("a")
+        fleet.start("b")
+        fleet.announce("b")
+        deliver = fleet.call
+        # The last record copied to each start of the keeper.
+        last_copied: dict[int, int] = {}
+
+        async def call(sender: str, peer: str, body: object) -> object:
+            way = await scheduler.step("a", "copy", "ok", "lost", "no answer")
+            if way == "lost":
+                raise PeerError("lost", peer=peer)
+            answer = await deliver(sender, peer, body)
+            if way == "no answer":
+                raise PeerError("no answer", peer=peer)
+            return answer
+
+        fleet.call = call
+
+        async def copy_records() -> None:
+            for number in range(4):
+                owner.log.add(BillRecord(number, f"r{number}", "org", 1.0, COST_LINES))
+                if await owner._copy(owner.log.records_from(number)):
+                    last_copied[fleet.starts["b"]] = number
+
+        async def restart_keeper() -> None:
+            for _ in range(2):
+                way = await scheduler.step("b", "restart", "no", "yes")
+                if way == "yes":
+                    fleet.start("b")
+
+        tasks = [
+            asyncio.ensure_future(job) for job in (copy_records(), restart_keeper())
+        ]
+        await scheduler.run()
+        await asyncio.gather(*tasks)
+        fleet.kill("a")
+        fleet.platform.available = True
+        await fleet.billing["b"].flush_for_dead()
+        billed = fleet.platform.bill_counts()
+        last = last_copied.get(fleet.starts["b"], -1)
+        self.assertLessEqual({f"r{n}" for n in range(last + 1)}, set(billed))
+        self.assertLessEqual(set(billed.values()), {1})
+
+    async def test_all_orders(self):
+        orders = await explore(self.run_order, faults=4, depth=5)
+        self.assertGreater(orders, 1000)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -67,6 +67,7 @@
     st.builds(own.PartIs, DATA),
     st.builds(own.BillCopy, TEXTS, DATA, NUMBERS),
     st.builds(own.BillTaken),
+    st.builds(own.BillsMissing, NUMBERS),
     st.builds(own.BillStored, TEXTS, NUMBERS),
     st.builds(own.AskRun, TEXTS),
     st.builds(own.RunIs, st.just(RunState.ANSWERED), ANSWERS),
--- a/walnutquay/coordination/own/billbatches.py
+++ b/walnutquay/coordination/own/billbatches.py
@@ -35,10 +35,12 @@
         self.context = context
         self.platform = platform
 
-    async def flush(self, bill_log: BillLog) -> None:
+    async def flush(self, bill_log: BillLog) -> bool:
         """Store all records of a log in batches, stopping at the first failure.
 
         :param bill_log: the log of one incarnation.
+        :returns: False if a request to the platform failed; otherwise True, even if
+            records after a gap are left.
         """
         while bill_log.records:
             batch = bill_log.batch(BATCH_RECORDS)
@@ -51,10 +53,11 @@
                     batch = await self._stored_batch(name)
             except PlatformError as error:
                 log.debug("bills cannot be stored now: {}", error)
-                return
+                return False
             if not batch:
-                return
+                return True
             bill_log.stored(batch)
+        return True
 
     async def _store_batch(
         self, name: str, batch: list[BillRecord]
--- a/walnutquay/coordination/own/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import contextlib
+import math
 import time
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import logbook
 
-from walnutquay.coordination.own.billbatches import BATCH_RECORDS, BillBatches
+from walnutquay.coordination.own.billbatches import BillBatches
 from walnutquay.coordination.own.billkeepers import BillKeepers
 from walnutquay.coordination.own.members import Members
 from walnutquay.coordination.own.platform import Platform
@@ -21,14 +23,14 @@
 from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Envelope
-from walnutquay.protocol.ownmessages import BillCopy, BillStored, BillTaken
-from walnutquay.state.fleet.membership import SILENT_SECONDS
-from walnutquay.state.own.bills import (
-    BillLog,
-    BillRecord,
-    decode_records,
-    encode_records,
+from walnutquay.protocol.ownmessages import (
+    BillCopy,
+    BillsMissing,
+    BillStored,
+    BillTaken,
 )
+from walnutquay.state.fleet.membership import SILENT_SECONDS
+from walnutquay.state.own.bills import BillLog, BillRecord, decode_records
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import (
     Incarnation,
@@ -44,6 +46,8 @@
 COPY_SECONDS = 0.3
 # Each failed round of copying doubles the timeout, at most this many times.
 MAX_COPY_DOUBLINGS = 2
+# Attempts to copy to one peer: if it lacks earlier records, they are sent again.
+COPY_TRIES = 2
 # Pause before a failed round is retried; doubles with each failure up to the maximum.
 COPY_PAUSE_SECONDS = 0.1
 MAX_COPY_PAUSE_SECONDS = 1.0
@@ -56,6 +60,9 @@
 # A VM that has been silent for this long is flushed for by its peer.
 DEAD_SECONDS = 8.0
 ADOPT_SECONDS = 2.0
+# A dead VM's log that starts with a gap is dropped after this many flushes, which leave
+# other VMs time to store the missing records if they have copies.
+MAX_GAP_FLUSHES = 30
 
 
 @dataclass(slots=True)
@@ -95,6 +102,8 @@
         self.kept: dict[Incarnation, BillLog] = {}
         # Which VM each kept incarnation is, or was.
         self.vm_of: dict[Incarnation, str] = {}
+        # Number of flushes of each dead VM's log that stopped at a gap.
+        self.gap_flushes: Counter[Incarnation] = Counter()
         self.waiting: list[_Waiter] = []
         self.copy_wanted = asyncio.Event()
         # Number of consecutive failed rounds of copying.
@@ -106,6 +115,8 @@
         # The peer that has copies of all unstored records below ``copied_below``.
         self.copy_peer = ""
         self.copied_below = 0
+        # The peer's incarnation when it took the copies; None if unknown.
+        self.copy_incarnation: Incarnation | None = None
         dispatcher.on(BillCopy, self.on_copy)
         dispatcher.on(BillStored, self.on_stored)
 
@@ -113,6 +124,7 @@
         """Begin to copy, to flush, and to flush for dead peers."""
         self.tasks.forever("bill-copy", self._copy_forever)
         self.context.timers.every("bill-flush", FLUSH_SECONDS, self.flush_when_due)
+        self.context.timers.every("bill-keeper", FLUSH_SECONDS, self.check_keeper)
         self.context.timers.every("bill-adopt", ADOPT_SECONDS, self.flush_for_dead)
 
     def stop(self) -> None:
@@ -226,30 +238,66 @@
         :returns: whether the peer has all of them.
         """
         first = self.copied_below if peer == self.copy_peer else self.log.next_batch
-        records = self.log.records_from(first)
-        try:
-            await self._send_copies(peer, records)
-        except PeerError as error:
-            log.debug("bills cannot be copied: {}", error)
-            return False
-        self.copy_peer = peer
-        self.copied_below = records[-1].number + 1 if records else first
-        return True
+        timeout = COPY_SECONDS * 2 ** min(self.copy_failures, MAX_COPY_DOUBLINGS)
+        for _ in range(COPY_TRIES):
+            records = self.log.records_from(first)
+            try:
+                missing = await self.keepers.send(peer, self.log, records, timeout)
+            except PeerError as error:
+                log.debug("bills cannot be copied: {}", error)
+                return False
+            if missing is None:
+                self.copy_peer = peer
+                self.copy_incarnation = self.keepers.incarnation_of(peer)
+                self.copied_below = records[-1].number + 1 if records else first
+                return True
+            log.warn("peer {} lacks bill records from number {} on", peer, missing)
+            self.context.metrics.count("bill_copies_lost")
+            first = missing
+        return False
+
+    def check_keeper(self) -> None:
+        """Copy unstored records again if their keeper is gone or has restarted."""
+        if not self.log.records:
+            return
+        if not self.keepers.is_alive(self.copy_peer, self.copy_incarnation):
+            self._reset_copy_peer()
+            self.copy_wanted.set()
+
+    async def leave_to_peer(self) -> bool:
+        """Copy unstored records to a peer before this VM stops.
+
+        This includes the records kept for other VMs, since these may be the only
+        copies.
+
+        :returns: whether all records are safe: stored, copied to a peer, or owned by
+            a VM that is alive.
+        """
+        safe = await self._copy(self.log.records_from(self.log.next_batch))
+        for incarnation, kept in list(self.kept.items()):
+            copied = not kept.records or await self._copy_kept(kept)
+            # A VM that is alive copies or stores its records itself.
+            alive = self._seconds_silent(incarnation) <= SILENT_SECONDS
+            safe = safe and (copied or alive)
+        return safe
 
-    async def _send_copies(self, peer: str, records: list[BillRecord]) -> None:
-        """Send records to a peer, at most ``BATCH_RECORDS`` in a message.
+    async def _copy_kept(self, kept: BillLog) -> bool:
+        """Copy the records kept for another VM to a peer.
 
-        :param peer: the peer's name.
-        :param records: records in order.
-        :raises PeerError: if the peer does not answer.
+        :param kept: the log of that VM.
+        :returns: whether a peer took the copies.
         """
-        timeout = COPY_SECONDS * 2 ** min(self.copy_failures, MAX_COPY_DOUBLINGS)
-        for start in range(0, len(records), BATCH_RECORDS):
-            chunk = records[start : start + BATCH_RECORDS]
-            message = BillCopy(
-                self.context.incarnation, encode_records(chunk), self.log.next_batch
-            )
-            await self.members.call(peer, message, timeout)
+        for peer in self.keepers.choose():
+            records = [kept.records[number] for number in sorted(kept.records)]
+            try:
+                missing = await self.keepers.send(peer, kept, records, COPY_SECONDS)
+            except PeerError as error:
+                log.debug("kept bills cannot be copied: {}", error)
+                continue
+            # The peer lacks what this VM lacks, but keeps the rest.
+            if missing is None or kept.has_gap():
+                return True
+        return False
 
     # Storing records.
 
@@ -273,8 +321,11 @@
 
     # Keeping copies for others.
 
-    def on_copy(self, envelope: Envelope) -> BillTaken:
-        """Keep copies of a peer's records.
+    def on_copy(self, envelope: Envelope) -> BillTaken | BillsMissing:
+        """Keep copies of a peer's records, and request any missing earlier records.
+
+        Records after a gap cannot be stored, because each batch begins where the
+        previous one ends.
 
         :param envelope: the message that came.
         """
@@ -283,11 +334,12 @@
         kept = self.kept.get(incarnation)
         if kept is None:
             kept = self.kept[incarnation] = BillLog(incarnation)
-        self.vm_of[incarnation] = envelope.vm
+        if envelope.incarnation == incarnation or incarnation not in self.vm_of:
+            self.vm_of[incarnation] = envelope.vm
         kept.skip_to(envelope.body.next_batch)
         for record in decode_records(envelope.body.records):
             kept.add(record)
-        return BillTaken()
+        return BillsMissing(kept.end) if kept.has_gap() else BillTaken()
 
     def on_stored(self, envelope: Envelope) -> None:
         """Drop copies of what is stored.
@@ -299,14 +351,19 @@
         if kept is not None:
             kept.skip_to(envelope.body.next_batch)
 
-    def _is_dead(self, incarnation: Incarnation) -> bool:
+    def _seconds_silent(self, incarnation: Incarnation) -> float:
+        """:param incarnation: one that records are kept for.
+
+        :returns: seconds since it was last heard; 0 while it counts as alive, infinity
+            if it is unknown or has been replaced.
+        """
         member = self.members.table.members.get(self.vm_of[incarnation])
         if member is None or member.news.incarnation > incarnation:
-            return True
+            return math.inf
         now = monotonic()
         if self.members.table.state_of(member, now) is MemberState.ALIVE:
-            return False
-        return now - member.heard_at > DEAD_SECONDS
+            return 0.0
+        return now - member.heard_at
 
     async def flush_for_dead(self) -> None:
         """Store what is kept for VMs that are gone.
@@ -315,9 +372,23 @@
         goes on behind them.
         """
         for incarnation, kept in list(self.kept.items()):
-            if not self._is_dead(incarnation):
+            if self._seconds_silent(incarnation) <= DEAD_SECONDS:
                 continue
-            await self.batches.flush(kept)
-            if not kept.records:
-                del self.kept[incarnation]
-                del self.vm_of[incarnation]
+            platform_answered = await self.batches.flush(kept)
+            if kept.records and platform_answered:
+                self.gap_flushes[incarnation] += 1
+            if not kept.records or self.gap_flushes[incarnation] > MAX_GAP_FLUSHES:
+                self._drop_kept(incarnation)
+
+    def _drop_kept(self, incarnation: Incarnation) -> None:
+        """Drop a kept log; records left in it cannot be stored and count as lost."""
+        lost = self.kept.pop(incarnation).records
+        del self.vm_of[incarnation]
+        del self.gap_flushes[incarnation]
+        if lost:
+            self.context.metrics.count("bills_lost", len(lost))
+            log.error(
+                "dropped {} bills of {}: earlier ones are missing",
+                len(lost),
+                incarnation,
+            )
--- a/walnutquay/coordination/own/billkeepers.py
+++ b/walnutquay/coordination/own/billkeepers.py
@@ -4,9 +4,13 @@
 
 from __future__ import annotations
 
+from walnutquay.coordination.own.billbatches import BATCH_RECORDS
 from walnutquay.coordination.own.members import Members
 from walnutquay.coordination.process.context import Context
+from walnutquay.protocol.ownmessages import BillCopy, BillsMissing
 from walnutquay.state.fleet.membership import Distance, distance, rendezvous
+from walnutquay.state.own.bills import BillLog, BillRecord, encode_records
+from walnutquay.state.process.ids import Incarnation
 from walnutquay.transport.timers import monotonic
 
 # For this long after a failed copy, a peer is asked after the others.
@@ -55,3 +59,46 @@
 
     def _failed_recently(self, peer: str, now: float) -> bool:
         return now - self.failed_at.get(peer, float("-inf")) <= AVOID_SECONDS
+
+    async def send(
+        self, peer: str, bill_log: BillLog, records: list[BillRecord], timeout: float
+    ) -> int | None:
+        """Send records to a peer, at most ``BATCH_RECORDS`` in a message.
+
+        :param peer: the peer's name.
+        :param bill_log: the log that contains the records.
+        :param records: records in order.
+        :param timeout: seconds to wait for the answer to each message.
+        :returns: the number of the first record that the peer lacks; None if it lacks
+            none.
+        :raises PeerError: if the peer does not answer.
+        """
+        for start in range(0, len(records), BATCH_RECORDS):
+            chunk = records[start : start + BATCH_RECORDS]
+            message = BillCopy(
+                bill_log.incarnation, encode_records(chunk), bill_log.next_batch
+            )
+            answer = await self.members.call(peer, message, timeout)
+            if isinstance(answer, BillsMissing):
+                return answer.first
+        return None
+
+    def incarnation_of(self, peer: str) -> Incarnation | None:
+        """:param peer: a peer's name.
+
+        :returns: its last known incarnation; None if the peer is unknown.
+        """
+        member = self.members.table.members.get(peer)
+        return member.news.incarnation if member is not None else None
+
+    def is_alive(self, peer: str, incarnation: Incarnation | None) -> bool:
+        """:param peer: a peer's name.
+
+        :param incarnation: the expected incarnation.
+        :returns: whether the peer is alive with that incarnation and not leaving.
+        """
+        alive = self.members.table.alive(monotonic())
+        return any(
+            member.news.vm == peer and member.news.incarnation == incarnation
+            for member in alive
+        )
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -230,16 +230,15 @@
         return not self.in_flight()
 
     async def flush_bills(self) -> bool:
-        """Store all bills, or leave them to the peer that has copies.
+        """Store all bills, including those of dead VMs, or copy them to a peer.
 
-        :returns: whether nothing is left to store.
+        :returns: whether this VM's bills are stored and those kept for others are safe.
         """
         for _ in range(FLUSH_TRIES):
             await self.billing.flush()
-            if not self.billing.log.records:
-                return True
-            if self.billing.copy_peer:
-                return False
+            await self.billing.flush_for_dead()
+            if await self.billing.leave_to_peer():
+                return not self.billing.log.records
             await asyncio.sleep(FLUSH_PAUSE)
         return False
 
--- a/walnutquay/protocol/ownmessages.py
+++ b/walnutquay/protocol/ownmessages.py
@@ -68,7 +68,19 @@
 
 @dataclass(frozen=True, slots=True)
 class BillTaken(Message):
-    """Answers that the copies are kept."""
+    """Answers that the copies and all records before them are kept or stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class BillsMissing(Message):
+    """Answers that records before the copies are missing, so the copy has failed.
+
+    The sender is expected to copy all records from ``first`` on.
+
+    :param first: the number of the first missing record.
+    """
+
+    first: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/protocol/ownpeer.py
+++ b/walnutquay/protocol/ownpeer.py
@@ -82,6 +82,11 @@
     return {"billTaken": None}
 
 
+@body_fields.register
+def _(body: own.BillsMissing) -> dict[str, Any]:
+    return {"billsMissing": body.first}
+
+
 @body_fields.register
 def _(body: own.BillStored) -> dict[str, Any]:
     fields = {"incarnation": body.incarnation, "nextBatch": body.next_batch}
@@ -198,6 +203,7 @@
     "part": lambda r: own.PartIs(bytes(r)),
     "billCopy": lambda r: own.BillCopy(r.incarnation, bytes(r.records), r.nextBatch),
     "billTaken": lambda r: own.BillTaken(),
+    "billsMissing": lambda r: own.BillsMissing(int(r)),
     "billStored": lambda r: own.BillStored(r.incarnation, r.nextBatch),
     "askRun": lambda r: own.AskRun(str(r)),
     "run": _run,
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -44,6 +44,7 @@
     crashes @37 :List(CrashTrace);
     crashDigest @38 :UInt64;
     askCrashes @39 :Void;
+    billsMissing @40 :UInt64;
   }
 }
 
--- a/walnutquay/state/own/bills.py
+++ b/walnutquay/state/own/bills.py
@@ -109,6 +109,10 @@
         while self.end in self.records:
             self.end += 1
 
+    def has_gap(self) -> bool:
+        """:returns: whether a record before the last one is missing."""
+        return self.end - self.next_batch < len(self.records)
+
     def records_from(self, number: int) -> list[BillRecord]:
         """:param number: a record's number.
 
