Close the callback coroutine when its timer task ends

Symptom: a RuntimeWarning (coroutine was never awaited) was seen once in a run of test_relaying and test_knowledge.

Cause: TimerService._fire creates the callback's coroutine and a task that awaits it. If the subscription is cancelled in the same event loop iteration, the task is cancelled before it starts, and the coroutine is discarded without being awaited.

Evidence: tests.transport.test_timers.CancelTest fails with this warning without the fix in two runs of two (1 of its 2 tests). That the one sighting had this cause is supposed.

Fix: close the coroutine when the task ends. Closing a finished coroutine has no effect. Both tests pass. As before, the only calls dropped are those of subscriptions that have ended.

--- a/walnutquay/transport/timers.py
+++ b/walnutquay/transport/timers.py
@@ -128,7 +128,11 @@
         subscription.calls += 1
         result = subscription.callback()
         if result is not None:
-            subscription.task = asyncio.ensure_future(self._guard(subscription, result))
+            task = asyncio.ensure_future(self._guard(subscription, result))
+            subscription.task = task
+            if asyncio.iscoroutine(result):
+                # Avoids a "never awaited" warning if cancelled before it starts.
+                task.add_done_callback(lambda _: result.close())
 
     async def _guard(self, subscription: Subscription, result: Awaitable) -> None:
         """Keep one failing call from ending the subscription."""
