Apply the configured limits to callers' connections

Impact on callers and operators: of the limits in the configuration, only maxBodyBytes was applied. A caller who connected and sent nothing, or never completed a request head, held a connection and its file descriptor indefinitely. Setting idleTimeoutMs or maxHeaderBytes above the fixed 15 s and 16 KiB had no effect: connections were closed earlier than callers expect, and permitted heads were answered with 400.

Cause: headerTimeoutMs, idleTimeoutMs and maxHeaderBytes were read from the configuration but never used. aiohttp limits the wait for a connection's next request only after the first request, and sets no time limit on a head that has been started.

Change: new connections use the current size limits and idle time. Twice a second, the gateway closes connections that have sent nothing for the idle time, and connections that have started a head but not completed it within headerTimeoutMs; a head that starts while another request is unanswered has the idle time. Bodies and answers in progress are not affected, and time during which the VM was suspended does not count. The readiness and metrics ports close such connections too, with fixed limits. StreamReply moves to a module of its own.

--- a/lab/mutants/callers.py
+++ b/lab/mutants/callers.py
@@ -38,7 +38,7 @@
     ),
     Mutation(
         "streams before HTTP/1.1: the connection ends with them",
-        "daemon/gatewayapi.py",
+        "daemon/streamreply.py",
         "if self.server.draining or not self.framed:",
         "if self.server.draining:",
         "tests.daemon.test_gatewayapi.StreamConnectionTest."
@@ -46,7 +46,7 @@
     ),
     Mutation(
         "streams before HTTP/1.1: whatever cuts them resets the connection",
-        "daemon/gatewayapi.py",
+        "daemon/streamreply.py",
         "        self._on_close(reset_on_close)\n",
         "",
         "tests.daemon.test_gatewayapi.StreamConnectionTest."
--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -310,7 +310,7 @@
     ),
     Mutation(
         "a caller who has left is not taken for the endpoint's failure",
-        "daemon/gatewayapi.py",
+        "daemon/streamreply.py",
         'raise CallerGoneError(str(error), step="answer") from error',
         "raise",
         "tests.coordination.routed.test_silence.ClosingConnectionTest",
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -290,6 +290,8 @@
         self.context.timers.on_wake(self.path.limits.woke)
         self.path.parts.crashes.start()
         self.crash_record.start(self._reads_store)
+        self.api.start()
+        self.metrics_api.start()
         await self.api.ready_server.start(self.listener(options.ready.address))
         await self.metrics_api.server.start(self.listener(options.metrics.address))
         await self.api.server.start(self.listener(options.callers.address))
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -5,13 +5,10 @@
 from __future__ import annotations
 
 import asyncio
-from asyncio.trsock import TransportSocket
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 
 import logbook
 import orjson
-from aiohttp import HttpVersion10, HttpVersion11
+from aiohttp import HttpVersion10
 from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
@@ -29,10 +26,11 @@
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.turn import RoutedArrival
 from walnutquay.coordination.store.knowledge import Knowledge
+from walnutquay.daemon.streamreply import StreamReply
 from walnutquay.exceptions import CallerGoneError, MessageError
 from walnutquay.platform import names
 from walnutquay.platform.calls import decode_call
-from walnutquay.protocol.calls import AnswerHead, CallHead
+from walnutquay.protocol.calls import CallHead
 from walnutquay.state.own.claims import WholeAnswer
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import RequestId
@@ -41,7 +39,6 @@
 from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route, RouteKind
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
-from walnutquay.transport.sockets import close_plainly, reset_on_close
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -52,6 +49,8 @@
 # Right after its start a VM knows the configuration within some 20 ms; callers who
 # were connected before are not sent away for that.
 STARTING_SECONDS = 0.3
+# How often the limits of connections are enforced.
+LIMITS_CHECK_SECONDS = 0.5
 # The port for readiness gets short requests only.
 READY_HEADER_BYTES = 8 << 10
 
@@ -67,82 +66,6 @@
         self.refusal = refusal
 
 
-class StreamReply:
-    """The way back to the caller of a stream.
-
-    :param request: the caller's request.
-    :param server: whose connections end with their next answer at a stop.
-    """
-
-    def __init__(self, request: BaseRequest, server: GatewayServer) -> None:
-        self.request = request
-        self.server = server
-        self.response: StreamResponse | None = None
-        # Before HTTP/1.1 a stream ends with its connection.
-        self.framed = request.version >= HttpVersion11
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Send the status and the headers.
-
-        :param head: the first endpoint's.
-        """
-        headers = CIMultiDict(head.headers)
-        if head.content_type:
-            headers["Content-Type"] = head.content_type
-        self.response = StreamResponse(status=head.status, headers=headers)
-        if self.server.draining or not self.framed:
-            self.response.force_close()
-        # However it ends from now on, a plain close would make it seem whole.
-        self._on_close(reset_on_close)
-        with _writing():
-            await self.response.prepare(self.request)
-
-    async def write(self, data: bytes) -> None:
-        """Send whole events.
-
-        :param data: the events.
-        """
-        assert self.response is not None
-        with _writing():
-            await self.response.write(data)
-
-    async def end(self, whole: bool) -> StreamResponse:
-        """End the answer; one that is not whole ends with its connection.
-
-        :param whole: whether all of it was passed on.
-        """
-        assert self.response is not None
-        if whole:
-            with _writing():
-                await self.response.write_eof()
-            self._on_close(close_plainly)
-        elif self.request.transport is not None:
-            self.request.transport.abort()
-        return self.response
-
-    def _on_close(self, decide: Callable[[TransportSocket | None], None]) -> None:
-        """Decide how the connection ends where that is the end of the stream."""
-        transport = self.request.transport
-        if self.framed or transport is None or transport.is_closing():
-            return
-        decide(transport.get_extra_info("socket"))
-
-
-@contextmanager
-def _writing() -> Iterator[None]:
-    """Tell a caller's closed connection from an endpoint's.
-
-    Both break with the same kind of error, and this one would count against the
-    endpoint, and have the request sent to another one for nobody.
-
-    :raises CallerGoneError: if the caller's connection is closing.
-    """
-    try:
-        yield
-    except ConnectionError as error:
-        raise CallerGoneError(str(error), step="answer") from error
-
-
 class GatewayApi:
     """Serves the platform's callers and its readiness checks.
 
@@ -164,6 +87,26 @@
             self.handle_ready, GatewayLimits(READY_HEADER_BYTES)
         )
 
+    def start(self) -> None:
+        """Start enforcing the configured connection limits periodically."""
+        timers = self.context.timers
+        timers.every("caller-limits", LIMITS_CHECK_SECONDS, self.enforce_limits)
+        for server in (self.server, self.ready_server):
+            timers.on_wake(server.web.head_deadlines.postpone)
+
+    def enforce_limits(self) -> None:
+        """Apply the configured limits and close overdue connections."""
+        # Deadlines are postponed first if the VM was suspended.
+        self.context.timers.look()
+        catalogue = self.knowledge.catalogue.current
+        if catalogue is not None:
+            limits = catalogue.limits
+            self.server.web.limits = GatewayLimits(
+                limits.header_bytes, limits.idle_seconds, limits.header_seconds
+            )
+        self.server.close_overdue()
+        self.ready_server.close_overdue()
+
     # Readiness.
 
     async def handle_ready(self, request: BaseRequest) -> StreamResponse:
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -25,6 +25,8 @@
 PREFIX = "walnutquay"
 # An age that is not known is told as this; a number, for alarms to compare.
 UNKNOWN_AGE = -1.0
+# How often connections are checked for overdue request heads.
+HEAD_CHECK_SECONDS = 1.0
 HEADER_BYTES = 8 << 10
 PATH = "/metrics"
 
@@ -56,6 +58,11 @@
         self.writer: LineWriter | None = None
         self.server = GatewayServer(self.handle, GatewayLimits(HEADER_BYTES))
 
+    def start(self) -> None:
+        """Start closing connections whose request head is overdue."""
+        close = self.server.close_overdue
+        self.context.timers.every("metrics-heads", HEAD_CHECK_SECONDS, close)
+
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer with all figures.
 
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -22,6 +22,7 @@
 
 from walnutquay.transport.heads import last_bytes, split_after_heads
 from walnutquay.transport.listeners import BACKLOG
+from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
 
@@ -41,10 +42,12 @@
 
     :param header: bytes of the request line, and of each header.
     :param idle_seconds: seconds for which an idle connection is kept.
+    :param header_seconds: seconds within which a request's head must be complete.
     """
 
     header: int = 16 << 10
     idle_seconds: float = 15.0
+    header_seconds: float = 3.0
 
 
 class CallerConnection(RequestHandler):
@@ -66,16 +69,82 @@
 
         :param data: what has come.
         """
+        if not self.has_unanswered_request():
+            self._manager.head_data_received(self)
         for part in split_after_heads(self.read_before, data):
             super().data_received(part)
         self.read_before = last_bytes(self.read_before, data)
 
+    def has_unanswered_request(self) -> bool:
+        """:returns: whether a request has been parsed and not yet answered."""
+        return bool(self._messages) or self._current_request is not None
+
+
+class HeadDeadlines:
+    """Deadlines by which connections must send a request's head.
+
+    Prevents callers who send nothing, or never complete a head, from holding a
+    connection indefinitely.
+    """
+
+    def __init__(self) -> None:
+        # Deadlines, in monotonic seconds, for the first byte of a new connection and
+        # for the end of a head that has been started.
+        self.first_byte: dict[CallerConnection, float] = {}
+        self.head_end: dict[CallerConnection, float] = {}
+
+    def expect_first_byte(self, connection: CallerConnection, seconds: float) -> None:
+        """Set the deadline for the first byte.
+
+        :param connection: a connection that has just been opened.
+        :param seconds: how long it may send nothing.
+        """
+        self.first_byte[connection] = monotonic() + seconds
+
+    def expect_head_end(self, connection: CallerConnection, seconds: float) -> None:
+        """Set the deadline for the end of the head, unless one is already set.
+
+        :param connection: a connection that has sent part of a head.
+        :param seconds: how long the head may take.
+        """
+        self.first_byte.pop(connection, None)
+        self.head_end.setdefault(connection, monotonic() + seconds)
+
+    def clear(self, connection: CallerConnection) -> None:
+        """Remove the deadlines of a connection.
+
+        :param connection: a connection whose head is complete, or that is closed.
+        """
+        self.first_byte.pop(connection, None)
+        self.head_end.pop(connection, None)
+
+    def postpone(self, seconds: float) -> None:
+        """Extend all deadlines by a time in which no data could be read.
+
+        :param seconds: how long the VM was suspended.
+        """
+        for deadlines in (self.first_byte, self.head_end):
+            for connection in deadlines:
+                deadlines[connection] += seconds
+
+    def overdue(self) -> list[CallerConnection]:
+        """:returns: the connections whose deadline has passed."""
+        now = monotonic()
+        deadlines = (*self.first_byte.items(), *self.head_end.items())
+        return [connection for connection, deadline in deadlines if deadline <= now]
+
 
 class CallerConnections(Server):
-    """Makes the connections of callers, and knows which of them are owed bytes."""
+    """Creates callers' connections, and tracks their deadlines and unsent bytes.
 
-    def __init__(self, *args: Any, **options: Any) -> None:
+    :param limits: sizes and idle time of new connections, head timeout of new heads;
+        may be replaced at any time.
+    """
+
+    def __init__(self, limits: GatewayLimits, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
+        self.limits = limits
+        self.head_deadlines = HeadDeadlines()
         # aiohttp's connections let go of theirs when they are closed, with what is
         # not sent yet.
         self.transports: dict[RequestHandler, asyncio.Transport] = {}
@@ -91,6 +160,7 @@
         """
         super().connection_made(handler, transport)
         self.transports[handler] = transport
+        self.head_deadlines.expect_first_byte(handler, self.limits.idle_seconds)
         if self.closed:
             handler.force_close()
 
@@ -103,6 +173,14 @@
         """
         super().connection_lost(handler, exc)
         self.transports.pop(handler, None)
+        self.head_deadlines.clear(handler)
+
+    def head_data_received(self, handler: RequestHandler) -> None:
+        """Start the timeout for a head, unless it is already running.
+
+        :param handler: a connection that has received part of a head.
+        """
+        self.head_deadlines.expect_head_end(handler, self.limits.header_seconds)
 
     def owe_bytes(self) -> bool:
         """:returns: whether an answer has not been handed to the system yet."""
@@ -110,7 +188,14 @@
 
     def __call__(self) -> CallerConnection:
         """:returns: one for a caller who has just connected."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self,
+            loop=self._loop,
+            keepalive_timeout=self.limits.idle_seconds,
+            max_line_size=self.limits.header,
+            max_field_size=self.limits.header,
+            **self._kwargs,
+        )
 
 
 class GatewayServer:
@@ -124,7 +209,6 @@
 
     def __init__(self, handler: Handler, limits: GatewayLimits) -> None:
         self.handler = handler
-        self.limits = limits
         # Whether each connection ends with its next answer.
         self.draining = False
         # Requests that have been read and not answered.
@@ -134,14 +218,12 @@
         self.server: asyncio.Server | None = None
         self.port = 0
         self.web = CallerConnections(
+            limits,
             self._handle,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=limits.idle_seconds,
             lingering_time=LINGER_SECONDS,
-            max_line_size=limits.header,
-            max_field_size=limits.header,
         )
 
     async def start(self, listener: socket.socket) -> None:
@@ -174,6 +256,14 @@
                 connection.close()
                 connection.force_close()
 
+    def close_overdue(self) -> None:
+        """Close the connections whose request head is overdue."""
+        for connection in self.web.head_deadlines.overdue():
+            self.web.head_deadlines.clear(connection)
+            if not connection.has_unanswered_request():
+                connection.close()
+                connection.force_close()
+
     async def stop(self) -> None:
         """Close everything."""
         self.close_listener()
@@ -201,6 +291,7 @@
             raise asyncio.CancelledError
         self.in_flight += 1
         self.busy.add(request.protocol)
+        self.web.head_deadlines.clear(request.protocol)
         try:
             return await self.handler(request)
         finally:
