Fix KeyError when flushes for the same dead VM run concurrently

Impact: a VM that stops as planned flushes for dead VMs, and so does its timer every 2 s. If both ran at once for the same dead VM, the second raised a KeyError after the first had dropped the log. The planned stop would have ended there, without handing over the VM's own bills.

Change: a flush that finds the log dropped or replaced by then leaves it alone. The fake platform in the tests now yields on each read and write, so that concurrent flushes interleave.

--- a/tests/coordination/own/test_billing.py
+++ b/tests/coordination/own/test_billing.py
@@ -42,12 +42,15 @@
 
     async def read(self, name: str) -> Stored:
         """Read an object; version 0 if there is none."""
+        # Lets concurrent flushes interleave, as a real request does.
+        await asyncio.sleep(0)
         if not self.available:
             raise PlatformUnavailableError("unavailable")
         return Stored(*self.objects.get(name, (0, b"")))
 
     async def write(self, name: str, value: bytes, expected: int) -> int:
         """Write an object that does not exist yet."""
+        await asyncio.sleep(0)
         if not self.available:
             raise PlatformUnavailableError("unavailable")
         if name in self.objects:
@@ -229,6 +232,16 @@
         self.fleet.kill(other)
         self.assertFalse(await self.fleet.billing[keeper].leave_to_peer())
 
+    async def test_concurrent_flushes_for_a_dead_vm_store_its_records_once(self):
+        # Guards against a KeyError when another flush has already dropped the log.
+        await self.add("r0", "r1")
+        keeper = self.fleet.billing[self.owner.copy_peer]
+        self.fleet.kill("a")
+        self.fleet.platform.available = True
+        await asyncio.gather(*(keeper.flush_for_dead() for _ in range(3)))
+        self.assertEqual(self.fleet.platform.bill_counts(), Counter(["r0", "r1"]))
+        self.assertEqual(keeper.kept, {})
+
     async def test_a_planned_stop_copies_records_behind_a_gap(self):
         await self.add("r0", "r1")
         keeper = self.fleet.billing[self.owner.copy_peer]
--- a/walnutquay/coordination/own/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -357,7 +357,8 @@
         :returns: seconds since it was last heard; 0 while it counts as alive, infinity
             if it is unknown or has been replaced.
         """
-        member = self.members.table.members.get(self.vm_of[incarnation])
+        vm = self.vm_of.get(incarnation, "")
+        member = self.members.table.members.get(vm)
         if member is None or member.news.incarnation > incarnation:
             return math.inf
         now = monotonic()
@@ -375,6 +376,9 @@
             if self._seconds_silent(incarnation) <= DEAD_SECONDS:
                 continue
             platform_answered = await self.batches.flush(kept)
+            if self.kept.get(incarnation) is not kept:
+                # A concurrent flush has dropped the log already.
+                continue
             if kept.records and platform_answered:
                 self.gap_flushes[incarnation] += 1
             if not kept.records or self.gap_flushes[incarnation] > MAX_GAP_FLUSHES:
@@ -382,13 +386,11 @@
 
     def _drop_kept(self, incarnation: Incarnation) -> None:
         """Drop a kept log; records left in it cannot be stored and count as lost."""
-        lost = self.kept.pop(incarnation).records
+        lost = len(self.kept.pop(incarnation).records)
         del self.vm_of[incarnation]
         del self.gap_flushes[incarnation]
         if lost:
-            self.context.metrics.count("bills_lost", len(lost))
+            self.context.metrics.count("bills_lost", lost)
             log.error(
-                "dropped {} bills of {}: earlier ones are missing",
-                len(lost),
-                incarnation,
+                "dropped {} bills of {}: earlier ones are missing", lost, incarnation
             )
