Report every VM's state when a fleet wait times out

The error reported the state of one VM only, so it does not show whether vm-b1 did not send, the link did not forward, or vm-a2 rejected what it received.

Change: the error raised when a wait fails now includes, for each VM, the members it knows and its counts of datagrams and bytes in and out, refused and stale.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,6 +29,8 @@
 STOP_SECONDS = 15.0
 # A wait that lasts so long will never end; it bounds hangs and measures nothing.
 HANG_SECONDS = 60.0
+# Timeout for querying each VM's status and metrics after a failed wait.
+DESCRIBE_SECONDS = 5.0
 # Between two tries of what was refused for now.
 RETRY_SECONDS = 0.2
 
@@ -351,10 +353,27 @@
                     _, status = await self.administer(vm, "GET", "/v1/status")
         except TimeoutError as error:
             members, revision = status.get("members"), status.get("revision")
+            details = "\n".join([await self._describe(vm) for vm in self.vms.values()])
             raise RuntimeError(
-                f"{vm.name} has revision {revision} and members {members}"
+                f"{vm.name} has revision {revision} and members {members}\n{details}"
             ) from error
 
+    async def _describe(self, vm: Vm) -> str:
+        """Describe the members a VM knows and its peer traffic counters."""
+        if vm.process is None or not vm.process.running:
+            return f"{vm.name} is not running"
+        try:
+            async with asyncio.timeout(DESCRIBE_SECONDS):
+                _, status = await self.administer(vm, "GET", "/v1/status")
+                _, metrics = await self.administer(vm, "GET", "/v1/metrics")
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return f"{vm.name} did not respond: {error!r}"
+        counters = metrics["counters"]
+        traffic = {
+            name: count for name, count in counters.items() if name.startswith("peer_")
+        }
+        return f"{vm.name}: members {status['members']}, {traffic}"
+
 
 def _hears(status: dict[str, Any], names: set[str]) -> bool:
     """Tell whether a VM hears others and has them on its list."""
