--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -17,6 +17,7 @@
 from walnutquay.coordination.routed.cascading import Cascading
 from walnutquay.coordination.routed.cold import ColdLimiter
 from walnutquay.coordination.routed.promptupdates import PromptUpdates
+from walnutquay.coordination.routed.ratelimits import RateLimits
 from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
 from walnutquay.coordination.store.sinks import InstanceSink
 from walnutquay.coordination.trials.versions import VersionTrials
@@ -204,6 +205,7 @@
             lambda name: MEMORY_TOKENS,
             lambda: self.peers.size,
             cold,
+            RateLimits(self.context, self.sink.registry),
             {},
         )
 
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.requests.slots import Grant, SlotRequest
 from walnutquay.coordination.routed.cold import ColdLimiter
 from walnutquay.coordination.routed.promptengines import EngineState, PromptEngines
+from walnutquay.coordination.routed.ratelimits import RateLimits
 from walnutquay.coordination.routed.reachability import Reachability
 from walnutquay.protocol.messages import WorkNews
 from walnutquay.state.process.ids import (
@@ -75,6 +76,7 @@
         caches; 0 if unknown.
     :param vm_count: returns the number of entry VMs.
     :param cold: limits the requests that cold endpoints receive.
+    :param rate_limits: the rate limits that endpoints name.
     :param region_of: the region of each data hall.
     """
 
@@ -87,6 +89,7 @@
         cached_tokens_of: Callable[[ServiceName], int],
         vm_count: Callable[[], int],
         cold: ColdLimiter,
+        rate_limits: RateLimits,
         region_of: Mapping[HallName, RegionName],
     ) -> None:
         self.context = context
@@ -97,6 +100,7 @@
         self.cached_tokens_of = cached_tokens_of
         self.vm_count = vm_count
         self.cold = cold
+        self.rate_limits = rate_limits
         self.region_of = region_of
         self.reachability = Reachability(context, registry)
         self.engine_state = EngineState(context.hall, table, self.work)
@@ -359,6 +363,7 @@
             start is about to follow.
         """
         self.cold.on_instance(name, instance)
+        self.rate_limits.on_instance(name, instance)
         if instance is not None:
             return
         self.table.forget(name)
--- a/walnutquay/coordination/routed/calls.py
+++ b/walnutquay/coordination/routed/calls.py
@@ -15,6 +15,7 @@
 from walnutquay.protocol.calls import AnswerHead, SendOrder
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.work import reading_rank
+from walnutquay.state.store.instances import Instance
 from walnutquay.transport.client import Exchange, HttpClient, header_pairs
 from walnutquay.transport.timers import monotonic
 
@@ -22,6 +23,8 @@
 # multiples: of the estimated time, and of the route's objective.
 HEAD_ESTIMATE_FACTOR = 4.0
 HEAD_OBJECTIVE_FACTOR = 2.0
+# The answer of an endpoint that is not the one that the request names.
+STATUS_MISDIRECTED = 421
 # A wait is abandoned only while at least this many retries are left in the budget.
 MIN_RETRIES_LEFT = 2.0
 
@@ -108,6 +111,7 @@
         """
         raw = header_pairs(answer)
         head = self.dialect.decode_answer(answer.status, answer.headers, raw)
+        self._learn_rate_limit(grant, head)
         if head.running is not None:
             load = head.running + head.waiting
             self.table.report(grant.name, load, "", monotonic())
@@ -118,3 +122,9 @@
                 peer=grant.name,
             )
         return head
+
+    def _learn_rate_limit(self, grant: Grant, head: AnswerHead) -> None:
+        """Learn the rate limit in an answer, unless it is of another start."""
+        assert isinstance(grant.endpoint, Instance)
+        if head.status != STATUS_MISDIRECTED:
+            self.admission.rate_limits.on_answer(grant.endpoint, head)
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from walnutquay.coordination.requests.slots import Grant
@@ -26,7 +26,7 @@
         """
 
     def decode_answer(
-        self, status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
+        self, status: int, headers: Mapping[str, str], raw: Sequence[tuple[str, str]]
     ) -> AnswerHead:
         """Decode the head of an endpoint's answer.
 
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -31,6 +31,7 @@
 from walnutquay.coordination.routed.cold import ColdLimiter
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.promptupdates import PromptUpdates
+from walnutquay.coordination.routed.ratelimits import RateLimits
 from walnutquay.coordination.store.relaying import Relay
 from walnutquay.coordination.trials.record import TrialRecord
 from walnutquay.coordination.trials.versions import VersionTrials
@@ -203,6 +204,7 @@
             self._memory_of,
             lambda: self.peers.size,
             self._make_cold(),
+            RateLimits(self.context, self.knowledge.instances.registry),
             {
                 HallName(hall): RegionName(region)
                 for hall, region in self.options.vm.regions.items()
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Mapping, Sequence
 
 from walnutquay.exceptions import EndpointError, MessageError
@@ -18,6 +19,9 @@
 MAX_EVENT_ID = 1 << 62
 # Statuses below it announce an answer; a caller would wait for that one.
 FIRST_FINAL_STATUS = 200
+# A rate limit is a plain decimal number, without a sign or an exponent.
+RATE_LIMIT = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+NO_VALUE = "(empty)"
 
 
 def decode_call(headers: Mapping[str, str], raw: Iterable[tuple[str, str]]) -> CallHead:
@@ -114,7 +118,7 @@
 
 
 def decode_answer(
-    status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
+    status: int, headers: Mapping[str, str], raw: Sequence[tuple[str, str]]
 ) -> AnswerHead:
     """:param status: the HTTP status.
 
@@ -127,6 +131,7 @@
     load = [part.strip() for part in headers.get(names.LOAD, "").split(",")]
     known = len(load) >= 3 and all(part.isdigit() for part in load[:3])
     confidence = headers.get(names.CONFIDENCE, "")
+    rate_limit, invalid_rate_limit = _rate_limit(raw)
     return AnswerHead(
         status=status,
         request=RequestId(headers.get(names.REQUEST_ID, "")),
@@ -141,9 +146,22 @@
             for name, value in raw
             if name.lower() not in HOP_BY_HOP and name.lower() != "content-type"
         ),
+        rate_limit=rate_limit,
+        invalid_rate_limit=invalid_rate_limit,
     )
 
 
+def _rate_limit(raw: Sequence[tuple[str, str]]) -> tuple[float | None, str]:
+    """Return the endpoint's rate limit, and the text of one that is not valid."""
+    wanted = names.RATE_LIMIT.lower()
+    values = [value.strip() for name, value in raw if name.lower() == wanted]
+    if not values:
+        return None, ""
+    if len(values) == 1 and RATE_LIMIT.fullmatch(values[0]):
+        return float(values[0]), ""
+    return None, ", ".join(values) or NO_VALUE
+
+
 def _confidence(text: str) -> float | None:
     try:
         return float(text) if text else None
@@ -165,7 +183,7 @@
         return encode_call(head, order)
 
     def decode_answer(
-        self, status: int, headers: Mapping[str, str], raw: Iterable[tuple[str, str]]
+        self, status: int, headers: Mapping[str, str], raw: Sequence[tuple[str, str]]
     ) -> AnswerHead:
         """:param status: the HTTP status.
 
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -31,6 +31,9 @@
 # The model's own opinion of its answer, 0 to 100.
 CONFIDENCE = "Confidence"
 RETRY_AFTER = "Retry-After"
+# The requests a second that an endpoint takes from all VMs together, not from each;
+# absent while it is not limited.
+RATE_LIMIT = "Server-Limit"
 
 # What a caller may not set: it would reserve or move an engine's memory, name
 # an organisation, or choose an instance.
--- a/walnutquay/protocol/calls.py
+++ b/walnutquay/protocol/calls.py
@@ -55,6 +55,9 @@
         where it gives none.
     :param content_type: the type of its body.
     :param headers: the others, passed back as they came.
+    :param rate_limit: the requests a second that the endpoint accepts from all VMs
+        together; None where it names no limit.
+    :param invalid_rate_limit: the text of a limit that is not valid, else empty.
     """
 
     status: int
@@ -66,6 +69,8 @@
     confidence: float | None
     content_type: str
     headers: HeaderPairs
+    rate_limit: float | None = None
+    invalid_rate_limit: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -53,6 +53,8 @@
     HALL_BACK = "hall-back"
     ENDPOINT_COLD = "endpoint-cold"
     ENDPOINT_WARM = "endpoint-warm"
+    ENDPOINT_LIMITED = "endpoint-limited"
+    ENDPOINT_UNLIMITED = "endpoint-unlimited"
     CALLER_GONE = "caller-gone"
     BROKEN = "broken"
     UNREADABLE = "unreadable"
--- /dev/null
+++ b/walnutquay/state/routed/ratelimits.py
@@ -0,0 +1,114 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The rate limits that endpoints name in their answers, as one VM knows them.
+
+A limit applies to the requests of all VMs together, and only to the start of the
+endpoint that named it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from walnutquay.state.process.ids import EndpointName
+
+# Answers overtake each other by less than this.  For this long, an answer that names a
+# laxer limit, or none, does not replace a stricter one.
+OVERTAKING_SECONDS = 0.1
+# How long a limit holds as named without an answer that confirms it.  After this time
+# it doubles step by step, so that the endpoint is tried with care.
+CONFIRMED_SECONDS = 10.0
+DOUBLING_SECONDS = 5.0
+MAX_DOUBLINGS = 2
+# A limit that no answer has confirmed for this long is dropped.
+EXPIRY_SECONDS = 60.0
+# The lowest rate at which an endpoint is tried.  One that is never sent a request
+# could not name a higher limit.
+MIN_PER_SECOND = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """The last rate limit that an endpoint named.
+
+    :param per_second: requests a second from all VMs together; None if its last answer
+        named no limit.
+    :param at: when that answer was received; monotonic seconds.
+    """
+
+    per_second: float | None
+    at: float
+
+    def rate(self, now: float) -> float | None:
+        """Return the requests a second that all VMs together may send.
+
+        :param now: monotonic seconds.
+        :returns: the rate; None if the endpoint is not limited.
+        """
+        age = now - self.at
+        if self.per_second is None or age >= EXPIRY_SECONDS:
+            return None
+        steps = (age - CONFIRMED_SECONDS) // DOUBLING_SECONDS + 1
+        doublings = min(max(steps, 0), MAX_DOUBLINGS)
+        return max(self.per_second, MIN_PER_SECOND) * 2**doublings
+
+    def is_laxer_than(self, other: NamedLimit) -> bool:
+        """Return whether this limit allows more than another one."""
+        if other.per_second is None:
+            return False
+        return self.per_second is None or self.per_second > other.per_second
+
+
+class RateLimitTable:
+    """The rate limits that one VM knows, by endpoint."""
+
+    def __init__(self) -> None:
+        self.limits: dict[EndpointName, NamedLimit] = {}
+
+    def apply(self, name: EndpointName, limit: NamedLimit) -> bool:
+        """Apply what an answer of an endpoint said; the latest answer counts.
+
+        :param name: the endpoint.
+        :param limit: the limit in the answer.
+        :returns: whether the known limit has changed.
+        """
+        before = self.limits.get(name)
+        if before is None:
+            if limit.per_second is not None:
+                self.limits[name] = limit
+            return limit.per_second is not None
+        if limit.at <= before.at:
+            return False
+        overtaken = limit.at < before.at + OVERTAKING_SECONDS
+        if overtaken and limit.is_laxer_than(before):
+            return False
+        self.limits[name] = limit
+        return limit.per_second != before.per_second
+
+    def rate(self, name: EndpointName, now: float) -> float | None:
+        """Return the requests a second that all VMs together may send an endpoint.
+
+        :param name: the endpoint.
+        :param now: monotonic seconds.
+        :returns: the rate; None if the endpoint is not limited.
+        """
+        limit = self.limits.get(name)
+        return None if limit is None else limit.rate(now)
+
+    def limited(self, now: float) -> dict[EndpointName, NamedLimit]:
+        """Return the limits that hold now, by endpoint.
+
+        :param now: monotonic seconds.
+        """
+        return {
+            name: limit
+            for name, limit in self.limits.items()
+            if limit.rate(now) is not None
+        }
+
+    def forget(self, name: EndpointName) -> None:
+        """Remove an endpoint, or the earlier start of one.
+
+        :param name: the endpoint.
+        """
+        self.limits.pop(name, None)
