Reproduce requests beyond the rate limit that an endpoint names

One gateway whose VM has passed on an answer with a limit goes on sending the endpoint all of 20 requests, first attempts only; three VMs send all of 60. 5 are allowed.

--- a/tests/coordination/routed/test_ratelimits.py
+++ b/tests/coordination/routed/test_ratelimits.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 from typing import Any
 
@@ -13,6 +14,17 @@
 from walnutquay.platform import names
 from walnutquay.state.process.events import EventKind
 
+# In any span of this length the endpoint may get this multiple of what its limit
+# allows, and some requests more; seconds.
+SPAN_SECONDS = 4.0
+OVER = 1.5
+EXTRA = 5
+# VMs keep to a limit this long after they have passed on an answer that names it.
+KNOWN_SECONDS = 0.5
+# A limit so low that only the extra requests are allowed, however slow the test is.
+LOW = "0.01"
+REQUESTS = 20
+
 
 class RateLimitCase(GatewayCase):
     """Two engines, of which one names a rate limit."""
@@ -40,6 +52,39 @@
         while self.runs(endpoint) == before:
             await self.stream(gateway)
 
+    def most_in_span(self, endpoint: str, since: float) -> int:
+        """Return the most requests that an endpoint got within any 4 s."""
+        times = [seen.at for seen in self.endpoints[endpoint].runs if seen.at > since]
+        return max(
+            (sum(at <= one < at + SPAN_SECONDS for one in times) for at in times),
+            default=0,
+        )
+
+
+class LimitExceededTest(RateLimitCase):
+    """An endpoint that names a limit must not get more requests than it allows."""
+
+    async def assert_limit_kept(self, gateways: list[GatewayDaemon]) -> None:
+        """Send requests through VMs that all know of the limit, and count them."""
+        self.name_limit("e1", LOW)
+        for gateway in gateways:
+            await self.until_told(gateway, "e1")
+        await asyncio.sleep(KNOWN_SECONDS)
+        since = self.endpoints["e1"].runs[-1].at
+        for _ in range(REQUESTS):
+            for gateway in gateways:
+                await self.stream(gateway)
+        allowed = OVER * float(LOW) * SPAN_SECONDS + EXTRA
+        self.assertLessEqual(self.most_in_span("e1", since), allowed)
+
+    async def test_by_a_single_vm(self):
+        await self.assert_limit_kept([self.gateway])
+
+    async def test_by_three_vms_together(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        third = await self.add_gateway("vm-3", [self.gateway, second])
+        await self.assert_limit_kept([self.gateway, second, third])
+
 
 class LearningTest(RateLimitCase):
     """What a VM learns from the answers of an endpoint, and logs."""
