Keep all VMs together within the rate limit that an endpoint names

What callers and endpoints saw: endpoints in need that named how many requests a second they take got up to twice what they tolerate, for as long as they said so, and went on failing under it.

Cause: the header had no reader, so nothing limited what VMs send; the class of fault is a word of the platform's answers that no code reads.

Why the change works: each request to a limited endpoint needs a permit of one VM, the endpoint's primary issuer, ranked by rendezvous hashing among the VMs of its data hall. It keeps a token bucket with a queue, most urgent first. VMs that cannot reach it use the issuer of their own hall. The rates are set so that two primary issuers, or one and those of all halls, stay within 1.5 times the limit and 5 requests in 4 s, so the bound needs no agreement on the list of VMs. First attempts, retries, larger models and streams that continue all take their slot in the same place. A request that no endpoint may be sent in time is refused at once. Limits are announced between VMs; one that starts or wakes queries for them.

--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -16,7 +16,9 @@
 from walnutquay.coordination.routed.admission import RoutedAdmission
 from walnutquay.coordination.routed.cascading import Cascading
 from walnutquay.coordination.routed.cold import ColdLimiter
+from walnutquay.coordination.routed.issuers import IssuerRanking
 from walnutquay.coordination.routed.promptupdates import PromptUpdates
+from walnutquay.coordination.routed.ratelimiter import RateLimiter
 from walnutquay.coordination.routed.ratelimits import RateLimits
 from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
 from walnutquay.coordination.store.sinks import InstanceSink
@@ -197,6 +199,8 @@
             1.0,
             0.0,
         )
+        ranking = IssuerRanking(self.context.vm, self.context.hall, self.peers)
+        limits = RateLimits(self.context, self.sink.registry, self.peers, ranking)
         return RoutedAdmission(
             self.context,
             self.sink.registry,
@@ -205,7 +209,7 @@
             lambda name: MEMORY_TOKENS,
             lambda: self.peers.size,
             cold,
-            RateLimits(self.context, self.sink.registry),
+            RateLimiter(self.context, limits, ranking, self.peers),
             {},
         )
 
--- a/tests/coordination/routed/test_ratelimits.py
+++ b/tests/coordination/routed/test_ratelimits.py
@@ -102,7 +102,7 @@
         self.assertEqual([facts["limit"] for facts in found], [100.0])
 
     async def test_every_kind_of_answer_is_read(self):
-        limits = self.gateway.path.admission.rate_limits.table.limits
+        limits = self.gateway.path.admission.rates.limits.table.limits
         kinds = (
             Behaviour(status=500),
             Behaviour(status=404),
@@ -123,14 +123,14 @@
             self.name_limit("e1", value)
             for _ in range(4):
                 self.assertEqual((await self.stream()).status, 200)
-        self.assertEqual(self.gateway.path.admission.rate_limits.table.limits, {})
+        self.assertEqual(self.gateway.path.admission.rates.limits.table.limits, {})
         counters = self.gateway.context.metrics.counters
         self.assertGreater(counters["rate_limits_invalid"], 0)
 
     async def test_another_start_is_not_limited(self):
         self.name_limit("e1", "100")
         await self.until_told(self.gateway, "e1")
-        table = self.gateway.path.admission.rate_limits.table
+        table = self.gateway.path.admission.rates.limits.table
         spec = self.endpoints["e1"].spec("engine", born=7)
         await self.store.put("servers", "e1", spec)
         registry = self.gateway.knowledge.instances.registry
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -5,16 +5,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.requests.slots import Grant, SlotRequest
 from walnutquay.coordination.routed.cold import ColdLimiter
+from walnutquay.coordination.routed.pendingprompts import PendingPrompt
 from walnutquay.coordination.routed.promptengines import EngineState, PromptEngines
-from walnutquay.coordination.routed.ratelimits import RateLimits
+from walnutquay.coordination.routed.ratelimiter import RateLimiter
 from walnutquay.coordination.routed.reachability import Reachability
+from walnutquay.coordination.routed.sendlimits import SendLimits
 from walnutquay.protocol.messages import WorkNews
 from walnutquay.state.process.ids import (
     EndpointName,
@@ -43,28 +44,6 @@
 AllowedVersions = Callable[[ServiceName], frozenset[VersionName] | None]
 
 
-@dataclass(frozen=True, slots=True)
-class PendingPrompt:
-    """A prompt that was sent to an engine and whose answer has not begun.
-
-    :param work: the prompt.
-    :param engine: the engine.
-    :param hall: the engine's data hall.
-    :param wait: the reading time that was known to be queued before it; seconds.
-    :param seconds: its own reading time.
-    :param cached: whether its prefix was assumed to be cached at the engine.
-    :param position: its position in the total reading time assigned to the engine.
-    """
-
-    work: PromptWork
-    engine: EndpointName
-    hall: HallName
-    wait: float
-    seconds: float
-    cached: bool
-    position: float
-
-
 class RoutedAdmission:
     """Grants slots at endpoints, which have queues of their own.
 
@@ -76,7 +55,7 @@
         caches; 0 if unknown.
     :param vm_count: returns the number of entry VMs.
     :param cold: limits the requests that cold endpoints receive.
-    :param rate_limits: the rate limits that endpoints name.
+    :param rates: keeps to the rate limits that endpoints name.
     :param region_of: the region of each data hall.
     """
 
@@ -89,7 +68,7 @@
         cached_tokens_of: Callable[[ServiceName], int],
         vm_count: Callable[[], int],
         cold: ColdLimiter,
-        rate_limits: RateLimits,
+        rates: RateLimiter,
         region_of: Mapping[HallName, RegionName],
     ) -> None:
         self.context = context
@@ -100,7 +79,8 @@
         self.cached_tokens_of = cached_tokens_of
         self.vm_count = vm_count
         self.cold = cold
-        self.rate_limits = rate_limits
+        self.rates = rates
+        self.limits = SendLimits(context, cold, rates)
         self.region_of = region_of
         self.reachability = Reachability(context, registry)
         self.engine_state = EngineState(context.hall, table, self.work)
@@ -140,40 +120,52 @@
                     NO_ENDPOINT_RETRY_SECONDS,
                 )
             )
-        remaining = await self.cold.wait_for(
-            lambda: self._untried_candidates(need), need
-        )
-        if not remaining:
-            return Error(
-                Refusal(
-                    RefusalCode.NO_ENDPOINT,
-                    f"the endpoints of {service} are cold, and have what they may get",
-                    self.cold.retry_after(),
-                )
+        acquired = await self._choose_permitted(need)
+        if acquired.is_error():
+            return acquired
+        chosen, now = acquired.ok, monotonic()
+        self.cold.record_send(chosen, now)
+        self.table.state_of(chosen.name).in_flight += 1
+        if need.work is None:
+            return Ok(Grant(chosen, now, WorkKind.QUICK))
+        return Ok(self._record_prompt(Grant(chosen, now, WorkKind.PATIENT), need))
+
+    async def _choose_permitted(self, need: SlotRequest) -> Result[Instance, Refusal]:
+        """Choose an endpoint that may be sent a request now."""
+
+        def find() -> list[Instance]:
+            return self._untried_candidates(need)
+
+        while True:
+            open_ones = await self.limits.wait_for(find, need)
+            if not open_ones:
+                return Error(self.limits.refusal(find, need))
+            chosen = self._choose(
+                self.reachability.exclude_unreachable(open_ones), need
             )
+            if chosen is None:
+                reason = f"the endpoints of {need.target} are full"
+                return Error(
+                    Refusal(RefusalCode.QUEUE_FULL, reason, FULL_RETRY_SECONDS)
+                )
+            if not self.limits.needs_permit(chosen):
+                return Ok(chosen)
+            if not await self.limits.permit(chosen, open_ones, need):
+                continue
+            # The endpoint may be gone meanwhile, or others may have used its quota.
+            if chosen in self.limits.available(find(), need.priority, monotonic()):
+                return Ok(chosen)
+
+    def _choose(self, remaining: list[Instance], need: SlotRequest) -> Instance | None:
+        """Choose the best of the endpoints that may be sent a request."""
         now = monotonic()
-        remaining = self.reachability.exclude_unreachable(remaining)
         if need.suspect:
             chosen = self._choose_for_suspect(remaining, need, now)
         elif need.work is not None:
             chosen = self._choose_engine(remaining, need, need.work, now)
         else:
             chosen = self.table.choose(remaining, now, need.hint, need.tried)
-        if chosen is None:
-            chosen = self._least_loaded(remaining, now)
-        if chosen is None:
-            return Error(
-                Refusal(
-                    RefusalCode.QUEUE_FULL,
-                    f"the endpoints of {service} are full",
-                    FULL_RETRY_SECONDS,
-                )
-            )
-        self.cold.record_send(chosen, now)
-        self.table.state_of(chosen.name).in_flight += 1
-        if need.work is None:
-            return Ok(Grant(chosen, now, WorkKind.QUICK))
-        return Ok(self._record_prompt(Grant(chosen, now, WorkKind.PATIENT), need))
+        return chosen or self._least_loaded(remaining, now)
 
     def _untried_candidates(self, need: SlotRequest) -> list[Instance]:
         """Return the endpoints that could serve a request and have not failed it."""
@@ -249,6 +241,8 @@
     ) -> PromptEngines | None:
         """Return the engines that a prompt could be sent to now, for a forecast.
 
+        Those with a rate limit are left out, as they may not grant a permit.
+
         :param service: the service.
         :param regions: the regions in which the prompt may run; None for all.
         :returns: the engines; None if no endpoint may be sent the prompt now.
@@ -256,7 +250,7 @@
         now = monotonic()
         allowed = filter_by_region(self.candidates(service), regions, self.region_of)
         remaining = self.reachability.exclude_unreachable(
-            self.cold.available(allowed, now)
+            self.limits.unlimited(allowed, now)
         )
         open_ones = self.table.accepting(remaining, now, frozenset()) or remaining
         return self._engines(open_ones, service, now) if open_ones else None
@@ -363,7 +357,7 @@
             start is about to follow.
         """
         self.cold.on_instance(name, instance)
-        self.rate_limits.on_instance(name, instance)
+        self.rates.on_instance(name, instance)
         if instance is not None:
             return
         self.table.forget(name)
@@ -378,8 +372,9 @@
         self.work.forget_except(known)
 
     def close(self) -> None:
-        """Stop all probes."""
+        """Stop all probes, and issue no more permits."""
         self.reachability.close()
+        self.rates.stop()
 
     def release(self, grant: Grant) -> None:
         """Release a slot.
--- a/walnutquay/coordination/routed/calls.py
+++ b/walnutquay/coordination/routed/calls.py
@@ -127,4 +127,4 @@
         """Learn the rate limit in an answer, unless it is of another start."""
         assert isinstance(grant.endpoint, Instance)
         if head.status != STATUS_MISDIRECTED:
-            self.admission.rate_limits.on_answer(grant.endpoint, head)
+            self.admission.rates.limits.on_answer(grant.endpoint, head)
--- a/walnutquay/coordination/routed/cold.py
+++ b/walnutquay/coordination/routed/cold.py
@@ -4,14 +4,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 from walnutquay.coordination.process.context import Context
-from walnutquay.coordination.requests.slots import SlotRequest
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, HallName, ServiceName, VmName
 from walnutquay.state.routed.cold import (
@@ -28,10 +25,6 @@
 from walnutquay.transport.timers import monotonic
 
 MILLISECONDS = 1000.0
-# The part of a request's objective for which it waits for a cold endpoint at most.
-MAX_WAIT_SHARE = 0.5
-# The shortest interval at which waiting requests check again.
-MIN_POLL_SECONDS = 0.02
 
 
 class Peers(Protocol):
@@ -81,8 +74,6 @@
         # This VM's quota of each endpoint, for the list of VMs in ``quota_peers``; None
         # if only other VMs send to it.
         self.quotas: dict[EndpointName, Quota | None] = {}
-        # The number of requests that wait for a cold endpoint, by priority.
-        self.waiting_by_priority: Counter[int] = Counter()
         self.quota_peers: Mapping[VmName, object] | None = None
 
     def on_instance(self, name: EndpointName, instance: Instance | None) -> None:
@@ -207,44 +198,6 @@
             self.context.metrics.count("cold_passed_over", skipped)
         return found
 
-    async def wait_for(
-        self, find: Callable[[], list[Instance]], need: SlotRequest
-    ) -> list[Instance]:
-        """Wait for a limited time until a request may be sent to some endpoint.
-
-        More urgent requests go first.  A request that could hardly be answered in time
-        after the wait is refused at once.
-
-        :param find: returns the endpoints that could serve the request, cold or not.
-        :param need: the slot that is requested.
-        :returns: the endpoints that may be sent the request now; empty to refuse it.
-        """
-        end = min(need.since + MAX_WAIT_SHARE * need.aim, need.deadline)
-        while True:
-            now = monotonic()
-            found = find()
-            open_ones = self.available(found, now)
-            warm = any(not self.is_limited(item, now) for item in open_ones)
-            if warm or (open_ones and self._is_most_urgent(need.priority)):
-                return open_ones
-            remaining = min(
-                (self.seconds_left(item, now) for item in found), default=math.inf
-            )
-            if now + remaining > end or now >= end:
-                return []
-            self.waiting_by_priority[need.priority] += 1
-            try:
-                await asyncio.sleep(max(remaining, MIN_POLL_SECONDS))
-            finally:
-                self.waiting_by_priority[need.priority] -= 1
-
-    def _is_most_urgent(self, priority: int) -> bool:
-        """Return whether no more urgent request is waiting here."""
-        return not any(
-            count and rank < priority
-            for rank, count in self.waiting_by_priority.items()
-        )
-
     def retry_after(self) -> float:
         """Return the time after which a refused request should be retried; seconds.
 
--- a/walnutquay/coordination/routed/facts.py
+++ b/walnutquay/coordination/routed/facts.py
@@ -81,7 +81,7 @@
             "load_age_ms": whole_ms(now - facts.reported_at),
             "slots": endpoint.slots,
             "cold": self.admission.cold.is_limited(endpoint, now),
-            "limit": self.admission.rate_limits.table.rate(endpoint.name, now),
+            "limit": self.admission.rates.rate(endpoint.name, now),
             "reading_ms": whole_ms(self.admission.work.wait(endpoint.name, now)),
             "list_age_ms": whole_ms(self.knowledge.instance_follower.age()),
             "left_ms": whole_ms(turn.seconds_left()),
--- a/walnutquay/coordination/routed/promptupdates.py
+++ b/walnutquay/coordination/routed/promptupdates.py
@@ -7,7 +7,8 @@
 from typing import Protocol
 
 from walnutquay.coordination.process.dispatcher import Dispatcher
-from walnutquay.coordination.routed.admission import PendingPrompt, RoutedAdmission
+from walnutquay.coordination.routed.admission import RoutedAdmission
+from walnutquay.coordination.routed.pendingprompts import PendingPrompt
 from walnutquay.protocol.messages import Envelope, Message, WorkNews
 from walnutquay.state.process.ids import HallName, VmName
 
--- /dev/null
+++ b/walnutquay/coordination/routed/sendlimits.py
@@ -0,0 +1,203 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Decides which endpoints may be sent a request now, by all limits on them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable
+
+from walnutquay.coordination.process.context import Context
+from walnutquay.coordination.requests.slots import SlotRequest
+from walnutquay.coordination.routed.cold import ColdLimiter
+from walnutquay.coordination.routed.ratelimiter import RateLimiter
+from walnutquay.state.process.ids import ServiceName
+from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.store.instances import Instance
+from walnutquay.transport.timers import monotonic
+
+# The part of a request's objective for which it waits for a limited endpoint at most.
+MAX_WAIT_SHARE = 0.5
+# The shortest interval at which waiting requests check again.
+MIN_POLL_SECONDS = 0.02
+# The shortest and longest time after which a refused caller is told to return; seconds.
+MIN_RETRY_SECONDS = 0.3
+MAX_RETRY_SECONDS = 10.0
+# Times to return are spread by this factor at most.
+RETRY_SPREAD = 0.25
+
+Find = Callable[[], list[Instance]]
+
+
+class SendLimits:
+    """The limits of cold endpoints, and those that endpoints name; the stricter holds.
+
+    :param context: the state shared within this process.
+    :param cold: limits the requests that cold endpoints receive.
+    :param rates: the rate limits that endpoints name.
+    """
+
+    def __init__(self, context: Context, cold: ColdLimiter, rates: RateLimiter) -> None:
+        self.context = context
+        self.cold = cold
+        self.rates = rates
+        # The number of requests that wait for a limited endpoint, by priority.
+        self.waiting_by_priority: Counter[int] = Counter()
+        # When the last refused caller of a service returns; monotonic seconds.
+        self.last_return: dict[ServiceName, float] = {}
+
+    def is_limited(self, instance: Instance, now: float) -> bool:
+        """Return whether an endpoint is limited in any way.
+
+        :param instance: the endpoint.
+        :param now: monotonic seconds.
+        """
+        if self.rates.active and self.rates.rate(instance.name, now) is not None:
+            return True
+        return self.cold.is_limited(instance, now)
+
+    def seconds_left(self, instance: Instance, priority: int, now: float) -> float:
+        """Return the time until this VM may send an endpoint a request.
+
+        :param instance: the endpoint.
+        :param priority: the rank of the request, where 0 is the most urgent.
+        :param now: monotonic seconds.
+        :returns: seconds; infinite if the VM has to wait until the endpoint is warm.
+        """
+        cold = self.cold.seconds_left(instance, now)
+        return max(cold, self.rates.seconds_left(instance.name, priority, now))
+
+    def available(
+        self, instances: list[Instance], priority: int, now: float
+    ) -> list[Instance]:
+        """Return the endpoints that may be sent a request, given a permit.
+
+        :param instances: the endpoints to choose from.
+        :param priority: the rank of the request.
+        :param now: monotonic seconds.
+        """
+        found = self.cold.available(instances, now)
+        if not self.rates.active:
+            return found
+        return [
+            item
+            for item in found
+            if self.rates.seconds_left(item.name, priority, now) <= 0
+        ]
+
+    def unlimited(self, instances: list[Instance], now: float) -> list[Instance]:
+        """Return the endpoints that may be sent a request without a permit.
+
+        :param instances: the endpoints to choose from.
+        :param now: monotonic seconds.
+        """
+        found = self.cold.available(instances, now)
+        if not self.rates.active:
+            return found
+        return [item for item in found if self.rates.rate(item.name, now) is None]
+
+    async def wait_for(self, find: Find, need: SlotRequest) -> list[Instance]:
+        """Wait for a limited time until a request may be sent to some endpoint.
+
+        More urgent requests go first.  A request that could hardly be answered in time
+        after the wait is refused at once.
+
+        :param find: returns the endpoints that could serve the request, limited or not.
+        :param need: the slot that is requested.
+        :returns: the endpoints that may be sent the request now; empty to refuse it.
+        """
+        end = self._end(need)
+        while True:
+            now = monotonic()
+            found = find()
+            open_ones = self.available(found, need.priority, now)
+            free = any(not self.is_limited(item, now) for item in open_ones)
+            if free or (open_ones and self._is_most_urgent(need.priority)):
+                return open_ones
+            remaining = min(
+                (self.seconds_left(item, need.priority, now) for item in found),
+                default=math.inf,
+            )
+            if now + remaining > end or now >= end:
+                return []
+            self.waiting_by_priority[need.priority] += 1
+            try:
+                await asyncio.sleep(max(remaining, MIN_POLL_SECONDS))
+            finally:
+                self.waiting_by_priority[need.priority] -= 1
+
+    def _end(self, need: SlotRequest) -> float:
+        """Return the time until which a request waits at most; monotonic seconds."""
+        return min(need.since + MAX_WAIT_SHARE * need.aim, need.deadline)
+
+    def _is_most_urgent(self, priority: int) -> bool:
+        """Return whether no more urgent request is waiting here."""
+        return not any(
+            count and rank < priority
+            for rank, count in self.waiting_by_priority.items()
+        )
+
+    def needs_permit(self, instance: Instance) -> bool:
+        """Return whether a request to an endpoint needs a permit.
+
+        :param instance: the endpoint.
+        """
+        if not self.rates.active:
+            return False
+        return self.rates.rate(instance.name, monotonic()) is not None
+
+    async def permit(
+        self, chosen: Instance, open_ones: list[Instance], need: SlotRequest
+    ) -> bool:
+        """Obtain the permit to send a request to an endpoint that needs one.
+
+        The request waits for it only if all endpoints are limited.
+
+        :param chosen: the endpoint.
+        :param open_ones: all endpoints that may be sent the request.
+        :param need: the request.
+        :returns: whether it may be sent now.
+        """
+        now = monotonic()
+        free = any(not self.is_limited(item, now) for item in open_ones)
+        patience = 0.0 if free else max(0.0, self._end(need) - now)
+        return await self.rates.permit(chosen, need, patience)
+
+    def refusal(self, find: Find, need: SlotRequest) -> Refusal:
+        """Return the refusal of a request that no endpoint may be sent in time.
+
+        :param find: returns the endpoints that could serve the request.
+        :param need: the request.
+        """
+        now = monotonic()
+        found = find()
+        service = ServiceName(need.target)
+        limited = [i.name for i in found if self.rates.rate(i.name, now) is not None]
+        if not limited:
+            reason = f"the endpoints of {service} are cold, and have what they may get"
+            return Refusal(RefusalCode.NO_ENDPOINT, reason, self.cold.retry_after())
+        names = ", ".join(sorted(limited))
+        reason = f"the endpoints of {service} are at their rate limits: {names}"
+        wait = min(self.seconds_left(item, need.priority, now) for item in found)
+        return Refusal(RefusalCode.NO_ENDPOINT, reason, self._retry_after(need, wait))
+
+    def _retry_after(self, need: SlotRequest, wait: float) -> float:
+        """Return the time after which a refused caller should return; seconds.
+
+        Callers return one after the other, as permits are likely to be issued, and not
+        all at once.
+
+        :param need: the request.
+        :param wait: the time until this VM may request a permit again.
+        """
+        now = monotonic()
+        service = ServiceName(need.target)
+        interval = max(MIN_RETRY_SECONDS, min(wait, MAX_RETRY_SECONDS))
+        earliest = now + interval
+        last = self.last_return.get(service, -math.inf)
+        returns = min(max(earliest, last + interval / 2.0), now + MAX_RETRY_SECONDS)
+        self.last_return[service] = returns
+        spread = self.context.rng.uniform(1.0 - RETRY_SPREAD, 1.0)
+        return (returns - now) * spread
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -29,8 +29,10 @@
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.cascading import Cascading
 from walnutquay.coordination.routed.cold import ColdLimiter
+from walnutquay.coordination.routed.issuers import IssuerRanking
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.promptupdates import PromptUpdates
+from walnutquay.coordination.routed.ratelimiter import RateLimiter
 from walnutquay.coordination.routed.ratelimits import RateLimits
 from walnutquay.coordination.store.relaying import Relay
 from walnutquay.coordination.trials.record import TrialRecord
@@ -204,7 +206,7 @@
             self._memory_of,
             lambda: self.peers.size,
             self._make_cold(),
-            RateLimits(self.context, self.knowledge.instances.registry),
+            self._make_rate_limiter(),
             {
                 HallName(hall): RegionName(region)
                 for hall, region in self.options.vm.regions.items()
@@ -240,6 +242,14 @@
             promises.cold_extra,
         )
 
+    def _make_rate_limiter(self) -> RateLimiter:
+        ranking = IssuerRanking(self.context.vm, self.context.hall, self.peers)
+        registry = self.knowledge.instances.registry
+        limits = RateLimits(self.context, registry, self.peers, ranking)
+        limiter = RateLimiter(self.context, limits, ranking, self.peers)
+        limiter.listen(self.dispatcher)
+        return limiter
+
     def _make_crashes(self) -> CrashWatch:
         crashes = CrashWatch(self.context, self.peers)
         crashes.listen(self.dispatcher)
@@ -289,6 +299,7 @@
         self.knowledge.start()
         self.versions.start()
         self.path.cascading.start()
+        self.path.admission.rates.start()
         self.context.timers.on_wake(self.path.limits.woke)
         self.path.parts.crashes.start()
         self.crash_record.start(self._reads_store)
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -9,7 +9,7 @@
 
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.clock import Stamp
-from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.ids import EndpointName, HallName, VmName
 from walnutquay.state.requests.crashtypes import CrashTrace
 from walnutquay.state.routed.gains import GainRow
 from walnutquay.state.trials.reports import TrialReport
@@ -252,6 +252,67 @@
     """Asks all that the receiver knows of such requests; answered by CrashNews."""
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitRow:
+    """The rate limit that an endpoint named last.
+
+    :param endpoint: the endpoint.
+    :param born: when it started, in Unix milliseconds; None if not known.
+    :param per_second: requests a second from all VMs together; None if not limited.
+    :param age: seconds since the answer that said so.
+    """
+
+    endpoint: EndpointName
+    born: int | None
+    per_second: float | None
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitNews(Message):
+    """Tells the rate limits of endpoints.
+
+    :param rows: a limit each; what is known twice does no harm.
+    """
+
+    rows: tuple[RateLimitRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskRateLimits(Message):
+    """Asks for all rate limits known; answered by :class:`RateLimitNews`."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskPermit(Message):
+    """Asks the issuer of an endpoint for a permit; answered by :class:`PermitIs`.
+
+    :param limit: the limit of the endpoint, as the sender knows it.
+    :param priority: the rank of the request, where 0 is the most urgent.
+    :param patience: seconds for which the sender can wait.
+    """
+
+    limit: RateLimitRow
+    priority: int
+    patience: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitIs(Message):
+    """Answers whether a request may be sent to an endpoint.
+
+    :param limit: the limit of the endpoint, as the issuer knows it.
+    :param granted: whether one request may be sent now.
+    :param issuer: whether the VM that was asked issues permits to the sender.
+    :param wait: seconds after which to ask again, if it is not granted.
+    """
+
+    limit: RateLimitRow
+    granted: bool
+    issuer: bool
+    wait: float
+
+
 @dataclass(frozen=True, slots=True)
 class Failure(Message):
     """Answers that a call could not be carried out."""
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -45,6 +45,10 @@
     crashDigest @38 :UInt64;
     askCrashes @39 :Void;
     billsMissing @40 :UInt64;
+    rateLimits @41 :List(RateLimit);
+    askRateLimits @42 :Void;
+    askPermit @43 :AskPermit;
+    permit @44 :Permit;
   }
 }
 
@@ -235,3 +239,27 @@
   answered @6 :Bool;
   held @7 :Float64;
 }
+
+# The rate limit that a start of an endpoint named last; one that is not limited is
+# below 0, as is a time of its start that is not known.
+struct RateLimit {
+  endpoint @0 :Text;
+  born @1 :Int64;
+  perSecond @2 :Float64;
+  # Seconds since the answer that named it.
+  age @3 :Float64;
+}
+
+struct AskPermit {
+  limit @0 :RateLimit;
+  priority @1 :Int32;
+  # Seconds for which the sender can wait.
+  patience @2 :Float64;
+}
+
+struct Permit {
+  limit @0 :RateLimit;
+  granted @1 :Bool;
+  issuer @2 :Bool;
+  wait @3 :Float64;
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -111,6 +111,17 @@
     )
 
 
+def _rate_limit(reader: Any) -> m.RateLimitRow:
+    if not (math.isfinite(reader.perSecond) and reader.age >= 0.0):
+        raise ValueError("a rate limit is out of range")
+    return m.RateLimitRow(
+        EndpointName(reader.endpoint),
+        reader.born if reader.born >= 0 else None,
+        reader.perSecond if reader.perSecond >= 0.0 else None,
+        reader.age,
+    )
+
+
 Readers = Mapping[str, Callable[[Any], m.Message]]
 
 READERS: Readers = {
@@ -136,6 +147,10 @@
     "crashes": lambda r: m.CrashNews(tuple(_trace(row) for row in r)),
     "crashDigest": lambda r: m.CrashDigest(int(r)),
     "askCrashes": lambda r: m.AskCrashes(),
+    "rateLimits": lambda r: m.RateLimitNews(tuple(_rate_limit(row) for row in r)),
+    "askRateLimits": lambda r: m.AskRateLimits(),
+    "askPermit": lambda r: m.AskPermit(_rate_limit(r.limit), r.priority, r.patience),
+    "permit": lambda r: m.PermitIs(_rate_limit(r.limit), r.granted, r.issuer, r.wait),
     "failure": lambda r: m.Failure(str(r)),
 }
 
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -14,6 +14,9 @@
 
 # Stands for a time that is not known; times that are known are not negative.
 UNKNOWN_TIME = -1.0
+# Stands for an endpoint that is not limited, and for a start of unknown time.
+NO_LIMIT = -1.0
+UNKNOWN_BORN = -1
 
 
 def flat_fields(row: Any) -> dict[str, Any]:
@@ -190,3 +193,32 @@
 @body_fields.register
 def _(body: m.Failure) -> dict[str, Any]:
     return {"failure": body.reason}
+
+
+def _rate_limit_fields(row: m.RateLimitRow) -> dict[str, Any]:
+    return {
+        "endpoint": row.endpoint,
+        "born": UNKNOWN_BORN if row.born is None else row.born,
+        "perSecond": NO_LIMIT if row.per_second is None else row.per_second,
+        "age": row.age,
+    }
+
+
+@body_fields.register
+def _(body: m.RateLimitNews) -> dict[str, Any]:
+    return {"rateLimits": [_rate_limit_fields(row) for row in body.rows]}
+
+
+@body_fields.register
+def _(body: m.AskRateLimits) -> dict[str, Any]:
+    return {"askRateLimits": None}
+
+
+@body_fields.register
+def _(body: m.AskPermit) -> dict[str, Any]:
+    return {"askPermit": {**flat_fields(body), "limit": _rate_limit_fields(body.limit)}}
+
+
+@body_fields.register
+def _(body: m.PermitIs) -> dict[str, Any]:
+    return {"permit": {**flat_fields(body), "limit": _rate_limit_fields(body.limit)}}
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -55,6 +55,7 @@
     ENDPOINT_WARM = "endpoint-warm"
     ENDPOINT_LIMITED = "endpoint-limited"
     ENDPOINT_UNLIMITED = "endpoint-unlimited"
+    RATE_LIMITED = "rate-limited"
     CALLER_GONE = "caller-gone"
     BROKEN = "broken"
     UNREADABLE = "unreadable"
