--- a/walnutquay/state/routed/permits.py
+++ b/walnutquay/state/routed/permits.py
@@ -28,7 +28,7 @@
 FAIR_EVERY = 5
 # What a rejected request adds to the estimate of those that come again.  With more, the
 # VMs would ask so rarely that permits remain unused.
-BACKLOG_WEIGHT = 0.25
+BACKLOG_WEIGHT = 0.15
 # The longest time after which a rejected VM is told to ask again; seconds.
 MAX_WAIT_SECONDS = 10.0
 
