Charge no retry budget for a retry that is not sent

What callers saw: a request that failed at one endpoint and had no other that may be sent it used up a retry all the same, so later requests that could have been retried were not.

Cause: the budget is charged before a slot is requested. Evidence: without the change the new test finds fewer retries left than the first attempts of 12 requests have earned, though none of their retries was sent. A charged retry that gets no slot is given back now.

--- a/tests/coordination/routed/test_ratelimiter.py
+++ b/tests/coordination/routed/test_ratelimiter.py
@@ -107,6 +107,23 @@
         self.assertTrue(all(dict(event.facts)["wait_ms"] > 0 for event in found))
 
 
+class RetryBudgetTest(LimiterCase):
+    """A retry that a limit holds back is not charged to the retry budget."""
+
+    async def test_retries_that_are_not_sent(self):
+        await self.learn("e1")
+        self.endpoints["e2"].default = Behaviour(status=500)
+        sent = self.runs("e1")
+        budgets = self.gateway.path.budgets
+        before = budgets.by_service["engine"].left
+        for _ in range(REQUESTS):
+            await self.stream()
+        retried = self.runs("e1") - sent
+        earned = budgets.share * REQUESTS
+        left = budgets.by_service["engine"].left
+        self.assertGreaterEqual(left, before + earned - retried - 1e-6)
+
+
 class AllLimitedTest(LimiterCase):
     """If all endpoints are limited, requests beyond that are refused at once."""
 
--- a/tests/state/routed/test_retries.py
+++ b/tests/state/routed/test_retries.py
@@ -53,6 +53,22 @@
     return sum(end - WINDOW_SECONDS < at <= end for at in times)
 
 
+class GiveBackTest(unittest.TestCase):
+    """A retry that was allowed but not sent is not counted."""
+
+    def test_once(self):
+        window = RetryWindow(0.0, 1.0, WINDOW_SECONDS)
+        self.assertTrue(window.take(0.0))
+        self.assertFalse(window.take(1.0))
+        window.give_back(1.0)
+        self.assertTrue(window.take(1.0))
+
+    def test_nothing_to_give_back(self):
+        window = RetryWindow(0.0, 1.0, WINDOW_SECONDS)
+        window.give_back(0.0)
+        self.assertEqual(window.left(0.0), 1.0)
+
+
 class LimitTest(unittest.TestCase):
     """No window exceeds the limit, whatever the arrival pattern."""
 
--- a/walnutquay/coordination/routed/budgets.py
+++ b/walnutquay/coordination/routed/budgets.py
@@ -32,6 +32,10 @@
         """Return whether a retry is allowed, and charge it if so."""
         return self.window.take(monotonic())
 
+    def give_back(self) -> None:
+        """Charge no longer for a retry that was not sent."""
+        self.window.give_back(monotonic())
+
     @property
     def left(self) -> float:
         """The number of retries that are allowed now."""
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -145,8 +145,10 @@
         """
         if turn.retry_counted:
             turn.retry_counted = False
-            return True
-        return self.budgets.of(turn.service).take()
+            turn.retry_unsent = True
+        else:
+            turn.retry_unsent = self.budgets.of(turn.service).take()
+        return turn.retry_unsent
 
     def slot_request(self, turn: RoutedTurn) -> SlotRequest:
         """Choose the version that serves a request and describe the slot it needs.
@@ -184,6 +186,7 @@
         :param grant: the slot that it was granted.
         """
         turn.sends += 1
+        turn.retry_unsent = False
         self.versions.began(turn, grant)
 
     def on_not_started(
@@ -275,6 +278,8 @@
         :param stage: its stage.
         :param refusal: the reason.
         """
+        if turn.retry_unsent:
+            self.budgets.of(turn.service).give_back()
         if turn.progress.begun and isinstance(stage, Continuing):
             stage.unknown()
             return Streamed(whole=False)
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -105,6 +105,7 @@
     :param refusals: the number of endpoints that did not start it.
     :param progress: how much of the answer the caller has received.
     :param retry_counted: whether its next retry is charged to the budget already.
+    :param retry_unsent: whether a retry was charged and has not been sent yet.
     :param avoid_new: whether a version on trial has failed it.
     :param choice: the version that is to serve it; None if none is on trial.
     :param last_refusal: why the last endpoint did not start it.
@@ -120,6 +121,7 @@
     sends: int = 0
     refusals: int = 0
     retry_counted: bool = False
+    retry_unsent: bool = False
     avoid_new: bool = False
     choice: VersionChoice | None = None
     last_refusal: Refusal | None = None
--- a/walnutquay/state/routed/retries.py
+++ b/walnutquay/state/routed/retries.py
@@ -70,6 +70,17 @@
         self._interval(now).repeated += 1
         return True
 
+    def give_back(self, now: float) -> None:
+        """Count a retry that was allowed, but not sent, as not made.
+
+        :param now: monotonic seconds.
+        """
+        self._drop_expired(now)
+        for interval in reversed(self.intervals):
+            if interval.repeated > 0:
+                interval.repeated -= 1
+                return
+
     def left(self, now: float) -> float:
         """Return the number of retries that are allowed now.
 
