--- a/tests/commands/test_fleetstate.py
+++ b/tests/commands/test_fleetstate.py
@@ -21,6 +21,7 @@
     states_text,
 )
 from walnutquay.daemon.metricsapi import escaped
+from walnutquay.platform import names
 
 GOOD = VmState("a:1", ready=True, configuration=3, endpoints={"s/ready": 2})
 
@@ -101,6 +102,18 @@
         (state,) = await read_states([address])
         self.assertEqual(state.emptied, {"hall-a": 0})
 
+    async def test_an_endpoint_with_a_rate_limit(self):
+        headers = {names.RATE_LIMIT: "0.5"}
+        self.endpoints["e1"].default = Behaviour(events=2, headers=headers)
+        await self.call("/once/x", b"b", Model="tiny")
+        address = f"127.0.0.1:{self.gateway.metrics_api.server.port}"
+        (state,) = await read_states([address])
+        self.assertEqual(state.limits, {"e1": 0.5})
+        self.assertEqual(state.endpoints["engine/limited"], 1)
+        text = states_text([state])
+        self.assertIn("limited: e1 to 0.5 requests a second, 0.0 used, known to", text)
+        self.assertNotIn("has no ready endpoint", text)
+
     async def test_whose_work_waits(self):
         for name in ("p1", "p2"):
             self.endpoints[name].default = Behaviour(mute=True)
--- a/tests/coordination/routed/test_ratelimiter.py
+++ b/tests/coordination/routed/test_ratelimiter.py
@@ -14,6 +14,7 @@
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, HallName, VmName
+from walnutquay.state.requests.refusals import RefusalCode
 
 E1 = EndpointName("e1")
 # Far more than the tests send.
@@ -146,6 +147,8 @@
             dict(event.facts)["reason"] for event in self.events(EventKind.REFUSED)
         ]
         self.assertIn("rate limits: e1, e2", reasons[-1])
+        details = {event.detail for event in self.events(EventKind.REFUSED)}
+        self.assertEqual(details, {RefusalCode.RATE_LIMITED.value})
 
     async def test_callers_are_told_to_return_one_after_the_other(self):
         await self.learn("e1", "e2")
--- a/tests/history/test_history.py
+++ b/tests/history/test_history.py
@@ -64,6 +64,7 @@
     ([OLD, NEW, DENIED], Cause.OLD_KNOWLEDGE),
     ([RECEIVED, NO_PLACE], Cause.NO_ENDPOINT),
     ([RECEIVED, line("refused", 1.3, detail="queue_full")], Cause.ENDPOINTS_FULL),
+    ([RECEIVED, line("refused", 1.3, detail="rate_limited")], Cause.ENDPOINTS_LIMITED),
     ([RECEIVED, SENT, CONNECT, NO_PLACE], Cause.ENDPOINTS_UNREACHED),
     ([RECEIVED, SENT, TURNED_AWAY, NO_PLACE], Cause.ENDPOINTS_FULL),
     ([RECEIVED, SENT, ERROR, UNKNOWN], Cause.ENDPOINT_ERROR),
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -59,6 +59,8 @@
     :param blocked: requests that are held to end endpoints.
     :param unreadable: objects of the store that cannot be read.
     :param emptied: what it still has running in each data hall that is emptied.
+    :param limits: the rate limit of each endpoint that has one; requests a second.
+    :param limits_used: requests a second that it sends each of these endpoints.
     """
 
     address: str
@@ -77,6 +79,8 @@
     blocked: int = 0
     unreadable: int = 0
     emptied: dict[str, int] = field(default_factory=dict)
+    limits: dict[str, float] = field(default_factory=dict)
+    limits_used: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,9 +147,15 @@
             for one in figures
             if one.name == "emptied_hall_running"
         },
+        limits=_by_endpoint(figures, "rate_limit"),
+        limits_used=_by_endpoint(figures, "rate_limit_used"),
     )
 
 
+def _by_endpoint(figures: Iterable[Figure], name: str) -> dict[str, float]:
+    return {one.labels["endpoint"]: one.value for one in figures if one.name == name}
+
+
 def _total(figures: Iterable[Figure], name: str) -> int:
     return int(sum(one.value for one in figures if one.name == name))
 
@@ -206,7 +216,7 @@
             found.append(f"{one.address} last heard of the store {one.age:.0f} s ago")
         services = {name.partition("/")[0] for name in one.endpoints}
         for service in sorted(services):
-            usable = (f"{service}/ready", f"{service}/cold")
+            usable = [f"{service}/{state}" for state in ("ready", "cold", "limited")]
             if not any(one.endpoints.get(state) for state in usable):
                 found.append(f"{one.address} has no ready endpoint of {service}")
     return found
@@ -234,6 +244,7 @@
             f"{one.p99_seconds * 1000:>8.0f}  {endpoints}"
         )
     text += _emptied_text(states)
+    text += _limits_text(states)
     waiting = all_waiting(states)
     if waiting:
         text.append("waiting:")
@@ -260,6 +271,20 @@
     return lines
 
 
+def _limits_text(states: list[VmState]) -> list[str]:
+    """Tell which endpoints are limited, how much is used, and who knows."""
+    up = [one for one in states if one.reached]
+    lines = []
+    for endpoint in sorted({name for one in up for name in one.limits}):
+        limits = [one.limits[endpoint] for one in up if endpoint in one.limits]
+        used = sum(one.limits_used.get(endpoint, 0.0) for one in up)
+        lines.append(
+            f"limited: {endpoint} to {min(limits):g} requests a second, "
+            f"{used:.1f} used, known to {len(limits)} of {len(up)} VMs"
+        )
+    return lines
+
+
 async def read_states(addresses: Iterable[str]) -> list[VmState]:
     """:param addresses: metrics addresses, ``IP:port``.
 
--- a/walnutquay/coordination/routed/sendlimits.py
+++ b/walnutquay/coordination/routed/sendlimits.py
@@ -181,7 +181,7 @@
         names = ", ".join(sorted(limited))
         reason = f"the endpoints of {service} are at their rate limits: {names}"
         wait = min(self.seconds_left(item, need.priority, now) for item in found)
-        return Refusal(RefusalCode.NO_ENDPOINT, reason, self._retry_after(need, wait))
+        return Refusal(RefusalCode.RATE_LIMITED, reason, self._retry_after(need, wait))
 
     def _retry_after(self, need: SlotRequest, wait: float) -> float:
         """Return the time after which a refused caller should return; seconds.
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -105,6 +105,7 @@
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
         yield from self._endpoints()
         yield from self._emptied()
+        yield from self._rate_limits()
         yield from self._crashes()
         for service, budget in self.path.budgets.by_service.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
@@ -152,6 +153,15 @@
             )
             yield f'{PREFIX}_emptied_hall_running{{hall="{escaped(hall)}"}} {running}'
 
+    def _rate_limits(self) -> Iterator[str]:
+        """Yield the rate limits of endpoints, and what this VM has used of them."""
+        now = monotonic()
+        rates = self.path.admission.rates
+        for name, limit in sorted(rates.limits.table.limited(now).items()):
+            label = f'{{endpoint="{escaped(name)}"}}'
+            yield f"{PREFIX}_rate_limit{label} {limit.per_second:g}"
+            yield f"{PREFIX}_rate_limit_used{label} {rates.use(name, now):g}"
+
     def _endpoints(self) -> Iterator[str]:
         now = monotonic()
         states: Counter[tuple[str, str]] = Counter()
@@ -165,6 +175,8 @@
                 state = "ejected"
             elif self.path.admission.cold.is_limited(item, now):
                 state = "cold"
+            elif self.path.admission.rates.rate(item.name, now) is not None:
+                state = "limited"
             else:
                 state = "ready"
             states[item.service, state] += 1
--- a/walnutquay/history/causes.py
+++ b/walnutquay/history/causes.py
@@ -34,6 +34,7 @@
     VM_LOST = "the VM was lost"
     ENDPOINTS_UNREACHED = "the endpoints could not be reached"
     ENDPOINTS_FULL = "the endpoints were full"
+    ENDPOINTS_LIMITED = "the endpoints were at the rate limits that they name"
     NO_ENDPOINT = "no endpoint was left to ask"
     ENDPOINT_ERROR = "the endpoint answered that it failed"
     ENDPOINT_LOST = "the endpoint's connection was lost"
@@ -67,6 +68,7 @@
     RefusalCode.NOT_READY.value: Cause.VM_STARTING,
     RefusalCode.STOPPING.value: Cause.VM_STOPPING,
     RefusalCode.DEADLINE.value: Cause.NO_TIME,
+    RefusalCode.RATE_LIMITED.value: Cause.ENDPOINTS_LIMITED,
     RefusalCode.ENDS_ENDPOINTS.value: Cause.ENDS_ENDPOINTS,
 }
 DENIALS = frozenset({RefusalCode.UNKNOWN_SERVICE.value, RefusalCode.NO_KEY.value})
--- a/walnutquay/state/requests/refusals.py
+++ b/walnutquay/state/requests/refusals.py
@@ -22,6 +22,7 @@
     VERSION_WITHDRAWN = "version_withdrawn"
     NO_VERSION = "no_version_available"
     NO_ENDPOINT = "no_endpoint_available"
+    RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     QUEUE_TIMEOUT = "queue_timeout"
     DEADLINE = "deadline_cannot_be_met"
