Let endpoints of the soak name rate limits that move

The soak had no endpoint that names a limit, so it could not have found the incident. An endpoint now names one, then another, then none; from 3 s after each, VMs that nothing disturbs must stay within 1.5 times the limit and 5 requests in any 4 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,10 @@
 LEAVING_SECONDS = 4.0
 # A data hall stays emptied for so long: longer than VMs may take to know.
 EMPTIED_SECONDS = (3.5, 7.0)
+# Rate limits that endpoints name, requests a second, and for how long: longer than VMs
+# may take to know.
+LIMITS = (0.3, 3.0)
+LIMITED_SECONDS = (5.0, 9.0)
 JUNK = ("text", None, {"service": "plain"}, {"slots": 1e400}, {"zone": "\udcff"})
 
 
@@ -62,6 +66,7 @@
             self.leave_endpoint,
             self.silence_endpoint,
             self.turn_cold,
+            self.name_limits,
             self.empty_hall,
             self.write_junk,
             self.change_configuration,
@@ -220,6 +225,16 @@
         if not (cold or endpoint.worker.ended or endpoint.leaving_since is not None):
             await self.fleet.turn_cold(name)
 
+    async def name_limits(self) -> None:
+        """Have an endpoint name a rate limit, then another one, then none."""
+        endpoint = self.fleet.endpoints[self.rng.choice(list(self.fleet.endpoints))]
+        for _ in range(2):
+            if endpoint.worker.ended or endpoint.leaving_since is not None:
+                return
+            endpoint.name_limit(round(self.rng.uniform(*LIMITS), 1))
+            await asyncio.sleep(self.rng.uniform(*LIMITED_SECONDS))
+        endpoint.end_limit()
+
     async def empty_hall(self) -> None:
         """Have operators empty a data hall, and take that back."""
         hall = self.rng.choice(HALLS)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,12 +19,12 @@
 import tomli_w
 
 from soak.behaviours import behave
+from soak.endpoints import HOST, Endpoint
 from standins.link import Link
 from standins.ports import HeldPorts
 from standins.store import StoreStandIn
 from standins.worker import WorkerStandIn
 
-HOST = "127.0.0.1"
 APP = "app.example"
 # A wait that lasts so long will never end; it bounds hangs and measures nothing.
 HANG_SECONDS = 60.0
@@ -93,42 +93,6 @@
     }
 
 
-@dataclass
-class Endpoint:
-    """An endpoint, which is reached through a link.
-
-    :param worker: the stand-in.
-    :param link: the link.
-    :param service: the service that it runs.
-    :param hall: its data hall.
-    :param leaving_since: when the store acknowledged that it leaves; monotonic.
-    """
-
-    worker: WorkerStandIn
-    link: Link
-    service: str
-    hall: str
-    leaving_since: float | None = None
-    # Its entry in the store.
-    entry: dict[str, object] = field(default_factory=dict)
-    # When it was cold: from and until; monotonic seconds.
-    cold: list[tuple[float, float]] = field(default_factory=list)
-
-    def start_entry(self) -> None:
-        """Make the entry of a start that is now."""
-        address = f"{HOST}:{self.link.port}"
-        born = round(time.time() * 1000.0)
-        self.entry = self.worker.spec(
-            self.service, address=address, born=born, zone=self.hall
-        )
-        self.end_cold()
-
-    def end_cold(self) -> None:
-        """Take it for warm from now on, as its entry says."""
-        now = time.monotonic()
-        self.cold = [(since, min(until, now)) for since, until in self.cold]
-
-
 @dataclass
 class Vm:
     """An entry VM, a process of its own; its store is behind a link.
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -33,6 +33,9 @@
 STREAM = b"".join(f"id: {n}\ndata: word {n}\n\n".encode() for n in range(1, EVENTS + 1))
 # Levels of log lines that a soak must not bring about.
 GRAVE = ("ERROR", "CRITICAL")
+# What an endpoint that names a rate limit tolerates in any span of some seconds.
+LIMIT_SPAN = 4.0
+LIMIT_OVER, LIMIT_EXTRA = 1.5, 5
 
 
 class Judge:
@@ -64,7 +67,13 @@
 
     def timed(self) -> list[str]:
         """:returns: what has not held in its time, at VMs that nothing disturbed."""
-        return [*self._keys(), *self._leaving(), *self._emptied(), *self._cold()]
+        return [
+            *self._keys(),
+            *self._leaving(),
+            *self._emptied(),
+            *self._cold(),
+            *self._limits(),
+        ]
 
     # Requests.
 
@@ -160,10 +169,24 @@
                     for seen in endpoint.worker.runs
                     if known < seen.at < until and self._in_touch(seen)
                 )
-                count = max((_within_second(times, at) for at in times), default=0)
+                count = max((_within(times, at, 1.0) for at in times), default=0)
                 if count > most:
                     yield f"{endpoint.worker.name} got {count} in a second while cold"
 
+    def _limits(self) -> Iterator[str]:
+        for endpoint in (*self.fleet.endpoints.values(), *self.fleet.gone):
+            for since, until, limit in endpoint.limits:
+                known = since + CONTACT_SECONDS
+                times = [
+                    seen.at
+                    for seen in endpoint.worker.runs
+                    if known < seen.at < until and self._in_touch(seen)
+                ]
+                count = max((_within(times, at, LIMIT_SPAN) for at in times), default=0)
+                if count > LIMIT_OVER * limit * LIMIT_SPAN + LIMIT_EXTRA:
+                    name = endpoint.worker.name
+                    yield f"{name} got {count} in 4 s at a limit of {limit:g} a second"
+
     # Processes.
 
     def _ends(self) -> list[str]:
@@ -178,8 +201,8 @@
             yield from (f"{vm.name}: {words}" for words in _grave(vm.log))
 
 
-def _within_second(times: list[float], begin: float) -> int:
-    return sum(begin <= at < begin + 1.0 for at in times)
+def _within(times: list[float], begin: float, seconds: float) -> int:
+    return sum(begin <= at < begin + seconds for at in times)
 
 
 def _keys_of(organisation: str, fleet: SoakFleet) -> set[str]:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -116,6 +116,8 @@
         self.runs: list[Seen] = []
         self.turned_away: list[Seen] = []
         self.connections = 0
+        # Headers of all its answers.
+        self.headers: dict[str, str] = {}
         # Second answers that are still to come, by the connection they are owed on.
         self.owed: dict[asyncio.StreamWriter, bytes] = {}
         self.server: asyncio.Server | None = None
@@ -162,6 +164,7 @@
         """
         self.name = name
         self.ended = False
+        self.headers = {}
         host, _, port = self.address.partition(":")
         self.server = await asyncio.start_server(self._serve, host, int(port))
 
@@ -241,7 +244,8 @@
             lines.append("Not-Run: 1")
         else:
             lines.append(f"Reply-Seal: seal-of-{self.name}")
-        lines += [f"{name}: {value}" for name, value in behaviour.headers.items()]
+        headers = {**self.headers, **behaviour.headers}
+        lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join([*lines, framing, "", ""]).encode()
 
     async def _plain(
