Confirm a limit at its issuers, whichever VM gets the answers

In a large fleet each permit goes to another VM, and the issuer gets hardly any answers itself. A limit that no answer confirms for 10 s is relaxed, so the issuer would have issued up to four times the limit, and a VM that asked rarely would have dropped the limit after a minute and sent without permits. VMs now tell the issuers what each answer names, at most the limit's rate of messages, and go on asking for permits until the limit is forgotten after 5 minutes. A limit that changes reaches the issuer the same way.

--- a/tests/coordination/routed/test_ratelimiter.py
+++ b/tests/coordination/routed/test_ratelimiter.py
@@ -182,6 +182,21 @@
         await self.until_told(self.gateway, "e1")
         await self.until(lambda: self.known_limit(second) is None)
 
+    async def test_answers_to_other_vms_confirm_a_limit_at_its_issuer(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        registry = self.gateway.knowledge.instances.registry
+        rates = self.gateway.path.admission.rates
+        issuer = rates.ranking.primary(registry.known[E1])
+        issuing, other = self.gateway, second
+        if issuer == second.context.vm:
+            issuing, other = other, issuing
+        await self.learn("e1", value=SOME)
+        await self.until(lambda: self.known_limit(issuing) == float(SOME))
+        limits = issuing.path.admission.rates.limits.table.limits
+        before = limits[E1].at
+        await self.until_told(other, "e1")
+        await self.until(lambda: limits[E1].at > before)
+
     async def test_an_issuer_that_cannot_be_reached(self):
         gone = VmLocation(Address("127.0.0.1", 1), HallName("hall-a"))
         rates = self.gateway.path.admission.rates
--- a/tests/state/routed/test_ratelimits.py
+++ b/tests/state/routed/test_ratelimits.py
@@ -10,6 +10,7 @@
 from walnutquay.state.routed.ratelimits import (
     CONFIRMED_SECONDS,
     EXPIRY_SECONDS,
+    FORGET_SECONDS,
     MIN_PER_SECOND,
     NamedLimit,
     RateLimitTable,
@@ -49,6 +50,11 @@
         self.assertTrue(self.table.apply(E1, NamedLimit(1.0, 10.05)))
         self.assertEqual(self.table.rate(E1, 10.1), 1.0)
 
+    def test_old_limits_are_forgotten(self):
+        self.table.apply(E1, NamedLimit(2.0, 10.0))
+        self.assertEqual(self.table.forget_old(10.0 + EXPIRY_SECONDS), [])
+        self.assertEqual(self.table.forget_old(10.0 + FORGET_SECONDS), [E1])
+
     def test_forgotten_with_its_start(self):
         self.table.apply(E1, NamedLimit(2.0, 10.0))
         self.table.forget(E1)
@@ -65,6 +71,8 @@
         rates = [limit.rate(CONFIRMED_SECONDS + at) for at in (0.0, 5.0, 20.0)]
         self.assertEqual(rates, [4.0, 8.0, 8.0])
         self.assertIsNone(limit.rate(EXPIRY_SECONDS))
+        self.assertTrue(limit.needs_permit(EXPIRY_SECONDS))
+        self.assertFalse(limit.needs_permit(FORGET_SECONDS))
 
     def test_a_limit_of_zero_still_allows_to_try(self):
         self.assertEqual(NamedLimit(0.0, 0.0).rate(1.0), MIN_PER_SECOND)
--- a/walnutquay/coordination/fleet/peers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -116,6 +116,16 @@
             ) + self._sample(far, FAR_RECIPIENTS)
         self.node.send_all(addresses, body)
 
+    def send_to(self, vms: Iterable[VmName], body: Message) -> None:
+        """Send a message to some VMs; it may be lost.
+
+        :param vms: the VMs; those that are not known, and this one, are left out.
+        :param body: the message.
+        """
+        known = [self.known[vm] for vm in vms if vm in self.known]
+        others = [place.address for place in known if place.address != self.own]
+        self.node.send_all(others, body)
+
     def send_to_hall(self, hall: HallName, body: Message) -> None:
         """Send a message to all other VMs of a data hall; it may be lost.
 
--- a/walnutquay/coordination/routed/ratelimiter.py
+++ b/walnutquay/coordination/routed/ratelimiter.py
@@ -131,6 +131,14 @@
         """
         return self.limits.table.rate(name, now)
 
+    def needs_permit(self, name: EndpointName, now: float) -> bool:
+        """Return whether a request to an endpoint needs a permit.
+
+        :param name: the endpoint.
+        :param now: monotonic seconds.
+        """
+        return self.active and self.limits.table.needs_permit(name, now)
+
     def seconds_left(self, name: EndpointName, priority: int, now: float) -> float:
         """Return the time until this VM may request a permit again.
 
@@ -142,7 +150,7 @@
         :returns: seconds; 0 if a permit can be requested now, or is not needed.
         """
         rejected = self.rejected_until.get(name)
-        if not rejected or self.rate(name, now) is None:
+        if not rejected or not self.needs_permit(name, now):
             return 0.0
         until = [at for rank, at in rejected.items() if rank <= priority]
         return max(0.0, max(until, default=-math.inf) - now)
@@ -150,7 +158,7 @@
     async def permit(
         self, instance: Instance, need: SlotRequest, patience: float
     ) -> bool:
-        """Obtain a permit to send one request to an endpoint, if it is limited.
+        """Obtain a permit to send one request to a limited endpoint.
 
         :param instance: the endpoint.
         :param need: the request.
@@ -159,8 +167,6 @@
         """
         name = instance.name
         limit = self.rate(name, monotonic())
-        if limit is None:
-            return True
         decision = await self._request(instance, need.priority, patience)
         now = monotonic()
         if decision.verdict is Verdict.GRANTED:
--- a/walnutquay/coordination/routed/ratelimits.py
+++ b/walnutquay/coordination/routed/ratelimits.py
@@ -55,6 +55,13 @@
         :param vm: the VM.
         """
 
+    def send_to(self, vms: Iterable[VmName], body: Message) -> None:
+        """Send a message to some VMs; it may be lost.
+
+        :param vms: the VMs.
+        :param body: the message.
+        """
+
     def broadcast_by_relays(self, body: Message) -> None:
         """Send a message to all VMs, in larger fleets through relays; it may be lost.
 
@@ -98,6 +105,8 @@
         self.ranking = ranking
         self.table = RateLimitTable()
         self.tasks = Tasks()
+        # The last limit of each endpoint that was not valid, as text.
+        self.invalid: dict[EndpointName, str] = {}
         # The time of the last announcement; monotonic seconds.
         self.announced_at = monotonic()
 
@@ -141,12 +150,7 @@
         :param head: the head of its answer.
         """
         if head.invalid_rate_limit:
-            self.context.metrics.count("rate_limits_invalid")
-            log.warning(
-                "{} named a rate limit that is not valid; it is ignored: {:.80}",
-                instance.name,
-                head.invalid_rate_limit,
-            )
+            self._on_invalid(instance.name, head.invalid_rate_limit)
             return
         if not self.registry.is_current(instance):
             return
@@ -154,11 +158,34 @@
         if head.rate_limit is None and name not in self.table.limits:
             return
         before = self.table.limits.get(name)
-        if not self.table.apply(name, limit):
-            return
-        self._log(name, limit, before, "its answer")
-        if before is None or None in (before.per_second, limit.per_second):
+        changed = self.table.apply(name, limit)
+        if changed:
+            self._log(name, limit, before, "its answer")
+        if changed and (
+            before is None or None in (before.per_second, limit.per_second)
+        ):
             self._announce([name])
+        elif self.table.limits[name] is limit and limit.per_second is not None:
+            self._confirm(instance)
+
+    def _on_invalid(self, name: EndpointName, text: str) -> None:
+        self.context.metrics.count("rate_limits_invalid")
+        if self.invalid.get(name) != text:
+            self.invalid[name] = text
+            log.warning(
+                "{} named a rate limit that is not valid; it is ignored: {:.80}",
+                name,
+                text,
+            )
+
+    def _confirm(self, instance: Instance) -> None:
+        """Tell the issuers of an endpoint which limit its answer has named.
+
+        They get few answers themselves, and relax a limit that none confirms.
+        """
+        issuers = {self.ranking.primary(instance), self.ranking.of_hall(instance)}
+        others = [vm for vm in issuers if vm not in (None, self.context.vm)]
+        self.peers.send_to(others, RateLimitNews((self.row(instance.name),)))
 
     def on_instance(self, name: EndpointName, instance: Instance | None) -> None:
         """Forget the limit of an endpoint that is gone, or of its earlier start.
@@ -169,6 +196,7 @@
         """
         if instance is None:
             self.table.forget(name)
+            self.invalid.pop(name, None)
 
     # Messages of other VMs.
 
@@ -181,7 +209,7 @@
         assert isinstance(body, RateLimitNews)
         self.apply(body.rows, envelope.vm)
         hall = self.peers.hall_of(VmName(envelope.vm))
-        if hall is not None:
+        if body.for_all and hall is not None:
             self.peers.relay(hall, body)
 
     def answer(self, envelope: Envelope) -> RateLimitNews:
@@ -224,6 +252,8 @@
     def announce_all(self) -> None:
         """Announce the limits that answers to this VM have confirmed lately."""
         now = monotonic()
+        for name in self.table.forget_old(now):
+            self._log(name, NamedLimit(None, now), None, "no answer has confirmed it")
         interval = ANNOUNCE_SECONDS * (self.peers.size / VMS_PER_INTERVAL)
         if now - self.announced_at < interval:
             return
@@ -245,7 +275,7 @@
     def _announce(self, names: list[EndpointName]) -> None:
         for first in range(0, len(names), MAX_ROWS):
             rows = tuple(self.row(name) for name in names[first : first + MAX_ROWS])
-            self.peers.broadcast_by_relays(RateLimitNews(rows))
+            self.peers.broadcast_by_relays(RateLimitNews(rows, for_all=True))
 
     def _log(
         self,
--- a/walnutquay/coordination/routed/sendlimits.py
+++ b/walnutquay/coordination/routed/sendlimits.py
@@ -54,7 +54,7 @@
         :param instance: the endpoint.
         :param now: monotonic seconds.
         """
-        if self.rates.active and self.rates.rate(instance.name, now) is not None:
+        if self.rates.needs_permit(instance.name, now):
             return True
         return self.cold.is_limited(instance, now)
 
@@ -96,7 +96,7 @@
         found = self.cold.available(instances, now)
         if not self.rates.active:
             return found
-        return [item for item in found if self.rates.rate(item.name, now) is None]
+        return [item for item in found if not self.rates.needs_permit(item.name, now)]
 
     async def wait_for(self, find: Find, need: SlotRequest) -> list[Instance]:
         """Wait for a limited time until a request may be sent to some endpoint.
@@ -144,9 +144,7 @@
 
         :param instance: the endpoint.
         """
-        if not self.rates.active:
-            return False
-        return self.rates.rate(instance.name, monotonic()) is not None
+        return self.rates.needs_permit(instance.name, monotonic())
 
     async def permit(
         self, chosen: Instance, open_ones: list[Instance], need: SlotRequest
@@ -174,7 +172,7 @@
         now = monotonic()
         found = find()
         service = ServiceName(need.target)
-        limited = [i.name for i in found if self.rates.rate(i.name, now) is not None]
+        limited = [i.name for i in found if self.rates.needs_permit(i.name, now)]
         if not limited:
             reason = f"the endpoints of {service} are cold, and have what they may get"
             return Refusal(RefusalCode.NO_ENDPOINT, reason, self.cold.retry_after())
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -273,9 +273,11 @@
     """Tells the rate limits of endpoints.
 
     :param rows: a limit each; what is known twice does no harm.
+    :param for_all: whether relays forward it to all VMs of their data hall.
     """
 
     rows: tuple[RateLimitRow, ...]
+    for_all: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -45,7 +45,7 @@
     crashDigest @38 :UInt64;
     askCrashes @39 :Void;
     billsMissing @40 :UInt64;
-    rateLimits @41 :List(RateLimit);
+    rateLimits @41 :RateLimitNews;
     askRateLimits @42 :Void;
     askPermit @43 :AskPermit;
     permit @44 :Permit;
@@ -250,6 +250,12 @@
   age @3 :Float64;
 }
 
+struct RateLimitNews {
+  rows @0 :List(RateLimit);
+  # Whether relays forward it to all VMs of their data hall.
+  forAll @1 :Bool;
+}
+
 struct AskPermit {
   limit @0 :RateLimit;
   priority @1 :Int32;
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -147,7 +147,9 @@
     "crashes": lambda r: m.CrashNews(tuple(_trace(row) for row in r)),
     "crashDigest": lambda r: m.CrashDigest(int(r)),
     "askCrashes": lambda r: m.AskCrashes(),
-    "rateLimits": lambda r: m.RateLimitNews(tuple(_rate_limit(row) for row in r)),
+    "rateLimits": lambda r: m.RateLimitNews(
+        tuple(_rate_limit(row) for row in r.rows), r.forAll
+    ),
     "askRateLimits": lambda r: m.AskRateLimits(),
     "askPermit": lambda r: m.AskPermit(_rate_limit(r.limit), r.priority, r.patience),
     "permit": lambda r: m.PermitIs(_rate_limit(r.limit), r.granted, r.issuer, r.wait),
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -206,7 +206,8 @@
 
 @body_fields.register
 def _(body: m.RateLimitNews) -> dict[str, Any]:
-    return {"rateLimits": [_rate_limit_fields(row) for row in body.rows]}
+    rows = [_rate_limit_fields(row) for row in body.rows]
+    return {"rateLimits": {"rows": rows, "forAll": body.for_all}}
 
 
 @body_fields.register
--- a/walnutquay/state/routed/ratelimits.py
+++ b/walnutquay/state/routed/ratelimits.py
@@ -20,8 +20,11 @@
 CONFIRMED_SECONDS = 10.0
 DOUBLING_SECONDS = 5.0
 MAX_DOUBLINGS = 2
-# A limit that no answer has confirmed for this long is dropped.
+# A limit that no answer has confirmed for this long does not hold any more.
 EXPIRY_SECONDS = 60.0
+# It is forgotten only after this time.  Until then VMs still ask the issuer of permits,
+# which may know of a later answer.
+FORGET_SECONDS = 300.0
 # The lowest rate at which an endpoint is tried.  One that is never sent a request
 # could not name a higher limit.
 MIN_PER_SECOND = 0.2
@@ -52,6 +55,13 @@
         doublings = min(max(steps, 0), MAX_DOUBLINGS)
         return max(self.per_second, MIN_PER_SECOND) * 2**doublings
 
+    def needs_permit(self, now: float) -> bool:
+        """Return whether an issuer has to be asked before a request is sent.
+
+        :param now: monotonic seconds.
+        """
+        return self.per_second is not None and now - self.at < FORGET_SECONDS
+
     def is_laxer_than(self, other: NamedLimit) -> bool:
         """Return whether this limit allows more than another one."""
         if other.per_second is None:
@@ -95,6 +105,30 @@
         limit = self.limits.get(name)
         return None if limit is None else limit.rate(now)
 
+    def needs_permit(self, name: EndpointName, now: float) -> bool:
+        """Return whether a request to an endpoint needs a permit.
+
+        :param name: the endpoint.
+        :param now: monotonic seconds.
+        """
+        limit = self.limits.get(name)
+        return limit is not None and limit.needs_permit(now)
+
+    def forget_old(self, now: float) -> list[EndpointName]:
+        """Remove the limits that no answer has confirmed for too long.
+
+        :param now: monotonic seconds.
+        :returns: the endpoints that named them.
+        """
+        old = [
+            name
+            for name, limit in self.limits.items()
+            if limit.per_second is not None and not limit.needs_permit(now)
+        ]
+        for name in old:
+            del self.limits[name]
+        return old
+
     def limited(self, now: float) -> dict[EndpointName, NamedLimit]:
         """Return the limits that hold now, by endpoint.
 
