Do not waste a permit because another request was rejected

What callers saw: with several requests at once, one that had got a permit was treated as held back when another was rejected meanwhile; its permit was lost, and it was refused or sent elsewhere.

Cause: after a permit came, the endpoint was checked against the time until which no permit is requested. Now only whether the endpoint is still usable is checked.

--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -15,7 +15,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from lab.mutants import callers, connections, own, routed
+from lab.mutants import callers, connections, limits, own, routed
 from lab.mutants.mutation import Mutation
 
 ROOT = Path(__file__).parents[2]
@@ -25,6 +25,7 @@
 MUTATIONS = [
     *own.MUTATIONS,
     *routed.MUTATIONS,
+    *limits.MUTATIONS,
     *connections.MUTATIONS,
     *callers.MUTATIONS,
 ]
--- a/tests/coordination/routed/test_ratelimiter.py
+++ b/tests/coordination/routed/test_ratelimiter.py
@@ -108,6 +108,20 @@
         self.assertTrue(all(dict(event.facts)["wait_ms"] > 0 for event in found))
 
 
+class ConcurrentRequestsTest(LimiterCase):
+    """Requests that ask for a permit at the same time do not hinder each other."""
+
+    async def test_a_rejection_does_not_waste_the_permit_of_another(self):
+        await self.learn("e1", "e2", value=SOME)
+        before = self.runs()
+        counters = self.gateway.context.metrics.counters
+        permits = counters["rate_limit_permits"]
+        answers = await asyncio.gather(*(self.stream() for _ in range(2 * REQUESTS)))
+        self.assertEqual({answer.status for answer in answers}, {200, 503})
+        permits = counters["rate_limit_permits"] - permits
+        self.assertEqual(self.runs() - before, permits)
+
+
 class RetryBudgetTest(LimiterCase):
     """A retry that a limit holds back is not charged to the retry budget."""
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -54,6 +54,14 @@
     st.lists(st.tuples(TEXTS, TEXTS), max_size=3).map(tuple),
 )
 UNANSWERED = st.sampled_from([s for s in RunState if s is not RunState.ANSWERED])
+SECONDS = st.floats(0.0, 1e6)
+RATE_LIMITS = st.builds(
+    m.RateLimitRow,
+    TEXTS,
+    st.none() | st.integers(0, 2**62),
+    st.none() | st.floats(0.0, 1e9),
+    SECONDS,
+)
 MESSAGES = st.one_of(
     st.builds(
         own.Heartbeat,
@@ -79,6 +87,10 @@
     st.builds(own.EndpointLeaving, TEXTS, TEXTS),
     st.builds(own.VersionBrake, TEXTS),
     st.builds(m.Failure, TEXTS),
+    st.builds(m.RateLimitNews, st.lists(RATE_LIMITS, max_size=3).map(tuple)),
+    st.builds(m.AskRateLimits),
+    st.builds(m.AskPermit, RATE_LIMITS, st.integers(0, 9), SECONDS),
+    st.builds(m.PermitIs, RATE_LIMITS, st.booleans(), st.booleans(), SECONDS),
 )
 ENVELOPES = st.builds(
     m.Envelope, TEXTS, TEXTS, st.builds(Stamp, NUMBERS, NUMBERS), MESSAGES, NUMBERS
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -152,8 +152,8 @@
                 return Ok(chosen)
             if not await self.limits.permit(chosen, open_ones, need):
                 continue
-            # The endpoint may be gone meanwhile, or others may have used its quota.
-            if chosen in self.limits.available(find(), need.priority, monotonic()):
+            # The endpoint may be gone meanwhile, or cold and have what it may get.
+            if chosen in self.cold.available(find(), monotonic()):
                 return Ok(chosen)
 
     def _choose(self, remaining: list[Instance], need: SlotRequest) -> Instance | None:
--- a/walnutquay/coordination/routed/ratelimiter.py
+++ b/walnutquay/coordination/routed/ratelimiter.py
@@ -20,7 +20,7 @@
 from walnutquay.protocol.messages import AskPermit, Envelope, Message, PermitIs
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, VmName
-from walnutquay.state.routed.permits import Decision, Verdict
+from walnutquay.state.routed.permits import MAX_WAIT_SECONDS, Decision, Verdict
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.timers import monotonic
 
@@ -271,7 +271,8 @@
         instance = self.limits.registry.known.get(name)
         decision = None
         if instance is not None and math.isfinite(body.patience):
-            decision = await self._issue(instance, body.priority, body.patience)
+            patience = min(body.patience, MAX_WAIT_SECONDS)
+            decision = await self._issue(instance, body.priority, patience)
         if decision is None:
             return PermitIs(body.limit, granted=False, issuer=False, wait=0.0)
         known = name in self.limits.table.limits
