Ask all watchers for changes once one has lost the store

Cause: a VM whose own watcher has lost the store takes the first answer of another watcher that does not say that it failed. That one may have lost the store too and not noticed it yet; it has no change, and the next query comes half a second later.

The new test fails without the change, for either order of the halls.

Why the change works: after a failure, an answer without changes is kept only until another watcher has changes.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -45,6 +45,14 @@
         "tests.coordination.store.test_relaying.WatchersTest."
         "test_the_only_hall_that_the_store_serves_is_found",
     ),
+    Mutation(
+        "relays: a watcher that has not noticed its failure is believed",
+        "coordination/fleet/watchers.py",
+        "elif failing is None or has_changes(answer):",
+        "elif True:",
+        "tests.coordination.store.test_relaying.WatchersTest."
+        "test_a_watcher_that_has_not_noticed_its_failure_is_no_last_word",
+    ),
     Mutation(
         "silent streams between VMs are replaced",
         "transport/peers.py",
--- a/tests/coordination/store/test_relaying.py
+++ b/tests/coordination/store/test_relaying.py
@@ -127,6 +127,21 @@
             answer = await found.query("servers", 1, 0.0)
             self.assertFalse(answer.failing, served)
 
+    async def test_a_watcher_that_has_not_noticed_its_failure_is_no_last_word(self):
+        found, _, known = self.follower()
+        node = found.peers.node
+        news = ChangesAre(b"news")
+        for unaware in ("h2", "h3"):
+            for vm, place in known.items():
+                is_failing = vm.startswith("h1")
+                old = is_failing or vm.startswith(unaware)
+                node.answers[place.address] = (
+                    ChangesAre(failing=is_failing) if old else news
+                )
+            for _ in range(4):
+                answer = await found.query("config", 1, 0.0, lambda one: bool(one.data))
+                self.assertEqual(answer, news, unaware)
+
     async def test_after_a_timeout_not_all_halls_are_queried(self):
         found, near, _ = self.follower()
         self.assertIsNone(await found.query("servers", 1, 0.0))
@@ -195,7 +210,7 @@
             async def wait_for_vms(self) -> None:
                 return
 
-            async def query(self, kind, revision, seconds) -> ChangesAre:
+            async def query(self, kind, revision, seconds, _) -> ChangesAre:
                 return ChangesAre(b"gone", returned=returned)
 
         feed = RelayedFeed(
@@ -273,10 +288,10 @@
         original_ask = source.query
         cut = True
 
-        async def query(kind, revision, seconds):
+        async def query(kind, revision, seconds, has_changes):
             if cut:
                 return ChangesAre(failing=True)
-            return await original_ask(kind, revision, seconds)
+            return await original_ask(kind, revision, seconds, has_changes)
 
         source.query = query
         knowledge = self.follower.knowledge
--- a/walnutquay/coordination/fleet/watchers.py
+++ b/walnutquay/coordination/fleet/watchers.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -103,17 +104,25 @@
         return [vm for vm in near if vm != self.context.vm], far
 
     async def query(
-        self, kind: str, revision: int, seconds: float
+        self,
+        kind: str,
+        revision: int,
+        seconds: float,
+        has_changes: Callable[[ChangesAre], bool] = lambda answer: True,
     ) -> ChangesAre | None:
         """Wait for changes from a watcher that receives them from the store.
 
+        After a watcher has failed, another one that has no changes may have lost the
+        store too, and not noticed it yet.  The others are queried as well then.
+
         :param kind: the kind of objects.
         :param revision: the newest revision of this VM.
         :param seconds: the time to wait for a change.
+        :param has_changes: returns whether an answer contains changes.
         :returns: the answer; a failing one only if the store serves none of the
             watchers; None if none of them answers.
         """
-        failing = None
+        failing = unchanged = None
         silent = False
         near, far = self._choose_watchers()
         for number, vm in enumerate(near + far):
@@ -126,10 +135,13 @@
             if answer is None or not answer.direct:
                 silent = silent or answer is None
                 continue
-            if not answer.failing:
+            if answer.failing:
+                failing = answer
+            elif failing is None or has_changes(answer):
                 return answer
-            failing = answer
-        return failing
+            else:
+                unchanged = answer
+        return unchanged or failing
 
     async def query_near(self, query: Message) -> Message | None:
         """Query the VM of this data hall that watches the store.
--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -124,7 +124,9 @@
         self.watching = self.watchers.includes_this()
         if not self.watching:
             wait = min(seconds, self.poll)
-            answer = await self.watchers.query(self.kind, revision, wait)
+            answer = await self.watchers.query(
+                self.kind, revision, wait, self._has_changes
+            )
             if answer is not None:
                 return self._read(answer)
             self.watching = True
@@ -139,10 +141,16 @@
             )
         if math.isfinite(answer.returned):
             self.on_store_returned(answer.returned)
+        return self._decode(answer)
+
+    def _decode(self, answer: ChangesAre) -> Changes[Item]:
         if answer.whole:
             return self.direct.read_whole(answer.data)
         return self.direct.read_changes(answer.data)
 
+    def _has_changes(self, answer: ChangesAre) -> bool:
+        return bool(self._decode(answer).changes)
+
     @property
     def unreadable(self) -> Mapping[str, int]:
         """The revisions of objects that cannot be read, by name."""
