Count the wait for a silent issuer as waited

What callers saw: a request that waited for a permit of an issuer that had fallen silent could wait as long again for the issuer of its hall, up to the whole of its objective in place of half. Found by reading; no run had shown it. The second issuer gets what is left (new test; both got 1.0 s before). Times in messages about permits that are not finite or below 0 are refused as the messages are read.

--- a/tests/coordination/routed/test_ratelimiter.py
+++ b/tests/coordination/routed/test_ratelimiter.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 from typing import Any
+from unittest import mock
 
 from standins.worker import Behaviour
 from tests.coordination.routed.test_ratelimits import LOW, RateLimitCase
@@ -16,6 +17,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, HallName, VmName
 from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.routed.permits import Decision, Verdict
 from walnutquay.state.routed.ratelimits import OVERTAKING_SECONDS
 
 E1 = EndpointName("e1")
@@ -24,6 +26,9 @@
 # So much that a permit comes soon.
 SOME = "5"
 REQUESTS = 12
+# How long a request can wait, and for how long an issuer says nothing.
+PATIENCE_SECONDS = 1.0
+SILENT_SECONDS = 0.05
 
 
 class LimiterCase(RateLimitCase):
@@ -124,6 +129,27 @@
         self.assertEqual(self.runs() - before, permits)
 
 
+class SilentIssuerTest(LimiterCase):
+    """The time for which a request waited for a silent issuer counts as waited."""
+
+    async def test_the_next_issuer_gets_what_is_left(self):
+        await self.learn("e1", value=SOME)
+        rates = self.gateway.path.admission.rates
+        left: list[float] = []
+
+        async def request_of(vm, instance, priority, patience) -> Decision | None:
+            left.append(patience)
+            await asyncio.sleep(SILENT_SECONDS)
+            return None
+
+        with mock.patch.object(rates, "_request_of", request_of):
+            instance = rates.limits.registry.known[E1]
+            decision = await rates._request(instance, 0, PATIENCE_SECONDS)
+        self.assertEqual(decision.verdict, Verdict.REJECTED)
+        self.assertEqual(left[0], PATIENCE_SECONDS)
+        self.assertLess(left[1], left[0])
+
+
 class RetryBudgetTest(LimiterCase):
     """A retry that a limit holds back is not charged to the retry budget."""
 
--- a/walnutquay/coordination/routed/ratelimiter.py
+++ b/walnutquay/coordination/routed/ratelimiter.py
@@ -190,12 +190,14 @@
         self, instance: Instance, priority: int, patience: float
     ) -> Decision:
         """Request a permit of the primary issuer, or of the issuer of this hall."""
+        end = monotonic() + patience
         primary = self.ranking.primary(instance)
         decision = await self._request_of(primary, instance, priority, patience)
         if decision is None:
             self.context.metrics.count("rate_limit_hall_requests")
             issuer = self.ranking.of_hall(instance)
-            decision = await self._request_of(issuer, instance, priority, patience)
+            left = max(0.0, end - monotonic())
+            decision = await self._request_of(issuer, instance, priority, left)
         return decision or Decision(Verdict.REJECTED, NO_ISSUER_SECONDS)
 
     async def _request_of(
@@ -270,7 +272,7 @@
         name = body.limit.endpoint
         instance = self.limits.registry.known.get(name)
         decision = None
-        if instance is not None and math.isfinite(body.patience):
+        if instance is not None:
             patience = min(body.patience, MAX_WAIT_SECONDS)
             decision = await self._issue(instance, body.priority, patience)
         if decision is None:
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -111,14 +111,20 @@
     )
 
 
+def _seconds(value: float) -> float:
+    if not (math.isfinite(value) and value >= 0.0):
+        raise ValueError("a time is out of range")
+    return value
+
+
 def _rate_limit(reader: Any) -> m.RateLimitRow:
-    if not (math.isfinite(reader.perSecond) and reader.age >= 0.0):
+    if not math.isfinite(reader.perSecond):
         raise ValueError("a rate limit is out of range")
     return m.RateLimitRow(
         EndpointName(reader.endpoint),
         reader.born if reader.born >= 0 else None,
         reader.perSecond if reader.perSecond >= 0.0 else None,
-        reader.age,
+        _seconds(reader.age),
     )
 
 
@@ -151,8 +157,12 @@
         tuple(_rate_limit(row) for row in r.rows), r.forAll
     ),
     "askRateLimits": lambda r: m.AskRateLimits(),
-    "askPermit": lambda r: m.AskPermit(_rate_limit(r.limit), r.priority, r.patience),
-    "permit": lambda r: m.PermitIs(_rate_limit(r.limit), r.granted, r.issuer, r.wait),
+    "askPermit": lambda r: m.AskPermit(
+        _rate_limit(r.limit), r.priority, _seconds(r.patience)
+    ),
+    "permit": lambda r: m.PermitIs(
+        _rate_limit(r.limit), r.granted, r.issuer, _seconds(r.wait)
+    ),
     "failure": lambda r: m.Failure(str(r)),
 }
 
