Leave an answer unrated if the rating service replies no rating

What operators saw: a reply of null, or a list, ended the task that rates with a TypeError, and a rating of 1.5 or -1 counted as it was. Found by reading. Cause: the reply was used without a check of its shape. Only a number from 0 to 1 is a rating now.

--- a/walnutquay/coordination/own/rater.py
+++ b/walnutquay/coordination/own/rater.py
@@ -54,10 +54,23 @@
                 headers={"content-type": "application/json"},
                 timeout=self.section.timeout_seconds,
             ) as reply:
-                parsed = orjson.loads(await reply.read())
-                return float(parsed["rating"])
-        except (EndpointError, orjson.JSONDecodeError, KeyError, ValueError) as error:
+                return _rating(orjson.loads(await reply.read()))
+        except (EndpointError, ValueError) as error:
             log.debug(
                 "request for a rating failed; the answer stays unrated: {}", error
             )
             return None
+
+
+def _rating(parsed: object) -> float:
+    """Return the rating in a reply.
+
+    :param parsed: the reply's JSON.
+    :raises ValueError: if it contains no number from 0 to 1.
+    """
+    rating = parsed.get("rating") if isinstance(parsed, dict) else None
+    if isinstance(rating, bool) or not isinstance(rating, int | float):
+        raise ValueError("the reply contains no rating")
+    if not 0.0 <= rating <= 1.0:
+        raise ValueError(f"the rating {rating} is not from 0 to 1")
+    return float(rating)
