Drop the error of a policy program that is not in force any more

What operators saw: walnutquay status named a policy as failed after it had been removed, or its source taken back. Found by reading. Cause: errors were dropped only when another source compiled. Evidence: both new tests fail without the change.

--- a/tests/state/own/test_routing.py
+++ b/tests/state/own/test_routing.py
@@ -300,6 +300,22 @@
         self.assertEqual(order, ("large-1", "small-2", "small-1"))
         self.assertIn("p", programs.failed)
 
+    def test_errors_of_programs_that_are_not_in_force_are_dropped(self):
+        good, bad = (Policy(name="p", source=s) for s in (REVERSED, NO_SYNTAX))
+        for later in ((), (good,)):
+            programs = PolicyPrograms()
+            programs.load((good,))
+            programs.load((bad,))
+            programs.load(later)
+            self.assertEqual(programs.failed, {}, later)
+
+    def test_the_error_of_a_new_program_goes_with_it(self):
+        programs = PolicyPrograms()
+        programs.load((Policy(name="p", source=NO_SYNTAX),))
+        self.assertIn("p", programs.failed)
+        programs.load(())
+        self.assertEqual(programs.failed, {})
+
     def test_execution_limit_is_deterministic(self):
         messages = {PolicyPrograms.check(Policy(name="p", source=SPINS))}
         messages.add(PolicyPrograms.check(Policy(name="p", source=SPINS)))
--- a/walnutquay/state/own/policies.py
+++ b/walnutquay/state/own/policies.py
@@ -162,11 +162,14 @@
         :param policies: the policies of the configuration in force.
         """
         wanted = {policy.name for policy in policies}
-        for name in set(self.programs) - wanted:
-            del self.programs[name]
+        for name in (set(self.programs) | set(self.failed)) - wanted:
+            self.programs.pop(name, None)
             self.sources.pop(name, None)
+            self.failed.pop(name, None)
         for policy in policies:
             if self.sources.get(policy.name) == policy.source:
+                # Its error may be of a source that was taken back.
+                self.failed.pop(policy.name, None)
                 continue
             try:
                 self.programs[policy.name] = PolicyProgram(policy)
