--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -20,7 +20,7 @@
 # Statuses below it announce an answer; a caller would wait for that one.
 FIRST_FINAL_STATUS = 200
 # A rate limit is a plain decimal number, without a sign or an exponent.
-RATE_LIMIT = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
+RATE_LIMIT = re.compile(r"\d{1,9}(\.\d{0,30})?|\.\d{1,30}", re.ASCII)
 NO_VALUE = "(empty)"
 
 
