--- a/tests/platform/test_rate_limit_header.py
+++ b/tests/platform/test_rate_limit_header.py
@@ -24,7 +24,15 @@
     """A valid limit is read from any answer; one that is not valid harms none."""
 
     def test_decimal_numbers(self):
-        for text, limit in (("1.5", 1.5), ("8", 8.0), (" 0.25 ", 0.25), ("0", 0.0)):
+        for text, limit in (
+            ("1.5", 1.5),
+            ("8", 8.0),
+            (" 0.25 ", 0.25),
+            ("0", 0.0),
+            ("1.", 1.0),
+            (".5", 0.5),
+            ("1.2999999999999998", 1.2999999999999998),
+        ):
             for status in (200, 404, 500, 503):
                 head = decode(text, status=status)
                 self.assertEqual(
@@ -36,7 +44,19 @@
         self.assertEqual((head.rate_limit, head.invalid_rate_limit), (None, ""))
 
     def test_invalid_values(self):
-        for text in ("", "-1", "nan", "inf", "1e309", "1e3", "1_0", "1,5", "a", "٣"):
+        for text in (
+            "",
+            "-1",
+            "nan",
+            "inf",
+            "1e309",
+            "1e3",
+            "1_0",
+            "1,5",
+            "a",
+            ".",
+            "٣",
+        ):
             with self.subTest(text=text):
                 head = decode(text)
                 self.assertIsNone(head.rate_limit)
