Ask other VMs for limits again if none has answered

It asked the others once, for 0.4 s at most; where none answered in time it waited for the next announcement, which comes only while answers confirm the limit. It asks up to ten times now, half a second apart. The new test, in which the first query gets no answer, fails without the change.

--- a/tests/coordination/routed/test_ratelimiter.py
+++ b/tests/coordination/routed/test_ratelimiter.py
@@ -11,8 +11,10 @@
 
 from standins.worker import Behaviour
 from tests.coordination.routed.test_ratelimits import LOW, RateLimitCase
+from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.platform import names
+from walnutquay.protocol.messages import AskRateLimits, Message
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, HallName, VmName
@@ -232,6 +234,23 @@
         second = await self.add_gateway("vm-2", [self.gateway])
         await self.until(lambda: self.known_limit(second) == float(LOW))
 
+    async def test_a_vm_that_gets_no_answer_as_it_starts_asks_again(self):
+        await self.learn("e1")
+        query_any = FleetPeers.query_any
+        queries: list[Message] = []
+
+        async def unanswered_once(peers, body) -> Message | None:
+            if isinstance(body, AskRateLimits):
+                queries.append(body)
+                if len(queries) == 1:
+                    return None
+            return await query_any(peers, body)
+
+        with mock.patch.object(FleetPeers, "query_any", unanswered_once):
+            second = await self.add_gateway("vm-2", [self.gateway])
+            await self.until(lambda: self.known_limit(second) == float(LOW))
+        self.assertGreater(len(queries), 1)
+
     async def test_a_withdrawal_is_announced(self):
         second = await self.add_gateway("vm-2", [self.gateway])
         await self.learn("e1", value=SOME)
--- a/walnutquay/coordination/routed/ratelimits.py
+++ b/walnutquay/coordination/routed/ratelimits.py
@@ -35,6 +35,9 @@
 # fleets at a longer one, so that the announcements take no more bytes.
 ANNOUNCE_SECONDS = 3.0
 VMS_PER_INTERVAL = 120
+# Other VMs may be busy as one starts; they are queried again after a pause.
+QUERY_TRIES = 10
+QUERY_PAUSE_SECONDS = 0.5
 # Rows per datagram: each takes about 60 bytes, so that a datagram fits one packet.
 MAX_ROWS = 20
 
@@ -137,9 +140,12 @@
 
     async def _query_peers(self) -> None:
         await self.peers.listed.wait()
-        answer = await self.peers.query_any(AskRateLimits())
-        if isinstance(answer, RateLimitNews):
-            self.apply(answer.rows, "another VM, when queried")
+        for _ in range(QUERY_TRIES):
+            answer = await self.peers.query_any(AskRateLimits())
+            if isinstance(answer, RateLimitNews):
+                self.apply(answer.rows, "another VM, when queried")
+                return
+            await asyncio.sleep(QUERY_PAUSE_SECONDS)
 
     # Answers of endpoints.
 
