Show the store's era, and each kind's revision

No line or metric told that the store was restored from a backup, nor up to which revision a VM knows a kind of objects, so the logs of the incident could not tell its hypotheses apart.

The store's client reads the era that each answer names; a VM logs store-restored with the revisions that it knew before, and its metrics have the era and the revision of each kind. Nothing is decided by it yet. The stand-in of the store names an era, is restored from a copy, and answers 410 to a watch from a revision that it does not have.

--- a/standins/store.py
+++ b/standins/store.py
@@ -26,6 +26,7 @@
 # Bytes of an object's content, and of the body of a call around it.
 MAX_VALUE = 1 << 20
 MAX_BODY = 4 << 20
+ERA_HEADER = "Store-Era"
 
 
 @dataclass
@@ -49,6 +50,18 @@
         return {"metadata": metadata, "spec": self.spec, "status": self.status}
 
 
+@dataclass(frozen=True)
+class Backup:
+    """What a store is restored from.
+
+    :param kinds: the objects by kind and name.
+    :param revision: the store's revision.
+    """
+
+    kinds: dict[str, dict[str, Stored]]
+    revision: int
+
+
 class RateLimit:
     """Counts calls in the last second.
 
@@ -76,6 +89,7 @@
     :param page: objects on one page of a list.
     :param writes: writes a second that are allowed.
     :param reads: reads a second that are allowed, watches among them.
+    :param era: the era that it names in its answers; 0 for none.
     """
 
     def __init__(
@@ -83,6 +97,7 @@
         page: int = PAGE,
         writes: float = math.inf,
         reads: float = math.inf,
+        era: int = 1,
     ) -> None:
         self.page = page
         self.writes = RateLimit(writes)
@@ -93,6 +108,7 @@
         self.history: list[tuple[int, str, Stored, bool]] = []
         # Revisions up to here are forgotten.
         self.forgotten = 0
+        self.restores = 0
         self.changed = asyncio.Condition()
         self.calls: Counter[str] = Counter()
         # Watches that wait for a change.
@@ -109,6 +125,10 @@
         self.late_tasks: set[asyncio.Task[None]] = set()
         # Items that lists show besides, as other programs may have written them.
         self.foreign_items: list[Any] = []
+        # Rises with each restore; 0 for a store that names none.
+        self.era = era
+        # What answers name instead of the era; None for what is true.
+        self.named_era: str | None = None
         # What lists that may be old show: objects by kind, and the revision.
         self.stale_view: tuple[dict[str, dict[str, Stored]], int] | None = None
         self.app = web.Application(client_max_size=MAX_BODY)
@@ -167,13 +187,40 @@
         kinds = {kind: dict(objects) for kind, objects in self.kinds.items()}
         self.stale_view = (kinds, self.revision)
 
+    def copy(self) -> Backup:
+        """:returns: a backup, as a store that is restored from it would be."""
+        kinds = {kind: dict(objects) for kind, objects in self.kinds.items()}
+        return Backup(kinds, self.revision)
+
+    async def restore(self, backup: Backup) -> None:
+        """Go back to a backup: its objects and revision, in the next era.
+
+        Watches that wait are cut, and the history is gone.
+        """
+        async with self.changed:
+            self.kinds = {kind: dict(items) for kind, items in backup.kinds.items()}
+            self.revision = backup.revision
+            self.history.clear()
+            self.forgotten = backup.revision
+            self.restores += 1
+            self.era += 1
+            self.changed.notify_all()
+
     # Calls.
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
-        """Answer one call.
+        """Answer one call, and name the era in which that was done.
 
         :param request: the call.
         """
+        era = self.era
+        answer = await self._answer(request)
+        named = str(era) if self.named_era is None else self.named_era
+        if era and named and not answer.prepared:
+            answer.headers[ERA_HEADER] = named
+        return answer
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
         kind, rest = _split(request)
         watching = "watch" in request.query
         self.calls[f"{request.method} {kind}{' watch' if watching else ''}"] += 1
@@ -245,7 +292,10 @@
     async def _watch(self, request: web.Request, kind: str) -> web.Response:
         after = int(request.query["watch"])
         wait = min(float(request.query["waitMs"]) / 1000, MAX_WAIT_SECONDS)
-        forgotten = self.forgotten
+        forgotten, restores = self.forgotten, self.restores
+
+        def is_cut() -> bool:
+            return self.forgotten > forgotten or self.restores > restores
 
         def events() -> list[dict[str, Any]]:
             return [
@@ -255,19 +305,17 @@
             ]
 
         async with self.changed:
-            if after < self.forgotten:
+            if not self.forgotten <= after <= self.revision:
                 return web.Response(status=410)
             self.waiting += 1
             try:
                 async with asyncio.timeout(wait):
-                    await self.changed.wait_for(
-                        lambda: bool(events()) or self.forgotten > forgotten
-                    )
+                    await self.changed.wait_for(lambda: bool(events()) or is_cut())
             except TimeoutError:
                 pass
             finally:
                 self.waiting -= 1
-            if self.forgotten > forgotten:
+            if is_cut():
                 return _broken(request)
             return _json({"events": events(), "asOf": self.revision})
 
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -32,6 +32,7 @@
 from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, KnownList
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.store.catalogue import Catalogue
+from walnutquay.state.store.eras import Era, EraTracker
 from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
@@ -60,6 +61,7 @@
     :param halls: the feed of the orders that empty data halls.
     :param query_peers: queries the other VMs while the store does not answer.
     :param times: the time for which one watch of each kind waits.
+    :param eras: the store's era.
     """
 
     def __init__(
@@ -71,8 +73,11 @@
         halls: Feed[EmptiedHall],
         query_peers: QueryPeers,
         times: WatchTimes,
+        eras: EraTracker,
     ) -> None:
         self.context = context
+        self.eras = eras
+        eras.restore_listeners.append(self._on_restored)
         self.catalogue = CatalogueSink(context)
         self.instances = InstanceSink(context)
         self.orders = OrderSink(context)
@@ -189,6 +194,15 @@
         if self.instance_follower.failing_since is not None:
             self.instances.mark_deletions_unconfirmed(ago)
 
+    def _on_restored(self, era: Era) -> None:
+        """Log that the store was restored from a backup, and what was known before."""
+        known = {f.feed.kind: f.revision for f in self.followers()}
+        self.context.timeline.emit(
+            EventKind.STORE_RESTORED,
+            detail=f"known before: {known}",
+            era=era,
+        )
+
     def stop(self) -> None:
         """Stop following; the state is kept."""
         self.tasks.stop()
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -91,10 +91,12 @@
         yield f"{PREFIX}_ready {int(self.knowledge.ready)}"
         version = catalogue.version if catalogue else 0
         yield f"{PREFIX}_configuration_version {version}"
+        yield f"{PREFIX}_store_era {self.knowledge.eras.current}"
         for follower in self.knowledge.followers():
             age = follower.age()
             known = age if age != float("inf") else UNKNOWN_AGE
             label = f'{{kind="{follower.feed.kind}"}}'
+            yield f"{PREFIX}_store_revision{label} {follower.revision or 0}"
             yield f"{PREFIX}_knowledge_age_seconds{label} {known:.3f}"
             if follower.feed.unreadable:
                 yield f"{PREFIX}_unreadable{label} {len(follower.feed.unreadable)}"
--- a/walnutquay/daemon/storefeeds.py
+++ b/walnutquay/daemon/storefeeds.py
@@ -82,6 +82,7 @@
             ),
             self._ask_peers,
             times,
+            self.store.eras,
         )
         return made
 
--- a/walnutquay/platform/names.py
+++ b/walnutquay/platform/names.py
@@ -43,6 +43,10 @@
 # absent while it is sturdy.
 BRITTLE = "Server-Brittle"
 
+# Headers of the store's answers.
+# Rises by one each time the store is restored from a backup.
+ERA = "Store-Era"
+
 # What a caller may not set: it would reserve or move an engine's memory, name
 # an organisation, or choose an instance.
 OWN_HEADERS = frozenset(
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -23,7 +23,8 @@
     PlatformUnclearError,
 )
 from walnutquay.platform.lenient import is_plain, read_json
-from walnutquay.platform.names import OBJECTS_PATH
+from walnutquay.platform.names import ERA, OBJECTS_PATH
+from walnutquay.state.store.eras import Era, EraTracker
 from walnutquay.transport.connections import OnStray, ignore_stray
 from walnutquay.transport.connectors import KeptConnector
 
@@ -36,6 +37,8 @@
 WATCH_SLACK_SECONDS = 0.5
 CONNECT_SECONDS = 0.5
 JSON_TYPE = "application/json"
+# An era has at most this many digits, so that it fits into 64 bits.
+MAX_ERA_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +78,7 @@
     :param count: told of each call, by what it is and for which kind; calls have a
         price, and whoever looks at it asks which ones there are.
     :param on_stray: told of bytes that answer no call.
+    :param eras: told of the era that each answer names.
     """
 
     def __init__(
@@ -84,8 +88,10 @@
         call_seconds: float = CALL_SECONDS,
         count: Callable[[str], None] = lambda name: None,
         on_stray: OnStray = ignore_stray,
+        eras: EraTracker | None = None,
     ) -> None:
         self.count = count
+        self.eras = eras or EraTracker()
         self.base = f"http://{address}{OBJECTS_PATH}"
         self.address = address
         self.call_seconds = call_seconds
@@ -249,16 +255,29 @@
             ) as answer:
                 content = await answer.read()
                 status = answer.status
+                era = _era(answer.headers.get(ERA), place)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise PlatformUnavailableError(str(error), step=step, peer=place) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformUnclearError(reason, step=step, peer=place) from error
+        if era is not None:
+            self.eras.observe(era)
         if status == 200 or status == 201:
             return _decoded(content, step, place)
         raise _failure(status, content, step, place)
 
 
+def _era(text: str | None, place: str) -> Era | None:
+    """Read the era that an answer names; None if it names none that can be read."""
+    if text is None:
+        return None
+    if text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS:
+        return Era(int(text))
+    log.warn("ignored the era {!r} of an answer to a call of {}", text, place)
+    return None
+
+
 def _decoded(content: bytes, step: str, place: str) -> Any:
     try:
         return read_json(content) if content else None
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -68,6 +68,7 @@
     UNREADABLE = "unreadable"
     PLATFORM_DOWN = "platform-down"
     PLATFORM_UP = "platform-up"
+    STORE_RESTORED = "store-restored"
     LEASE = "lease"
     REQUEST_BLOCKED = "request-blocked"
     REQUEST_FREED = "request-freed"
