Test that no change is missed after a restore of the store, as it fails today

Callers saw requests with a revoked key served and an added route denied (CONFIG), and requests at an endpoint that had said that it leaves (DRAIN).

Three tests fail on this code, each time: a configuration, and an endpoint that leaves, after a restore; and changes that come before the first call after it. The controls, the same outage without a restore, pass.

--- /dev/null
+++ b/tests/coordination/store/test_restores.py
@@ -0,0 +1,109 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""A store that comes back from a backup: no change after it is missed."""
+
+from __future__ import annotations
+
+from standins.store import Backup
+from tests.restorecase import ADDED_ROUTE, REVOKED_KEY, RestoreCase
+from walnutquay.daemon.gateway import GatewayDaemon
+
+
+class ChangesCase(RestoreCase):
+    """Changes of all kinds after the store was away, as VMs and callers see them."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.put_catalogue(2, revoked=False, added=False)
+        await self.until_version(2)
+        self.backup = self.store.copy()
+        # What the store loses: the revisions of all kinds rise beyond those that the
+        # changes after the restore are given.
+        for version in range(3, 7):
+            await self.put_catalogue(version, revoked=False, added=False)
+            await self.touch_endpoint(version)
+        await self.until_version(6)
+        await self.until(lambda: all(self.slots(g) == 6 for g in self.gateways))
+
+    async def touch_endpoint(self, slots: int) -> None:
+        """Write the entry of an endpoint again, with another number of slots."""
+        spec = {**self.endpoints["p1"].spec("plain"), "slots": slots}
+        await self.store.put("servers", "p1", spec)
+
+    async def write_again(self) -> None:
+        """Write what the store has lost, as the operator and the endpoints do."""
+        await self.put_catalogue(6, revoked=False, added=False)
+        await self.touch_endpoint(6)
+
+    def slots(self, gateway: GatewayDaemon) -> int:
+        """Return the slots of the endpoint as a VM knows them."""
+        return gateway.knowledge.instances.registry.known["p1"].slots
+
+    async def assert_configuration_in_force(self) -> None:
+        """Revoke a key and add a route; both hold on all VMs."""
+        await self.put_catalogue(7, revoked=True, added=True)
+        await self.until_version(7)
+        refused = await self.statuses("/safe/x", REVOKED_KEY)
+        served = await self.statuses(f"/{ADDED_ROUTE}/x")
+        self.assertEqual(refused, [401] * self.vms)
+        self.assertEqual(served, [200] * self.vms)
+
+    async def announce_leaving(self) -> None:
+        """Let an endpoint announce by its entry that it leaves."""
+        leaving = {**self.endpoints["p2"].spec("plain"), "state": "draining"}
+        await self.store.put("servers", "p2", leaving)
+
+    async def assert_leaving_endpoint_unused(self) -> None:
+        """No VM sends requests to the endpoint that leaves."""
+        known = [g.knowledge.instances.registry.known for g in self.gateways]
+        await self.until(lambda: all(one["p2"].leaving for one in known))
+        before = self.runs("p2")
+        for number in range(4):
+            await self.statuses(f"/safe/{number}")
+        self.assertEqual(self.runs("p2"), before)
+
+
+class OutageTest(ChangesCase):
+    """The store loses nothing: the control for the tests of restores."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.store.era -= 1
+        await self.restore(Backup(self.store.kinds, self.store.revision))
+
+    async def test_a_configuration_after_an_outage_is_in_force_everywhere(self):
+        await self.assert_configuration_in_force()
+
+    async def test_an_endpoint_that_leaves_after_an_outage_gets_nothing(self):
+        await self.announce_leaving()
+        await self.assert_leaving_endpoint_unused()
+
+
+class MissedChangesTest(ChangesCase):
+    """Changes after a restore reach VMs that knew higher revisions before it."""
+
+    async def test_a_configuration_after_a_restore_is_in_force_everywhere(self):
+        await self.restore(self.backup)
+        await self.write_again()
+        await self.assert_configuration_in_force()
+
+    async def test_an_endpoint_that_leaves_after_a_restore_gets_nothing(self):
+        await self.restore(self.backup)
+        await self.write_again()
+        await self.announce_leaving()
+        await self.assert_leaving_endpoint_unused()
+
+    async def test_changes_before_the_first_call_after_a_restore(self):
+        # The revisions pass those known before, so no watch finds its history gone.
+        self.store.refuse = 503
+        for gateway in self.gateways:
+            for follower in gateway.knowledge.followers():
+                follower.query_now()
+        await self.store.restore(self.backup)
+        await self.announce_leaving()
+        await self.put_catalogue(7, revoked=True, added=True)
+        for slots in range(20):
+            await self.touch_endpoint(slots)
+        self.store.refuse = None
+        await self.until_version(7)
+        await self.assert_leaving_endpoint_unused()
