--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -63,9 +63,12 @@
 )
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.timers import monotonic, unix_microseconds
 
+FIRST_REVISION = StoreRevision(UNKNOWN_ERA, 1)
+
 HALLS = 4
 SERVICE = ServiceName("engine")
 PLAIN = ServiceName("plain")
@@ -268,7 +271,9 @@
 
     def begin_trial(self) -> None:
         """Bring a version in, and give it a quarter of the engines."""
-        order = RolloutOrder("o", 1, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW)
+        order = RolloutOrder(
+            "o", FIRST_REVISION, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW
+        )
         self.versions.on_order(order)
         for instance in list(self.sink.registry.usable_instances(SERVICE))[::4]:
             moved = Instance(
--- a/lab/trials/costs.py
+++ b/lab/trials/costs.py
@@ -12,16 +12,21 @@
 from lab.trials.fleet import NEW, SERVICE, TRIAL_SECONDS, simulate
 from walnutquay.state.process.ids import VmName
 from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.state.trials.reports import TrialReport
 from walnutquay.state.trials.trial import Trial
 
+FIRST_REVISION = StoreRevision(UNKNOWN_ERA, 1)
+
 
 def memory_of(kept: int) -> int:
     """:param kept: sessions that other VMs keep.
 
     :returns: the bytes that a VM needs to know them.
     """
-    order = RolloutOrder("engine", 1, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW)
+    order = RolloutOrder(
+        "engine", FIRST_REVISION, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW
+    )
     trial = Trial(order, 0.0, 0.15)
     rng = random.Random(0)
     tracemalloc.start()
--- a/lab/trials/fleet.py
+++ b/lab/trials/fleet.py
@@ -42,6 +42,9 @@
 )
 from walnutquay.state.store.instances import Instance, InstanceRegistry
 from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
+
+FIRST_REVISION = StoreRevision(UNKNOWN_ERA, 1)
 
 SERVICE = ServiceName("engine")
 OLD = VersionName("v1")
@@ -235,7 +238,9 @@
     def _give_order(self) -> None:
         self.started_at = self.now
         self.write(
-            RolloutOrder("engine", 1, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW)
+            RolloutOrder(
+                "engine", FIRST_REVISION, SERVICE, NEW, TRIAL_SECONDS, OrderState.NEW
+            )
         )
         if self.starts >= 0:
             self._start_endpoints()
--- a/lab/trials/ports.py
+++ b/lab/trials/ports.py
@@ -136,6 +136,7 @@
         present = self.fleet.order
         assert present is not None
         if present.revision == order.revision:
-            present = replace(order, state=state, revision=order.revision + 1)
+            later = replace(order.revision, number=order.revision.number + 1)
+            present = replace(order, state=state, revision=later)
             self.fleet.write(present)
         return present
--- a/tests/coordination/own/test_billing.py
+++ b/tests/coordination/own/test_billing.py
@@ -11,6 +11,7 @@
 from types import SimpleNamespace
 
 from tests.interleavings import Scheduler, explore
+from tests.revisions import revision_at
 from walnutquay.coordination.own import billing as billing_module
 from walnutquay.coordination.own.billing import Billing
 from walnutquay.coordination.process.context import Context, Timeline
@@ -20,7 +21,7 @@
     PlatformConflictError,
     PlatformUnavailableError,
 )
-from walnutquay.platform.values import Stored
+from walnutquay.platform.values import ABSENT, Stored
 from walnutquay.protocol.messages import Envelope
 from walnutquay.state.fleet.membership import Address, MemberTable, MemberUpdate
 from walnutquay.state.own.bills import BillRecord, decode_records
@@ -28,6 +29,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
 from walnutquay.state.requests.stages import CostLine
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 COST_LINES = (CostLine("small-1", "e1", 3, 4, 0.5),)
@@ -37,7 +39,7 @@
     """Stores objects in memory; reads and writes fail while it is unavailable."""
 
     def __init__(self) -> None:
-        self.objects: dict[str, tuple[int, bytes]] = {}
+        self.objects: dict[str, tuple[StoreRevision, bytes]] = {}
         self.available = False
 
     async def read(self, name: str) -> Stored:
@@ -46,17 +48,19 @@
         await asyncio.sleep(0)
         if not self.available:
             raise PlatformUnavailableError("unavailable")
-        return Stored(*self.objects.get(name, (0, b"")))
+        return Stored(*self.objects.get(name, (ABSENT, b"")))
 
-    async def write(self, name: str, value: bytes, expected: int) -> int:
+    async def write(
+        self, name: str, value: bytes, expected: StoreRevision
+    ) -> StoreRevision:
         """Write an object that does not exist yet."""
         await asyncio.sleep(0)
         if not self.available:
             raise PlatformUnavailableError("unavailable")
         if name in self.objects:
             raise PlatformConflictError("name exists", peer=name)
-        self.objects[name] = (1, value)
-        return 1
+        self.objects[name] = (revision_at(1), value)
+        return revision_at(1)
 
     def bill_counts(self) -> Counter[str]:
         """:returns: the number of stored records of each request."""
--- a/tests/coordination/store/test_relaying.py
+++ b/tests/coordination/store/test_relaying.py
@@ -12,6 +12,7 @@
 
 from standins.link import Link
 from tests.gatewaycase import GatewayCase, catalogue
+from tests.revisions import revision_at
 from walnutquay.coordination.fleet import watchers as watchers_module
 from walnutquay.coordination.fleet.watchers import SMALL_FLEET, Watchers
 from walnutquay.coordination.store import relaying
@@ -20,11 +21,13 @@
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.exceptions import HistoryGoneError, PeerError
 from walnutquay.platform.feeds import KEPT_BATCHES, Batch, Feed
-from walnutquay.platform.store import WATCH_SLACK_SECONDS, StoredEvent, StoredObject
+from walnutquay.platform.objects import StoredEvent, StoredObject
+from walnutquay.platform.store import WATCH_SLACK_SECONDS
 from walnutquay.protocol.messages import ChangesAre
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.store.revisions import EraTracker
 
 HALLS = ("h1", "h2", "h3")
 PER_HALL = 6
@@ -102,10 +105,10 @@
         for vm, place in known.items():
             if vm not in near:
                 node.answers[place.address] = ChangesAre(direct=vm.startswith("h2"))
-        await found.query("servers", 1, 0.0)
+        await found.query("servers", revision_at(1), 0.0)
         self.assertEqual(set(node.called[:WATCHERS]), set(near))
         node.called.clear()
-        await found.query("servers", 1, 0.0)
+        await found.query("servers", revision_at(1), 0.0)
         self.assertFalse(set(node.called) & set(near))
 
     async def test_the_answer_of_a_vm_that_the_store_serves_is_used(self):
@@ -113,7 +116,7 @@
         node = found.peers.node
         for vm, place in known.items():
             node.answers[place.address] = ChangesAre(failing=vm.startswith("h1"))
-        answer = await found.query("servers", 1, 0.0)
+        answer = await found.query("servers", revision_at(1), 0.0)
         self.assertFalse(answer.failing)
         self.assertEqual(len(node.called), WATCHERS + 1)
 
@@ -124,7 +127,7 @@
             for vm, place in known.items():
                 is_failing = not vm.startswith(served)
                 node.answers[place.address] = ChangesAre(failing=is_failing)
-            answer = await found.query("servers", 1, 0.0)
+            answer = await found.query("servers", revision_at(1), 0.0)
             self.assertFalse(answer.failing, served)
 
     async def test_a_watcher_that_has_not_noticed_its_failure_is_no_last_word(self):
@@ -139,19 +142,28 @@
                     ChangesAre(failing=is_failing) if old else news
                 )
             for _ in range(4):
-                answer = await found.query("config", 1, 0.0, lambda one: bool(one.data))
+                answer = await found.query(
+                    "config", revision_at(1), 0.0, lambda one: bool(one.data)
+                )
                 self.assertEqual(answer, news, unaware)
 
     async def test_after_a_timeout_not_all_halls_are_queried(self):
         found, near, _ = self.follower()
-        self.assertIsNone(await found.query("servers", 1, 0.0))
+        self.assertIsNone(await found.query("servers", revision_at(1), 0.0))
         self.assertEqual(len(found.peers.node.called), len(near) + 1)
 
     async def test_a_vm_that_does_not_watch_the_store_is_no_source(self):
         found, _, known = self.follower()
         for place in known.values():
             found.peers.node.answers[place.address] = ChangesAre(direct=False)
-        self.assertIsNone(await found.query("servers", 1, 0.0))
+        self.assertIsNone(await found.query("servers", revision_at(1), 0.0))
+
+
+class EraStore:
+    """Knows of no restore of the store."""
+
+    def __init__(self) -> None:
+        self.eras = EraTracker()
 
 
 class ExportTest(unittest.TestCase):
@@ -159,7 +171,7 @@
 
     def feed(self) -> Feed:
         """Return a feed without a store."""
-        return Feed(None, "servers", lambda stored: stored)
+        return Feed(EraStore(), "servers", lambda stored: stored)
 
     def batch(self, revision: int, deleted: bool = False) -> Batch:
         """Return a change of one object.
@@ -167,28 +179,30 @@
         :param revision: the revision of the change.
         :param deleted: whether the object was deleted.
         """
-        stored = StoredObject(f"i-{revision}", revision, {"n": revision})
-        return Batch(revision, (StoredEvent(stored, deleted),))
+        stored = StoredObject(f"i-{revision}", revision_at(revision), {"n": revision})
+        return Batch(revision_at(revision), (StoredEvent(stored, deleted),))
 
     def test_changes_are_read_as_exported(self):
         source, target = self.feed(), self.feed()
         for revision in (3, 5, 8):
             source._changes(self.batch(revision, deleted=revision == 5))
-        changes = target.read_changes(source.export_changes(3))
+        changes = target.read_changes(source.export_changes(revision_at(3)))
         self.assertEqual([change.name for change in changes.changes], ["i-5", "i-8"])
         self.assertIsNone(changes.changes[0].item)
-        self.assertEqual(changes.revision, 8)
+        self.assertEqual(changes.revision, revision_at(8))
         # Changes that were read from an export can be exported again.
-        self.assertEqual(target.export_changes(3), source.export_changes(3))
+        self.assertEqual(
+            target.export_changes(revision_at(3)), source.export_changes(revision_at(3))
+        )
 
     def test_changes_that_are_no_longer_kept(self):
         source = self.feed()
         for revision in range(1, KEPT_BATCHES + 3):
             source._changes(self.batch(revision))
-        self.assertEqual(source.batches_since, 2)
+        self.assertEqual(source.batches_since, revision_at(2))
         with self.assertRaises(HistoryGoneError):
-            source.export_changes(1)
-        source.export_changes(2)
+            source.export_changes(revision_at(1))
+        source.export_changes(revision_at(2))
 
 
 class ReturnedStoreTest(unittest.IsolatedAsyncioTestCase):
@@ -217,9 +231,9 @@
             DirectFeed(), OneWatcher(), lambda ago: calls.append(f"back for {ago}")
         )
         returned = 0.5
-        await feed.watch(3, 1.0)
+        await feed.watch(revision_at(3), 1.0)
         returned = math.inf
-        await feed.watch(3, 1.0)
+        await feed.watch(revision_at(3), 1.0)
         self.assertEqual(calls, ["back for 0.5", "changes gone", "changes gone"])
 
 
@@ -347,7 +361,7 @@
     async def test_a_watcher_without_the_history_sends_the_full_list(self):
         for gateway in self.gateways:
             for follower in gateway.knowledge.followers():
-                follower.feed.direct.batches_since = 10**6
+                follower.feed.direct.batches_since = revision_at(10**6)
         self.follower.store.base = "http://127.0.0.1:9/v1/objects"
         await self.store.put("config", "main", catalogue(2))
         await self.store.remove("servers", "p1")
--- a/tests/coordination/store/test_restarts.py
+++ b/tests/coordination/store/test_restarts.py
@@ -11,6 +11,7 @@
 from standins.worker import Behaviour
 from tests.coordination.store.test_knowledge import instance
 from tests.gatewaycase import GatewayCase
+from tests.revisions import revision_at
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, ServiceName, WorkKind
@@ -55,7 +56,7 @@
         self.assertFalse(self.usable())
 
     def test_usable_instances_follow_each_change(self):
-        order = EmptiedHall(self.first.hall, 1)
+        order = EmptiedHall(self.first.hall, revision_at(1))
         emptied = self.registry.emptied
         for change, usable in (
             (lambda: emptied.put(order), False),
--- a/tests/coordination/trials/test_evaluation.py
+++ b/tests/coordination/trials/test_evaluation.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from tests.revisions import revision_at
 from walnutquay.coordination.trials import evaluation
 from walnutquay.coordination.trials.evaluation import (
     SLOW_FACTOR,
@@ -32,7 +33,9 @@
 SERVICE = ServiceName("s")
 BASELINE = 0.1
 KIND = "head/r/0"
-ORDER = RolloutOrder("s", 1, SERVICE, VersionName("v2"), 60.0, OrderState.RUNNING)
+ORDER = RolloutOrder(
+    "s", revision_at(1), SERVICE, VersionName("v2"), 60.0, OrderState.RUNNING
+)
 
 
 def grant(version: str, name: str) -> SimpleNamespace:
--- a/tests/coordination/trials/test_trialexchange.py
+++ b/tests/coordination/trials/test_trialexchange.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from tests.revisions import revision_at
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.trials import exchange as trialexchange
 from walnutquay.coordination.trials.exchange import PRE_OPENING_SECONDS, TrialExchange
@@ -39,7 +40,7 @@
 
 SERVICE = ServiceName("s")
 V2 = VersionName("v2")
-ORDER = RolloutOrder("order", 1, SERVICE, V2, 100.0, OrderState.NEW)
+ORDER = RolloutOrder("order", revision_at(1), SERVICE, V2, 100.0, OrderState.NEW)
 SUBJECT = (Measure.FAILED, "r")
 HERE, THERE = HallName("h"), HallName("there")
 
--- a/tests/coordination/trials/test_trialrecord.py
+++ b/tests/coordination/trials/test_trialrecord.py
@@ -9,13 +9,14 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from tests.revisions import revision_at
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
 from walnutquay.coordination.trials import record as trialrecord
 from walnutquay.coordination.trials.exchange import TrialExchange
 from walnutquay.coordination.trials.record import WRITE_SECONDS, TrialRecord, encode
 from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.exceptions import PlatformConflictError, PlatformUnavailableError
-from walnutquay.platform.values import Stored
+from walnutquay.platform.values import ABSENT, Stored
 from walnutquay.protocol.messages import TrialNews
 from walnutquay.state.process.ids import (
     EndpointName,
@@ -26,6 +27,7 @@
     VmName,
 )
 from walnutquay.state.store.orders import OrderState, RolloutOrder
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.baseline import BaselineTimes
 from walnutquay.state.trials.counts import Measure
 from walnutquay.state.trials.reports import TrialReport, Verdict
@@ -33,7 +35,9 @@
 
 SERVICE = ServiceName("s")
 SECONDS = 20.0
-ORDER = RolloutOrder("o", 1, SERVICE, VersionName("v2"), SECONDS, OrderState.RUNNING)
+ORDER = RolloutOrder(
+    "o", revision_at(1), SERVICE, VersionName("v2"), SECONDS, OrderState.RUNNING
+)
 SLUGGISH = (Measure.SLUGGISH, RouteName("r"))
 KIND = "head/r/0"
 
@@ -49,15 +53,18 @@
     async def read(self, name: str) -> Stored:
         """Read a value as :class:`ValueStore` does."""
         self._call()
-        return self.stored.get(name, Stored(0))
+        return self.stored.get(name, Stored(ABSENT))
 
-    async def write(self, name: str, value: bytes, expected: int) -> int:
+    async def write(
+        self, name: str, value: bytes, expected: StoreRevision
+    ) -> StoreRevision:
         """Write a value as :class:`ValueStore` does."""
         self._call()
-        if self.stored.get(name, Stored(0)).version != expected:
+        if self.stored.get(name, Stored(ABSENT)).version != expected:
             raise PlatformConflictError("changed", step="write", peer=name)
-        self.stored[name] = Stored(expected + 1, value)
-        return expected + 1
+        written = revision_at(expected.number + 1)
+        self.stored[name] = Stored(written, value)
+        return written
 
     def _call(self) -> None:
         self.calls += 1
@@ -112,10 +119,10 @@
         await self.write_record()
         self.now += WRITE_SECONDS
         await self.write_record()
-        self.assertEqual(self.values.stored["trials/o"].version, 1)
+        self.assertEqual(self.values.stored["trials/o"].version, revision_at(1))
         self.add_sluggish(1)
         await self.write_record()
-        self.assertEqual(self.values.stored["trials/o"].version, 2)
+        self.assertEqual(self.values.stored["trials/o"].version, revision_at(2))
 
     async def test_other_vms_write_nothing(self):
         self.is_writer = False
@@ -124,15 +131,15 @@
         self.assertEqual(self.values.calls, 0)
 
     async def test_a_new_writer_reads_the_stored_version(self):
-        self.values.stored["trials/o"] = Stored(7, b"{}")
+        self.values.stored["trials/o"] = Stored(revision_at(7), b"{}")
         self.record.versions["o"] = 3
         self.add_sluggish(1)
         await self.write_record()
-        self.assertEqual(self.values.stored["trials/o"].version, 7)
+        self.assertEqual(self.values.stored["trials/o"].version, revision_at(7))
         self.add_sluggish(1)
         self.now += WRITE_SECONDS
         await self.write_record()
-        self.assertEqual(self.values.stored["trials/o"].version, 8)
+        self.assertEqual(self.values.stored["trials/o"].version, revision_at(8))
 
 
 class RecoveringTest(RecordCase):
@@ -196,7 +203,7 @@
             encode(of_other_version, ()),
         ):
             with self.subTest(data=data):
-                self.values.stored["trials/o"] = Stored(1, data)
+                self.values.stored["trials/o"] = Stored(revision_at(1), data)
                 recovered = await self.recover()
                 self.assertFalse(recovered.rejected)
                 self.assertEqual(recovered.received, {})
--- a/tests/coordination/trials/test_versions.py
+++ b/tests/coordination/trials/test_versions.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from tests.revisions import revision_at
 from walnutquay.coordination.trials import evaluation
 from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.coordination.trials.versions import VersionTrials
@@ -40,7 +41,7 @@
 
 
 ORDER = RolloutOrder(
-    "s", 1, ServiceName("s"), VersionName("v2"), 60.0, OrderState.RUNNING
+    "s", revision_at(1), ServiceName("s"), VersionName("v2"), 60.0, OrderState.RUNNING
 )
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,7 @@
 
 from standins.link import Link
 from standins.store import StoreStandIn
+from tests.revisions import revision_at
 from tests.scriptedendpoint import Asked, ScriptedEndpointCase, answer
 from walnutquay.exceptions import (
     HistoryGoneError,
@@ -61,7 +62,7 @@
         self.client.count = lambda name: counted.update([name])
         await self.store.put("servers", "i-1", SPEC)
         await self.client.list("servers")
-        await self.client.watch("servers", 0, 0.0)
+        await self.client.watch("servers", revision_at(0), 0.0)
         await self.client.create("entry-vms", "vm-1", {})
         await self.client.delete("entry-vms", "vm-1")
         expected = ["get_servers", "watch_servers", "post_entry_vms"]
@@ -77,7 +78,7 @@
             await self.store.put("servers", f"i-{number}", SPEC)
         found, revision = await self.client.list("servers")
         self.assertEqual([s.name for s in found], [f"i-{n}" for n in range(8)])
-        self.assertEqual(revision, 8)
+        self.assertEqual(revision, revision_at(8))
         self.assertEqual(self.store.calls["GET servers"], 3)
 
     async def test_none(self):
@@ -111,11 +112,13 @@
         await self.store.put("servers", "i-1", SPEC)
         await self.store.forget_history()
         with self.assertRaises(HistoryGoneError):
-            await self.client.watch("servers", 0, 1.0)
+            await self.client.watch("servers", revision_at(0), 1.0)
 
     async def test_a_watch_that_is_cut(self):
         revision = await self.store.put("servers", "i-1", SPEC)
-        watch = asyncio.ensure_future(self.client.watch("servers", revision, 5.0))
+        watch = asyncio.ensure_future(
+            self.client.watch("servers", revision_at(revision), 5.0)
+        )
         while not self.store.waiting:  # noqa: ASYNC110
             await asyncio.sleep(0.001)
         await self.store.put("rollouts", "unrelated", {})
@@ -125,8 +128,8 @@
             await watch
 
     async def test_nothing_changes(self):
-        events, revision = await self.client.watch("servers", 0, 0.01)
-        self.assertEqual((events, revision), ([], 0))
+        events, revision = await self.client.watch("servers", revision_at(0), 0.01)
+        self.assertEqual((events, revision), ([], revision_at(0)))
 
 
 class FaultTest(StoreCase):
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from standins.store import StoreStandIn
 from walnutquay.coordination.own.platform import Platform
@@ -65,7 +66,8 @@
     async def test_conditions(self):
         first = await self.values.write("claims/x", b"[1]", ABSENT)
         second = await self.values.write("claims/x", b"[2]", first)
-        for expected in (ABSENT, first, second + 1):
+        unused = replace(second, number=second.number + 1)
+        for expected in (ABSENT, first, unused):
             with self.subTest(expected), self.assertRaises(PlatformConflictError):
                 await self.values.write("claims/x", b"[3]", expected)
         with self.assertRaises(PlatformConflictError):
--- a/tests/state/own/test_leases.py
+++ b/tests/state/own/test_leases.py
@@ -11,6 +11,7 @@
 
 from tests.fleetcase import QUALITY, FleetCase
 from tests.interleavings import Scheduler, explore
+from tests.revisions import revision_at
 from tests.worlds import World
 from walnutquay.coordination.own import leases as leases_module
 from walnutquay.coordination.own.leases import Lease
@@ -58,7 +59,7 @@
         """Return a view that observed a value at time 0."""
         view = LeaseView(Incarnation("inc-a"), ORDER_SECONDS)
         if value is not None:
-            view.observe(3, value, 0.0)
+            view.observe(revision_at(3), value, 0.0)
         return view
 
     def test_may_acquire(self):
@@ -70,13 +71,13 @@
         for value, now, expected in MAY_SEND_ORDER:
             with self.subTest(value=value, now=now):
                 view = self.view(value)
-                view.record_acquired(4, OWN_LEASE, 0.0)
+                view.record_acquired(revision_at(4), OWN_LEASE, 0.0)
                 self.assertEqual(view.fence(now) is not None, expected)
 
     def test_observing_another_holder_loses_the_lease(self):
         view = self.view(None)
-        view.record_acquired(1, OWN_LEASE, 0.0)
-        view.observe(2, OTHER_LEASE, 1.0)
+        view.record_acquired(revision_at(1), OWN_LEASE, 0.0)
+        view.observe(revision_at(2), OTHER_LEASE, 1.0)
         self.assertIsNone(view.fence(1.0))
         self.assertFalse(view.is_held(1.0))
 
--- a/tests/state/trials/test_trials.py
+++ b/tests/state/trials/test_trials.py
@@ -7,6 +7,7 @@
 import itertools
 import unittest
 
+from tests.revisions import revision_at
 from walnutquay.state.process.ids import (
     EndpointName,
     RouteName,
@@ -28,7 +29,12 @@
 def make_trial() -> Trial:
     """Return a trial that begins at 0."""
     order = RolloutOrder(
-        "s", 1, ServiceName("s"), VersionName("v2"), SECONDS, OrderState.RUNNING
+        "s",
+        revision_at(1),
+        ServiceName("s"),
+        VersionName("v2"),
+        SECONDS,
+        OrderState.RUNNING,
     )
     return Trial(order, 0.0, LIMIT)
 
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -14,6 +14,7 @@
 from types import SimpleNamespace
 
 from tests.interleavings import CrashedError, Scheduler
+from tests.revisions import revision_at
 from walnutquay.coordination.process.context import Context, Timeline
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import (
@@ -22,11 +23,12 @@
     PlatformUnavailableError,
     PlatformUnclearError,
 )
-from walnutquay.platform.values import Stored
+from walnutquay.platform.values import ABSENT, Stored
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.state.fleet.membership import MemberTable
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
+from walnutquay.state.store.revisions import StoreRevision
 
 # How a write may go: done and answered; done, the answer lost; not done, the
 # answer lost; done later, at any time; refused.
@@ -39,14 +41,16 @@
     """The platform's objects, shared by all VMs of a world."""
 
     scheduler: Scheduler
-    objects: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    objects: dict[str, tuple[StoreRevision, bytes]] = field(default_factory=dict)
     late: set[asyncio.Task] = field(default_factory=set)
     # Counts all changes; an object's version is the count at its last change.
     revision: int = 0
 
-    def put(self, name: str, value: bytes | None, expected: int) -> int:
+    def put(
+        self, name: str, value: bytes | None, expected: StoreRevision
+    ) -> StoreRevision:
         """Carry a conditional write out; without a change the version stays."""
-        version, present = self.objects.get(name, (0, None))
+        version, present = self.objects.get(name, (ABSENT, None))
         if version != expected:
             raise PlatformConflictError("another version", peer=name)
         if value == present:
@@ -55,10 +59,12 @@
         if value is None:
             del self.objects[name]
         else:
-            self.objects[name] = (self.revision, value)
-        return self.revision
+            self.objects[name] = (revision_at(self.revision), value)
+        return revision_at(self.revision)
 
-    async def land(self, name: str, value: bytes | None, expected: int) -> None:
+    async def land(
+        self, name: str, value: bytes | None, expected: StoreRevision
+    ) -> None:
         """Carry a write out late, long after its caller has given it up."""
         await self.scheduler.step("network", f"late write of {name}")
         try:
@@ -80,9 +86,11 @@
         way = await self.store.scheduler.step(self.vm, f"read {name}", *READ_WAYS)
         if way == "down":
             raise PlatformUnavailableError("down")
-        return Stored(*self.store.objects.get(name, (0, b"")))
+        return Stored(*self.store.objects.get(name, (ABSENT, b"")))
 
-    async def write(self, name: str, value: bytes | None, expected: int) -> int:
+    async def write(
+        self, name: str, value: bytes | None, expected: StoreRevision
+    ) -> StoreRevision:
         """As the real one."""
         scheduler = self.store.scheduler
         way = await scheduler.step(self.vm, f"write {name}", *WRITE_WAYS)
@@ -98,7 +106,7 @@
             raise PlatformUnclearError("the answer is lost")
         return version
 
-    async def delete(self, name: str, expected: int) -> None:
+    async def delete(self, name: str, expected: StoreRevision) -> None:
         """As the real one."""
         await self.write(name, None, expected)
 
--- a/walnutquay/coordination/fleet/watchers.py
+++ b/walnutquay/coordination/fleet/watchers.py
@@ -15,6 +15,7 @@
 from walnutquay.protocol.messages import AskChanges, ChangesAre, Message
 from walnutquay.state.fleet.membership import VmLocation, rendezvous
 from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -106,7 +107,7 @@
     async def query(
         self,
         kind: str,
-        revision: int,
+        revision: StoreRevision,
         seconds: float,
         has_changes: Callable[[ChangesAre], bool] = lambda answer: True,
     ) -> ChangesAre | None:
--- a/walnutquay/coordination/own/acceptance.py
+++ b/walnutquay/coordination/own/acceptance.py
@@ -26,6 +26,7 @@
     part_hash,
 )
 from walnutquay.state.process.ids import NO_REVISION
+from walnutquay.state.store.revisions import StoreRevision
 
 # Attempts to find out whether a change took effect after its response was lost.
 SETTLE_TRIES = 5
@@ -114,7 +115,7 @@
             )
 
     async def _try_change(
-        self, head: Head, version: int, change: Change, operation: str
+        self, head: Head, version: StoreRevision, change: Change, operation: str
     ) -> Accepted:
         await self.configurations.adopt(head, peer="")
         if self.configurations.head.revision != head.revision:
--- a/walnutquay/coordination/own/claims.py
+++ b/walnutquay/coordination/own/claims.py
@@ -35,6 +35,7 @@
 )
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import OrganisationName, RequestId
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -165,7 +166,7 @@
             return await self._settle(name, claim)
         return self._granted(claim, version)
 
-    def _granted(self, claim: Claim, version: int) -> ClaimResult:
+    def _granted(self, claim: Claim, version: StoreRevision) -> ClaimResult:
         self.table.runs[claim.request].version = version
         return GRANTED
 
--- a/walnutquay/coordination/own/configurations.py
+++ b/walnutquay/coordination/own/configurations.py
@@ -41,6 +41,7 @@
 from walnutquay.state.own.policies import PolicyPrograms
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import NO_REVISION
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -122,21 +123,21 @@
     async def _follow(self) -> None:
         """Watch the head while this VM is a watcher by its rank."""
         await self.read_head()
-        stored_version = -1
+        stored_version: StoreRevision | None = None
         while True:
             if not self.is_watcher():
-                stored_version = -1
+                stored_version = None
                 await asyncio.sleep(RANK_PAUSE)
                 continue
             asked_at = monotonic()
             try:
-                if stored_version < 0:
+                if stored_version is None:
                     stored = await self.platform.read(HEAD)
                 else:
                     stored = await self.platform.watch(HEAD, stored_version)
             except PlatformError as error:
                 log.debug("the head cannot be watched; will read it again: {}", error)
-                stored_version = -1
+                stored_version = None
                 await asyncio.sleep(WATCH_PAUSE)
                 continue
             if stored is None:
@@ -166,7 +167,7 @@
     def _confirm(self, at: float) -> None:
         self.confirmed_at = max(self.confirmed_at, at)
 
-    async def _repair(self, head: Head, version: int) -> None:
+    async def _repair(self, head: Head, version: StoreRevision) -> None:
         """Update a store that was restored from an older backup.
 
         The fleet's revision was accepted and must not be reverted, so the
--- a/walnutquay/coordination/own/leases.py
+++ b/walnutquay/coordination/own/leases.py
@@ -84,7 +84,7 @@
                 self.duty,
                 error,
             )
-            self.view.version = -1
+            self.view.version = None
 
     async def _read(self) -> None:
         stored = await self.platform.read(self.name)
@@ -101,8 +101,9 @@
 
     async def _write(self, asked_at: float) -> None:
         held = self.view.is_held(asked_at)
-        if self.view.version < 0:
+        if self.view.version is None:
             await self._read()
+        assert self.view.version is not None
         self.value = replace(self.value, writes=self.value.writes + 1)
         version = await self.platform.write(
             self.name, self.value.encode(), self.view.version
@@ -110,7 +111,7 @@
         self.view.record_acquired(version, self.value, asked_at)
         if not held:
             self.context.timeline.emit(
-                EventKind.LEASE, detail=f"{self.duty} taken, fence {version}"
+                EventKind.LEASE, detail=f"{self.duty} taken, fence {version.number}"
             )
 
     async def release(self) -> None:
@@ -122,6 +123,8 @@
             return
         version = self.view.version
         self.view.mark_lost()
+        if version is None:
+            return
         nobody = LeaseValue(NOBODY, Incarnation(""), self.value.seconds)
         try:
             await self.platform.write(self.name, nobody.encode(), version)
--- a/walnutquay/coordination/own/platform.py
+++ b/walnutquay/coordination/own/platform.py
@@ -27,6 +27,7 @@
 from walnutquay.platform.values import Stored, ValueStore
 from walnutquay.settings import PlatformSection
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 WATCH_SECONDS = 20.0
@@ -98,17 +99,19 @@
         """Read a value.
 
         :param name: its name.
-        :returns: the value, with version 0 if there is none.
+        :returns: the value, with version ``ABSENT`` if there is none.
         :raises PlatformUnavailableError: if the platform does not respond.
         """
         return await self._read(name, lambda: self.values.read(name))
 
-    async def write(self, name: str, value: bytes, expected: int) -> int:
+    async def write(
+        self, name: str, value: bytes, expected: StoreRevision
+    ) -> StoreRevision:
         """Write a value if its version is the expected one.
 
         :param name: its name.
         :param value: its new JSON.
-        :param expected: the version that it must have; 0 to create it.
+        :param expected: the version that it must have; ``ABSENT`` to create it.
         :returns: its new version.
         :raises PlatformConflictError: if it has another version.
         :raises PlatformUnavailableError: if nothing was written.
@@ -118,7 +121,7 @@
             WRITE, name, lambda: self.values.write(name, value, expected)
         )
 
-    async def delete(self, name: str, expected: int) -> None:
+    async def delete(self, name: str, expected: StoreRevision) -> None:
         """Delete a value if its version is the expected one.
 
         :param name: its name.
@@ -136,7 +139,7 @@
         """
         return await self._read(prefix, lambda: self.values.names(prefix))
 
-    async def watch(self, name: str, after: int) -> Stored | None:
+    async def watch(self, name: str, after: StoreRevision) -> Stored | None:
         """Wait until a value has a version other than the known one.
 
         :param name: its name.
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -12,9 +12,15 @@
 import logbook
 
 from walnutquay.coordination.process.context import Context
-from walnutquay.exceptions import HistoryGoneError, MessageError, PlatformError
+from walnutquay.exceptions import (
+    EarlierEraError,
+    HistoryGoneError,
+    MessageError,
+    PlatformError,
+)
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.store.feeds import Changes, Listing
+from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 # A watch of the configuration ends this long before a change must be in force, so that
@@ -80,7 +86,7 @@
 Item = TypeVar("Item")
 # Queries peers for a list of a kind that is newer than a revision; returns empty bytes
 # if no peer has one.
-QueryPeers = Callable[[str, int], Awaitable[bytes]]
+QueryPeers = Callable[[str, StoreRevision], Awaitable[bytes]]
 
 
 class Feed(Protocol[Item]):
@@ -91,20 +97,20 @@
     watching: bool
 
     @property
-    def unreadable(self) -> Mapping[str, int]:
+    def unreadable(self) -> Mapping[str, StoreRevision]:
         """The revisions of objects that cannot be read, by name."""
 
     async def list(self) -> Listing[Item]:
         """Return all objects."""
 
-    async def watch(self, revision: int, seconds: float) -> Changes[Item]:
+    async def watch(self, revision: StoreRevision, seconds: float) -> Changes[Item]:
         """Wait for changes.
 
         :param revision: the revision after which changes are returned.
         :param seconds: the longest time to wait.
         """
 
-    def export(self, revision: int) -> bytes:
+    def export(self, revision: StoreRevision) -> bytes:
         """Export the list for a peer.
 
         :param revision: the revision that the peer has.
@@ -171,12 +177,12 @@
         self.query_requested = False
         # The store's revision up to which the sink is current; None before the first
         # list, and after the store has discarded the history since.
-        self.revision: int | None = None
+        self.revision: StoreRevision | None = None
         # When the store last answered, and when it began to fail; monotonic seconds.
         self.confirmed_at = float("-inf")
         self.failing_since: float | None = None
         # The revision of the last change, for VMs that wait here for changes.
-        self.changed_revision = 0
+        self.changed_revision = NOTHING_STORED
         # Set and replaced whenever an object changes or the store's availability does.
         self.state_changed = asyncio.Event()
 
@@ -197,6 +203,9 @@
                     raise
             except HistoryGoneError:
                 self.revision = None
+            except EarlierEraError as error:
+                log.debug("ignored an answer of the store: {}", error)
+                await asyncio.sleep(RETRY_SECONDS)
             except PlatformError as error:
                 self._record_failure(error)
                 await asyncio.gather(
@@ -205,7 +214,7 @@
 
     async def _apply_peer_listing(self) -> None:
         """Apply the list of a peer that the store still serves."""
-        data = await self.query_peers(self.feed.kind, self.revision or 0)
+        data = await self.query_peers(self.feed.kind, self.revision or NOTHING_STORED)
         if not data:
             return
         try:
@@ -267,7 +276,7 @@
         self._record_change(listing.revision)
         self.revision = listing.revision
 
-    def _record_change(self, revision: int) -> None:
+    def _record_change(self, revision: StoreRevision) -> None:
         self.changed_revision = max(self.changed_revision, revision)
         self._notify_waiters()
 
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -32,10 +32,10 @@
 from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, KnownList
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.store.catalogue import Catalogue
-from walnutquay.state.store.eras import Era, EraTracker
 from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
+from walnutquay.state.store.revisions import NOTHING_STORED, Era, EraTracker
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -196,10 +196,10 @@
 
     def _on_restored(self, era: Era) -> None:
         """Log that the store was restored from a backup, and what was known before."""
-        known = {f.feed.kind: f.revision for f in self.followers()}
+        known = (f"{f.feed.kind} {f.revision}" for f in self.followers())
         self.context.timeline.emit(
             EventKind.STORE_RESTORED,
-            detail=f"known before: {known}",
+            detail=f"known before: {', '.join(known)}",
             era=era,
         )
 
@@ -223,6 +223,7 @@
         """
         query = envelope.body
         assert isinstance(query, AskKnown)
+        self.eras.observe(query.revision.era)
         for follower in self.followers():
             if follower.feed.kind == query.kind:
                 return KnownIs(follower.feed.export(query.revision))
@@ -234,7 +235,7 @@
         :returns: the lists; an empty tuple until there is a list of every kind.
         """
         lists = tuple(
-            KnownList(follower.feed.kind, follower.feed.export(0))
+            KnownList(follower.feed.kind, follower.feed.export(NOTHING_STORED))
             for follower in self.followers()
         )
         return lists if all(exported.data for exported in lists) else ()
--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -12,6 +12,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Generic, Protocol, TypeVar
 
 import logbook
@@ -31,6 +32,7 @@
     Envelope,
 )
 from walnutquay.state.store.feeds import Changes, Listing
+from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -46,9 +48,9 @@
     """A feed whose changes can be relayed."""
 
     # The revisions of objects that cannot be read, by name.
-    unreadable: Mapping[str, int]
+    unreadable: Mapping[str, StoreRevision]
 
-    def export_changes(self, revision: int) -> bytes:
+    def export_changes(self, revision: StoreRevision) -> bytes:
         """Export changes for a peer.
 
         :param revision: the store's revision that the peer has.
@@ -112,7 +114,7 @@
                 log.warn("ignored a list from a peer that cannot be read: {}", error)
         return await self.direct.list()
 
-    async def watch(self, revision: int, seconds: float) -> Changes[Item]:
+    async def watch(self, revision: StoreRevision, seconds: float) -> Changes[Item]:
         """Wait for changes.
 
         :param revision: the revision after which changes are returned.
@@ -128,7 +130,10 @@
                 self.kind, revision, wait, self._has_changes
             )
             if answer is not None:
-                return self._read(answer)
+                try:
+                    return self._read(answer)
+                except MessageError as error:
+                    log.info("a watcher's answer is of no use: {}", error)
             self.watching = True
         return await self.direct.watch(revision, seconds)
 
@@ -149,14 +154,18 @@
         return self.direct.read_changes(answer.data)
 
     def _has_changes(self, answer: ChangesAre) -> bool:
-        return bool(self._decode(answer).changes)
+        try:
+            return bool(self._decode(answer).changes)
+        except MessageError as error:
+            log.info("a watcher's answer is of no use: {}", error)
+            return False
 
     @property
-    def unreadable(self) -> Mapping[str, int]:
+    def unreadable(self) -> Mapping[str, StoreRevision]:
         """The revisions of objects that cannot be read, by name."""
         return self.direct.unreadable
 
-    def export(self, revision: int) -> bytes:
+    def export(self, revision: StoreRevision) -> bytes:
         """Export the list for a peer.
 
         :param revision: the revision that the peer has.
@@ -191,6 +200,11 @@
         """
         query = envelope.body
         assert isinstance(query, AskChanges)
+        eras = self.knowledge.eras
+        eras.observe(query.revision.era)
+        if query.revision.era == UNKNOWN_ERA:
+            # The sender does not know of eras.
+            query = replace(query, revision=replace(query.revision, era=eras.current))
         follower = self.followers[query.kind]
         feed = follower.feed
         assert isinstance(feed, RelayedFeed)
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -301,7 +301,7 @@
                 EventKind.HALL_EMPTIED,
                 detail="its endpoints are sent no new requests",
                 hall=order.hall,
-                revision=order.revision,
+                revision=order.revision.number,
             )
 
     def _restore(self, hall: HallName) -> None:
--- a/walnutquay/coordination/trials/record.py
+++ b/walnutquay/coordination/trials/record.py
@@ -20,6 +20,7 @@
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
 from walnutquay.state.process.ids import EndpointName, RouteName
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.baseline import BaselineTime, BaselineTimes
 from walnutquay.state.trials.counts import Measure, TrialCounts
 from walnutquay.state.trials.reports import TrialReport, Verdict
@@ -41,15 +42,18 @@
         """Read a value.
 
         :param name: the value's name.
-        :returns: the value; one with version 0 if there is none.
+        :returns: the value; its version is false if there is none.
         """
 
-    async def write(self, name: str, value: bytes, expected: int) -> int:
+    async def write(
+        self, name: str, value: bytes, expected: StoreRevision
+    ) -> StoreRevision:
         """Write a value, if it has not changed.
 
         :param name: the value's name.
         :param value: the new JSON.
-        :param expected: the version that the stored value must have; 0 to create it.
+        :param expected: the version that the stored value must have; a false one to
+            create it.
         :returns: the new version.
         """
 
@@ -124,7 +128,7 @@
         # of the stored value.
         self.written: dict[str, TrialReport] = {}
         self.written_at: dict[str, float] = {}
-        self.versions: dict[str, int] = {}
+        self.versions: dict[str, StoreRevision] = {}
 
     def stop(self) -> None:
         """Stop writing."""
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -17,6 +17,7 @@
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.state.process.metrics import PERCENTILES, summary
+from walnutquay.state.store.revisions import NOTHING_STORED
 from walnutquay.state.trials.counts import Measure
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.lines import LineWriter
@@ -96,7 +97,8 @@
             age = follower.age()
             known = age if age != float("inf") else UNKNOWN_AGE
             label = f'{{kind="{follower.feed.kind}"}}'
-            yield f"{PREFIX}_store_revision{label} {follower.revision or 0}"
+            revision = follower.revision or NOTHING_STORED
+            yield f"{PREFIX}_store_revision{label} {revision.number}"
             yield f"{PREFIX}_knowledge_age_seconds{label} {known:.3f}"
             if follower.feed.unreadable:
                 yield f"{PREFIX}_unreadable{label} {len(follower.feed.unreadable)}"
--- a/walnutquay/daemon/storefeeds.py
+++ b/walnutquay/daemon/storefeeds.py
@@ -24,6 +24,7 @@
 from walnutquay.protocol.messages import AskKnown, KnownIs
 from walnutquay.settings import PromisesSection
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.store.revisions import StoreRevision
 
 # VMs that do not watch the store ask those that do so much more often: a watcher that
 # falls silent is to be noticed, and another asked, in the same time.
@@ -93,9 +94,9 @@
             detail=found.reason,
             object_kind=found.kind,
             name=found.name,
-            revision=found.revision,
+            revision=found.revision.number,
         )
 
-    async def _ask_peers(self, kind: str, revision: int) -> bytes:
+    async def _ask_peers(self, kind: str, revision: StoreRevision) -> bytes:
         answer = await self.peers.query(AskKnown(kind, revision))
         return answer.data if isinstance(answer, KnownIs) else b""
--- a/walnutquay/exceptions.py
+++ b/walnutquay/exceptions.py
@@ -82,6 +82,10 @@
     """The call was sent and its answer is lost: it may have taken effect."""
 
 
+class EarlierEraError(PlatformUnclearError):
+    """The answer is from before a restore of the store: what it says is void."""
+
+
 class PlatformConflictError(PlatformError):
     """The object's version is not the one that the update named."""
 
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections import deque
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 import logbook
 import orjson
@@ -24,6 +24,7 @@
     KIND_INSTANCES,
     KIND_ROLLOUTS,
 )
+from walnutquay.platform.objects import StoredEvent, StoredObject
 from walnutquay.platform.records import (
     decode_catalogue,
     decode_emptied,
@@ -31,13 +32,19 @@
     decode_order,
 )
 from walnutquay.platform.schemas import MAX_NAME
-from walnutquay.platform.store import StoreClient, StoredEvent, StoredObject
+from walnutquay.platform.store import StoreClient
 from walnutquay.protocol.lists import pack, unpack
 from walnutquay.state.store.catalogue import Catalogue
 from walnutquay.state.store.feeds import Change, Changes, Listing
 from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
+from walnutquay.state.store.revisions import (
+    NOTHING_STORED,
+    UNKNOWN_ERA,
+    Era,
+    StoreRevision,
+)
 
 log = logbook.Logger(__name__)
 
@@ -57,7 +64,7 @@
     :param events: the changes.
     """
 
-    revision: int
+    revision: StoreRevision
     events: tuple[StoredEvent, ...]
 
 
@@ -73,7 +80,7 @@
 
     kind: str
     name: str
-    revision: int
+    revision: StoreRevision
     reason: str
 
 
@@ -102,19 +109,19 @@
         self.decode = decode
         self.drops_unreadable = drops_unreadable
         # Objects that cannot be read, with the revision at which that was told.
-        self.unreadable: dict[str, int] = {}
+        self.unreadable: dict[str, StoreRevision] = {}
         # Told of each of them once.
         self.on_unreadable: Callable[[Unreadable], None] = lambda found: None
         # What is known, as it is stored, to be passed on to peers.
         self.objects: dict[str, StoredObject] = {}
-        self.revision = 0
+        self.revision = NOTHING_STORED
         # Whether there was ever a list.
         self.listed = False
         # The list as it was last written for a peer, and its revision.
-        self.exported = (-1, b"")
+        self.exported: tuple[StoreRevision | None, bytes] = (None, b"")
         # The last changes, and the revision after which none is missing of them.
         self.batches: deque[Batch] = deque(maxlen=KEPT_BATCHES)
-        self.batches_since = 0
+        self.batches_since = NOTHING_STORED
 
     async def list(self) -> Listing[Item]:
         """:returns: all objects that can be read.
@@ -125,10 +132,12 @@
         try:
             found, revision = await self.store.list(self.kind)
         except MissingObjectError:
-            found, revision = [], 0
+            found, revision = [], StoreRevision(self.store.eras.current, 0)
         return self._listing(found, revision)
 
-    def _listing(self, found: list[StoredObject], revision: int) -> Listing[Item]:
+    def _listing(
+        self, found: list[StoredObject], revision: StoreRevision
+    ) -> Listing[Item]:
         self._remember(found, revision)
         listed = {stored.name for stored in found}
         for name in [name for name in self.unreadable if name not in listed]:
@@ -140,7 +149,7 @@
                 items[stored.name] = item
         return Listing(items, revision)
 
-    def _remember(self, found: list[StoredObject], revision: int) -> None:
+    def _remember(self, found: list[StoredObject], revision: StoreRevision) -> None:
         self.listed = True
         if revision >= self.revision:
             self.objects = {stored.name: stored for stored in found}
@@ -148,21 +157,20 @@
             self.batches.clear()
             self.batches_since = revision
 
-    def export(self, revision: int) -> bytes:
+    def export(self, revision: StoreRevision) -> bytes:
         """Write what is known for a peer.
 
-        :param revision: the store's revision that the peer knows; 0 if it knows
+        :param revision: the store's revision that the peer knows; number 0 if it knows
             nothing, and will take any list.
         :returns: the list; empty where it is not newer, or there is none here.
         """
-        if not self.listed or 0 < revision >= self.revision:
+        if not self.listed or (revision and revision >= self.revision):
             return b""
         at, data = self.exported
         if at != self.revision:
             # Written once for all who ask: many do when a fleet starts.
-            items = [dataclasses.asdict(stored) for stored in self.objects.values()]
-            plain = {"revision": self.revision, "items": items}
-            data = pack(orjson.dumps(plain))
+            items = [_plain(stored) for stored in self.objects.values()]
+            data = _packed(self.revision, items=items)
             self.exported = (self.revision, data)
         return data
 
@@ -173,14 +181,15 @@
         """
         try:
             plain = orjson.loads(unpack(data, MAX_LIST_BYTES))
-            found = [StoredObject(**item) for item in plain["items"]]
-            return self._listing(found, int(plain["revision"]))
+            revision = self._revision(plain)
+            found = [_object(item, revision.era) for item in plain["items"]]
+            return self._listing(found, revision)
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
             raise MessageError(
                 f"a peer's list cannot be read: {error!r}", step="decode"
             ) from error
 
-    async def watch(self, revision: int, seconds: float) -> Changes[Item]:
+    async def watch(self, revision: StoreRevision, seconds: float) -> Changes[Item]:
         """:param revision: the revision after which changes count.
 
         :param seconds: how long to wait for one.
@@ -209,7 +218,7 @@
             self.batches_since = self.batches[0].revision
         self.batches.append(batch)
 
-    def export_changes(self, revision: int) -> bytes:
+    def export_changes(self, revision: StoreRevision) -> bytes:
         """Write for a peer what has changed since a revision.
 
         :param revision: the store's revision that the peer knows.
@@ -220,12 +229,12 @@
                 "the changes since are not known", step="export", peer=self.kind
             )
         events = [
-            dataclasses.asdict(event)
+            {"stored": _plain(event.stored), "deleted": event.deleted}
             for batch in self.batches
             if batch.revision > revision
             for event in batch.events
         ]
-        return pack(orjson.dumps({"revision": self.revision, "events": events}))
+        return _packed(self.revision, events=events)
 
     def read_changes(self, data: bytes) -> Changes[Item]:
         """:param data: what a peer's :meth:`export_changes` wrote.
@@ -234,11 +243,12 @@
         """
         try:
             plain = orjson.loads(unpack(data, MAX_LIST_BYTES))
+            revision = self._revision(plain)
             events = tuple(
-                StoredEvent(StoredObject(**event["stored"]), event["deleted"])
+                StoredEvent(_object(event["stored"], revision.era), event["deleted"])
                 for event in plain["events"]
             )
-            return self._changes(Batch(int(plain["revision"]), events))
+            return self._changes(Batch(revision, events))
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
             raise MessageError(
                 f"a peer's changes cannot be read: {error!r}", step="decode"
@@ -251,7 +261,7 @@
         :raises MessageError: if it is not that.
         """
         if not data:
-            return Changes((), 0)
+            return Changes((), NOTHING_STORED)
         before = set(self.objects)
         listing = self.read_export(data)
         held = listing.items if self.drops_unreadable else self.objects
@@ -260,6 +270,20 @@
         changes.extend(Change(name, None) for name in gone)
         return Changes(tuple(changes), listing.revision)
 
+    def _revision(self, plain: dict[str, Any]) -> StoreRevision:
+        """Read the revision of what a peer exported.
+
+        :raises MessageError: if it is from before a restore of the store.
+        """
+        era = Era(int(plain.get("era", UNKNOWN_ERA)))
+        self.store.eras.observe(era)
+        revision = StoreRevision(era, int(plain["revision"]))
+        if not self.store.eras.is_current(revision):
+            raise MessageError(
+                f"a peer's state is of era {era} of the store", step="decode"
+            )
+        return revision
+
     def _remember_event(self, event: StoredEvent) -> None:
         if event.deleted:
             self.objects.pop(event.stored.name, None)
@@ -284,6 +308,27 @@
         self.on_unreadable(Unreadable(self.kind, name, stored.revision, reason))
 
 
+def _plain(stored: StoredObject) -> dict[str, Any]:
+    """Write an object for a peer; its era is that of the list or the changes."""
+    return {
+        "name": stored.name,
+        "revision": stored.revision.number,
+        "spec": stored.spec,
+        "status": stored.status,
+    }
+
+
+def _object(plain: dict[str, Any], era: Era) -> StoredObject:
+    """Read an object that a peer exported."""
+    revision = StoreRevision(era, int(plain["revision"]))
+    return StoredObject(plain["name"], revision, plain["spec"], plain["status"])
+
+
+def _packed(revision: StoreRevision, **content: list[dict[str, Any]]) -> bytes:
+    plain = {"era": revision.era, "revision": revision.number, **content}
+    return pack(orjson.dumps(plain))
+
+
 def catalogue_feed(store: StoreClient) -> Feed[Catalogue]:
     """:param store: the store's client.
 
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -44,6 +44,7 @@
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 from walnutquay.state.store.parts import Organisation
+from walnutquay.state.store.revisions import StoreRevision
 
 MILLISECONDS = 1000.0
 # Where an object leaves the number out.
@@ -166,7 +167,7 @@
     )
 
 
-def decode_emptied(name: str, revision: int) -> EmptiedHall:
+def decode_emptied(name: str, revision: StoreRevision) -> EmptiedHall:
     """:param name: the object's name, which is the data hall's; it has no content.
 
     :param revision: the object's revision.
@@ -174,7 +175,9 @@
     return EmptiedHall(HallName(name), revision)
 
 
-def decode_order(name: str, revision: int, spec: Any, status: Any) -> RolloutOrder:
+def decode_order(
+    name: str, revision: StoreRevision, spec: Any, status: Any
+) -> RolloutOrder:
     """:param name: the object's name.
 
     :param revision: the object's revision.
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
@@ -14,6 +13,7 @@
 import orjson
 
 from walnutquay.exceptions import (
+    EarlierEraError,
     HistoryGoneError,
     MissingObjectError,
     PlatformBusyError,
@@ -22,9 +22,16 @@
     PlatformUnavailableError,
     PlatformUnclearError,
 )
-from walnutquay.platform.lenient import is_plain, read_json
+from walnutquay.platform.lenient import read_json
 from walnutquay.platform.names import ERA, OBJECTS_PATH
-from walnutquay.state.store.eras import Era, EraTracker
+from walnutquay.platform.objects import (
+    Answer,
+    StoredEvent,
+    StoredObject,
+    read_listed,
+    read_named,
+)
+from walnutquay.state.store.revisions import Era, EraTracker, StoreRevision
 from walnutquay.transport.connections import OnStray, ignore_stray
 from walnutquay.transport.connectors import KeptConnector
 
@@ -41,34 +48,6 @@
 MAX_ERA_DIGITS = 18
 
 
-@dataclass(frozen=True, slots=True)
-class StoredObject:
-    """An object of the store.
-
-    :param name: its name within its kind.
-    :param revision: the store's revision of its last change.
-    :param spec: its content; of the platform's kinds, what others wrote.
-    :param status: what has been said of it.
-    """
-
-    name: str
-    revision: int
-    spec: Any
-    status: Any = None
-
-
-@dataclass(frozen=True, slots=True)
-class StoredEvent:
-    """A change of an object.
-
-    :param stored: the object, as it was last where it was deleted.
-    :param deleted: whether it is gone.
-    """
-
-    stored: StoredObject
-    deleted: bool
-
-
 class StoreClient:
     """Calls the store; one for each process.
 
@@ -78,7 +57,7 @@
     :param count: told of each call, by what it is and for which kind; calls have a
         price, and whoever looks at it asks which ones there are.
     :param on_stray: told of bytes that answer no call.
-    :param eras: told of the era that each answer names.
+    :param eras: the store's era, which is told of the one that each answer names.
     """
 
     def __init__(
@@ -107,7 +86,7 @@
 
     async def list(
         self, kind: str, *, stale: bool = False
-    ) -> tuple[list[StoredObject], int]:
+    ) -> tuple[list[StoredObject], StoreRevision]:
         """List the objects of a kind, page by page.
 
         :param kind: the kind.
@@ -115,44 +94,56 @@
         :returns: the objects, and the revision of the first page: changes after
             it may be in the later pages already, and watching from it shows them
             once more.
+        :raises HistoryGoneError: if the store was restored between two pages.
         """
         found: list[StoredObject] = []
-        revision: int | None = None
+        revision: StoreRevision | None = None
         after: str | None = None
         while True:
             query = {} if after is None else {"sinceRev": after}
             if stale:
                 query["allowStale"] = "1"
-            body = await self._call("GET", kind, query=query)
-            page = [stored for item in body["items"] if (stored := _readable(item))]
+            answer = await self._call("GET", kind, query=query)
+            body, era = answer.body, answer.era
+            page = [
+                stored for item in body["items"] if (stored := read_listed(item, era))
+            ]
             found.extend(page)
             if revision is None:
-                revision = int(body["asOf"])
+                revision = StoreRevision(era, int(body["asOf"]))
+            if era != revision.era:
+                raise _restored(kind, "list")
             if not body["truncated"] or not page:
                 return found, revision
             # Pages go on behind a name, whatever the parameter is called.
             after = page[-1].name
 
     async def watch(
-        self, kind: str, revision: int, seconds: float
-    ) -> tuple[list[StoredEvent], int]:
+        self, kind: str, revision: StoreRevision, seconds: float
+    ) -> tuple[list[StoredEvent], StoreRevision]:
         """Wait for changes of a kind.
 
         :param kind: the kind.
         :param revision: the revision after which changes count.
         :param seconds: how long to wait for one.
         :returns: the changes in order, and the revision to go on from.
-        :raises HistoryGoneError: if the store does not know them any more.
+        :raises HistoryGoneError: if the store does not know them any more, or was
+            restored since: it may have given the revision to another change.
         """
-        query = {"watch": str(revision), "waitMs": str(int(seconds * MILLISECONDS))}
+        if not self.eras.is_current(revision):
+            raise _restored(kind, "watch")
+        wait = str(int(seconds * MILLISECONDS))
+        query = {"watch": str(revision.number), "waitMs": wait}
         limit = seconds + WATCH_SLACK_SECONDS
-        body = await self._call("GET", kind, query=query, limit=limit)
+        answer = await self._call("GET", kind, query=query, limit=limit)
+        if answer.era != revision.era:
+            raise _restored(kind, "watch")
         events = [
             StoredEvent(stored, bool(event.get("deleted")))
-            for event in body["events"]
-            if (stored := _readable(event["object"]))
+            for event in answer.body["events"]
+            if (stored := read_listed(event["object"], answer.era))
         ]
-        return events, int(body["asOf"])
+        return events, StoreRevision(answer.era, int(answer.body["asOf"]))
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """:param kind: a kind.
@@ -161,7 +152,7 @@
         :returns: the object, or None where there is none.
         """
         try:
-            return _stored_as(name, await self._call("GET", kind, name))
+            return read_named(name, await self._call("GET", kind, name))
         except MissingObjectError:
             return None
 
@@ -174,10 +165,10 @@
         :raises PlatformConflictError: if it exists.
         """
         body = {"metadata": {"name": name}, "spec": spec}
-        return _stored_as(name, await self._call("POST", kind, body=body))
+        return read_named(name, await self._call("POST", kind, body=body))
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int | None
+        self, kind: str, name: str, spec: Any, revision: StoreRevision | None
     ) -> StoredObject:
         """Replace an object's content.
 
@@ -189,12 +180,13 @@
         """
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
-            metadata["revision"] = revision
+            metadata["revision"] = revision.number
         body = {"metadata": metadata, "spec": spec}
-        return _stored_as(name, await self._call("PUT", kind, name, body=body))
+        answer = await self._write(revision, "PUT", kind, name, body=body)
+        return read_named(name, answer)
 
     async def write_status(
-        self, kind: str, name: str, status: Any, revision: int
+        self, kind: str, name: str, status: Any, revision: StoreRevision
     ) -> StoredObject:
         """Replace what is said of an object.
 
@@ -204,11 +196,14 @@
         :param revision: the revision that it must have.
         :raises PlatformConflictError: if it has another.
         """
-        body = {"metadata": {"name": name, "revision": revision}, "status": status}
-        written = await self._call("PUT", kind, name, "status", body=body)
-        return _stored_as(name, written)
+        metadata = {"name": name, "revision": revision.number}
+        body = {"metadata": metadata, "status": status}
+        answer = await self._write(revision, "PUT", kind, name, "status", body=body)
+        return read_named(name, answer)
 
-    async def delete(self, kind: str, name: str, revision: int | None = None) -> None:
+    async def delete(
+        self, kind: str, name: str, revision: StoreRevision | None = None
+    ) -> None:
         """Remove an object; one that is gone already is no error.
 
         :param kind: the kind.
@@ -216,12 +211,37 @@
         :param revision: the revision that it must have; None for any.
         :raises PlatformConflictError: if it has another.
         """
-        query = None if revision is None else {"revision": str(revision)}
+        query = None if revision is None else {"revision": str(revision.number)}
         try:
-            await self._call("DELETE", kind, name, query=query)
+            await self._write(revision, "DELETE", kind, name, query=query)
         except MissingObjectError:
             return
 
+    async def _write(
+        self, revision: StoreRevision | None, method: str, *path: str, **more: Any
+    ) -> Answer:
+        """Make a call that changes an object if it has a revision.
+
+        After a restore, another content of the object may have the same revision.
+
+        :raises PlatformConflictError: if the store is known to have been restored since
+            the revision was read.
+        :raises PlatformUnclearError: if the answer is the first to tell that.
+        """
+        step, peer = method.lower(), "/".join(path)
+        if revision is not None and not self.eras.is_current(revision):
+            raise PlatformConflictError(
+                "the store was restored since the object was read", step=step, peer=peer
+            )
+        answer = await self._call(method, *path, **more)
+        if revision is not None and answer.era != revision.era:
+            raise PlatformUnclearError(
+                "the store was restored, and another content may have been changed",
+                step=step,
+                peer=peer,
+            )
+        return answer
+
     async def _call(
         self,
         method: str,
@@ -229,12 +249,16 @@
         query: Mapping[str, str] | None = None,
         body: Any = None,
         limit: float | None = None,
-    ) -> Any:
+    ) -> Answer:
         """Make one call.
 
+        An answer that names no era is taken to be from the era in which it was asked.
+
         :raises PlatformUnavailableError: if the store did nothing.
         :raises PlatformUnclearError: if it may have done it.
+        :raises EarlierEraError: if the answer is from before a restore of the store.
         """
+        era = self.eras.current
         place = "/".join(quote(part, safe="") for part in path)
         step = method.lower()
         watching = bool(query) and "watch" in query
@@ -255,16 +279,20 @@
             ) as answer:
                 content = await answer.read()
                 status = answer.status
-                era = _era(answer.headers.get(ERA), place)
+                named = _era(answer.headers.get(ERA), place)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise PlatformUnavailableError(str(error), step=step, peer=place) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformUnclearError(reason, step=step, peer=place) from error
-        if era is not None:
-            self.eras.observe(era)
+        era = era if named is None else named
+        self.eras.observe(era)
+        if era < self.eras.current:
+            raise EarlierEraError(
+                f"the answer is of era {era} of the store", step=step, peer=place
+            )
         if status == 200 or status == 201:
-            return _decoded(content, step, place)
+            return Answer(_decoded(content, step, place), era)
         raise _failure(status, content, step, place)
 
 
@@ -278,6 +306,10 @@
     return None
 
 
+def _restored(kind: str, step: str) -> HistoryGoneError:
+    return HistoryGoneError("the store was restored", step=step, peer=kind)
+
+
 def _decoded(content: bytes, step: str, place: str) -> Any:
     try:
         return read_json(content) if content else None
@@ -311,45 +343,3 @@
     return PlatformError(
         f"the store did not take the call ({status}): {text}", step=step, peer=place
     )
-
-
-def _readable(plain: Any) -> StoredObject | None:
-    """Read one of several objects; one without a name of its own is left out.
-
-    What it holds may be of foreign bytes, which other VMs could not be told: nothing
-    stands for that.
-    """
-    try:
-        stored = _stored(plain)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        log.error("an object of the store has no name: {!r}", error)
-        return None
-    if is_plain(plain):
-        return stored
-    return StoredObject(stored.name, stored.revision, None)
-
-
-def _stored_as(name: str, plain: Mapping[str, Any]) -> StoredObject:
-    """Read the object of an answer.
-
-    :raises PlatformUnclearError: if it is another one: the answer is another call's.
-    """
-    stored = _stored(plain)
-    if stored.name != name:
-        raise PlatformUnclearError(
-            f"the store answered with {stored.name!r}", step="answer", peer=name
-        )
-    return stored
-
-
-def _stored(plain: Mapping[str, Any]) -> StoredObject:
-    metadata = plain["metadata"]
-    name = metadata["name"]
-    if not isinstance(name, str):
-        raise TypeError("a name is a text")
-    return StoredObject(
-        name=name,
-        revision=int(metadata.get("revision") or 0),
-        spec=plain.get("spec"),
-        status=plain.get("status"),
-    )
--- a/walnutquay/platform/values.py
+++ b/walnutquay/platform/values.py
@@ -22,10 +22,12 @@
     PlatformError,
 )
 from walnutquay.platform.names import OWN_KIND_PREFIX
-from walnutquay.platform.store import StoreClient, StoredObject
+from walnutquay.platform.objects import StoredObject
+from walnutquay.platform.store import StoreClient
+from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
 
 # The version that a write expects where nothing may be stored yet.
-ABSENT = 0
+ABSENT = NOTHING_STORED
 VALUE_FIELD = "value"
 
 
@@ -33,11 +35,11 @@
 class Stored:
     """A value as it is stored.
 
-    :param version: the store's revision of its last change; 0 where there is none.
+    :param version: the store's revision of its last change; false where there is none.
     :param value: its JSON, with sorted keys.
     """
 
-    version: int
+    version: StoreRevision
     value: bytes = b""
 
 
@@ -102,29 +104,31 @@
     def __init__(self, client: StoreClient) -> None:
         self.client = client
         # Up to which revision each watched value was seen unchanged.
-        self.watched: dict[str, int] = {}
+        self.watched: dict[str, StoreRevision] = {}
 
     async def read(self, name: str) -> Stored:
         """:param name: a value's name.
 
-        :returns: it, or version 0 where there is none.
+        :returns: it, or :data:`ABSENT` as its version where there is none.
         """
         key = object_key(name)
         found = await self.client.get(key.kind, key.name)
         return _value_of(found)
 
-    async def write(self, name: str, value: bytes, expected: int) -> int:
+    async def write(
+        self, name: str, value: bytes, expected: StoreRevision
+    ) -> StoreRevision:
         """Write a value if its version is the expected one.
 
         :param name: its name.
         :param value: its new JSON.
-        :param expected: the version that it must have; 0 to make it.
+        :param expected: the version that it must have; :data:`ABSENT` to make it.
         :returns: its new version.  Where nothing changes, that is the old one.
         :raises PlatformConflictError: if it has another version.
         """
         key = object_key(name)
         content = encode_value(value)
-        if expected == ABSENT:
+        if not expected:
             made = await self.client.create(key.kind, key.name, content)
             return made.revision
         try:
@@ -135,7 +139,7 @@
             ) from error
         return written.revision
 
-    async def delete(self, name: str, expected: int) -> None:
+    async def delete(self, name: str, expected: StoreRevision) -> None:
         """Delete a value if its version is the expected one.
 
         :param name: its name.
@@ -158,7 +162,9 @@
         names = [value_name(ObjectKey(kind, stored.name)) for stored in found]
         return sorted(name for name in names if name.startswith(prefix))
 
-    async def watch(self, name: str, after: int, seconds: float) -> Stored | None:
+    async def watch(
+        self, name: str, after: StoreRevision, seconds: float
+    ) -> Stored | None:
         """Wait until a value has a version other than the one that is known.
 
         :param name: its name.
@@ -167,7 +173,7 @@
         :returns: the value, or None where it has not changed.
         """
         key = object_key(name)
-        revision = max(after, self.watched.get(name, 0))
+        revision = max(after, self.watched.get(name, ABSENT))
         try:
             events, latest = await self.client.watch(key.kind, revision, seconds)
         except HistoryGoneError:
@@ -180,7 +186,9 @@
         last = changed[-1]
         return _value_of(None if last.deleted else last.stored)
 
-    async def _look_again(self, name: str, key: ObjectKey, after: int) -> Stored | None:
+    async def _look_again(
+        self, name: str, key: ObjectKey, after: StoreRevision
+    ) -> Stored | None:
         """List the kind, for the store no longer knows its changes."""
         found, revision = await self.client.list(key.kind)
         self.watched[name] = revision
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -12,6 +12,7 @@
 from walnutquay.state.process.ids import EndpointName, HallName, VmName
 from walnutquay.state.requests.crashtypes import CrashTrace
 from walnutquay.state.routed.gains import GainRow
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.reports import TrialReport
 from walnutquay.state.trials.sessionrecords import SeenSession
 
@@ -176,11 +177,12 @@
 
     :param kind: the kind.
     :param revision: the store's revision that the sender knows; only newer
-        knowledge is of use to it.  With 0 it knows nothing yet, and takes any list.
+        knowledge is of use to it.  With number 0 it knows nothing yet, and takes any
+        list.
     """
 
     kind: str
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,7 +205,7 @@
     """
 
     kind: str
-    revision: int
+    revision: StoreRevision
     seconds: float
 
 
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -137,6 +137,7 @@
 struct KnownRevision {
   kind @0 :Text;
   revision @1 :UInt64;
+  era @2 :UInt64;
 }
 
 # Differences of two models' opinions on the same request, second less first.
@@ -200,6 +201,7 @@
   kind @0 :Text;
   revision @1 :UInt64;
   seconds @2 :Float32;
+  era @3 :UInt64;
 }
 
 # Whoever does not follow the store itself, or has no answer from it, says so.
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -37,6 +37,7 @@
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace
 from walnutquay.state.routed.gains import GainCounts, GainRow, ModelPair
 from walnutquay.state.routed.links import Reach
+from walnutquay.state.store.revisions import Era, StoreRevision
 from walnutquay.state.trials.baseline import BaselineTime
 from walnutquay.state.trials.counts import Measure, TrialCounts
 from walnutquay.state.trials.reports import AnswerCounts, TrialReport, Verdict
@@ -123,6 +124,11 @@
     return reader.born if reader.born >= 0 else None
 
 
+def _revision(reader: Any) -> StoreRevision:
+    """Read a revision of the store; VMs that do not know of eras name none."""
+    return StoreRevision(Era(reader.era), reader.revision)
+
+
 def _seconds(value: float) -> float:
     if not (math.isfinite(value) and value >= 0.0):
         raise ValueError("a time is out of range")
@@ -164,9 +170,9 @@
         bytes(r.vms), tuple(m.KnownList(row.kind, bytes(row.data)) for row in r.lists)
     ),
     "vmNews": lambda r: m.VmNews(_row(r.row), r.leaving, r.incarnation),
-    "askKnown": lambda r: m.AskKnown(r.kind, r.revision),
+    "askKnown": lambda r: m.AskKnown(r.kind, _revision(r)),
     "known": lambda r: m.KnownIs(bytes(r)),
-    "askChanges": lambda r: m.AskChanges(r.kind, r.revision, r.seconds),
+    "askChanges": lambda r: m.AskChanges(r.kind, _revision(r), r.seconds),
     "changes": lambda r: m.ChangesAre(
         bytes(r.data), r.direct, r.failing, r.whole, r.returned
     ),
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -17,6 +17,7 @@
     PlacesUsed,
 )
 from walnutquay.state.requests.crashtypes import CrashTrace
+from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.reports import AnswerCounts
 
 # Stands for a time that is not known; times that are known are not negative.
@@ -149,14 +150,19 @@
     }
 
 
+def _revision_fields(revision: StoreRevision) -> dict[str, int]:
+    return {"revision": revision.number, "era": revision.era}
+
+
 @body_fields.register
 def _(body: m.AskKnown) -> dict[str, Any]:
-    return {"askKnown": flat_fields(body)}
+    return {"askKnown": {"kind": body.kind, **_revision_fields(body.revision)}}
 
 
 @body_fields.register
 def _(body: m.AskChanges) -> dict[str, Any]:
-    return {"askChanges": flat_fields(body)}
+    fields = {"kind": body.kind, "seconds": body.seconds}
+    return {"askChanges": {**fields, **_revision_fields(body.revision)}}
 
 
 @body_fields.register
--- a/walnutquay/state/own/claims.py
+++ b/walnutquay/state/own/claims.py
@@ -11,6 +11,7 @@
 import orjson
 
 from walnutquay.state.process.ids import OrganisationName, RequestId
+from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
 
 CLAIM_PREFIX = "claims/"
 
@@ -135,15 +136,15 @@
     :param claim_name: the name of the claim object.
     :param state: the request's state.
     :param answer: the answer, once it is complete.
-    :param version: the claim object's version; 0 if the platform's response to the
-        claim was lost.
+    :param version: the claim object's version; ``NOTHING_STORED`` if the platform's
+        response to the claim was lost.
     :param ended_at: when the request ended, in monotonic seconds; None until then.
     """
 
     claim_name: str
     state: RunState = RunState.PENDING
     answer: WholeAnswer | None = None
-    version: int = 0
+    version: StoreRevision = NOTHING_STORED
     ended_at: float | None = None
 
 
--- a/walnutquay/state/own/leases.py
+++ b/walnutquay/state/own/leases.py
@@ -16,6 +16,7 @@
 import orjson
 
 from walnutquay.state.process.ids import Incarnation, VmName
+from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
 
 LEASE_PREFIX = "leases/"
 
@@ -59,8 +60,8 @@
 
     incarnation: Incarnation
     order_seconds: float
-    # The object's version and value as last observed; version 0 if none exists yet.
-    version: int = 0
+    # The object's version and value as last observed; None if it must be read again.
+    version: StoreRevision | None = NOTHING_STORED
     value: LeaseValue | None = None
     # When this version was first observed.
     seen_at: float = 0.0
@@ -68,7 +69,9 @@
     held_until: float = float("-inf")
     may_act_from: float = float("inf")
 
-    def observe(self, version: int, value: LeaseValue | None, now: float) -> None:
+    def observe(
+        self, version: StoreRevision, value: LeaseValue | None, now: float
+    ) -> None:
         """Apply the version and value that were read from the platform.
 
         :param version: the object's version.
@@ -99,7 +102,9 @@
             return True
         return now > self.seen_at + self.value.seconds
 
-    def record_acquired(self, version: int, value: LeaseValue, asked_at: float) -> None:
+    def record_acquired(
+        self, version: StoreRevision, value: LeaseValue, asked_at: float
+    ) -> None:
         """Record that this VM acquired or renewed the lease.
 
         After a change of holder, the new holder waits for as long as an order of the
@@ -134,4 +139,6 @@
             case that it could still be in progress when the lease expires.
         """
         in_time = now + self.order_seconds < self.held_until
-        return self.version if in_time and now >= self.may_act_from else None
+        if self.version is None or not in_time or now < self.may_act_from:
+            return None
+        return self.version.number
--- a/walnutquay/state/store/feeds.py
+++ b/walnutquay/state/store/feeds.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
+from walnutquay.state.store.revisions import StoreRevision
+
 Item = TypeVar("Item")
 
 
@@ -19,7 +21,7 @@
     """
 
     items: dict[str, Item]
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,4 +45,4 @@
     """
 
     changes: tuple[Change[Item], ...]
-    revision: int
+    revision: StoreRevision
--- a/walnutquay/state/store/halls.py
+++ b/walnutquay/state/store/halls.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from walnutquay.state.process.ids import HallName
+from walnutquay.state.store.revisions import StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +22,7 @@
     """
 
     hall: HallName
-    revision: int
+    revision: StoreRevision
 
 
 class EmptiedHalls:
--- a/walnutquay/state/store/orders.py
+++ b/walnutquay/state/store/orders.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from walnutquay.state.process.ids import ServiceName, VersionName
+from walnutquay.state.store.revisions import StoreRevision
 
 
 class OrderState(Enum):
@@ -40,7 +41,7 @@
     """
 
     name: str
-    revision: int
+    revision: StoreRevision
     service: ServiceName
     version: VersionName
     seconds: float
