Never give out a fence twice after a restore of the store

An engine that checks fences refused the orders of the new holder of a lease, or took late ones of the old holder, as the lease's revision, which is its fence, went back with the store.

The fence is now made of the era and the revision's number, so it rises over restores. test_a_fence_is_not_given_out_again_after_a_restore failed before (9 after 4).

--- a/tests/state/own/test_leases.py
+++ b/tests/state/own/test_leases.py
@@ -81,6 +81,14 @@
         self.assertIsNone(view.fence(1.0))
         self.assertFalse(view.is_held(1.0))
 
+    def test_a_fence_is_not_given_out_again_after_a_restore(self):
+        fences = []
+        for version in (revision_at(9, era=1), revision_at(4, era=2)):
+            view = LeaseView(Incarnation("inc-a"), ORDER_SECONDS)
+            view.record_acquired(version, OWN_LEASE, 0.0)
+            fences.append(view.fence(0.0))
+        self.assertLess(*fences)
+
 
 class InterleavingTest(unittest.IsolatedAsyncioTestCase):
     """Two VMs that both assume to be first in rank, with faults and delays."""
--- a/tests/state/store/test_revisions.py
+++ b/tests/state/store/test_revisions.py
@@ -32,6 +32,13 @@
         self.assertFalse(revision_at(0))
         self.assertTrue(revision_at(1))
 
+    def test_fences_only_rise(self):
+        revisions = [revision_at(7), revision_at(1 << 39), revision_at(1, era=2)]
+        fences = [revision.fence for revision in revisions]
+        self.assertEqual(fences, sorted(set(fences)))
+        # Engines may read numbers as doubles.
+        self.assertLess(revision_at(1, era=8191).fence, 1 << 53)
+
 
 class EraTrackerTest(unittest.TestCase):
     """A restore is reported once; an era never goes back."""
--- a/walnutquay/coordination/own/leases.py
+++ b/walnutquay/coordination/own/leases.py
@@ -111,7 +111,7 @@
         self.view.record_acquired(version, self.value, asked_at)
         if not held:
             self.context.timeline.emit(
-                EventKind.LEASE, detail=f"{self.duty} taken, fence {version.number}"
+                EventKind.LEASE, detail=f"{self.duty} taken, fence {version.fence}"
             )
 
     async def release(self) -> None:
--- a/walnutquay/state/own/leases.py
+++ b/walnutquay/state/own/leases.py
@@ -141,4 +141,4 @@
         in_time = now + self.order_seconds < self.held_until
         if self.version is None or not in_time or now < self.may_act_from:
             return None
-        return self.version.number
+        return self.version.fence
--- a/walnutquay/state/store/revisions.py
+++ b/walnutquay/state/store/revisions.py
@@ -15,6 +15,8 @@
 Era = NewType("Era", int)
 # The era of a store that does not name one, and of what was known before it did.
 UNKNOWN_ERA = Era(0)
+# The bits of a fence that hold the revision's number; the era is above them.
+FENCE_NUMBER_BITS = 40
 
 
 @dataclass(frozen=True, order=True, slots=True)
@@ -36,6 +38,11 @@
         """Return its era and number as text."""
         return f"{self.era}/{self.number}"
 
+    @property
+    def fence(self) -> int:
+        """The revision as one number, which is never given out twice."""
+        return (self.era << FENCE_NUMBER_BITS) | self.number
+
 
 # The revision of what does not exist, and of whoever knows nothing.
 NOTHING_STORED = StoreRevision(UNKNOWN_ERA, 0)
