Let a lease from before a restore of the store expire at any holder

What callers saw: nothing in the record; found by looking for the cause of the incident elsewhere. After a restore the object of a lease is older than the lease that is in force, or gone: another VM took the duty at once, while the holder went on until the end of its lease, and both sent orders.

When a VM learns of a restore it takes the lease to be held by an unknown VM: it stops acting on its own, and nobody takes the lease before one that was renewed just before the restore has expired. test_after_a_restore_the_lease_may_be_held_by_any_vm guards it; there was no such event before, so it has nothing to fail on there. A VM that starts within the duration of a lease after a restore does not know of it: engines that check fences refuse the orders of the earlier holder.

--- a/tests/state/own/test_leases.py
+++ b/tests/state/own/test_leases.py
@@ -81,6 +81,20 @@
         self.assertIsNone(view.fence(1.0))
         self.assertFalse(view.is_held(1.0))
 
+    def test_after_a_restore_the_lease_may_be_held_by_any_vm(self):
+        view = self.view(OWN_LEASE)
+        view.record_acquired(revision_at(4), OWN_LEASE, 0.0)
+        view.on_restored(1.0, LEASE_SECONDS)
+        self.assertIsNone(view.fence(1.0))
+        view.observe(revision_at(2, era=2), OWN_LEASE, 1.5)
+        self.assertFalse(view.may_acquire(1.0 + LEASE_SECONDS))
+        later = 1.1 + LEASE_SECONDS
+        self.assertTrue(view.may_acquire(later))
+        view.record_acquired(revision_at(3, era=2), OWN_LEASE, later)
+        # An order of the holder before may still be in progress.
+        self.assertIsNone(view.fence(later))
+        self.assertIsNotNone(view.fence(later + ORDER_SECONDS))
+
     def test_a_fence_is_not_given_out_again_after_a_restore(self):
         fences = []
         for version in (revision_at(9, era=1), revision_at(4, era=2)):
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -28,7 +28,7 @@
 from walnutquay.state.fleet.membership import MemberTable
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.store.revisions import EraTracker, StoreRevision
 
 # How a write may go: done and answered; done, the answer lost; not done, the
 # answer lost; done later, at any time; refused.
@@ -80,6 +80,7 @@
     store: Store
     vm: str
     up: bool = True
+    eras: EraTracker = field(default_factory=EraTracker)
 
     async def read(self, name: str) -> Stored:
         """As the real one."""
--- a/walnutquay/coordination/own/leases.py
+++ b/walnutquay/coordination/own/leases.py
@@ -15,6 +15,7 @@
 from walnutquay.state.own.leases import LEASE_PREFIX, LeaseValue, LeaseView
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import Incarnation, VmName
+from walnutquay.state.store.revisions import Era
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -53,6 +54,10 @@
         self.name = LEASE_PREFIX + duty
         self.value = LeaseValue(context.vm, context.incarnation, seconds)
         self.view = LeaseView(context.incarnation, order_seconds)
+        platform.eras.restore_listeners.append(self._on_restored)
+
+    def _on_restored(self, era: Era) -> None:
+        self.view.on_restored(monotonic(), self.value.seconds)
 
     def start(self) -> None:
         """Start to renew the lease, or to observe its holder."""
--- a/walnutquay/coordination/own/platform.py
+++ b/walnutquay/coordination/own/platform.py
@@ -27,7 +27,7 @@
 from walnutquay.platform.values import Stored, ValueStore
 from walnutquay.settings import PlatformSection
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.store.revisions import Era, EraTracker, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 WATCH_SECONDS = 20.0
@@ -79,18 +79,24 @@
         self.context = context
         self.section = section
         self.budget = CallBudget(section.calls_per_second)
+        self.eras = EraTracker()
         self.client = StoreClient(
             urlsplit(section.url).netloc,
             caller=context.vm,
             call_seconds=section.timeout_seconds,
             on_stray=stray_reporter(context),
+            eras=self.eras,
         )
         self.values = ValueStore(self.client)
+        self.eras.restore_listeners.append(self._on_restored)
         # Whether the platform responded to the last call, and the time at which this
         # last changed.
         self.up = True
         self.changed_at = monotonic()
 
+    def _on_restored(self, era: Era) -> None:
+        self.context.timeline.emit(EventKind.STORE_RESTORED, era=era)
+
     async def close(self) -> None:
         """Close all connections."""
         await self.client.close()
--- a/walnutquay/state/own/leases.py
+++ b/walnutquay/state/own/leases.py
@@ -68,6 +68,8 @@
     # The time until which this VM holds the lease, and the time from which it may act.
     held_until: float = float("-inf")
     may_act_from: float = float("inf")
+    # When a lease from before a restore of the store has expired at any holder.
+    expired_at: float = float("-inf")
 
     def observe(
         self, version: StoreRevision, value: LeaseValue | None, now: float
@@ -91,11 +93,26 @@
         self.held_until = float("-inf")
         self.may_act_from = float("inf")
 
+    def on_restored(self, now: float, seconds: float) -> None:
+        """Treat the lease as held by an unknown VM, as the store was restored.
+
+        The object may be older than the lease that is in force, or gone.
+
+        :param now: when this VM learnt of the restore.
+        :param seconds: duration of the lease.
+        """
+        self.mark_lost()
+        self.version = None
+        self.value = None
+        self.expired_at = now + seconds
+
     def may_acquire(self, now: float) -> bool:
         """Return whether no other VM can hold the lease any longer.
 
         :param now: the current time.
         """
+        if now <= self.expired_at:
+            return False
         if self.value is None or not self.value.vm:
             return True
         if self.value.incarnation == self.incarnation:
@@ -116,7 +133,7 @@
         :param asked_at: when this VM requested the lease.
         """
         renewed = self.is_held(asked_at)
-        never_held = self.value is None
+        never_held = self.value is None and self.expired_at == float("-inf")
         self.version = version
         self.value = value
         self.seen_at = asked_at
