Keep endpoints that a restored store has lost until they enter again

What callers saw: endpoints that had entered the store after its backup were dropped as soon as it was listed again, though they served, and came back as they wrote their entries: until then all requests went to the others. Where a VM noticed no outage, nothing held them.

Cause: only the end of an outage made deletions unconfirmed, and only at VMs that had noticed it. A restore is now an event that a VM's followers and sinks subscribe to, whoever notices it first: a watch, a write, a refusal, or another VM's list. Deletions are unconfirmed from then on, for as long as after an outage, and each kind is listed at once.

test_an_endpoint_stays_in_use_until_it_is_written_again failed before; an endpoint that does not come back is gone after that time on all VMs, and one that had said that it leaves stays unused though the backup shows it.

--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -107,3 +107,47 @@
         self.store.refuse = None
         await self.until_version(7)
         await self.assert_leaving_endpoint_unused()
+
+
+class EndpointTest(RestoreCase):
+    """Endpoints that entered the store after its backup."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.backup = self.store.copy()
+        await self.add_worker("p3", "plain")
+        await self.until(lambda: all("p3" in known for known in self.known()))
+
+    def known(self) -> list[dict]:
+        """Return the endpoints that each VM knows."""
+        return [g.knowledge.instances.registry.known for g in self.gateways]
+
+    async def until_restore_known(self) -> None:
+        """Wait until all VMs know of the restore, and have listed the endpoints."""
+        followers = [g.knowledge.instance_follower for g in self.gateways]
+        await self.until(lambda: all(f.revision.era == 2 for f in followers))
+
+    async def test_an_endpoint_stays_in_use_until_it_is_written_again(self):
+        await self.restore(self.backup)
+        await self.until_restore_known()
+        self.assertTrue(all("p3" in known for known in self.known()))
+        await self.store.put("servers", "p3", self.endpoints["p3"].spec("plain"))
+        registries = [g.knowledge.instances.registry for g in self.gateways]
+        await self.until(lambda: not any(r.overdue for r in registries))
+        self.assertTrue(all("p3" in known for known in self.known()))
+
+    async def test_an_endpoint_that_is_not_written_again_is_gone_everywhere(self):
+        await self.restore(self.backup)
+        await self.until(lambda: not any("p3" in known for known in self.known()))
+
+    async def test_an_endpoint_that_left_is_not_used_although_the_backup_has_it(self):
+        backup = self.store.copy()
+        leaving = {**self.endpoints["p3"].spec("plain"), "state": "draining"}
+        await self.store.put("servers", "p3", leaving)
+        await self.until(lambda: all(known["p3"].leaving for known in self.known()))
+        await self.store.remove("servers", "p3")
+        await self.until(lambda: not any("p3" in known for known in self.known()))
+        await self.restore(backup)
+        await self.until_restore_known()
+        await self.until(lambda: all("p3" in known for known in self.known()))
+        self.assertTrue(all(known["p3"].leaving for known in self.known()))
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -238,6 +238,16 @@
             self.query_requested = True
             self.running.cancel()
 
+    def on_restored(self) -> None:
+        """List again at once, as the store was restored since the last list.
+
+        The step in which that was noticed fails by itself, and a list in progress is
+        read again if it began before.
+        """
+        noticed_here = asyncio.current_task() is self.running
+        if self.revision is not None and not noticed_here:
+            self.query_now()
+
     async def step(self) -> None:
         """List, or wait for the next changes."""
         if self.revision is None:
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -195,13 +195,20 @@
             self.instances.mark_deletions_unconfirmed(ago)
 
     def _on_restored(self, era: Era) -> None:
-        """Log that the store was restored from a backup, and what was known before."""
+        """Confirm all state with the store, which was restored from a backup.
+
+        Objects that were written since the backup are written again soon: none is
+        treated as gone until then.
+        """
         known = (f"{f.feed.kind} {f.revision}" for f in self.followers())
         self.context.timeline.emit(
             EventKind.STORE_RESTORED,
             detail=f"known before: {', '.join(known)}",
             era=era,
         )
+        self._expect_lapsed_entries()
+        for follower in self.followers():
+            follower.on_restored()
 
     def stop(self) -> None:
         """Stop following; the state is kept."""
