Keep data halls emptied that a restored store has lost the order for

What callers saw: nothing in the record; found by looking for what else believes that the store still has what was written. The order that empties a data hall was gone with the restore, and requests went to its endpoints until the operators wrote it again.

Orders that are missing after a restore stay in force for 10 s, and end then unless they are there again. test_the_order_is_kept_until_it_is_written_again failed before.

--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -151,3 +151,35 @@
         await self.until_restore_known()
         await self.until(lambda: all("p3" in known for known in self.known()))
         self.assertTrue(all(known["p3"].leaving for known in self.known()))
+
+
+class EmptiedHallTest(RestoreCase):
+    """A data hall stays emptied although the store has lost the order."""
+
+    def emptied(self) -> list[bool]:
+        """Return whether the hall is emptied, on each VM."""
+        return ["hall-a" in g.knowledge.halls.emptied for g in self.gateways]
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.backup = self.store.copy()
+        await self.store.put("evacuations", "hall-a", {})
+        await self.until(lambda: all(self.emptied()))
+        await self.restore(self.backup)
+        followers = [g.knowledge.hall_follower for g in self.gateways]
+        await self.until(lambda: all(f.revision.era == 2 for f in followers))
+
+    async def test_the_order_is_kept_until_it_is_written_again(self):
+        self.assertTrue(all(self.emptied()))
+        await self.store.put("evacuations", "hall-a", {})
+        sinks = [g.knowledge.halls for g in self.gateways]
+        await self.until(lambda: not any(sink.overdue for sink in sinks))
+        for sink in sinks:
+            sink.kept_until = 0.0
+            sink.drop_overdue()
+        self.assertTrue(all(self.emptied()))
+
+    async def test_an_order_that_is_not_written_again_ends(self):
+        for gateway in self.gateways:
+            gateway.knowledge.halls.kept_until = 0.0
+        await self.until(lambda: not any(self.emptied()))
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -136,6 +136,9 @@
         self.context.timers.every(
             "overdue endpoints", OVERDUE_CHECK_SECONDS, self.instances.drop_overdue
         )
+        self.context.timers.every(
+            "overdue halls", OVERDUE_CHECK_SECONDS, self.halls.drop_overdue
+        )
 
     def follow(self) -> None:
         """Start to follow each kind."""
@@ -207,6 +210,7 @@
             era=era,
         )
         self._expect_lapsed_entries()
+        self.halls.keep_orders()
         for follower in self.followers():
             follower.on_restored()
 
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -27,6 +27,9 @@
 # Endpoints write their entries again within some two seconds of it, and must not be
 # used for more than two seconds without an entry.
 OVERDUE_SECONDS = 1.9
+# The time after a restore of the store within which operators have written their orders
+# again.
+REWRITE_SECONDS = 10.0
 
 
 class CatalogueSink:
@@ -270,6 +273,10 @@
         self.context = context
         self.emptied = emptied
         self.listed = False
+        # The orders that were missing after a restore of the store, and the time until
+        # which such orders stay in force; monotonic seconds.
+        self.overdue: set[HallName] = set()
+        self.kept_until = float("-inf")
         # Called for each data hall whose endpoints may be sent requests again.
         self.back_listeners: list[Callable[[HallName], None]] = []
 
@@ -280,7 +287,7 @@
         """
         self.listed = True
         for hall in self.emptied.missing(listing.items):
-            self._restore(hall)
+            self._remove(hall)
         for order in listing.items.values():
             self._put(order)
 
@@ -291,11 +298,33 @@
         """
         for change in changes.changes:
             if change.item is None:
-                self._restore(HallName(change.name))
+                self._remove(HallName(change.name))
             else:
                 self._put(change.item)
 
+    def keep_orders(self) -> None:
+        """Keep orders that are missing for a while, as the store was restored.
+
+        It may have lost them, and operators write them again.
+        """
+        self.kept_until = monotonic() + REWRITE_SECONDS
+
+    def drop_overdue(self) -> None:
+        """Withdraw the orders that were not written again in time."""
+        if not self.overdue or monotonic() < self.kept_until:
+            return
+        overdue, self.overdue = self.overdue, set()
+        for hall in sorted(overdue):
+            self._restore(hall)
+
+    def _remove(self, hall: HallName) -> None:
+        if hall in self.emptied and monotonic() < self.kept_until:
+            self.overdue.add(hall)
+        else:
+            self._restore(hall)
+
     def _put(self, order: EmptiedHall) -> None:
+        self.overdue.discard(order.hall)
         if self.emptied.put(order):
             self.context.timeline.emit(
                 EventKind.HALL_EMPTIED,
