Tell VMs that start the configuration that a restored store has lost

A configuration stayed in force at the VMs that had it, by its version, but the list that they keep for VMs that start was the store's: a VM that started before the operator wrote it again accepted a revoked key and denied an added route, from another VM's list or the store's.

Cause: the list kept for others was replaced by what the store showed, whatever its version. The list now keeps the highest version of the configuration that was ever known. A seed, which reads the store as it starts, asks another VM for its configuration too, and tells the balancer that it is ready when that is answered, or after 0.3 s.

test_it_is_in_force_at_a_vm_that_starts failed before (2, not 3), at both kinds of VMs. Alone, a VM cannot know of it.

--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -183,3 +183,43 @@
         for gateway in self.gateways:
             gateway.knowledge.halls.kept_until = 0.0
         await self.until(lambda: not any(self.emptied()))
+
+
+class ConfigurationTest(RestoreCase):
+    """A configuration that the store has lost stays in force, at VMs that start too."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.put_catalogue(2, revoked=False, added=False)
+        self.backup = self.store.copy()
+        await self.put_catalogue(3, revoked=True, added=True)
+        await self.until_version(3)
+        await self.restore(self.backup)
+        followers = [g.knowledge.catalogue_follower for g in self.gateways]
+        await self.until(lambda: all(f.revision.era == 2 for f in followers))
+
+    async def prepare(self, gateway: GatewayDaemon) -> None:
+        """Let the VM that starts last be a seed, which reads the store at first."""
+        if gateway.options.vm.name == "vm-9":
+            gateway.peers.seeds = [self.gateway.peers.own]
+            gateway.peers.is_seed = True
+            gateway.knowledge.compares = True
+
+    async def test_it_stays_in_force(self):
+        refused = await self.statuses("/safe/x", REVOKED_KEY)
+        served = await self.statuses(f"/{ADDED_ROUTE}/x")
+        self.assertEqual(refused, [401] * self.vms)
+        self.assertEqual(served, [200] * self.vms)
+
+    async def test_it_is_in_force_at_a_vm_that_starts(self):
+        # From other VMs, and from the store while others know more.
+        for name, peers in (("vm-8", [self.gateway]), ("vm-9", [])):
+            with self.subTest(name):
+                started = await self.add_gateway(name, peers)
+                self.assertEqual(started.knowledge.catalogue.current.version, 3)
+
+    async def test_a_newer_one_comes_into_force(self):
+        await self.put_catalogue(4, revoked=False, added=False)
+        await self.until_version(4)
+        served = await self.statuses("/safe/x", REVOKED_KEY)
+        self.assertEqual(served, [200] * self.vms)
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -28,7 +28,7 @@
     InstanceSink,
     OrderSink,
 )
-from walnutquay.exceptions import HistoryGoneError, PlatformError
+from walnutquay.exceptions import HistoryGoneError, MessageError, PlatformError
 from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, KnownList
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.store.catalogue import Catalogue
@@ -46,6 +46,8 @@
 CONFIRM_SECONDS = 0.4
 # The interval at which readiness is checked after a start.
 READY_POLL_SECONDS = 0.01
+# The longest time for which a VM that starts waits for another VM's configuration.
+COMPARE_SECONDS = 0.3
 # State that the store confirmed this recently is not queried again.  Changes arrive
 # within some 10 ms, and callers may use them once they are acknowledged.
 FRESH_SECONDS = 0.1
@@ -62,6 +64,8 @@
     :param query_peers: queries the other VMs while the store does not answer.
     :param times: the time for which one watch of each kind waits.
     :param eras: the store's era.
+    :param compares: whether this VM reads its first configuration from the store while
+        others may know a newer one, which a restored store has lost.
     """
 
     def __init__(
@@ -74,8 +78,12 @@
         query_peers: QueryPeers,
         times: WatchTimes,
         eras: EraTracker,
+        compares: bool = False,
     ) -> None:
         self.context = context
+        self.query_peers = query_peers
+        # Whether another VM's configuration still has to be compared.
+        self.compares = compares
         self.eras = eras
         eras.restore_listeners.append(self._on_restored)
         self.catalogue = CatalogueSink(context)
@@ -132,6 +140,8 @@
     def start(self) -> None:
         """Start to follow the store and to check for overdue endpoints."""
         self.follow()
+        if self.compares:
+            self.tasks.spawn(self._compare_with_peers())
         self.context.timers.on_wake(self._on_wake)
         self.context.timers.every(
             "overdue endpoints", OVERDUE_CHECK_SECONDS, self.instances.drop_overdue
@@ -145,6 +155,22 @@
         for follower in self.followers():
             self.tasks.spawn_loop(follower.feed.kind, follower.run)
 
+    async def _compare_with_peers(self) -> None:
+        """Apply another VM's configuration, if it is newer than the store's."""
+        kind = self.catalogue_follower.feed.kind
+        try:
+            async with asyncio.timeout(COMPARE_SECONDS):
+                data = await self.query_peers(kind, NOTHING_STORED)
+            if data:
+                listing = self.catalogue_follower.feed.read_export(data)
+                self.catalogue.apply_listing(listing)
+        except TimeoutError:
+            log.info("no other VM told its configuration in time")
+        except MessageError as error:
+            log.warn("ignored a list from a peer that cannot be read: {}", error)
+        finally:
+            self.compares = False
+
     def _on_wake(self, seconds: float) -> None:
         """Confirm all state, which has not been updated while this VM was suspended.
 
@@ -256,6 +282,7 @@
         """Whether this VM has enough state to serve callers."""
         return (
             self.catalogue.current is not None
+            and not self.compares
             and self.instances.listed
             and self.orders.listed
             and self.halls.listed
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -115,7 +115,7 @@
         links = StoreLinks(
             self.context, self.store, self.peers, self.watchers, self.starting
         )
-        self.knowledge = links.knowledge(options.promises)
+        self.knowledge = links.knowledge(options.promises, first_start)
         self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
         self.client = HttpClient(names.REQUEST_ID, on_stray)
--- a/walnutquay/daemon/storefeeds.py
+++ b/walnutquay/daemon/storefeeds.py
@@ -48,8 +48,11 @@
     watchers: Watchers
     starting: Bootstrap
 
-    def knowledge(self, promises: PromisesSection) -> Knowledge:
-        """:param promises: the limits that the platform's operators set."""
+    def knowledge(self, promises: PromisesSection, first_start: bool) -> Knowledge:
+        """:param promises: the limits that the platform's operators set.
+
+        :param first_start: whether no other VM can know anything yet.
+        """
         times = watch_times(
             promises.config_seconds, promises.drain_seconds, promises.empty_seconds
         )
@@ -84,6 +87,7 @@
             self._ask_peers,
             times,
             self.store.eras,
+            compares=self.peers.is_seed and not first_start,
         )
         return made
 
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -92,6 +92,8 @@
     :param decode: makes our type of an object.
     :param drops_unreadable: whether an object that cannot be read any more is as good
         as gone; else what was known of it holds.
+    :param version_of: the version of an object, where a higher one that is known stays
+        in force although the store has a lower one or none: it was restored.
     """
 
     # What it tells always comes from the store itself.
@@ -103,7 +105,11 @@
         kind: str,
         decode: Callable[[StoredObject], Item],
         drops_unreadable: bool = False,
+        version_of: Callable[[Item], int] | None = None,
     ) -> None:
+        self.version_of = version_of
+        # The versions of the objects that are known, where they count.
+        self.versions: dict[str, int] = {}
         self.store = store
         self.kind = kind
         self.decode = decode
@@ -138,21 +144,40 @@
     def _listing(
         self, found: list[StoredObject], revision: StoreRevision
     ) -> Listing[Item]:
-        self._remember(found, revision)
+        items = self._decode_all(found)
+        self._remember(found, items, revision)
         listed = {stored.name for stored in found}
         for name in [name for name in self.unreadable if name not in listed]:
             del self.unreadable[name]
+        return Listing(items, revision)
+
+    def _decode_all(self, found: list[StoredObject]) -> dict[str, Item]:
         items = {}
         for stored in found:
             item = self._decoded(stored)
             if item is not None:
                 items[stored.name] = item
-        return Listing(items, revision)
+        return items
 
-    def _remember(self, found: list[StoredObject], revision: StoreRevision) -> None:
+    def _remember(
+        self,
+        found: list[StoredObject],
+        items: dict[str, Item],
+        revision: StoreRevision,
+    ) -> None:
         self.listed = True
         if revision >= self.revision:
-            self.objects = {stored.name: stored for stored in found}
+            newest = {
+                stored.name: stored
+                for stored in found
+                if not self._is_older(stored.name, items.get(stored.name))
+            }
+            kept = {
+                name: stored
+                for name, stored in self.objects.items()
+                if name in self.versions
+            }
+            self.objects = {**kept, **newest}
             self.revision = revision
             self.batches.clear()
             self.batches_since = revision
@@ -202,8 +227,8 @@
         """Remember changes, and give them as our own types."""
         changes = []
         for event in batch.events:
-            self._remember_event(event)
             item = None if event.deleted else self._decoded(event.stored)
+            self._remember_event(event, item)
             if event.deleted:
                 self.unreadable.pop(event.stored.name, None)
             if item is not None or event.deleted or self.drops_unreadable:
@@ -284,11 +309,29 @@
             )
         return revision
 
-    def _remember_event(self, event: StoredEvent) -> None:
+    def _remember_event(self, event: StoredEvent, item: Item | None) -> None:
+        name = event.stored.name
         if event.deleted:
-            self.objects.pop(event.stored.name, None)
-        else:
-            self.objects[event.stored.name] = event.stored
+            if name not in self.versions:
+                self.objects.pop(name, None)
+        elif not self._is_older(name, item):
+            self.objects[name] = event.stored
+
+    def _is_older(self, name: str, item: Item | None) -> bool:
+        """Return whether a higher version of an object is known; keep it if it is new.
+
+        :param name: the object's name.
+        :param item: the object; None if it cannot be read.
+        """
+        if self.version_of is None:
+            return False
+        if item is None:
+            return name in self.versions
+        version = self.version_of(item)
+        if version < self.versions.get(name, version):
+            return True
+        self.versions[name] = version
+        return False
 
     def _decoded(self, stored: StoredObject) -> Item | None:
         try:
@@ -340,7 +383,7 @@
             raise MessageError(f"{stored.name} is not known here", step="decode")
         return decode_catalogue(stored.spec)
 
-    return Feed(store, KIND_CONFIGURATION, decode)
+    return Feed(store, KIND_CONFIGURATION, decode, version_of=lambda item: item.version)
 
 
 def instance_feed(store: StoreClient) -> Feed[Instance]:
