--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Generic, TypeVar
+from typing import Generic, TypeVar
 
 import logbook
 import orjson
@@ -17,6 +17,12 @@
     MessageError,
     MissingObjectError,
 )
+from walnutquay.platform.exports import (
+    exported_object,
+    packed_export,
+    read_object,
+    read_revision,
+)
 from walnutquay.platform.names import (
     CONFIGURATION_NAME,
     KIND_CONFIGURATION,
@@ -33,7 +39,7 @@
 )
 from walnutquay.platform.schemas import MAX_NAME
 from walnutquay.platform.store import StoreClient
-from walnutquay.protocol.lists import pack, unpack
+from walnutquay.protocol.lists import unpack
 from walnutquay.state.store.catalogue import Catalogue
 from walnutquay.state.store.feeds import Change, Changes, Listing
 from walnutquay.state.store.halls import EmptiedHall
@@ -41,8 +47,6 @@
 from walnutquay.state.store.orders import RolloutOrder
 from walnutquay.state.store.revisions import (
     NOTHING_STORED,
-    UNKNOWN_ERA,
-    Era,
     StoreRevision,
 )
 
@@ -194,8 +198,8 @@
         at, data = self.exported
         if at != self.revision:
             # Written once for all who ask: many do when a fleet starts.
-            items = [_plain(stored) for stored in self.objects.values()]
-            data = _packed(self.revision, items=items)
+            items = [exported_object(stored) for stored in self.objects.values()]
+            data = packed_export(self.revision, items=items)
             self.exported = (self.revision, data)
         return data
 
@@ -206,8 +210,8 @@
         """
         try:
             plain = orjson.loads(unpack(data, MAX_LIST_BYTES))
-            revision = self._revision(plain)
-            found = [_object(item, revision.era) for item in plain["items"]]
+            revision = read_revision(plain, self.store.eras)
+            found = [read_object(item, revision.era) for item in plain["items"]]
             return self._listing(found, revision)
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
             raise MessageError(
@@ -254,12 +258,12 @@
                 "the changes since are not known", step="export", peer=self.kind
             )
         events = [
-            {"stored": _plain(event.stored), "deleted": event.deleted}
+            {"stored": exported_object(event.stored), "deleted": event.deleted}
             for batch in self.batches
             if batch.revision > revision
             for event in batch.events
         ]
-        return _packed(self.revision, events=events)
+        return packed_export(self.revision, events=events)
 
     def read_changes(self, data: bytes) -> Changes[Item]:
         """:param data: what a peer's :meth:`export_changes` wrote.
@@ -268,9 +272,11 @@
         """
         try:
             plain = orjson.loads(unpack(data, MAX_LIST_BYTES))
-            revision = self._revision(plain)
+            revision = read_revision(plain, self.store.eras)
             events = tuple(
-                StoredEvent(_object(event["stored"], revision.era), event["deleted"])
+                StoredEvent(
+                    read_object(event["stored"], revision.era), event["deleted"]
+                )
                 for event in plain["events"]
             )
             return self._changes(Batch(revision, events))
@@ -295,20 +301,6 @@
         changes.extend(Change(name, None) for name in gone)
         return Changes(tuple(changes), listing.revision)
 
-    def _revision(self, plain: dict[str, Any]) -> StoreRevision:
-        """Read the revision of what a peer exported.
-
-        :raises MessageError: if it is from before a restore of the store.
-        """
-        era = Era(int(plain.get("era", UNKNOWN_ERA)))
-        self.store.eras.observe(era)
-        revision = StoreRevision(era, int(plain["revision"]))
-        if not self.store.eras.is_current(revision):
-            raise MessageError(
-                f"a peer's state is of era {era} of the store", step="decode"
-            )
-        return revision
-
     def _remember_event(self, event: StoredEvent, item: Item | None) -> None:
         name = event.stored.name
         if event.deleted:
@@ -351,27 +343,6 @@
         self.on_unreadable(Unreadable(self.kind, name, stored.revision, reason))
 
 
-def _plain(stored: StoredObject) -> dict[str, Any]:
-    """Write an object for a peer; its era is that of the list or the changes."""
-    return {
-        "name": stored.name,
-        "revision": stored.revision.number,
-        "spec": stored.spec,
-        "status": stored.status,
-    }
-
-
-def _object(plain: dict[str, Any], era: Era) -> StoredObject:
-    """Read an object that a peer exported."""
-    revision = StoreRevision(era, int(plain["revision"]))
-    return StoredObject(plain["name"], revision, plain["spec"], plain["status"])
-
-
-def _packed(revision: StoreRevision, **content: list[dict[str, Any]]) -> bytes:
-    plain = {"era": revision.era, "revision": revision.number, **content}
-    return pack(orjson.dumps(plain))
-
-
 def catalogue_feed(store: StoreClient) -> Feed[Catalogue]:
     """:param store: the store's client.
 
