Keep the outcome of a roll-out that a restored store has lost

What callers saw: with the status of an order the store lost that the roll-out had ended. A version that had been withdrawn got a second trial, and one that was complete was tried again, which moves sessions; the operator saw no status (seen on: none after 8 s).

Cause: VMs believed that the status which they had written is still there, and took the order without it for a new one.

Each VM keeps the last outcome of an order. An order of a later era that is the same, or one written within 10 s after a restore, has that outcome; one VM, by rank, writes the status again, the others after 1 to 2 s if it is still missing. A trial that is under way goes on, and its status is written again in the same way. The record of a trial is written again too.

--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from standins.store import Backup
 from tests.restorecase import ADDED_ROUTE, REVOKED_KEY, RestoreCase
 from walnutquay.daemon.gateway import GatewayDaemon
@@ -223,3 +225,92 @@
         await self.until_version(4)
         served = await self.statuses("/safe/x", REVOKED_KEY)
         self.assertEqual(served, [200] * self.vms)
+
+
+class OrderTest(RestoreCase):
+    """Orders whose status the store has lost: no trial begins again."""
+
+    workers: ClassVar = {"p1": "plain", "e1": "engine", "e2": "engine"}
+    spec: ClassVar = {"service": "engine", "toVersion": "v2", "durationS": 60}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        newer = {**self.endpoints["e2"].spec("engine"), "version": "v2"}
+        await self.store.put("servers", "e2", newer)
+
+    async def complete(self, state: str) -> None:
+        """Write an order and its outcome, and wait until all VMs know it."""
+        status = {"state": state, "toVersion": "v2"}
+        await self.store.put("rollouts", "engine", self.spec, status)
+        sinks = [g.knowledge.orders for g in self.gateways]
+
+        def known() -> bool:
+            return all(
+                "engine" in s.orders and s.orders["engine"].state.ended for s in sinks
+            )
+
+        await self.until(known)
+
+    def trials(self) -> list[dict]:
+        """Return the trials that are under way on each VM."""
+        return [g.versions.tasks for g in self.gateways]
+
+    def stored_state(self) -> str | None:
+        """Return the state of the order in the store."""
+        stored = self.store.kinds.get("rollouts", {}).get("engine")
+        return stored and stored.status and stored.status["state"]
+
+    def allowed(self) -> list[frozenset | None]:
+        """Return the versions that each VM may use."""
+        return [g.versions.allowed("engine") for g in self.gateways]
+
+    async def assert_outcome_kept(self, backup: Backup, state: str) -> None:
+        """Restore the store; the outcome is written again, by one VM."""
+        before = self.allowed()
+        await self.restore(backup)
+        await self.store.put("rollouts", "engine", self.spec)
+        calls = self.store.calls["PUT rollouts"]
+        await self.until(lambda: self.stored_state() == state)
+        sinks = [g.knowledge.orders for g in self.gateways]
+        await self.until(
+            lambda: all(
+                s.orders["engine"].revision.era == 2 and not s.unanswered for s in sinks
+            )
+        )
+        self.assertEqual(self.trials(), [{}] * self.vms)
+        self.assertEqual(self.allowed(), before)
+        self.assertEqual(self.store.calls["PUT rollouts"] - calls, 1)
+
+    async def test_the_outcome_of_an_order_that_the_store_has_lost(self):
+        backup = self.store.copy()
+        await self.complete("complete")
+        await self.assert_outcome_kept(backup, "complete")
+
+    async def test_a_version_that_was_withdrawn_gets_no_second_trial(self):
+        backup = self.store.copy()
+        await self.complete("rolled_back")
+        await self.assert_outcome_kept(backup, "rolled_back")
+
+    async def test_the_outcome_of_an_order_whose_status_is_lost(self):
+        await self.store.put("rollouts", "engine", self.spec)
+        backup = self.store.copy()
+        await self.complete("complete")
+        await self.restore(backup)
+        await self.until(lambda: self.stored_state() == "complete")
+        self.assertEqual(self.trials(), [{}] * self.vms)
+
+    async def test_a_later_order_for_the_same_version_is_a_new_one(self):
+        await self.complete("rolled_back")
+        await self.store.put("rollouts", "engine", {**self.spec, "durationS": 50})
+        await self.until(lambda: all("engine" in tasks for tasks in self.trials()))
+
+    async def test_a_trial_that_is_under_way_goes_on(self):
+        backup = self.store.copy()
+        await self.store.put("rollouts", "engine", self.spec)
+        await self.until(lambda: self.stored_state() == "active")
+        await self.until(lambda: all("engine" in tasks for tasks in self.trials()))
+        before = [tasks["engine"].trial for tasks in self.trials()]
+        await self.restore(backup)
+        await self.store.put("rollouts", "engine", self.spec)
+        await self.until(lambda: self.stored_state() == "active")
+        self.assertEqual([tasks["engine"].trial for tasks in self.trials()], before)
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -237,6 +237,7 @@
         )
         self._expect_lapsed_entries()
         self.halls.keep_orders()
+        self.orders.expect_rewritten()
         for follower in self.followers():
             follower.on_restored()
 
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -5,8 +5,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from walnutquay.coordination.process.context import Context
+from walnutquay.state.process.counts import LruTable
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import (
     EndpointName,
@@ -30,6 +32,8 @@
 # The time after a restore of the store within which operators have written their orders
 # again.
 REWRITE_SECONDS = 10.0
+# The most orders whose outcome is kept.
+MAX_OUTCOMES = 100
 
 
 class CatalogueSink:
@@ -219,6 +223,13 @@
     def __init__(self, context: Context) -> None:
         self.context = context
         self.orders: dict[str, RolloutOrder] = {}
+        # The last outcome of each order, which a restored store may have lost.
+        self.outcomes: LruTable[str, RolloutOrder | None] = LruTable(
+            MAX_OUTCOMES, lambda: None
+        )
+        self.rewritten_until = float("-inf")
+        # The orders whose outcome the store has lost.
+        self.unanswered: dict[str, RolloutOrder] = {}
         self.listed = False
         self.listeners: list[Callable[[RolloutOrder], None]] = []
 
@@ -229,7 +240,7 @@
         """
         self.listed = True
         for name in [name for name in self.orders if name not in listing.items]:
-            del self.orders[name]
+            self._remove(name)
         for order in listing.items.values():
             self.apply(order)
 
@@ -240,10 +251,37 @@
         """
         for change in changes.changes:
             if change.item is None:
-                self.orders.pop(change.name, None)
+                self._remove(change.name)
             else:
                 self.apply(change.item)
 
+    def expect_rewritten(self) -> None:
+        """Expect operators to write their orders again, as the store was restored."""
+        self.rewritten_until = monotonic() + REWRITE_SECONDS
+
+    def _remove(self, name: str) -> None:
+        self.orders.pop(name, None)
+        self.unanswered.pop(name, None)
+
+    def _with_outcome(self, order: RolloutOrder) -> RolloutOrder:
+        """Return an order with the outcome that a restored store has lost.
+
+        :param order: the order as the store has it.
+        """
+        self.unanswered.pop(order.name, None)
+        outcome = self.outcomes.get(order.name)
+        if order.state.ended:
+            self.outcomes.set(order.name, order)
+            return order
+        if outcome is None or not outcome.is_same_order(order):
+            return order
+        lost = order.revision.era > outcome.revision.era
+        if not lost and monotonic() >= self.rewritten_until:
+            return order
+        ended = replace(order, state=outcome.state, started=outcome.started)
+        self.unanswered[order.name] = ended
+        return ended
+
     def apply(self, order: RolloutOrder) -> None:
         """Apply an order, unless it is no newer than the known state of that order.
 
@@ -252,6 +290,7 @@
         known = self.orders.get(order.name)
         if known is not None and order.revision <= known.revision:
             return
+        order = self._with_outcome(order)
         self.orders[order.name] = order
         self.context.timeline.emit(
             EventKind.ORDERED,
--- a/walnutquay/coordination/trials/answers.py
+++ b/walnutquay/coordination/trials/answers.py
@@ -9,8 +9,10 @@
 
 import logbook
 
+from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.store.knowledge import OrderSink
-from walnutquay.exceptions import PlatformError
+from walnutquay.coordination.trials.task import FIRST_WRITE_SPREAD
+from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 from walnutquay.state.trials.trial import Trial
 from walnutquay.transport.timers import monotonic, unix_microseconds
@@ -62,6 +64,15 @@
         updated = replace(trial.order, state=state, started=started)
         self.orders.apply(await self.order_store.answer(updated, state))
 
+    async def write_again(self, order: RolloutOrder) -> None:
+        """Write the outcome of an order that the store has lost.
+
+        :param order: the order, in the state that it had.
+        :raises PlatformConflictError: if the order has changed in the meantime.
+        :raises PlatformError: if the store does not respond.
+        """
+        self.orders.apply(await self.order_store.answer(order, order.state))
+
     async def reread(self, order: RolloutOrder) -> None:
         """Read an order again, and apply its current version.
 
@@ -76,6 +87,62 @@
             self.orders.apply(current)
 
 
+class ResponsibleVms(Protocol):
+    """Chooses one VM for each duty."""
+
+    def is_responsible_for(self, key: str) -> bool:
+        """Return whether this VM is the one that does the work for a key.
+
+        :param key: the key.
+        """
+
+
+class LostOutcomes:
+    """Writes the outcomes of orders that a restored store has lost.
+
+    One VM writes them at once, the others only if that does not help.
+
+    :param context: the objects shared by all parts of this process.
+    :param writer: writes the status of orders.
+    :param peers: the other VMs.
+    """
+
+    def __init__(
+        self, context: Context, writer: OrderStatusWriter, peers: ResponsibleVms
+    ) -> None:
+        self.context = context
+        self.writer = writer
+        self.peers = peers
+        # When to write each outcome; monotonic seconds.
+        self.write_at: dict[str, float] = {}
+
+    def delay(self, order: str) -> float:
+        """Return the seconds before this VM writes a status that the store has lost.
+
+        :param order: the order's name.
+        """
+        if self.peers.is_responsible_for(f"status/{order}"):
+            return 0.0
+        return FIRST_WRITE_SPREAD * (1.0 + self.context.rng.random())
+
+    async def write(self) -> None:
+        """Write the outcomes that are due."""
+        unanswered = self.writer.orders.unanswered
+        now = monotonic()
+        self.write_at = {
+            name: self.write_at.get(name, now + self.delay(name)) for name in unanswered
+        }
+        for name, order in list(unanswered.items()):
+            if now < self.write_at[name]:
+                continue
+            try:
+                await self.writer.write_again(order)
+            except PlatformConflictError:
+                await self.writer.reread(order)
+            except PlatformError as error:
+                log.warn("could not write the outcome of an order yet: {}", error)
+
+
 def unix_seconds() -> float:
     """Return the time of day in seconds, which may differ between VMs."""
     return unix_microseconds() / MICROSECONDS
--- a/walnutquay/coordination/trials/record.py
+++ b/walnutquay/coordination/trials/record.py
@@ -20,7 +20,7 @@
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
 from walnutquay.state.process.ids import EndpointName, RouteName
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.store.revisions import Era, StoreRevision
 from walnutquay.state.trials.baseline import BaselineTime, BaselineTimes
 from walnutquay.state.trials.counts import Measure, TrialCounts
 from walnutquay.state.trials.reports import TrialReport, Verdict
@@ -130,6 +130,15 @@
         self.written_at: dict[str, float] = {}
         self.versions: dict[str, StoreRevision] = {}
 
+    def on_restored(self, era: Era) -> None:
+        """Write all records again, as the store was restored and may have lost them.
+
+        :param era: the store's era.
+        """
+        self.written.clear()
+        self.written_at.clear()
+        self.versions.clear()
+
     def stop(self) -> None:
         """Stop writing."""
         self.tasks.stop()
--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.answers import (
+    LostOutcomes,
     OrderStatusWriter,
     OrderStore,
     unix_seconds,
@@ -78,6 +79,7 @@
         self.context = context
         self.knowledge = knowledge
         self.order_status = OrderStatusWriter(order_store, knowledge.orders)
+        self.lost_outcomes = LostOutcomes(context, self.order_status, peers)
         self.promises = promises
         self.tasks: dict[ServiceName, TrialTask] = {}
         self.settled = SettledVersions()
@@ -100,7 +102,9 @@
 
     def start(self) -> None:
         """Start evaluating trials periodically."""
-        self.context.timers.every("version trials", DECIDE_SECONDS, self.decide)
+        every = self.context.timers.every
+        every("version trials", DECIDE_SECONDS, self.decide)
+        every("lost outcomes", DECIDE_SECONDS, self.lost_outcomes.write)
 
     def stop(self) -> None:
         """Stop sending requests to other VMs and writing to the store."""
@@ -144,6 +148,9 @@
         if task is None or known != order.version:
             self._begin_trial(order)
             return
+        if order.state is OrderState.NEW:
+            # The store has lost the status.
+            task.write_at = monotonic() + self.lost_outcomes.delay(order.name)
         task.trial.order = order
 
     def _begin_trial(self, order: RolloutOrder) -> None:
@@ -373,14 +380,15 @@
         self._reject_if_bad(trial)
         now = monotonic()
         trial.advance(now)
-        # Done even without requests, as the result is part of the response to a VM that
-        # starts.
+        # Done without requests too, as VMs that start are told the result.
         self._is_open(task, now)
         self.exchange.announce_if_due(task)
         if self.exchange.record is not None:
             self.exchange.record.write_if_due(task)
         if trial.rejected:
-            await self._withdraw(task)
+            # A VM that has only adopted this from others lets them write it first.
+            if task.found_bad or monotonic() >= task.write_at:
+                await self.order_status.write(task.trial, OrderState.WITHDRAWN)
         elif trial.ready_to_end(now):
             if monotonic() >= task.write_at:
                 await self.order_status.write(task.trial, OrderState.DONE)
@@ -390,11 +398,3 @@
             spread = self.context.rng.random() * FIRST_WRITE_SPREAD
             done_in = order.seconds * (1.0 - trial.progress(now))
             task.write_at = monotonic() + min(spread, done_in / 10)
-
-    async def _withdraw(self, task: TrialTask) -> None:
-        """Write to the store that the version is withdrawn.
-
-        A VM that has only adopted this from others waits, so that they write it first.
-        """
-        if task.found_bad or monotonic() >= task.write_at:
-            await self.order_status.write(task.trial, OrderState.WITHDRAWN)
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -132,6 +132,9 @@
             self.versions.evaluator.baseline,
             self._reads_store,
         )
+        self.store.eras.restore_listeners.append(
+            self.versions.exchange.record.on_restored
+        )
         self.dispatcher.on(TrialNews, self.versions.exchange.receive)
         self.dispatcher.on(AskTrial, self.versions.exchange.answer)
         self.dispatcher.on(SessionsSeen, self.versions.sessions.take_over)
--- a/walnutquay/state/store/orders.py
+++ b/walnutquay/state/store/orders.py
@@ -47,3 +47,14 @@
     seconds: float
     state: OrderState
     started: float | None = None
+
+    def is_same_order(self, other: RolloutOrder) -> bool:
+        """Return whether operators have ordered the same, whatever became of it.
+
+        :param other: an order of the same name.
+        """
+        return (self.service, self.version, self.seconds) == (
+            other.service,
+            other.version,
+            other.seconds,
+        )
