Write the entries of VMs again that a restored store has lost

Cause: a VM believed that the entry which it had written is still there, for 25 s at least. After a restore the VM that watches the store for its hall lists the VMs once, and writes the entries of its hall that are missing, with a pause of 50 ms; entries of VMs that have left are removed again. Until then all VMs keep the list that they had.

test_it_is_entered_again failed before. In simulated fleets of 6 and 195 VMs that lose 1 and 97 entries, each is written once, after one list for each of five halls at most.

--- a/tests/coordination/fleet/test_vmlist.py
+++ b/tests/coordination/fleet/test_vmlist.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from walnutquay.coordination.fleet import vmlist
+from walnutquay.coordination.fleet import entryrepair, vmlist
 from walnutquay.coordination.fleet.bootstrap import Bootstrap
 from walnutquay.coordination.fleet.peers import RELAYS, FleetPeers
 from walnutquay.coordination.fleet.vmlist import VmList
@@ -21,6 +21,7 @@
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.store.revisions import Era
 
 HALLS = 5
 FLEET = 195
@@ -41,6 +42,7 @@
         self.rows: dict[VmName, VmLocation] = {}
         self.writes = 0
         self.reads = 0
+        self.fresh_reads = 0
         self.unavailable = False
 
     async def enter(self, vm: VmName, place: VmLocation) -> None:
@@ -54,10 +56,11 @@
         self._call()
         self.rows.pop(vm, None)
 
-    async def read(self) -> dict[VmName, VmLocation]:
+    async def read(self, *, fresh: bool = False) -> dict[VmName, VmLocation]:
         """Return all entries; see Register."""
         self._call()
         self.reads += 1
+        self.fresh_reads += fresh
         return dict(self.rows)
 
     def _call(self) -> None:
@@ -139,15 +142,17 @@
         self.register = FakeRegister()
         self.network = FakeNetwork()
         self.lists: list[VmList] = []
-        for constant in (
-            "FIRST_READ_SECONDS",
-            "SECOND_READ_SECONDS",
-            "READ_SECONDS",
-            "ANNOUNCEMENT_SECONDS",
-            "RETRY_SECONDS",
+        for module, constant in (
+            (vmlist, "FIRST_READ_SECONDS"),
+            (vmlist, "SECOND_READ_SECONDS"),
+            (vmlist, "READ_SECONDS"),
+            (vmlist, "ANNOUNCEMENT_SECONDS"),
+            (vmlist, "RETRY_SECONDS"),
+            (entryrepair, "RETRY_SECONDS"),
+            (entryrepair, "WRITE_PAUSE_SECONDS"),
         ):
-            faster = getattr(vmlist, constant) * FASTER
-            patch = mock.patch.object(vmlist, constant, faster)
+            faster = getattr(module, constant) * FASTER
+            patch = mock.patch.object(module, constant, faster)
             patch.start()
             self.addCleanup(patch.stop)
 
@@ -278,6 +283,65 @@
         self.assertIn(name_of(12), self.register.rows)
 
 
+class StoreRestoredTest(FleetCase):
+    """The store loses entries that were written since its backup."""
+
+    async def start_fleet(self, size: int) -> None:
+        """Start a fleet, and wait until all VMs are in the list."""
+        for number in range(size):
+            self.start(number, first_start=True)
+        await self.until(self.all_complete)
+        # Otherwise, announcements of the start would keep VMs in the lists.
+        for vm_list in self.lists:
+            vm_list.announcements.clear()
+
+    def restore(self, lost: range) -> None:
+        """Restore the store without the entries of some VMs."""
+        for number in lost:
+            del self.register.rows[name_of(number)]
+        self.register.writes = 0
+        for vm_list in self.lists:
+            vm_list.on_restored(Era(2))
+
+    def all_written(self) -> bool:
+        """Return whether the store has the entries of all VMs."""
+        return len(self.register.rows) == len(self.lists)
+
+    async def test_lost_entries_are_written_again_by_one_vm_of_each_hall(self):
+        for size, lost in ((6, 1), (FLEET, FLEET // 2)):
+            with self.subTest(size):
+                await self.start_fleet(size)
+                # 195 VMs of one process take longer than their shortened intervals.
+                with mock.patch.object(vmlist, "ANNOUNCEMENT_SECONDS", WAIT_SECONDS):
+                    self.restore(range(lost))
+                    await self.until(self.all_written)
+                self.assertEqual(self.register.writes, lost)
+                self.assertLessEqual(self.register.fresh_reads, HALLS)
+                self.assertTrue(self.all_complete())
+                self.tearDown()
+                self.setUp()
+
+    async def test_vms_stay_in_the_lists_until_they_are_written_again(self):
+        await self.start_fleet(12)
+        with mock.patch.object(vmlist, "ANNOUNCEMENT_SECONDS", WAIT_SECONDS):
+            self.register.unavailable = True
+            self.restore(range(4))
+            self.register.unavailable = False
+            for vm_list in self.lists:
+                vm_list.apply(await self.register.read())
+            self.assertTrue(self.all_complete())
+
+    async def test_an_entry_that_was_removed_is_removed_again(self):
+        await self.start_fleet(12)
+        left = self.lists.pop()
+        with mock.patch.object(vmlist, "ANNOUNCEMENT_SECONDS", WAIT_SECONDS):
+            await left.stop()
+            self.register.rows[left.context.vm] = left.own
+            self.restore(range(0))
+            await self.until(self.all_written)
+        self.assertNotIn(left.context.vm, self.register.rows)
+
+
 class AnnouncementTest(FleetCase):
     """Announcements take precedence over older lists."""
 
--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -314,3 +314,16 @@
         await self.store.put("rollouts", "engine", self.spec)
         await self.until(lambda: self.stored_state() == "active")
         self.assertEqual([tasks["engine"].trial for tasks in self.trials()], before)
+
+
+class VmEntryTest(RestoreCase):
+    """A VM that entered the list of VMs after the backup."""
+
+    async def test_it_is_entered_again(self):
+        backup = self.store.copy()
+        started = await self.add_gateway("vm-9", [self.gateway])
+        name = started.context.vm
+        await self.until(lambda: name in self.store.kinds["entry-vms"])
+        self.share_list()
+        await self.restore(backup)
+        await self.until(lambda: name in self.store.kinds["entry-vms"])
--- a/walnutquay/coordination/fleet/register.py
+++ b/walnutquay/coordination/fleet/register.py
@@ -26,5 +26,8 @@
         :param vm: the VM.
         """
 
-    async def read(self) -> dict[VmName, VmLocation]:
-        """Return the location of each VM."""
+    async def read(self, *, fresh: bool = False) -> dict[VmName, VmLocation]:
+        """Return the location of each VM.
+
+        :param fresh: whether the list must not be some seconds old.
+        """
--- a/walnutquay/coordination/fleet/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -18,6 +18,7 @@
 
 from walnutquay.coordination.fleet.absentees import AbsenceMonitor
 from walnutquay.coordination.fleet.bootstrap import Bootstrap
+from walnutquay.coordination.fleet.entryrepair import EntryRepair
 from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.coordination.fleet.register import Register
 from walnutquay.coordination.fleet.watchers import Watchers
@@ -29,6 +30,7 @@
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import VmName
+from walnutquay.state.store.revisions import Era
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -95,6 +97,7 @@
         # The time at which this VM last wrote its entry; monotonic seconds.
         self.entered_at = float("-inf")
         self.absence_monitor = AbsenceMonitor(context, peers, register)
+        self.repair = EntryRepair(context, peers, register, watchers)
         self.tasks = Tasks()
 
     def start(self) -> None:
@@ -112,6 +115,19 @@
         except PlatformError as error:
             log.warn("this VM's entry could not be removed from the list: {}", error)
 
+    def on_restored(self, era: Era) -> None:
+        """Keep the list, and correct the store's, which was restored from a backup.
+
+        :param era: the store's era.
+        """
+        now = monotonic()
+        for vm, location in self.peers.known.items():
+            self.announcements.setdefault(vm, Announcement(now, location))
+        left = frozenset(
+            vm for vm, told in self.announcements.items() if told.left is not None
+        )
+        self.tasks.spawn(self.repair.run(self.own, left))
+
     @property
     def own(self) -> VmLocation:
         """The location of this VM."""
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -109,6 +109,7 @@
             self.starting,
             first_start,
         )
+        self.store.eras.restore_listeners.append(self.vm_list.on_restored)
         self.dispatcher.on(AskVms, self.vm_list.answer)
         self.dispatcher.on(VmNews, self.vm_list.receive)
         self.dispatcher.listeners.append(self.vm_list.detect_restart)
--- a/walnutquay/platform/registers.py
+++ b/walnutquay/platform/registers.py
@@ -47,10 +47,13 @@
         """:param vm: a VM that stops."""
         await self.store.delete(KIND_VMS, vm)
 
-    async def read(self) -> dict[VmName, VmLocation]:
-        """:returns: where each VM is reached, as it was some seconds ago."""
+    async def read(self, *, fresh: bool = False) -> dict[VmName, VmLocation]:
+        """:param fresh: whether the list must not be some seconds old.
+
+        :returns: where each VM is reached.
+        """
         try:
-            found, _ = await self.store.list(KIND_VMS, stale=True)
+            found, _ = await self.store.list(KIND_VMS, stale=not fresh)
         except MissingObjectError:
             return {}
         places = {}
