Write claims again that a restored store has lost, and claim none meanwhile

What callers saw: nothing in the record; found by looking for what else believes that what it wrote is still there. A claim on an idempotency key that was made after the backup was gone: a repeat of the request, at any other VM, claimed the key anew and ran a second time.

Each VM writes the claims of its last ten minutes again when it learns of a restore, by its own calls or by the heartbeats of others, which now carry the store's era and the age of its last restore. For 5 s from then on no key is claimed anew: such requests are refused, with a time to come back. A claim whose own answer is the first to tell of the restore is abandoned and refused too, and whoever held the key before takes it back.

test_a_repeat_before_the_claim_is_written_again and a search of 100 orders and more of two VMs' requests, a backup and a restore fail without the refusal. A claim whose holder is lost too before it has written it again cannot be kept.

The module of revisions moves to the lowest room of state, as membership uses it.

--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -50,6 +50,7 @@
     VmName,
 )
 from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.process.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.modelchoice import ModelChoice
 from walnutquay.state.routed.prompts import Prompt, PromptPart
@@ -63,7 +64,6 @@
 )
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import OrderState, RolloutOrder
-from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.timers import monotonic, unix_microseconds
 
--- a/lab/trials/costs.py
+++ b/lab/trials/costs.py
@@ -11,8 +11,8 @@
 
 from lab.trials.fleet import NEW, SERVICE, TRIAL_SECONDS, simulate
 from walnutquay.state.process.ids import VmName
+from walnutquay.state.process.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.state.store.orders import OrderState, RolloutOrder
-from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.state.trials.reports import TrialReport
 from walnutquay.state.trials.trial import Trial
 
--- a/lab/trials/fleet.py
+++ b/lab/trials/fleet.py
@@ -40,9 +40,9 @@
     VersionName,
     VmName,
 )
+from walnutquay.state.process.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.state.store.instances import Instance, InstanceRegistry
 from walnutquay.state.store.orders import OrderState, RolloutOrder
-from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 
 FIRST_REVISION = StoreRevision(UNKNOWN_ERA, 1)
 
--- a/tests/coordination/fleet/test_vmlist.py
+++ b/tests/coordination/fleet/test_vmlist.py
@@ -21,7 +21,7 @@
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.state.process.metrics import Metrics
-from walnutquay.state.store.revisions import Era
+from walnutquay.state.process.revisions import Era
 
 HALLS = 5
 FLEET = 195
--- a/tests/coordination/own/test_billing.py
+++ b/tests/coordination/own/test_billing.py
@@ -28,8 +28,8 @@
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.state.requests.stages import CostLine
-from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 COST_LINES = (CostLine("small-1", "e1", 3, 4, 0.5),)
--- a/tests/coordination/store/test_relaying.py
+++ b/tests/coordination/store/test_relaying.py
@@ -27,7 +27,7 @@
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.state.process.metrics import Metrics
-from walnutquay.state.store.revisions import EraTracker
+from walnutquay.state.process.revisions import EraTracker
 
 HALLS = ("h1", "h2", "h3")
 PER_HALL = 6
--- a/tests/coordination/trials/test_trialrecord.py
+++ b/tests/coordination/trials/test_trialrecord.py
@@ -26,8 +26,8 @@
     VersionName,
     VmName,
 )
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.state.store.orders import OrderState, RolloutOrder
-from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.baseline import BaselineTimes
 from walnutquay.state.trials.counts import Measure
 from walnutquay.state.trials.reports import TrialReport, Verdict
--- a/tests/revisions.py
+++ b/tests/revisions.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from walnutquay.state.store.revisions import Era, StoreRevision
+from walnutquay.state.process.revisions import Era, StoreRevision
 
 # The era of a store that was never restored.
 FIRST_ERA = Era(1)
--- a/tests/state/own/test_claims.py
+++ b/tests/state/own/test_claims.py
@@ -5,12 +5,14 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 from tests.interleavings import Scheduler, explore
 from tests.worlds import World
 from walnutquay.coordination.own import claims as claims_module
-from walnutquay.coordination.own.claims import Claims
+from walnutquay.coordination.own.claims import NOT_SETTLED, Claims
+from walnutquay.coordination.own.restores import Restores
 from walnutquay.state.own.claims import (
     Claim,
     RepeatAction,
@@ -84,6 +86,7 @@
             parts.dispatcher,
             KEEP_HOURS,
             MEGABYTE,
+            Restores(parts.platform),
         )
 
     async def run(self) -> None:
@@ -167,6 +170,89 @@
         await explore(run, 0, 0)
 
 
+class RestoreTest(unittest.IsolatedAsyncioTestCase):
+    """A claim that a restored store has lost: its key does not run again."""
+
+    async def play(self, steps) -> None:
+        """Run some steps of two VMs, without faults of the store."""
+
+        async def run(scheduler: Scheduler) -> None:
+            world = World(scheduler)
+            checker = EffectChecker(self)
+            callers = [Caller(world, vm, 1, checker) for vm in ("a", "b")]
+            world.start(steps(world, *callers))
+            await scheduler.run()
+            for caller in callers:
+                caller.claims.lost.stop()
+            await world.end()
+
+        await explore(run, 0, 0)
+
+    async def test_a_repeat_before_the_claim_is_written_again(self):
+        async def steps(world: World, first: Caller, second: Caller) -> None:
+            await second.claims.platform.read("anything")
+            backup = world.store.copy()
+            await first.run()
+            world.store.restore(backup)
+            # Only the claim's own answer tells the second VM of the restore.
+            result = await second.claims.acquire("org", "key", "same", "b-0")
+            self.assertEqual(result, NOT_SETTLED)
+            await first.claims.platform.read("anything")
+            await first.claims.lost.write_again()
+            name = claim_name("org", "key")
+            held = Claim.decode(world.store.objects[name][1])
+            self.assertEqual((held.request, held.abandoned), ("a-0", False))
+
+        await self.play(steps)
+
+    async def test_a_repeat_after_the_claim_is_written_again(self):
+        async def steps(world: World, first: Caller, second: Caller) -> None:
+            backup = world.store.copy()
+            await first.run()
+            world.store.restore(backup)
+            await first.claims.platform.read("anything")
+            await first.claims.lost.write_again()
+            await second.run()
+            self.assertEqual(len(second.checker.effects), 1)
+
+        await self.play(steps)
+
+    async def test_a_vm_that_starts_hears_of_the_restore_from_others(self):
+        async def steps(world: World, first: Caller, second: Caller) -> None:
+            await first.run()
+            backup = ({}, 0)
+            world.store.restore(backup)
+            await first.claims.platform.read("anything")
+            told = SimpleNamespace(
+                store_era=world.store.era,
+                restored_age=first.claims.restores.age(),
+            )
+            second.claims.restores.on_update(told, True)
+            result = await second.claims.acquire("org", "key", "same", "b-0")
+            self.assertEqual(result, NOT_SETTLED)
+
+        await self.play(steps)
+
+    async def test_in_all_orders_a_key_takes_effect_at_most_once(self):
+        async def run(scheduler: Scheduler) -> None:
+            world = World(scheduler)
+            checker = EffectChecker(self)
+            callers = [Caller(world, vm, 1, checker) for vm in ("a", "b")]
+            for caller in callers:
+                # Both have known the store before it is restored.
+                caller.claims.platform.eras.observe(world.store.era)
+                world.start(caller.run())
+            world.start(world.restorer())
+            await scheduler.run()
+            for caller in callers:
+                caller.claims.lost.stop()
+            await world.end()
+
+        with mock.patch.object(claims_module, "SETTLE_PAUSE", 0):
+            order_count = await explore(run, 0, 3)
+        self.assertGreater(order_count, 100)
+
+
 class InterleavingTest(unittest.IsolatedAsyncioTestCase):
     """A key sent through several VMs takes effect at most once, in all orders."""
 
--- a/tests/state/store/test_revisions.py
+++ b/tests/state/process/test_revisions.py
@@ -7,7 +7,7 @@
 import unittest
 
 from tests.revisions import revision_at
-from walnutquay.state.store.revisions import NOTHING_STORED, Era, EraTracker
+from walnutquay.state.process.revisions import NOTHING_STORED, Era, EraTracker
 
 
 class OrderTest(unittest.TestCase):
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -14,7 +14,7 @@
 from types import SimpleNamespace
 
 from tests.interleavings import CrashedError, Scheduler
-from tests.revisions import revision_at
+from tests.revisions import FIRST_ERA
 from walnutquay.coordination.process.context import Context, Timeline
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import (
@@ -28,7 +28,7 @@
 from walnutquay.state.fleet.membership import MemberTable
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
-from walnutquay.state.store.revisions import EraTracker, StoreRevision
+from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
 
 # How a write may go: done and answered; done, the answer lost; not done, the
 # answer lost; done later, at any time; refused.
@@ -45,13 +45,15 @@
     late: set[asyncio.Task] = field(default_factory=set)
     # Counts all changes; an object's version is the count at its last change.
     revision: int = 0
+    era: Era = FIRST_ERA
 
     def put(
         self, name: str, value: bytes | None, expected: StoreRevision
     ) -> StoreRevision:
         """Carry a conditional write out; without a change the version stays."""
         version, present = self.objects.get(name, (ABSENT, None))
-        if version != expected:
+        # The store knows numbers only: it may have given one out in an earlier era.
+        if version.number != expected.number:
             raise PlatformConflictError("another version", peer=name)
         if value == present:
             return version
@@ -59,8 +61,27 @@
         if value is None:
             del self.objects[name]
         else:
-            self.objects[name] = (revision_at(self.revision), value)
-        return revision_at(self.revision)
+            self.objects[name] = (self.newest(), value)
+        return self.newest()
+
+    def newest(self) -> StoreRevision:
+        """Return the revision of the last change."""
+        return StoreRevision(self.era, self.revision)
+
+    def copy(self) -> tuple[dict[str, tuple[StoreRevision, bytes]], int]:
+        """Return a backup."""
+        return dict(self.objects), self.revision
+
+    def restore(
+        self, backup: tuple[dict[str, tuple[StoreRevision, bytes]], int]
+    ) -> None:
+        """Go back to a backup, in the next era."""
+        objects, self.revision = backup
+        self.era = Era(self.era + 1)
+        self.objects = {
+            name: (StoreRevision(self.era, version.number), value)
+            for name, (version, value) in objects.items()
+        }
 
     async def land(
         self, name: str, value: bytes | None, expected: StoreRevision
@@ -87,6 +108,7 @@
         way = await self.store.scheduler.step(self.vm, f"read {name}", *READ_WAYS)
         if way == "down":
             raise PlatformUnavailableError("down")
+        self.eras.observe(self.store.era)
         return Stored(*self.store.objects.get(name, (ABSENT, b"")))
 
     async def write(
@@ -97,12 +119,20 @@
         way = await scheduler.step(self.vm, f"write {name}", *WRITE_WAYS)
         if way == "down":
             raise PlatformUnavailableError("down")
+        if expected and not self.eras.is_current(expected):
+            raise PlatformConflictError("of an earlier era", peer=name)
         if way == "late":
             task = asyncio.ensure_future(self.store.land(name, value, expected))
             self.store.late.add(task)
         if way in ("late", "never"):
             raise PlatformUnclearError("no answer")
-        version = self.store.put(name, value, expected)
+        try:
+            version = self.store.put(name, value, expected)
+        finally:
+            if way != "lost":
+                self.eras.observe(self.store.era)
+        if expected and expected.era != self.store.era:
+            raise PlatformUnclearError("the store was restored")
         if way == "lost":
             raise PlatformUnclearError("the answer is lost")
         return version
@@ -183,6 +213,13 @@
                 task.cancel()
         await asyncio.gather(*self.tasks, *self.store.late, return_exceptions=True)
 
+    async def restorer(self) -> None:
+        """Restore the store at any point, from a backup of any earlier one."""
+        await self.scheduler.step("store", "backup")
+        backup = self.store.copy()
+        await self.scheduler.step("store", "restore")
+        self.store.restore(backup)
+
     async def crasher(self, name: str) -> None:
         """Let a VM die at any point, or not at all."""
         way = await self.scheduler.step("fate", f"{name} dies?", "no", "yes")
--- a/walnutquay/coordination/fleet/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -30,7 +30,7 @@
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import VmName
-from walnutquay.state.store.revisions import Era
+from walnutquay.state.process.revisions import Era
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/fleet/watchers.py
+++ b/walnutquay/coordination/fleet/watchers.py
@@ -15,7 +15,7 @@
 from walnutquay.protocol.messages import AskChanges, ChangesAre, Message
 from walnutquay.state.fleet.membership import VmLocation, rendezvous
 from walnutquay.state.process.ids import HallName, VmName
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/acceptance.py
+++ b/walnutquay/coordination/own/acceptance.py
@@ -26,7 +26,7 @@
     part_hash,
 )
 from walnutquay.state.process.ids import NO_REVISION
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 
 # Attempts to find out whether a change took effect after its response was lost.
 SETTLE_TRIES = 5
--- a/walnutquay/coordination/own/claims.py
+++ b/walnutquay/coordination/own/claims.py
@@ -10,8 +10,10 @@
 
 import logbook
 
+from walnutquay.coordination.own.lostclaims import LostClaims
 from walnutquay.coordination.own.members import Members
 from walnutquay.coordination.own.platform import Platform
+from walnutquay.coordination.own.restores import Restores
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.exceptions import (
@@ -35,7 +37,7 @@
 )
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import OrganisationName, RequestId
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -72,6 +74,9 @@
 
 
 GRANTED = ClaimResult(True)
+NOT_SETTLED = ClaimResult(
+    False, reason="the store was restored, and VMs write lost claims again"
+)
 
 
 class Claims:
@@ -83,6 +88,7 @@
     :param dispatcher: delivers peers' queries.
     :param hours: hours for which a key is kept.
     :param answer_bytes: maximum total size of the finished answers that are kept.
+    :param restores: the last restore of the store.
     """
 
     def __init__(
@@ -93,7 +99,9 @@
         dispatcher: Dispatcher,
         hours: float,
         answer_bytes: int,
+        restores: Restores,
     ) -> None:
+        self.restores = restores
         self.context = context
         self.platform = platform
         self.members = members
@@ -102,6 +110,7 @@
         # The request that holds each key on this VM, by the claim object's name.
         self.requests_by_name: dict[str, RequestId] = {}
         self.fingerprints: dict[RequestId, str] = {}
+        self.lost = LostClaims(context, platform, self.table, self._claim_of)
         dispatcher.on(AskRun, self.on_ask_run)
 
     def start(self) -> None:
@@ -126,6 +135,8 @@
         held = self._held_here(name, fingerprint)
         if held is not None:
             return held
+        if self.restores.settling:
+            return NOT_SETTLED
         self.table.begin(request, name)
         self.requests_by_name[name] = request
         self.fingerprints[request] = fingerprint
@@ -139,6 +150,12 @@
             result = ClaimResult(False, reason="the platform is too slow")
         except PlatformError as error:
             result = ClaimResult(False, reason=str(error))
+        if result.granted and self.restores.settling:
+            # The claim's own answer told of the restore: the store may have lost the
+            # claim of another VM on this key.
+            self.abandon(request)
+            await self.release(request)
+            return NOT_SETTLED
         if result.granted:
             self.context.timeline.emit(EventKind.CLAIMED, request=request)
         else:
@@ -167,7 +184,9 @@
         return self._granted(claim, version)
 
     def _granted(self, claim: Claim, version: StoreRevision) -> ClaimResult:
-        self.table.runs[claim.request].version = version
+        run = self.table.runs[claim.request]
+        run.version = version
+        run.claimed_at = monotonic()
         return GRANTED
 
     async def _settle(self, name: str, claim: Claim) -> ClaimResult:
--- a/walnutquay/coordination/own/configurations.py
+++ b/walnutquay/coordination/own/configurations.py
@@ -41,7 +41,7 @@
 from walnutquay.state.own.policies import PolicyPrograms
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import NO_REVISION
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/leases.py
+++ b/walnutquay/coordination/own/leases.py
@@ -15,7 +15,7 @@
 from walnutquay.state.own.leases import LEASE_PREFIX, LeaseValue, LeaseView
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import Incarnation, VmName
-from walnutquay.state.store.revisions import Era
+from walnutquay.state.process.revisions import Era
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -24,6 +24,7 @@
 from walnutquay.coordination.own.platform import Platform
 from walnutquay.coordination.own.quality import AnswerQuality
 from walnutquay.coordination.own.rater import Rater
+from walnutquay.coordination.own.restores import Restores
 from walnutquay.coordination.own.rollouts import DUTY, ORDER_SECONDS, RolloutDuty
 from walnutquay.coordination.own.services import ServicePath
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
@@ -100,6 +101,8 @@
             options.platform.vm_list_url,
             self.own_update,
         )
+        self.restores = Restores(self.platform)
+        self.members.update_listeners.append(self.restores.on_update)
         self.configurations = Configurations(
             context, self.platform, self.members, self.dispatcher
         )
@@ -123,6 +126,7 @@
             self.dispatcher,
             options.fleet.claim_hours,
             options.memory.answer_bytes,
+            self.restores,
         )
         self.billing = Billing(context, self.platform, self.members, self.dispatcher)
         self.outcome_counts = OutcomeCounts(context, self.members, self.dispatcher)
@@ -194,6 +198,8 @@
             administration=self.administration_port,
             confirmed_age=self.configurations.confirmed_age(),
             region=self.context.region,
+            store_era=self.platform.eras.current,
+            restored_age=self.restores.age(),
         )
 
     async def start(self) -> None:
@@ -255,6 +261,7 @@
         """Stop all components and close all sockets."""
         self.context.timers.stop()
         self.configurations.stop()
+        self.claims.lost.stop()
         self.billing.stop()
         self.quality.sampling.stop()
         await self.node.stop()
--- a/walnutquay/coordination/own/platform.py
+++ b/walnutquay/coordination/own/platform.py
@@ -27,7 +27,7 @@
 from walnutquay.platform.values import Stored, ValueStore
 from walnutquay.settings import PlatformSection
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.store.revisions import Era, EraTracker, StoreRevision
+from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 WATCH_SECONDS = 20.0
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -19,8 +19,8 @@
     PlatformError,
 )
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.revisions import NOTHING_STORED, StoreRevision
 from walnutquay.state.store.feeds import Changes, Listing
-from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 # A watch of the configuration ends this long before a change must be in force, so that
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -31,11 +31,11 @@
 from walnutquay.exceptions import HistoryGoneError, MessageError, PlatformError
 from walnutquay.protocol.messages import AskKnown, Envelope, KnownIs, KnownList
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.revisions import NOTHING_STORED, Era, EraTracker
 from walnutquay.state.store.catalogue import Catalogue
 from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
-from walnutquay.state.store.revisions import NOTHING_STORED, Era, EraTracker
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -31,8 +31,8 @@
     ChangesAre,
     Envelope,
 )
+from walnutquay.state.process.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.state.store.feeds import Changes, Listing
-from walnutquay.state.store.revisions import UNKNOWN_ERA, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/trials/record.py
+++ b/walnutquay/coordination/trials/record.py
@@ -20,7 +20,7 @@
 from walnutquay.exceptions import PlatformConflictError, PlatformError
 from walnutquay.platform.values import Stored
 from walnutquay.state.process.ids import EndpointName, RouteName
-from walnutquay.state.store.revisions import Era, StoreRevision
+from walnutquay.state.process.revisions import Era, StoreRevision
 from walnutquay.state.trials.baseline import BaselineTime, BaselineTimes
 from walnutquay.state.trials.counts import Measure, TrialCounts
 from walnutquay.state.trials.reports import TrialReport, Verdict
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -17,7 +17,7 @@
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.state.process.metrics import PERCENTILES, summary
-from walnutquay.state.store.revisions import NOTHING_STORED
+from walnutquay.state.process.revisions import NOTHING_STORED
 from walnutquay.state.trials.counts import Measure
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.lines import LineWriter
--- a/walnutquay/daemon/storefeeds.py
+++ b/walnutquay/daemon/storefeeds.py
@@ -24,7 +24,7 @@
 from walnutquay.protocol.messages import AskKnown, KnownIs
 from walnutquay.settings import PromisesSection
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 
 # VMs that do not watch the store ask those that do so much more often: a watcher that
 # falls silent is to be noticed, and another asked, in the same time.
--- a/walnutquay/platform/exports.py
+++ b/walnutquay/platform/exports.py
@@ -11,7 +11,7 @@
 from walnutquay.exceptions import MessageError
 from walnutquay.platform.objects import StoredObject
 from walnutquay.protocol.lists import pack
-from walnutquay.state.store.revisions import (
+from walnutquay.state.process.revisions import (
     UNKNOWN_ERA,
     Era,
     EraTracker,
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -40,15 +40,15 @@
 from walnutquay.platform.schemas import MAX_NAME
 from walnutquay.platform.store import StoreClient
 from walnutquay.protocol.lists import unpack
+from walnutquay.state.process.revisions import (
+    NOTHING_STORED,
+    StoreRevision,
+)
 from walnutquay.state.store.catalogue import Catalogue
 from walnutquay.state.store.feeds import Change, Changes, Listing
 from walnutquay.state.store.halls import EmptiedHall
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import RolloutOrder
-from walnutquay.state.store.revisions import (
-    NOTHING_STORED,
-    StoreRevision,
-)
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/platform/objects.py
+++ b/walnutquay/platform/objects.py
@@ -12,7 +12,7 @@
 
 from walnutquay.exceptions import PlatformUnclearError
 from walnutquay.platform.lenient import is_plain
-from walnutquay.state.store.revisions import Era, StoreRevision
+from walnutquay.state.process.revisions import Era, StoreRevision
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -32,6 +32,7 @@
     VersionName,
 )
 from walnutquay.state.process.keys import key_hash
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.state.store.catalogue import (
     CallerLimits,
     Catalogue,
@@ -44,7 +45,6 @@
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 from walnutquay.state.store.parts import Organisation
-from walnutquay.state.store.revisions import StoreRevision
 
 MILLISECONDS = 1000.0
 # Where an object leaves the number out.
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -31,7 +31,7 @@
     read_listed,
     read_named,
 )
-from walnutquay.state.store.revisions import Era, EraTracker, StoreRevision
+from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
 from walnutquay.transport.connections import OnStray, ignore_stray
 from walnutquay.transport.connectors import KeptConnector
 
--- a/walnutquay/platform/values.py
+++ b/walnutquay/platform/values.py
@@ -24,7 +24,7 @@
 from walnutquay.platform.names import OWN_KIND_PREFIX
 from walnutquay.platform.objects import StoredObject
 from walnutquay.platform.store import StoreClient
-from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
+from walnutquay.state.process.revisions import NOTHING_STORED, StoreRevision
 
 # The version that a write expects where nothing may be stored yet.
 ABSENT = NOTHING_STORED
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -10,9 +10,9 @@
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import EndpointName, HallName, VmName
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.state.requests.crashtypes import CrashTrace
 from walnutquay.state.routed.gains import GainRow
-from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.reports import TrialReport
 from walnutquay.state.trials.sessionrecords import SeenSession
 
--- a/walnutquay/protocol/ownpeer.py
+++ b/walnutquay/protocol/ownpeer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, ClassVar
 
 from walnutquay.protocol import ownmessages as own
@@ -16,6 +17,7 @@
 from walnutquay.state.own.claims import RunState, WholeAnswer
 from walnutquay.state.own.outcomecounts import OutcomeCount
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
+from walnutquay.state.process.revisions import Era
 
 # How each message is written: its member of the schema, and its fields.
 
@@ -33,6 +35,8 @@
         "administration": news.administration,
         "confirmedAge": news.confirmed_age,
         "region": news.region,
+        "storeEra": news.store_era,
+        "restoredAge": news.restored_age,
     }
 
 
@@ -167,6 +171,8 @@
         administration=reader.administration,
         confirmed_age=reader.confirmedAge,
         region=reader.region,
+        store_era=Era(reader.storeEra),
+        restored_age=reader.restoredAge if reader.storeEra else math.inf,
     )
 
 
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -73,6 +73,9 @@
   administration @8 :UInt16;
   confirmedAge @9 :Float64;
   region @10 :Text;
+  # The store's era, and the seconds since the sender learnt that it was restored.
+  storeEra @11 :UInt64;
+  restoredAge @12 :Float64;
 }
 
 struct Heartbeat {
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -34,10 +34,10 @@
     VersionName,
     VmName,
 )
+from walnutquay.state.process.revisions import Era, StoreRevision
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace
 from walnutquay.state.routed.gains import GainCounts, GainRow, ModelPair
 from walnutquay.state.routed.links import Reach
-from walnutquay.state.store.revisions import Era, StoreRevision
 from walnutquay.state.trials.baseline import BaselineTime
 from walnutquay.state.trials.counts import Measure, TrialCounts
 from walnutquay.state.trials.reports import AnswerCounts, TrialReport, Verdict
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -16,8 +16,8 @@
     PlaceIs,
     PlacesUsed,
 )
+from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.state.requests.crashtypes import CrashTrace
-from walnutquay.state.store.revisions import StoreRevision
 from walnutquay.state.trials.reports import AnswerCounts
 
 # Stands for a time that is not known; times that are known are not negative.
--- a/walnutquay/state/fleet/membership.py
+++ b/walnutquay/state/fleet/membership.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 import xxhash
 
 from walnutquay.state.process.ids import HallName, Incarnation, MemberState, VmName
+from walnutquay.state.process.revisions import UNKNOWN_ERA, Era
 
 # The number of members that a heartbeat is sent to in each round.  Up to this many
 # members, each VM receives the heartbeats of all others directly; in larger fleets
@@ -71,6 +73,8 @@
     :param administration: the port of its administration API.
     :param confirmed_age: seconds since its revision was last confirmed as the newest.
     :param region: the region of its data hall.
+    :param store_era: the highest era of the store that it knows of.
+    :param restored_age: seconds since it learnt that the store was restored.
     """
 
     vm: VmName
@@ -83,6 +87,8 @@
     administration: int = 0
     confirmed_age: float = 0.0
     region: str = ""
+    store_era: Era = UNKNOWN_ERA
+    restored_age: float = math.inf
 
 
 @dataclass(slots=True)
--- a/walnutquay/state/own/claims.py
+++ b/walnutquay/state/own/claims.py
@@ -5,13 +5,14 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from dataclasses import dataclass
 from enum import Enum
 
 import orjson
 
 from walnutquay.state.process.ids import OrganisationName, RequestId
-from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
+from walnutquay.state.process.revisions import NOTHING_STORED, StoreRevision
 
 CLAIM_PREFIX = "claims/"
 
@@ -139,6 +140,7 @@
     :param version: the claim object's version; ``NOTHING_STORED`` if the platform's
         response to the claim was lost.
     :param ended_at: when the request ended, in monotonic seconds; None until then.
+    :param claimed_at: when its claim was stored, in monotonic seconds.
     """
 
     claim_name: str
@@ -146,6 +148,7 @@
     answer: WholeAnswer | None = None
     version: StoreRevision = NOTHING_STORED
     ended_at: float | None = None
+    claimed_at: float = -math.inf
 
 
 class RunTable:
--- a/walnutquay/state/own/leases.py
+++ b/walnutquay/state/own/leases.py
@@ -16,7 +16,7 @@
 import orjson
 
 from walnutquay.state.process.ids import Incarnation, VmName
-from walnutquay.state.store.revisions import NOTHING_STORED, StoreRevision
+from walnutquay.state.process.revisions import NOTHING_STORED, StoreRevision
 
 LEASE_PREFIX = "leases/"
 
--- a/walnutquay/state/store/feeds.py
+++ b/walnutquay/state/store/feeds.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 
 Item = TypeVar("Item")
 
--- a/walnutquay/state/store/halls.py
+++ b/walnutquay/state/store/halls.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from walnutquay.state.process.ids import HallName
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/state/store/orders.py
+++ b/walnutquay/state/store/orders.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from walnutquay.state.process.ids import ServiceName, VersionName
-from walnutquay.state.store.revisions import StoreRevision
+from walnutquay.state.process.revisions import StoreRevision
 
 
 class OrderState(Enum):
