Write an accepted configuration again at once, and accept none without it

A configuration of our own interface that a restored store has lost stayed in force, and was written again as soon as the first VM by rank read the head: up to 30 s later, where it does not watch. Until then a VM that had only heard of it by heartbeats accepted another change with the same number, and the fleet had two configurations of one revision.

The VMs that watch, and the one that writes the head again, read it as they learn of the restore; a change is refused while any VM that is known has a higher revision than the store. Both tests of RestoredHeadTest failed before.

--- a/walnutquay/coordination/own/acceptance.py
+++ b/walnutquay/coordination/own/acceptance.py
@@ -102,11 +102,12 @@
         )
 
     def _check_base(self, head: Head, if_revision: int | None) -> None:
-        if head.revision < self.configurations.head.revision:
+        newest = self.configurations.newest_revision()
+        if head.revision < newest:
             raise ConflictError(
                 f"the platform has revision {head.revision}, older than the fleet's; "
                 "it is being brought up to date",
-                revision=self.configurations.head.revision,
+                revision=newest,
             )
         if if_revision is not None and head.revision != if_revision:
             raise ConflictError(
--- a/walnutquay/coordination/own/configurations.py
+++ b/walnutquay/coordination/own/configurations.py
@@ -41,7 +41,7 @@
 from walnutquay.state.own.policies import PolicyPrograms
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import NO_REVISION
-from walnutquay.state.process.revisions import StoreRevision
+from walnutquay.state.process.revisions import Era, StoreRevision
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
@@ -88,6 +88,7 @@
         members.update_listeners.append(self.on_update)
         dispatcher.on(AskHead, self.on_ask_head)
         dispatcher.on(AskPart, self.on_ask_part)
+        platform.eras.restore_listeners.append(self._on_restored)
 
     def start(self, anti_entropy_seconds: float) -> None:
         """Start following the head.
@@ -146,6 +147,21 @@
             stored_version = stored.version
             await self._apply_stored(stored, asked_at)
 
+    def _on_restored(self, era: Era) -> None:
+        """Read the head at once, as the store was restored and may have lost it."""
+        if self.is_watcher() or self._repairs():
+            self.tasks.spawn(self.read_head())
+
+    def _repairs(self) -> bool:
+        """Return whether this VM is the one that updates a restored store."""
+        return self.members.table.ranked("repair", monotonic())[0] == self.context.vm
+
+    def newest_revision(self) -> int:
+        """Return the highest revision that is in force on any VM that is known."""
+        members = self.members.table.members.values()
+        told = (member.latest.revision for member in members)
+        return max(self.head.revision, *told, NO_REVISION)
+
     async def read_head(self) -> None:
         """Read the head once, as anti-entropy."""
         asked_at = monotonic()
@@ -179,8 +195,7 @@
             detail=f"the platform has revision {head.revision}, "
             f"older than {self.head.revision}",
         )
-        ranked = self.members.table.ranked("repair", monotonic())
-        if ranked[0] != self.context.vm:
+        if not self._repairs():
             return
         try:
             await self.store.write_all(self.current.part_bytes())
