--- a/walnutquay/coordination/own/billing.py
+++ b/walnutquay/coordination/own/billing.py
@@ -130,6 +130,7 @@
     def stop(self) -> None:
         """Stop all tasks."""
         self.tasks.stop()
+        self.batches.stop()
 
     # Making records.
 
