Write the crash record again that a restored store has lost

What callers saw: nothing in the record. The evidence against requests that crash endpoints is written as a request is blocked; after a restore it was gone until the next one, and a fleet that was lost then learnt it by crashes. One VM, by rank, writes it again if any request is blocked, over the same conditional write; on our own interface each VM does, after its own read. No test of its own: the write is the one that test_crashes covers.

--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -164,6 +164,9 @@
         self.crashes = CrashWatch(context, self.members)
         self.crashes.listen(self.dispatcher)
         self.crash_record = CrashRecord(self.crashes, self.platform)
+        self.platform.eras.restore_listeners.append(
+            lambda era: self.crash_record.write_again()
+        )
         path_parts = KeyedParts(
             context,
             self.admission,
--- a/walnutquay/coordination/requests/crashrecord.py
+++ b/walnutquay/coordination/requests/crashrecord.py
@@ -82,6 +82,11 @@
         self.tasks.spawn(self._read_if_needed(needs_read))
         self.tasks.spawn_loop("crash record", self._write_when_due)
 
+    def write_again(self) -> None:
+        """Write the evidence again, as the store was restored and may have lost it."""
+        if self.watch.blocked_traces():
+            self.write_due.set()
+
     def stop(self) -> None:
         """Stop reading and writing."""
         self.tasks.stop()
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -50,6 +50,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, VmName
 from walnutquay.state.process.metrics import Metrics
+from walnutquay.state.process.revisions import Era
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.lines import LineWriter
 from walnutquay.transport.listeners import listen
@@ -152,12 +153,18 @@
         self.path = routing.path
         self.tunnels = routing.tunnels
         self.crash_record = routing.crash_record
+        self.store.eras.restore_listeners.append(self._on_restored)
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.metrics_api = MetricsApi(
             self.context, self.knowledge, self.path, self.versions, self.peers
         )
         self.stopping = asyncio.Event()
 
+    def _on_restored(self, era: Era) -> None:
+        """Write the crash record again, on one VM."""
+        if self.peers.is_responsible_for("crash record"):
+            self.crash_record.write_again()
+
     def _make_node(self) -> PeerNode:
         # This only keeps the packets of other fleets out: the platform gives its
         # routers no secret, and its network is theirs alone.
