--- a/soak/faults.py
+++ b/soak/faults.py
@@ -39,6 +39,9 @@
 # Pauses that an endpoint asks for, and how long it refuses requests; seconds.
 PAUSES = (0.3, 5.0)
 PAUSING_SECONDS = (1.0, 4.0)
+# The age of a backup, and for how long the store is away until it is restored.
+BACKUP_SECONDS = (0.5, 5.0)
+RESTORE_SECONDS = (0.3, 1.5)
 JUNK = ("text", None, {"service": "plain"}, {"slots": 1e400}, {"zone": "\udcff"})
 
 
@@ -70,6 +73,7 @@
             self.silence_store,
             self.store_away,
             self.forget_history,
+            self.restore_store,
             self.crash_endpoint,
             self.leave_endpoint,
             self.announce_leaving,
@@ -88,11 +92,13 @@
     async def run(self, seconds: float) -> None:
         """Bring faults about for some time, and wait until all are over.
 
+        The store is restored once at least.
+
         :param seconds: for how long new ones begin.
         """
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            fault = self.rng.choice(self.kinds)
+            fault = self.rng.choice(self.kinds) if self.done else self.restore_store
             at = time.monotonic() - self.began
             self.done.append((at, fault.__name__))
             task = asyncio.ensure_future(fault())
@@ -186,6 +192,22 @@
         """Have the store forget its history."""
         await self.fleet.store.forget_history()
 
+    async def restore_store(self) -> None:
+        """Have the store come back from a backup, and write again what it has lost."""
+        store = self.fleet.store
+        backup = store.copy()
+        await asyncio.sleep(self.rng.uniform(*BACKUP_SECONDS))
+        away, rewritten = self.rng.uniform(*RESTORE_SECONDS), self._lasts()
+        disturbed = asyncio.gather(
+            *(self._disturb(vm, away + rewritten) for vm in self.fleet.vms)
+        )
+        store.refuse = 503
+        await asyncio.sleep(away)
+        await store.restore(backup)
+        store.refuse = None
+        await disturbed
+        await self.fleet.write_again()
+
     # Endpoints.
 
     async def crash_endpoint(self) -> None:
@@ -219,7 +241,7 @@
         other = f"{endpoint.service[0]}-next-{self.replaced}"
         await self.fleet.add_endpoint(other, endpoint.service)
         spec = {**endpoint.entry, "state": "draining"}
-        await self.fleet.store.put("servers", name, spec)
+        await self.fleet.write_entry(name, spec)
         endpoint.leaving_since = time.monotonic()
         endpoint.leaving_start = endpoint.worker.crashes
         endpoint.end_cold()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -187,6 +187,8 @@
         # Keys that were taken away from their organisation, org-b.
         self.former_keys: set[str] = set()
         self.version = 1
+        # The entry of each endpoint as it was last written.
+        self.entries: dict[str, dict[str, Any]] = {}
         # Endpoints that were ever started.
         self.made = 0
         # Data halls that were emptied: which, from and until; monotonic seconds.
@@ -243,7 +245,33 @@
         """Write the entry of an endpoint that has just started."""
         endpoint = self.endpoints[name]
         endpoint.start_entry()
-        await self.store.put("servers", name, endpoint.entry)
+        await self.write_entry(name, endpoint.entry)
+
+    async def write_entry(self, name: str, entry: dict[str, Any]) -> None:
+        """Write the entry of an endpoint."""
+        self.entries[name] = entry
+        await self.store.put("servers", name, entry)
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object, unless the store has lost it."""
+        if name in self.store.kinds.get(kind, {}):
+            await self.store.remove(kind, name)
+
+    async def write_again(self) -> None:
+        """Write what a restored store has lost, as operators and endpoints do.
+
+        What they have removed since the backup is removed again.
+        """
+        await self.store.put("config", "main", configuration(self.version, self.keys))
+        for name, entry in list(self.entries.items()):
+            await self.store.put("servers", name, entry)
+        for name in set(self.store.kinds.get("servers", {})) - self.entries.keys():
+            await self.remove("servers", name)
+        emptied = {hall for hall, _, until in self.emptied if until == float("inf")}
+        for hall in emptied:
+            await self.store.put("evacuations", hall, {})
+        for hall in set(self.store.kinds.get("evacuations", {})) - emptied:
+            await self.remove("evacuations", hall)
 
     async def start_again(self, name: str) -> None:
         """Start an endpoint that has ended, under its name."""
@@ -257,7 +285,8 @@
         endpoint = self.endpoints.pop(name, None)
         if endpoint is None:
             return
-        await self.store.remove("servers", name)
+        self.entries.pop(name, None)
+        await self.remove("servers", name)
         self.gone.append(endpoint)
         await endpoint.worker.stop()
         endpoint.link.stop()
@@ -270,12 +299,12 @@
         endpoint = self.endpoints[name]
         warm = endpoint.entry
         entry = {**warm, "coldLeftMs": round(COLD_SECONDS * 1000.0)}
-        await self.store.put("servers", name, entry)
+        await self.write_entry(name, entry)
         now = time.monotonic()
         endpoint.cold.append((now, now + COLD_SECONDS))
         await asyncio.sleep(COLD_SECONDS)
         if endpoint.entry is warm and endpoint.leaving_since is None:
-            await self.store.put("servers", name, warm)
+            await self.write_entry(name, warm)
 
     async def empty_hall(self, hall: str, seconds: float) -> None:
         """Empty a data hall for some time."""
@@ -285,7 +314,7 @@
         await asyncio.sleep(seconds)
         self.emptied.remove((hall, since, float("inf")))
         self.emptied.append((hall, since, time.monotonic()))
-        await self.store.remove("evacuations", hall)
+        await self.remove("evacuations", hall)
 
     def workers(self) -> list[WorkerStandIn]:
         """:returns: all endpoints that there ever were."""
--- a/tests/coordination/own/test_billing.py
+++ b/tests/coordination/own/test_billing.py
@@ -9,11 +9,9 @@
 import unittest
 from collections import Counter
 from types import SimpleNamespace
-from unittest import mock
 
 from tests.interleavings import Scheduler, explore
 from tests.revisions import FIRST_ERA, revision_at
-from walnutquay.coordination.own import billbatches
 from walnutquay.coordination.own import billing as billing_module
 from walnutquay.coordination.own.billing import Billing
 from walnutquay.coordination.process.context import Context, Timeline
@@ -30,7 +28,7 @@
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
-from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
+from walnutquay.state.process.revisions import EraTracker, StoreRevision
 from walnutquay.state.requests.stages import CostLine
 from walnutquay.transport.timers import monotonic
 
@@ -313,35 +311,6 @@
         self.assertEqual(self.uncopied_requests(self.owner), ["r0"])
 
 
-class RestoredStoreTest(BillingCase):
-    """The store loses batches that were stored after its backup."""
-
-    async def test_lost_batches_are_stored_again_once(self):
-        self.fleet.platform.available = True
-        for number in range(3):
-            await self.owner.add(f"r{number}", "org", COST_LINES)
-            await self.owner.flush()
-        self.assertEqual(len(self.fleet.platform.objects), 3)
-        for name in sorted(self.fleet.platform.objects)[1:]:
-            del self.fleet.platform.objects[name]
-        self.fleet.platform.eras.observe(Era(2))
-        await self.until(lambda: len(self.fleet.platform.objects) == 3)
-        counts = self.fleet.platform.bill_counts()
-        self.assertEqual(counts, {f"r{number}": 1 for number in range(3)})
-
-    async def test_they_are_stored_as_soon_as_the_store_takes_calls(self):
-        self.fleet.platform.available = True
-        await self.owner.add("r0", "org", COST_LINES)
-        await self.owner.flush()
-        self.fleet.platform.objects.clear()
-        self.fleet.platform.available = False
-        with mock.patch.object(billbatches, "RETRY_SECONDS", 0.01):
-            self.fleet.platform.eras.observe(Era(2))
-            await asyncio.sleep(0.03)
-            self.fleet.platform.available = True
-            await self.until(lambda: len(self.fleet.platform.objects) == 1)
-
-
 class SuspendedVmTest(BillingCase):
     """Guards against lost or duplicate bills when a VM declared dead resumes."""
 
