--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -22,6 +22,7 @@
     limits,
     links,
     own,
+    restores,
     routed,
 )
 from lab.mutants.mutation import Mutation
@@ -35,6 +36,7 @@
     *routed.MUTATIONS,
     *limits.MUTATIONS,
     *links.MUTATIONS,
+    *restores.MUTATIONS,
     *announcements.MUTATIONS,
     *connections.MUTATIONS,
     *callers.MUTATIONS,
--- a/tests/commands/test_fleetstate.py
+++ b/tests/commands/test_fleetstate.py
@@ -34,6 +34,10 @@
         [GOOD, VmState("b:1", ready=True, configuration=2)],
         ["configurations differ: [2, 3]"],
     ),
+    (
+        [GOOD, VmState("b:1", ready=True, configuration=3, era=2)],
+        ["VMs know different eras of the store: [0, 2]"],
+    ),
     (
         [VmState("a:1", ready=True, age=40.0)],
         ["a:1 last heard of the store 40 s ago"],
@@ -76,7 +80,7 @@
         address = f"127.0.0.1:{self.gateway.metrics_api.server.port}"
         up, down = await read_states([address, "127.0.0.1:9"])
         self.assertEqual((up.reached, up.ready, up.configuration), (True, True, 1))
-        self.assertEqual((up.answered, up.refused, up.vms), (1, 1, 1))
+        self.assertEqual((up.answered, up.refused, up.vms, up.era), (1, 1, 1, 1))
         self.assertEqual(up.endpoints["plain/ready"], 2)
         self.assertFalse(down.reached)
         text = states_text([up, down])
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -51,6 +51,7 @@
     :param reached: whether it answered.
     :param ready: whether it knows enough to serve.
     :param configuration: the version in force.
+    :param era: the store's era, as far as it knows.
     :param age: seconds since the store confirmed what is known, of the oldest kind.
     :param vms: VMs that it knows, itself among them.
     :param in_flight: requests without an outcome.
@@ -72,6 +73,7 @@
     reached: bool = True
     ready: bool = False
     configuration: int = 0
+    era: int = 0
     age: float = 0.0
     vms: int = 0
     in_flight: int = 0
@@ -137,6 +139,7 @@
         address=address,
         ready=plain.get("ready", 0.0) == 1.0,
         configuration=int(plain.get("configuration_version", 0)),
+        era=int(plain.get("store_era", 0)),
         age=max(ages, default=0.0),
         vms=int(plain.get("entry_vms", 0)),
         in_flight=int(plain.get("requests_in_flight", 0)),
@@ -212,6 +215,9 @@
     versions = sorted({one.configuration for one in up})
     if len(versions) > 1:
         found.append(f"configurations differ: {versions}")
+    eras = sorted({one.era for one in up})
+    if len(eras) > 1:
+        found.append(f"VMs know different eras of the store: {eras}")
     blocked = max((one.blocked for one in up), default=0)
     if blocked:
         found.append(f"{blocked} requests end the endpoints that run them")
@@ -248,8 +254,8 @@
     """
     states = list(states)
     text = [
-        f"{'address':<22}{'ready':>6}{'config':>8}{'age s':>7}{'VMs':>5}{'now':>6}"
-        f"{'answered':>10}{'refused':>9}{'lost':>7}{'p99 ms':>8}  endpoints"
+        f"{'address':<22}{'ready':>6}{'config':>8}{'era':>5}{'age s':>7}{'VMs':>5}"
+        f"{'now':>6}{'answered':>10}{'refused':>9}{'lost':>7}{'p99 ms':>8}  endpoints"
     ]
     for one in states:
         if not one.reached:
@@ -258,7 +264,8 @@
         endpoints = " ".join(f"{k}={v}" for k, v in sorted(one.endpoints.items()))
         text.append(
             f"{one.address:<22}{'yes' if one.ready else 'no':>6}"
-            f"{one.configuration:>8}{one.age:>7.1f}{one.vms:>5}{one.in_flight:>6}"
+            f"{one.configuration:>8}{one.era:>5}{one.age:>7.1f}{one.vms:>5}"
+            f"{one.in_flight:>6}"
             f"{one.answered:>10}{one.refused:>9}{one.unknown:>7}"
             f"{one.p99_seconds * 1000:>8.0f}  {endpoints}"
         )
--- a/walnutquay/daemon/beliefs.py
+++ b/walnutquay/daemon/beliefs.py
@@ -114,7 +114,7 @@
     now = monotonic()
     return {
         lease.duty: {
-            "version": lease.view.version,
+            "version": str(lease.view.version),
             "holder": lease.view.value.vm if lease.view.value else "",
             "held_here_for": max(0.0, lease.view.held_until - now),
             "fence": lease.view.fence(now),
