--- a/tests/coordination/routed/test_places.py
+++ b/tests/coordination/routed/test_places.py
@@ -87,11 +87,11 @@
         ]
         return [status for got in await asyncio.gather(*plays) for status in got]
 
+    async def play_known(self) -> None:
+        """Play all callers at once, where all VMs know that the endpoints are brittle.
 
-class OverloadTest(BrittleCase):
-    """More callers than the endpoints have slots."""
-
-    async def test_brittle_endpoints_fall_over(self) -> None:
+        Few of them crash, and most requests are served.
+        """
         await self.all_know()
         before = self.falls
         statuses = await self.callers()
@@ -99,6 +99,13 @@
         self.assertNotIn(500, statuses)
         self.assertGreater(statuses.count(200), len(statuses) // 2)
 
+
+class OverloadTest(BrittleCase):
+    """More callers than the endpoints have slots."""
+
+    async def test_brittle_endpoints_fall_over(self) -> None:
+        await self.play_known()
+
     async def test_a_path_that_all_ask_for_is_blocked_for_falls(self) -> None:
         self.assertNotIn(500, await self.callers("/safe/same"))
         for gateway in self.gateways:
@@ -112,12 +119,7 @@
     named_slots = SLOTS + 2
 
     async def test_they_do_not_crash_again_and_again(self) -> None:
-        await self.all_know()
-        before = self.falls
-        statuses = await self.callers()
-        self.assertLessEqual(self.falls - before, 2 + len(self.workers) // 10)
-        self.assertNotIn(500, statuses)
-        self.assertGreater(statuses.count(200), len(statuses) // 2)
+        await self.play_known()
 
 
 class BrittleAnnouncementTest(BrittleCase):
