Take an order long after a restore for a new one

Found by reading the change: an order for a version whose earlier order had ended before a restore kept that outcome however much later it was written, as its era was higher, and got no trial. The outcome of an order now holds for the same order within 10 s after a restore only, as the guarantees say.

test_the_same_order_long_after_a_restore_is_a_new_one failed before. The mutation of places follows the code.

--- a/lab/mutants/links.py
+++ b/lab/mutants/links.py
@@ -70,8 +70,8 @@
     Mutation(
         "brittle endpoints: the requests of other VMs are not counted",
         "state/routed/places.py",
-        "if others + wanted <= slots:",
-        "if wanted <= slots:",
+        "if others + wanted <= self._limit(slots, now):",
+        "if wanted <= self._limit(slots, now):",
         "tests.lab.test_brittlefleet",
     ),
     Mutation(
--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -335,6 +335,17 @@
         await self.store.put("rollouts", "engine", {**self.spec, "durationS": 50})
         await self.until(lambda: all("engine" in tasks for tasks in self.trials()))
 
+    async def test_the_same_order_long_after_a_restore_is_a_new_one(self):
+        backup = self.store.copy()
+        await self.complete("rolled_back")
+        await self.restore(backup)
+        followers = [g.knowledge.order_follower for g in self.gateways]
+        await self.until(lambda: all(f.revision.era == 2 for f in followers))
+        for gateway in self.gateways:
+            gateway.knowledge.orders.rewritten_until = 0.0
+        await self.store.put("rollouts", "engine", self.spec)
+        await self.until(lambda: all("engine" in tasks for tasks in self.trials()))
+
     async def test_a_trial_that_is_under_way_goes_on(self):
         backup = self.store.copy()
         await self.store.put("rollouts", "engine", self.spec)
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -279,8 +279,7 @@
             return order
         if outcome is None or not outcome.is_same_order(order):
             return order
-        lost = order.revision.era > outcome.revision.era
-        if not lost and monotonic() >= self.rewritten_until:
+        if monotonic() >= self.rewritten_until:
             return order
         ended = replace(order, state=outcome.state, started=outcome.started)
         self.unanswered[order.name] = ended
