--- a/tests/state/own/test_claims.py
+++ b/tests/state/own/test_claims.py
@@ -224,7 +224,7 @@
             world.store.restore(backup)
             await first.claims.platform.read("anything")
             told = SimpleNamespace(
-                store_era=world.store.era,
+                era=world.store.era,
                 restored_age=first.claims.restores.age(),
             )
             second.claims.restores.on_update(told, True)
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -139,7 +139,7 @@
         address=address,
         ready=plain.get("ready", 0.0) == 1.0,
         configuration=int(plain.get("configuration_version", 0)),
-        era=int(plain.get("store_era", 0)),
+        era=int(plain.get("era", 0)),
         age=max(ages, default=0.0),
         vms=int(plain.get("entry_vms", 0)),
         in_flight=int(plain.get("requests_in_flight", 0)),
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -201,7 +201,7 @@
             administration=self.administration_port,
             confirmed_age=self.configurations.confirmed_age(),
             region=self.context.region,
-            store_era=self.platform.eras.current,
+            era=self.platform.eras.current,
             restored_age=self.restores.age(),
         )
 
--- a/walnutquay/coordination/own/restores.py
+++ b/walnutquay/coordination/own/restores.py
@@ -39,8 +39,8 @@
         :param update: an update on a member.
         :param direct: whether that member sent it itself.
         """
-        self.eras.observe(update.store_era)
-        if update.store_era and update.store_era == self.eras.current:
+        self.eras.observe(update.era)
+        if update.era and update.era == self.eras.current:
             # A VM that has just started does not know of a restore before that.
             told = monotonic() - update.restored_age
             self.restored_at = max(self.restored_at, told)
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -92,7 +92,7 @@
         yield f"{PREFIX}_ready {int(self.knowledge.ready)}"
         version = catalogue.version if catalogue else 0
         yield f"{PREFIX}_configuration_version {version}"
-        yield f"{PREFIX}_store_era {self.knowledge.eras.current}"
+        yield f"{PREFIX}_era {self.knowledge.eras.current}"
         for follower in self.knowledge.followers():
             age = follower.age()
             known = age if age != float("inf") else UNKNOWN_AGE
--- a/walnutquay/daemon/status.py
+++ b/walnutquay/daemon/status.py
@@ -63,7 +63,7 @@
         "ready": configurations.ready and not parts.chats.closed,
         "confirmed": round(configurations.confirmed_age(), 3),
         "platform_up": parts.platform.up,
-        "store_era": parts.platform.eras.current,
+        "era": parts.platform.eras.current,
         "in_flight": parts.chats.in_flight + parts.services.in_flight,
         "behind": [
             m["vm"] for m in live if m["revision"] < configurations.current.revision
--- a/walnutquay/protocol/ownpeer.py
+++ b/walnutquay/protocol/ownpeer.py
@@ -35,7 +35,7 @@
         "administration": news.administration,
         "confirmedAge": news.confirmed_age,
         "region": news.region,
-        "storeEra": news.store_era,
+        "era": news.era,
         "restoredAge": news.restored_age,
     }
 
@@ -171,8 +171,8 @@
         administration=reader.administration,
         confirmed_age=reader.confirmedAge,
         region=reader.region,
-        store_era=Era(reader.storeEra),
-        restored_age=reader.restoredAge if reader.storeEra else math.inf,
+        era=Era(reader.era),
+        restored_age=reader.restoredAge if reader.era else math.inf,
     )
 
 
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -74,7 +74,7 @@
   confirmedAge @9 :Float64;
   region @10 :Text;
   # The store's era, and the seconds since the sender learnt that it was restored.
-  storeEra @11 :UInt64;
+  era @11 :UInt64;
   restoredAge @12 :Float64;
 }
 
--- a/walnutquay/state/fleet/membership.py
+++ b/walnutquay/state/fleet/membership.py
@@ -73,7 +73,7 @@
     :param administration: the port of its administration API.
     :param confirmed_age: seconds since its revision was last confirmed as the newest.
     :param region: the region of its data hall.
-    :param store_era: the highest era of the store that it knows of.
+    :param era: the highest era of the store that it knows of.
     :param restored_age: seconds since it learnt that the store was restored.
     """
 
@@ -87,7 +87,7 @@
     administration: int = 0
     confirmed_age: float = 0.0
     region: str = ""
-    store_era: Era = UNKNOWN_ERA
+    era: Era = UNKNOWN_ERA
     restored_age: float = math.inf
 
 
