--- a/tests/restorecase.py
+++ b/tests/restorecase.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any
 from unittest import mock
 
@@ -12,6 +13,7 @@
 from tests.gatewaycase import KEY, GatewayCase, catalogue, route
 from walnutquay.coordination.fleet import watchers
 from walnutquay.coordination.store import relaying
+from walnutquay.coordination.store.following import Follower
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.state.fleet.membership import VmLocation
 
@@ -103,6 +105,13 @@
         await self.store.restore(backup)
         self.store.refuse = None
 
+    async def until_era(self, followers: Iterable[Follower], era: int = 2) -> None:
+        """Wait until followers have a list of an era of the store."""
+        followers = list(followers)
+        await self.until(
+            lambda: all(f.revision and f.revision.era == era for f in followers)
+        )
+
     async def statuses(self, path: str, key: str = KEY) -> list[int]:
         """Return what each VM answers to a call."""
         headers = {"Authorization": f"Bearer {key}"}
