Let brittle stand-ins send the rejections that they survive

Cause, traced in runs that print each VM's lines and each endpoint's counts: every endpoint had rejected two to five requests, and no VM had got a single rejection. The stand-in yielded once between its decision to reject and the answer; a request that came in the same moment made it crash first, and took the answer along. An endpoint that survives a rejection a second has answered it by the time of the next one, so the fault played was none that these endpoints have.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -256,7 +256,8 @@
     async def _plain(
         self, writer: asyncio.StreamWriter, seen: Seen, behaviour: Behaviour
     ) -> bool:
-        await asyncio.sleep(behaviour.pause)
+        if behaviour.pause:
+            await asyncio.sleep(behaviour.pause)
         framing = f"Content-Length: {len(behaviour.body)}"
         body = behaviour.body
         if not behaviour.framed:
