Move the preference of endpoints to a module of its own

Both interfaces choose endpoints for suspect requests by it, and ours does not use the routed folder.

--- a/lab/crashes/fleet.py
+++ b/lab/crashes/fleet.py
@@ -38,7 +38,7 @@
 )
 from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.state.requests.fingerprints import fingerprint
-from walnutquay.state.routed.work import preferred_endpoint
+from walnutquay.state.requests.preference import preferred_endpoint
 
 TARGET = CrashTarget(ServiceName("engine"), VersionName("v1"))
 # Datagrams and connections between machines: seconds one way, and the share lost.
--- a/tests/coordination/routed/test_promptengines.py
+++ b/tests/coordination/routed/test_promptengines.py
@@ -20,7 +20,8 @@
     VersionName,
 )
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.routed.work import PromptWork, WorkTable, preferred_endpoint
+from walnutquay.state.requests.preference import preferred_endpoint
+from walnutquay.state.routed.work import PromptWork, WorkTable
 from walnutquay.state.store.instances import Instance
 
 HERE = HallName("hall-0")
--- a/walnutquay/coordination/routed/endpointchoice.py
+++ b/walnutquay/coordination/routed/endpointchoice.py
@@ -10,7 +10,8 @@
 from walnutquay.coordination.routed.promptengines import PromptEngines
 from walnutquay.state.process.ids import ServiceName
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.routed.work import PromptWork, preferred_endpoint
+from walnutquay.state.requests.preference import preferred_endpoint
+from walnutquay.state.routed.work import PromptWork
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -8,7 +8,8 @@
 
 from walnutquay.state.process.ids import EndpointName, HallName
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.routed.work import PromptWork, WorkTable, preference_scores
+from walnutquay.state.requests.preference import preference_scores
+from walnutquay.state.routed.work import PromptWork, WorkTable
 from walnutquay.state.store.instances import Instance
 
 # The cost of a wait grows with its square, because only long waits make answers late.
--- a/walnutquay/state/routed/work.py
+++ b/walnutquay/state/routed/work.py
@@ -264,31 +264,6 @@
             self.total_seconds.pop(name, None)
 
 
-def preferred_endpoint(
-    names: Sequence[EndpointName], beginning: str
-) -> EndpointName | None:
-    """Choose the engine that all VMs prefer for a prefix.
-
-    :param names: the engines to choose from.
-    :param beginning: the key of the prefix; empty for none.
-    :returns: the engine; None without engines or without a prefix.
-    """
-    if not names or not beginning:
-        return None
-    scores = preference_scores(names, beginning)
-    return names[scores.index(max(scores))]
-
-
-def preference_scores(names: Sequence[EndpointName], beginning: str) -> list[int]:
-    """Return a score for each engine; the one with the highest is preferred.
-
-    :param names: the engines.
-    :param beginning: the key of the prefix.
-    """
-    digest = xxhash.xxh3_64_intdigest
-    return [digest(f"{beginning}\n{name}".encode()) for name in names]
-
-
 def reading_rank(reading: float, objective: float) -> int:
     """Return the rank of a prompt at an engine, lower for a shorter reading time.
 
