Keep requests apart that were at the same crashes

Cause, traced with the crash records and lines of both VMs (24 copies at once): after a crash every request that was there goes to the endpoint that its fingerprint prefers. Of the twelve streams beside, two prefer e7, e6 and e2 in the same order as the crashing request, so they met it again twice, and were at the same three crashes. Which of the two is blocked is then told by times of some ms; and a VM that has its own trace of the third crash, but not yet the other VM's, blocks its own, harmless one and cuts it: the 30 ms for which it waits for the others are too few on a busy machine. Evidence: in all 4 traced failures of 216 tests the harmless and the crashing request have the same three crashes, in 3 of them along e7, e6, e2.

Now a request that was at the same crashes as others leaves out what VMs prefer for these, and of each two that know of each other one has either half of the endpoints, by the keys of both: they do not meet again, whether the other's VM had heard of this one or not. On our own interface likewise; where only such endpoints have room, they are used.

--- a/lab/crashes/fleet.py
+++ b/lab/crashes/fleet.py
@@ -38,7 +38,7 @@
 )
 from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.state.requests.fingerprints import fingerprint
-from walnutquay.state.requests.preference import preferred_endpoint
+from walnutquay.state.requests.preference import endpoints_apart, preferred_endpoint
 
 TARGET = CrashTarget(ServiceName("engine"), VersionName("v1"))
 # Datagrams and connections between machines: seconds one way, and the share lost.
@@ -314,7 +314,9 @@
             return None
         suspect = watch.suspect_fingerprint(request)
         if suspect and self.way_of.apart:
-            name = preferred_endpoint([e.name for e in left], suspect)
+            others = watch.companions(suspect)
+            apart = endpoints_apart([e.name for e in left], suspect, others)
+            name = preferred_endpoint(apart, suspect)
             return next(engine for engine in left if engine.name == name)
         pair = [self.rng.choice(left) for _ in range(2)]
         return min(pair, key=lambda engine: len(engine.runs))
--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -195,6 +195,20 @@
         "return True",
         "tests.coordination.requests.test_failures",
     ),
+    Mutation(
+        "ends of endpoints: requests at the same crashes go on apart",
+        "coordination/requests/paths.py",
+        "companions=self.parts.crashes.companions(suspect),",
+        "",
+        "tests.coordination.requests.test_companions",
+    ),
+    Mutation(
+        "ends of endpoints: two that know of each other go on apart",
+        "state/requests/preference.py",
+        "meetings[name] += (high if digest % 2 else low) == other",
+        "pass",
+        "tests.state.requests.test_preference",
+    ),
     Mutation(
         "ends of endpoints: an answer clears a request",
         "coordination/requests/crashnotes.py",
--- a/walnutquay/coordination/own/admission.py
+++ b/walnutquay/coordination/own/admission.py
@@ -16,8 +16,9 @@
 from walnutquay.state.own.admission import PoolQueue, QueuedRequest
 from walnutquay.state.own.configuration import Configuration
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.process.ids import RequestId
+from walnutquay.state.process.ids import EndpointName, RequestId
 from walnutquay.state.requests.endpoints import FULL_SECONDS, EndpointTable, subset
+from walnutquay.state.requests.preference import endpoints_apart
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.requests.regions import filter_by_region
 from walnutquay.state.store.parts import Endpoint
@@ -194,7 +195,14 @@
         if need.suspect:
             # All attempts of a suspect go to the same endpoint, away from the
             # requests that were interrupted beside it.
-            return self.table.choose(endpoints, now, "", need.tried, need.suspect)
+            names = [EndpointName(item.name) for item in endpoints]
+            apart = set(endpoints_apart(names, need.suspect, need.companions))
+            preferred = [item for item in endpoints if item.name in apart]
+            for found in (preferred, endpoints):
+                chosen = self.table.choose(found, now, "", need.tried, need.suspect)
+                if chosen is not None:
+                    return chosen
+            return None
         return self.table.choose(endpoints, now, need.hint, need.tried, need.prefix)
 
     def _queue(self, pool: str) -> PoolQueue:
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -108,6 +108,13 @@
         fingerprint = arrival.fingerprint()
         return fingerprint if self.book.is_suspect(fingerprint) else None
 
+    def companions(self, suspect: Fingerprint | None) -> frozenset[Fingerprint]:
+        """Return the requests that were at each crash of a suspect.
+
+        :param suspect: its fingerprint; None for a request that is no suspect.
+        """
+        return frozenset() if suspect is None else self.book.companions(suspect)
+
     def refusal(self, arrival: Arrival, target: CrashTarget) -> Refusal | None:
         """Check whether a request is blocked from a version.
 
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -130,6 +130,7 @@
         :param turn: the request.
         """
         arrival = turn.arrival
+        suspect = self.parts.crashes.suspect_fingerprint(arrival)
         return SlotRequest(
             arrival.request,
             arrival.organisation.name,
@@ -140,7 +141,8 @@
             turn.hint,
             turn.tried,
             turn.prefix,
-            suspect=self.parts.crashes.suspect_fingerprint(arrival) or "",
+            suspect=suspect or "",
+            companions=self.parts.crashes.companions(suspect),
             regions=allowed_regions(arrival.organisation.regions),
         )
 
--- a/walnutquay/coordination/requests/slots.py
+++ b/walnutquay/coordination/requests/slots.py
@@ -44,6 +44,7 @@
     :param aim: the objective for the time until its answer begins; seconds.
     :param priority: its rank, where 0 is the most urgent.
     :param suspect: its fingerprint if an endpoint crashed while running it, else empty.
+    :param companions: the fingerprints of the requests that were at each crash of it.
     :param regions: the regions in which it may run; None for all.
     """
 
@@ -61,6 +62,7 @@
     aim: float = 0.0
     priority: int = 0
     suspect: str = ""
+    companions: frozenset[str] = frozenset()
     regions: frozenset[RegionName] | None = None
 
 
--- a/walnutquay/coordination/routed/endpointchoice.py
+++ b/walnutquay/coordination/routed/endpointchoice.py
@@ -10,7 +10,7 @@
 from walnutquay.coordination.routed.promptengines import PromptEngines
 from walnutquay.state.process.ids import ServiceName
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.requests.preference import preferred_endpoint
+from walnutquay.state.requests.preference import endpoints_apart, preferred_endpoint
 from walnutquay.state.routed.work import PromptWork
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.timers import monotonic
@@ -62,10 +62,12 @@
 
         All VMs choose the same endpoint, so all attempts of the request run there,
         while requests that ran beside it are spread over the others.  One more crash
-        then clears most of these, and no two endpoints crash at the same time.
+        then clears these, and no two endpoints crash at the same time.
         """
         open_ones = self.table.accepting(remaining, now, need.tried) or remaining
-        name = preferred_endpoint([item.name for item in open_ones], need.suspect)
+        names = [item.name for item in open_ones]
+        apart = endpoints_apart(names, need.suspect, need.companions)
+        name = preferred_endpoint(apart, need.suspect)
         return next((item for item in open_ones if item.name == name), None)
 
     def _least_loaded(self, remaining: list[Instance], now: float) -> Instance | None:
--- a/walnutquay/state/requests/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -117,6 +117,19 @@
         """
         return fingerprint in self.crashes_by_request
 
+    def companions(self, fingerprint: Fingerprint) -> frozenset[Fingerprint]:
+        """Return the requests that were at each crash of a request.
+
+        As long as they stay together, the crashes do not tell them apart.
+
+        :param fingerprint: the request.
+        """
+        known = self.crashes_by_request.get(fingerprint)
+        if not known:
+            return frozenset()
+        present = (set(crash.ran) for crash in known)
+        return frozenset(set.intersection(*present) - {fingerprint})
+
     def is_blocked(self, fingerprint: Fingerprint, target: CrashTarget) -> bool:
         """Check whether a request must not be sent to endpoints of a version.
 
--- a/walnutquay/state/requests/preference.py
+++ b/walnutquay/state/requests/preference.py
@@ -4,12 +4,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Collection, Sequence
 
 import xxhash
 
 from walnutquay.state.process.ids import EndpointName
 
+# A request is kept apart from so many others; among more, it would not be.
+MAX_APART = 8
+
 
 def preferred_endpoint(names: Sequence[EndpointName], key: str) -> EndpointName | None:
     """Choose the endpoint that all VMs prefer for a key.
@@ -25,6 +29,32 @@
     return names[scores.index(max(scores))]
 
 
+def endpoints_apart(
+    names: Sequence[EndpointName], key: str, others: Collection[str]
+) -> list[EndpointName]:
+    """Return the endpoints at which a request is least likely to meet some others.
+
+    The VM that has another request may know of this one or not.  If not, it prefers
+    what all VMs prefer for that request.  If so, each of the two leaves the half of the
+    endpoints to the other that is given to it by the keys of both.
+
+    :param names: the endpoints to choose from.
+    :param key: the request's fingerprint.
+    :param others: the fingerprints of the others.
+    :returns: some of the endpoints; all if there are too many others.
+    """
+    if not names or len(others) > MAX_APART:
+        return list(names)
+    meetings = Counter(preferred_endpoint(names, other) for other in others)
+    for other in others:
+        low, high = sorted((key, other))
+        for name in names:
+            digest = xxhash.xxh3_64_intdigest(f"{low}\n{high}\n{name}".encode())
+            meetings[name] += (high if digest % 2 else low) == other
+    fewest = min(meetings[name] for name in names)
+    return [name for name in names if meetings[name] == fewest]
+
+
 def preference_scores(names: Sequence[EndpointName], key: str) -> list[int]:
     """Return a score for each endpoint; the one with the highest is preferred.
 
