Apply announcements of VMs to a list that was read as empty

The only VM of a fleet that had read an empty list knew neither itself nor a second VM that announced itself until its second read, 2 s later: it told that VM nothing, and asked it nothing. Cause: announcements were applied only to a list that has entries, as a VM that has read none yet must not take announcements for the whole list. Whether a list was read is known by itself.

--- a/tests/coordination/fleet/test_vmlist.py
+++ b/tests/coordination/fleet/test_vmlist.py
@@ -209,6 +209,19 @@
         self.assertLess(self.register.reads, FLEET / 4)
 
 
+class SecondVmTest(FleetCase):
+    """A second VM joins the only one of a fleet."""
+
+    async def test_the_first_learns_of_it_with_its_next_list(self):
+        patch = mock.patch.object(vmlist, "SECOND_READ_SECONDS", 60.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+        first = self.start(0)
+        await self.until(lambda: name_of(0) in self.register.rows)
+        self.start(1)
+        await self.until(lambda: name_of(1) in first.peers.known)
+
+
 class RestartTest(FleetCase):
     """A VM is restarted at the same location."""
 
--- a/walnutquay/coordination/fleet/vmlist.py
+++ b/walnutquay/coordination/fleet/vmlist.py
@@ -176,7 +176,7 @@
 
     def _record(self, vm: VmName, announcement: Announcement) -> None:
         self.announcements[vm] = announcement
-        if self.peers.known:
+        if self.peers.listed.is_set():
             self.apply(self.peers.known)
 
     # Updates of the list.
