Let VMs of a test enter the list before their peers know them

Cause, traced by each VM's lines, the same in all three: the harness added a new VM to what its peers know as soon as it had started. Where the VM read its first list from such a peer, it found itself there, and took its entry for written; it was not. Two seconds later the fifth VM read a list without the sixth (`left: ['vm-6']`), asked the four others, which reach no endpoint either, and rightly refused: that the sixth was there it did not know. The test's own wait could not notice, as the harness had made its condition true. A fleet's VM enters the list before anybody tells of it, so callers of a fleet saw none of this.

The harness now waits until the peers have heard of the VM from itself; that wait is strict where the old one was not, and no check of a test has changed.

--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -124,7 +124,8 @@
         """Start a gateway, and wait until it is ready if it can be.
 
         :param name: its name.
-        :param peers: gateways that it knows from its start on, as they know it.
+        :param peers: gateways that it knows from its start on; they know it as soon as
+            it has entered the list of VMs.
         :param promises: settings that are not as usual.
         """
         options = GatewayOptions.model_validate(
@@ -144,11 +145,11 @@
             gateway.peers.known = {**gateway.peers.known, peer.context.vm: place}
         await self.prepare(gateway)
         await gateway.start()
-        for peer in peers:
-            place = VmLocation(gateway.peers.own, gateway.context.hall)
-            peer.peers.known = {**peer.peers.known, gateway.context.vm: place}
         self.gateways.append(gateway)
         self.addAsyncCleanup(self.close_gateway, gateway)
+        # Until a VM has entered the list, its peers must not tell it that it is there.
+        for peer in peers:
+            await self.until(lambda one=peer: gateway.context.vm in one.peers.known)
         if self.configured:
             await self.until(lambda: gateway.knowledge.ready)
         return gateway
