Send a request again whose connection was closed before it was written

Cause, traced by each VM's lines: an endpoint closes a connection after an answer, or at any time, as HTTP lets it. A request that had just been given this kept connection found it closed before its first byte was written ('Can not write request body'), and that was taken for an endpoint that broke off a request that it may have begun: it cost an attempt, counted against the endpoint, and the second time ended the call.

A connection now notes whether anything of its request has been written. If not, the request is sent once more, on a new connection; if that is closed too, it has not begun, and may go elsewhere. What was written is never sent again by this. Bodies are bytes, so nothing is spent on the way.

--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from tests.scriptedendpoint import ID, Asked, ScriptedEndpointCase
+from tests.scriptedendpoint import ID, Asked, ScriptedEndpointCase, answer
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.transport.client import STEP_BROKEN
 
@@ -56,3 +56,57 @@
                     await self.call("/a", "a", repeatable=repeatable)
                 self.assertNotIsInstance(caught.exception, NotStartedError)
                 self.assertEqual(caught.exception.step, STEP_BROKEN)
+
+
+class ClosedBeforeSendingTest(ScriptedEndpointCase):
+    """An endpoint closes a kept connection just before a request is sent on it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.asked: list[str] = []
+
+        async def script(asked: Asked) -> AsyncIterator[bytes]:
+            self.asked.append(asked.request)
+            yield answer(asked.request, b"done")
+
+        await self.start(script)
+        # How many connections are closed as requests are about to be sent.
+        self.closing = 0
+
+    def still_allowed(self) -> bool:
+        if self.closing:
+            self.closing -= 1
+            for session in (self.client.kept, self.client.fresh):
+                for protocol in session.connector._acquired:
+                    protocol.transport.close()
+        return True
+
+    async def send(self, request: str, data: bytes | None, repeatable: bool) -> bytes:
+        """:returns: the body of the answer."""
+        async with self.client.request(
+            "POST",
+            f"http://127.0.0.1:{self.port}/a",
+            peer="endpoint",
+            headers={ID: request},
+            data=data,
+            repeatable=repeatable,
+            still_allowed=self.still_allowed,
+        ) as got:
+            return await got.read()
+
+    async def test_the_request_fails(self):
+        for number, data in enumerate((None, b"x", bytes(20_000))):
+            for repeatable in (True, False):
+                with self.subTest(size=len(data or b""), repeatable=repeatable):
+                    self.asked.clear()
+                    first, second = (f"{number}{repeatable}{n}" for n in range(2))
+                    await self.send(first, data, repeatable)
+                    self.closing = 1
+                    self.assertEqual(await self.send(second, data, repeatable), b"done")
+                    self.assertEqual(self.asked, [first, second])
+
+    async def test_it_counts_as_begun_if_that_goes_on(self):
+        self.closing = 2
+        with self.assertRaises(NotStartedError):
+            await self.send("a", b"x", True)
+        self.assertEqual(self.asked, [])
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -35,12 +35,16 @@
     WithheldError,
     dialer,
     may_send,
+    on_connection,
 )
+from walnutquay.transport.timers import monotonic
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
 CONNECT_SECONDS = 0.3
 CONNECTIONS = 2048
+# A request has this long at least; seconds.
+MIN_SECONDS = 0.001
 READ_BYTES = 1 << 16
 # Endpoints close idle connections too, and say after how long.
 KEEP_SECONDS = 60.0
@@ -188,31 +192,34 @@
         """
         sent = CIMultiDict(headers or ())
         matched = bool(sent.get(self.id_header))
-        session = self.kept if repeatable and matched else self.fresh
-        limits = aiohttp.ClientTimeout(
-            total=timeout, sock_connect=CONNECT_SECONDS, sock_read=idle
-        )
+        first = self.kept if repeatable and matched else self.fresh
+        end = monotonic() + timeout
         # The caller's escapes are passed on as they are.
         target = URL(url, encoded=True)
-        return Exchange(
-            session.request(
+
+        def send(again: bool) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+            session = self.fresh if again else first
+            left = max(MIN_SECONDS, end - monotonic())
+            limits = aiohttp.ClientTimeout(
+                total=left, sock_connect=CONNECT_SECONDS, sock_read=idle
+            )
+            return session.request(
                 method,
                 target,
                 data=data,
                 headers=sent,
                 timeout=limits,
                 allow_redirects=False,
-            ),
-            peer,
-            still_allowed,
-            through,
-        )
+            )
+
+        return Exchange(send, peer, still_allowed, through)
 
 
 class Exchange:
     """A request under way; see :meth:`HttpClient.request`.
 
-    :param manager: the library's request.
+    :param send: makes the library's request; the argument is whether once more, on a
+        new connection.
     :param peer: the endpoint's name, for errors.
     :param still_allowed: asked right before the request is sent; None to send it in
         any case.
@@ -221,15 +228,18 @@
 
     def __init__(
         self,
-        manager: AbstractAsyncContextManager[aiohttp.ClientResponse],
+        send: Callable[[bool], AbstractAsyncContextManager[aiohttp.ClientResponse]],
         peer: str,
         still_allowed: Callable[[], bool] | None = None,
         through: Dialer | None = None,
     ) -> None:
-        self.manager = manager
+        self.send = send
+        self.manager = send(False)
         self.peer = peer
         self.still_allowed = still_allowed
         self.through = through
+        # The connection that the request got; None before that.
+        self.protocol: KeptProtocol | None = None
 
     async def __aenter__(self) -> aiohttp.ClientResponse:
         token = None
@@ -237,7 +247,7 @@
             token = may_send.set(self.still_allowed)
         through = dialer.set(self.through)
         try:
-            answer = await self.manager.__aenter__()
+            answer = await self._enter()
         except WithheldError as error:
             raise NotStartedError(
                 "it may not be sent any more", step=STEP_WITHHELD, peer=self.peer
@@ -257,6 +267,31 @@
             )
         return answer
 
+    async def _enter(self) -> aiohttp.ClientResponse:
+        """Send the request, once more if its connection was closed before that.
+
+        The other side may close a kept connection at any time.
+        """
+        given = on_connection.set(self._on_connection)
+        try:
+            try:
+                return await self.manager.__aenter__()
+            except aiohttp.ClientError:
+                if not self._is_unwritten():
+                    raise
+            self.protocol = None
+            self.manager = self.send(True)
+            return await self.manager.__aenter__()
+        finally:
+            on_connection.reset(given)
+
+    def _on_connection(self, protocol: KeptProtocol) -> None:
+        self.protocol = protocol
+
+    def _is_unwritten(self) -> bool:
+        """Return whether the request had a connection, and was not written to it."""
+        return self.protocol is not None and not self.protocol.was_written
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
@@ -275,7 +310,8 @@
         reason = str(error) or type(error).__name__
         if isinstance(error, aiohttp.ConnectionTimeoutError):
             return NotStartedError(reason, step=STEP_REACH, peer=self.peer)
-        if isinstance(error, BEFORE_SENDING):
+        closed = isinstance(error, aiohttp.ClientError) and self._is_unwritten()
+        if closed or isinstance(error, BEFORE_SENDING):
             return NotStartedError(reason, step=STEP_CONNECT, peer=self.peer)
         if getattr(error, "errno", None) == errno.ETIMEDOUT:
             return EndpointError(reason, step=STEP_SILENT, peer=self.peer)
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -84,6 +84,32 @@
     )
 
 
+class NotedTransport:
+    """A transport that notes writes, which aiohttp offers no public way to do.
+
+    :param transport: the transport.
+    """
+
+    __slots__ = ("transport", "was_written")
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.was_written = False
+
+    def write(self, data: Any) -> None:
+        """:param data: bytes to send."""
+        self.was_written = True
+        self.transport.write(data)
+
+    def writelines(self, parts: Any) -> None:
+        """:param parts: bytes to send, in order."""
+        self.was_written = True
+        self.transport.writelines(parts)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.transport, name)
+
+
 class KeptProtocol(ResponseHandler):
     """An aiohttp connection that closes when bytes come unasked, and notices resets.
 
@@ -106,6 +132,8 @@
         # Whether the head of an answer is due, and how many bytes have come behind it.
         self.head_due = False
         self.behind_head = 0
+        # Notes what is written to the connection.
+        self.noted: NotedTransport | None = None
         # The last bytes that have come.
         self.before = b""
         # How the library has answers read.
@@ -115,6 +143,17 @@
         # Whether another VM forwards the connection.
         self.forwarded = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """:param transport: the connection's."""
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport = self.noted = NotedTransport(self.transport)
+
+    @property
+    def was_written(self) -> bool:
+        """Whether anything of the request under way has been written."""
+        return self.noted is not None and self.noted.was_written
+
     def may_carry(self, request: str) -> bool:
         """:param request: the id of a request; empty if it has none.
 
@@ -128,6 +167,8 @@
         self.under_way = True
         self.head_due = True
         self.before = b""
+        if self.noted is not None:
+            self.noted.was_written = False
 
     def _end(self) -> None:
         """Note that the answer has come to its end."""
--- a/walnutquay/transport/connectors.py
+++ b/walnutquay/transport/connectors.py
@@ -28,6 +28,12 @@
 may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=lambda: True)
 
 
+# Told of the connection that a request is given, right before it is sent.
+on_connection: ContextVar[Callable[[KeptProtocol], None]] = ContextVar(
+    "on_connection", default=lambda protocol: None
+)
+
+
 class Dialer(Protocol):
     """Makes connections to one endpoint where this VM cannot."""
 
@@ -98,6 +104,7 @@
                 raise WithheldError
             if self._may_use(protocol) and protocol.may_carry(request):
                 protocol.begin(request)
+                on_connection.get()(protocol)
                 if req.method == "HEAD" or protocol.forwarded:
                     # To HEAD, a second answer would be read as one with a body.  A
                     # VM that forwards the connection waits for its end as it stops.
