Wake a pool when its endpoint is full no longer, not just before

Cause: after an endpoint has refused a request, the VM sends it nothing for 0.1 s, and sets a timer of 0.1 s to wake those who wait. A loop counts timers from the beginning of its turn, so the timer ended some ms before that time; nothing had room yet, and nothing woke them again where no other request of the VM was under way. Why it works: what is asked at the end of the timer is the time itself.

The other timers of the code (transport/lines, transport/timers) compare no time when they end.

--- a/walnutquay/coordination/own/admission.py
+++ b/walnutquay/coordination/own/admission.py
@@ -17,7 +17,7 @@
 from walnutquay.state.own.configuration import Configuration
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, RequestId
-from walnutquay.state.requests.endpoints import FULL_SECONDS, EndpointTable, subset
+from walnutquay.state.requests.endpoints import EndpointTable, subset
 from walnutquay.state.requests.preference import endpoints_apart
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.requests.regions import filter_by_region
@@ -137,8 +137,19 @@
         :param grant: the slot for which the endpoint had no capacity.
         """
         self.table.full(grant.name, monotonic())
+        self._wake_when_not_full(grant.name, grant.endpoint.pool)
+
+    def _wake_when_not_full(self, name: str, pool: str) -> None:
+        """Wake a pool as soon as an endpoint is no longer treated as full.
+
+        A loop counts from the beginning of its turn, so its timers may end too early.
+        """
+        left = self.table.state_of(name).full_until - monotonic()
+        if left <= 0.0:
+            self.wake(pool)
+            return
         loop = asyncio.get_running_loop()
-        loop.call_later(FULL_SECONDS, self.wake, grant.endpoint.pool)
+        loop.call_later(left, self._wake_when_not_full, name, pool)
 
     def wake(self, pool: str) -> None:
         """Grant slots to the waiting requests of a pool while any are free.
