--- a/standins/platform.py
+++ b/standins/platform.py
@@ -46,6 +46,9 @@
         router.add_get(f"{CONTROL}/calls", self.count)
         router.add_get(f"{CONTROL}/snapshot", self.snapshot)
         router.add_put(f"{CONTROL}/snapshot", self.restore)
+        self.backup = self.store.copy()
+        router.add_post(f"{CONTROL}/backup", self.back_up)
+        router.add_post(f"{CONTROL}/restored", self.restore_backup)
 
     async def list_vms(self, request: web.Request) -> web.Response:
         """:param request: ``GET /vms``."""
@@ -75,6 +78,16 @@
             found[_call_group(call)] += times
         return web.json_response(dict(found))
 
+    async def back_up(self, request: web.Request) -> web.Response:
+        """:param request: asks for a backup, which replaces the last one."""
+        self.backup = self.store.copy()
+        return web.json_response({})
+
+    async def restore_backup(self, request: web.Request) -> web.Response:
+        """:param request: asks that the store be restored from the last backup."""
+        await self.store.restore(self.backup)
+        return web.json_response({"era": self.store.era})
+
     async def snapshot(self, request: web.Request) -> web.Response:
         """Give all values, for judges and for a later restore.
 
