--- a/walnutquay/state/requests/preference.py
+++ b/walnutquay/state/requests/preference.py
@@ -34,9 +34,9 @@
 ) -> list[EndpointName]:
     """Return the endpoints at which a request is least likely to meet some others.
 
-    The VM that has another request may know of this one or not.  If not, it prefers
-    what all VMs prefer for that request.  If so, each of the two leaves the half of the
-    endpoints to the other that is given to it by the keys of both.
+    The VM that has another request may not know of this one: then that request goes to
+    the endpoint that all VMs prefer for it.  Otherwise both VMs divide the endpoints
+    between the two requests by a hash of their keys.
 
     :param names: the endpoints to choose from.
     :param key: the request's fingerprint.
