--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -34,7 +34,7 @@
 from walnutquay.protocol.calls import CallHead
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.protocol.streams import StreamProgress
-from walnutquay.settings import PromisesSection
+from walnutquay.sections import PromisesSection
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
--- a/lab/claims/ways.py
+++ b/lab/claims/ways.py
@@ -28,7 +28,7 @@
 from walnutquay.protocol.messages import Envelope
 from walnutquay.protocol.ownmessages import AskRun, RunIs
 from walnutquay.protocol.ownpeer import OwnPeerCodec
-from walnutquay.settings import PlatformSection
+from walnutquay.sections import PlatformSection
 from walnutquay.state.fleet.membership import Address, rendezvous
 from walnutquay.state.own.claims import RunState
 from walnutquay.state.process.ids import HallName, RequestId, VmName
--- a/lab/pages/reference.py
+++ b/lab/pages/reference.py
@@ -16,7 +16,8 @@
 from pydantic import BaseModel
 from pydantic_core import PydanticUndefined
 
-from walnutquay.settings import GatewayOptions, Options, Section
+from walnutquay.sections import Section
+from walnutquay.settings import GatewayOptions, Options
 from walnutquay.state.own.configuration import PART_MODELS
 
 PAGE = Path(__file__).parents[2] / "docs" / "reference.md"
--- a/lab/trials/fleet.py
+++ b/lab/trials/fleet.py
@@ -30,7 +30,7 @@
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import Envelope, Failure, Message, SessionsSeen
 from walnutquay.protocol.peer import PeerCodec
-from walnutquay.settings import PromisesSection
+from walnutquay.sections import PromisesSection
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
     EndpointName,
--- a/tests/coordination/trials/test_trialexchange.py
+++ b/tests/coordination/trials/test_trialexchange.py
@@ -21,7 +21,7 @@
     Message,
     TrialNews,
 )
-from walnutquay.settings import PromisesSection
+from walnutquay.sections import PromisesSection
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
     EndpointName,
--- a/tests/coordination/trials/test_versions.py
+++ b/tests/coordination/trials/test_versions.py
@@ -13,7 +13,7 @@
 from walnutquay.coordination.trials.task import TrialTask
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.protocol.messages import Message
-from walnutquay.settings import PromisesSection
+from walnutquay.sections import PromisesSection
 from walnutquay.state.process.ids import (
     EndpointName,
     HallName,
--- a/tests/daemon/test_own_callers.py
+++ b/tests/daemon/test_own_callers.py
@@ -36,7 +36,7 @@
 )
 from walnutquay.daemon.callers import CallersApi
 from walnutquay.protocol.chat import END_MARK
-from walnutquay.settings import CallersSection
+from walnutquay.sections import CallersSection
 from walnutquay.state.own.claims import WholeAnswer
 from walnutquay.state.process.keys import key_hash
 from walnutquay.state.store.parts import Organisation
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -19,7 +19,7 @@
 )
 from walnutquay.platform.store import StoreClient
 from walnutquay.platform.values import ABSENT, ValueStore, object_key, value_name
-from walnutquay.settings import PlatformSection
+from walnutquay.sections import PlatformSection
 from walnutquay.state.process.ids import HallName, Incarnation, VmName
 
 NAMES = ("config/head", "config/parts/4f1c", "claims/shop/a b%2Fc", "bills/inc/0001")
--- a/walnutquay/coordination/own/platform.py
+++ b/walnutquay/coordination/own/platform.py
@@ -25,7 +25,7 @@
 )
 from walnutquay.platform.store import StoreClient
 from walnutquay.platform.values import Stored, ValueStore
-from walnutquay.settings import PlatformSection
+from walnutquay.sections import PlatformSection
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
 from walnutquay.transport.timers import monotonic
--- a/walnutquay/coordination/own/rater.py
+++ b/walnutquay/coordination/own/rater.py
@@ -8,7 +8,7 @@
 import orjson
 
 from walnutquay.exceptions import EndpointError
-from walnutquay.settings import RaterSection
+from walnutquay.sections import RaterSection
 from walnutquay.transport.client import HttpClient
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -24,7 +24,7 @@
 from walnutquay.coordination.trials.sessions import SessionTracker
 from walnutquay.coordination.trials.task import FIRST_WRITE_SPREAD, TrialTask
 from walnutquay.exceptions import PlatformConflictError, PlatformError
-from walnutquay.settings import PromisesSection
+from walnutquay.sections import PromisesSection
 from walnutquay.state.process.counts import LruTable
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import ServiceName, VersionName
--- a/walnutquay/daemon/administration.py
+++ b/walnutquay/daemon/administration.py
@@ -26,7 +26,7 @@
     PlatformUnclearError,
     WalnutquayError,
 )
-from walnutquay.settings import AdministrationSection
+from walnutquay.sections import AdministrationSection
 from walnutquay.state.own.checking import check_content, parse_content
 from walnutquay.state.own.configuration import PART_MODELS, Configuration, Content
 from walnutquay.state.own.halls import HallAction, change_hall
--- a/walnutquay/daemon/callers.py
+++ b/walnutquay/daemon/callers.py
@@ -27,7 +27,7 @@
 from walnutquay.daemon.authentication import caller_of
 from walnutquay.protocol import chat
 from walnutquay.protocol.services import call_headers
-from walnutquay.settings import CallersSection
+from walnutquay.sections import CallersSection
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.server import HttpServer, ServerLimits
--- a/walnutquay/daemon/storefeeds.py
+++ b/walnutquay/daemon/storefeeds.py
@@ -22,7 +22,7 @@
 )
 from walnutquay.platform.store import StoreClient
 from walnutquay.protocol.messages import AskKnown, KnownIs
-from walnutquay.settings import PromisesSection
+from walnutquay.sections import PromisesSection
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.revisions import StoreRevision
 
--- a/walnutquay/logs.py
+++ b/walnutquay/logs.py
@@ -9,7 +9,7 @@
 import logbook
 import orjson
 
-from walnutquay.settings import LogFormat, LogSection
+from walnutquay.sections import LogFormat, LogSection
 from walnutquay.transport.lines import LineWriter
 
 TEXT_FORMAT = (
