Read how long work takes at an endpoint from the fourth figure of its load

No code read it. It is kept with the endpoint's load and written with each dispatch; no decision uses it yet.

--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -23,6 +23,7 @@
     SendLimits,
     no_endpoint,
 )
+from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.messages import WorkNews
 from walnutquay.state.process.ids import (
     EndpointName,
@@ -277,6 +278,19 @@
             return 0.0
         return pending.wait + pending.work.tokens * self.work.rate(pending.work.model)
 
+    def on_answer(self, grant: Grant, head: AnswerHead) -> None:
+        """Learn what an endpoint tells of itself in the head of an answer.
+
+        :param grant: the slot at the endpoint.
+        :param head: the head.
+        """
+        endpoint = grant.endpoint
+        assert isinstance(endpoint, Instance)
+        self.announcements.on_answer(endpoint, head, grant.started)
+        if head.running is not None:
+            load = head.running + head.waiting
+            self.table.report(grant.name, load, "", monotonic(), head.pace)
+
     def answer_began(self, grant: Grant, seconds: float) -> None:
         """Update the reading estimates when an answer begins.
 
--- a/walnutquay/coordination/routed/calls.py
+++ b/walnutquay/coordination/routed/calls.py
@@ -14,11 +14,8 @@
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import NotStartedError
 from walnutquay.protocol.calls import AnswerHead, SendOrder
-from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.work import reading_rank
-from walnutquay.state.store.instances import Instance
 from walnutquay.transport.client import Exchange, HttpClient, header_pairs
-from walnutquay.transport.timers import monotonic
 
 # A request is retried elsewhere when its answer's head takes longer than both these
 # multiples: of the estimated time, and of the route's objective.
@@ -33,9 +30,8 @@
 
     :param client: the HTTP client for endpoints.
     :param dialect: encodes request heads and decodes response heads.
-    :param admission: estimates when answers begin.
+    :param admission: estimates when answers begin, and learns from their heads.
     :param budgets: the retry budgets of this VM.
-    :param table: the state of endpoints, updated by the load in their answers.
     :param tunnels: makes connections through other VMs.
     """
 
@@ -45,14 +41,12 @@
         dialect: Dialect,
         admission: RoutedAdmission,
         budgets: RetryBudgets,
-        table: EndpointTable,
         tunnels: Tunnels,
     ) -> None:
         self.client = client
         self.dialect = dialect
         self.admission = admission
         self.budgets = budgets
-        self.table = table
         self.tunnels = tunnels
 
     def send(self, turn: RoutedTurn, grant: Grant) -> Exchange:
@@ -115,11 +109,7 @@
         """
         raw = header_pairs(answer)
         head = self.dialect.decode_answer(answer.status, answer.headers, raw)
-        assert isinstance(grant.endpoint, Instance)
-        self.admission.announcements.on_answer(grant.endpoint, head, grant.started)
-        if head.running is not None:
-            load = head.running + head.waiting
-            self.table.report(grant.name, load, "", monotonic())
+        self.admission.on_answer(grant, head)
         if head.not_run:
             raise NotStartedError(
                 f"the endpoint did not start the request (status {head.status})",
--- a/walnutquay/coordination/routed/facts.py
+++ b/walnutquay/coordination/routed/facts.py
@@ -79,6 +79,7 @@
             "sends": turn.sends,
             "load": facts.load(now),
             "load_age_ms": whole_ms(now - facts.reported_at),
+            "pace": facts.pace,
             "slots": endpoint.slots,
             "cold": self.admission.cold.is_limited(endpoint, now),
             "limit": self.admission.rates.rate(endpoint.name, now),
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -80,9 +80,7 @@
     ) -> None:
         super().__init__(parts, admission)
         self.knowledge = knowledge
-        self.calls = EndpointCalls(
-            client, dialect, admission, budgets, parts.table, tunnels
-        )
+        self.calls = EndpointCalls(client, dialect, admission, budgets, tunnels)
         self.cascading = cascading
         self.versions = versions
         self.budgets = budgets
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
 
 from walnutquay.exceptions import EndpointError, MessageError
@@ -16,6 +17,8 @@
 from walnutquay.state.routed.prompts import Prompt, PromptPart
 
 MILLISECONDS = 1000.0
+# How endpoints write that work takes there as long as usual.
+USUAL_PACE = 100.0
 MAX_EVENT_ID = 1 << 62
 # Statuses below it announce an answer; a caller would wait for that one.
 FIRST_FINAL_STATUS = 200
@@ -143,9 +146,19 @@
             if name.lower() not in HOP_BY_HOP and name.lower() != "content-type"
         ),
         announced=decode_announcements(status, raw),
+        pace=_pace(load[3]) if known and len(load) > 3 else None,
     )
 
 
+def _pace(text: str) -> float | None:
+    """Return how long work takes, relative to its usual time; None if unreadable."""
+    try:
+        pace = float(text) / USUAL_PACE
+    except ValueError:
+        return None
+    return pace if math.isfinite(pace) and pace > 0.0 else None
+
+
 def _confidence(text: str) -> float | None:
     try:
         return float(text) if text else None
--- a/walnutquay/protocol/calls.py
+++ b/walnutquay/protocol/calls.py
@@ -86,6 +86,8 @@
     :param running: requests that it runs; None where it does not say.
     :param waiting: requests that wait there.
     :param slots: requests that it runs at once.
+    :param pace: how long work takes there now, relative to its usual time; None where
+        it does not say.
     :param confidence: the model's own opinion of its answer, 0 to 100; None
         where it gives none.
     :param content_type: the type of its body.
@@ -103,6 +105,7 @@
     content_type: str
     headers: HeaderPairs
     announced: Announcements = Announcements()
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutquay/state/requests/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -4,16 +4,15 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 import xxhash
 
 from walnutquay.state.process.ids import EndpointName, LeavingSource
 from walnutquay.state.requests.durations import SLOW_FACTOR, DurationTable
+from walnutquay.state.requests.endpointstate import EndpointState
 from walnutquay.state.store.parts import Endpoint
 
 # An endpoint is ejected for a while after this many consecutive failures.
@@ -22,8 +21,6 @@
 EJECT_MAX_SECONDS = 60.0
 # This share of the endpoints stays in use, however many of them fail.
 MIN_USABLE_SHARE = 0.5
-# A report older than this is no evidence of the current load.
-REPORT_SECONDS = 5.0
 # This VM sends nothing for this long to an endpoint that reports that it is full.
 FULL_SECONDS = 0.1
 # A kind of work starts with the version or service, followed by this separator.
@@ -36,88 +33,12 @@
 MIN_SHARE_BUSY = 0.25
 # This many endpoints of a prompt's ranking are tried before falling back to any other.
 MAX_PREFERRED = 3
-# The weight of each new answer in the estimate of an endpoint's speed.
-SPEED_WEIGHT = 0.15
 # A failed request counts as an answer that took this many times the baseline duration.
 FAILED_RATIO = 6.0
-# Time constant of the decay to normal of the speed estimate of a little used endpoint.
-SPEED_DECAY_SECONDS = 20.0
 # An endpoint in another data hall is treated as if it had this many more requests.
 OTHER_HALL_PENALTY = 4
 
 
-@dataclass(slots=True)
-class EndpointState:
-    """The state of one endpoint as one VM sees it.
-
-    :param in_flight: requests of this VM that are running at the endpoint.
-    :param reported: running and waiting requests according to its last report.
-    :param reported_at: the time of that report; monotonic seconds.
-    :param failures: the number of consecutive failures.
-    :param ejected_at: the time of its last ejection; monotonic seconds.
-    :param ejected_until: the end of its last ejection; monotonic seconds.
-    :param full_until: the time until which it is treated as full; monotonic seconds.
-    :param ejections: the number of consecutive ejections.
-    :param slowness: the duration of its answers as a multiple of the baseline.
-    :param slowness_at: the time of the last update of ``slowness``; monotonic seconds.
-    :param incarnation: the incarnation that it last reported.
-    :param leaving: the sources that announced that it is leaving, each with the
-        incarnation that it named.
-    """
-
-    in_flight: int = 0
-    reported: int = 0
-    reported_at: float = float("-inf")
-    failures: int = 0
-    ejected_until: float = float("-inf")
-    ejected_at: float = float("-inf")
-    full_until: float = float("-inf")
-    ejections: int = 0
-    slowness: float = 1.0
-    slowness_at: float = float("-inf")
-    incarnation: str = ""
-    leaving: dict[LeavingSource, str] = field(default_factory=dict)
-
-    def has_free_slot(self, slots: int, now: float) -> bool:
-        """Check whether this VM may send the endpoint one more request.
-
-        :param slots: the number of requests that it runs concurrently.
-        :param now: monotonic seconds.
-        """
-        return self.in_flight < slots and self.full_until <= now
-
-    def slow_by(self, now: float) -> float:
-        """Estimate the duration of its answers as a multiple of the baseline.
-
-        :param now: monotonic seconds.
-        """
-        if self.slowness_at == float("-inf"):
-            return 1.0
-        age = max(0.0, now - self.slowness_at)
-        decay = math.exp(-age / SPEED_DECAY_SECONDS)
-        return 1.0 + (self.slowness - 1.0) * decay
-
-    def learn_speed(self, ratio: float, now: float) -> None:
-        """Update the speed estimate with one answer.
-
-        :param ratio: the answer's duration as a multiple of the baseline.
-        :param now: monotonic seconds.
-        """
-        slowness = self.slow_by(now)
-        self.slowness = slowness + SPEED_WEIGHT * (ratio - slowness)
-        self.slowness_at = now
-
-    def load(self, now: float) -> int:
-        """Estimate the endpoint's load.
-
-        :param now: monotonic seconds.
-        :returns: the number of requests running or waiting at the endpoint.
-        """
-        if now - self.reported_at > REPORT_SECONDS:
-            return self.in_flight
-        return max(self.in_flight, self.reported)
-
-
 def subset(endpoints: list[Endpoint], vm: str, hall: str) -> list[Endpoint]:
     """Choose the subset of many endpoints that one VM uses.
 
@@ -197,7 +118,12 @@
         return is_new
 
     def report(
-        self, name: EndpointName, load: int, incarnation: str, now: float
+        self,
+        name: EndpointName,
+        load: int,
+        incarnation: str,
+        now: float,
+        pace: float | None = None,
     ) -> None:
         """Apply an endpoint's own report.
 
@@ -208,8 +134,11 @@
         :param load: the number of requests running or waiting at the endpoint.
         :param incarnation: the endpoint's incarnation.
         :param now: monotonic seconds.
+        :param pace: how long work takes there, relative to its usual time; None if the
+            endpoint does not tell.
         """
         state = self.state_of(name)
+        state.pace = pace
         if state.incarnation and incarnation > state.incarnation:
             state.leaving.clear()
         state.incarnation = max(state.incarnation, incarnation)
--- /dev/null
+++ b/walnutquay/state/requests/endpointstate.py
@@ -0,0 +1,92 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""The state of one endpoint as one VM sees it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from walnutquay.state.process.ids import LeavingSource
+
+# A report older than this is no evidence of the current load.
+REPORT_SECONDS = 5.0
+# The weight of each new answer in the estimate of an endpoint's speed.
+SPEED_WEIGHT = 0.15
+# Time constant of the decay to normal of the speed estimate of a little used endpoint.
+SPEED_DECAY_SECONDS = 20.0
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """The state of one endpoint as one VM sees it.
+
+    :param in_flight: requests of this VM that are running at the endpoint.
+    :param reported: running and waiting requests according to its last report.
+    :param reported_at: the time of that report; monotonic seconds.
+    :param pace: how long work took there as it reported, relative to its usual time;
+        None if it does not tell.
+    :param failures: the number of consecutive failures.
+    :param ejected_at: the time of its last ejection; monotonic seconds.
+    :param ejected_until: the end of its last ejection; monotonic seconds.
+    :param full_until: the time until which it is treated as full; monotonic seconds.
+    :param ejections: the number of consecutive ejections.
+    :param slowness: the duration of its answers as a multiple of the baseline.
+    :param slowness_at: the time of the last update of ``slowness``; monotonic seconds.
+    :param incarnation: the incarnation that it last reported.
+    :param leaving: the sources that announced that it is leaving, each with the
+        incarnation that it named.
+    """
+
+    in_flight: int = 0
+    reported: int = 0
+    reported_at: float = float("-inf")
+    pace: float | None = None
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    ejected_at: float = float("-inf")
+    full_until: float = float("-inf")
+    ejections: int = 0
+    slowness: float = 1.0
+    slowness_at: float = float("-inf")
+    incarnation: str = ""
+    leaving: dict[LeavingSource, str] = field(default_factory=dict)
+
+    def has_free_slot(self, slots: int, now: float) -> bool:
+        """Check whether this VM may send the endpoint one more request.
+
+        :param slots: the number of requests that it runs concurrently.
+        :param now: monotonic seconds.
+        """
+        return self.in_flight < slots and self.full_until <= now
+
+    def slow_by(self, now: float) -> float:
+        """Estimate the duration of its answers as a multiple of the baseline.
+
+        :param now: monotonic seconds.
+        """
+        if self.slowness_at == float("-inf"):
+            return 1.0
+        age = max(0.0, now - self.slowness_at)
+        decay = math.exp(-age / SPEED_DECAY_SECONDS)
+        return 1.0 + (self.slowness - 1.0) * decay
+
+    def learn_speed(self, ratio: float, now: float) -> None:
+        """Update the speed estimate with one answer.
+
+        :param ratio: the answer's duration as a multiple of the baseline.
+        :param now: monotonic seconds.
+        """
+        slowness = self.slow_by(now)
+        self.slowness = slowness + SPEED_WEIGHT * (ratio - slowness)
+        self.slowness_at = now
+
+    def load(self, now: float) -> int:
+        """Estimate the endpoint's load.
+
+        :param now: monotonic seconds.
+        :returns: the number of requests running or waiting at the endpoint.
+        """
+        if now - self.reported_at > REPORT_SECONDS:
+            return self.in_flight
+        return max(self.in_flight, self.reported)
