--- a/walnutquay/coordination/requests/slots.py
+++ b/walnutquay/coordination/requests/slots.py
@@ -11,9 +11,11 @@
 
 from walnutquay.state.process.ids import (
     EndpointName,
+    Fingerprint,
     OrganisationName,
     RegionName,
     RequestId,
+    RouteName,
     ServiceName,
     VersionName,
     VmName,
@@ -21,6 +23,7 @@
 )
 from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.routed.slottypes import SlotNumber
 from walnutquay.state.routed.work import PromptWork
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.parts import Endpoint
@@ -46,6 +49,9 @@
     :param suspect: its fingerprint if an endpoint crashed while running it, else empty.
     :param companions: the fingerprints of the requests that were at each crash of it.
     :param regions: the regions in which it may run; None for all.
+    :param route: its route; None if it came by none.
+    :param content: identifies what it asks for, alike for all tries of its caller;
+        None if nothing needs it.
     """
 
     request: RequestId
@@ -64,6 +70,22 @@
     suspect: str = ""
     companions: frozenset[str] = frozenset()
     regions: frozenset[RegionName] | None = None
+    route: RouteName | None = None
+    content: Fingerprint | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SlotTicket:
+    """A request's place among those of all VMs while a service's slots are scarce.
+
+    :param service: the service.
+    :param number: this VM's number for the request.
+    :param endpoint: the endpoint that it may be sent to; None for any.
+    """
+
+    service: ServiceName
+    number: SlotNumber
+    endpoint: Instance | None = None
 
 
 @dataclass(slots=True)
@@ -75,6 +97,7 @@
     :param work: the kind of work of the pool at that time.
     :param began: when the headers of an answer arrived; monotonic seconds.
     :param via: the VM that forwards the connection; None if this one made it itself.
+    :param ticket: its place among the requests of all VMs; None if it needs none.
     """
 
     endpoint: Endpoint | Instance
@@ -82,6 +105,7 @@
     work: WorkKind
     began: float | None = None
     via: VmName | None = None
+    ticket: SlotTicket | None = None
 
     @property
     def name(self) -> EndpointName:
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -1,15 +1,20 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Interfaces of the routed request path: encoding of heads and choice of versions."""
+"""Interfaces of the routed request path: heads, choice of versions, scarce slots."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
-from walnutquay.coordination.requests.slots import Grant
+from expression import Result
+
+from walnutquay.coordination.requests.slots import Grant, SlotRequest, SlotTicket
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
+from walnutquay.state.process.ids import ServiceName
+from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.store.instances import Instance
 from walnutquay.state.trials.choice import VersionChoice
 
 
@@ -93,3 +98,45 @@
         :param turn: the request.
         :param grant: the slot at the endpoint.
         """
+
+
+class ScarceSlots(Protocol):
+    """Shares the scarce slots of services out among all VMs."""
+
+    def are_scarce(self, service: ServiceName) -> bool:
+        """Return whether requests to a service have to ask for a slot at present.
+
+        :param service: the service.
+        """
+
+    async def acquire(
+        self, need: SlotRequest, found: list[Instance]
+    ) -> Result[SlotTicket, Refusal]:
+        """Wait for one of a service's slots, in the order of all VMs' requests.
+
+        A request that is cancelled meanwhile leaves the queue, or frees its slot.
+
+        :param need: the slot that is requested.
+        :param found: the endpoints that the request may be sent to.
+        :returns: its place, to be given back by :meth:`release`; or a refusal.
+        """
+
+    def release(self, ticket: SlotTicket, seconds: float) -> None:
+        """Give a slot back.
+
+        :param ticket: the request's place.
+        :param seconds: how long the request was at the endpoint; 0 if it got no answer.
+        """
+
+    def on_answer(self, instance: Instance, head: AnswerHead) -> None:
+        """Learn an endpoint's load from the head of an answer.
+
+        :param instance: the endpoint that answered.
+        :param head: the head.
+        """
+
+    def on_rejected(self, instance: Instance) -> None:
+        """Record that an endpoint had no room for a request of this VM.
+
+        :param instance: the endpoint.
+        """
