Decide by settings for which services decisions under overload are made

One of the customers' endpoints tell how long work takes there, the other's do not; its platform names a rule on scarce slots instead.

--- a/walnutquay/sections.py
+++ b/walnutquay/sections.py
@@ -9,6 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, SecretStr, StringConstraints
 
+from walnutquay.state.routed.overloadscope import Coverage
 from walnutquay.state.store.parts import KeyHash, Name, Share
 
 SHORTEST_KEY = 16
@@ -236,18 +237,13 @@
     """Requests of one session come within this time of each other."""
 
 
-class ShareSlots(Enum):
-    """For which services scarce slots are shared out among all VMs."""
-
-    NEVER = "never"
-    PACED = "paced"
-    ALWAYS = "always"
-
-
 class OverloadSection(Section):
     """What happens where callers ask for more than the endpoints bear."""
 
-    share_slots: ShareSlots = ShareSlots.PACED
-    """Which services' slots are shared out among all VMs while they are scarce:
-    `never`, `paced` (those whose endpoints tell how long work takes there) or `always`
-    (all whose endpoints tell their load)."""
+    services: Coverage | None = None
+    """For which services VMs share out scarce slots, refuse at once what cannot be
+    served, and move requests that are held in vain: `never`, `paced` (those whose
+    endpoints tell how long work takes there) or `always` (all whose endpoints tell
+    their load). Without a value the platform's rules decide."""
+    rules: tuple[str, ...] = ()
+    """The platform's names of the rules in force."""
