Remove names that nothing uses, and a constant that stood twice

The page of capacity now takes the number of VMs that read a lease, and of its renewals, from the module of leases.

--- a/lab/capacity/page.py
+++ b/lab/capacity/page.py
@@ -17,6 +17,7 @@
 from walnutquay.coordination.own.billing import DEAD_SECONDS, FLEET_FLUSHES
 from walnutquay.coordination.own.configurations import WATCHERS
 from walnutquay.coordination.own.endpoints import MAX_REPORTERS, REPORT_PERIOD
+from walnutquay.coordination.own.leases import CANDIDATES, RENEWALS
 from walnutquay.coordination.own.members import FLEET_LIST_READS
 from walnutquay.coordination.own.outcomecounts import (
     LARGE_FLEET_ROUNDS,
@@ -41,8 +42,6 @@
 
 SAMPLES = 10_000
 LEASE_SECONDS = 6.0
-RENEWALS = 3
-LOOKERS = 2
 ANTI_ENTROPY = 30.0
 # A change writes the part that it moves and the head.
 WRITES_A_CHANGE = 2
@@ -210,7 +209,7 @@
                 "one lease; orders to the engines of a version",
                 "one lease",
                 f"{RENEWALS / LEASE_SECONDS:.1f} writes/s, "
-                f"{(LOOKERS - 1) * RENEWALS / LEASE_SECONDS:.1f} reads/s",
+                f"{(CANDIDATES - 1) * RENEWALS / LEASE_SECONDS:.1f} reads/s",
                 None,
                 "small",
                 "fits; orders go one after another: "
@@ -255,7 +254,7 @@
             + aims.CHANGES_A_DAY / aims.DAY * WATCHERS * aims.HALLS * 2
             + aims.NODES / ANTI_ENTROPY
             + FLEET_LIST_READS
-            + (LOOKERS - 1) * RENEWALS / LEASE_SECONDS
+            + (CANDIDATES - 1) * RENEWALS / LEASE_SECONDS
         )
 
 
--- a/walnutquay/coordination/own/quality.py
+++ b/walnutquay/coordination/own/quality.py
@@ -17,7 +17,6 @@
 
 # The subject of the counts of ratings: this prefix, cascade, class and version.
 RATED = "rated"
-SUBJECT_PARTS = 4
 # The maximum number of ratings requested in the background at once; others are skipped.
 MAX_SAMPLING = 16
 # The share of answers to rate: all of a version in roll-out, since its test needs
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -12,8 +12,6 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-import logbook
-
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.tasks import Tasks
@@ -39,8 +37,6 @@
 from walnutquay.transport.client import probe
 from walnutquay.transport.timers import monotonic
 
-log = logbook.Logger(__name__)
-
 # The traces of one crash have arrived from all VMs by then: each VM probes the port and
 # broadcasts its traces within about 10 ms of the broken connection.
 SETTLE_SECONDS = 0.03
--- a/walnutquay/coordination/store/sinks.py
+++ b/walnutquay/coordination/store/sinks.py
@@ -45,8 +45,6 @@
     def __init__(self, context: Context) -> None:
         self.context = context
         self.current: Catalogue | None = None
-        # When the current version came into force here; monotonic seconds.
-        self.in_force_since = 0.0
         self.listeners: list[Callable[[Catalogue], None]] = []
 
     def apply_listing(self, listing: Listing[Catalogue]) -> None:
@@ -75,7 +73,6 @@
         if self.current is not None and catalogue.version <= self.current.version:
             return False
         self.current = catalogue
-        self.in_force_since = monotonic()
         self.context.timeline.emit(
             EventKind.CONFIGURED,
             version=str(catalogue.version),
