Give stand-ins for endpoints slots, a queue and a pace

Cause: endpoints of the stand-in answer any number of requests at once, so no test can load them beyond what they bear.

Change: standins/slots.py runs a bounded number of requests, queues a bounded number, tells its load and pace in answers, and rejects the rest as not run. Off unless a test sets it.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -13,9 +13,10 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from standins.ports import HOST, HeldPorts
+from standins.slots import WorkSlots, caller_ends, while_connected
 
 # Seconds for which a mute endpoint says nothing.
 MUTE_SECONDS = 60.0
@@ -122,6 +123,8 @@
         self.connections = 0
         # Headers of all its answers.
         self.headers: dict[str, str] = {}
+        # What it can run at once; None without a limit.
+        self.slots: WorkSlots | None = None
         # Second answers that are still to come, by the connection they are owed on.
         self.owed: dict[asyncio.StreamWriter, bytes] = {}
         self.server: asyncio.Server | None = None
@@ -228,7 +231,15 @@
         behaviour = self.choose(seen)
         if behaviour is None:
             behaviour = self.next.popleft() if self.next else self.default
-        (self.turned_away if behaviour.not_run else self.runs).append(seen)
+        if self.slots is not None and not behaviour.not_run:
+            ran = await self._run(reader, seen, self.slots)
+            if ran is None:
+                seen.left = True
+                return False
+            if not ran:
+                behaviour = replace(behaviour, status=503, not_run=True, events=None)
+        if behaviour.not_run or self.slots is None:
+            (self.turned_away if behaviour.not_run else self.runs).append(seen)
         if behaviour.mute:
             await self._until_left(reader, seen)
             return False
@@ -236,9 +247,19 @@
             return await self._stream(reader, writer, seen, behaviour)
         return await self._plain(writer, seen, behaviour)
 
+    async def _run(
+        self, reader: asyncio.StreamReader, seen: Seen, slots: WorkSlots
+    ) -> bool | None:
+        """Return whether a request got a slot; None if its caller has left."""
+        slots.came.append(seen.headers.get("request-id", ""))
+        given = seen.headers.get("deadline")
+        patience = int(given) / 1000 if given else None
+        work = slots.run(patience, lambda: self.runs.append(seen))
+        return await while_connected(reader, work)
+
     async def _until_left(self, reader: asyncio.StreamReader, seen: Seen) -> None:
         async with asyncio.timeout(MUTE_SECONDS):
-            seen.left = await _ended(reader)
+            seen.left = await caller_ends(reader)
 
     def _head(self, seen: Seen, behaviour: Behaviour, framing: str) -> bytes:
         request = "another" if behaviour.crossed else seen.headers.get("request-id", "")
@@ -249,7 +270,8 @@
             lines.append("Not-Run: 1")
         else:
             lines.append(f"Reply-Seal: seal-of-{self.name}")
-        headers = seen.announced = {**self.headers, **behaviour.headers}
+        load = {"Load": self.slots.load()} if self.slots else {}
+        headers = seen.announced = {**self.headers, **load, **behaviour.headers}
         lines += [f"{name}: {value}" for name, value in headers.items()]
         return "\r\n".join([*lines, framing, "", ""]).encode()
 
@@ -304,7 +326,7 @@
         head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
         writer.write(self._head(seen, behaviour, head))
         first = behaviour.first or int(seen.headers.get("last-event-id", "0")) + 1
-        left = asyncio.ensure_future(_ended(reader))
+        left = asyncio.ensure_future(caller_ends(reader))
         for number in range(first, behaviour.events + 1):
             if behaviour.crash_after is not None and number > behaviour.crash_after:
                 self.crash()
@@ -332,14 +354,6 @@
         return False
 
 
-async def _ended(reader: asyncio.StreamReader) -> bool:
-    """:returns: whether a caller ends its connection, by a close or a reset, next."""
-    try:
-        return not await reader.read(1)
-    except OSError:
-        return True
-
-
 async def _write_in_pieces(
     writer: asyncio.StreamWriter, answer: bytes, size: int
 ) -> None:
