--- a/lab/overload/callers.py
+++ b/lab/overload/callers.py
@@ -64,6 +64,11 @@
         """Whether its first request was refused."""
         return self.tries[0].status in REFUSALS
 
+    @property
+    def ended_refused(self) -> bool:
+        """Whether its last request was refused."""
+        return self.tries[-1].status in REFUSALS
+
     @property
     def returned(self) -> bool:
         """Whether it returned as it was told."""
@@ -174,8 +179,7 @@
     failed = [
         one
         for one in unserved
-        if one.seconds < HELD_SHARE * bounds.deadline
-        and one.tries[-1].status not in REFUSALS
+        if one.seconds < HELD_SHARE * bounds.deadline and not one.ended_refused
     ]
     returned = [one for one in chosen if one.returned]
     return Tally(
--- a/lab/overload/loads.py
+++ b/lab/overload/loads.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 URGENCIES = (0, 1, 2)
 # Organisations, with how much they ask relative to each other.
@@ -20,7 +20,8 @@
     :param endpoints: the number of endpoints.
     :param slots: the requests that each runs at once.
     :param queue: the requests that may wait at each.
-    :param work: how long a request runs.
+    :param work: how long a request runs on average.
+    :param spread: by which part of that it may run longer or less long.
     :param aim: until when an answer is in time.
     :param deadline: when a caller gives up.
     """
@@ -29,6 +30,7 @@
     slots: int = 6
     queue: int = 24
     work: float = 0.25
+    spread: float = 0.5
     aim: float = 0.6
     deadline: float = 2.4
 
@@ -39,10 +41,12 @@
 
     def scaled(self, factor: float) -> Bounds:
         """Return the same with all times longer by a factor."""
-        work, aim, deadline = (
-            seconds * factor for seconds in (self.work, self.aim, self.deadline)
+        return replace(
+            self,
+            work=self.work * factor,
+            aim=self.aim * factor,
+            deadline=self.deadline * factor,
         )
-        return Bounds(self.endpoints, self.slots, self.queue, work, aim, deadline)
 
 
 @dataclass(frozen=True)
--- a/lab/overload/replay.py
+++ b/lab/overload/replay.py
@@ -87,7 +87,11 @@
         for number in range(self.bounds.endpoints):
             endpoint = WorkerStandIn(f"e{number}")
             endpoint.slots = WorkSlots(
-                self.bounds.slots, self.bounds.queue, self.bounds.work
+                self.bounds.slots,
+                self.bounds.queue,
+                self.bounds.work,
+                self.bounds.spread,
+                seed=number,
             )
             self.endpoints.append(endpoint)
             await endpoint.start()
--- a/standins/slots.py
+++ b/standins/slots.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -19,12 +20,23 @@
     :param slots: the requests that run at once.
     :param queue: the requests that may wait.
     :param work_seconds: how long a request runs at the usual pace.
+    :param spread: by which part of that it may run longer or less long.
+    :param seed: of how much it is.
     """
 
-    def __init__(self, slots: int, queue: int, work_seconds: float) -> None:
+    def __init__(
+        self,
+        slots: int,
+        queue: int,
+        work_seconds: float,
+        spread: float = 0.0,
+        seed: int = 0,
+    ) -> None:
         self.slots = slots
         self.queue = queue
         self.work_seconds = work_seconds
+        self.spread = spread
+        self.rng = random.Random(seed)
         # How long work takes for requests that begin now, relative to its usual time.
         self.pace = 1.0
         self.running = 0
@@ -48,7 +60,8 @@
             return False
         with self._held():
             begin()
-            await asyncio.sleep(self.work_seconds * self.pace)
+            part = 1.0 + self.rng.uniform(-self.spread, self.spread)
+            await asyncio.sleep(self.work_seconds * part * self.pace)
         return True
 
     async def _wait(self, patience: float | None) -> bool:
