Estimate how long work takes at an endpoint from the pace that it tells

Cause: the fourth figure of an endpoint's load was kept but not used. Change: a robust usual pace, the moment's pace faded by its age, bounds, and a correction by observed durations, which are now compared at the nominal pace. The choice among plain endpoints weighs loads by it. Nothing changes where no endpoint tells its pace.

--- a/walnutquay/state/requests/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -13,6 +13,7 @@
 from walnutquay.state.process.ids import EndpointName, LeavingSource
 from walnutquay.state.requests.durations import SLOW_FACTOR, DurationTable
 from walnutquay.state.requests.endpointstate import EndpointState
+from walnutquay.state.requests.pace import Speed, speeds
 from walnutquay.state.store.parts import Endpoint
 
 # An endpoint is ejected for a while after this many consecutive failures.
@@ -139,6 +140,7 @@
         """
         state = self.state_of(name)
         state.pace = pace
+        state.told_pace.learn(pace, now)
         if state.incarnation and incarnation > state.incarnation:
             state.leaving.clear()
         state.incarnation = max(state.incarnation, incarnation)
@@ -162,10 +164,13 @@
         if not kind:
             return
         self.answered_at[kind.partition(KIND_SEPARATOR)[0]] = now
-        ratio = self.durations.ratio(kind, seconds)
+        # Durations are compared at the nominal pace, so that what remains shows where
+        # the told pace is wrong.
+        nominal = seconds / state.told_pace.at(now)
+        ratio = self.durations.ratio(kind, nominal)
         if ratio is not None:
             state.learn_speed(min(ratio, FAILED_RATIO), now)
-        self.durations.learn(kind, seconds)
+        self.durations.learn(kind, nominal)
 
     def failed(self, name: EndpointName, now: float, target: str = "") -> None:
         """Record a failure, and eject the endpoint after several consecutive ones.
@@ -270,7 +275,29 @@
             if preferred is not None:
                 return preferred
         pair = self.rng.sample(accepting, min(2, len(accepting)))
-        return min(pair, key=lambda endpoint: self._weighted_load(endpoint, now))
+        found = self.speeds([endpoint.name for endpoint in accepting], now)
+        if found is None:
+            return min(pair, key=lambda endpoint: self._weighted_load(endpoint, now))
+        factors = {
+            endpoint.name: speed.moment
+            for endpoint, speed in zip(accepting, found, strict=True)
+        }
+        return min(
+            pair, key=lambda item: self._weighted_load(item, now, factors[item.name])
+        )
+
+    def speeds(self, names: Iterable[str], now: float) -> list[Speed] | None:
+        """Return how long work takes at the endpoints of one version or service.
+
+        :param names: the endpoints.
+        :param now: monotonic seconds.
+        :returns: their speeds; None if no endpoint tells its pace.
+        """
+        states = [self.states[name] for name in names]
+        paces = [state.told_pace for state in states]
+        if not any(pace.is_known(now) for pace in paces):
+            return None
+        return speeds(paces, [state.slow_by(now) for state in states], now)
 
     def _preferred_endpoint(
         self, endpoints: list[Endpoint], prefix: str, now: float
@@ -321,9 +348,12 @@
         fast = state.slow_by(now) < SLOW_FACTOR
         return fast and state.load(now) < endpoint.slots
 
-    def _weighted_load(self, endpoint: Endpoint, now: float) -> float:
+    def _weighted_load(
+        self, endpoint: Endpoint, now: float, speed: float | None = None
+    ) -> float:
         state = self.state_of(endpoint.name)
+        factor = state.slow_by(now) if speed is None else speed
         penalty = 0 if endpoint.hall == self.hall else OTHER_HALL_PENALTY
         # Count the request itself, so that an idle slow endpoint counts as slow.
-        load = (state.load(now) + 1) * state.slow_by(now)
+        load = (state.load(now) + 1) * factor
         return (load + penalty) / endpoint.slots
--- a/walnutquay/state/requests/endpointstate.py
+++ b/walnutquay/state/requests/endpointstate.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from walnutquay.state.process.ids import LeavingSource
+from walnutquay.state.requests.pace import PaceEstimate, correction
 
 # A report older than this is no evidence of the current load.
 REPORT_SECONDS = 5.0
@@ -24,14 +25,14 @@
     :param in_flight: requests of this VM that are running at the endpoint.
     :param reported: running and waiting requests according to its last report.
     :param reported_at: the time of that report; monotonic seconds.
-    :param pace: how long work took there as it reported, relative to its usual time;
-        None if it does not tell.
+    :param pace: how long work takes there as it told in its answers.
     :param failures: the number of consecutive failures.
     :param ejected_at: the time of its last ejection; monotonic seconds.
     :param ejected_until: the end of its last ejection; monotonic seconds.
     :param full_until: the time until which it is treated as full; monotonic seconds.
     :param ejections: the number of consecutive ejections.
-    :param slowness: the duration of its answers as a multiple of the baseline.
+    :param slowness: the duration of its answers as a multiple of the baseline, beyond
+        what its pace explains.
     :param slowness_at: the time of the last update of ``slowness``; monotonic seconds.
     :param incarnation: the incarnation that it last reported.
     :param leaving: the sources that announced that it is leaving, each with the
@@ -42,6 +43,7 @@
     reported: int = 0
     reported_at: float = float("-inf")
     pace: float | None = None
+    told_pace: PaceEstimate = field(default_factory=PaceEstimate)
     failures: int = 0
     ejected_until: float = float("-inf")
     ejected_at: float = float("-inf")
@@ -63,6 +65,8 @@
     def slow_by(self, now: float) -> float:
         """Estimate the duration of its answers as a multiple of the baseline.
 
+        What the pace explains that the endpoint tells is not included.
+
         :param now: monotonic seconds.
         """
         if self.slowness_at == float("-inf"):
@@ -81,6 +85,16 @@
         self.slowness = slowness + SPEED_WEIGHT * (ratio - slowness)
         self.slowness_at = now
 
+    def usual_pace(self, now: float) -> float:
+        """Estimate how long work usually takes there, relative to its nominal time.
+
+        :param now: monotonic seconds.
+        :returns: the ratio; 1 if the endpoint does not tell its pace.
+        """
+        if not self.told_pace.is_known(now):
+            return 1.0
+        return self.told_pace.usual * correction(self.slow_by(now))
+
     def load(self, now: float) -> int:
         """Estimate the endpoint's load.
 
@@ -90,3 +104,13 @@
         if now - self.reported_at > REPORT_SECONDS:
             return self.in_flight
         return max(self.in_flight, self.reported)
+
+    def faded_load(self, usual: float, now: float) -> float:
+        """Estimate the load so that an old report counts less than a new one.
+
+        :param usual: the mean load of such endpoints.
+        :param now: monotonic seconds.
+        :returns: the number of requests running or waiting at the endpoint.
+        """
+        fresh = max(0.0, 1.0 - (now - self.reported_at) / REPORT_SECONDS)
+        return max(float(self.in_flight), usual + (self.reported - usual) * fresh)
--- /dev/null
+++ b/walnutquay/state/requests/pace.py
@@ -0,0 +1,147 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""How long work takes at an endpoint now, estimated from the pace that it tells."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+# A figure outside these bounds is clipped, so that an absurd one costs little.
+MIN_PACE, MAX_PACE = 0.25, 4.0
+# A told pace is evidence of the moment for this long, less with its age: an endpoint's
+# pace changes several times in as many seconds.
+MOMENT_SECONDS = 0.6
+# The usual pace is the median of this many samples, one for each moment at most, so
+# that a slow moment with many answers counts once.
+USUAL_SAMPLES = 15
+# A pace that was told longer ago than this counts as missing.
+KEPT_SECONDS = 60.0
+# Observed durations correct the pace only as far as they differ from it by more than
+# this factor, because the load and the size of requests change them too.
+TOLERANCE = 1.25
+
+
+@dataclass(slots=True)
+class PaceEstimate:
+    """The pace that one endpoint told; 1 stands for its nominal speed.
+
+    :param told: the last figure, within bounds; None if there is none.
+    :param told_at: the time of the last figure; monotonic seconds.
+    :param usual: the median of the samples.
+    :param sampled_at: the time of the last sample; monotonic seconds.
+    :param samples: the last samples.
+    """
+
+    told: float | None = None
+    told_at: float = float("-inf")
+    usual: float = 1.0
+    sampled_at: float = float("-inf")
+    samples: deque[float] = field(default_factory=lambda: deque(maxlen=USUAL_SAMPLES))
+
+    def learn(self, pace: float | None, now: float) -> None:
+        """Apply what the endpoint told in an answer.
+
+        :param pace: how long work takes there, relative to its nominal time; None if
+            it does not tell.
+        :param now: monotonic seconds.
+        """
+        if pace is None or math.isnan(pace):
+            self.told = None
+            return
+        self.told = min(MAX_PACE, max(MIN_PACE, pace))
+        self.told_at = now
+        if now - self.sampled_at < MOMENT_SECONDS:
+            return
+        self.sampled_at = now
+        self.samples.append(self.told)
+        ordered = sorted(self.samples)
+        self.usual = ordered[(len(ordered) - 1) // 2]
+
+    def is_known(self, now: float) -> bool:
+        """Return whether the endpoint told its pace not too long ago.
+
+        :param now: monotonic seconds.
+        """
+        return self.told is not None and now - self.told_at <= KEPT_SECONDS
+
+    def usual_at(self, now: float) -> float:
+        """Return the usual pace; 1 if it is not known.
+
+        :param now: monotonic seconds.
+        """
+        return self.usual if self.is_known(now) else 1.0
+
+    def at(self, now: float) -> float:
+        """Return the pace of the moment; 1 if it is not known.
+
+        :param now: monotonic seconds.
+        """
+        if not self.is_known(now):
+            return 1.0
+        assert self.told is not None
+        fresh = max(0.0, 1.0 - (now - self.told_at) / MOMENT_SECONDS)
+        return self.usual + (self.told - self.usual) * fresh
+
+
+@dataclass(frozen=True, slots=True)
+class Speed:
+    """How long work takes at one endpoint, relative to the nominal time.
+
+    :param usual: for work that takes long.
+    :param moment: for work that is done at once.
+    """
+
+    usual: float
+    moment: float
+
+    def seconds(self, nominal: float) -> float:
+        """Return how long work takes that begins now.
+
+        :param nominal: its nominal time; seconds.
+        """
+        # The pace of the moment holds for the beginning of long work only.
+        usual_seconds = nominal * self.usual
+        if self.moment == self.usual:
+            return usual_seconds
+        changed = min(nominal, MOMENT_SECONDS / self.moment)
+        return usual_seconds + changed * (self.moment - self.usual)
+
+
+def correction(slowness: float) -> float:
+    """Return the factor by which observed durations correct a told pace.
+
+    :param slowness: the observed duration as a multiple of that which the told pace
+        suggests.
+    """
+    if slowness > TOLERANCE:
+        return slowness / TOLERANCE
+    return min(1.0, slowness * TOLERANCE)
+
+
+def speeds(
+    paces: Sequence[PaceEstimate], slownesses: Sequence[float], now: float
+) -> list[Speed] | None:
+    """Return the speeds of the endpoints of one service.
+
+    An endpoint that does not tell its pace counts like the mean of the others.
+
+    :param paces: what each of them told.
+    :param slownesses: the observed durations at each of them; see :func:`correction`.
+    :param now: monotonic seconds.
+    :returns: the speeds; None if no endpoint tells its pace.
+    """
+    told = [pace.usual for pace in paces if pace.is_known(now)]
+    if not told:
+        return None
+    mean = sum(told) / len(told)
+    found = []
+    for pace, slowness in zip(paces, slownesses, strict=True):
+        factor = correction(slowness)
+        if pace.is_known(now):
+            found.append(Speed(pace.usual * factor, pace.at(now) * factor))
+        else:
+            found.append(Speed(mean * factor, mean * factor))
+    return found
