Tell the choice of an endpoint the pause aim of a request

Cause: the harm that a long prompt does to running streams depends on how long a pause they bear; the placement by pace needs it. Change: one field of SlotRequest, filled from the route.

--- a/walnutquay/coordination/requests/slots.py
+++ b/walnutquay/coordination/requests/slots.py
@@ -45,6 +45,7 @@
     :param version: the version of a service's software; empty for any.
     :param work: the work of processing its prompt; None if it has no prompt.
     :param aim: the objective for the time until its answer begins; seconds.
+    :param pause: the longest acceptable pause of its stream; seconds; 0 if none.
     :param priority: its rank, where 0 is the most urgent.
     :param suspect: its fingerprint if an endpoint crashed while running it, else empty.
     :param companions: the fingerprints of the requests that were at each crash of it.
@@ -66,6 +67,7 @@
     version: str = ""
     work: PromptWork | None = None
     aim: float = 0.0
+    pause: float = 0.0
     priority: int = 0
     suspect: str = ""
     companions: frozenset[str] = frozenset()
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -156,6 +156,7 @@
             version=turn.choice.version if turn.choice is not None else "",
             work=turn.work,
             aim=arrival.route.objective_seconds,
+            pause=arrival.route.pause_seconds,
             priority=arrival.priority,
             regions=turn.regions,
         )
