Place prompts by the pace of engines and the harm to running streams

Cause: where engines are unevenly fast, long prompts on slow ones hold up the streams that run there. Change: the cost of an engine is relative to what callers expect: the time until the answer begins, the chance that streams pause too long, the slots in use and the data hall. VMs spread over engines that are equally good. Without a pace the former formula holds.

--- a/walnutquay/coordination/routed/cascading.py
+++ b/walnutquay/coordination/routed/cascading.py
@@ -182,8 +182,11 @@
             return Forecast(0.0, 0.0, cost)
         if engines is None:
             return Forecast(math.inf, 0.0, cost)
-        objective = turn.arrival.route.objective_seconds
-        return Forecast(*engines.forecast(work, objective), cost)
+        route = turn.arrival.route
+        wait, reading = engines.forecast(
+            work, route.objective_seconds, route.pause_seconds
+        )
+        return Forecast(wait, reading, cost)
 
     def _cost(self, turn: RoutedTurn, model: ModelName) -> float:
         catalogue = self.knowledge.catalogue.current
--- a/walnutquay/coordination/routed/endpointchoice.py
+++ b/walnutquay/coordination/routed/endpointchoice.py
@@ -53,7 +53,8 @@
         if not open_ones:
             return None
         service = ServiceName(need.target)
-        return self.engines(open_ones, service, now).best(work, need.aim)
+        engines = self.engines(open_ones, service, now)
+        return engines.best(work, need.aim, need.pause)
 
     def _choose_for_suspect(
         self, remaining: list[Instance], need: SlotRequest, now: float
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -8,7 +8,15 @@
 
 from walnutquay.state.process.ids import EndpointName, HallName
 from walnutquay.state.requests.endpoints import EndpointTable
+from walnutquay.state.requests.endpointstate import EndpointState
+from walnutquay.state.requests.pace import MOMENT_SECONDS, Speed
 from walnutquay.state.requests.preference import preference_scores
+from walnutquay.state.routed.enginecost import (
+    EngineLoad,
+    PromptAims,
+    choose_engine,
+    engine_costs,
+)
 from walnutquay.state.routed.work import PromptWork, WorkTable
 from walnutquay.state.store.instances import Instance
 
@@ -59,10 +67,17 @@
         self.names = [engine.name for engine in engines]
         self.is_near = [engine.hall == engine_state.hall for engine in engines]
         endpoint_states = [engine_state.table.state_of(name) for name in self.names]
+        waits = engine_state.work.waits(self.names, now)
+        # How long work takes at each engine; None if none of them tells.
+        self.speeds = engine_state.table.speeds(self.names, now)
+        self.loads: list[EngineLoad] = []
+        if self.speeds is not None:
+            self.loads = self._loads(endpoint_states, waits, self.speeds)
+            self.waits = [load.wait for load in self.loads]
+            return
         # The slowdown of each engine against its baseline, and seconds until it could
         # start to read.
         self.slow = [endpoint_state.slow_by(now) for endpoint_state in endpoint_states]
-        waits = engine_state.work.waits(self.names, now)
         self.waits = [
             (wait + endpoint_state.load(now) * SECONDS_PER_RUNNING_REQUEST) * slow
             for wait, endpoint_state, slow in zip(
@@ -70,34 +85,92 @@
             )
         ]
 
-    def best(self, prompt: PromptWork, objective: float) -> Instance:
+    def best(
+        self, prompt: PromptWork, objective: float, pause: float = 0.0
+    ) -> Instance:
         """Return the engine with the lowest cost for a prompt.
 
+        Where engines tell how fast they work, it is one of about equally good ones.
+
         :param prompt: the prompt.
         :param objective: the objective for the beginning of the answer; seconds.
+        :param pause: the longest acceptable pause of a stream; seconds; 0 if there is
+            none.
         """
-        return self.engines[self._best_index(self._readings(prompt), objective)]
-
-    def forecast(self, prompt: PromptWork, objective: float) -> tuple[float, float]:
+        nominal = self._nominal(prompt)
+        readings = self._readings(nominal)
+        if self.speeds is None:
+            return self.engines[self._best_index(readings, objective)]
+        costs = engine_costs(self.loads, readings, PromptAims(objective, pause))
+        rng = self.engine_state.table.rng
+        return self.engines[choose_engine(costs, nominal, rng)]
+
+    def forecast(
+        self, prompt: PromptWork, objective: float, pause: float = 0.0
+    ) -> tuple[float, float]:
         """Estimate the waiting and reading time of a prompt at its best engine.
 
         :param prompt: the prompt.
         :param objective: the objective for the beginning of the answer; seconds.
+        :param pause: the longest acceptable pause of a stream; seconds; 0 if there is
+            none.
         :returns: seconds until the engine starts to read the prompt, and to read it.
         """
-        readings = self._readings(prompt)
-        best = self._best_index(readings, objective)
+        readings = self._readings(self._nominal(prompt))
+        if self.speeds is None:
+            best = self._best_index(readings, objective)
+        else:
+            costs = engine_costs(self.loads, readings, PromptAims(objective, pause))
+            best = costs.index(min(costs))
         return self.waits[best], readings[best]
 
-    def _readings(self, prompt: PromptWork) -> list[float]:
-        """Return the seconds that each engine takes to read a prompt."""
-        work = self.engine_state.work
-        preferred = self._preferred(prompt.beginning)
-        baseline = work.readings(
-            self.names, prompt, self.now, preferred, self.kept_seconds
+    def _loads(
+        self,
+        endpoint_states: list[EndpointState],
+        waits: list[float],
+        speeds: list[Speed],
+    ) -> list[EngineLoad]:
+        """Return what is known of each engine; waits are at its usual speed."""
+        now = self.now
+        mean = sum(state.load(now) for state in endpoint_states) / len(endpoint_states)
+        hall_cost = OTHER_HALL_WAIT_SHARE**2
+        loads = []
+        for engine, is_near, state, wait, speed in zip(
+            self.engines, self.is_near, endpoint_states, waits, speeds, strict=True
+        ):
+            running = state.faded_load(mean, now)
+            # The moment's pace holds for the beginning of the wait only.
+            slowed = min(wait, MOMENT_SECONDS) * (speed.moment / speed.usual - 1.0)
+            step_delay = running * SECONDS_PER_RUNNING_REQUEST * speed.moment
+            loads.append(
+                EngineLoad(
+                    max(0.0, wait + slowed) + step_delay,
+                    running,
+                    (running + 1.0) * speed.usual / engine.slots,
+                    0.0 if is_near else hall_cost,
+                )
+            )
+        return loads
+
+    def _nominal(self, prompt: PromptWork) -> list[float]:
+        """Return the seconds in which each engine reads a prompt at nominal speed."""
+        return self.engine_state.work.readings(
+            self.names,
+            prompt,
+            self.now,
+            self._preferred(prompt.beginning),
+            self.kept_seconds,
         )
+
+    def _readings(self, nominal: list[float]) -> list[float]:
+        """Return the seconds that each engine takes to read a prompt."""
+        if self.speeds is not None:
+            return [
+                speed.seconds(seconds)
+                for seconds, speed in zip(nominal, self.speeds, strict=True)
+            ]
         return [
-            seconds * slow for seconds, slow in zip(baseline, self.slow, strict=True)
+            seconds * slow for seconds, slow in zip(nominal, self.slow, strict=True)
         ]
 
     def _preferred(self, beginning: str) -> set[EndpointName]:
