Count reading work in seconds at the pace of its engine

Cause: queued work was counted at one speed for all engines. Change: three lines of the admission: prompts sent count at the usual pace of the engine, also in the messages to other VMs, and rates are learnt at the nominal one.

--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -191,7 +191,9 @@
         service = ServiceName(need.target)
         kept = self.kept_seconds(service, now)
         wait = self.work.wait(grant.name, now)
-        seconds = self.work.reading(grant.name, work, now, False, kept)
+        # How long it takes there, also for the VMs that are told.
+        pace = self.table.state_of(grant.name).usual_pace(now)
+        seconds = self.work.reading(grant.name, work, now, False, kept) * pace
         cached = self.work.has_cached(grant.name, work.beginning, now, kept)
         position = self.work.add(grant.name, seconds, work.beginning, now)
         name = EndpointName(grant.name)
@@ -276,7 +278,9 @@
         pending = self.pending_prompts.get(id(grant))
         if pending is None:
             return 0.0
-        return pending.wait + pending.work.tokens * self.work.rate(pending.work.model)
+        pace = self.table.state_of(grant.name).usual_pace(monotonic())
+        reading = pending.work.tokens * self.work.rate(pending.work.model)
+        return pending.wait + reading * pace
 
     def on_answer(self, grant: Grant, head: AnswerHead) -> None:
         """Learn what an endpoint tells of itself in the head of an answer.
@@ -310,7 +314,8 @@
         if all(other.seconds <= pending.seconds for other in others):
             self.work.record_read(pending.engine, pending.position, monotonic())
         if pending.wait <= 0 and not pending.cached:
-            self.work.learn(pending.work.model, pending.work.tokens, seconds)
+            pace = self.table.state_of(grant.name).told_pace.at(monotonic())
+            self.work.learn(pending.work.model, pending.work.tokens, seconds / pace)
 
     def _engines(
         self, engines: list[Instance], service: ServiceName, now: float
