Trust told paces only while prompts are read accordingly

Cause: paces that are inverted or absurd made placement worse than none. Change: the slope of reading times (durations of answers where nothing is read) against told paces decides for each service whether paces are used. Paces that do not tell endpoints apart leave the former choice.

--- a/walnutquay/state/requests/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -13,7 +13,7 @@
 from walnutquay.state.process.ids import EndpointName, LeavingSource
 from walnutquay.state.requests.durations import SLOW_FACTOR, DurationTable
 from walnutquay.state.requests.endpointstate import EndpointState
-from walnutquay.state.requests.pace import Speed, speeds
+from walnutquay.state.requests.pace import PaceTrust, Speed, speeds
 from walnutquay.state.store.parts import Endpoint
 
 # An endpoint is ejected for a while after this many consecutive failures.
@@ -75,6 +75,10 @@
         self.states: defaultdict[str, EndpointState] = defaultdict(EndpointState)
         # The baseline duration of each kind of work, over all endpoints.
         self.durations = DurationTable()
+        # The same, had all endpoints worked at the nominal pace.
+        self.nominal_durations = DurationTable()
+        # Whether the paces that endpoints of each version or service tell are right.
+        self.pace_trusts: dict[str, PaceTrust] = {}
         # The last time at which any endpoint of each version or service answered.
         self.answered_at: dict[str, float] = {}
 
@@ -163,14 +167,49 @@
         state.ejections = 0
         if not kind:
             return
-        self.answered_at[kind.partition(KIND_SEPARATOR)[0]] = now
-        # Durations are compared at the nominal pace, so that what remains shows where
-        # the told pace is wrong.
-        nominal = seconds / state.told_pace.at(now)
-        ratio = self.durations.ratio(kind, nominal)
+        target = kind.partition(KIND_SEPARATOR)[0]
+        self.answered_at[target] = now
+        ratio = self._duration_ratio(state, target, kind, seconds, now)
         if ratio is not None:
             state.learn_speed(min(ratio, FAILED_RATIO), now)
-        self.durations.learn(kind, nominal)
+
+    def _duration_ratio(
+        self, state: EndpointState, target: str, kind: str, seconds: float, now: float
+    ) -> float | None:
+        """Learn a duration, and return it as a multiple of the baseline.
+
+        What the endpoint's pace explains is not included in the ratio.
+        """
+        ratio = self.durations.ratio(kind, seconds)
+        self.durations.learn(kind, seconds)
+        pace = state.told_pace.at(now)
+        nominal = self.nominal_durations.ratio(kind, seconds / pace)
+        self.nominal_durations.learn(kind, seconds / pace)
+        if not state.told_pace.is_known(now):
+            return ratio
+        state.pace_trust = self.pace_trusts.setdefault(target, PaceTrust())
+        if ratio is not None and not state.pace_trust.from_readings:
+            state.pace_trust.learn(pace, ratio)
+        return nominal if state.pace_trust.holds else ratio
+
+    def learn_reading(
+        self, name: EndpointName, target: str, ratio: float, now: float
+    ) -> None:
+        """Compare how long an engine read a prompt with the pace that it tells.
+
+        :param name: the engine, with no other known work.
+        :param target: its version or service.
+        :param ratio: the time until the answer began, as a multiple of that in which
+            such a prompt is read.
+        :param now: monotonic seconds.
+        """
+        state = self.state_of(name)
+        if ratio <= 0.0 or not state.told_pace.is_known(now):
+            return
+        trust = self.pace_trusts.setdefault(target, PaceTrust())
+        trust.from_readings = True
+        trust.learn(state.told_pace.at(now), ratio)
+        state.pace_trust = trust
 
     def failed(self, name: EndpointName, now: float, target: str = "") -> None:
         """Record a failure, and eject the endpoint after several consecutive ones.
@@ -294,9 +333,7 @@
         :returns: their speeds; None if no endpoint tells its pace.
         """
         states = [self.states[name] for name in names]
-        paces = [state.told_pace for state in states]
-        if not any(pace.is_known(now) for pace in paces):
-            return None
+        paces = [state.told_pace if state.has_pace(now) else None for state in states]
         return speeds(paces, [state.slow_by(now) for state in states], now)
 
     def _preferred_endpoint(
--- a/walnutquay/state/requests/endpointstate.py
+++ b/walnutquay/state/requests/endpointstate.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from walnutquay.state.process.ids import LeavingSource
-from walnutquay.state.requests.pace import PaceEstimate, correction
+from walnutquay.state.requests.pace import PaceEstimate, PaceTrust, correction
 
 # A report older than this is no evidence of the current load.
 REPORT_SECONDS = 5.0
@@ -44,6 +44,7 @@
     reported_at: float = float("-inf")
     pace: float | None = None
     told_pace: PaceEstimate = field(default_factory=PaceEstimate)
+    pace_trust: PaceTrust | None = None
     failures: int = 0
     ejected_until: float = float("-inf")
     ejected_at: float = float("-inf")
@@ -85,13 +86,30 @@
         self.slowness = slowness + SPEED_WEIGHT * (ratio - slowness)
         self.slowness_at = now
 
+    def has_pace(self, now: float) -> bool:
+        """Return whether the endpoint tells its pace, which is likely to be right.
+
+        :param now: monotonic seconds.
+        """
+        if self.pace_trust is not None and not self.pace_trust.holds:
+            return False
+        return self.told_pace.is_known(now)
+
+    def moment_pace(self, now: float) -> float:
+        """Estimate how long work takes there now, relative to its nominal time.
+
+        :param now: monotonic seconds.
+        :returns: the ratio; 1 if the endpoint does not tell its pace.
+        """
+        return self.told_pace.at(now) if self.has_pace(now) else 1.0
+
     def usual_pace(self, now: float) -> float:
         """Estimate how long work usually takes there, relative to its nominal time.
 
         :param now: monotonic seconds.
         :returns: the ratio; 1 if the endpoint does not tell its pace.
         """
-        if not self.told_pace.is_known(now):
+        if not self.has_pace(now):
             return 1.0
         return self.told_pace.usual * correction(self.slow_by(now))
 
--- a/walnutquay/state/requests/pace.py
+++ b/walnutquay/state/requests/pace.py
@@ -22,6 +22,16 @@
 # Observed durations correct the pace only as far as they differ from it by more than
 # this factor, because the load and the size of requests change them too.
 TOLERANCE = 1.25
+# The paces of a service are used while they explain at least this part of what they
+# would if they were right; more than chance shows, less than load may hide.
+MIN_EXPLAINED = 0.25
+# The weight that an answer keeps with each later one, so that some hundreds decide.
+KEPT_WEIGHT = 0.998
+# Paces count as right at first, with the weight of a dozen answers: fewer do not tell a
+# wrong pace from requests that differ.
+FIRST_WEIGHT = 3.0
+# A longer or shorter duration is no better evidence than this logarithm of its ratio.
+MAX_LOG_RATIO = 1.0
 
 
 @dataclass(slots=True)
@@ -67,13 +77,6 @@
         """
         return self.told is not None and now - self.told_at <= KEPT_SECONDS
 
-    def usual_at(self, now: float) -> float:
-        """Return the usual pace; 1 if it is not known.
-
-        :param now: monotonic seconds.
-        """
-        return self.usual if self.is_known(now) else 1.0
-
     def at(self, now: float) -> float:
         """Return the pace of the moment; 1 if it is not known.
 
@@ -86,6 +89,46 @@
         return self.usual + (self.told - self.usual) * fresh
 
 
+@dataclass(slots=True)
+class PaceTrust:
+    """Whether the paces that a service's endpoints tell explain how long answers take.
+
+    It is the slope of a linear regression of the logarithm of durations on that of
+    paces: 1 where the paces are right, 0 where they say nothing, less where they
+    mislead.
+
+    :param mean: the mean logarithm of the paces.
+    :param product: the weighted sum of the products of both logarithms.
+    :param square: the weighted sum of the squared logarithms of paces.
+    :param from_readings: whether the durations are those of reading prompts at engines
+        with no other known work, which say more than those of whole answers.
+    """
+
+    mean: float = 0.0
+    product: float = FIRST_WEIGHT
+    square: float = FIRST_WEIGHT
+    from_readings: bool = False
+
+    def learn(self, pace: float, ratio: float) -> None:
+        """Learn from an answer.
+
+        :param pace: the pace that its endpoint told.
+        :param ratio: its duration as a multiple of the usual one of its kind.
+        """
+        log_pace = math.log(pace)
+        self.mean += (1.0 - KEPT_WEIGHT) * (log_pace - self.mean)
+        relative = log_pace - self.mean
+        log_ratio = math.log(max(ratio, math.exp(-MAX_LOG_RATIO)))
+        log_ratio = min(MAX_LOG_RATIO, log_ratio)
+        self.product = KEPT_WEIGHT * self.product + relative * log_ratio
+        self.square = KEPT_WEIGHT * self.square + relative * relative
+
+    @property
+    def holds(self) -> bool:
+        """Whether the paces are used."""
+        return self.product > MIN_EXPLAINED * self.square
+
+
 @dataclass(frozen=True, slots=True)
 class Speed:
     """How long work takes at one endpoint, relative to the nominal time.
@@ -122,26 +165,32 @@
 
 
 def speeds(
-    paces: Sequence[PaceEstimate], slownesses: Sequence[float], now: float
+    paces: Sequence[PaceEstimate | None], slownesses: Sequence[float], now: float
 ) -> list[Speed] | None:
     """Return the speeds of the endpoints of one service.
 
     An endpoint that does not tell its pace counts like the mean of the others.
 
-    :param paces: what each of them told.
+    :param paces: what each of them told; None where it does not tell.
     :param slownesses: the observed durations at each of them; see :func:`correction`.
     :param now: monotonic seconds.
-    :returns: the speeds; None if no endpoint tells its pace.
+    :returns: the speeds; None if the paces do not tell endpoints apart.
     """
-    told = [pace.usual for pace in paces if pace.is_known(now)]
+    told = [pace.usual for pace in paces if pace is not None]
     if not told:
         return None
+    moments = [1.0 if pace is None else pace.at(now) for pace in paces]
+    present = [
+        moment for moment, pace in zip(moments, paces, strict=True) if pace is not None
+    ]
+    if max(*told, *present) <= TOLERANCE * min(*told, *present):
+        return None
     mean = sum(told) / len(told)
     found = []
-    for pace, slowness in zip(paces, slownesses, strict=True):
+    for pace, moment, slowness in zip(paces, moments, slownesses, strict=True):
         factor = correction(slowness)
-        if pace.is_known(now):
-            found.append(Speed(pace.usual * factor, pace.at(now) * factor))
-        else:
+        if pace is None:
             found.append(Speed(mean * factor, mean * factor))
+        else:
+            found.append(Speed(pace.usual * factor, moment * factor))
     return found
