Compare reading times at idle engines with told paces

Cause: the trust in paces needs evidence without the waits of other prompts. Change: the admission tells the endpoint table the reading time of a prompt at an engine with no other known work, as it already does for reading rates.

--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -36,7 +36,7 @@
 from walnutquay.state.requests.regions import filter_by_region
 from walnutquay.state.routed.modelchoice import Demand, priority_weight
 from walnutquay.state.routed.traffic import PromptTraffic, SentPrompt
-from walnutquay.state.routed.work import WorkTable
+from walnutquay.state.routed.work import MIN_SAMPLE_TOKENS, PromptWork, WorkTable
 from walnutquay.state.store.instances import Instance, InstanceRegistry
 from walnutquay.transport.timers import monotonic
 
@@ -314,8 +314,18 @@
         if all(other.seconds <= pending.seconds for other in others):
             self.work.record_read(pending.engine, pending.position, monotonic())
         if pending.wait <= 0 and not pending.cached:
-            pace = self.table.state_of(grant.name).told_pace.at(monotonic())
-            self.work.learn(pending.work.model, pending.work.tokens, seconds / pace)
+            self._learn_reading(grant, pending.work, seconds)
+
+    def _learn_reading(self, grant: Grant, work: PromptWork, seconds: float) -> None:
+        """Learn from a prompt that an engine read with no other known work."""
+        now = monotonic()
+        usual = work.tokens * self.work.rate(work.model)
+        if usual > 0.0 and work.tokens >= MIN_SAMPLE_TOKENS:
+            assert isinstance(grant.endpoint, Instance)
+            name, service = EndpointName(grant.name), grant.endpoint.service
+            self.table.learn_reading(name, service, seconds / usual, now)
+        pace = self.table.state_of(grant.name).moment_pace(now)
+        self.work.learn(work.model, work.tokens, seconds / pace)
 
     def _engines(
         self, engines: list[Instance], service: ServiceName, now: float
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -68,7 +68,7 @@
         self.is_near = [engine.hall == engine_state.hall for engine in engines]
         endpoint_states = [engine_state.table.state_of(name) for name in self.names]
         waits = engine_state.work.waits(self.names, now)
-        # How long work takes at each engine; None if none of them tells.
+        # How long work takes at each engine; None if they do not tell.
         self.speeds = engine_state.table.speeds(self.names, now)
         self.loads: list[EngineLoad] = []
         if self.speeds is not None:
