Choose among engines that tell their pace in fewer steps

Cause: choosing is on the path of each request. Change: speeds are taken from the states at once, and the waits of engines without queued work need no arithmetic. One more test: a new stream avoids queued readings.

--- a/tests/coordination/routed/test_promptengines_pace.py
+++ b/tests/coordination/routed/test_promptengines_pace.py
@@ -335,6 +335,19 @@
         vm.work.add(near[1].name, 1.0, "", 100.0)
         self.assertIs(vm.choose(PromptWork("small", 900, "", 0), 100.0), near[2])
 
+    def test_stream_avoids_the_pauses_that_queued_readings_make(self):
+        prompt = PromptWork("small", 900, "", 0)
+        for number in range(20):
+            vm = self.vm(number)
+            near = [place for place in self.places if place.hall == vm.state.hall]
+            far = next(place for place in self.places if place.hall != vm.state.hall)
+            self.tell(vm, near[0], FAST, 99.0)
+            vm.work.add(near[0].name, 10.0, "", 100.0)
+            # A wait that the objective bears, but a pause that may be too long.
+            vm.work.add(near[1].name, 0.55 * PAUSE_AIM, "", 100.0)
+            vm.engines = [*near[:2], far]
+            self.assertIs(vm.choose(prompt, 100.0), far)
+
     def test_other_hall_is_used_when_this_one_is_much_busier(self):
         prompt = PromptWork("small", 900, "", 0)
         for load, is_near in ((12, True), (44, False)):
--- a/walnutquay/coordination/routed/promptengines.py
+++ b/walnutquay/coordination/routed/promptengines.py
@@ -8,7 +8,7 @@
 
 from walnutquay.state.process.ids import EndpointName, HallName
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.requests.endpointstate import EndpointState
+from walnutquay.state.requests.endpointstate import EndpointState, endpoint_speeds
 from walnutquay.state.requests.pace import MOMENT_SECONDS, Speed
 from walnutquay.state.requests.preference import preference_scores
 from walnutquay.state.routed.enginecost import (
@@ -69,7 +69,7 @@
         endpoint_states = [engine_state.table.state_of(name) for name in self.names]
         waits = engine_state.work.waits(self.names, now)
         # How long work takes at each engine; None if they do not tell.
-        self.speeds = engine_state.table.speeds(self.names, now)
+        self.speeds = endpoint_speeds(endpoint_states, now)
         self.loads: list[EngineLoad] = []
         if self.speeds is not None:
             self.loads = self._loads(endpoint_states, waits, self.speeds)
@@ -132,19 +132,22 @@
     ) -> list[EngineLoad]:
         """Return what is known of each engine; waits are at its usual speed."""
         now = self.now
-        mean = sum(state.load(now) for state in endpoint_states) / len(endpoint_states)
+        known = [state.load(now) for state in endpoint_states]
+        mean = sum(known) / len(known)
         hall_cost = OTHER_HALL_WAIT_SHARE**2
         loads = []
         for engine, is_near, state, wait, speed in zip(
             self.engines, self.is_near, endpoint_states, waits, speeds, strict=True
         ):
             running = state.faded_load(mean, now)
-            # The moment's pace holds for the beginning of the wait only.
-            slowed = min(wait, MOMENT_SECONDS) * (speed.moment / speed.usual - 1.0)
+            if wait and speed.moment != speed.usual:
+                # The moment's pace holds for the beginning of the wait only.
+                slowed = min(wait, MOMENT_SECONDS) * (speed.moment / speed.usual - 1.0)
+                wait = max(0.0, wait + slowed)
             step_delay = running * SECONDS_PER_RUNNING_REQUEST * speed.moment
             loads.append(
                 EngineLoad(
-                    max(0.0, wait + slowed) + step_delay,
+                    wait + step_delay,
                     running,
                     (running + 1.0) * speed.usual / engine.slots,
                     0.0 if is_near else hall_cost,
--- a/walnutquay/state/requests/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -12,8 +12,8 @@
 
 from walnutquay.state.process.ids import EndpointName, LeavingSource
 from walnutquay.state.requests.durations import SLOW_FACTOR, DurationTable
-from walnutquay.state.requests.endpointstate import EndpointState
-from walnutquay.state.requests.pace import PaceTrust, Speed, speeds
+from walnutquay.state.requests.endpointstate import EndpointState, endpoint_speeds
+from walnutquay.state.requests.pace import PaceTrust
 from walnutquay.state.store.parts import Endpoint
 
 # An endpoint is ejected for a while after this many consecutive failures.
@@ -314,7 +314,8 @@
             if preferred is not None:
                 return preferred
         pair = self.rng.sample(accepting, min(2, len(accepting)))
-        found = self.speeds([endpoint.name for endpoint in accepting], now)
+        states = [self.states[endpoint.name] for endpoint in accepting]
+        found = endpoint_speeds(states, now)
         if found is None:
             return min(pair, key=lambda endpoint: self._weighted_load(endpoint, now))
         factors = {
@@ -325,17 +326,6 @@
             pair, key=lambda item: self._weighted_load(item, now, factors[item.name])
         )
 
-    def speeds(self, names: Iterable[str], now: float) -> list[Speed] | None:
-        """Return how long work takes at the endpoints of one version or service.
-
-        :param names: the endpoints.
-        :param now: monotonic seconds.
-        :returns: their speeds; None if no endpoint tells its pace.
-        """
-        states = [self.states[name] for name in names]
-        paces = [state.told_pace if state.has_pace(now) else None for state in states]
-        return speeds(paces, [state.slow_by(now) for state in states], now)
-
     def _preferred_endpoint(
         self, endpoints: list[Endpoint], prefix: str, now: float
     ) -> Endpoint | None:
--- a/walnutquay/state/requests/endpointstate.py
+++ b/walnutquay/state/requests/endpointstate.py
@@ -5,10 +5,17 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from walnutquay.state.process.ids import LeavingSource
-from walnutquay.state.requests.pace import PaceEstimate, PaceTrust, correction
+from walnutquay.state.requests.pace import (
+    PaceEstimate,
+    PaceTrust,
+    Speed,
+    correction,
+    speeds,
+)
 
 # A report older than this is no evidence of the current load.
 REPORT_SECONDS = 5.0
@@ -130,5 +137,23 @@
         :param now: monotonic seconds.
         :returns: the number of requests running or waiting at the endpoint.
         """
-        fresh = max(0.0, 1.0 - (now - self.reported_at) / REPORT_SECONDS)
-        return max(float(self.in_flight), usual + (self.reported - usual) * fresh)
+        age = now - self.reported_at
+        if age < REPORT_SECONDS:
+            usual += (self.reported - usual) * (1.0 - age / REPORT_SECONDS)
+        return usual if usual > self.in_flight else float(self.in_flight)
+
+
+def endpoint_speeds(states: Sequence[EndpointState], now: float) -> list[Speed] | None:
+    """Return how long work takes at the endpoints of one version or service.
+
+    :param states: the endpoints.
+    :param now: monotonic seconds.
+    :returns: their speeds; None if they do not tell their paces, or not rightly.
+    """
+    paces = [
+        state.told_pace if state.pace is not None and state.has_pace(now) else None
+        for state in states
+    ]
+    if not any(paces):
+        return None
+    return speeds(paces, [state.slow_by(now) for state in states], now)
--- a/walnutquay/state/requests/pace.py
+++ b/walnutquay/state/requests/pace.py
@@ -84,8 +84,18 @@
         """
         if not self.is_known(now):
             return 1.0
+        return self.known_at(now)
+
+    def known_at(self, now: float) -> float:
+        """Return the pace of the moment, which is known.
+
+        :param now: monotonic seconds.
+        """
         assert self.told is not None
-        fresh = max(0.0, 1.0 - (now - self.told_at) / MOMENT_SECONDS)
+        age = now - self.told_at
+        if age >= MOMENT_SECONDS:
+            return self.usual
+        fresh = 1.0 - age / MOMENT_SECONDS
         return self.usual + (self.told - self.usual) * fresh
 
 
@@ -129,7 +139,7 @@
         return self.product > MIN_EXPLAINED * self.square
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Speed:
     """How long work takes at one endpoint, relative to the nominal time.
 
@@ -179,18 +189,15 @@
     told = [pace.usual for pace in paces if pace is not None]
     if not told:
         return None
-    moments = [1.0 if pace is None else pace.at(now) for pace in paces]
-    present = [
-        moment for moment, pace in zip(moments, paces, strict=True) if pace is not None
-    ]
-    if max(*told, *present) <= TOLERANCE * min(*told, *present):
-        return None
     mean = sum(told) / len(told)
-    found = []
-    for pace, moment, slowness in zip(paces, moments, slownesses, strict=True):
-        factor = correction(slowness)
-        if pace is None:
-            found.append(Speed(mean * factor, mean * factor))
-        else:
-            found.append(Speed(pace.usual * factor, moment * factor))
-    return found
+    usual = [mean if pace is None else pace.usual for pace in paces]
+    moments = [mean if pace is None else pace.known_at(now) for pace in paces]
+    lowest, highest = min(*usual, *moments), max(*usual, *moments)
+    if highest <= TOLERANCE * lowest:
+        return None
+    return [
+        Speed(pace * factor, moment * factor)
+        for pace, moment, factor in zip(
+            usual, moments, map(correction, slownesses), strict=True
+        )
+    ]
--- a/walnutquay/state/routed/enginecost.py
+++ b/walnutquay/state/routed/enginecost.py
@@ -27,7 +27,7 @@
 MAX_EQUAL = 8
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class EngineLoad:
     """What is known of one engine, whichever prompt it is sent.
 
@@ -63,7 +63,7 @@
     """
     if pause <= 0.0:
         return 0.0
-    return min(1.0, queued / pause) ** HARM_POWER
+    return 1.0 if queued >= pause else (queued / pause) ** HARM_POWER
 
 
 def engine_costs(
