Decide who gets the scarce slots of a service

Requests are sent as soon as they are read, so nothing orders or refuses them. Adds the pure decisions: order, shares, forecasts, refusals and times to return.

--- /dev/null
+++ b/walnutquay/state/routed/slotdemand.py
@@ -0,0 +1,231 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""When a request's turn is forecast to come, and what its organisation may expect.
+
+Answers lasting overload: what cannot be served is known as it arrives.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from walnutquay.state.process.ids import OrganisationName
+from walnutquay.state.routed.slotforecast import DecayingRate, clip
+from walnutquay.state.routed.slotorder import (
+    MAX_RANK,
+    MAX_WEIGHT,
+    MIN_WEIGHT,
+    RESERVE_INTERVAL,
+    SlotOrder,
+    Waiting,
+)
+from walnutquay.state.routed.slotrooms import SlotRooms
+
+# A request waits only if its turn is forecast within this part of the time that it
+# has: work varies, and nothing is to be held and then not served.
+TRUSTED_SHARE = 0.8
+# Late work is held only where at least this part of the room is left by all that can
+# be in time.
+LATE_ROOM_SHARE = 0.1
+# An organisation that asked for less than this a second is not active.
+IDLE_RATE = 1e-3
+# The room changes with each report, and each forecast needs it; it is calculated this
+# often at most.
+CAPACITY_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """When a request's turn is forecast to come.
+
+    :param seconds: until its turn.
+    :param returned_seconds: until its turn, if its caller returned as told.
+    :param late_seconds: until its turn behind all that can be in time; None where
+        there is no room for late work.
+    :param rate: the work that its rank gets done in a second.
+    :param organisation_rate: the work that its organisation gets done of that.
+    """
+
+    seconds: float
+    returned_seconds: float
+    late_seconds: float | None
+    rate: float
+    organisation_rate: float
+
+
+@dataclass(slots=True)
+class Demand:
+    """What one organisation asks for.
+
+    :param weight: its share, relative to others.
+    :param asked: the work that it asked for lately.
+    """
+
+    weight: float
+    asked: DecayingRate
+
+
+class SlotDemand:
+    """Demand and room of one service.
+
+    :param order: what waits.
+    :param rooms: the endpoints.
+    """
+
+    def __init__(self, order: SlotOrder, rooms: SlotRooms) -> None:
+        self.order = order
+        self.rooms = rooms
+        self.demands: dict[OrganisationName, Demand] = {}
+        self.asked = DecayingRate()
+        self.weights = 0.0
+        self.known_capacity = 0.0
+        self.capacity_at: float | None = None
+
+    def capacity(self, now: float) -> float:
+        """Return the work that endpoints do in a second, as of a moment ago.
+
+        :param now: monotonic seconds.
+        """
+        if self.capacity_at is None or now - self.capacity_at >= CAPACITY_SECONDS:
+            self.known_capacity = self.rooms.capacity(now)
+            self.capacity_at = now
+        return self.known_capacity
+
+    def add(
+        self, name: OrganisationName, weight: float, work: float, now: float
+    ) -> None:
+        """Count a request that arrives.
+
+        :param name: its organisation.
+        :param weight: the organisation's share.
+        :param work: how long it takes; seconds.
+        :param now: monotonic seconds.
+        """
+        weight = clip(weight, MIN_WEIGHT, MAX_WEIGHT)
+        demand = self.demands.get(name)
+        if demand is None:
+            demand = self.demands[name] = Demand(0.0, DecayingRate())
+        self.weights += weight - demand.weight
+        demand.weight = weight
+        demand.asked.add(work, now)
+        self.asked.add(work, now)
+
+    def remove_idle(self, now: float) -> None:
+        """Remove organisations that ask for nothing.
+
+        :param now: monotonic seconds.
+        """
+        for name, demand in list(self.demands.items()):
+            if demand.asked.per_second(now) < IDLE_RATE:
+                del self.demands[name]
+        self.weights = sum(demand.weight for demand in self.demands.values())
+
+    def is_over_share(self, name: OrganisationName, now: float) -> bool:
+        """Return whether an organisation asks for more than its share.
+
+        :param name: the organisation.
+        :param now: monotonic seconds.
+        """
+        demand = self.demands.get(name)
+        if demand is None or len(self.demands) < 2:
+            return False
+        share = demand.weight / max(self.weights, demand.weight)
+        return demand.asked.per_second(now) > share * self.capacity(now)
+
+    def rank(self, priority: int, name: OrganisationName, now: float) -> int:
+        """Return the rank in which a request waits.
+
+        Answers one organisation that asks for many times its usual.  What others ask
+        within their shares goes with the most urgent then, or the urgent work of one
+        would leave the others nothing.
+
+        :param priority: the request's priority.
+        :param name: its organisation.
+        :param now: monotonic seconds.
+        """
+        priority = min(MAX_RANK, max(0, priority))
+        is_short = self.asked.per_second(now) > self.capacity(now)
+        if priority and is_short and len(self.demands) > 1:
+            return priority if self.is_over_share(name, now) else 0
+        return priority
+
+    def residual(self, now: float) -> float:
+        """Return the seconds until a slot is free for what goes first.
+
+        :param now: monotonic seconds.
+        """
+        if self.rooms.has_free_slot((), now):
+            return 0.0
+        ahead = 1.0 + self.rooms.excess(now)
+        return ahead * self.rooms.work / max(self.capacity(now), 1e-3)
+
+    def rank_rate(self, number: int, now: float) -> float:
+        """Return the work that requests of a rank get done in a second.
+
+        :param number: the rank.
+        :param now: monotonic seconds.
+        """
+        capacity = self.capacity(now)
+        reserve = capacity / RESERVE_INTERVAL
+        urgent = sum(
+            self.order.ranks[other].granted.per_second(now)
+            for other in self.order.sorted_ranks
+            if other < number
+        )
+        return max(capacity - reserve - urgent, reserve, 1e-3)
+
+    def late_rate(self, number: int, now: float) -> float:
+        """Return the work that is done in a second of what is late.
+
+        :param number: the rank.
+        :param now: monotonic seconds.
+        :returns: 0 where there is no room for it.
+        """
+        granted = self.order.rank(number).granted.per_second(now)
+        left = self.rank_rate(number, now) - granted
+        return left if left > LATE_ROOM_SHARE * self.capacity(now) else 0.0
+
+    def ahead(self, waiting: Waiting) -> float:
+        """Return the work that goes before a new request in its rank.
+
+        :param waiting: the request.
+        """
+        rank = self.order.rank(waiting.rank)
+        name = waiting.request.organisation
+        own = self.order.queue(waiting.rank, name)
+        turn = max(own.tag, rank.virtual_time) + own.work / own.weight
+        work = own.work
+        for other in rank.queues.values():
+            if other is not own and other.tag < turn and other.work > 0.0:
+                work += min(other.work, (turn - other.tag) * other.weight)
+        return work
+
+    def turn(self, waiting: Waiting, now: float) -> Turn:
+        """Forecast a request's turn.
+
+        :param waiting: a request that has not been added.
+        :param now: monotonic seconds.
+        """
+        rank = self.order.rank(waiting.rank)
+        urgent = sum(
+            self.order.ranks[other].work + self.order.ranks[other].late_work
+            for other in self.order.sorted_ranks
+            if other < waiting.rank
+        )
+        rate = self.rank_rate(waiting.rank, now)
+        first = self.residual(now) + urgent / rate
+        late_rate = self.late_rate(waiting.rank, now)
+        late = None
+        if late_rate > 0.0:
+            late = first + (rank.work + rank.late_work) / late_rate
+        queue = self.order.queue(waiting.rank, waiting.request.organisation)
+        others = rank.granted.per_second(now) - queue.granted.per_second(now)
+        weight = clip(waiting.request.weight, MIN_WEIGHT, MAX_WEIGHT)
+        share = rate * weight / max(self.weights, weight)
+        return Turn(
+            seconds=first + self.ahead(waiting) / rate,
+            returned_seconds=first,
+            late_seconds=late,
+            rate=rate,
+            organisation_rate=max(share, rate - others),
+        )
--- /dev/null
+++ b/walnutquay/state/routed/slotforecast.py
@@ -0,0 +1,229 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""How long work takes, how much of it is asked for, and what endpoints bear.
+
+Answers the loads in which routes differ a hundredfold in their work, and endpoints in
+their speed from one moment to the next.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from walnutquay.state.process.ids import EndpointName, RouteName
+from walnutquay.state.routed.slottypes import EndpointLoad, SlotKey
+
+# A pace changes many times a second: after this time it says nothing any more.
+PACE_SECONDS = 0.6
+# A pace outside of these bounds is more likely wrong than true; callers would pay for
+# it with an endpoint that is left idle or flooded.
+MIN_PACE, MAX_PACE = 0.25, 4.0
+# The weight of a told pace in the endpoint's usual one.
+USUAL_PACE_WEIGHT = 0.01
+# The weight of an answer in what its route's work takes: a shift of the mix is followed
+# within some ten answers.
+WORK_WEIGHT = 0.1
+MIN_WORK_SECONDS, MAX_WORK_SECONDS = 0.001, 600.0
+# The work that is assumed of a route without answers, relative to its callers' aim.
+UNKNOWN_WORK_SHARE = 0.25
+UNKNOWN_WORK_SECONDS = (0.01, 1.0)
+# More routes than this are not kept apart: memory stays bounded.
+MAX_ROUTES = 1000
+# Demand is measured over about this time; a burst is followed within seconds.
+RATE_SECONDS = 1.5
+# One request beyond the slots waits at an endpoint, so that a slot is not idle while a
+# message passes; more would wait where nobody can order them.
+EXTRA_REQUESTS = 1
+# Nothing is sent to an endpoint for this time after it had no room.
+REJECTED_SECONDS = 0.1
+# What an endpoint told counts for at least this time, and for as long as work takes.
+TOLD_SECONDS = 0.6
+
+
+def clip(value: float, low: float, high: float) -> float:
+    """Return a value within bounds.
+
+    :param value: any number.
+    :param low: the lower bound.
+    :param high: the upper bound.
+    """
+    return min(high, max(low, value))
+
+
+class DecayingRate:
+    """A rate over the last moments, from single amounts."""
+
+    __slots__ = ("began_at", "changed_at", "total")
+
+    def __init__(self) -> None:
+        self.total = 0.0
+        self.changed_at = 0.0
+        self.began_at: float | None = None
+
+    def add(self, amount: float, now: float) -> None:
+        """Add an amount.
+
+        :param amount: how much.
+        :param now: monotonic seconds.
+        """
+        if self.began_at is None:
+            self.began_at = self.changed_at = now
+        self.total = self._faded(now) + amount
+        self.changed_at = max(now, self.changed_at)
+
+    def per_second(self, now: float) -> float:
+        """Return the amount a second.
+
+        :param now: monotonic seconds.
+        """
+        if self.began_at is None:
+            return 0.0
+        # A rate that began lately has been counted for a part of the time only.
+        age = max(now - self.began_at, RATE_SECONDS / 4.0)
+        covered = 1.0 - math.exp(-age / RATE_SECONDS)
+        return self._faded(now) / (RATE_SECONDS * covered)
+
+    def _faded(self, now: float) -> float:
+        """Return what remains of the amounts."""
+        return self.total * math.exp(-max(0.0, now - self.changed_at) / RATE_SECONDS)
+
+
+class WorkTimes:
+    """How long the work of each route takes at the usual pace."""
+
+    def __init__(self) -> None:
+        self.seconds: dict[RouteName, float] = {}
+        # The mean over all routes, for those without answers; None without any.
+        self.mean: float | None = None
+
+    def learn(self, route: RouteName, seconds: float, pace: float) -> None:
+        """Learn from an answer.
+
+        :param route: the route of the request.
+        :param seconds: how long it was at its endpoint; ignored unless positive.
+        :param pace: the pace of the endpoint meanwhile.
+        """
+        if not seconds > 0.0:
+            return
+        usual = clip(seconds / pace, MIN_WORK_SECONDS, MAX_WORK_SECONDS)
+        self.mean = _mixed(self.mean, usual)
+        if route in self.seconds or len(self.seconds) < MAX_ROUTES:
+            self.seconds[route] = _mixed(self.seconds.get(route), usual)
+
+    def usual(self, route: RouteName, aim: float) -> float:
+        """Return how long the work of a route takes; seconds.
+
+        :param route: the route.
+        :param aim: the seconds in which callers want the answer; used while there has
+            been no answer at all, since callers want what can be had in the calm.
+        """
+        known = self.seconds.get(route, self.mean)
+        if known is not None:
+            return known
+        return clip(aim * UNKNOWN_WORK_SHARE, *UNKNOWN_WORK_SECONDS)
+
+
+def _mixed(before: float | None, new: float) -> float:
+    """Return the mean of earlier figures, with one more."""
+    return new if before is None else before + WORK_WEIGHT * (new - before)
+
+
+@dataclass(slots=True)
+class EndpointRoom:
+    """The room at one endpoint.
+
+    :param name: the endpoint.
+    :param slots: the requests that it runs concurrently.
+    :param granted: the requests that were granted it and have not ended.
+    :param load: what it told last.
+    :param told: the requests that it has by what it told, and was granted since.
+    :param usual_pace: the mean of what it tells of its pace.
+    :param rejected_until: until when it gets nothing; monotonic seconds.
+    """
+
+    name: EndpointName
+    slots: int
+    granted: set[SlotKey] = field(default_factory=set)
+    load: EndpointLoad | None = None
+    told: int = 0
+    usual_pace: float = 1.0
+    rejected_until: float = float("-inf")
+
+    def on_load(self, load: EndpointLoad) -> None:
+        """Apply a report, unless a newer one came before.
+
+        :param load: the report.
+        """
+        if self.load is not None and load.reported_at < self.load.reported_at:
+            return
+        self.load = load
+        self.told = max(0, load.running) + max(0, load.waiting)
+        pace = clip(load.pace, MIN_PACE, MAX_PACE)
+        self.usual_pace += USUAL_PACE_WEIGHT * (pace - self.usual_pace)
+
+    def grant(self, key: SlotKey) -> None:
+        """Count a request.
+
+        :param key: identifies it.
+        """
+        if key not in self.granted:
+            self.granted.add(key)
+            self.told += 1
+
+    def end(self, key: SlotKey) -> None:
+        """Count a request no longer.
+
+        :param key: identifies it.
+        """
+        if key in self.granted:
+            self.granted.discard(key)
+            self.told = max(0, self.told - 1)
+
+    def pace(self, now: float) -> float:
+        """Return how long work takes, relative to its usual time.
+
+        Answers endpoints whose speed changes many times a second: a fresh figure is
+        believed, an old one not.
+
+        :param now: the time in question, also one ahead; monotonic seconds.
+        """
+        if self.load is None:
+            return self.usual_pace
+        age = max(0.0, now - self.load.reported_at)
+        belief = max(0.0, 1.0 - age / PACE_SECONDS)
+        told = clip(self.load.pace, MIN_PACE, MAX_PACE)
+        return self.usual_pace + belief * (told - self.usual_pace)
+
+    def taken(self, now: float, work: float) -> int:
+        """Return the requests that it has, by grants or by what it told.
+
+        :param now: monotonic seconds.
+        :param work: how long its work takes; seconds.
+        """
+        granted = len(self.granted)
+        if self.load is None or self.told <= granted:
+            return granted
+        # Others that do not ask fill it too; what it told of them ends with their work.
+        believed = max(TOLD_SECONDS, 2.0 * work)
+        return self.told if now - self.load.reported_at < believed else granted
+
+    def has_room(self, now: float, work: float) -> bool:
+        """Return whether it may get one more request.
+
+        :param now: monotonic seconds.
+        :param work: how long its work takes; seconds.
+        """
+        if now < self.rejected_until:
+            return False
+        return self.taken(now, work) < self.slots + EXTRA_REQUESTS
+
+    def seconds_to_finish(self, now: float, work: float) -> float:
+        """Return how long one more request would take here.
+
+        :param now: monotonic seconds.
+        :param work: how long it takes at the usual pace; seconds.
+        """
+        seconds = work * self.pace(now + 0.5 * work)
+        before = self.taken(now, work) - self.slots + 1
+        return seconds * (1.0 + max(0, before) / max(1, self.slots))
--- a/walnutquay/state/routed/slottypes.py
+++ b/walnutquay/state/routed/slottypes.py
@@ -123,3 +123,59 @@
 
 
 SlotDecision = Granted | Denied
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingSummary:
+    """Requests of one organisation and priority that wait.
+
+    :param priority: their priority.
+    :param organisation: their organisation.
+    :param count: how many wait.
+    :param oldest_seconds: how long the oldest has waited.
+    """
+
+    priority: int
+    organisation: OrganisationName
+    count: int
+    oldest_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedSummary:
+    """The slots of one endpoint.
+
+    :param endpoint: the endpoint.
+    :param slots: the requests that it runs concurrently.
+    :param granted: the requests that were granted it and have not ended.
+    :param oldest_seconds: the age of the oldest grant; 0 without any.
+    :param pace: how long work takes there, relative to its usual time.
+    :param load_age: seconds since it told its load; None if it never did.
+    """
+
+    endpoint: EndpointName
+    slots: int
+    granted: int
+    oldest_seconds: float
+    pace: float
+    load_age: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class SlotSummary:
+    """The requests and slots of one service, for operators.
+
+    :param waiting: those that wait the longest first; a bounded number of rows.
+    :param granted: by endpoint; a bounded number of rows.
+    :param waiting_count: how many requests wait in all.
+    :param granted_count: how many have a slot.
+    :param grants: how many were granted since the beginning.
+    :param denials: how many were denied since the beginning, by reason.
+    """
+
+    waiting: tuple[WaitingSummary, ...]
+    granted: tuple[GrantedSummary, ...]
+    waiting_count: int
+    granted_count: int
+    grants: int
+    denials: tuple[tuple[DenialReason, int], ...]
