Count what is let in, keep promises by the reserve, and deny what slower endpoints bear no more

The forecast counted work as it was granted, so the beginning of a burst was promised twice; callers who returned as told were refused again by the review. Both are decided as a request is let in now.

--- a/walnutquay/state/routed/slotdemand.py
+++ b/walnutquay/state/routed/slotdemand.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from walnutquay.state.process.ids import OrganisationName
@@ -24,6 +25,8 @@
 # A request waits only if its turn is forecast within this part of the time that it
 # has: work varies, and nothing is to be held and then not served.
 TRUSTED_SHARE = 0.8
+# The same while no answer has told how long work takes.
+UNKNOWN_TRUSTED_SHARE = 0.4
 # Late work is held only where at least this part of the room is left by all that can
 # be in time.
 LATE_ROOM_SHARE = 0.1
@@ -149,6 +152,12 @@
             return priority if self.is_over_share(name, now) else 0
         return priority
 
+    @property
+    def trusted_share(self) -> float:
+        """The part of the time that a request has in which its turn must come."""
+        known = self.rooms.times.mean is not None
+        return TRUSTED_SHARE if known else UNKNOWN_TRUSTED_SHARE
+
     def residual(self, now: float) -> float:
         """Return the seconds until a slot is free for what goes first.
 
@@ -168,7 +177,7 @@
         capacity = self.capacity(now)
         reserve = capacity / RESERVE_INTERVAL
         urgent = sum(
-            self.order.ranks[other].granted.per_second(now)
+            self.order.ranks[other].admitted.per_second(now)
             for other in self.order.sorted_ranks
             if other < number
         )
@@ -181,8 +190,8 @@
         :param now: monotonic seconds.
         :returns: 0 where there is no room for it.
         """
-        granted = self.order.rank(number).granted.per_second(now)
-        left = self.rank_rate(number, now) - granted
+        admitted = self.order.rank(number).admitted.per_second(now)
+        left = self.rank_rate(number, now) - admitted
         return left if left > LATE_ROOM_SHARE * self.capacity(now) else 0.0
 
     def ahead(self, waiting: Waiting) -> float:
@@ -219,13 +228,45 @@
         if late_rate > 0.0:
             late = first + (rank.work + rank.late_work) / late_rate
         queue = self.order.queue(waiting.rank, waiting.request.organisation)
-        others = rank.granted.per_second(now) - queue.granted.per_second(now)
+        others = rank.admitted.per_second(now) - queue.admitted.per_second(now)
         weight = clip(waiting.request.weight, MIN_WEIGHT, MAX_WEIGHT)
         share = rate * weight / max(self.weights, weight)
         return Turn(
             seconds=first + self.ahead(waiting) / rate,
-            returned_seconds=first,
+            returned_seconds=min(first, self._reserve_seconds(now)),
             late_seconds=late,
             rate=rate,
             organisation_rate=max(share, rate - others),
         )
+
+    def too_late(self, now: float) -> list[Waiting]:
+        """Return what waits though its turn comes too late, unless it was promised one.
+
+        Answers endpoints that turn slow: what they bear no more is refused now, and
+        not as its time ends.
+
+        :param now: monotonic seconds.
+        """
+        residual = self.residual(now)
+        reserve = max(self.capacity(now) / RESERVE_INTERVAL, 1e-3)
+        before = less_urgent = 0.0
+        found = []
+        for index, (number, requests) in enumerate(self.order.in_order(now)):
+            rate = self.rank_rate(number, now)
+            for waiting in requests:
+                seconds = residual + min(before / rate, less_urgent / reserve)
+                is_late = now + seconds + waiting.work > waiting.deadline
+                if is_late and not waiting.returned:
+                    found.append(waiting)
+                    continue
+                before += waiting.work
+                less_urgent += waiting.work if index else math.inf
+            if not index:
+                less_urgent = 0.0
+        return found
+
+    def _reserve_seconds(self, now: float) -> float:
+        """Return the seconds until the reserve comes to a caller who returned."""
+        grants = RESERVE_INTERVAL * (1 + self.order.returned_count)
+        work = grants * self.rooms.work
+        return self.residual(now) + work / max(self.capacity(now), 1e-3)
--- a/walnutquay/state/routed/slotforecast.py
+++ b/walnutquay/state/routed/slotforecast.py
@@ -26,12 +26,14 @@
 WORK_WEIGHT = 0.1
 MIN_WORK_SECONDS, MAX_WORK_SECONDS = 0.001, 600.0
 # The work that is assumed of a route without answers, relative to its callers' aim.
-UNKNOWN_WORK_SHARE = 0.25
+UNKNOWN_WORK_SHARE = 1.0 / 3.0
 UNKNOWN_WORK_SECONDS = (0.01, 1.0)
 # More routes than this are not kept apart: memory stays bounded.
 MAX_ROUTES = 1000
 # Demand is measured over about this time; a burst is followed within seconds.
 RATE_SECONDS = 1.5
+# A rate is calculated over this time at least: less holds too few requests.
+MIN_RATE_SECONDS = 0.1
 # One request beyond the slots waits at an endpoint, so that a slot is not idle while a
 # message passes; more would wait where nobody can order them.
 EXTRA_REQUESTS = 1
@@ -80,7 +82,7 @@
         if self.began_at is None:
             return 0.0
         # A rate that began lately has been counted for a part of the time only.
-        age = max(now - self.began_at, RATE_SECONDS / 4.0)
+        age = max(now - self.began_at, MIN_RATE_SECONDS)
         covered = 1.0 - math.exp(-age / RATE_SECONDS)
         return self._faded(now) / (RATE_SECONDS * covered)
 
@@ -129,6 +131,11 @@
     return new if before is None else before + WORK_WEIGHT * (new - before)
 
 
+def _sensible(pace: float) -> float:
+    """Return a told pace within bounds; 1 in place of one that no work can have."""
+    return clip(pace, MIN_PACE, MAX_PACE) if pace > 0.0 else 1.0
+
+
 @dataclass(slots=True)
 class EndpointRoom:
     """The room at one endpoint.
@@ -159,7 +166,7 @@
             return
         self.load = load
         self.told = max(0, load.running) + max(0, load.waiting)
-        pace = clip(load.pace, MIN_PACE, MAX_PACE)
+        pace = _sensible(load.pace)
         self.usual_pace += USUAL_PACE_WEIGHT * (pace - self.usual_pace)
 
     def grant(self, key: SlotKey) -> None:
@@ -192,7 +199,7 @@
             return self.usual_pace
         age = max(0.0, now - self.load.reported_at)
         belief = max(0.0, 1.0 - age / PACE_SECONDS)
-        told = clip(self.load.pace, MIN_PACE, MAX_PACE)
+        told = _sensible(self.load.pace)
         return self.usual_pace + belief * (told - self.usual_pace)
 
     def taken(self, now: float, work: float) -> int:
--- a/walnutquay/state/routed/slotorder.py
+++ b/walnutquay/state/routed/slotorder.py
@@ -19,8 +19,9 @@
 from walnutquay.state.routed.slotforecast import DecayingRate, clip
 from walnutquay.state.routed.slottypes import WaitingRequest
 
-# One grant in so many goes to what has waited longest, whatever its rank: nobody
-# starves, and the most urgent lose a sixteenth at most.
+# One grant in so many goes to a caller who returned as told, else to what has waited
+# longest, whatever its rank: a promise is kept, nobody starves, and the most urgent
+# lose a sixteenth at most.
 RESERVE_INTERVAL = 16
 # Ranks beyond this are treated alike.
 MAX_RANK = 15
@@ -73,14 +74,14 @@
     :param tag: the work that it has had, relative to its weight.
     :param work: the work that waits and can be in time; seconds.
     :param heap: its requests.
-    :param granted: the work that it was granted lately.
+    :param admitted: the work that was let into it lately.
     """
 
     weight: float
     tag: float = 0.0
     work: float = 0.0
     heap: WaitingHeap = field(default_factory=list)
-    granted: DecayingRate = field(default_factory=DecayingRate)
+    admitted: DecayingRate = field(default_factory=DecayingRate)
 
 
 @dataclass(slots=True, eq=False)
@@ -94,7 +95,7 @@
     :param work: the work that waits and can be in time; seconds.
     :param late: those that cannot be in time, the oldest first.
     :param late_work: their work; seconds.
-    :param granted: the work that was granted lately.
+    :param admitted: the work that was let into it lately.
     """
 
     queues: dict[OrganisationName, OrganisationQueue] = field(default_factory=dict)
@@ -103,7 +104,7 @@
     work: float = 0.0
     late: WaitingHeap = field(default_factory=list)
     late_work: float = 0.0
-    granted: DecayingRate = field(default_factory=DecayingRate)
+    admitted: DecayingRate = field(default_factory=DecayingRate)
 
 
 class SlotOrder:
@@ -113,6 +114,9 @@
         self.ranks: dict[int, Rank] = {}
         self.sorted_ranks: list[int] = []
         self.grants = 0
+        # All whose callers returned as told, the oldest first.
+        self.returned: WaitingHeap = []
+        self.returned_count = 0
         self.numbers = count()
 
     def rank(self, number: int) -> Rank:
@@ -137,6 +141,19 @@
             queue = rank.queues[name] = OrganisationQueue(1.0, rank.virtual_time)
         return queue
 
+    def admit(self, waiting: Waiting, now: float) -> None:
+        """Add a request that arrives, and count it.
+
+        :param waiting: the request.
+        :param now: monotonic seconds.
+        """
+        # Counted as it is let in: a forecast that waited for its grant would promise
+        # the same room again meanwhile.
+        name = waiting.request.organisation
+        self.rank(waiting.rank).admitted.add(waiting.work, now)
+        self.queue(waiting.rank, name).admitted.add(waiting.work, now)
+        self.add(waiting)
+
     def add(self, waiting: Waiting) -> None:
         """Add a request.
 
@@ -144,6 +161,9 @@
         """
         rank = self.rank(waiting.rank)
         request = waiting.request
+        if waiting.returned:
+            self._push(self.returned, waiting)
+            self.returned_count += 1
         if waiting.late:
             rank.late_work += waiting.work
             self._push(rank.late, waiting)
@@ -169,6 +189,7 @@
         if not waiting.present:
             return
         waiting.present = False
+        self.returned_count -= waiting.returned
         rank = self.ranks[waiting.rank]
         if waiting.late:
             rank.late_work = max(0.0, rank.late_work - waiting.work)
@@ -177,19 +198,16 @@
         queue.work = max(0.0, queue.work - waiting.work)
         rank.work = max(0.0, rank.work - waiting.work)
 
-    def grant(self, waiting: Waiting, now: float) -> None:
+    def grant(self, waiting: Waiting) -> None:
         """Remove a request that is granted a slot, and charge its organisation.
 
         :param waiting: the request.
-        :param now: monotonic seconds.
         """
         self.remove(waiting)
         self.grants += 1
         rank = self.rank(waiting.rank)
-        rank.granted.add(waiting.work, now)
         name = waiting.request.organisation
         queue = self.queue(waiting.rank, name)
-        queue.granted.add(waiting.work, now)
         if not waiting.late:
             rank.virtual_time = max(rank.virtual_time, queue.tag)
         self._charge(rank, queue, name, waiting.work)
@@ -211,9 +229,9 @@
         :param now: monotonic seconds.
         """
         if (self.grants + 1) % RESERVE_INTERVAL == 0:
-            oldest = self._oldest(now)
-            if oldest is not None:
-                return oldest
+            chosen = _first(self.returned) or self._oldest(now)
+            if chosen is not None:
+                return chosen
         for number in self.sorted_ranks:
             head = self._head(self.ranks[number], now)
             if head is not None:
@@ -250,11 +268,12 @@
 
         :param now: monotonic seconds.
         """
+        self.returned = _present(self.returned)
         for rank in self.ranks.values():
             rank.late = _present(rank.late)
             for name, queue in list(rank.queues.items()):
                 queue.heap = _present(queue.heap)
-                idle = not queue.heap and queue.granted.per_second(now) < 1e-3
+                idle = not queue.heap and queue.admitted.per_second(now) < 1e-3
                 if idle and queue.tag <= rank.virtual_time:
                     del rank.queues[name]
             rank.turns = []
--- a/walnutquay/state/routed/slotqueue.py
+++ b/walnutquay/state/routed/slotqueue.py
@@ -17,7 +17,7 @@
 from itertools import count
 
 from walnutquay.state.process.ids import EndpointName, ServiceName, VmName
-from walnutquay.state.routed.slotdemand import TRUSTED_SHARE, SlotDemand, Turn
+from walnutquay.state.routed.slotdemand import SlotDemand, Turn
 from walnutquay.state.routed.slotforecast import WorkTimes
 from walnutquay.state.routed.slotorder import SlotOrder, Waiting
 from walnutquay.state.routed.slotreturns import Pool, SlotReturns
@@ -146,7 +146,7 @@
             self._deny(waiting, self._reason(waiting, now), turn, now)
             return
         self.waiting[key] = waiting
-        self.order.add(waiting)
+        self.order.admit(waiting, now)
         self._end_at(key, max(waiting.deadline - waiting.work, now))
 
     def state_of(self, key: SlotKey) -> SlotDecision | None:
@@ -290,10 +290,11 @@
             return False
         if not self.waiting and self.rooms.has_free_slot(tried, now):
             return True
-        to_deadline = TRUSTED_SHARE * (waiting.deadline - waiting.work - now)
+        trusted = self.demand.trusted_share
+        to_deadline = trusted * (waiting.deadline - waiting.work - now)
         if waiting.returned and turn.returned_seconds <= to_deadline:
             return True
-        to_aim = TRUSTED_SHARE * (waiting.in_time_until - waiting.work - now)
+        to_aim = trusted * (waiting.in_time_until - waiting.work - now)
         if turn.seconds <= to_aim:
             return True
         return turn.late_seconds is not None and turn.late_seconds <= to_deadline
@@ -350,7 +351,7 @@
     def _grant(self, waiting: Waiting, endpoint: EndpointName, now: float) -> None:
         """Grant a request a slot."""
         key = waiting.request.key
-        self.order.grant(waiting, now)
+        self.order.grant(waiting)
         del self.waiting[key]
         self.returns.forget(waiting.request.work)
         longest = max(MAX_GRANT_SECONDS, MAX_WAIT_WORKS * waiting.work)
@@ -423,16 +424,8 @@
     def _review(self, now: float) -> None:
         """Refuse what waits and is forecast to be too late by now."""
         self.review_at = now + REVIEW_SECONDS
-        residual = self.demand.residual(now)
-        before = 0.0
-        for number, requests in self.order.in_order(now):
-            rate = self.demand.rank_rate(number, now)
-            for waiting in requests:
-                turn_at = now + residual + before / rate
-                if turn_at + waiting.work > waiting.deadline:
-                    self._deny_waiting(waiting, now)
-                else:
-                    before += waiting.work
+        for waiting in self.demand.too_late(now):
+            self._deny_waiting(waiting, now)
         self.order.compact(now)
         self.demand.remove_idle(now)
         self.returns.remove_ended(now)
