--- a/walnutquay/state/routed/slotdemand.py
+++ b/walnutquay/state/routed/slotdemand.py
@@ -163,9 +163,7 @@
 
         :param now: monotonic seconds.
         """
-        if self.rooms.has_free_slot((), now):
-            return 0.0
-        ahead = 1.0 + self.rooms.excess(now)
+        ahead = self.rooms.requests_ahead(now)
         return ahead * self.rooms.work / max(self.capacity(now), 1e-3)
 
     def rank_rate(self, number: int, now: float) -> float:
@@ -183,17 +181,6 @@
         )
         return max(capacity - reserve - urgent, reserve, 1e-3)
 
-    def late_rate(self, number: int, now: float) -> float:
-        """Return the work that is done in a second of what is late.
-
-        :param number: the rank.
-        :param now: monotonic seconds.
-        :returns: 0 where there is no room for it.
-        """
-        admitted = self.order.rank(number).admitted.per_second(now)
-        left = self.rank_rate(number, now) - admitted
-        return left if left > LATE_ROOM_SHARE * self.capacity(now) else 0.0
-
     def ahead(self, waiting: Waiting) -> float:
         """Return the work that goes before a new request in its rank.
 
@@ -222,18 +209,20 @@
             if other < waiting.rank
         )
         rate = self.rank_rate(waiting.rank, now)
-        first = self.residual(now) + urgent / rate
-        late_rate = self.late_rate(waiting.rank, now)
+        residual = self.residual(now)
+        first = residual + urgent / rate
+        admitted = rank.admitted.per_second(now)
+        left = rate - admitted
         late = None
-        if late_rate > 0.0:
-            late = first + (rank.work + rank.late_work) / late_rate
+        if left > LATE_ROOM_SHARE * self.capacity(now):
+            late = first + (rank.work + rank.late_work) / left
         queue = self.order.queue(waiting.rank, waiting.request.organisation)
-        others = rank.admitted.per_second(now) - queue.admitted.per_second(now)
+        others = admitted - queue.admitted.per_second(now)
         weight = clip(waiting.request.weight, MIN_WEIGHT, MAX_WEIGHT)
         share = rate * weight / max(self.weights, weight)
         return Turn(
             seconds=first + self.ahead(waiting) / rate,
-            returned_seconds=min(first, self._reserve_seconds(now)),
+            returned_seconds=min(first, residual + self._reserve_seconds(now)),
             late_seconds=late,
             rate=rate,
             organisation_rate=max(share, rate - others),
@@ -268,5 +257,4 @@
     def _reserve_seconds(self, now: float) -> float:
         """Return the seconds until the reserve comes to a caller who returned."""
         grants = RESERVE_INTERVAL * (1 + self.order.returned_count)
-        work = grants * self.rooms.work
-        return self.residual(now) + work / max(self.capacity(now), 1e-3)
+        return grants * self.rooms.work / max(self.capacity(now), 1e-3)
--- a/walnutquay/state/routed/slotforecast.py
+++ b/walnutquay/state/routed/slotforecast.py
@@ -19,8 +19,6 @@
 # A pace outside of these bounds is more likely wrong than true; callers would pay for
 # it with an endpoint that is left idle or flooded.
 MIN_PACE, MAX_PACE = 0.25, 4.0
-# The weight of a told pace in the endpoint's usual one.
-USUAL_PACE_WEIGHT = 0.01
 # The weight of an answer in what its route's work takes: a shift of the mix is followed
 # within some ten answers.
 WORK_WEIGHT = 0.1
@@ -145,7 +143,7 @@
     :param granted: the requests that were granted it and have not ended.
     :param load: what it told last.
     :param told: the requests that it has by what it told, and was granted since.
-    :param usual_pace: the mean of what it tells of its pace.
+    :param told_pace: the pace that it told, within bounds.
     :param rejected_until: until when it gets nothing; monotonic seconds.
     """
 
@@ -154,7 +152,7 @@
     granted: set[SlotKey] = field(default_factory=set)
     load: EndpointLoad | None = None
     told: int = 0
-    usual_pace: float = 1.0
+    told_pace: float = 1.0
     rejected_until: float = float("-inf")
 
     def on_load(self, load: EndpointLoad) -> None:
@@ -166,8 +164,7 @@
             return
         self.load = load
         self.told = max(0, load.running) + max(0, load.waiting)
-        pace = _sensible(load.pace)
-        self.usual_pace += USUAL_PACE_WEIGHT * (pace - self.usual_pace)
+        self.told_pace = _sensible(load.pace)
 
     def grant(self, key: SlotKey) -> None:
         """Count a request.
@@ -196,11 +193,12 @@
         :param now: the time in question, also one ahead; monotonic seconds.
         """
         if self.load is None:
-            return self.usual_pace
-        age = max(0.0, now - self.load.reported_at)
-        belief = max(0.0, 1.0 - age / PACE_SECONDS)
-        told = _sensible(self.load.pace)
-        return self.usual_pace + belief * (told - self.usual_pace)
+            return 1.0
+        age = now - self.load.reported_at
+        if age >= PACE_SECONDS:
+            return 1.0
+        belief = 1.0 - max(0.0, age) / PACE_SECONDS
+        return 1.0 + belief * (self.told_pace - 1.0)
 
     def taken(self, now: float, work: float) -> int:
         """Return the requests that it has, by grants or by what it told.
@@ -231,6 +229,7 @@
         :param now: monotonic seconds.
         :param work: how long it takes at the usual pace; seconds.
         """
-        seconds = work * self.pace(now + 0.5 * work)
+        # What is slow now may be as usual before the work is done.
+        seconds = work * self.pace(now + work)
         before = self.taken(now, work) - self.slots + 1
         return seconds * (1.0 + max(0, before) / max(1, self.slots))
--- a/walnutquay/state/routed/slotqueue.py
+++ b/walnutquay/state/routed/slotqueue.py
@@ -44,6 +44,11 @@
 # What waits is compared with the room this often: a slower endpoint is known of within
 # a small part of an aim.
 REVIEW_SECONDS = 0.1
+# A longer queue is reviewed less often: this long for each request, so that reviews
+# cost less than the decisions themselves.
+REVIEW_REQUEST_SECONDS = 0.0005
+# What is out of date is dropped this often.
+COMPACT_SECONDS = 1.0
 # VMs go on asking for this long after slots were last short, so that the load of a
 # moment does not switch them to and fro.
 SCARCE_SECONDS = 1.0
@@ -95,6 +100,7 @@
         self.numbers = count()
         self.denials: Counter[DenialReason] = Counter()
         self.review_at = float("-inf")
+        self.compact_at = float("-inf")
         self.scarce_until = float("-inf")
 
     def set_endpoints(self, slots: Mapping[EndpointName, int]) -> None:
@@ -423,9 +429,13 @@
 
     def _review(self, now: float) -> None:
         """Refuse what waits and is forecast to be too late by now."""
-        self.review_at = now + REVIEW_SECONDS
+        interval = REVIEW_REQUEST_SECONDS * len(self.waiting)
+        self.review_at = now + max(REVIEW_SECONDS, interval)
         for waiting in self.demand.too_late(now):
             self._deny_waiting(waiting, now)
+        if now < self.compact_at:
+            return
+        self.compact_at = now + COMPACT_SECONDS
         self.order.compact(now)
         self.demand.remove_idle(now)
         self.returns.remove_ended(now)
--- a/walnutquay/state/routed/slotrooms.py
+++ b/walnutquay/state/routed/slotrooms.py
@@ -154,13 +154,18 @@
         ahead = now + 0.5 * self.work
         return sum(room.slots / room.pace(ahead) for room in rooms)
 
-    def excess(self, now: float) -> int:
-        """Return the requests that wait at endpoints.
+    def requests_ahead(self, now: float) -> int:
+        """Return how many requests must end before one more would be run; 0 for none.
 
         :param now: monotonic seconds.
         """
-        taken = ((room.taken(now, self.work), room.slots) for room in self.usable())
-        return sum(max(0, count - slots) for count, slots in taken)
+        work, ahead = self.work, 1
+        for room in self.usable():
+            over = room.taken(now, work) - room.slots
+            if over < 0 and now >= room.rejected_until:
+                return 0
+            ahead += max(0, over)
+        return ahead
 
     def used_share(self, now: float) -> float:
         """Return the part of the slots that are in use.
