--- a/walnutquay/state/routed/slotqueue.py
+++ b/walnutquay/state/routed/slotqueue.py
@@ -11,14 +11,19 @@
 
 import heapq
 import random
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
 from itertools import count
 
 from walnutquay.state.process.ids import EndpointName, ServiceName, VmName
 from walnutquay.state.routed.slotdemand import SlotDemand, Turn
 from walnutquay.state.routed.slotforecast import WorkTimes
+from walnutquay.state.routed.slotgrants import (
+    Grant,
+    SlotGrants,
+    SlotHistory,
+    new_grant,
+)
 from walnutquay.state.routed.slotorder import SlotOrder, Waiting
 from walnutquay.state.routed.slotreturns import Pool, SlotReturns
 from walnutquay.state.routed.slotrooms import SlotRooms
@@ -38,9 +43,6 @@
 # is further away is not one that anybody waits for.
 MAX_WAIT_SECONDS = 2.0
 MAX_WAIT_WORKS = 20.0
-# A slot ends by itself after this time, or after its work taken many times: a message
-# that was lost must not keep it for the whole of a far deadline.
-MAX_GRANT_SECONDS = 60.0
 # What waits is compared with the room this often: a slower endpoint is known of within
 # a small part of an aim.
 REVIEW_SECONDS = 0.1
@@ -54,24 +56,6 @@
 SCARCE_SECONDS = 1.0
 # Slots are short from this part in use on.
 SCARCE_SHARE = 0.8
-# What has become of so many requests is remembered, for questions that are repeated.
-MAX_ENDED = 10_000
-
-
-@dataclass(slots=True)
-class Grant:
-    """A slot that a request has.
-
-    :param endpoint: where.
-    :param at: since when; monotonic seconds.
-    :param until: when it ends by itself; monotonic seconds.
-    :param waiting: the request; None if it was sent without asking here.
-    """
-
-    endpoint: EndpointName
-    at: float
-    until: float
-    waiting: Waiting | None
 
 
 class SlotQueue:
@@ -89,13 +73,10 @@
         self.demand = SlotDemand(self.order, self.rooms)
         self.returns = SlotReturns(rng)
         self.waiting: dict[SlotKey, Waiting] = {}
-        self.grants: dict[SlotKey, Grant] = {}
-        # Denials, which may be asked for again; the oldest go first.
-        self.denied: OrderedDict[SlotKey, Denied] = OrderedDict()
-        # Requests that are over; a question that comes late must not revive one.
-        self.ended: OrderedDict[SlotKey, None] = OrderedDict()
+        self.slots = SlotGrants(self.rooms)
+        self.history = SlotHistory()
         self.pending: list[SlotDecision] = []
-        # When requests are too late, and when grants end; monotonic seconds.
+        # When it is too late for what waits; monotonic seconds.
         self.ends: list[tuple[float, int, SlotKey]] = []
         self.numbers = count()
         self.denials: Counter[DenialReason] = Counter()
@@ -144,7 +125,7 @@
         :param now: monotonic seconds.
         """
         key = request.key
-        if self.knows(key) or key in self.ended:
+        if self.knows(key) or key in self.history.ended:
             return
         waiting = self._new_waiting(request, now)
         turn = self.demand.turn(waiting, now)
@@ -153,24 +134,26 @@
             return
         self.waiting[key] = waiting
         self.order.admit(waiting, now)
-        self._end_at(key, max(waiting.deadline - waiting.work, now))
+        end = max(waiting.deadline - waiting.work, now)
+        heapq.heappush(self.ends, (end, next(self.numbers), key))
 
     def state_of(self, key: SlotKey) -> SlotDecision | None:
         """Return what was decided of a request; None if it waits or is unknown.
 
         :param key: identifies the request.
         """
-        grant = self.grants.get(key)
+        grant = self.slots.grants.get(key)
         if grant is not None:
             return Granted(key, grant.endpoint)
-        return self.denied.get(key)
+        return self.history.denied.get(key)
 
     def knows(self, key: SlotKey) -> bool:
         """Return whether a request waits, has a slot or was denied.
 
         :param key: identifies the request.
         """
-        return key in self.waiting or key in self.grants or key in self.denied
+        decided = key in self.slots.grants or key in self.history.denied
+        return decided or key in self.waiting
 
     def release(self, key: SlotKey, seconds: float, now: float) -> None:
         """End a request, or withdraw it.
@@ -179,10 +162,9 @@
         :param seconds: how long it was at its endpoint; 0 without an answer.
         :param now: monotonic seconds.
         """
-        self._remember_ended(key)
-        self.denied.pop(key, None)
+        self.history.end(key)
         self._withdraw(key)
-        grant = self._end_grant(key)
+        grant = self.slots.end(key)
         if grant is None or grant.waiting is None or not seconds > 0.0:
             return
         pace = self.rooms.pace(grant.endpoint, now)
@@ -196,10 +178,8 @@
         """
         for key in [key for key in self.waiting if key.vm == vm]:
             self._withdraw(key)
-        for key in [key for key in self.grants if key.vm == vm]:
-            self._end_grant(key)
-        for key in [key for key in self.denied if key.vm == vm]:
-            del self.denied[key]
+        self.slots.forget_vm(vm)
+        self.history.forget_vm(vm)
 
     def adopt(self, key: SlotKey, endpoint: EndpointName, until: float) -> None:
         """Count a request that was sent without a grant from here.
@@ -208,22 +188,23 @@
         :param endpoint: where it is.
         :param until: when it ends at the latest; monotonic seconds.
         """
-        if key in self.ended:
+        if key in self.history.ended:
             return
-        grant = self.grants.get(key)
+        grant = self.slots.grants.get(key)
         if grant is not None and grant.endpoint == endpoint:
             return
         self._withdraw(key)
-        self._end_grant(key)
-        self.denied.pop(key, None)
-        self._add_grant(key, Grant(endpoint, float("-inf"), until, None))
+        self.slots.end(key)
+        self.history.denied.pop(key, None)
+        self.slots.add(key, Grant(endpoint, float("-inf"), until, None))
 
     def decide(self, now: float) -> list[SlotDecision]:
         """Return the grants and denials that are due, each once, in order.
 
         :param now: monotonic seconds.
         """
-        self._end_grants(now)
+        for key in self.slots.end_due(now):
+            self.history.end(key)
         self._grant_all(now)
         self._deny_ended(now)
         if now >= self.review_at:
@@ -241,15 +222,13 @@
         """
         if self.pending:
             return now
-        while self.ends and not self._is_current(self.ends[0]):
+        while self.ends and self.ends[0][2] not in self.waiting:
             heapq.heappop(self.ends)
-        times = [self.ends[0][0]] if self.ends else []
+        times = [self.slots.next_end()]
         if self.waiting:
-            times.append(self.review_at)
-            room_at = self.rooms.next_room_at(now)
-            if room_at is not None:
-                times.append(room_at)
-        return max(now, min(times)) if times else None
+            times += [self.ends[0][0], self.review_at, self.rooms.next_room_at(now)]
+        due = [time for time in times if time is not None]
+        return max(now, min(due)) if due else None
 
     def is_scarce(self, now: float) -> bool:
         """Return whether VMs must ask before they send.
@@ -263,11 +242,11 @@
 
         :param now: monotonic seconds.
         """
-        granted_at = {key: (one.endpoint, one.at) for key, one in self.grants.items()}
+        granted = [(one.endpoint, one.at) for one in self.slots.grants.values()]
         requests = [waiting.request for waiting in self.waiting.values()]
         rooms = self.rooms.rooms.values()
         counts = self.order.grants, self.denials
-        return summarize(requests, granted_at.values(), rooms, counts, now)
+        return summarize(requests, granted, rooms, counts, now)
 
     def _new_waiting(self, request: WaitingRequest, now: float) -> Waiting:
         """Return a request as it would wait, within sensible times."""
@@ -332,9 +311,7 @@
             )
         denied = Denied(request.key, reason, retry_after)
         self.denials[reason] += 1
-        self.denied[request.key] = denied
-        if len(self.denied) > MAX_ENDED:
-            self.denied.popitem(last=False)
+        self.history.deny(denied)
         self.pending.append(denied)
         self._note_scarce(now)
 
@@ -360,60 +337,15 @@
         self.order.grant(waiting)
         del self.waiting[key]
         self.returns.forget(waiting.request.work)
-        longest = max(MAX_GRANT_SECONDS, MAX_WAIT_WORKS * waiting.work)
-        until = max(now, waiting.request.deadline)
-        if until <= now:
-            until = now + longest
-        grant = Grant(endpoint, now, min(until, now + longest), waiting)
-        self._add_grant(key, grant)
+        self.slots.add(key, new_grant(waiting, endpoint, now))
         self.pending.append(Granted(key, endpoint))
 
-    def _add_grant(self, key: SlotKey, grant: Grant) -> None:
-        """Count a slot that is in use."""
-        self.grants[key] = grant
-        room = self.rooms.rooms.get(grant.endpoint)
-        if room is not None:
-            room.grant(key)
-        self._end_at(key, grant.until)
-
-    def _end_grant(self, key: SlotKey) -> Grant | None:
-        """Count a slot that is free again."""
-        grant = self.grants.pop(key, None)
-        if grant is not None:
-            self.rooms.end(grant.endpoint, key)
-        return grant
-
     def _withdraw(self, key: SlotKey) -> None:
         """Remove a request that waits."""
         waiting = self.waiting.pop(key, None)
         if waiting is not None:
             self.order.remove(waiting)
 
-    def _end_at(self, key: SlotKey, at: float) -> None:
-        """Have a request looked at when its time is over."""
-        heapq.heappush(self.ends, (at, next(self.numbers), key))
-
-    def _is_current(self, end: tuple[float, int, SlotKey]) -> bool:
-        """Return whether a time still concerns a request."""
-        at, _, key = end
-        grant = self.grants.get(key)
-        if grant is not None:
-            return grant.until <= at
-        return key in self.waiting
-
-    def _end_grants(self, now: float) -> None:
-        """End the slots whose time is over."""
-        kept = []
-        while self.ends and self.ends[0][0] <= now:
-            end = heapq.heappop(self.ends)
-            if end[2] in self.waiting:
-                kept.append(end)
-            elif self._is_current(end):
-                self._end_grant(end[2])
-                self._remember_ended(end[2])
-        for end in kept:
-            heapq.heappush(self.ends, end)
-
     def _deny_ended(self, now: float) -> None:
         """Refuse what could no longer be answered before its deadline."""
         while self.ends and self.ends[0][0] <= now:
@@ -437,15 +369,10 @@
             return
         self.compact_at = now + COMPACT_SECONDS
         self.order.compact(now)
+        self.slots.compact()
         self.demand.remove_idle(now)
         self.returns.remove_ended(now)
 
-    def _remember_ended(self, key: SlotKey) -> None:
-        """Remember that a request is over."""
-        self.ended[key] = None
-        if len(self.ended) > MAX_ENDED:
-            self.ended.popitem(last=False)
-
     def _note_scarce(self, now: float) -> None:
         """Have VMs ask for a while."""
         self.scarce_until = max(self.scarce_until, now + SCARCE_SECONDS)
