--- a/walnutquay/state/routed/slotdemand.py
+++ b/walnutquay/state/routed/slotdemand.py
@@ -30,6 +30,9 @@
 # Late work is held only where at least this part of the room is left by all that can
 # be in time.
 LATE_ROOM_SHARE = 0.1
+# Room counts as short from this part of it asked for: what is asked varies, and an
+# organisation must not lose its share whenever the others pause.
+SHORT_SHARE = 0.8
 # An organisation that asked for less than this a second is not active.
 IDLE_RATE = 1e-3
 # The room changes with each report, and each forecast needs it; it is calculated this
@@ -147,7 +150,7 @@
         :param now: monotonic seconds.
         """
         priority = min(MAX_RANK, max(0, priority))
-        is_short = self.asked.per_second(now) > self.capacity(now)
+        is_short = self.asked.per_second(now) > SHORT_SHARE * self.capacity(now)
         if priority and is_short and len(self.demands) > 1:
             return priority if self.is_over_share(name, now) else 0
         return priority
--- a/walnutquay/state/routed/slotforecast.py
+++ b/walnutquay/state/routed/slotforecast.py
@@ -35,6 +35,9 @@
 # One request beyond the slots waits at an endpoint, so that a slot is not idle while a
 # message passes; more would wait where nobody can order them.
 EXTRA_REQUESTS = 1
+# It waits there no longer than this: behind long work, a moment of an idle slot is
+# less than what an urgent request would lose there.
+EXTRA_WAIT_SECONDS = 0.05
 # Nothing is sent to an endpoint for this time after it had no room.
 REJECTED_SECONDS = 0.1
 # What an endpoint told counts for at least this time, and for as long as work takes.
@@ -140,7 +143,11 @@
 
     :param name: the endpoint.
     :param slots: the requests that it runs concurrently.
-    :param granted: the requests that were granted it and have not ended.
+    :param granted: the work of the requests that were granted it and have not ended;
+        seconds.
+    :param end_rate: how many of them end in a second at the usual pace.
+    :param queued: those that wait for a slot there, the oldest first.
+    :param began: when those that had waited there began; monotonic seconds.
     :param load: what it told last.
     :param told: the requests that it has by what it told, and was granted since.
     :param told_pace: the pace that it told, within bounds.
@@ -149,7 +156,10 @@
 
     name: EndpointName
     slots: int
-    granted: set[SlotKey] = field(default_factory=set)
+    granted: dict[SlotKey, float] = field(default_factory=dict)
+    end_rate: float = 0.0
+    queued: list[SlotKey] = field(default_factory=list)
+    began: dict[SlotKey, float] = field(default_factory=dict)
     load: EndpointLoad | None = None
     told: int = 0
     told_pace: float = 1.0
@@ -166,24 +176,48 @@
         self.told = max(0, load.running) + max(0, load.waiting)
         self.told_pace = _sensible(load.pace)
 
-    def grant(self, key: SlotKey) -> None:
+    def grant(self, key: SlotKey, work: float) -> None:
         """Count a request.
 
         :param key: identifies it.
+        :param work: how long it takes at the usual pace; seconds.
         """
         if key not in self.granted:
-            self.granted.add(key)
+            if len(self.granted) >= self.slots:
+                self.queued.append(key)
+            self.granted[key] = work
+            self.end_rate += 1.0 / max(work, MIN_WORK_SECONDS)
             self.told += 1
 
-    def end(self, key: SlotKey) -> None:
+    def end(self, key: SlotKey, now: float | None = None) -> None:
         """Count a request no longer.
 
         :param key: identifies it.
+        :param now: when it ended; monotonic seconds, None if unknown.
         """
-        if key in self.granted:
-            self.granted.discard(key)
+        work = self.granted.pop(key, None)
+        self.began.pop(key, None)
+        if work is not None:
+            if key in self.queued:
+                self.queued.remove(key)
+            elif self.queued:
+                first = self.queued.pop(0)
+                if now is not None:
+                    self.began[first] = now
+            left = self.end_rate - 1.0 / max(work, MIN_WORK_SECONDS)
+            self.end_rate = max(0.0, left) if self.granted else 0.0
             self.told = max(0, self.told - 1)
 
+    def seconds_run(self, key: SlotKey, seconds: float, now: float) -> float:
+        """Return how long a request ran, without its wait for a slot there.
+
+        :param key: identifies it.
+        :param seconds: how long it was there.
+        :param now: when it ended; monotonic seconds.
+        """
+        began = self.began.get(key)
+        return seconds if began is None else min(seconds, now - began)
+
     def pace(self, now: float) -> float:
         """Return how long work takes, relative to its usual time.
 
@@ -221,7 +255,12 @@
         """
         if now < self.rejected_until:
             return False
-        return self.taken(now, work) < self.slots + EXTRA_REQUESTS
+        taken = self.taken(now, work)
+        if taken < self.slots:
+            return True
+        end_rate = self.end_rate or self.slots / work
+        is_short = EXTRA_WAIT_SECONDS * end_rate >= 1.0
+        return is_short and taken < self.slots + EXTRA_REQUESTS
 
     def seconds_to_finish(self, now: float, work: float) -> float:
         """Return how long one more request would take here.
--- a/walnutquay/state/routed/slotgrants.py
+++ b/walnutquay/state/routed/slotgrants.py
@@ -75,20 +75,19 @@
         :param grant: the slot.
         """
         self.grants[key] = grant
-        room = self.rooms.rooms.get(grant.endpoint)
-        if room is not None:
-            room.grant(key)
+        self._count(key, grant)
         heapq.heappush(self.ends, (grant.until, next(self.numbers), key))
 
-    def end(self, key: SlotKey) -> Grant | None:
+    def end(self, key: SlotKey, now: float | None = None) -> Grant | None:
         """Count a slot no longer.
 
         :param key: identifies its request.
+        :param now: when it ended; monotonic seconds, None if unknown.
         :returns: the slot, if there was one.
         """
         grant = self.grants.pop(key, None)
         if grant is not None:
-            self.rooms.end(grant.endpoint, key)
+            self.rooms.end(grant.endpoint, key, now)
         return grant
 
     def end_due(self, now: float) -> list[SlotKey]:
@@ -115,9 +114,14 @@
     def count_again(self) -> None:
         """Count the slots at endpoints that are new here, or came back."""
         for key, grant in self.grants.items():
-            room = self.rooms.rooms.get(grant.endpoint)
-            if room is not None:
-                room.grant(key)
+            self._count(key, grant)
+
+    def _count(self, key: SlotKey, grant: Grant) -> None:
+        """Count a slot at its endpoint, once."""
+        room = self.rooms.rooms.get(grant.endpoint)
+        if room is not None:
+            waiting = grant.waiting
+            room.grant(key, self.rooms.work if waiting is None else waiting.work)
 
     def compact(self) -> None:
         """Drop the ends of slots that ended before, so that memory is bounded."""
--- a/walnutquay/state/routed/slotqueue.py
+++ b/walnutquay/state/routed/slotqueue.py
@@ -165,12 +165,10 @@
         """
         self.history.end(key)
         self._withdraw(key)
-        grant = self.slots.end(key)
-        if grant is None or grant.waiting is None or not seconds > 0.0:
-            return
-        pace = self.rooms.pace(grant.endpoint, now)
-        self.times.learn(grant.waiting.request.route, seconds, pace)
-        self.order.correct(grant.waiting, seconds / pace)
+        grant = self.slots.grants.get(key)
+        if grant is not None and grant.waiting is not None and seconds > 0.0:
+            self._learn(grant, grant.waiting, seconds, now)
+        self.slots.end(key, now)
 
     def forget_vm(self, vm: VmName) -> None:
         """Forget the requests of a VM that is gone.
@@ -345,6 +343,16 @@
         self.slots.add(key, new_grant(waiting, endpoint, now))
         self.pending.append(Granted(key, endpoint))
 
+    def _learn(
+        self, grant: Grant, waiting: Waiting, seconds: float, now: float
+    ) -> None:
+        """Learn how long work takes, and charge it to its organisation."""
+        key, name = waiting.request.key, grant.endpoint
+        run = self.rooms.seconds_run(name, key, seconds, now)
+        pace = self.rooms.pace(name, now)
+        self.times.learn(waiting.request.route, run, pace)
+        self.order.correct(waiting, run / pace)
+
     def _withdraw(self, key: SlotKey) -> None:
         """Remove a request that waits."""
         waiting = self.waiting.pop(key, None)
--- a/walnutquay/state/routed/slotrooms.py
+++ b/walnutquay/state/routed/slotrooms.py
@@ -77,15 +77,29 @@
         if room is not None:
             room.rejected_until = now + REJECTED_SECONDS
 
-    def end(self, name: EndpointName, key: SlotKey) -> None:
+    def end(self, name: EndpointName, key: SlotKey, now: float | None) -> None:
         """Count a request no longer.
 
         :param name: its endpoint.
         :param key: identifies the request.
+        :param now: when it ended; monotonic seconds, None if unknown.
         """
         room = self.rooms.get(name)
         if room is not None:
-            room.end(key)
+            room.end(key, now)
+
+    def seconds_run(
+        self, name: EndpointName, key: SlotKey, seconds: float, now: float
+    ) -> float:
+        """Return how long a request ran, without its wait for a slot.
+
+        :param name: its endpoint.
+        :param key: identifies the request.
+        :param seconds: how long it was there.
+        :param now: when it ended; monotonic seconds.
+        """
+        room = self.rooms.get(name)
+        return seconds if room is None else room.seconds_run(key, seconds, now)
 
     def pace(self, name: EndpointName, now: float) -> float:
         """Return how long work takes at an endpoint, relative to its usual time.
