--- a/tests/state/routed/slotload.py
+++ b/tests/state/routed/slotload.py
@@ -179,7 +179,7 @@
                 self.at(later, self.begin, decision, caller)
             else:
                 self.refuse(decision, caller)
-        free = self.queue.rooms.has_free_slot((), self.now)
+        free = self.queue.rooms.free_slots((), self.now) > 0
         self.waited_in_vain += bool(self.queue.waiting) and free
         due = self.queue.next_at(self.now)
         if due is not None and (not self.events or due < self.events[0][0]):
--- a/walnutquay/state/routed/slotqueue.py
+++ b/walnutquay/state/routed/slotqueue.py
@@ -272,7 +272,7 @@
         tried = waiting.request.tried
         if not self.rooms.suits(tried):
             return False
-        if not self.waiting and self.rooms.has_free_slot(tried, now):
+        if len(self.waiting) < self.rooms.free_slots(tried, now):
             return True
         trusted = self.demand.trusted_share
         to_deadline = trusted * (waiting.deadline - waiting.work - now)
--- a/walnutquay/state/routed/slotrooms.py
+++ b/walnutquay/state/routed/slotrooms.py
@@ -137,17 +137,17 @@
         """
         return any(room.has_room(now, self.work) for room in self.usable())
 
-    def has_free_slot(self, tried: Collection[EndpointName], now: float) -> bool:
-        """Return whether a request would be run at once.
+    def free_slots(self, tried: Collection[EndpointName], now: float) -> int:
+        """Return how many requests would be run at once.
 
-        :param tried: endpoints that must not get it.
+        :param tried: endpoints that must not get them.
         :param now: monotonic seconds.
         """
-        return any(
-            room.taken(now, self.work) < room.slots
-            and now >= room.rejected_until
-            and room.name not in tried
+        work = self.work
+        return sum(
+            max(0, room.slots - room.taken(now, work))
             for room in self.usable()
+            if now >= room.rejected_until and room.name not in tried
         )
 
     def suits(self, tried: Collection[EndpointName]) -> bool:
