Let a VM that starts again use its numbers again

A keeper remembers requests that are over, so the first questions of a VM that started again under its name were ignored. Forgetting a VM forgets these too; a test shows it.

--- a/tests/state/routed/test_slotqueue.py
+++ b/tests/state/routed/test_slotqueue.py
@@ -204,6 +204,15 @@
         self.assertEqual(self.granted(), [other])
         self.assertFalse(any(map(self.queue.knows, gone)))
 
+    def test_a_vm_that_starts_again_with_the_same_numbers(self):
+        key = self.ask(vm="vm2")
+        request = self.queue.waiting[key].request
+        self.granted()
+        self.queue.release(key, 0.1, 0.1)
+        self.queue.forget_vm(VmName("vm2"))
+        self.queue.ask(request, 1.0)
+        self.assertEqual(self.granted(1.0), [key])
+
     def test_a_request_that_was_under_way(self):
         for number in range(3):
             key = SlotKey(VmName("vm3"), SlotNumber(number))
--- a/walnutquay/state/routed/slotgrants.py
+++ b/walnutquay/state/routed/slotgrants.py
@@ -164,9 +164,11 @@
             self.ended.popitem(last=False)
 
     def forget_vm(self, vm: VmName) -> None:
-        """Forget the refusals of a VM.
+        """Forget the requests of a VM; its next start may use their numbers again.
 
         :param vm: the VM.
         """
+        for key in [key for key in self.ended if key.vm == vm]:
+            del self.ended[key]
         for key in [key for key in self.denied if key.vm == vm]:
             del self.denied[key]
