--- a/lab/overload/replay.py
+++ b/lab/overload/replay.py
@@ -246,13 +246,13 @@
 @click.option("--scale", default=1.0, show_default=True, help="Makes times longer.")
 @click.option("--vms", default=6, show_default=True, help="Entry VMs.")
 @click.option("--seed", default=1, show_default=True, help="Of all chance.")
-@click.option("--share-slots", default="paced", show_default=True)
+@click.option("--services", default="paced", show_default=True)
 def main(
-    names: Sequence[str], scale: float, vms: int, seed: int, share_slots: str
+    names: Sequence[str], scale: float, vms: int, seed: int, services: str
 ) -> None:
     """Print what became of callers under loads; all loads unless some are named."""
     click.echo(HEADER)
-    settings = {"overload": {"share_slots": share_slots}}
+    settings = {"overload": {"services": services}}
     for name in names or LOADS:
         for line in asyncio.run(replay(name, scale, vms, seed, settings)):
             click.echo(line)
