--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -51,6 +51,7 @@
     TUNNEL_OPENED = "tunnel-opened"
     ESCALATED = "escalated"
     BEGUN = "begun"
+    STALLED = "stalled"
     SHARES = "shares"
     HALL_EMPTIED = "hall-emptied"
     HALL_BACK = "hall-back"
