--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -108,6 +108,18 @@
         await self.exchange.__aexit__(kind, error, trace)
 
 
+def lift_read_limit(answer: aiohttp.ClientResponse) -> None:
+    """Wait for the rest of an answer without the limit that held for its head.
+
+    :param answer: an answer whose head has come.
+    """
+    connection = answer.connection
+    if connection is None or connection.protocol is None:
+        return
+    connection.protocol.read_timeout = None
+    connection.protocol.start_timeout()
+
+
 async def read_body(answer: aiohttp.ClientResponse, peer: str) -> bytes:
     """Read an answer's body.
 
