Move requests that are held in vain, and answer others before their deadline

The limit for an answer's head held for its body as well. Resets used up all attempts of a request within 0.1 s. Change, where endpoints tell their pace: a request is sent on once its wait is far over what is usual elsewhere; a stream that is silent or too slow continues behind its last event; a caller whose answer has not begun is told so 40 ms before its deadline (504); the limit for the head ends with the head; a retry after a quick failure waits a little. path.py: the exchange is opened by EndpointCalls.open, budgets and stalls are passed on, and abandon answers 504 to an OutOfTimeError.

--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -4,14 +4,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from walnutquay.coordination.requests.outcomes import Outcome
 from walnutquay.coordination.requests.pathparts import PathParts
 from walnutquay.coordination.requests.paths import RequestPath
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.routed.admission import RoutedAdmission
 from walnutquay.coordination.routed.answers import FailedAnswerError
+from walnutquay.coordination.routed.budgets import RetryBudgets
+from walnutquay.coordination.routed.stalls import OutOfTimeError, Stalls
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.stages import Continuing, Dispatched
+from walnutquay.state.routed.retrypauses import QuickFailure, retry_pause
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.client import (
     STEP_BROKEN,
@@ -37,11 +44,45 @@
 
     :param parts: the components shared by all request paths.
     :param admission: grants slots at endpoints.
+    :param budgets: the retry budgets of this VM.
     """
 
-    def __init__(self, parts: PathParts, admission: RoutedAdmission) -> None:
+    def __init__(
+        self, parts: PathParts, admission: RoutedAdmission, budgets: RetryBudgets
+    ) -> None:
         super().__init__(parts)
         self.admission = admission
+        self.stalls = Stalls(self.context, admission, budgets)
+
+    async def _failed(
+        self, turn: RoutedTurn, running: Dispatched, grant: Grant, error: EndpointError
+    ) -> Outcome | Continuing:
+        """Retry at another endpoint if allowed, after a pause if it failed quickly."""
+        if isinstance(error, OutOfTimeError):
+            await self.note_failure(turn, grant, error)
+            return await self.abandon(turn, running, error)
+        took = monotonic() - grant.started
+        result = await super()._failed(turn, running, grant, error)
+        if isinstance(result, Continuing) and not self.closed:
+            await asyncio.sleep(self._retry_pause(turn, grant, took))
+        return result
+
+    def _retry_pause(self, turn: RoutedTurn, grant: Grant, took: float) -> float:
+        """Return how long to wait before the next attempt; seconds."""
+        usual = self.stalls.usual_heads(turn, grant)
+        if usual is None or not self.stalls.applies_to(turn):
+            return 0.0
+        arrival = turn.arrival
+        failure = QuickFailure(
+            attempts=turn.sends,
+            took=took,
+            age=monotonic() - arrival.arrived_at,
+            seconds_left=turn.seconds_left(),
+            objective=arrival.route.objective_seconds,
+            expected=usual.high,
+            begun=turn.progress.begun,
+        )
+        return retry_pause(failure, self.context.rng.random())
 
     def on_not_started(
         self, turn: RoutedTurn, grant: Grant, error: NotStartedError
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -12,7 +12,7 @@
 from walnutquay.coordination.requests.slots import Grant, SlotRequest
 from walnutquay.coordination.routed.admission import RoutedAdmission
 from walnutquay.coordination.routed.answers import FailedAnswerError, to_whole_answer
-from walnutquay.coordination.routed.bodies import WatchedExchange, read_body
+from walnutquay.coordination.routed.bodies import read_body
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.calls import EndpointCalls
 from walnutquay.coordination.routed.cascading import Cascading
@@ -22,7 +22,8 @@
     RoutedFailures,
 )
 from walnutquay.coordination.routed.ports import Dialect, VersionPolicy
-from walnutquay.coordination.routed.streaming import StreamForwarder, probe_interval
+from walnutquay.coordination.routed.stalls import OutOfTimeError
+from walnutquay.coordination.routed.streaming import StreamForwarder
 from walnutquay.coordination.routed.tunnels import Tunnels
 from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
 from walnutquay.coordination.store.knowledge import Knowledge
@@ -33,10 +34,7 @@
 from walnutquay.state.process.ids import EndpointName
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.requests.stages import Continuing, Dispatched, Received
-from walnutquay.transport.client import (
-    Exchange,
-    HttpClient,
-)
+from walnutquay.transport.client import HttpClient
 from walnutquay.transport.timers import monotonic
 
 # Retry-After while the store's state is not loaded.
@@ -78,15 +76,17 @@
         budgets: RetryBudgets,
         tunnels: Tunnels,
     ) -> None:
-        super().__init__(parts, admission)
+        super().__init__(parts, admission, budgets)
         self.knowledge = knowledge
-        self.calls = EndpointCalls(client, dialect, admission, budgets, tunnels)
+        self.calls = EndpointCalls(
+            client, dialect, admission, budgets, tunnels, self.stalls
+        )
         self.cascading = cascading
         self.versions = versions
         self.budgets = budgets
         self.facts = RoutedFacts(knowledge, admission, parts.table)
         self.streams = StreamForwarder(
-            self.context, admission, versions, self.facts, self.budgets
+            self.context, admission, versions, self.facts, self.budgets, self.stalls
         )
 
     def facts_received(self, arrival: RoutedArrival) -> Facts:
@@ -197,7 +197,8 @@
         if isinstance(error, FailedAnswerError):
             running.answered()
             return self._failed_answer(turn, error.answer)
-        if turn.seconds_left() <= TIMER_SLACK_SECONDS:
+        ends_now = isinstance(error, OutOfTimeError)
+        if ends_now or turn.seconds_left() <= TIMER_SLACK_SECONDS:
             reason = "no answer came in time"
             return Unknown(running.unknown(), reason, CODE_TIMEOUT, 504)
         return Unknown(running.unknown(), f"the endpoint failed: {error}")
@@ -256,8 +257,8 @@
         self, turn: RoutedTurn, running: Dispatched, grant: Grant
     ) -> Outcome | Received | Continuing:
         started = monotonic()
-        async with self._watched(turn, self.calls.send(turn, grant), grant) as answer:
-            head = self.calls.read_head(grant, answer)
+        async with self.calls.open(turn, grant) as answer:
+            head = self.calls.read_head(turn, grant, answer)
             grant.began = monotonic()
             seconds = grant.began - started
             self.admission.answer_began(grant, seconds)
@@ -290,18 +291,6 @@
         running.answered()
         return Whole(to_whole_answer(head, body))
 
-    def _watched(
-        self, turn: RoutedTurn, exchange: Exchange, grant: Grant
-    ) -> Exchange | WatchedExchange:
-        """Probe a silent endpoint while waiting for its head, if it may be retried."""
-        if not (turn.streamed and turn.repeatable):
-            return exchange
-        return WatchedExchange(
-            exchange,
-            probe_interval(turn),
-            lambda: self.admission.check_reachable(grant),
-        )
-
     def _learn(
         self,
         turn: RoutedTurn,
--- a/walnutquay/coordination/routed/streaming.py
+++ b/walnutquay/coordination/routed/streaming.py
@@ -9,15 +9,17 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.routed.admission import RoutedAdmission
-from walnutquay.coordination.routed.bodies import WatchedBody
+from walnutquay.coordination.routed.bodies import WatchedBody, lift_read_limit
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.facts import RoutedFacts
 from walnutquay.coordination.routed.ports import VersionPolicy
+from walnutquay.coordination.routed.stalls import Stalls
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.chat import StreamParser
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.routed.pauses import PauseMeter, StreamPart
 from walnutquay.transport.client import STEP_BROKEN, ConnectionEnd
 from walnutquay.transport.timers import monotonic
 
@@ -42,6 +44,7 @@
     :param versions: evaluates the pace of versions on trial.
     :param facts: provides log fields.
     :param budgets: the retry budgets of this VM.
+    :param stalls: detects streams that became slow or silent.
     """
 
     def __init__(
@@ -51,12 +54,14 @@
         versions: VersionPolicy,
         facts: RoutedFacts,
         budgets: RetryBudgets,
+        stalls: Stalls,
     ) -> None:
         self.context = context
         self.admission = admission
         self.versions = versions
         self.facts = facts
         self.budgets = budgets
+        self.stalls = stalls
 
     async def forward(
         self,
@@ -79,6 +84,8 @@
         reply = turn.arrival.reply
         assert reply is not None
         watched = ConnectionEnd(answer)
+        if self.stalls.applies_to(turn):
+            lift_read_limit(answer)
         parser = StreamParser()
         if not turn.progress.begun:
             turn.progress.begun = True
@@ -97,11 +104,17 @@
             probe_interval(turn),
             lambda gap: self._should_switch(turn, grant, gap),
         )
+        meter = PauseMeter(began)
         async for data in body:
             events = [e for e in parser.feed(data) if turn.progress.accept(e)]
             if events:
-                turn.arrival.note_relayed(monotonic())
+                now = monotonic()
+                turn.arrival.note_relayed(now)
+                part = meter.received(len(events), now)
                 await reply.write(b"".join(events))
+                meter.passed_on(monotonic())
+                if part is not None:
+                    self._on_part(turn, grant, part)
             forwarded += len(events)
             if forwarded > PACE_PAUSES and not pace_evaluated:
                 pace_evaluated = True
@@ -112,8 +125,14 @@
             raise EndpointError(
                 "the stream ended within an event", step=STEP_BROKEN, peer=grant.name
             )
+        self.stalls.on_ended(turn, grant, turn.progress.last_event or 0)
         return pace_evaluated
 
+    def _on_part(self, turn: RoutedTurn, grant: Grant, part: StreamPart) -> None:
+        """Learn from a part of a stream, and check whether the stream is too slow."""
+        self.stalls.on_pauses(turn, grant, part.mean, part.longest)
+        self.stalls.check_pace(turn, grant, part.mean, turn.progress.last_event or 0)
+
     async def _should_switch(self, turn: RoutedTurn, grant: Grant, gap: float) -> bool:
         """Decide whether a silent stream continues at another endpoint.
 
@@ -127,6 +146,8 @@
         budget = self.budgets.of(turn.service)
         if not turn.repeatable or budget.left < 1.0:
             return False
+        if self.stalls.applies_to(turn) and self.stalls.check_gap(turn, grant, gap):
+            return True
         if gap < silence_limit(turn) and await self.admission.check_reachable(grant):
             return False
         turn.retry_unsent = turn.retry_unsent or budget.take()
@@ -145,6 +166,9 @@
 def silence_limit(turn: RoutedTurn) -> float:
     """Return the length of a silence after which a stream continues elsewhere.
 
+    Where endpoints do not tell how long work takes, the client's limit between two
+    reads, which is that for the head, may end the wait sooner.
+
     :param turn: the streamed request.
     :returns: seconds.
     """
