--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -95,9 +95,10 @@
                         step=STEP_SILENT,
                         peer=self.exchange.peer,
                     )
-            return connecting.result()
+            answer, connecting = connecting.result(), None
+            return answer
         finally:
-            connecting.cancel()
+            give_up(connecting)
 
     async def __aexit__(
         self,
@@ -108,6 +109,19 @@
         await self.exchange.__aexit__(kind, error, trace)
 
 
+def give_up(connecting: asyncio.Future[aiohttp.ClientResponse] | None) -> None:
+    """End a wait for an answer's head, and close an answer that came meanwhile.
+
+    Otherwise an endpoint works on for a caller that has left.
+
+    :param connecting: the wait; None if its answer is used.
+    """
+    if connecting is None or connecting.cancel() or connecting.cancelled():
+        return
+    if connecting.exception() is None:
+        connecting.result().close()
+
+
 def lift_read_limit(answer: aiohttp.ClientResponse) -> None:
     """Wait for the rest of an answer without the limit that held for its head.
 
--- a/walnutquay/coordination/routed/stalls.py
+++ b/walnutquay/coordination/routed/stalls.py
@@ -12,7 +12,7 @@
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.routed.admission import RoutedAdmission
-from walnutquay.coordination.routed.bodies import WatchedExchange
+from walnutquay.coordination.routed.bodies import WatchedExchange, give_up
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.facts import whole_ms
 from walnutquay.coordination.routed.turn import RoutedTurn
@@ -308,19 +308,17 @@
 
     async def __aenter__(self) -> aiohttp.ClientResponse:
         self.stalls.under_way += 1
-        entered = False
         connecting = asyncio.ensure_future(self.exchange.__aenter__())
         try:
             while not connecting.done():
                 await asyncio.wait([connecting], timeout=self._interval())
                 if not connecting.done():
                     self.stalls.check_head(self.turn, self.grant)
-            answer = connecting.result()
-            entered = True
+            answer, connecting = connecting.result(), None
             return answer
         finally:
-            connecting.cancel()
-            if not entered:
+            give_up(connecting)
+            if connecting is not None:
                 self.stalls.under_way -= 1
 
     def _interval(self) -> float:
