--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+from expression import Result
+
 from walnutquay.coordination.requests.outcomes import Outcome
 from walnutquay.coordination.requests.pathparts import PathParts
 from walnutquay.coordination.requests.paths import RequestPath
@@ -64,9 +66,16 @@
         took = monotonic() - grant.started
         result = await super()._failed(turn, running, grant, error)
         if isinstance(result, Continuing) and not self.closed:
-            await asyncio.sleep(self._retry_pause(turn, grant, took))
+            turn.retry_pause = self._retry_pause(turn, grant, took)
         return result
 
+    async def _acquire_slot(self, turn: RoutedTurn) -> Result[Grant, Refusal]:
+        """Acquire a slot, after the pause that the last attempt calls for."""
+        pause, turn.retry_pause = turn.retry_pause, 0.0
+        if pause:
+            await asyncio.sleep(pause)
+        return await super()._acquire_slot(turn)
+
     def _retry_pause(self, turn: RoutedTurn, grant: Grant, took: float) -> float:
         """Return how long to wait before the next attempt; seconds."""
         usual = self.stalls.usual_heads(turn, grant)
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -112,6 +112,7 @@
     :param choice: the version that is to serve it; None if none is on trial.
     :param last_refusal: why the last endpoint did not start it.
     :param failed_answer: the last answer with which an endpoint reported a failure.
+    :param retry_pause: how long to wait before the next attempt; seconds.
     :param first_confidence: the confidence of the model that answered first, if a
         larger one was used after it.
     """
@@ -129,6 +130,7 @@
     choice: VersionChoice | None = None
     last_refusal: Refusal | None = None
     failed_answer: WholeAnswer | None = None
+    retry_pause: float = 0.0
     first_confidence: ModelConfidence | None = None
 
     @property
