Pause before the next attempt of a stream that has begun, too

Cause: endpoints that reset each connection behind its head use up the attempts of a stream just as fast, but a stream whose head had gone to its caller did not wait. Change: before the first event the objective decides as for other requests; after it, pause and attempt must fit into the longest pause of the route.

--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -89,7 +89,7 @@
             seconds_left=turn.seconds_left(),
             objective=arrival.route.objective_seconds,
             expected=usual.high,
-            begun=turn.progress.begun,
+            pause_aim=arrival.route.pause_seconds if turn.progress.events else None,
         )
         return retry_pause(failure, self.context.rng.random())
 
--- a/walnutquay/state/routed/retrypauses.py
+++ b/walnutquay/state/routed/retrypauses.py
@@ -33,7 +33,8 @@
     :param seconds_left: until its deadline.
     :param objective: the time in which its answer should begin; seconds.
     :param expected: the expected duration of an attempt; seconds.
-    :param begun: whether its caller has received a part of the answer.
+    :param pause_aim: the longest pause that its caller accepts after an event; seconds,
+        None before the first one.
     """
 
     attempts: int
@@ -42,25 +43,25 @@
     seconds_left: float
     objective: float
     expected: float
-    begun: bool = False
+    pause_aim: float | None = None
 
 
 def retry_pause(failure: QuickFailure, chance: float) -> float:
     """Return how long to wait before the next attempt.
 
-    A caller that reads a stream is not kept waiting: it counts each pause.
-
     :param failure: the attempt that failed.
     :param chance: a random number from 0 to 1.
     :returns: seconds; 0 where the wait would miss the objective or the deadline.
     """
-    if failure.begun or failure.took >= QUICK_SHARE * failure.objective:
+    if failure.took >= QUICK_SHARE * failure.objective:
         return 0.0
     share = FIRST_SHARE * GROWTH ** max(0, failure.attempts - 1)
     longest = min(MAX_SHARE, share) * failure.objective
     pause = longest * (1.0 - SPREAD * chance)
     needed = pause + failure.expected
     in_time = failure.age + needed <= failure.objective
+    if failure.pause_aim is not None:
+        in_time = needed <= failure.pause_aim
     if not in_time or needed > MAX_LEFT_SHARE * failure.seconds_left:
         return 0.0
     return pause
