Write and read the messages on scarce slots

Cause: VMs that share scarce slots had types for their messages, but no form on the wire. A question also carries how long the request has waited, the loads that its VM has learnt of, and the slots that the VM holds, for a keeper that starts; an answer carries a number of its sender's start, so that a VM sees that a keeper has forgotten.

--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -58,6 +58,11 @@
     place @51 :PlaceAnswer;
     placesUsed @52 :Place;
     brittle @53 :BrittleNews;
+    askSlot @54 :AskSlot;
+    slot @55 :SlotAnswer;
+    slotNews @56 :SlotNews;
+    slotReleased @57 :SlotReleased;
+    slotsScarce @58 :SlotsScarce;
   }
 }
 
@@ -341,3 +346,73 @@
   borne @2 :UInt32;
   rejected @3 :Bool;
 }
+
+# A request for one of a service's scarce slots; times are seconds.
+struct AskSlot {
+  service @0 :Text;
+  number @1 :UInt64;
+  route @2 :Text;
+  organisation @3 :Text;
+  weight @4 :Float64;
+  priority @5 :Int32;
+  work @6 :UInt64;
+  # Below 0 if an answer would be late already.
+  inTime @7 :Float64;
+  timeLeft @8 :Float64;
+  tried @9 :List(Text);
+  waited @10 :Float64;
+  loads @11 :List(SlotLoad);
+  held @12 :List(HeldSlot);
+}
+
+# What an endpoint told of its load; a pace that it did not tell is below 0.
+struct SlotLoad {
+  endpoint @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  pace @3 :Float64;
+  # Seconds since its answer.
+  age @4 :Float64;
+}
+
+# A request of the sender that is at an endpoint.
+struct HeldSlot {
+  number @0 :UInt64;
+  endpoint @1 :Text;
+  # Seconds until its caller gives up.
+  timeLeft @2 :Float64;
+}
+
+struct SlotAnswer {
+  # A word: see walnutquay.protocol.slotmessages.SlotState.
+  state @0 :Text;
+  endpoint @1 :Text;
+  # Below 0 where no room is forecast.
+  retryAfter @2 :Float64;
+  reason @3 :Text;
+  # Changes with each start of the sender.
+  start @4 :UInt64;
+}
+
+struct SlotNews {
+  service @0 :Text;
+  number @1 :UInt64;
+  answer @2 :SlotAnswer;
+}
+
+struct SlotReleased {
+  service @0 :Text;
+  number @1 :UInt64;
+  # Empty if it was not sent.
+  endpoint @2 :Text;
+  seconds @3 :Float64;
+  # Whether the endpoint had no room for it.
+  rejected @4 :Bool;
+  # What the endpoint told as it answered; at most one.
+  loads @5 :List(SlotLoad);
+}
+
+struct SlotsScarce {
+  service @0 :Text;
+  seconds @1 :Float64;
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -22,6 +22,7 @@
     PlaceIs,
     PlacesUsed,
 )
+from walnutquay.protocol.slotpeer import SLOT_READERS
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
@@ -207,6 +208,7 @@
         EndpointName(r.endpoint), _born(r), r.borne, r.rejected
     ),
     "failure": lambda r: m.Failure(str(r)),
+    **SLOT_READERS,
 }
 
 
--- a/walnutquay/protocol/slotmessages.py
+++ b/walnutquay/protocol/slotmessages.py
@@ -32,6 +32,38 @@
     NOT_HERE = "not_here"
 
 
+@dataclass(frozen=True, slots=True)
+class SlotLoad:
+    """What an endpoint told of its load in an answer.
+
+    :param endpoint: the endpoint.
+    :param running: the requests that it ran.
+    :param waiting: the requests that waited there.
+    :param pace: how long work took there, relative to its usual time; None if unknown.
+    :param age: seconds since its answer.
+    """
+
+    endpoint: EndpointName
+    running: int
+    waiting: int
+    pace: float | None = None
+    age: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldSlot:
+    """A request of the sender that is at an endpoint.
+
+    :param number: the sender's number for it.
+    :param endpoint: the endpoint.
+    :param time_left: seconds until its caller gives up.
+    """
+
+    number: SlotNumber
+    endpoint: EndpointName
+    time_left: float
+
+
 @dataclass(frozen=True, slots=True)
 class AskSlot(Message):
     """Asks for a slot; answered by :class:`SlotIs`.
@@ -48,6 +80,10 @@
     :param in_time: seconds in which an answer is in time; negative if it is late.
     :param time_left: seconds until its caller gives up.
     :param tried: endpoints that must not get it.
+    :param waited: seconds since it asked for the first time, whatever VM.
+    :param loads: what the sender has learnt of endpoints' loads since it last asked.
+    :param held: the sender's requests that have slots, where the receiver may not know
+        of them.
     """
 
     service: ServiceName
@@ -60,6 +96,9 @@
     in_time: float
     time_left: float
     tried: tuple[EndpointName, ...] = ()
+    waited: float = 0.0
+    loads: tuple[SlotLoad, ...] = ()
+    held: tuple[HeldSlot, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,12 +110,15 @@
     :param retry_after: seconds after which there is room, if it was denied; None
         where none is forecast.
     :param reason: why, if it was denied; else empty.
+    :param start: a number that changes with each start of the sender, which then knows
+        of no slots.
     """
 
     state: SlotState
     endpoint: EndpointName | None = None
     retry_after: float | None = None
     reason: str = ""
+    start: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,18 +143,16 @@
     :param number: the sender's number for the request.
     :param endpoint: the endpoint that had it; None if it was not sent.
     :param seconds: how long it was there; 0 if it was not answered.
-    :param running: requests that the endpoint ran as it answered; None if unknown.
-    :param waiting: requests that waited there then.
-    :param pace: how long work took there, relative to its usual time; None if unknown.
+    :param rejected: whether the endpoint had no room for it.
+    :param load: what the endpoint told of its load as it answered; None if nothing.
     """
 
     service: ServiceName
     number: SlotNumber
     endpoint: EndpointName | None = None
     seconds: float = 0.0
-    running: int | None = None
-    waiting: int = 0
-    pace: float | None = None
+    rejected: bool = False
+    load: SlotLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
