Share scarce slots among all VMs

Cause: each VM sends by itself, so nothing orders what waits for a service's slots. Change: SlotKeeper shares out the slots of services for which this VM is asked; SlotSharing asks for this VM's requests, waits for news, and goes by the VM's own share where no keeper answers; SlotChoice puts it between the limits on endpoints and the choice among them.

--- /dev/null
+++ b/tests/coordination/routed/test_slotsharing.py
@@ -0,0 +1,501 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Scarce slots that several VMs share, and what goes wrong between them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.slotworld import SERVICE, WORK, Result, SlotVm, SlotWorld
+from tests.virtualtime import play
+from walnutquay.protocol.messages import Message
+from walnutquay.protocol.slotmessages import (
+    AskSlot,
+    SlotIs,
+    SlotNews,
+    SlotReleased,
+    SlotState,
+)
+from walnutquay.sections import ShareSlots
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.ids import EndpointName, OrganisationName, VmName
+from walnutquay.state.requests.refusals import RefusalCode
+
+# The slots of all endpoints serve 40 requests a second.
+FULL_INTERVAL = WORK / 4
+TWICE = FULL_INTERVAL / 2
+REQUESTS = 200
+# A keeper sends endpoints one request more than they have slots, so that these do not
+# idle; one more is on its way while loads are told.
+EXTRA = 2
+# Without one keeper for all, VMs do not know of each other's requests.
+EXTRA_APART = 6
+
+
+class SlotCase(unittest.TestCase):
+    """Stories of VMs that share slots."""
+
+    def check(self, world: SlotWorld, extra: int = EXTRA) -> None:
+        """Check that all requests have ended in time, and left nothing behind."""
+        for result in world.results:
+            self.assertTrue(result.granted or result.refusal, result)
+            self.assertLessEqual(result.decided, result.deadline)
+        for endpoint in world.endpoints.values():
+            self.assertLessEqual(endpoint.peak, endpoint.instance.slots + extra)
+        for vm in world.vms.values():
+            self.assertEqual(vm.sharing.asks.waiting, {})
+            self.assertEqual(vm.sharing.held.slots, {})
+            for kept in vm.sharing.keeper.kept.values():
+                self.assertEqual(kept.queue.waiting, {})
+
+    def granted(self, vm: SlotVm) -> int:
+        """Return the slots that a keeper counts as used."""
+        kept = vm.sharing.keeper.kept.get(SERVICE)
+        return 0 if kept is None else len(kept.queue.grants)
+
+    def served(self, results: list[Result]) -> int:
+        return sum(result.served for result in results)
+
+
+class OverloadTest(SlotCase):
+    """More requests than slots, and nothing wrong."""
+
+    def test_twice_the_load(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vms = list(world.vms.values())
+            results = await world.load(vms, 2 * REQUESTS, TWICE)
+            await asyncio.sleep(1.0)
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.9 * REQUESTS)
+            late = [r for r in results if r.refusal and r.decided - r.began > 1.0]
+            self.assertEqual(late, [])
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def in_time(self, mode: ShareSlots) -> tuple[int, int]:
+        """Return how many urgent requests of so many were in time at twice the load."""
+
+        async def story() -> tuple[int, int]:
+            world = SlotWorld(mode=mode)
+            vms = list(world.vms.values())
+            usual = world.spawn(world.load(vms, 2 * REQUESTS, TWICE, left=30.0))
+            urgent = await world.load(
+                vms, REQUESTS // 4, 8 * TWICE, priority=0, left=30.0
+            )
+            times = [
+                result.served and result.ended - result.began < 1.0 for result in urgent
+            ]
+            await usual
+            return sum(times), len(times)
+
+        return play(story())
+
+    def test_urgent_requests_are_in_time(self) -> None:
+        in_time, count = self.in_time(ShareSlots.PACED)
+        self.assertGreater(in_time, 0.95 * count)
+        in_time, count = self.in_time(ShareSlots.NEVER)
+        self.assertLess(in_time, 0.5 * count)
+
+    def test_what_waited_or_was_refused_is_logged(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vms = list(world.vms.values())
+            await world.load(vms, 2 * REQUESTS, TWICE)
+            events = [e for vm in vms for e in vm.context.timeline.ring.events]
+            denied = [e for e in events if e.kind is EventKind.SLOT_DENIED]
+            granted = [e for e in events if e.kind is EventKind.SLOT_GRANTED]
+            queued = [e for e in events if e.kind is EventKind.QUEUED]
+            refused = [r for r in world.results if r.refusal]
+            self.assertEqual(len(denied), len(refused))
+            self.assertGreater(len(granted), 10)
+            self.assertGreaterEqual(len(queued), len(granted))
+            facts = dict(granted[0].facts)
+            self.assertEqual(facts["keeper"], world.keeper().name)
+            for vm in vms:
+                asked = vm.counters["slots_asked"]
+                refusals = vm.counters["slots_denied"]
+                self.assertLessEqual(refusals, asked)
+
+        play(story())
+
+
+class UnchangedTest(SlotCase):
+    """Services to which sharing does not apply."""
+
+    def check_silent(self, world: SlotWorld) -> None:
+        async def story() -> None:
+            vms = list(world.vms.values())
+            world.mark_scarce()
+            results = await world.load(vms, REQUESTS, TWICE, left=60.0)
+            self.assertEqual(self.served(results), REQUESTS)
+            for vm in vms:
+                self.assertEqual((vm.peers.calls, vm.peers.sent), (0, 0))
+                self.assertEqual(vm.counters, {})
+
+        play(story())
+
+    def test_endpoints_tell_no_pace(self) -> None:
+        self.check_silent(SlotWorld(paced=False))
+
+    def test_never(self) -> None:
+        self.check_silent(SlotWorld(mode=ShareSlots.NEVER))
+
+    def test_many_slots_for_each_vm(self) -> None:
+        self.check_silent(SlotWorld(vms=2, slots=(10, 10)))
+
+    def test_always_needs_no_pace(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(paced=False, mode=ShareSlots.ALWAYS)
+            await world.load(list(world.vms.values()), REQUESTS, TWICE)
+            self.assertGreater(sum(vm.peers.calls for vm in world.vms.values()), 0)
+
+        play(story())
+
+    def test_slots_are_free(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(slots=(8, 8))
+            vms = list(world.vms.values())
+            results = await world.load(vms, REQUESTS, WORK / 4)
+            self.assertEqual(self.served(results), REQUESTS)
+            self.assertEqual(sum(vm.peers.calls for vm in vms), 0)
+
+        play(story())
+
+
+class KeeperTest(SlotCase):
+    """A keeper that is lost, stands still, comes back, or is too old."""
+
+    async def play_with(self, world: SlotWorld, count: int = REQUESTS) -> list[Result]:
+        """Play the load at the other VMs."""
+        return await world.load(world.others(), count, FULL_INTERVAL)
+
+    def test_killed(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            load = world.spawn(self.play_with(world))
+            await asyncio.sleep(1.0)
+            world.kill(world.keeper())
+            results = await load
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.7 * REQUESTS)
+            silent = sum(vm.counters["slot_keepers_silent"] for vm in world.others())
+            self.assertGreater(silent, 0)
+            # One that waits at the lost keeper finds this out by itself; then the
+            # others do not try it for seconds.
+            self.assertLess(silent, 60)
+
+        play(story())
+
+    def test_killed_and_back(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            load = world.spawn(self.play_with(world, 3 * REQUESTS))
+            await asyncio.sleep(1.0)
+            world.kill(world.keeper())
+            await asyncio.sleep(1.0)
+            world.restart(world.keeper())
+            results = await load
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.7 * len(results))
+            back = world.keeper()
+            self.assertGreater(back.sharing.keeper.kept[SERVICE].queue.order.grants, 50)
+
+        play(story())
+
+    def test_restarted_at_once_learns_what_is_under_way(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            world.mark_scarce()
+            keeper, vm = world.keeper(), world.others()[0]
+            running = world.spawn(vm.request(work=1.0))
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(keeper), 1)
+            world.restart(keeper)
+            world.mark_scarce()
+            tasks = [world.spawn(vm.request(work=1.0)) for _ in range(2)]
+            await asyncio.sleep(0.5)
+            tasks.append(world.spawn(vm.request(work=1.0)))
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(world.keeper()), 4)
+            await asyncio.gather(running, *tasks)
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_suspended(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            load = world.spawn(self.play_with(world, 2 * REQUESTS))
+            await asyncio.sleep(1.0)
+            keeper = world.keeper()
+            world.suspended[keeper.name] = asyncio.Event()
+            await asyncio.sleep(2.0)
+            world.suspended.pop(keeper.name).set()
+            results = await load
+            await asyncio.sleep(3.0)
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.7 * len(results))
+            self.assertEqual(self.granted(keeper), 0)
+
+        play(story())
+
+    def cut_one_way(self, to_keeper: bool) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            keeper, lonely = world.keeper().name, world.others()[0]
+            pair = (lonely.name, keeper)
+            world.cut.add(pair if to_keeper else pair[::-1])
+            results = await world.load(list(world.vms.values()), REQUESTS, TWICE)
+            await asyncio.sleep(3.0)
+            self.check(world, extra=EXTRA_APART)
+            own = [result for result in results if result.vm == lonely.name]
+            self.assertGreater(self.served(own), 0.1 * len(own))
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_cut_one_way_to_it(self) -> None:
+        self.cut_one_way(to_keeper=True)
+
+    def test_cut_one_way_from_it(self) -> None:
+        self.cut_one_way(to_keeper=False)
+
+    def test_an_older_vm_takes_no_questions(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            old = world.keeper()
+            old.dispatcher.receivers.clear()
+            results = await self.play_with(world)
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.8 * REQUESTS)
+
+        play(story())
+
+    def test_all_others_are_older(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(vms=8)
+            vm = world.vms[VmName(world.others()[-1].name)]
+            for other in world.vms.values():
+                if other is not vm:
+                    other.dispatcher.receivers.clear()
+            results = await world.load([vm], REQUESTS, FULL_INTERVAL)
+            self.check(world)
+            self.assertGreater(vm.counters["slots_own_share"], 0)
+            self.assertGreater(self.served(results), 0)
+
+        play(story())
+
+    def test_halls_are_cut_off(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(vms=8)
+            names = list(world.vms)
+            near, far = names[:4], names[4:]
+            world.cut |= {(a, b) for a in near for b in far}
+            world.cut |= {(b, a) for a in near for b in far}
+            results = await world.load(list(world.vms.values()), 2 * REQUESTS, TWICE)
+            await asyncio.sleep(1.0)
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.7 * REQUESTS)
+            keepers = [
+                vm
+                for vm in world.vms.values()
+                if vm.sharing.keeper.kept
+                and vm.sharing.keeper.kept[SERVICE].queue.order.grants
+            ]
+            halls = {vm.name in near for vm in keepers}
+            self.assertEqual(halls, {True, False})
+
+        play(story())
+
+    def test_stopping_as_planned(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            load = world.spawn(self.play_with(world))
+            await asyncio.sleep(1.0)
+            world.keeper().sharing.stop()
+            results = await load
+            self.check(world, extra=EXTRA_APART)
+            self.assertGreater(self.served(results), 0.8 * REQUESTS)
+            for vm in world.others():
+                self.assertEqual(vm.counters["slot_keepers_silent"], 0)
+
+        play(story())
+
+    def test_a_vm_is_lost_with_its_slots(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            world.mark_scarce()
+            keeper, lost = world.keeper(), world.others()[0]
+            for _ in range(4):
+                world.spawn(lost.request(work=5.0, left=60.0))
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(keeper), 4)
+            world.kill(lost)
+            world.known = {n: p for n, p in world.known.items() if n != lost.name}
+            await world.others()[0].request()
+            self.assertEqual(self.granted(keeper), 0)
+
+        play(story())
+
+
+class NewsTest(SlotCase):
+    """What a keeper tells of a request that waits."""
+
+    async def fill(self, world: SlotWorld) -> SlotVm:
+        """Use all slots for 0.3 s, and return a VM whose next request waits."""
+        world.mark_scarce()
+        vm = world.others()[0]
+        slots = sum(one.instance.slots for one in world.endpoints.values())
+        extra = len(world.endpoints)
+        for _ in range(slots + extra):
+            world.spawn(vm.request(work=0.3))
+        await asyncio.sleep(0.05)
+        return vm
+
+    def lose(self, world: SlotWorld, kind: type[Message]) -> None:
+        world.loses = lambda sender, receiver, body: isinstance(body, kind)
+
+    def test_lost(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vm = await self.fill(world)
+            self.lose(world, SlotNews)
+            result = await vm.request()
+            self.assertTrue(result.served)
+            self.assertTrue(vm.counters["slots_waited"])
+            await asyncio.sleep(1.0)
+            self.check(world)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_releases_are_lost(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            self.lose(world, SlotReleased)
+            results = await world.load(
+                list(world.vms.values()), REQUESTS, FULL_INTERVAL, left=1.0
+            )
+            await asyncio.sleep(2.0)
+            self.check(world)
+            # Slots come free as the deadlines of their requests pass.
+            self.assertGreater(self.served(results), 0)
+            await world.others()[0].request()
+            self.assertLessEqual(self.granted(world.keeper()), 1)
+
+        play(story())
+
+    def test_late(self) -> None:
+        """The caller has left as the grant comes; the slot is free at once."""
+
+        async def story() -> None:
+            world = SlotWorld()
+            vm, keeper = world.others()[0], world.keeper()
+            number = next(vm.sharing.asks.numbers)
+            world.mark_scarce()
+            await world.exchange(vm.name, keeper.name, self.ask(number))
+            self.assertEqual(self.granted(keeper), 1)
+            answer = keeper.sharing.keeper.kept[SERVICE].queue.grants
+            endpoint = next(iter(answer.values())).endpoint
+            await world.deliver(
+                keeper.name, vm.name, self.news(number, endpoint, keeper)
+            )
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(keeper), 0)
+            self.assertEqual(vm.counters["slot_grants_late"], 1)
+
+        play(story())
+
+    def ask(self, number: int) -> AskSlot:
+        return AskSlot(
+            SERVICE, number, "safe", OrganisationName("org-a"), 1.0, 1, 7, 1.0, 9.0
+        )
+
+    def news(self, number: int, endpoint: EndpointName, keeper: SlotVm) -> SlotNews:
+        start = keeper.sharing.keeper.start
+        return SlotNews(
+            SERVICE, number, SlotIs(SlotState.GRANTED, endpoint, start=start)
+        )
+
+    def test_doubled(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vm = await self.fill(world)
+            keeper = world.keeper()
+            task = world.spawn(vm.request(work=0.2))
+            while not vm.sharing.asks.waiting:
+                await asyncio.sleep(0.01)
+            news = []
+            while not news:
+                await asyncio.sleep(0.01)
+                news = [body for body in world.delivered if isinstance(body, SlotNews)]
+            before = self.granted(keeper)
+            await world.deliver(keeper.name, vm.name, news[-1])
+            await asyncio.sleep(0.01)
+            self.assertEqual(self.granted(keeper), before)
+            self.assertEqual(vm.counters["slot_grants_late"], 0)
+            self.assertTrue((await task).served)
+
+        play(story())
+
+    def test_the_caller_leaves_while_it_waits(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vm = await self.fill(world)
+            task = world.spawn(vm.request())
+            await asyncio.sleep(0.05)
+            queue = world.keeper().sharing.keeper.kept[SERVICE].queue
+            self.assertEqual(len(queue.waiting), 1)
+            task.cancel()
+            await asyncio.sleep(0.01)
+            self.assertEqual(len(queue.waiting), 0)
+            self.assertEqual(vm.sharing.asks.waiting, {})
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_the_caller_leaves_while_the_keeper_answers(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            world.mark_scarce()
+            task = world.spawn(world.others()[0].request())
+            await asyncio.sleep(0.0005)
+            task.cancel()
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_the_granted_endpoint_is_not_one_of_those_allowed(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(slots=(2, 2, 2))
+            world.mark_scarce()
+            vm = world.others()[0]
+            vm.barred = {"p1", "p3"}
+            for _ in range(6):
+                result = await vm.request()
+                self.assertEqual(result.endpoint, "p2")
+            self.check(world)
+
+        play(story())
+
+    def test_a_refusal_says_not_run_and_when_to_return(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            results = await world.load(
+                list(world.vms.values()), 2 * REQUESTS, TWICE, left=1.0
+            )
+            refused = [r for r in results if r.refusal]
+            self.assertGreater(len(refused), 10)
+            for result in refused:
+                self.assertFalse(result.granted)
+                self.assertIs(result.refusal.code, RefusalCode.QUEUE_FULL)
+            times = [r.refusal.retry_after for r in refused]
+            self.assertTrue(any(time is not None for time in times))
+
+        play(story())
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -15,6 +15,7 @@
 from walnutquay.coordination.routed.cold import ColdLimiter
 from walnutquay.coordination.routed.endpointchoice import EndpointChoice
 from walnutquay.coordination.routed.pendingprompts import PendingPrompt
+from walnutquay.coordination.routed.ports import ScarceSlots
 from walnutquay.coordination.routed.promptengines import EngineState, PromptEngines
 from walnutquay.coordination.routed.ratelimiter import RateLimiter
 from walnutquay.coordination.routed.reachability import Reachability
@@ -23,6 +24,7 @@
     SendLimits,
     no_endpoint,
 )
+from walnutquay.coordination.routed.slotchoice import SlotChoice
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.messages import WorkNews
 from walnutquay.state.process.ids import (
@@ -32,7 +34,7 @@
     WorkKind,
 )
 from walnutquay.state.requests.endpoints import EndpointTable
-from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.refusals import Refusal
 from walnutquay.state.requests.regions import filter_by_region
 from walnutquay.state.routed.modelchoice import Demand, priority_weight
 from walnutquay.state.routed.traffic import PromptTraffic, SentPrompt
@@ -40,9 +42,6 @@
 from walnutquay.state.store.instances import Instance, InstanceRegistry
 from walnutquay.transport.timers import monotonic
 
-# Retry-After when all endpoints are full.
-FULL_RETRY_SECONDS = 0.5
-
 
 class RoutedAdmission:
     """Grants slots at endpoints, which have queues of their own.
@@ -58,6 +57,7 @@
     :param announcements: learns what endpoints announce in their answers.
     :param candidates: the endpoints that could serve requests.
     :param reachability: which endpoints accept connections.
+    :param sharing: shares scarce slots out among all VMs; None to share out none.
     """
 
     def __init__(
@@ -72,6 +72,7 @@
         announcements: EndpointAnnouncements,
         candidates: Candidates,
         reachability: Reachability,
+        sharing: ScarceSlots | None = None,
     ) -> None:
         self.context = context
         self.registry = registry
@@ -94,6 +95,8 @@
         self.reachability = reachability
         self.engine_state = EngineState(context.hall, table, self.work)
         self.choice = EndpointChoice(table, self._engines)
+        self.sharing = sharing
+        self.slots = SlotChoice(self.limits, self.choice, reachability, sharing)
         # The prompts that this VM has sent recently, by service.
         self.traffic: dict[ServiceName, PromptTraffic] = {}
         # Prompts whose answers have not begun, by the id of the grant.
@@ -111,43 +114,23 @@
         found = self.candidates.of_request(need) or self.candidates.draining(need)
         if not found or self.reachability.are_down(found):
             return Error(no_endpoint(service))
-        acquired = await self._choose_permitted(need)
+        acquired = await self.slots.choose(need)
         if acquired.is_error():
             return acquired
-        chosen, now = acquired.ok, monotonic()
+        chosen, now = acquired.ok.endpoint, monotonic()
+        ticket = acquired.ok.ticket
         self.limits.record_send(chosen, now)
         self.table.state_of(chosen.name).in_flight += 1
         if need.work is None:
-            return Ok(Grant(chosen, now, WorkKind.QUICK))
+            return Ok(Grant(chosen, now, WorkKind.QUICK, ticket=ticket))
         return Ok(self._record_prompt(Grant(chosen, now, WorkKind.PATIENT), need))
 
-    async def _choose_permitted(self, need: SlotRequest) -> Result[Instance, Refusal]:
-        """Choose an endpoint that may be sent a request now."""
-        while True:
-            open_ones = await self.limits.wait_for(need)
-            if not open_ones:
-                return Error(self.limits.refusal(need))
-            chosen = self._choose(open_ones, need)
-            if chosen is None:
-                reason = f"the endpoints of {need.target} are full"
-                return Error(
-                    Refusal(RefusalCode.QUEUE_FULL, reason, FULL_RETRY_SECONDS)
-                )
-            if not self.limits.needs_permit(chosen):
-                return Ok(chosen)
-            if not await self.limits.permit(chosen, open_ones, need):
-                continue
-            # Meanwhile it may be gone, or another limit may hold.
-            if self.limits.may_send(chosen, need):
-                return Ok(chosen)
-
-    def _choose(self, open_ones: list[Instance], need: SlotRequest) -> Instance | None:
-        """Choose one of some endpoints, or a draining one if these are full."""
-        remaining = self.reachability.exclude_unreachable(open_ones)
-        chosen = self.choice.choose(remaining, need)
-        if chosen is None:
-            chosen = self.choice.choose(self.limits.draining(need), need)
-        return chosen
+    def are_scarce(self, service: ServiceName) -> bool:
+        """Return whether the slots of a service are shared out at present.
+
+        :param service: the service.
+        """
+        return self.sharing is not None and self.sharing.are_scarce(service)
 
     def backoff_seconds(self, service: ServiceName) -> float:
         """Return the time until the first endpoint of a service ends its backoff.
@@ -287,6 +270,8 @@
         endpoint = grant.endpoint
         assert isinstance(endpoint, Instance)
         self.announcements.on_answer(endpoint, head, grant.started)
+        if self.sharing is not None:
+            self.sharing.on_answer(endpoint, head)
         if head.running is not None:
             load = head.running + head.waiting
             self.table.report(grant.name, load, "", monotonic(), head.pace)
@@ -361,6 +346,10 @@
             facts = self.table.state_of(grant.name)
             facts.in_flight = max(0, facts.in_flight - 1)
             self.limits.places.on_released(endpoint)
+        if grant.ticket is not None and self.sharing is not None:
+            answered = grant.began is not None
+            seconds = monotonic() - grant.started if answered else 0.0
+            self.sharing.release(grant.ticket, seconds)
 
     def full(self, grant: Grant) -> None:
         """Record that an endpoint refused a request although a slot was granted.
@@ -370,3 +359,5 @@
         self.table.full(grant.name, monotonic())
         assert isinstance(grant.endpoint, Instance)
         self.limits.places.on_rejected(grant.endpoint)
+        if self.sharing is not None:
+            self.sharing.on_rejected(grant.endpoint)
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -151,6 +151,7 @@
         """
         arrival = turn.arrival
         turn.choice = self.versions.version_for(turn)
+        scarce = turn.work is None and self.admission.are_scarce(turn.service)
         return replace(
             super().slot_request(turn),
             version=turn.choice.version if turn.choice is not None else "",
@@ -158,6 +159,8 @@
             aim=arrival.route.objective_seconds,
             priority=arrival.priority,
             regions=turn.regions,
+            route=arrival.route.name,
+            content=arrival.fingerprint() if scarce else None,
         )
 
     def no_longer_allowed(self, turn: RoutedTurn) -> Refusal | None:
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -152,6 +152,7 @@
         )
         self.path = routing.path
         self.tunnels = routing.tunnels
+        self.sharing = routing.sharing
         self.crash_record = routing.crash_record
         self.store.eras.restore_listeners.append(self._on_restored)
         self.api = GatewayApi(self.context, self.knowledge, self.path)
@@ -242,6 +243,7 @@
         end = loop.time() + self.options.promises.stop_seconds - EXIT_SECONDS
         self.context.timeline.emit(EventKind.STOPPING)
         self.tunnels.stop()
+        self.sharing.stop()
         self.api.open = False
         self.api.server.draining = True
         self.api.server.close_idle()
@@ -260,6 +262,7 @@
         self.knowledge.stop()
         self.versions.stop()
         self.path.admission.close()
+        self.sharing.stop()
         self.crash_record.stop()
         self.path.parts.crashes.close()
         # Both at once: little time is left where requests took long to end.
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.routed.path import RoutedPath
+from walnutquay.coordination.routed.slotsharing import SlotSharing
 from walnutquay.coordination.routed.turn import RoutedArrival
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.versions import VersionTrials
@@ -55,6 +56,8 @@
         self.path = path
         self.versions = versions
         self.peers = peers
+        sharing = path.admission.sharing
+        self.sharing = sharing if isinstance(sharing, SlotSharing) else None
         # Where log lines go, if this process writes them.
         self.writer: LineWriter | None = None
         self.server = GatewayServer(self.handle, GatewayLimits(HEADER_BYTES))
@@ -111,6 +114,8 @@
         yield from self._emptied()
         yield from self._rate_limits()
         yield from self._backoffs()
+        yield from self._waiting_for_slots()
+        yield from self._shared_slots()
         yield from self._crashes()
         for service, budget in self.path.budgets.by_service.items():
             yield f'{PREFIX}_retries_left{{service="{service}"}} {budget.left:.1f}'
@@ -175,6 +180,47 @@
             label = f'{{endpoint="{escaped(name)}"}}'
             yield f"{PREFIX}_backoff_seconds{label} {backoff.until - now:.1f}"
 
+    def _waiting_for_slots(self) -> Iterator[str]:
+        """Tell whose requests of this VM wait for a scarce slot, and for how long."""
+        if self.sharing is None:
+            return
+        now = monotonic()
+        ages: dict[tuple[str, str, int], list[float]] = {}
+        for asking in self.sharing.asks.waiting.values():
+            need = asking.need
+            key = (asking.service, need.organisation, need.priority)
+            ages.setdefault(key, []).append(now - asking.since)
+        hall = escaped(self.context.hall)
+        for (service, organisation, priority), waiting in sorted(ages.items()):
+            label = (
+                f'service="{service}",organisation="{escaped(organisation)}",'
+                f'priority="{priority}",hall="{hall}"'
+            )
+            yield f"{PREFIX}_slot_waiting{{{label}}} {len(waiting)}"
+            yield f"{PREFIX}_slot_oldest_wait_seconds{{{label}}} {max(waiting):.3f}"
+
+    def _shared_slots(self) -> Iterator[str]:
+        """Tell of the slots that this VM shares out: who has them, and refusals."""
+        if self.sharing is None:
+            return
+        now = monotonic()
+        for service, kept in sorted(self.sharing.keeper.kept.items()):
+            found = kept.queue.summary(now)
+            scarce = int(kept.queue.is_scarce(now))
+            label = f'service="{service}"'
+            yield f"{PREFIX}_slot_keeper_scarce{{{label}}} {scarce}"
+            yield f"{PREFIX}_slot_keeper_waiting{{{label}}} {found.waiting_count}"
+            yield f"{PREFIX}_slot_keeper_granted_total{{{label}}} {found.grants}"
+            for reason, count in found.denials:
+                labels = f'{{{label},reason="{reason.value}"}}'
+                yield f"{PREFIX}_slot_keeper_denied_total{labels} {count}"
+            for row in found.granted:
+                labels = f'{{{label},endpoint="{escaped(row.endpoint)}"}}'
+                yield f"{PREFIX}_slot_grants{labels} {row.granted}"
+                yield f"{PREFIX}_slot_capacity{labels} {row.slots}"
+                age = row.oldest_seconds
+                yield f"{PREFIX}_slot_oldest_grant_seconds{labels} {age:.3f}"
+
     def _endpoints(self) -> Iterator[str]:
         now = monotonic()
         backoffs = self.path.admission.limits.backoffs
--- a/walnutquay/daemon/routing.py
+++ b/walnutquay/daemon/routing.py
@@ -20,6 +20,7 @@
 from walnutquay.coordination.routed.cold import ColdLimiter
 from walnutquay.coordination.routed.draining import DrainingEndpoints
 from walnutquay.coordination.routed.issuers import IssuerRanking
+from walnutquay.coordination.routed.keeperranking import KeeperRanking
 from walnutquay.coordination.routed.linkqueries import LinkQueries
 from walnutquay.coordination.routed.path import RoutedPath
 from walnutquay.coordination.routed.places import Places
@@ -27,6 +28,9 @@
 from walnutquay.coordination.routed.ratelimiter import RateLimiter
 from walnutquay.coordination.routed.ratelimits import RateLimits
 from walnutquay.coordination.routed.reachability import Reachability
+from walnutquay.coordination.routed.slotkeeper import SlotKeeper
+from walnutquay.coordination.routed.slotsharing import SlotSharing
+from walnutquay.coordination.routed.slotsigns import SlotSigns
 from walnutquay.coordination.routed.tunnels import Tunnels
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.versions import VersionTrials
@@ -34,9 +38,15 @@
 from walnutquay.platform.store import StoreClient
 from walnutquay.platform.values import ValueStore
 from walnutquay.protocol.messages import OpinionNews
+from walnutquay.sections import ShareSlots
 from walnutquay.settings import GatewayOptions
 from walnutquay.state.own.admission import RetryBudget
-from walnutquay.state.process.ids import HallName, RegionName, ServiceName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    HallName,
+    RegionName,
+    ServiceName,
+)
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.modelchoice import ModelChoice
 from walnutquay.state.store.catalogue import RoutedService
@@ -102,6 +112,8 @@
     def _make_path(self) -> RoutedPath:
         table = self.table
         rates = self._make_rate_limiter()
+        candidates = self._make_candidates()
+        self.sharing = self._make_sharing(candidates)
         admission = RoutedAdmission(
             self.context,
             self.knowledge.instances.registry,
@@ -111,10 +123,12 @@
             self._make_cold(),
             rates,
             self._make_announcements(rates),
-            self._make_candidates(),
+            candidates,
             self.reachability,
+            self.sharing,
         )
         self.knowledge.instances.listeners.append(admission.on_instance)
+        self.knowledge.instances.listeners.append(self.sharing.on_instance)
         self.knowledge.halls.back_listeners.append(admission.cold.on_hall_back)
         PromptUpdates(admission, self.peers).listen(self.dispatcher)
         crashes = self.crash_record.watch
@@ -147,6 +161,25 @@
             self.context, draining, backoffs, rates.limits, places
         )
 
+    def _make_sharing(self, candidates: Candidates) -> SlotSharing:
+        mode = self.options.overload.share_slots
+
+        def slots_of(service: ServiceName) -> dict[EndpointName, int]:
+            if mode is ShareSlots.NEVER:
+                return {}
+            return {item.name: item.slots for item in candidates.of_service(service)}
+
+        context, peers = self.context, self.peers
+        sharing = SlotSharing(
+            context,
+            SlotSigns(mode, slots_of, lambda: peers.size),
+            SlotKeeper(context, slots_of, peers),
+            KeeperRanking(context.vm, peers, context.rng),
+            peers,
+        )
+        sharing.listen(self.dispatcher)
+        return sharing
+
     def _make_candidates(self) -> Candidates:
         regions = self.options.vm.regions
         return Candidates(
