--- a/tests/slotworld.py
+++ b/tests/slotworld.py
@@ -34,6 +34,7 @@
     VmName,
 )
 from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.routed.slotforecast import REJECTED_SECONDS
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.timers import monotonic
 
@@ -351,6 +352,14 @@
                 vm.sharing.on_answer(endpoint.instance, endpoint.head())
             vm.sharing.signs.on_rejected(SERVICE, monotonic())
 
+    def start_scarce(self) -> None:
+        """Let all VMs know, and the first in rank of a rejection that is just over."""
+        now = monotonic()
+        self.mark_scarce()
+        kept = self.keeper().sharing.keeper._kept(SERVICE, now)
+        if kept is not None:
+            kept.queue.on_rejected(EndpointName("p1"), now - REJECTED_SECONDS)
+
     async def load(
         self, vms: list[SlotVm], count: int, interval: float, **more: object
     ) -> list[Result]:
--- a/walnutquay/coordination/routed/heldslots.py
+++ b/walnutquay/coordination/routed/heldslots.py
@@ -79,6 +79,15 @@
         """
         return self.slots.pop(number, None)
 
+    def is_informed(self, service: ServiceName, keeper: VmName) -> bool:
+        """Return whether a keeper was told of all slots of a service.
+
+        :param service: the service.
+        :param keeper: the keeper.
+        """
+        informed = self.informed.get(service)
+        return informed is not None and informed[0] == keeper
+
     def to_tell(
         self, service: ServiceName, keeper: VmName, now: float
     ) -> tuple[HeldSlot, ...]:
@@ -88,7 +97,7 @@
         :param keeper: the keeper.
         :param now: monotonic seconds.
         """
-        if self.informed.get(service, ("", 0))[0] == keeper:
+        if self.is_informed(service, keeper):
             return ()
         found = [
             HeldSlot(number, held.endpoint, max(0.0, held.until - now))
@@ -97,19 +106,19 @@
         ]
         return tuple(found[-MAX_HELD:])
 
-    def told(self, body: AskSlot, keeper: VmName, start: int) -> None:
+    def told(self, body: AskSlot, informs: bool, keeper: VmName, start: int) -> None:
         """Record that a keeper answered a question.
 
-        :param body: the question, with the slots that it told of.
+        :param body: the question.
+        :param informs: whether it told of all slots of the service.
         :param keeper: the keeper.
         :param start: the number of its start.
         """
         service = body.service
-        informed = self.informed.get(service)
-        if informed is not None and informed[0] == keeper:
-            if informed[1] != start:
+        if not informs:
+            if self.informed.get(service) != (keeper, start):
                 # It has started again, and knows none of them.
-                del self.informed[service]
+                self.informed.pop(service, None)
             return
         self.informed[service] = (keeper, start)
         for row in body.held:
--- a/walnutquay/coordination/routed/slotasks.py
+++ b/walnutquay/coordination/routed/slotasks.py
@@ -195,6 +195,7 @@
             asking.keeper = keeper
             asking.number = SlotNumber(next(self.numbers))
             self.waiting[asking.number] = asking
+        informs = not self.held.is_informed(asking.service, keeper)
         body = self._message(asking, keeper)
         answer: Message | None = None
         if keeper == self.context.vm:
@@ -207,7 +208,7 @@
         if isinstance(answer, SlotIs) and answer.state is not SlotState.NOT_HERE:
             asking.silent = 0
             self.ranking.answered(keeper)
-            self.held.told(body, keeper, answer.start)
+            self.held.told(body, informs, keeper, answer.start)
             # What came meanwhile is as new as the answer, or newer.
             return asking.news or answer
         if asking.news is not None:
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -45,6 +45,8 @@
 # The digits of a fingerprint that make a hash of 64 bits, and its bits.
 HASH_DIGITS = 16
 HASH_BITS = 64
+# The shortest wait for this VM's own share; seconds.
+MIN_PAUSE_SECONDS = 0.001
 REASONS = {
     DenialReason.NO_ROOM.value: "its slots are in use until it is too late",
     DenialReason.OVER_SHARE.value: "the organisation has used its share, and others"
@@ -277,7 +279,7 @@
         if now + wait >= asking.end:
             return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
         asking.queued = True
-        await asyncio.sleep(min(wait, MAX_ASK_SECONDS))
+        await asyncio.sleep(min(max(wait, MIN_PAUSE_SECONDS), MAX_ASK_SECONDS))
         return None
 
     def release(self, ticket: SlotTicket, seconds: float) -> None:
