--- a/walnutquay/coordination/routed/slotasks.py
+++ b/walnutquay/coordination/routed/slotasks.py
@@ -38,6 +38,8 @@
 
 # A keeper answers within some milliseconds.
 ANSWER_SECONDS = 0.15
+# Also a request whose time is nearly over waits this long for an answer; seconds.
+MIN_LEFT_SECONDS = 0.01
 # After this many VMs that did not answer, a request goes by this VM's own share.
 MAX_SILENT = 2
 # A request that waits asks again after these times, as news may be lost; seconds.
@@ -202,7 +204,9 @@
             answer = self.keeper.ask(keeper, body)
         else:
             try:
-                answer = await self.peers.call(keeper, body, ANSWER_SECONDS)
+                left = max(MIN_LEFT_SECONDS, asking.end - monotonic())
+                patience = min(ANSWER_SECONDS, left)
+                answer = await self.peers.call(keeper, body, patience)
             except PeerError:
                 self.context.metrics.count("slot_keepers_silent")
         if isinstance(answer, SlotIs) and answer.state is not SlotState.NOT_HERE:
