Ask the common scope which services' slots are shared out

Cause: the settings' coverage of services under overload is now decided in one place. Change: SlotSigns takes the OverloadScope; the tests on news move to a file of their own.

--- a/tests/coordination/routed/test_sharedslots.py
+++ b/tests/coordination/routed/test_sharedslots.py
@@ -12,9 +12,9 @@
 from walnutquay.coordination.routed.slotsharing import SlotSharing
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.protocol.slotmessages import AskSlot
-from walnutquay.sections import ShareSlots
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, ServiceName
+from walnutquay.state.routed.overloadscope import Coverage
 
 SLOTS = 2
 WORK_SECONDS = 0.05
@@ -66,7 +66,7 @@
 
     workers = {"p1": "plain", "p2": "plain"}
     pace: int | None = 100
-    mode = ShareSlots.PACED
+    mode = Coverage.PACED
 
     async def asyncSetUp(self) -> None:
         # A busy machine must not decide whether a keeper answers in time.
@@ -91,7 +91,7 @@
             )
 
     async def prepare(self, gateway: GatewayDaemon) -> None:
-        gateway.sharing.signs.mode = self.mode
+        gateway.sharing.signs.scope.coverage = self.mode
         send = gateway.peers.call
         gateway.questions = 0
 
@@ -222,7 +222,7 @@
     """Endpoints that tell a pace where the settings say never."""
 
     pace = 100
-    mode = ShareSlots.NEVER
+    mode = Coverage.NEVER
 
 
 class GoneTest(SharedSlotsCase):
--- /dev/null
+++ b/tests/coordination/routed/test_slotasks.py
@@ -0,0 +1,181 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Slots that are granted late, twice or never heard of, and callers that leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
+from tests.slotworld import SERVICE, SlotVm, SlotWorld
+from tests.virtualtime import play
+from walnutquay.protocol.messages import Message
+from walnutquay.protocol.slotmessages import (
+    AskSlot,
+    SlotIs,
+    SlotNews,
+    SlotReleased,
+    SlotState,
+)
+from walnutquay.state.process.ids import EndpointName, OrganisationName
+from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.transport.timers import monotonic
+
+
+class NewsTest(SlotCase):
+    """What a keeper tells of a request that waits."""
+
+    async def fill(self, world: SlotWorld) -> SlotVm:
+        """Use all slots for 0.3 s, and return a VM whose next request waits."""
+        world.start_scarce()
+        vm = world.others()[0]
+        slots = sum(one.instance.slots for one in world.endpoints.values())
+        extra = len(world.endpoints)
+        for _ in range(slots + extra):
+            world.spawn(vm.request(work=0.3))
+        await asyncio.sleep(0.05)
+        return vm
+
+    def lose(self, world: SlotWorld, kind: type[Message]) -> None:
+        world.loses = lambda sender, receiver, body: isinstance(body, kind)
+
+    def test_lost(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vm = await self.fill(world)
+            self.lose(world, SlotNews)
+            result = await vm.request()
+            self.assertTrue(result.served)
+            self.assertTrue(vm.counters["slots_waited"])
+            await asyncio.sleep(1.0)
+            self.check(world)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_releases_are_lost(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            self.lose(world, SlotReleased)
+            world.start_scarce()
+            results = await world.load(
+                list(world.vms.values()), REQUESTS, FULL_INTERVAL, left=1.0
+            )
+            await asyncio.sleep(2.0)
+            self.check(world, extra=EXTRA_APART)
+            # Slots come free as the deadlines of their requests pass.
+            self.assertGreater(self.served(results), 0)
+            await world.others()[0].request()
+            self.assertLessEqual(self.granted(world.keeper()), 1)
+
+        play(story())
+
+    def test_late(self) -> None:
+        """The caller has left as the grant comes; the slot is free at once."""
+
+        async def story() -> None:
+            world = SlotWorld()
+            vm, keeper = world.others()[0], world.keeper()
+            number = next(vm.sharing.asks.numbers)
+            world.start_scarce()
+            await world.exchange(vm.name, keeper.name, self.ask(number))
+            self.assertEqual(self.granted(keeper), 1)
+            rows = (
+                keeper.sharing.keeper.kept[SERVICE].queue.summary(monotonic()).granted
+            )
+            endpoint = next(row.endpoint for row in rows if row.granted)
+            news = self.news(number, endpoint, keeper)
+            await world.deliver(keeper.name, vm.name, news)
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(keeper), 0)
+            self.assertEqual(vm.counters["slot_grants_late"], 1)
+
+        play(story())
+
+    def ask(self, number: int) -> AskSlot:
+        return AskSlot(
+            SERVICE, number, "safe", OrganisationName("org-a"), 1.0, 1, 7, 1.0, 9.0
+        )
+
+    def news(self, number: int, endpoint: EndpointName, keeper: SlotVm) -> SlotNews:
+        start = keeper.sharing.keeper.start
+        return SlotNews(
+            SERVICE, number, SlotIs(SlotState.GRANTED, endpoint, start=start)
+        )
+
+    def test_doubled(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vm = await self.fill(world)
+            keeper = world.keeper()
+            task = world.spawn(vm.request(work=0.2))
+            await asyncio.sleep(0.4)
+            news = [body for body in world.delivered if isinstance(body, SlotNews)]
+            before = self.granted(keeper)
+            await world.deliver(keeper.name, vm.name, news[-1])
+            await asyncio.sleep(0.01)
+            self.assertEqual(self.granted(keeper), before)
+            self.assertEqual(vm.counters["slot_grants_late"], 0)
+            self.assertTrue((await task).served)
+
+        play(story())
+
+    def test_the_caller_leaves_while_it_waits(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            vm = await self.fill(world)
+            queue = world.keeper().sharing.keeper.kept[SERVICE].queue
+            before = len(queue.waiting)
+            task = world.spawn(vm.request())
+            await asyncio.sleep(0.05)
+            self.assertEqual(len(queue.waiting), before + 1)
+            task.cancel()
+            await asyncio.sleep(0.01)
+            self.assertEqual(len(queue.waiting), before)
+            self.assertEqual(len(vm.sharing.asks.waiting), before)
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_the_caller_leaves_while_the_keeper_answers(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            world.start_scarce()
+            task = world.spawn(world.others()[0].request())
+            await asyncio.sleep(0.0005)
+            task.cancel()
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.granted(world.keeper()), 0)
+
+        play(story())
+
+    def test_the_granted_endpoint_is_not_one_of_those_allowed(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(slots=(2, 2, 2))
+            world.start_scarce()
+            vm = world.others()[0]
+            vm.barred = {"p1", "p3"}
+            for _ in range(6):
+                result = await vm.request()
+                self.assertEqual(result.endpoint, "p2")
+            self.check(world)
+
+        play(story())
+
+    def test_a_refusal_says_not_run_and_when_to_return(self) -> None:
+        async def story() -> None:
+            world = SlotWorld()
+            world.start_scarce()
+            results = await world.load(
+                list(world.vms.values()), 2 * REQUESTS, TWICE, left=1.0
+            )
+            refused = [r for r in results if r.refusal]
+            self.assertGreater(len(refused), 10)
+            for result in refused:
+                self.assertFalse(result.granted)
+                self.assertIs(result.refusal.code, RefusalCode.QUEUE_FULL)
+            times = [r.refusal.retry_after for r in refused]
+            self.assertTrue(any(time is not None for time in times))
+
+        play(story())
--- a/tests/coordination/routed/test_slotsharing.py
+++ b/tests/coordination/routed/test_slotsharing.py
@@ -5,59 +5,15 @@
 from __future__ import annotations
 
 import asyncio
-import unittest
 
-from tests.slotworld import SERVICE, WORK, Result, SlotVm, SlotWorld
+from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
+from tests.slotworld import SERVICE, WORK, Result, SlotWorld
 from tests.virtualtime import play
-from walnutquay.protocol.messages import Message
-from walnutquay.protocol.slotmessages import (
-    AskSlot,
-    SlotIs,
-    SlotNews,
-    SlotReleased,
-    SlotState,
-)
-from walnutquay.sections import ShareSlots
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.process.ids import EndpointName, OrganisationName, VmName
-from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.process.ids import VmName
+from walnutquay.state.routed.overloadscope import Coverage
 from walnutquay.transport.timers import monotonic
 
-# The slots of all endpoints serve 40 requests a second.
-FULL_INTERVAL = WORK / 4
-TWICE = FULL_INTERVAL / 2
-REQUESTS = 200
-# A keeper sends endpoints one request more than they have slots, so that these do not
-# idle; one more is on its way while loads are told.
-EXTRA = 2
-# Without one keeper for all, VMs do not know of each other's requests.
-EXTRA_APART = 6
-
-
-class SlotCase(unittest.TestCase):
-    """Stories of VMs that share slots."""
-
-    def check(self, world: SlotWorld, extra: int = EXTRA) -> None:
-        """Check that all requests have ended in time, and left nothing behind."""
-        for result in world.results:
-            self.assertTrue(result.granted or result.refusal, result)
-            self.assertLessEqual(result.decided, result.deadline)
-        for endpoint in world.endpoints.values():
-            self.assertLessEqual(endpoint.peak, endpoint.instance.slots + extra)
-        for vm in world.vms.values():
-            self.assertEqual(vm.sharing.asks.waiting, {})
-            self.assertEqual(vm.sharing.held.slots, {})
-            for kept in vm.sharing.keeper.kept.values():
-                self.assertEqual(kept.queue.waiting, {})
-
-    def granted(self, vm: SlotVm) -> int:
-        """Return the slots that a keeper counts as used."""
-        kept = vm.sharing.keeper.kept.get(SERVICE)
-        return 0 if kept is None else kept.queue.summary(monotonic()).granted_count
-
-    def served(self, results: list[Result]) -> int:
-        return sum(result.served for result in results)
-
 
 class OverloadTest(SlotCase):
     """More requests than slots, and nothing wrong."""
@@ -77,7 +33,7 @@
 
         play(story())
 
-    def in_time(self, mode: ShareSlots) -> tuple[int, int]:
+    def in_time(self, mode: Coverage) -> tuple[int, int]:
         """Return how many urgent requests of so many were in time at twice the load."""
 
         async def story() -> tuple[int, int]:
@@ -96,9 +52,9 @@
         return play(story())
 
     def test_urgent_requests_are_in_time(self) -> None:
-        in_time, count = self.in_time(ShareSlots.PACED)
+        in_time, count = self.in_time(Coverage.PACED)
         self.assertGreater(in_time, 0.95 * count)
-        in_time, count = self.in_time(ShareSlots.NEVER)
+        in_time, count = self.in_time(Coverage.NEVER)
         self.assertLess(in_time, 0.5 * count)
 
     def test_what_waited_or_was_refused_is_logged(self) -> None:
@@ -143,14 +99,14 @@
         self.check_silent(SlotWorld(paced=False))
 
     def test_never(self) -> None:
-        self.check_silent(SlotWorld(mode=ShareSlots.NEVER))
+        self.check_silent(SlotWorld(mode=Coverage.NEVER))
 
     def test_many_slots_for_each_vm(self) -> None:
         self.check_silent(SlotWorld(vms=2, slots=(10, 10)))
 
     def test_always_needs_no_pace(self) -> None:
         async def story() -> None:
-            world = SlotWorld(paced=False, mode=ShareSlots.ALWAYS)
+            world = SlotWorld(paced=False, mode=Coverage.ALWAYS)
             await world.load(list(world.vms.values()), REQUESTS, TWICE)
             self.assertGreater(sum(vm.peers.calls for vm in world.vms.values()), 0)
 
@@ -349,162 +305,3 @@
             self.assertEqual(self.granted(keeper), 0)
 
         play(story())
-
-
-class NewsTest(SlotCase):
-    """What a keeper tells of a request that waits."""
-
-    async def fill(self, world: SlotWorld) -> SlotVm:
-        """Use all slots for 0.3 s, and return a VM whose next request waits."""
-        world.start_scarce()
-        vm = world.others()[0]
-        slots = sum(one.instance.slots for one in world.endpoints.values())
-        extra = len(world.endpoints)
-        for _ in range(slots + extra):
-            world.spawn(vm.request(work=0.3))
-        await asyncio.sleep(0.05)
-        return vm
-
-    def lose(self, world: SlotWorld, kind: type[Message]) -> None:
-        world.loses = lambda sender, receiver, body: isinstance(body, kind)
-
-    def test_lost(self) -> None:
-        async def story() -> None:
-            world = SlotWorld()
-            vm = await self.fill(world)
-            self.lose(world, SlotNews)
-            result = await vm.request()
-            self.assertTrue(result.served)
-            self.assertTrue(vm.counters["slots_waited"])
-            await asyncio.sleep(1.0)
-            self.check(world)
-            self.assertEqual(self.granted(world.keeper()), 0)
-
-        play(story())
-
-    def test_releases_are_lost(self) -> None:
-        async def story() -> None:
-            world = SlotWorld()
-            self.lose(world, SlotReleased)
-            world.start_scarce()
-            results = await world.load(
-                list(world.vms.values()), REQUESTS, FULL_INTERVAL, left=1.0
-            )
-            await asyncio.sleep(2.0)
-            self.check(world, extra=EXTRA_APART)
-            # Slots come free as the deadlines of their requests pass.
-            self.assertGreater(self.served(results), 0)
-            await world.others()[0].request()
-            self.assertLessEqual(self.granted(world.keeper()), 1)
-
-        play(story())
-
-    def test_late(self) -> None:
-        """The caller has left as the grant comes; the slot is free at once."""
-
-        async def story() -> None:
-            world = SlotWorld()
-            vm, keeper = world.others()[0], world.keeper()
-            number = next(vm.sharing.asks.numbers)
-            world.start_scarce()
-            await world.exchange(vm.name, keeper.name, self.ask(number))
-            self.assertEqual(self.granted(keeper), 1)
-            rows = (
-                keeper.sharing.keeper.kept[SERVICE].queue.summary(monotonic()).granted
-            )
-            endpoint = next(row.endpoint for row in rows if row.granted)
-            news = self.news(number, endpoint, keeper)
-            await world.deliver(keeper.name, vm.name, news)
-            await asyncio.sleep(0.05)
-            self.assertEqual(self.granted(keeper), 0)
-            self.assertEqual(vm.counters["slot_grants_late"], 1)
-
-        play(story())
-
-    def ask(self, number: int) -> AskSlot:
-        return AskSlot(
-            SERVICE, number, "safe", OrganisationName("org-a"), 1.0, 1, 7, 1.0, 9.0
-        )
-
-    def news(self, number: int, endpoint: EndpointName, keeper: SlotVm) -> SlotNews:
-        start = keeper.sharing.keeper.start
-        return SlotNews(
-            SERVICE, number, SlotIs(SlotState.GRANTED, endpoint, start=start)
-        )
-
-    def test_doubled(self) -> None:
-        async def story() -> None:
-            world = SlotWorld()
-            vm = await self.fill(world)
-            keeper = world.keeper()
-            task = world.spawn(vm.request(work=0.2))
-            await asyncio.sleep(0.4)
-            news = [body for body in world.delivered if isinstance(body, SlotNews)]
-            before = self.granted(keeper)
-            await world.deliver(keeper.name, vm.name, news[-1])
-            await asyncio.sleep(0.01)
-            self.assertEqual(self.granted(keeper), before)
-            self.assertEqual(vm.counters["slot_grants_late"], 0)
-            self.assertTrue((await task).served)
-
-        play(story())
-
-    def test_the_caller_leaves_while_it_waits(self) -> None:
-        async def story() -> None:
-            world = SlotWorld()
-            vm = await self.fill(world)
-            queue = world.keeper().sharing.keeper.kept[SERVICE].queue
-            before = len(queue.waiting)
-            task = world.spawn(vm.request())
-            await asyncio.sleep(0.05)
-            self.assertEqual(len(queue.waiting), before + 1)
-            task.cancel()
-            await asyncio.sleep(0.01)
-            self.assertEqual(len(queue.waiting), before)
-            self.assertEqual(len(vm.sharing.asks.waiting), before)
-            await asyncio.sleep(2.0)
-            self.assertEqual(self.granted(world.keeper()), 0)
-
-        play(story())
-
-    def test_the_caller_leaves_while_the_keeper_answers(self) -> None:
-        async def story() -> None:
-            world = SlotWorld()
-            world.start_scarce()
-            task = world.spawn(world.others()[0].request())
-            await asyncio.sleep(0.0005)
-            task.cancel()
-            await asyncio.sleep(0.05)
-            self.assertEqual(self.granted(world.keeper()), 0)
-
-        play(story())
-
-    def test_the_granted_endpoint_is_not_one_of_those_allowed(self) -> None:
-        async def story() -> None:
-            world = SlotWorld(slots=(2, 2, 2))
-            world.start_scarce()
-            vm = world.others()[0]
-            vm.barred = {"p1", "p3"}
-            for _ in range(6):
-                result = await vm.request()
-                self.assertEqual(result.endpoint, "p2")
-            self.check(world)
-
-        play(story())
-
-    def test_a_refusal_says_not_run_and_when_to_return(self) -> None:
-        async def story() -> None:
-            world = SlotWorld()
-            world.start_scarce()
-            results = await world.load(
-                list(world.vms.values()), 2 * REQUESTS, TWICE, left=1.0
-            )
-            refused = [r for r in results if r.refusal]
-            self.assertGreater(len(refused), 10)
-            for result in refused:
-                self.assertFalse(result.granted)
-                self.assertIs(result.refusal.code, RefusalCode.QUEUE_FULL)
-            times = [r.refusal.retry_after for r in refused]
-            self.assertTrue(any(time is not None for time in times))
-
-        play(story())
--- a/tests/slotworld.py
+++ b/tests/slotworld.py
@@ -19,7 +19,6 @@
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.messages import Envelope, Failure, Message
-from walnutquay.sections import ShareSlots
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
@@ -34,6 +33,7 @@
     VmName,
 )
 from walnutquay.state.requests.refusals import Refusal
+from walnutquay.state.routed.overloadscope import Coverage, OverloadScope
 from walnutquay.state.routed.slotforecast import REJECTED_SECONDS
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.timers import monotonic
@@ -183,7 +183,7 @@
         self.barred: set[str] = set()
 
         def slots_of(service: ServiceName) -> dict[EndpointName, int]:
-            if service != SERVICE or world.mode is ShareSlots.NEVER:
+            if service != SERVICE or world.mode is Coverage.NEVER:
                 return {}
             return {
                 EndpointName(name): one.instance.slots
@@ -192,7 +192,7 @@
 
         self.sharing = SlotSharing(
             self.context,
-            SlotSigns(world.mode, slots_of, lambda: self.peers.size),
+            SlotSigns(OverloadScope(world.mode), slots_of, lambda: self.peers.size),
             SlotKeeper(self.context, slots_of, self.peers),
             KeeperRanking(name, self.peers, rng),
             self.peers,
@@ -269,7 +269,7 @@
         vms: int = 4,
         slots: tuple[int, ...] = (2, 2),
         seed: int = 1,
-        mode: ShareSlots = ShareSlots.PACED,
+        mode: Coverage = Coverage.PACED,
         paced: bool = True,
     ) -> None:
         self.seed = seed
--- a/walnutquay/coordination/routed/slotsigns.py
+++ b/walnutquay/coordination/routed/slotsigns.py
@@ -10,8 +10,8 @@
 
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.slotmessages import SlotLoad
-from walnutquay.sections import ShareSlots
 from walnutquay.state.process.ids import EndpointName, ServiceName
+from walnutquay.state.routed.overloadscope import OverloadScope
 from walnutquay.state.routed.slottypes import EndpointLoad
 from walnutquay.state.store.instances import Instance
 
@@ -32,15 +32,18 @@
 class SlotSigns:
     """What one VM knows of the load of services, and whether their slots are scarce.
 
-    :param mode: the services whose slots are shared out.
+    :param scope: the services whose slots are shared out.
     :param slots_of: returns the slots of a service's endpoints.
     :param vm_count: returns the number of entry VMs.
     """
 
     def __init__(
-        self, mode: ShareSlots, slots_of: SlotsOf, vm_count: Callable[[], int]
+        self,
+        scope: OverloadScope,
+        slots_of: SlotsOf,
+        vm_count: Callable[[], int],
     ) -> None:
-        self.mode = mode
+        self.scope = scope
         self.slots_of = slots_of
         self.vm_count = vm_count
         # Until when the slots of a service are taken to be scarce; monotonic seconds.
@@ -49,17 +52,13 @@
         self.loads: dict[EndpointName, EndpointLoad] = {}
         # The endpoints whose loads no keeper was told, by service.
         self.untold: defaultdict[ServiceName, set[EndpointName]] = defaultdict(set)
-        # The services of which an endpoint told how long work takes.
-        self.paced: set[ServiceName] = set()
 
     def applies_to(self, service: ServiceName) -> bool:
         """Return whether the slots of a service are shared out while they are scarce.
 
         :param service: the service.
         """
-        if self.mode is ShareSlots.NEVER:
-            return False
-        if self.mode is ShareSlots.PACED and service not in self.paced:
+        if not self.scope.covers(service):
             return False
         slots = sum(self.slots_of(service).values())
         return 0 < slots <= MAX_SLOTS_A_VM * self.vm_count()
@@ -83,12 +82,11 @@
         :param now: monotonic seconds.
         :returns: the load; None if there is nothing to learn.
         """
-        if head.running is None or self.mode is ShareSlots.NEVER:
+        if head.running is None:
             return None
         service = instance.service
-        if head.pace is not None:
-            self.paced.add(service)
-        elif self.mode is ShareSlots.PACED and service not in self.paced:
+        self.scope.on_load(service, head.pace)
+        if not self.scope.covers(service):
             return None
         slots = head.slots or instance.slots
         pace = 1.0 if head.pace is None else head.pace
@@ -116,7 +114,7 @@
         """
         if self.slots_of(service):
             # Whoever shares them out has seen a pace, which this VM may not have yet.
-            self.paced.add(service)
+            self.scope.on_load(service, 1.0)
             self._mark(service, now + min(seconds, MAX_TOLD_SECONDS))
 
     def _mark(self, service: ServiceName, until: float) -> None:
--- a/walnutquay/daemon/routing.py
+++ b/walnutquay/daemon/routing.py
@@ -35,10 +35,10 @@
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.coordination.trials.versions import VersionTrials
 from walnutquay.platform.calls import PlatformDialect
+from walnutquay.platform.rules import coverage_by_rules
 from walnutquay.platform.store import StoreClient
 from walnutquay.platform.values import ValueStore
 from walnutquay.protocol.messages import OpinionNews
-from walnutquay.sections import ShareSlots
 from walnutquay.settings import GatewayOptions
 from walnutquay.state.own.admission import RetryBudget
 from walnutquay.state.process.ids import (
@@ -49,6 +49,7 @@
 )
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.routed.modelchoice import ModelChoice
+from walnutquay.state.routed.overloadscope import Coverage, OverloadScope
 from walnutquay.state.store.catalogue import RoutedService
 from walnutquay.transport.client import HttpClient
 
@@ -98,6 +99,9 @@
         self.tunnels = Tunnels(context, peers, self.reachability)
         self.tunnels.listen(dispatcher)
         self.table = EndpointTable(context.hall, context.rng)
+        overload = options.overload
+        coverage = overload.services or coverage_by_rules(overload.rules)
+        self.scope = OverloadScope(coverage)
         self.crash_record = self._make_crash_record()
         self.path = self._make_path()
 
@@ -162,17 +166,15 @@
         )
 
     def _make_sharing(self, candidates: Candidates) -> SlotSharing:
-        mode = self.options.overload.share_slots
-
         def slots_of(service: ServiceName) -> dict[EndpointName, int]:
-            if mode is ShareSlots.NEVER:
+            if self.scope.coverage is Coverage.NEVER:
                 return {}
             return {item.name: item.slots for item in candidates.of_service(service)}
 
         context, peers = self.context, self.peers
         sharing = SlotSharing(
             context,
-            SlotSigns(mode, slots_of, lambda: peers.size),
+            SlotSigns(self.scope, slots_of, lambda: peers.size),
             SlotKeeper(context, slots_of, peers),
             KeeperRanking(context.vm, peers, context.rng),
             peers,
