Keep the keeper itself asking, and count what a new keeper is asked

Change: the keeper tells itself; the load first, then the release; a new queue counts all who ask for a second. The bound for keepers apart is 3 beyond the slots now, from 6.

--- a/tests/coordination/routed/test_sharedslots.py
+++ b/tests/coordination/routed/test_sharedslots.py
@@ -15,6 +15,7 @@
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, ServiceName
 from walnutquay.state.routed.overloadscope import Coverage
+from walnutquay.state.routed.ownslots import OwnSlots
 
 SLOTS = 2
 WORK_SECONDS = 0.05
@@ -145,10 +146,8 @@
             type(self.sharing().ranking), "keeper", return_value=None
         ):
             before = self.runs()
-            slow = mock.patch.object(
-                type(self.sharing().held), "work_seconds", return_value=1000.0
-            )
-            with slow:
+            full = mock.patch.object(OwnSlots, "next_send", return_value=1000.0)
+            with full:
                 got = await self.call("/unsafe/x", b"b")
         self.assertEqual(got.status, 429)
         self.assertEqual(self.runs(), before)
--- a/tests/slotcase.py
+++ b/tests/slotcase.py
@@ -17,7 +17,7 @@
 # idle; one more is on its way while loads are told.
 EXTRA = 2
 # Without one keeper for all, VMs do not know of each other's requests.
-EXTRA_APART = 6
+EXTRA_APART = 3
 
 
 class SlotCase(unittest.TestCase):
--- a/walnutquay/coordination/routed/slotkeeper.py
+++ b/walnutquay/coordination/routed/slotkeeper.py
@@ -46,11 +46,15 @@
 REFRESH_SECONDS = 0.1
 # A queue that nobody has used for this long is dropped; seconds.
 IDLE_SECONDS = 30.0
+# A new queue has not heard of all loads, and counts all who ask for this long; seconds.
+NEW_SECONDS = 1.0
 # The shortest time until a queue decides by itself again; seconds.
 MIN_PAUSE_SECONDS = 0.005
 
 # Told of decisions on this VM's own requests.
 Listener = Callable[[SlotNumber, SlotIs], None]
+# Told that the slots of a service are scarce, and for how long; seconds.
+ScarceListener = Callable[[ServiceName, float], None]
 
 
 class KeeperPeers(Protocol):
@@ -81,6 +85,7 @@
     :param service: the service.
     :param queue: decides who gets which slot.
     :param slots: the slots of the service's endpoints.
+    :param created_at: when the queue was; monotonic seconds.
     :param refreshed_at: when these were looked up; monotonic seconds.
     :param told_at: when all VMs were told that slots are scarce; monotonic seconds.
     :param used_at: when a VM asked or told something last; monotonic seconds.
@@ -90,7 +95,8 @@
     service: ServiceName
     queue: SlotQueue
     slots: Mapping[EndpointName, int]
-    refreshed_at: float
+    created_at: float
+    refreshed_at: float = -math.inf
     told_at: float = -math.inf
     used_at: float = -math.inf
     timer: asyncio.TimerHandle | None = None
@@ -127,6 +133,7 @@
         # Tells other VMs whether this process still knows what it knew.
         self.start = xxhash.xxh3_64_intdigest(context.incarnation.encode())
         self.listener: Listener = lambda number, answer: None
+        self.scarce_listener: ScarceListener = lambda service, seconds: None
         self.known_vms: Mapping[VmName, VmLocation] | None = None
         self.closed = False
 
@@ -158,7 +165,8 @@
             queue.adopt(other, held.endpoint, now + held.time_left)
         self._decide(kept, now)
         if not queue.knows(key):
-            if not queue.is_scarce(now):
+            is_new = now - kept.created_at < NEW_SECONDS
+            if not is_new and not queue.is_scarce(now):
                 return SlotIs(SlotState.FREE, start=self.start)
             queue.ask(self._waiting(key, body, now), now)
             if not queue.knows(key):
@@ -194,9 +202,10 @@
         if kept is None:
             return
         kept.used_at = now
-        kept.queue.release(key, body.seconds, now)
         if body.load is not None:
             self._learn(kept, body.load, now)
+        # What the endpoint told counts the request that it answered.
+        kept.queue.release(key, body.seconds, now)
         if body.rejected and body.endpoint is not None:
             kept.queue.on_rejected(body.endpoint, now)
         self._decide(kept, now)
@@ -244,7 +253,7 @@
             if not slots:
                 return None
             queue = SlotQueue(service, self.context.rng)
-            kept = self.kept[service] = KeptQueue(service, queue, {}, -math.inf)
+            kept = self.kept[service] = KeptQueue(service, queue, {}, now)
         self._refresh(kept, now)
         return kept
 
@@ -293,6 +302,7 @@
                 slots=sum(kept.slots.values()),
             )
         kept.told_at = now
+        self.scarce_listener(kept.service, SCARCE_SECONDS)
         self.peers.broadcast_by_relays(SlotsScarce(kept.service, SCARCE_SECONDS))
 
     def _arm(self, kept: KeptQueue, now: float) -> None:
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -81,6 +81,9 @@
         self.held = HeldSlots()
         self.asks = SlotAsks(context, signs, self.held, keeper, ranking, peers)
         self.own: dict[ServiceName, OwnSlots] = {}
+        keeper.scarce_listener = lambda service, seconds: signs.on_told(
+            service, seconds, monotonic()
+        )
 
     def listen(self, dispatcher: Dispatcher) -> None:
         """Register for the other VMs' messages.
