--- a/tests/coordination/routed/test_slot_search.py
+++ b/tests/coordination/routed/test_slot_search.py
@@ -127,6 +127,7 @@
         """Check that nothing is left at a VM."""
         case = self.case
         case.assertEqual(vm.sharing.asks.waiting, {})
+        case.assertEqual(vm.sharing.under_way, {})
         case.assertEqual(vm.sharing.held.slots, {})
         kept = vm.sharing.keeper.kept.get(SERVICE)
         if kept is None:
--- a/tests/slotcase.py
+++ b/tests/slotcase.py
@@ -32,6 +32,7 @@
             self.assertLessEqual(endpoint.peak, endpoint.instance.slots + extra)
         for vm in world.vms.values():
             self.assertEqual(vm.sharing.asks.waiting, {})
+            self.assertEqual(vm.sharing.under_way, {})
             self.assertEqual(vm.sharing.held.slots, {})
             for kept in vm.sharing.keeper.kept.values():
                 self.assertEqual(kept.queue.waiting, {})
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -13,6 +13,14 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from walnutquay.commands.output import fail, json_option, show
+from walnutquay.commands.slotstate import (
+    SlotGrants,
+    SlotWaiting,
+    slot_grants,
+    slot_waiting,
+    slots_denied,
+    slots_text,
+)
 
 # A VM answers within some milliseconds; one that has not by now is not reached.
 TIMEOUT_SECONDS = 2.0
@@ -67,6 +75,9 @@
     :param limits: the rate limit of each endpoint that has one; requests a second.
     :param limits_used: requests a second that it sends each of these endpoints.
     :param backoffs: for how many seconds endpoints want no requests from it.
+    :param slot_waiting: its requests that wait for scarce slots.
+    :param slot_grants: the scarce slots that it shares out.
+    :param slots_denied: its requests that got no slot, by reason.
     """
 
     address: str
@@ -89,6 +100,9 @@
     limits: dict[str, float] = field(default_factory=dict)
     limits_used: dict[str, float] = field(default_factory=dict)
     backoffs: dict[str, float] = field(default_factory=dict)
+    slot_waiting: tuple[SlotWaiting, ...] = ()
+    slot_grants: tuple[SlotGrants, ...] = ()
+    slots_denied: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +173,9 @@
         limits=_by_endpoint(figures, "rate_limit"),
         limits_used=_by_endpoint(figures, "rate_limit_used"),
         backoffs=_by_endpoint(figures, "backoff_seconds"),
+        slot_waiting=slot_waiting(figures),
+        slot_grants=slot_grants(figures),
+        slots_denied=slots_denied(figures),
     )
 
 
@@ -272,6 +289,7 @@
     text += _emptied_text(states)
     text += _limits_text(states)
     text += _backoffs_text(states)
+    text += slots_text(states)
     waiting = all_waiting(states)
     if waiting:
         text.append("waiting:")
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -81,6 +81,8 @@
         self.held = HeldSlots()
         self.asks = SlotAsks(context, signs, self.held, keeper, ranking, peers)
         self.own: dict[ServiceName, OwnSlots] = {}
+        # The requests that have no slot yet, by a number of this process.
+        self.under_way: dict[int, Asking] = {}
         keeper.scarce_listener = lambda service, seconds: signs.on_told(
             service, seconds, monotonic()
         )
@@ -187,11 +189,14 @@
         """
         asking = self._asking(need, found)
         self.context.metrics.count("slots_asked")
+        self.under_way[id(asking)] = asking
         try:
             acquired = await self._acquire(asking)
         except BaseException:
             self.asks.leave(asking)
             raise
+        finally:
+            del self.under_way[id(asking)]
         waited = monotonic() - asking.since
         if asking.queued:
             self.context.metrics.record("slot_wait", waited)
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -186,7 +186,7 @@
             return
         now = monotonic()
         ages: dict[tuple[str, str, int], list[float]] = {}
-        for asking in self.sharing.asks.waiting.values():
+        for asking in self.sharing.under_way.values():
             need = asking.need
             key = (asking.service, need.organisation, need.priority)
             ages.setdefault(key, []).append(now - asking.since)
