Try VMs that have never answered for slots less often

Cause: an older VM cannot read the question and ends the stream by which it came, with other calls on it; each VM would try it again every 2 to 6 s. Change: one that has never answered is passed over eight times longer from its second failure on. Result: tests.coordination.routed.test_slotkeeper passes.

--- a/tests/coordination/routed/test_slotkeeper.py
+++ b/tests/coordination/routed/test_slotkeeper.py
@@ -14,6 +14,7 @@
 from walnutquay.coordination.routed.keeperranking import (
     MAX_SILENT_SECONDS,
     MIN_SILENT_SECONDS,
+    NEVER_HEARD_FACTOR,
     TRY_SECONDS,
     KeeperRanking,
 )
@@ -212,6 +213,17 @@
         self.assertEqual(self.first(now), self.order[0])
         self.assertEqual(self.first(now), self.order[0])
 
+    def test_one_that_has_never_answered_is_seldom_tried(self) -> None:
+        self.ranking.pass_over(self.order[0], START)
+        self.ranking.pass_over(self.order[0], START)
+        least = START + NEVER_HEARD_FACTOR * MIN_SILENT_SECONDS
+        self.assertGreaterEqual(self.ranking.passed_until[self.order[0]], least)
+        self.ranking.answered(self.order[0])
+        for _ in range(3):
+            self.ranking.pass_over(self.order[0], START)
+        most = START + MAX_SILENT_SECONDS
+        self.assertLessEqual(self.ranking.passed_until[self.order[0]], most)
+
     def test_vms_come_back_at_different_times(self) -> None:
         times = set()
         for vm in self.all():
--- a/walnutquay/coordination/routed/keeperranking.py
+++ b/walnutquay/coordination/routed/keeperranking.py
@@ -16,6 +16,9 @@
 # lost it together do not come back to it together.
 MIN_SILENT_SECONDS = 2.0
 MAX_SILENT_SECONDS = 6.0
+# One that has never answered may be older, and end the stream by which it is asked:
+# from its second failure on it is passed over this many times longer.
+NEVER_HEARD_FACTOR = 8.0
 # One request tries a VM again that was passed over; the others go on without it for
 # this long, or until it answers.
 TRY_SECONDS = 0.3
@@ -55,6 +58,9 @@
         self.ranked_peers: Mapping[VmName, VmLocation] | None = None
         # Until when a VM that did not answer is passed over; monotonic seconds.
         self.passed_until: dict[VmName, float] = {}
+        # The VMs that have answered, and those that have not yet though they were asked.
+        self.heard: set[VmName] = set()
+        self.unheard: set[VmName] = set()
         # When another VM asked this one last; monotonic seconds.
         self.asked_at = -math.inf
         # Set once this VM stops, and shares out no more.
@@ -66,6 +72,8 @@
             self.ranked.clear()
             for vm in [vm for vm in self.passed_until if vm not in self.peers.known]:
                 del self.passed_until[vm]
+            self.heard &= self.peers.known.keys()
+            self.unheard &= self.peers.known.keys()
         if service not in self.ranked:
             vms = {*self.peers.known, self.vm}
             self.ranked[service] = [VmName(name) for name in rendezvous(service, vms)]
@@ -108,6 +116,10 @@
         :param now: monotonic seconds.
         """
         seconds = self.rng.uniform(MIN_SILENT_SECONDS, MAX_SILENT_SECONDS)
+        if vm in self.unheard:
+            seconds *= NEVER_HEARD_FACTOR
+        elif vm not in self.heard:
+            self.unheard.add(vm)
         self.passed_until[vm] = now + seconds
 
     def answered(self, vm: VmName) -> None:
@@ -116,3 +128,5 @@
         :param vm: the VM.
         """
         self.passed_until.pop(vm, None)
+        self.heard.add(vm)
+        self.unheard.discard(vm)
