--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -38,7 +38,7 @@
 from walnutquay.state.requests.regions import filter_by_region
 from walnutquay.state.routed.modelchoice import Demand, priority_weight
 from walnutquay.state.routed.traffic import PromptTraffic, SentPrompt
-from walnutquay.state.routed.work import WorkTable
+from walnutquay.state.routed.work import MIN_SAMPLE_TOKENS, PromptWork, WorkTable
 from walnutquay.state.store.instances import Instance, InstanceRegistry
 from walnutquay.transport.timers import monotonic
 
@@ -174,7 +174,9 @@
         service = ServiceName(need.target)
         kept = self.kept_seconds(service, now)
         wait = self.work.wait(grant.name, now)
-        seconds = self.work.reading(grant.name, work, now, False, kept)
+        # How long it takes there, also for the VMs that are told.
+        pace = self.table.state_of(grant.name).usual_pace(now)
+        seconds = self.work.reading(grant.name, work, now, False, kept) * pace
         cached = self.work.has_cached(grant.name, work.beginning, now, kept)
         position = self.work.add(grant.name, seconds, work.beginning, now)
         name = EndpointName(grant.name)
@@ -259,7 +261,9 @@
         pending = self.pending_prompts.get(id(grant))
         if pending is None:
             return 0.0
-        return pending.wait + pending.work.tokens * self.work.rate(pending.work.model)
+        pace = self.table.state_of(grant.name).usual_pace(monotonic())
+        reading = pending.work.tokens * self.work.rate(pending.work.model)
+        return pending.wait + reading * pace
 
     def on_answer(self, grant: Grant, head: AnswerHead) -> None:
         """Learn what an endpoint tells of itself in the head of an answer.
@@ -295,7 +299,18 @@
         if all(other.seconds <= pending.seconds for other in others):
             self.work.record_read(pending.engine, pending.position, monotonic())
         if pending.wait <= 0 and not pending.cached:
-            self.work.learn(pending.work.model, pending.work.tokens, seconds)
+            self._learn_reading(grant, pending.work, seconds)
+
+    def _learn_reading(self, grant: Grant, work: PromptWork, seconds: float) -> None:
+        """Learn from a prompt that an engine read with no other known work."""
+        now = monotonic()
+        usual = work.tokens * self.work.rate(work.model)
+        if usual > 0.0 and work.tokens >= MIN_SAMPLE_TOKENS:
+            assert isinstance(grant.endpoint, Instance)
+            name, service = EndpointName(grant.name), grant.endpoint.service
+            self.table.learn_reading(name, service, seconds / usual, now)
+        pace = self.table.state_of(grant.name).moment_pace(now)
+        self.work.learn(work.model, work.tokens, seconds / pace)
 
     def _engines(
         self, engines: list[Instance], service: ServiceName, now: float
--- a/walnutquay/state/requests/endpoints.py
+++ b/walnutquay/state/requests/endpoints.py
@@ -12,7 +12,8 @@
 
 from walnutquay.state.process.ids import EndpointName, LeavingSource
 from walnutquay.state.requests.durations import SLOW_FACTOR, DurationTable
-from walnutquay.state.requests.endpointstate import EndpointState
+from walnutquay.state.requests.endpointstate import EndpointState, endpoint_speeds
+from walnutquay.state.requests.pace import PaceTrust
 from walnutquay.state.store.parts import Endpoint
 
 # An endpoint is ejected for a while after this many consecutive failures.
@@ -74,6 +75,10 @@
         self.states: defaultdict[str, EndpointState] = defaultdict(EndpointState)
         # The baseline duration of each kind of work, over all endpoints.
         self.durations = DurationTable()
+        # The same, had all endpoints worked at the nominal pace.
+        self.nominal_durations = DurationTable()
+        # Whether the paces that endpoints of each version or service tell are right.
+        self.pace_trusts: dict[str, PaceTrust] = {}
         # The last time at which any endpoint of each version or service answered.
         self.answered_at: dict[str, float] = {}
 
@@ -139,6 +144,7 @@
         """
         state = self.state_of(name)
         state.pace = pace
+        state.told_pace.learn(pace, now)
         if state.incarnation and incarnation > state.incarnation:
             state.leaving.clear()
         state.incarnation = max(state.incarnation, incarnation)
@@ -161,11 +167,49 @@
         state.ejections = 0
         if not kind:
             return
-        self.answered_at[kind.partition(KIND_SEPARATOR)[0]] = now
-        ratio = self.durations.ratio(kind, seconds)
+        target = kind.partition(KIND_SEPARATOR)[0]
+        self.answered_at[target] = now
+        ratio = self._duration_ratio(state, target, kind, seconds, now)
         if ratio is not None:
             state.learn_speed(min(ratio, FAILED_RATIO), now)
+
+    def _duration_ratio(
+        self, state: EndpointState, target: str, kind: str, seconds: float, now: float
+    ) -> float | None:
+        """Learn a duration, and return it as a multiple of the baseline.
+
+        What the endpoint's pace explains is not included in the ratio.
+        """
+        ratio = self.durations.ratio(kind, seconds)
         self.durations.learn(kind, seconds)
+        pace = state.told_pace.at(now)
+        nominal = self.nominal_durations.ratio(kind, seconds / pace)
+        self.nominal_durations.learn(kind, seconds / pace)
+        if not state.told_pace.is_known(now):
+            return ratio
+        state.pace_trust = self.pace_trusts.setdefault(target, PaceTrust())
+        if ratio is not None and not state.pace_trust.from_readings:
+            state.pace_trust.learn(pace, ratio)
+        return nominal if state.pace_trust.holds else ratio
+
+    def learn_reading(
+        self, name: EndpointName, target: str, ratio: float, now: float
+    ) -> None:
+        """Compare how long an engine read a prompt with the pace that it tells.
+
+        :param name: the engine, with no other known work.
+        :param target: its version or service.
+        :param ratio: the time until the answer began, as a multiple of that in which
+            such a prompt is read.
+        :param now: monotonic seconds.
+        """
+        state = self.state_of(name)
+        if ratio <= 0.0 or not state.told_pace.is_known(now):
+            return
+        trust = self.pace_trusts.setdefault(target, PaceTrust())
+        trust.from_readings = True
+        trust.learn(state.told_pace.at(now), ratio)
+        state.pace_trust = trust
 
     def failed(self, name: EndpointName, now: float, target: str = "") -> None:
         """Record a failure, and eject the endpoint after several consecutive ones.
@@ -270,7 +314,17 @@
             if preferred is not None:
                 return preferred
         pair = self.rng.sample(accepting, min(2, len(accepting)))
-        return min(pair, key=lambda endpoint: self._weighted_load(endpoint, now))
+        states = [self.states[endpoint.name] for endpoint in accepting]
+        found = endpoint_speeds(states, now)
+        if found is None:
+            return min(pair, key=lambda endpoint: self._weighted_load(endpoint, now))
+        factors = {
+            endpoint.name: speed.moment
+            for endpoint, speed in zip(accepting, found, strict=True)
+        }
+        return min(
+            pair, key=lambda item: self._weighted_load(item, now, factors[item.name])
+        )
 
     def _preferred_endpoint(
         self, endpoints: list[Endpoint], prefix: str, now: float
@@ -321,9 +375,12 @@
         fast = state.slow_by(now) < SLOW_FACTOR
         return fast and state.load(now) < endpoint.slots
 
-    def _weighted_load(self, endpoint: Endpoint, now: float) -> float:
+    def _weighted_load(
+        self, endpoint: Endpoint, now: float, speed: float | None = None
+    ) -> float:
         state = self.state_of(endpoint.name)
+        factor = state.slow_by(now) if speed is None else speed
         penalty = 0 if endpoint.hall == self.hall else OTHER_HALL_PENALTY
         # Count the request itself, so that an idle slow endpoint counts as slow.
-        load = (state.load(now) + 1) * state.slow_by(now)
+        load = (state.load(now) + 1) * factor
         return (load + penalty) / endpoint.slots
