--- a/walnutquay/coordination/routed/keeperranking.py
+++ b/walnutquay/coordination/routed/keeperranking.py
@@ -58,7 +58,7 @@
         self.ranked_peers: Mapping[VmName, VmLocation] | None = None
         # Until when a VM that did not answer is passed over; monotonic seconds.
         self.passed_until: dict[VmName, float] = {}
-        # The VMs that have answered, and those that have not yet though they were asked.
+        # The VMs that have answered, and those that were asked and never have.
         self.heard: set[VmName] = set()
         self.unheard: set[VmName] = set()
         # When another VM asked this one last; monotonic seconds.
