Ask one scope for which services requests are watched for stalls

Stalls kept a set of services of its own, those that had told a pace, so neither the platform's rules nor [overload] services decided there. The admission now holds the scope and tells it of loads.

--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -37,6 +37,7 @@
 from walnutquay.state.requests.refusals import Refusal
 from walnutquay.state.requests.regions import filter_by_region
 from walnutquay.state.routed.modelchoice import Demand, priority_weight
+from walnutquay.state.routed.overloadscope import Coverage, OverloadScope
 from walnutquay.state.routed.traffic import PromptTraffic, SentPrompt
 from walnutquay.state.routed.work import MIN_SAMPLE_TOKENS, PromptWork, WorkTable
 from walnutquay.state.store.instances import Instance, InstanceRegistry
@@ -57,6 +58,8 @@
     :param announcements: learns what endpoints announce in their answers.
     :param candidates: the endpoints that could serve requests.
     :param reachability: which endpoints accept connections.
+    :param scope: the services for which decisions under overload are made; None for
+        none.
     :param sharing: shares scarce slots out among all VMs; None to share out none.
     """
 
@@ -72,6 +75,7 @@
         announcements: EndpointAnnouncements,
         candidates: Candidates,
         reachability: Reachability,
+        scope: OverloadScope | None = None,
         sharing: ScarceSlots | None = None,
     ) -> None:
         self.context = context
@@ -95,6 +99,7 @@
         self.reachability = reachability
         self.engine_state = EngineState(context.hall, table, self.work)
         self.choice = EndpointChoice(table, self._engines)
+        self.scope = scope or OverloadScope(Coverage.NEVER)
         self.sharing = sharing
         self.slots = SlotChoice(self.limits, self.choice, reachability, sharing)
         # The prompts that this VM has sent recently, by service.
@@ -274,6 +279,8 @@
         endpoint = grant.endpoint
         assert isinstance(endpoint, Instance)
         self.announcements.on_answer(endpoint, head, grant.started)
+        if head.running is not None:
+            self.scope.on_load(endpoint.service, head.pace)
         if self.sharing is not None:
             self.sharing.on_answer(endpoint, head)
         if head.running is not None:
--- a/walnutquay/coordination/routed/stalls.py
+++ b/walnutquay/coordination/routed/stalls.py
@@ -19,7 +19,6 @@
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.process.ids import ServiceName
 from walnutquay.state.routed.stalls import (
     Action,
     HeadWait,
@@ -73,18 +72,16 @@
         self.pauses = RecentTimes()
         self.gaps = RecentTimes()
         self.lengths = RecentTimes()
-        # The services whose endpoints tell how long work takes.
-        self.paced: set[ServiceName] = set()
         self.limit = MoveLimit()
         # The number of requests at endpoints that are watched.
         self.under_way = 0
 
     def applies_to(self, turn: RoutedTurn) -> bool:
-        """Return whether the endpoints of a request's service tell their pace.
+        """Return whether requests to a request's service are watched.
 
         :param turn: the request.
         """
-        return turn.service in self.paced
+        return self.admission.scope.covers(turn.service)
 
     def on_head(self, turn: RoutedTurn, grant: Grant, head: AnswerHead) -> None:
         """Learn from the head of an answer.
@@ -93,9 +90,8 @@
         :param grant: the slot at the endpoint that answers.
         :param head: the head.
         """
-        if head.pace is None:
+        if not self.applies_to(turn):
             return
-        self.paced.add(turn.service)
         if head.status < FIRST_FAILED_STATUS and not head.not_run:
             seconds = monotonic() - grant.started
             self.heads.learn(kind_of(turn), _measured(grant, seconds))
--- a/walnutquay/daemon/routing.py
+++ b/walnutquay/daemon/routing.py
@@ -129,6 +129,7 @@
             self._make_announcements(rates),
             candidates,
             self.reachability,
+            self.scope,
             self.sharing,
         )
         self.knowledge.instances.listeners.append(admission.on_instance)
