Refuse prompts at once that no engine can begin in time

A prompt was sent although all engines had more to read than its caller had time for, and was held there until its deadline. Before its first attempt, the time to the first engine that could begin it at best (least queued, whole prefix cached) is compared with the time that is left; if even half of it is too long, the caller gets 429, which is true: nothing was sent.

--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -22,6 +22,7 @@
     RoutedFailures,
 )
 from walnutquay.coordination.routed.ports import Dialect, VersionPolicy
+from walnutquay.coordination.routed.prospects import Prospects
 from walnutquay.coordination.routed.stalls import OutOfTimeError
 from walnutquay.coordination.routed.streaming import StreamForwarder
 from walnutquay.coordination.routed.tunnels import Tunnels
@@ -84,6 +85,7 @@
         self.cascading = cascading
         self.versions = versions
         self.budgets = budgets
+        self.prospects = Prospects(self.context, admission)
         self.facts = RoutedFacts(knowledge, admission, parts.table)
         self.streams = StreamForwarder(
             self.context, admission, versions, self.facts, self.budgets, self.stalls
@@ -133,6 +135,9 @@
             SMALLEST_MODEL if router_chooses_model else None,
             StreamProgress(arrival.head.last_event),
         )
+        refusal = self.prospects.refusal(turn)
+        if refusal is not None:
+            return self.refuse(stage, refusal)
         self.budgets.of(service).first_try()
         return await self.attempts(turn, stage)
 
