--- a/tests/coordination/routed/test_overload.py
+++ b/tests/coordination/routed/test_overload.py
@@ -2,8 +2,8 @@
 
 """Callers that ask for more than the endpoints bear, at six VMs.
 
-Bounds are counts that follow from what callers are promised, with room for a busy
-machine; ``python -m lab.overload.replay`` measures how far the promises are kept.
+What depends on how busy the machine is, such as answers in time, is checked with a clock
+of its own in ``test_sharedload``; ``python -m lab.overload.replay`` measures it.
 """
 
 from __future__ import annotations
@@ -55,45 +55,16 @@
         cls.outcomes, cls.came = play(cls.LOAD)
         cls.refused = [one for one in cls.outcomes if one.refused]
 
-    def of(self, urgency: int) -> list[Outcome]:
-        """Return what became of the callers of an urgency."""
-        return [one for one in self.outcomes if one.arrival.urgency == urgency]
-
     def test_who_is_refused_is_refused_before_an_endpoint_is_sent_the_request(self):
         unsent = [one for one in self.refused if one.tries[0].request not in self.came]
         self.assertGreater(len(self.refused), len(self.outcomes) / 4)
         self.assertGreater(len(unsent), 0.8 * len(self.refused))
 
-    def test_the_most_urgent_are_served_as_if_the_others_were_not_there(self):
-        self.assertGreater(served_share(self.of(0)), 0.8)
-        self.assertGreaterEqual(served_share(self.of(0)), served_share(self.of(2)))
-
-    def test_most_of_what_could_be_in_time_is(self):
-        in_time = sum(one.served and one.seconds <= BOUNDS.aim for one in self.outcomes)
-        could_be = BOUNDS.rate * SECONDS * SCALE
-        self.assertGreater(in_time, could_be / 2)
-
-    def test_who_returns_as_told_is_mostly_served(self):
-        returned = [one for one in self.outcomes if one.returned]
-        self.assertTrue(returned)
-        self.assertGreater(served_share(returned), 2 / 3)
-
     def test_few_end_with_anything_but_an_answer_or_a_refusal(self):
         vain = [one for one in self.outcomes if not (one.served or one.ended_refused)]
         self.assertLess(len(vain), len(self.outcomes) / 20)
 
 
-class GreedyOrganisationTest(unittest.TestCase):
-    """One organisation asks seven times as much as another, together twice the room."""
-
-    LOAD = Load((Phase(SECONDS, 2.0),), {"org-a": 7, "org-b": 1})
-
-    def test_who_asks_for_less_than_its_share_is_served_as_in_the_calm(self):
-        outcomes, _ = play(self.LOAD)
-        modest = [one for one in outcomes if one.arrival.organisation == "org-b"]
-        self.assertGreater(served_share(modest), 0.8)
-
-
 class CalmTest(unittest.TestCase):
     """Callers ask for a third of what the endpoints bear."""
 
