--- a/tests/coordination/routed/test_overload.py
+++ b/tests/coordination/routed/test_overload.py
@@ -2,8 +2,8 @@
 
 """Callers that ask for more than the endpoints bear, at six VMs.
 
-What depends on how busy the machine is, such as answers in time, is checked with a clock
-of its own in ``test_sharedload``; ``python -m lab.overload.replay`` measures it.
+What depends on how busy the machine is, such as answers in time, is checked with a
+clock of its own in ``test_sharedload``; ``python -m lab.overload.replay`` measures it.
 """
 
 from __future__ import annotations
