Have stand-ins cut off answers that stay unread

Tests of callers who read slowly need endpoints that send large events and give an unread answer up after some seconds.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -10,11 +10,11 @@
 import asyncio
 import socket
 import struct
-import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
+from standins.behaviour import Behaviour, Seen
 from standins.ports import HOST, HeldPorts
 from standins.slots import WorkSlots, caller_ends, while_connected
 
@@ -25,84 +25,6 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
-@dataclass
-class Seen:
-    """A request as the endpoint got it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    # Whether its caller closed or reset the connection before the answer had ended.
-    left: bool = False
-    # When it came; monotonic seconds.
-    at: float = field(default_factory=time.monotonic)
-    # How often the endpoint had ended by then.
-    start: int = 0
-    # What else its answer's head said, besides what all answers say.
-    announced: dict[str, str] = field(default_factory=dict)
-
-
-@dataclass
-class Behaviour:
-    """How one request is answered.
-
-    :param status: the HTTP status.
-    :param body: the body of a plain answer.
-    :param events: the events of a stream, whose ids are their numbers; None for a
-        plain answer.
-    :param first: the id of the first event; after the request's last one if None.
-    :param cut_after: events, or bytes of a plain body, after which the connection
-        is reset; None for a whole answer.
-    :param within: bytes of the next event that are sent before the cut.
-    :param framed: whether a plain answer says its length.
-    :param crossed: whether the answer carries another request's id.
-    :param named: whether the answer carries an id at all.
-    :param not_run: whether it says that nothing was run.
-    :param mute: whether nothing is answered at all.
-    :param extra: whether a second answer follows the first.
-    :param extra_late: whether it follows only when the connection's next request has
-        come, in the place of that one's answer.
-    :param extra_after: seconds after which it follows otherwise, whatever comes till
-        then.
-    :param extra_pieces: bytes of the second answer that come by themselves, before the
-        rest of it; 0 for all at once.
-    :param pieces: the same of the first answer, if it is plain.
-    :param chunked: whether a plain answer comes in chunks.
-    :param lacking: bytes of a plain body that are left out; the connection ends then.
-    :param junk: bytes that follow a plain answer.
-    :param headers: more headers.
-    :param pause: seconds between two events, or before a plain answer.
-    :param crash_after: whole events after which the endpoint itself ends, with all
-        its connections; None where it goes on.
-    :param gate: waited for after the first event, if there is one.
-    """
-
-    status: int = 200
-    body: bytes = b"done"
-    events: int | None = None
-    first: int | None = None
-    cut_after: int | None = None
-    within: int = 0
-    framed: bool = True
-    crossed: bool = False
-    named: bool = True
-    not_run: bool = False
-    mute: bool = False
-    extra: bool = False
-    extra_late: bool = False
-    extra_after: float = 0.0
-    extra_pieces: int = 0
-    pieces: int = 0
-    chunked: bool = False
-    lacking: int = 0
-    junk: bytes = b""
-    headers: dict[str, str] = field(default_factory=dict)
-    pause: float = 0.0
-    crash_after: int | None = None
-    gate: asyncio.Event | None = None
-
-
 class WorkerStandIn:
     """One endpoint.
 
@@ -331,7 +253,8 @@
             if behaviour.crash_after is not None and number > behaviour.crash_after:
                 self.crash()
                 return False
-            event = f"id: {number}\ndata: word {number}\n\n".encode()
+            padding = "." * behaviour.padding
+            event = f"id: {number}\ndata: word {number}{padding}\n\n".encode()
             if behaviour.cut_after is not None and number > behaviour.cut_after:
                 if behaviour.within:
                     writer.write(_chunk(event[: behaviour.within]))
@@ -339,7 +262,9 @@
                 _reset(writer)
                 return False
             writer.write(_chunk(event))
-            await writer.drain()
+            if await _is_unread(writer, behaviour.unread_after):
+                seen.cut = True
+                return False
             if behaviour.gate is not None:
                 await behaviour.gate.wait()
             await asyncio.wait([left], timeout=behaviour.pause or None) if (
@@ -366,6 +291,17 @@
     await writer.drain()
 
 
+async def _is_unread(writer: asyncio.StreamWriter, seconds: float | None) -> bool:
+    """:returns: whether an answer stayed unread for so long, and was cut off."""
+    try:
+        async with asyncio.timeout(seconds):
+            await writer.drain()
+    except TimeoutError:
+        _reset(writer)
+        return True
+    return False
+
+
 async def _write_after(
     writer: asyncio.StreamWriter, answer: bytes, seconds: float
 ) -> None:
