Reset callers who read nothing of their answers

A caller who stopped reading kept its request, its endpoint and the unsent bytes for ever: a stream whose caller read nothing was still in flight 3 s after its deadline, with 255 KB unsent, and so were 72 MB of eight plain answers.

The system tells how many bytes a caller has taken. One that takes none for the idle time of connections is reset, and where answers beyond a limit are unsent, those who have taken none for 3 s, the longest first. The answers' endpoints see the reset.

--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -22,7 +22,9 @@
 
 from walnutquay.transport.heads import last_bytes, split_after_heads
 from walnutquay.transport.listeners import BACKLOG
+from walnutquay.transport.sockets import reset_on_close
 from walnutquay.transport.timers import monotonic
+from walnutquay.transport.unread import UnreadConnections
 
 log = logbook.Logger(__name__)
 
@@ -30,6 +32,9 @@
 POLL_SECONDS = 0.02
 # A refused body is read on for so long, so that its sender gets the answer.
 LINGER_SECONDS = 1.0
+# A caller that reads nothing for so long is ended where memory is short; endpoints do
+# so too.
+UNREAD_SECONDS = 3.0
 # What is still under way when the server is closed; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 0.05
 
@@ -75,6 +80,16 @@
             super().data_received(part)
         self.read_before = last_bytes(self.read_before, data)
 
+    def pause_writing(self) -> None:
+        """Note that much of an answer is unsent."""
+        super().pause_writing()
+        self._manager.paused.add(self)
+
+    def resume_writing(self) -> None:
+        """Note that little of an answer is unsent."""
+        super().resume_writing()
+        self._manager.paused.discard(self)
+
     def has_unanswered_request(self) -> bool:
         """:returns: whether a request has been parsed and not yet answered."""
         return bool(self._messages) or self._current_request is not None
@@ -148,6 +163,9 @@
         # aiohttp's connections let go of theirs when they are closed, with what is
         # not sent yet.
         self.transports: dict[RequestHandler, asyncio.Transport] = {}
+        # Those of which much is unsent.
+        self.paused: set[RequestHandler] = set()
+        self.unread = UnreadConnections()
         # Whether new connections are closed at once.
         self.closed = False
 
@@ -173,6 +191,7 @@
         """
         super().connection_lost(handler, exc)
         self.transports.pop(handler, None)
+        self.paused.discard(handler)
         self.head_deadlines.clear(handler)
 
     def head_data_received(self, handler: RequestHandler) -> None:
@@ -182,6 +201,10 @@
         """
         self.head_deadlines.expect_head_end(handler, self.limits.header_seconds)
 
+    def unsent_bytes(self) -> int:
+        """:returns: bytes that callers have not read, but for small remainders."""
+        return sum(self.transports[p].get_write_buffer_size() for p in self.paused)
+
     def owe_bytes(self) -> bool:
         """:returns: whether an answer has not been handed to the system yet."""
         return any(t.get_write_buffer_size() for t in self.transports.values())
@@ -264,6 +287,27 @@
                 connection.close()
                 connection.force_close()
 
+    def close_unread(self, limit: int) -> int:
+        """Reset connections whose callers read nothing of their answers.
+
+        :param limit: bytes of unsent answers beyond which memory is short.
+        :returns: how many were reset.
+        """
+        now = monotonic()
+        web = self.web
+        web.unread.look(web.transports.values(), now)
+        ended = web.unread.since(now - web.limits.idle_seconds)
+        unsent = web.unsent_bytes()
+        for transport in web.unread.since(now - UNREAD_SECONDS)[len(ended) :]:
+            if unsent <= limit:
+                break
+            unsent -= transport.get_write_buffer_size()
+            ended.append(transport)
+        for transport in ended:
+            reset_on_close(transport.get_extra_info("socket"))
+            transport.abort()
+        return len(ended)
+
     async def stop(self) -> None:
         """Close everything."""
         self.close_listener()
