Do not blame endpoints for streams that callers leave unread

Endpoints cut an answer off that stays unread for some seconds. It was taken for a broken one: it counted against the endpoint (its own and its version's pace, too), and a second run was sent for a caller who does not read.

The time for which a caller holds a stream up is measured.

--- a/walnutquay/coordination/routed/streaming.py
+++ b/walnutquay/coordination/routed/streaming.py
@@ -13,12 +13,14 @@
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.facts import RoutedFacts
 from walnutquay.coordination.routed.ports import VersionPolicy
+from walnutquay.coordination.routed.slowcallers import unread_is_no_failure
 from walnutquay.coordination.routed.stalls import Stalls
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.chat import StreamParser
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.routed.callerpace import CallerPace
 from walnutquay.state.routed.pauses import PauseMeter, StreamPart
 from walnutquay.transport.client import STEP_BROKEN, ConnectionEnd
 from walnutquay.transport.timers import monotonic
@@ -105,26 +107,34 @@
             lambda gap: self._should_switch(turn, grant, gap),
         )
         meter = PauseMeter(began)
-        async for data in body:
-            events = [e for e in parser.feed(data) if turn.progress.accept(e)]
-            if events:
+        pace = CallerPace(began)
+        with unread_is_no_failure(pace):
+            async for data in body:
+                events = [e for e in parser.feed(data) if turn.progress.accept(e)]
                 now = monotonic()
-                turn.arrival.note_relayed(now)
-                part = meter.received(len(events), now)
-                await reply.write(b"".join(events))
-                meter.passed_on(monotonic())
-                if part is not None:
-                    self._on_part(turn, grant, part)
-            forwarded += len(events)
-            if forwarded > PACE_PAUSES and not pace_evaluated:
-                pace_evaluated = True
-                pause = (monotonic() - began) / (forwarded - 1)
-                self.versions.paced(turn, grant, seconds, pause)
-        watched.check(grant.name)
-        if parser.buffer:
-            raise EndpointError(
-                "the stream ended within an event", step=STEP_BROKEN, peer=grant.name
-            )
+                pace.received(now)
+                if events:
+                    turn.arrival.note_relayed(now)
+                    part = meter.received(len(events), now)
+                    await reply.write(b"".join(events))
+                    passed_on = monotonic()
+                    meter.passed_on(passed_on)
+                    pace.passed_on(passed_on)
+                    if part is not None:
+                        self._on_part(turn, grant, part)
+                forwarded += len(events)
+                if forwarded > PACE_PAUSES and not pace_evaluated:
+                    pace_evaluated = True
+                    taken = monotonic() - began - pace.held
+                    pause = taken / (forwarded - 1)
+                    self.versions.paced(turn, grant, seconds, pause)
+            watched.check(grant.name)
+            if parser.buffer:
+                raise EndpointError(
+                    "the stream ended within an event",
+                    step=STEP_BROKEN,
+                    peer=grant.name,
+                )
         self.stalls.on_ended(turn, grant, turn.progress.last_event or 0)
         return pace_evaluated
 
