Bound what is kept of plain answers that callers have not read

Plain answers were read whole whatever their callers read: eight callers that read nothing of 12 MB made a VM keep 72 MB (test_what_is_kept_is_bounded: bytes).

[memory] unsent_bytes bounds them over all callers, 32 MB unless set. An answer that finds no room is passed on as it comes, no faster than its caller reads, whole also after the deadline where the endpoint has it ready. Answers above 32 MB, which were refused, are passed on in the same way. A caller who did not read is told from one who left in the log (caller-gone, detail unread).

--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -9,7 +9,9 @@
 from types import TracebackType
 
 import aiohttp
+from aiohttp.helpers import TimerNoop
 
+from walnutquay.coordination.routed.answermemory import AnswerMemory
 from walnutquay.exceptions import EndpointError
 from walnutquay.transport.client import (
     READ_BYTES,
@@ -20,8 +22,10 @@
 )
 from walnutquay.transport.timers import monotonic
 
-# Larger answers are not passed on; bytes.
+# Larger answers are not held whole; bytes.
 MAX_ANSWER = 32 << 20
+# What an endpoint has ready comes within this time, once there is room for it.
+LATE_READ_SECONDS = 1.0
 
 
 class WatchedBody:
@@ -120,21 +124,77 @@
     connection.protocol.start_timeout()
 
 
-async def read_body(answer: aiohttp.ClientResponse, peer: str) -> bytes:
-    """Read an answer's body.
+class AnswerBody:
+    """Reads an answer's body, whole if there is room for it.
 
     :param answer: the answer.
     :param peer: the endpoint's name, for errors.
-    :raises EndpointError: if the body is incomplete or too large.
+    :param memory: limits what is held of all answers.
     """
-    watched = ConnectionEnd(answer)
-    parts = []
-    size = 0
-    async for data in answer.content.iter_chunked(READ_BYTES):
-        size += len(data)
-        if size > MAX_ANSWER:
-            answer.close()
-            raise EndpointError("the answer is too large", step="answer", peer=peer)
-        parts.append(data)
-    watched.check(peer)
-    return b"".join(parts)
+
+    def __init__(
+        self, answer: aiohttp.ClientResponse, peer: str, memory: AnswerMemory
+    ) -> None:
+        self.peer = peer
+        self.memory = memory
+        self.answer = answer
+        self.end = ConnectionEnd(answer)
+        self.whole = False
+
+    async def read(self) -> bytes:
+        """Read the body to its end, or as far as there is room.
+
+        :returns: what was read; :attr:`whole` tells whether it is all.
+        :raises EndpointError: if the body is incomplete.
+        """
+        parts = []
+        size = 0
+        try:
+            async for data in self.answer.content.iter_chunked(READ_BYTES):
+                parts.append(data)
+                size += len(data)
+                self.memory.reading += len(data)
+                if size > MAX_ANSWER or not self.memory.has_room(size):
+                    return b"".join(parts)
+        finally:
+            self.memory.reading -= size
+        self.end.check(self.peer)
+        self.whole = True
+        return b"".join(parts)
+
+    async def rest(self, deadline: float) -> AsyncIterator[bytes]:
+        """Yield what :meth:`read` has left.
+
+        A caller may take what its endpoint has ready after the deadline, too.
+
+        :param deadline: until when the endpoint is waited for; monotonic seconds.
+        :raises EndpointError: if the body is incomplete.
+        """
+        # The library's limit would include the time that the caller takes.
+        self.answer.content._timer = TimerNoop()
+        while True:
+            left = max(deadline - monotonic(), LATE_READ_SECONDS)
+            async with asyncio.timeout(left):
+                data = await self.answer.content.read(READ_BYTES)
+            if not data:
+                break
+            yield data
+        self.end.check(self.peer)
+
+
+async def read_body(
+    answer: aiohttp.ClientResponse, peer: str, memory: AnswerMemory
+) -> bytes:
+    """Read an answer's whole body.
+
+    :param answer: the answer.
+    :param peer: the endpoint's name, for errors.
+    :param memory: limits what is held of all answers.
+    :raises EndpointError: if the body is incomplete, or there is no room for it.
+    """
+    body = AnswerBody(answer, peer, memory)
+    data = await body.read()
+    if not body.whole:
+        answer.close()
+        raise EndpointError("the answer is too large", step="answer", peer=peer)
+    return data
--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.routed.admission import RoutedAdmission
 from walnutquay.coordination.routed.answers import FailedAnswerError
 from walnutquay.coordination.routed.budgets import RetryBudgets
+from walnutquay.coordination.routed.plainanswers import BegunAnswerError
 from walnutquay.coordination.routed.stalls import OutOfTimeError, Stalls
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
@@ -58,7 +59,7 @@
         self, turn: RoutedTurn, running: Dispatched, grant: Grant, error: EndpointError
     ) -> Outcome | Continuing:
         """Retry at another endpoint if allowed, after a pause if it failed quickly."""
-        if isinstance(error, OutOfTimeError):
+        if isinstance(error, OutOfTimeError | BegunAnswerError):
             await self.note_failure(turn, grant, error)
             return await self.abandon(turn, running, error)
         took = monotonic() - grant.started
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -11,6 +11,7 @@
 from walnutquay.coordination.requests.pathparts import PathParts
 from walnutquay.coordination.requests.slots import Grant, SlotRequest
 from walnutquay.coordination.routed.admission import RoutedAdmission
+from walnutquay.coordination.routed.answermemory import AnswerMemory
 from walnutquay.coordination.routed.answers import FailedAnswerError, to_whole_answer
 from walnutquay.coordination.routed.bodies import read_body
 from walnutquay.coordination.routed.budgets import RetryBudgets
@@ -21,6 +22,7 @@
     REFUSED_RETRY_SECONDS,
     RoutedFailures,
 )
+from walnutquay.coordination.routed.plainanswers import PlainForwarder
 from walnutquay.coordination.routed.ports import Dialect, VersionPolicy
 from walnutquay.coordination.routed.stalls import OutOfTimeError
 from walnutquay.coordination.routed.streaming import StreamForwarder
@@ -62,6 +64,7 @@
     :param versions: chooses among versions during a roll-out.
     :param budgets: the retry budgets of this VM.
     :param tunnels: makes connections through other VMs.
+    :param memory: limits what is held of all answers.
     """
 
     def __init__(
@@ -75,8 +78,10 @@
         versions: VersionPolicy,
         budgets: RetryBudgets,
         tunnels: Tunnels,
+        memory: AnswerMemory,
     ) -> None:
         super().__init__(parts, admission, budgets)
+        self.memory = memory
         self.knowledge = knowledge
         self.calls = EndpointCalls(
             client, dialect, admission, budgets, tunnels, self.stalls
@@ -88,6 +93,7 @@
         self.streams = StreamForwarder(
             self.context, admission, versions, self.facts, self.budgets, self.stalls
         )
+        self.plain = PlainForwarder(self.context, self.facts, memory)
 
     def facts_received(self, arrival: RoutedArrival) -> Facts:
         """Return the log fields of a request that was received.
@@ -265,7 +271,7 @@
             # Once a stream has begun, only a 200 answer can continue it.
             cannot_resume = turn.progress.begun and head.status != STATUS_OK
             if head.status >= 500 or cannot_resume:
-                body = await read_body(answer, grant.name)
+                body = await read_body(answer, grant.name, self.memory)
                 self.on_whole_answer(turn, grant)
                 overloaded = head.announced.backoff_seconds is not None
                 if not overloaded:
@@ -286,9 +292,11 @@
                 self._learn(turn, grant, seconds, pace_evaluated)
                 running.answered()
                 return Streamed(whole=True)
-            body = await read_body(answer, grant.name)
+            body = await self.plain.read(turn, head, answer, grant, seconds)
         self._learn(turn, grant, seconds)
         running.answered()
+        if body is None:
+            return Streamed(whole=True)
         return Whole(to_whole_answer(head, body))
 
     def _learn(
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -22,12 +22,13 @@
 
 
 class RoutedReply(Protocol):
-    """The response to the caller of a stream."""
+    """The response to a caller that is sent while the answer comes."""
 
-    async def begin(self, head: AnswerHead) -> None:
+    async def begin(self, head: AnswerHead, length: int | None = None) -> None:
         """Send the status and the headers.
 
         :param head: the head of the first endpoint's answer.
+        :param length: bytes of the body; None if they are not known.
         """
 
     async def write(self, data: bytes) -> None:
@@ -48,7 +49,7 @@
     :param catalogue_version: the version of the configuration that contains the route.
     :param arrived_at: when it was received; monotonic seconds.
     :param found_by_key: whether a key identified the organisation.
-    :param reply: the response, for a stream.
+    :param reply: the response, if it is sent while the answer comes.
     """
 
     head: CallHead = field(kw_only=True)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -36,7 +36,7 @@
 from walnutquay.state.process.ids import RequestId
 from walnutquay.state.process.keys import key_hash
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
-from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route, RouteKind
+from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.timers import monotonic
@@ -83,6 +83,7 @@
         # Whether the platform should send callers here.
         self.open = True
         self.server = GatewayServer(self.handle, GatewayLimits())
+        path.memory.unsent = self.server.web.unsent_bytes
         self.ready_server = GatewayServer(
             self.handle_ready, GatewayLimits(READY_HEADER_BYTES)
         )
@@ -93,6 +94,7 @@
         timers.every("caller-limits", LIMITS_CHECK_SECONDS, self.enforce_limits)
         for server in (self.server, self.ready_server):
             timers.on_wake(server.web.head_deadlines.postpone)
+            timers.on_wake(server.web.unread.postpone)
 
     def enforce_limits(self) -> None:
         """Apply the configured limits and close overdue connections."""
@@ -106,6 +108,8 @@
             )
         self.server.close_overdue()
         self.ready_server.close_overdue()
+        unread = self.server.close_unread(self.path.memory.limit)
+        self.context.metrics.count("callers_unread", unread)
 
     # Readiness.
 
@@ -138,6 +142,7 @@
             self.context.timeline.emit(
                 EventKind.CALLER_GONE,
                 request=arrival.request,
+                detail=_why_gone(error),
                 left_ms=whole_ms(arrival.deadline - monotonic()),
             )
             # The server takes both for a caller who has left.
@@ -171,14 +176,9 @@
             catalogue_version=catalogue.version,
             arrived_at=arrived_at,
             found_by_key=bool(catalogue.organisations),
-            reply=self._reply(request, route),
+            reply=StreamReply(request, self.server),
         )
 
-    def _reply(self, request: BaseRequest, route: Route) -> StreamReply | None:
-        if route.kind is not RouteKind.STREAM:
-            return None
-        return StreamReply(request, self.server)
-
     async def _read_body(self, request: BaseRequest) -> bytes:
         catalogue = self.knowledge.catalogue.current
         most = (catalogue or Catalogue()).limits.body_bytes
@@ -287,6 +287,11 @@
         raise BadCallError(_bad(error.reason)) from error
 
 
+def _why_gone(error: BaseException) -> str:
+    """Return whether a caller left, or did not read its answer."""
+    return error.step if isinstance(error, CallerGoneError) else ""
+
+
 def _bad(reason: str) -> Refusal:
     return Refusal(RefusalCode.BAD_REQUEST, reason)
 
--- a/walnutquay/daemon/routing.py
+++ b/walnutquay/daemon/routing.py
@@ -13,6 +13,7 @@
 from walnutquay.coordination.requests.recorder import TraceRecorder
 from walnutquay.coordination.routed.admission import RoutedAdmission
 from walnutquay.coordination.routed.announcements import EndpointAnnouncements
+from walnutquay.coordination.routed.answermemory import AnswerMemory
 from walnutquay.coordination.routed.backoffs import EndpointBackoffs
 from walnutquay.coordination.routed.budgets import RetryBudgets
 from walnutquay.coordination.routed.candidates import Candidates
@@ -132,6 +133,7 @@
             self.versions,
             self._make_budgets(),
             self.tunnels,
+            AnswerMemory(self.options.memory.unsent_bytes),
         )
 
     def _make_announcements(self, rates: RateLimiter) -> EndpointAnnouncements:
--- a/walnutquay/daemon/streamreply.py
+++ b/walnutquay/daemon/streamreply.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""The way back to the caller of a stream on the users' platform."""
+"""The way back to a caller whose answer is passed on as it comes."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class StreamReply:
-    """The way back to the caller of a stream.
+    """The way back to a caller whose answer is passed on as it comes.
 
     :param request: the caller's request.
     :param server: whose connections end with their next answer at a stop.
@@ -33,15 +33,19 @@
         # Before HTTP/1.1 a stream ends with its connection.
         self.framed = request.version >= HttpVersion11
 
-    async def begin(self, head: AnswerHead) -> None:
+    async def begin(self, head: AnswerHead, length: int | None = None) -> None:
         """Send the status and the headers.
 
         :param head: the first endpoint's.
+        :param length: bytes of the body; None if they are not known.
         """
         headers = CIMultiDict(head.headers)
         if head.content_type:
             headers["Content-Type"] = head.content_type
         self.response = StreamResponse(status=head.status, headers=headers)
+        if length is not None:
+            self.response.content_length = length
+            self.framed = True
         if self.server.draining or not self.framed:
             self.response.force_close()
         # However it ends from now on, a plain close would make it seem whole.
@@ -50,9 +54,9 @@
             await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
-        """Send whole events.
+        """Send a part of the answer; returns once little of it is unsent.
 
-        :param data: the events.
+        :param data: whole events of a stream, or any part of a plain answer.
         """
         assert self.response is not None
         with _writing():
--- a/walnutquay/sections.py
+++ b/walnutquay/sections.py
@@ -170,6 +170,9 @@
     """Events of the time line."""
     answer_bytes: Count = 32 << 20
     """Bytes of finished answers, for callers who repeat a key."""
+    unsent_bytes: Count = 32 << 20
+    """Bytes of answers on the operators' routes that callers have not read yet; answers
+    beyond them are passed on as they come."""
     pins: Count = 50_000
     """Pins of sessions whose callers send no token."""
 
