--- a/standins/worker.py
+++ b/standins/worker.py
@@ -153,14 +153,16 @@
         behaviour = self.choose(seen)
         if behaviour is None:
             behaviour = self.next.popleft() if self.next else self.default
-        if self.slots is not None and not behaviour.not_run:
-            ran = await self._run(reader, seen, self.slots)
+        # The slots may be taken away while the request has one.
+        slots = self.slots
+        if slots is not None and not behaviour.not_run:
+            ran = await self._run(reader, seen, slots)
             if ran is None:
                 seen.left = True
                 return False
             if not ran:
                 behaviour = replace(behaviour, status=503, not_run=True, events=None)
-        if behaviour.not_run or self.slots is None:
+        if behaviour.not_run or slots is None:
             (self.turned_away if behaviour.not_run else self.runs).append(seen)
         if behaviour.mute:
             await self._until_left(reader, seen)
--- a/tests/standins/test_slots.py
+++ b/tests/standins/test_slots.py
@@ -87,3 +87,9 @@
         self.addCleanup(writer.close)
         writer.write(REQUEST % (b"r1", 0))
         self.assertNotIn("Load:", await self.head(reader))
+
+    async def test_a_request_runs_once_whose_slots_are_taken_away(self):
+        reader, _ = await self.send(b"r1")
+        self.worker.slots = None
+        await self.head(reader)
+        self.assertEqual(len(self.worker.runs), 1)
