Play load beyond the room in soaks

A fault gives the endpoints of the plain service slots, a queue and a pace that changes, while callers of both organisations and two urgencies ask for more than these bear. Soaks by hand play two more bursts when all faults are over, and judge what a busy machine could change: nobody is held to its deadline without a word, and of ten calls or more by a key at an urgency one at least is served.

Safe calls end at twice their objective while they wait at an endpoint, and their second try meets a full queue (502).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,8 @@
 RATE = 20.0
 VMS, PLAIN, ENGINES = 3, 3, 5
 LOOK_SECONDS = 0.2
+# Soaks by hand play so many bursts of callers when nothing else is wrong.
+CALM_BURSTS = 2
 # Digits of times in the report.
 DIGITS = 2
 
@@ -60,7 +62,11 @@
 
 
 async def soak(
-    seed: int, seconds: float, vms: int = VMS, logs: Path | None = None
+    seed: int,
+    seconds: float,
+    vms: int = VMS,
+    logs: Path | None = None,
+    calm_bursts: int = 0,
 ) -> Report:
     """Play a soak.
 
@@ -68,6 +74,7 @@
     :param seconds: for how long faults begin.
     :param vms: entry VMs.
     :param logs: where the VMs' lines are kept if anything is found.
+    :param calm_bursts: bursts of callers that are played when all faults are over.
     """
     # Ended from outside, a soak still ends its VMs: they would go on without it.
     end = asyncio.current_task().cancel
@@ -85,10 +92,12 @@
         load = asyncio.ensure_future(callers.run(seconds))
         await faults.run(seconds)
         await load
-        recovered = await Calm(fleet, callers).broken()
+        calm = Calm(fleet, callers)
+        recovered = await calm.broken()
+        unheard = await calm.unheard(faults.overloading, calm_bursts)
         await callers.close()
         judge = Judge(fleet, callers, faults)
-        broken, late = judge.broken() + recovered, judge.timed()
+        broken, late = judge.broken() + recovered, judge.timed() + unheard
         if logs and (broken or late):
             fleet.keep_logs(logs / f"seed-{seed}")
         answered = [one for one in callers.sent if one.status == 200]
@@ -127,7 +136,7 @@
     """Play soaks, one seed after the other, and report each."""
     failed = 0
     for number in range(seed, seed + seeds):
-        report = asyncio.run(soak(number, seconds, vms, logs))
+        report = asyncio.run(soak(number, seconds, vms, logs, CALM_BURSTS))
         click.echo(report.text())
         failed += bool(report.broken or report.late)
     click.echo(f"{seeds} seeds, {failed} with findings")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 import itertools
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -35,6 +36,8 @@
     SAFE = "safe"
     UNSAFE = "unsafe"
     STREAM = "stream"
+    # As safe calls, and more urgent.
+    URGENT = "urgent"
 
 
 @dataclass
@@ -132,6 +135,24 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    async def burst(
+        self, kinds: Sequence[Kind], seconds: float, rate: float
+    ) -> list[Sent]:
+        """Send more requests for some time, and wait for their answers.
+
+        :param kinds: what is sent.
+        :param seconds: for how long.
+        :param rate: requests a second.
+        :returns: those whose callers stayed.
+        """
+        tasks = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            vm = self.rng.choice(self.fleet.vms)
+            tasks.append(self.spawn(self.rng.choice(kinds), vm))
+            await asyncio.sleep(self.rng.expovariate(rate))
+        return [one for one in await asyncio.gather(*tasks) if not one.left]
+
     async def bring_crashing(self, path: str) -> None:
         """Bring a request that ends engines, again and again, through any VM.
 
--- a/soak/calm.py
+++ b/soak/calm.py
@@ -9,6 +9,7 @@
 
 from soak.callers import Callers, Kind, Sent
 from soak.fleet import CONTACT_SECONDS, HANG_SECONDS, PROMISES, Endpoint, SoakFleet
+from soak.overload import Overload, unheard
 from standins.worker import WorkerStandIn
 from walnutquay.state.requests.attribution import CRASHES_TO_BLOCK
 
@@ -17,6 +18,8 @@
 # What a busy machine may take over the times that VMs keep to.
 SLACK_SECONDS = 2.0
 UNAUTHORIZED = 401
+# Urgent calls go the way of safe ones.
+EACH_KIND = (Kind.SAFE, Kind.UNSAFE, Kind.STREAM)
 
 
 class Calm:
@@ -44,11 +47,22 @@
         found += await self._left_alone()
         return found
 
+    async def unheard(self, overload: Overload, bursts: int) -> list[str]:
+        """Play bursts of callers, and tell what they may complain of.
+
+        :param overload: plays them.
+        :param bursts: how many.
+        """
+        found = []
+        for _ in range(bursts):
+            found += unheard(await overload.play())
+        return found
+
     async def _served(self) -> list[str]:
         """Wait until each VM serves each kind of request again."""
         missing = []
         for vm in self.fleet.vms:
-            for kind in Kind:
+            for kind in EACH_KIND:
                 end = time.monotonic() + HANG_SECONDS
                 served = 0
                 while served < LAST_REQUESTS and time.monotonic() < end:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,7 @@
 
 from soak.callers import Callers
 from soak.fleet import HALLS, SoakFleet, Vm
+from soak.overload import Overload
 from walnutquay.platform import names
 
 log = logbook.Logger(__name__)
@@ -64,6 +65,7 @@
         self.replaced = 0
         # Keys that were taken away, with when the store acknowledged it.
         self.revoked: dict[str, float] = {}
+        self.overloading = Overload(fleet, callers, self.rng)
         self.kinds: list[Fault] = [
             self.kill_vm,
             self.stop_vm,
@@ -87,6 +89,7 @@
             self.take_key,
             self.bring_crashing,
             self.change_work,
+            self.overload,
         ]
 
     async def run(self, seconds: float) -> None:
@@ -327,3 +330,7 @@
     async def change_work(self) -> None:
         """Have callers bring another mix of requests, more or fewer of them."""
         self.callers.change_work(self.rng)
+
+    async def overload(self) -> None:
+        """Have callers ask for more than some endpoints bear."""
+        await self.overloading.play()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,6 +39,8 @@
 COLD_PER_SECOND = 2.0
 COLD_OVER, COLD_EXTRA = 1.5, 1.0
 COLD_SECONDS = 3.0
+# The priority of urgent calls; others have the next lower one.
+URGENT = 0
 PROMISES = {
     "config_seconds": 2.0,
     "drain_seconds": 2.0,
@@ -74,6 +76,7 @@
         "routes": [
             _route("safe", "safe", "plain"),
             _route("unsafe", "unsafe", "plain"),
+            _route("urgent", "safe", "plain", priority=URGENT),
             _route("stream", "stream", "engine", **stream),
         ],
         "services": [
