Send by a VM's own share as its turn comes, without asking silent keepers first

Cause: a request that waited for its VM's own share asked two more silent keepers before it looked again. With short work that took longer than the turn lasts, so the turn was drawn anew each time, and a VM cut off from 39 others refused 10 of 10 requests while the endpoints were idle.

Change: the share is looked at again right after the wait for it.

--- a/tests/coordination/routed/test_slotsharing.py
+++ b/tests/coordination/routed/test_slotsharing.py
@@ -253,6 +253,25 @@
 
         play(story())
 
+    def test_a_vm_is_cut_off_from_all_others(self) -> None:
+        """It goes by its own share, though asking takes longer than its turns last."""
+
+        async def story() -> None:
+            world = SlotWorld(vms=40, slots=(18, 18))
+            alone = world.vms[world.keeper().sharing.ranking._order(SERVICE)[-1]]
+            for other in world.known:
+                if other != alone.name:
+                    world.cut |= {(alone.name, other), (other, alone.name)}
+            alone.sharing.held.learn(SERVICE, 0.05)
+            for _ in range(10):
+                world.mark_scarce()
+                result = await alone.request(work=0.05, left=1.0)
+                self.assertTrue(result.served, result)
+            self.assertEqual(alone.counters["slots_own_share"], 10)
+            self.check(world)
+
+        play(story())
+
     def test_halls_are_cut_off(self) -> None:
         async def story() -> None:
             world = SlotWorld(vms=8)
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -274,21 +274,27 @@
 
         :returns: the place, or a refusal; None if the keepers are to be asked again.
         """
-        service, now = asking.service, monotonic()
         asking.silent = 0
+        wait = self._own_wait(asking.service)
+        if monotonic() + wait >= asking.end:
+            return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
+        if wait > 0.0:
+            asking.queued = True
+            await asyncio.sleep(min(max(wait, MIN_PAUSE_SECONDS), MAX_ASK_SECONDS))
+            # To ask silent keepers first would take longer than the turn lasts.
+            wait = self._own_wait(asking.service)
+        if wait > 0.0:
+            return None
+        self.own[asking.service].record_send(monotonic())
+        self.context.metrics.count("slots_own_share")
+        return Ok(SlotTicket(asking.service, SlotNumber(next(self.asks.numbers))))
+
+    def _own_wait(self, service: ServiceName) -> float:
+        """Return the time until this VM may send by its own share; seconds."""
         own = self.own.setdefault(service, OwnSlots(self.context.rng))
         slots = sum(self.signs.slots_of(service).values())
         seconds = self.held.work_seconds(service)
-        wait = own.next_send(slots, self.peers.size, seconds, now)
-        if wait <= 0.0:
-            own.record_send(now)
-            self.context.metrics.count("slots_own_share")
-            return Ok(SlotTicket(service, SlotNumber(next(self.asks.numbers))))
-        if now + wait >= asking.end:
-            return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
-        asking.queued = True
-        await asyncio.sleep(min(max(wait, MIN_PAUSE_SECONDS), MAX_ASK_SECONDS))
-        return None
+        return own.next_send(slots, self.peers.size, seconds, monotonic())
 
     def release(self, ticket: SlotTicket, seconds: float) -> None:
         """Give a slot back.
