Send a request that excludes more endpoints than a question names without asking

Cause: a question names 64 excluded endpoints at most. Where a request must not go to more, as during the trial of a version, its keeper granted it one of the rest after the other, each given back at once.

Change: such a request is sent as where slots are not shared, and the list of a request grows with each endpoint that it cannot use, so the questions are bounded.

--- a/tests/coordination/routed/test_slotasks.py
+++ b/tests/coordination/routed/test_slotasks.py
@@ -9,6 +9,7 @@
 from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
 from tests.slotworld import SERVICE, SlotVm, SlotWorld
 from tests.virtualtime import play
+from walnutquay.coordination.routed.slotasks import MAX_TRIED
 from walnutquay.protocol.messages import Message
 from walnutquay.protocol.slotmessages import (
     AskSlot,
@@ -163,6 +164,47 @@
 
         play(story())
 
+    def test_more_endpoints_are_excluded_than_a_question_names(self) -> None:
+        """The request goes without asking, as its endpoint would hardly be granted."""
+
+        async def story(own: bool) -> None:
+            world = SlotWorld(vms=40, slots=(2,) * 140)
+            world.start_scarce()
+            vm = world.keeper() if own else world.others()[0]
+            vm.barred = {f"p{number}" for number in range(1, 140)}
+            jobs = [world.spawn(vm.request(work=0.3, left=1.0)) for _ in range(3)]
+            results = await asyncio.gather(*jobs)
+            self.assertEqual([one.endpoint for one in results], ["p140"] * 3)
+            self.assertEqual(vm.peers.calls, 0)
+            self.check(world)
+
+        for own in (False, True):
+            with self.subTest(own=own):
+                play(story(own))
+
+    def test_endpoints_appear_that_a_request_must_not_go_to(self) -> None:
+        async def story(own: bool) -> None:
+            world = SlotWorld(vms=40, slots=(2,) * 140)
+            hidden = {
+                f"p{number}": world.endpoints.pop(f"p{number}")
+                for number in range(1, 140)
+            }
+            world.start_scarce()
+            vm = world.keeper() if own else world.others()[0]
+            vm.barred = set(hidden)
+            jobs = [world.spawn(vm.request(work=0.3, left=1.0)) for _ in range(8)]
+            await asyncio.sleep(0.05)
+            world.endpoints.update(hidden)
+            await asyncio.gather(*jobs)
+            await asyncio.sleep(0.05)
+            questions = MAX_TRIED + len(jobs)
+            self.assertLessEqual(vm.peers.calls, questions * len(jobs))
+            self.check(world, extra=len(jobs))
+
+        for own in (False, True):
+            with self.subTest(own=own):
+                play(story(own))
+
     def test_a_refusal_says_not_run_and_when_to_return(self) -> None:
         async def story() -> None:
             world = SlotWorld()
--- a/walnutquay/coordination/routed/slotasks.py
+++ b/walnutquay/coordination/routed/slotasks.py
@@ -45,7 +45,8 @@
 # A request that waits asks again after these times, as news may be lost; seconds.
 MIN_ASK_SECONDS = 0.1
 MAX_ASK_SECONDS = 0.4
-# The endpoints that one question excludes.
+# The endpoints that one question excludes.  A request that must not go to more of them
+# is sent without asking: it would be granted one after the other of the rest.
 MAX_TRIED = 64
 # A refusal has to reach its caller before the caller gives up; seconds.
 MARGIN_SECONDS = 0.05
@@ -129,7 +130,7 @@
         :param name: the endpoint; None for none.
         """
         if name is not None:
-            self.tried = (name, *self.tried)[:MAX_TRIED]
+            self.tried = (name, *self.tried)
 
 
 class SlotAsks:
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -211,11 +211,14 @@
             work = self.context.rng.getrandbits(HASH_BITS)
         else:
             work = int(need.content[:HASH_DIGITS], HASH_DIGITS)
-        tried = tuple(others[:MAX_TRIED])
+        tried = tuple(others)
         return Asking(need, service, allowed, tried, WorkHash(work), monotonic())
 
     async def _acquire(self, asking: Asking) -> Result[SlotTicket, Refusal]:
         while (now := monotonic()) < asking.end:
+            if len(asking.tried) > MAX_TRIED:
+                self.asks.leave(asking)
+                return Ok(self._unshared(asking.service))
             keeper = self.ranking.keeper(asking.service, now)
             if keeper is None or asking.silent >= MAX_SILENT:
                 self.asks.leave(asking)
@@ -287,7 +290,11 @@
             return None
         self.own[asking.service].record_send(monotonic())
         self.context.metrics.count("slots_own_share")
-        return Ok(SlotTicket(asking.service, SlotNumber(next(self.asks.numbers))))
+        return Ok(self._unshared(asking.service))
+
+    def _unshared(self, service: ServiceName) -> SlotTicket:
+        """Return the place of a request of which no keeper knows."""
+        return SlotTicket(service, SlotNumber(next(self.asks.numbers)))
 
     def _own_wait(self, service: ServiceName) -> float:
         """Return the time until this VM may send by its own share; seconds."""
