Send a request without asking where no keeper knows any of its endpoints

Cause: keepers grant slots at usable endpoints only. While slots were scarce, a request with nothing but a draining endpoint left excluded all that its keeper knows, and was refused at once; without sharing it is sent there.

Change: a request whose endpoints are all unknown to keepers is sent as where slots are not shared.

Result: the test is refused before, and passes after; test_slotasks 11 passed, test_slotsharing 20 passed.

--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -216,7 +216,7 @@
 
     async def _acquire(self, asking: Asking) -> Result[SlotTicket, Refusal]:
         while (now := monotonic()) < asking.end:
-            if len(asking.tried) > MAX_TRIED:
+            if not self._is_known(asking):
                 self.asks.leave(asking)
                 return Ok(self._unshared(asking.service))
             keeper = self.ranking.keeper(asking.service, now)
@@ -292,6 +292,15 @@
         self.context.metrics.count("slots_own_share")
         return Ok(self._unshared(asking.service))
 
+    def _is_known(self, asking: Asking) -> bool:
+        """Return whether a keeper can grant a request one of its endpoints.
+
+        It knows of none that are draining, and too few are named as excluded.
+        """
+        shared = self.signs.slots_of(asking.service)
+        can_be_granted = any(name in shared for name in asking.found)
+        return can_be_granted and len(asking.tried) <= MAX_TRIED
+
     def _unshared(self, service: ServiceName) -> SlotTicket:
         """Return the place of a request of which no keeper knows."""
         return SlotTicket(service, SlotNumber(next(self.asks.numbers)))
