Tell keepers the loads that one question cannot hold with the next ones

Cause: a question took all untold loads of a service, told 32 of them in the order of their names, and forgot the others: in larger services the keeper never learned the load of the last endpoints by questions.

Change: what is not told stays untold.

Result: the test of 65 endpoints fails before and passes after (test_slotsigns 1 passed, test_slotsharing 20 passed).

--- a/walnutquay/coordination/routed/slotsigns.py
+++ b/walnutquay/coordination/routed/slotsigns.py
@@ -145,9 +145,13 @@
     def take_untold(self, service: ServiceName, now: float) -> tuple[SlotLoad, ...]:
         """Return the loads of a service that no keeper was told, each of them once.
 
+        What one question cannot hold goes with the next ones.
+
         :param service: the service.
         :param now: monotonic seconds.
         """
-        names = sorted(self.untold.pop(service, ()))[:MAX_LOADS]
+        untold = self.untold[service]
+        names = sorted(untold)[:MAX_LOADS]
+        untold.difference_update(names)
         loads = [self.load_to_tell(name, now) for name in names]
         return tuple(load for load in loads if load is not None)
