Tell a keeper of a rejection only with the request that was rejected

Cause: a VM kept the names of endpoints that had no room until a slot there was released. A rejection of a request without a counted slot (by the VM's own share, or free) was told with whichever slot at that endpoint was released next, however late, and the keeper held the endpoint back for nothing.

Change: the rejection is noted with the slot of the request itself.

--- a/tests/coordination/routed/test_slotasks.py
+++ b/tests/coordination/routed/test_slotasks.py
@@ -11,6 +11,7 @@
 from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
 from tests.slotworld import SERVICE, FakeEndpoint, SlotVm, SlotWorld
 from tests.virtualtime import play
+from walnutquay.coordination.requests.slots import SlotTicket
 from walnutquay.coordination.routed.slotasks import MAX_TRIED
 from walnutquay.protocol.messages import Message
 from walnutquay.protocol.slotmessages import (
@@ -22,6 +23,7 @@
 )
 from walnutquay.state.process.ids import EndpointName, OrganisationName
 from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.routed.slottypes import SlotNumber
 from walnutquay.transport.timers import monotonic
 
 
@@ -204,6 +206,33 @@
 
         play(story())
 
+    def test_a_rejection_is_told_of_the_request_that_had_it(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(slots=(2,))
+            world.start_scarce()
+            vm = world.others()[0]
+            job = world.spawn(vm.request(work=0.3))
+            await asyncio.sleep(0.05)
+            number = next(iter(vm.sharing.held.slots))
+            instance = vm.found()[0]
+            vm.sharing.on_rejected(instance, SlotTicket(SERVICE, SlotNumber(7)))
+            await job
+            vm.sharing.on_rejected(instance, None)
+            again = world.spawn(vm.request(work=0.3))
+            await asyncio.sleep(0.05)
+            second = next(iter(vm.sharing.held.slots))
+            vm.sharing.on_rejected(instance, SlotTicket(SERVICE, second))
+            await again
+            await asyncio.sleep(0.05)
+            told = {
+                body.number: body.rejected
+                for body in world.delivered
+                if isinstance(body, SlotReleased)
+            }
+            self.assertEqual(told, {number: False, second: True})
+
+        play(story())
+
     def test_endpoints_appear_that_a_request_must_not_go_to(self) -> None:
         async def story(own: bool) -> None:
             world = SlotWorld(vms=40, slots=(2,) * 140)
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -382,4 +382,4 @@
         assert isinstance(grant.endpoint, Instance)
         self.limits.places.on_rejected(grant.endpoint)
         if self.sharing is not None:
-            self.sharing.on_rejected(grant.endpoint)
+            self.sharing.on_rejected(grant.endpoint, grant.ticket)
--- a/walnutquay/coordination/routed/heldslots.py
+++ b/walnutquay/coordination/routed/heldslots.py
@@ -26,12 +26,14 @@
     :param keeper: the VM that counts it.
     :param endpoint: the endpoint.
     :param until: when its caller gives up; monotonic seconds.
+    :param rejected: whether the endpoint had no room for it all the same.
     """
 
     service: ServiceName
     keeper: VmName
     endpoint: EndpointName
     until: float
+    rejected: bool = False
 
 
 class HeldSlots:
@@ -42,8 +44,6 @@
         # The keeper that was told of all slots of a service, and the number of its
         # start.
         self.informed: dict[ServiceName, tuple[VmName, int]] = {}
-        # Endpoints that have just had no room for a request that had a slot.
-        self.rejecting: set[EndpointName] = set()
         self.usual_seconds: dict[ServiceName, float] = {}
 
     def holds(self, number: SlotNumber) -> bool:
@@ -71,6 +71,15 @@
         """
         self.slots[number] = OneHeld(service, keeper, endpoint, until)
 
+    def reject(self, number: SlotNumber) -> None:
+        """Record that an endpoint had no room for a request, though it has a slot.
+
+        :param number: the request's number; one without a slot tells nothing.
+        """
+        held = self.slots.get(number)
+        if held is not None:
+            held.rejected = True
+
     def remove(self, number: SlotNumber) -> OneHeld | None:
         """Remove a slot.
 
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -135,8 +135,9 @@
         :param head: the head.
         """
 
-    def on_rejected(self, instance: Instance) -> None:
+    def on_rejected(self, instance: Instance, ticket: SlotTicket | None) -> None:
         """Record that an endpoint had no room for a request of this VM.
 
         :param instance: the endpoint.
+        :param ticket: the request's place; None if it has none.
         """
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -154,13 +154,15 @@
         if load is not None:
             self.keeper.learn(instance.service, load)
 
-    def on_rejected(self, instance: Instance) -> None:
+    def on_rejected(self, instance: Instance, ticket: SlotTicket | None) -> None:
         """Record that an endpoint had no room for a request of this VM.
 
         :param instance: the endpoint.
+        :param ticket: the request's place; None if it has none.
         """
         self.signs.on_rejected(instance.service, monotonic())
-        self.held.rejecting.add(instance.name)
+        if ticket is not None:
+            self.held.reject(ticket.number)
         self.keeper.on_rejected(instance.service, instance.name)
 
     def on_instance(self, name: EndpointName, instance: Instance | None) -> None:
@@ -172,7 +174,6 @@
         """
         if instance is None:
             self.signs.forget(name)
-            self.held.rejecting.discard(name)
 
     # Requests of this VM.
 
@@ -322,12 +323,10 @@
         held = self.held.remove(ticket.number)
         if held is None:
             return
-        rejected = held.endpoint in self.held.rejecting
-        self.held.rejecting.discard(held.endpoint)
         load = self.signs.load_to_tell(held.endpoint, monotonic())
         number = ticket.number
         body = SlotReleased(
-            ticket.service, number, held.endpoint, seconds, rejected, load
+            ticket.service, number, held.endpoint, seconds, held.rejected, load
         )
         self.asks.tell(held.keeper, body)
 
