Take a load whose figures are no numbers of requests as unreadable

Cause: a figure of Load with many digits was believed. VMs pass loads on to each other, and the codec raises for a number beyond 32 bits: each request of the service that asked for a slot, and each release after an answer, ended with that error. Digits of other alphabets, and thousands of digits, raised as the head was read.

Change: a figure is up to six ASCII digits; otherwise the endpoint has told no load.

--- a/tests/platform/test_load_header.py
+++ b/tests/platform/test_load_header.py
@@ -38,3 +38,19 @@
     def test_other_figures_hold_without_it(self):
         head = decode("3,1,8,slow")
         self.assertEqual((3, 1, 8), (head.running, head.waiting, head.slots))
+
+
+class CountsTest(unittest.TestCase):
+    """The first three figures count requests; a load that does not is no load."""
+
+    def test_unreadable(self):
+        for text in ("99999999999", "9" * 5000, "\u00b2", "\u0663", "-1", "", "1.5"):
+            for load in (f"{text},1,8", f"3,{text},8", f"3,1,{text}"):
+                with self.subTest(load=load[:20]):
+                    head = decode(load)
+                    self.assertIsNone(head.running)
+                    self.assertEqual((0, 0), (head.waiting, head.slots))
+
+    def test_leading_and_largest(self):
+        head = decode("000003, 999999 ,8")
+        self.assertEqual((3, 999999, 8), (head.running, head.waiting, head.slots))
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -20,6 +20,8 @@
 # How endpoints write that work takes there as long as usual.
 USUAL_PACE = 100.0
 MAX_EVENT_ID = 1 << 62
+# No endpoint has as many digits of requests; a longer figure is unreadable.
+MAX_LOAD_DIGITS = 6
 # Statuses below it announce an answer; a caller would wait for that one.
 FIRST_FINAL_STATUS = 200
 
@@ -129,7 +131,7 @@
     if status < FIRST_FINAL_STATUS:
         raise EndpointError(f"{status} is no final answer", step="answer")
     load = [part.strip() for part in headers.get(names.LOAD, "").split(",")]
-    known = len(load) >= 3 and all(part.isdigit() for part in load[:3])
+    known = len(load) >= 3 and all(map(_is_count, load[:3]))
     confidence = headers.get(names.CONFIDENCE, "")
     return AnswerHead(
         status=status,
@@ -150,6 +152,11 @@
     )
 
 
+def _is_count(text: str) -> bool:
+    """Return whether a figure of a load is a number of requests."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_LOAD_DIGITS
+
+
 def _pace(text: str) -> float | None:
     """Return how long work takes, relative to its usual time; None if unreadable."""
     try:
