Count refusals for want of slots once in what operators are shown

Cause: VMs count refusals by reason, and all of them as slots_denied_total; the latter was read as one more reason, named total, and shown beside the others.

Change: the counter of all is left out where refusals are shown by reason.

Result: with that counter in its figures, as VMs write them, the test fails before and passes after; test_slotstate 4 passed.

--- a/tests/commands/test_slotstate.py
+++ b/tests/commands/test_slotstate.py
@@ -17,6 +17,7 @@
 WAITING = 'service="plain",organisation="org-a",priority="0",hall="hall-a"'
 GRANTS = 'service="plain",endpoint="p1"'
 TEXT = f"""walnutquay_ready 1
+walnutquay_slots_denied_total 4
 walnutquay_slots_denied_no_room_total 4
 walnutquay_slot_waiting{{{WAITING}}} 2
 walnutquay_slot_oldest_wait_seconds{{{WAITING}}} 0.25
--- a/walnutquay/commands/slotstate.py
+++ b/walnutquay/commands/slotstate.py
@@ -12,6 +12,8 @@
 # What the counters of denials begin and end with.
 DENIED = "slots_denied_"
 TOTAL = "_total"
+# The counter of all denials, whatever their reasons.
+ALL_DENIED = "slots_denied_total"
 
 
 class Figure(Protocol):
@@ -104,7 +106,7 @@
     return {
         one.name.removeprefix(DENIED).removesuffix(TOTAL): int(one.value)
         for one in figures
-        if one.name.startswith(DENIED)
+        if one.name.startswith(DENIED) and one.name != ALL_DENIED
     }
 
 
