Complete doc comments on paces, kept queues and usual times

Cause: two fields of EndpointState had none, the two times of a kept queue named what they belong to by its place, and usual times said seconds although numbers of events are kept the same way.

Change: comments only.

--- a/walnutquay/coordination/routed/slotkeeper.py
+++ b/walnutquay/coordination/routed/slotkeeper.py
@@ -85,8 +85,8 @@
     :param service: the service.
     :param queue: decides who gets which slot.
     :param slots: the slots of the service's endpoints.
-    :param created_at: when the queue was; monotonic seconds.
-    :param refreshed_at: when these were looked up; monotonic seconds.
+    :param created_at: when the queue was created; monotonic seconds.
+    :param refreshed_at: when the slots were looked up last; monotonic seconds.
     :param told_at: when all VMs were told that slots are scarce; monotonic seconds.
     :param used_at: when a VM asked or told something last; monotonic seconds.
     :param timer: calls when the queue has to decide by itself.
@@ -277,6 +277,8 @@
     ) -> None:
         """Let a queue decide, and tell the VMs.
 
+        :param kept: the queue.
+        :param now: monotonic seconds.
         :param asked: the request that is being answered, which needs no news.
         """
         for decision in kept.queue.decide(now):
--- a/walnutquay/state/requests/endpointstate.py
+++ b/walnutquay/state/requests/endpointstate.py
@@ -32,7 +32,11 @@
     :param in_flight: requests of this VM that are running at the endpoint.
     :param reported: running and waiting requests according to its last report.
     :param reported_at: the time of that report; monotonic seconds.
-    :param pace: how long work takes there as it told in its answers.
+    :param pace: how long work takes there by that report, relative to its usual time;
+        None if it does not tell.
+    :param told_pace: the estimate from all paces that it told.
+    :param pace_trust: whether the paces of its version or service are likely to be
+        right; None before any was compared with durations.
     :param failures: the number of consecutive failures.
     :param ejected_at: the time of its last ejection; monotonic seconds.
     :param ejected_until: the end of its last ejection; monotonic seconds.
--- a/walnutquay/state/routed/usualtimes.py
+++ b/walnutquay/state/routed/usualtimes.py
@@ -24,10 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Duration:
-    """How long an endpoint took for something.
+    """How long an endpoint took for something, or how much it gave.
 
     :param endpoint: the endpoint.
-    :param value: the duration; seconds.
+    :param value: the duration in seconds, or the number of a stream's events.
     :param started: when the work was sent there; monotonic seconds.
     :param at: when this was measured; monotonic seconds.
     """
@@ -42,8 +42,8 @@
 class Usual:
     """What is usual at the endpoints that have not yet been tried.
 
-    :param middle: the median; seconds.
-    :param high: what few answers exceed; seconds.
+    :param middle: the median, in the unit of what was learned.
+    :param high: what few answers exceed, in the same unit.
     :param age: the age of the newest answer; seconds.
     :param fresh: how many were sent after the work that is compared, and answered.
     """
