Learn how long work takes from whole answers only

Cause: a slot was given back with the time of any attempt whose head had come, also of an error status, a stream that broke, or a caller that left. A service that fails at once looked a hundred times faster within seconds, and its keeper and each VM's own share let in by that figure.

Change: a grant keeps how long its whole answer took, and only that is told.

--- a/tests/coordination/routed/test_sharedslots.py
+++ b/tests/coordination/routed/test_sharedslots.py
@@ -186,6 +186,21 @@
         self.assertEqual(counters["slots_given_back"], 1)
         await self.until(lambda: not sharing.held.slots)
 
+    async def test_a_failure_does_not_tell_how_long_work_takes(self) -> None:
+        await self.callers()
+        sharing = self.sharing()
+        sharing.signs.on_told(PLAIN, 5.0, float("inf"))
+        for slotted in self.slotted.values():
+            slotted.worker.choose = lambda seen: Behaviour(status=500)
+        with mock.patch.object(sharing, "release", wraps=sharing.release) as release:
+            self.assertEqual((await self.call("/safe/y")).status, 500)
+            failed = [call.args[1] for call in release.call_args_list]
+            for slotted in self.slotted.values():
+                slotted.worker.choose = slotted.choose
+            self.assertEqual((await self.call("/safe/z")).status, 200)
+        self.assertEqual(set(failed), {0.0})
+        self.assertGreater(release.call_args.args[1], 0.0)
+
     async def test_the_store_is_away(self) -> None:
         await self.store.stop()
         answers = await self.callers()
--- a/walnutquay/coordination/requests/slots.py
+++ b/walnutquay/coordination/requests/slots.py
@@ -98,6 +98,8 @@
     :param started: when it was granted; monotonic seconds.
     :param work: the kind of work of the pool at that time.
     :param began: when the headers of an answer arrived; monotonic seconds.
+    :param took: how long its whole answer took; seconds, None if it failed or was not
+        waited for.
     :param via: the VM that forwards the connection; None if this one made it itself.
     :param ticket: its place among the requests of all VMs; None if it needs none.
     """
@@ -106,6 +108,7 @@
     started: float
     work: WorkKind
     began: float | None = None
+    took: float | None = None
     via: VmName | None = None
     ticket: SlotTicket | None = None
 
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -369,9 +369,7 @@
             facts.in_flight = max(0, facts.in_flight - 1)
             self.limits.places.on_released(endpoint)
         if grant.ticket is not None and self.sharing is not None:
-            answered = grant.began is not None
-            seconds = monotonic() - grant.started if answered else 0.0
-            self.sharing.release(grant.ticket, seconds)
+            self.sharing.release(grant.ticket, grant.took or 0.0)
 
     def full(self, grant: Grant) -> None:
         """Record that an endpoint refused a request although a slot was granted.
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -304,6 +304,7 @@
     ) -> None:
         kind = f"{turn.target}/{turn.arrival.route.name}/{turn.model}"
         now = monotonic()
+        grant.took = now - grant.started
         self.parts.table.succeeded(EndpointName(grant.name), kind, seconds, now)
         self.on_whole_answer(turn, grant)
         self.on_success(turn)
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -125,7 +125,7 @@
         """Give a slot back.
 
         :param ticket: the request's place.
-        :param seconds: how long the request was at the endpoint; 0 if it got no answer.
+        :param seconds: how long its whole answer took; 0 if it got none.
         """
 
     def on_answer(self, instance: Instance, head: AnswerHead) -> None:
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -317,7 +317,7 @@
         """Give a slot back.
 
         :param ticket: the request's place.
-        :param seconds: how long the request was at the endpoint; 0 if it got no answer.
+        :param seconds: how long its whole answer took; 0 if it got none.
         """
         self.held.learn(ticket.service, seconds)
         held = self.held.remove(ticket.number)
