Let requests that wait for a VM's own share use each turn that comes meanwhile

Cause: all that waited for the same turn asked two silent keepers each before the next one; with short work several turns passed unused meanwhile.

--- a/tests/coordination/routed/test_slotsharing.py
+++ b/tests/coordination/routed/test_slotsharing.py
@@ -9,9 +9,11 @@
 from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
 from tests.slotworld import SERVICE, WORK, Result, SlotWorld
 from tests.virtualtime import play
+from walnutquay.coordination.routed.slotasks import MAX_ASK_SECONDS
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import VmName
 from walnutquay.state.routed.overloadscope import Coverage
+from walnutquay.state.routed.ownslots import USED_SHARE
 from walnutquay.transport.timers import monotonic
 
 
@@ -268,6 +270,12 @@
                 result = await alone.request(work=0.05, left=1.0)
                 self.assertTrue(result.served, result)
             self.assertEqual(alone.counters["slots_own_share"], 10)
+            world.mark_scarce()
+            # Several at once use the turns that come while they wait for them.
+            jobs = [alone.request(work=0.05, left=1.0) for _ in range(14)]
+            served = self.served(await asyncio.gather(*jobs))
+            interval = 0.05 * len(world.known) / (USED_SHARE * 36)
+            self.assertGreater(served, 0.75 * MAX_ASK_SECONDS / interval)
             self.check(world)
 
         play(story())
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -279,16 +279,16 @@
         :returns: the place, or a refusal; None if the keepers are to be asked again.
         """
         asking.silent = 0
-        wait = self._own_wait(asking.service)
-        if monotonic() + wait >= asking.end:
-            return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
-        if wait > 0.0:
+        # To ask silent keepers before each turn would take longer than turns last.
+        until = monotonic() + MAX_ASK_SECONDS
+        while (wait := self._own_wait(asking.service)) > 0.0:
+            now = monotonic()
+            if now + wait >= asking.end:
+                return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
+            if now >= until:
+                return None
             asking.queued = True
-            await asyncio.sleep(min(max(wait, MIN_PAUSE_SECONDS), MAX_ASK_SECONDS))
-            # To ask silent keepers first would take longer than the turn lasts.
-            wait = self._own_wait(asking.service)
-        if wait > 0.0:
-            return None
+            await asyncio.sleep(max(MIN_PAUSE_SECONDS, min(wait, until - now)))
         self.own[asking.service].record_send(monotonic())
         self.context.metrics.count("slots_own_share")
         return Ok(self._unshared(asking.service))
