--- a/tests/coordination/routed/test_slotasks.py
+++ b/tests/coordination/routed/test_slotasks.py
@@ -5,10 +5,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
+from unittest import mock
 
 from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
-from tests.slotworld import SERVICE, SlotVm, SlotWorld
+from tests.slotworld import SERVICE, FakeEndpoint, SlotVm, SlotWorld
 from tests.virtualtime import play
+from walnutquay.coordination.requests.slots import SlotTicket
+from walnutquay.coordination.routed.slotasks import MAX_TRIED
 from walnutquay.protocol.messages import Message
 from walnutquay.protocol.slotmessages import (
     AskSlot,
@@ -19,6 +23,7 @@
 )
 from walnutquay.state.process.ids import EndpointName, OrganisationName
 from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.routed.slottypes import SlotNumber
 from walnutquay.transport.timers import monotonic
 
 
@@ -163,6 +168,94 @@
 
         play(story())
 
+    def test_more_endpoints_are_excluded_than_a_question_names(self) -> None:
+        """The request goes without asking, as its endpoint would hardly be granted."""
+
+        async def story(own: bool) -> None:
+            world = SlotWorld(vms=40, slots=(2,) * 140)
+            world.start_scarce()
+            vm = world.keeper() if own else world.others()[0]
+            vm.barred = {f"p{number}" for number in range(1, 140)}
+            jobs = [world.spawn(vm.request(work=0.3, left=1.0)) for _ in range(3)]
+            results = await asyncio.gather(*jobs)
+            self.assertEqual([one.endpoint for one in results], ["p140"] * 3)
+            self.assertEqual(vm.peers.calls, 0)
+            self.check(world)
+
+        for own in (False, True):
+            with self.subTest(own=own):
+                play(story(own))
+
+    def test_only_a_draining_endpoint_is_left(self) -> None:
+        """Keepers do not grant it, and it takes what no other endpoint can."""
+
+        async def story() -> None:
+            world = SlotWorld()
+            world.start_scarce()
+            vm = world.others()[0]
+            draining = replace(vm.found()[0], name=EndpointName("p9"))
+            with mock.patch.object(vm, "found", lambda: [draining]):
+                world.endpoints["p9"] = FakeEndpoint(draining)
+                slots = {EndpointName("p1"): 2, EndpointName("p2"): 2}
+                for other in world.vms.values():
+                    other.sharing.signs.slots_of = lambda _: slots
+                    other.sharing.keeper.slots_of = lambda _: slots
+                result = await vm.request()
+            self.assertEqual((result.endpoint, result.refusal), ("p9", None))
+            self.check(world)
+
+        play(story())
+
+    def test_a_rejection_is_told_of_the_request_that_had_it(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(slots=(2,))
+            world.start_scarce()
+            vm = world.others()[0]
+            job = world.spawn(vm.request(work=0.3))
+            await asyncio.sleep(0.05)
+            number = next(iter(vm.sharing.held.slots))
+            instance = vm.found()[0]
+            vm.sharing.on_rejected(instance, SlotTicket(SERVICE, SlotNumber(7)))
+            await job
+            vm.sharing.on_rejected(instance, None)
+            again = world.spawn(vm.request(work=0.3))
+            await asyncio.sleep(0.05)
+            second = next(iter(vm.sharing.held.slots))
+            vm.sharing.on_rejected(instance, SlotTicket(SERVICE, second))
+            await again
+            await asyncio.sleep(0.05)
+            told = {
+                body.number: body.rejected
+                for body in world.delivered
+                if isinstance(body, SlotReleased)
+            }
+            self.assertEqual(told, {number: False, second: True})
+
+        play(story())
+
+    def test_endpoints_appear_that_a_request_must_not_go_to(self) -> None:
+        async def story(own: bool) -> None:
+            world = SlotWorld(vms=40, slots=(2,) * 140)
+            hidden = {
+                f"p{number}": world.endpoints.pop(f"p{number}")
+                for number in range(1, 140)
+            }
+            world.start_scarce()
+            vm = world.keeper() if own else world.others()[0]
+            vm.barred = set(hidden)
+            jobs = [world.spawn(vm.request(work=0.3, left=1.0)) for _ in range(8)]
+            await asyncio.sleep(0.05)
+            world.endpoints.update(hidden)
+            await asyncio.gather(*jobs)
+            await asyncio.sleep(5.0)
+            questions = MAX_TRIED + len(jobs)
+            self.assertLessEqual(vm.peers.calls, questions * len(jobs))
+            self.check(world, extra=len(jobs))
+
+        for own in (False, True):
+            with self.subTest(own=own):
+                play(story(own))
+
     def test_a_refusal_says_not_run_and_when_to_return(self) -> None:
         async def story() -> None:
             world = SlotWorld()
--- a/tests/coordination/routed/test_slotsharing.py
+++ b/tests/coordination/routed/test_slotsharing.py
@@ -9,9 +9,11 @@
 from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
 from tests.slotworld import SERVICE, WORK, Result, SlotWorld
 from tests.virtualtime import play
+from walnutquay.coordination.routed.slotasks import MAX_ASK_SECONDS
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import VmName
 from walnutquay.state.routed.overloadscope import Coverage
+from walnutquay.state.routed.ownslots import USED_SHARE
 from walnutquay.transport.timers import monotonic
 
 
@@ -253,6 +255,31 @@
 
         play(story())
 
+    def test_a_vm_is_cut_off_from_all_others(self) -> None:
+        """It goes by its own share, though asking takes longer than its turns last."""
+
+        async def story() -> None:
+            world = SlotWorld(vms=40, slots=(18, 18))
+            alone = world.vms[world.keeper().sharing.ranking._order(SERVICE)[-1]]
+            for other in world.known:
+                if other != alone.name:
+                    world.cut |= {(alone.name, other), (other, alone.name)}
+            alone.sharing.held.learn(SERVICE, 0.05)
+            for _ in range(10):
+                world.mark_scarce()
+                result = await alone.request(work=0.05, left=1.0)
+                self.assertTrue(result.served, result)
+            self.assertEqual(alone.counters["slots_own_share"], 10)
+            world.mark_scarce()
+            # Several at once use the turns that come while they wait for them.
+            jobs = [alone.request(work=0.05, left=1.0) for _ in range(14)]
+            served = self.served(await asyncio.gather(*jobs))
+            interval = 0.05 * len(world.known) / (USED_SHARE * 36)
+            self.assertGreater(served, 0.75 * MAX_ASK_SECONDS / interval)
+            self.check(world)
+
+        play(story())
+
     def test_halls_are_cut_off(self) -> None:
         async def story() -> None:
             world = SlotWorld(vms=8)
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -369,9 +369,7 @@
             facts.in_flight = max(0, facts.in_flight - 1)
             self.limits.places.on_released(endpoint)
         if grant.ticket is not None and self.sharing is not None:
-            answered = grant.began is not None
-            seconds = monotonic() - grant.started if answered else 0.0
-            self.sharing.release(grant.ticket, seconds)
+            self.sharing.release(grant.ticket, grant.took or 0.0)
 
     def full(self, grant: Grant) -> None:
         """Record that an endpoint refused a request although a slot was granted.
@@ -382,4 +380,4 @@
         assert isinstance(grant.endpoint, Instance)
         self.limits.places.on_rejected(grant.endpoint)
         if self.sharing is not None:
-            self.sharing.on_rejected(grant.endpoint)
+            self.sharing.on_rejected(grant.endpoint, grant.ticket)
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -125,7 +125,7 @@
         """Give a slot back.
 
         :param ticket: the request's place.
-        :param seconds: how long the request was at the endpoint; 0 if it got no answer.
+        :param seconds: how long its whole answer took; 0 if it got none.
         """
 
     def on_answer(self, instance: Instance, head: AnswerHead) -> None:
@@ -135,8 +135,9 @@
         :param head: the head.
         """
 
-    def on_rejected(self, instance: Instance) -> None:
+    def on_rejected(self, instance: Instance, ticket: SlotTicket | None) -> None:
         """Record that an endpoint had no room for a request of this VM.
 
         :param instance: the endpoint.
+        :param ticket: the request's place; None if it has none.
         """
--- a/walnutquay/coordination/routed/slotsharing.py
+++ b/walnutquay/coordination/routed/slotsharing.py
@@ -154,13 +154,15 @@
         if load is not None:
             self.keeper.learn(instance.service, load)
 
-    def on_rejected(self, instance: Instance) -> None:
+    def on_rejected(self, instance: Instance, ticket: SlotTicket | None) -> None:
         """Record that an endpoint had no room for a request of this VM.
 
         :param instance: the endpoint.
+        :param ticket: the request's place; None if it has none.
         """
         self.signs.on_rejected(instance.service, monotonic())
-        self.held.rejecting.add(instance.name)
+        if ticket is not None:
+            self.held.reject(ticket.number)
         self.keeper.on_rejected(instance.service, instance.name)
 
     def on_instance(self, name: EndpointName, instance: Instance | None) -> None:
@@ -172,7 +174,6 @@
         """
         if instance is None:
             self.signs.forget(name)
-            self.held.rejecting.discard(name)
 
     # Requests of this VM.
 
@@ -211,11 +212,14 @@
             work = self.context.rng.getrandbits(HASH_BITS)
         else:
             work = int(need.content[:HASH_DIGITS], HASH_DIGITS)
-        tried = tuple(others[:MAX_TRIED])
+        tried = tuple(others)
         return Asking(need, service, allowed, tried, WorkHash(work), monotonic())
 
     async def _acquire(self, asking: Asking) -> Result[SlotTicket, Refusal]:
         while (now := monotonic()) < asking.end:
+            if not self._is_known(asking):
+                self.asks.leave(asking)
+                return Ok(self._unshared(asking.service))
             keeper = self.ranking.keeper(asking.service, now)
             if keeper is None or asking.silent >= MAX_SILENT:
                 self.asks.leave(asking)
@@ -274,38 +278,55 @@
 
         :returns: the place, or a refusal; None if the keepers are to be asked again.
         """
-        service, now = asking.service, monotonic()
         asking.silent = 0
+        # To ask silent keepers before each turn would take longer than turns last.
+        until = monotonic() + MAX_ASK_SECONDS
+        while (wait := self._own_wait(asking.service)) > 0.0:
+            now = monotonic()
+            if now + wait >= asking.end:
+                return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
+            if now >= until:
+                return None
+            asking.queued = True
+            await asyncio.sleep(max(MIN_PAUSE_SECONDS, min(wait, until - now)))
+        self.own[asking.service].record_send(monotonic())
+        self.context.metrics.count("slots_own_share")
+        return Ok(self._unshared(asking.service))
+
+    def _is_known(self, asking: Asking) -> bool:
+        """Return whether a keeper can grant a request one of its endpoints.
+
+        It knows of none that are draining, and too few are named as excluded.
+        """
+        shared = self.signs.slots_of(asking.service)
+        can_be_granted = any(name in shared for name in asking.found)
+        return can_be_granted and len(asking.tried) <= MAX_TRIED
+
+    def _unshared(self, service: ServiceName) -> SlotTicket:
+        """Return the place of a request of which no keeper knows."""
+        return SlotTicket(service, SlotNumber(next(self.asks.numbers)))
+
+    def _own_wait(self, service: ServiceName) -> float:
+        """Return the time until this VM may send by its own share; seconds."""
         own = self.own.setdefault(service, OwnSlots(self.context.rng))
         slots = sum(self.signs.slots_of(service).values())
         seconds = self.held.work_seconds(service)
-        wait = own.next_send(slots, self.peers.size, seconds, now)
-        if wait <= 0.0:
-            own.record_send(now)
-            self.context.metrics.count("slots_own_share")
-            return Ok(SlotTicket(service, SlotNumber(next(self.asks.numbers))))
-        if now + wait >= asking.end:
-            return Error(self._refusal(asking, DenialReason.NO_ROOM.value, wait))
-        asking.queued = True
-        await asyncio.sleep(min(max(wait, MIN_PAUSE_SECONDS), MAX_ASK_SECONDS))
-        return None
+        return own.next_send(slots, self.peers.size, seconds, monotonic())
 
     def release(self, ticket: SlotTicket, seconds: float) -> None:
         """Give a slot back.
 
         :param ticket: the request's place.
-        :param seconds: how long the request was at the endpoint; 0 if it got no answer.
+        :param seconds: how long its whole answer took; 0 if it got none.
         """
         self.held.learn(ticket.service, seconds)
         held = self.held.remove(ticket.number)
         if held is None:
             return
-        rejected = held.endpoint in self.held.rejecting
-        self.held.rejecting.discard(held.endpoint)
         load = self.signs.load_to_tell(held.endpoint, monotonic())
         number = ticket.number
         body = SlotReleased(
-            ticket.service, number, held.endpoint, seconds, rejected, load
+            ticket.service, number, held.endpoint, seconds, held.rejected, load
         )
         self.asks.tell(held.keeper, body)
 
