--- a/tests/coordination/routed/test_prospects.py
+++ b/tests/coordination/routed/test_prospects.py
@@ -7,6 +7,7 @@
 from standins.worker import Behaviour
 from tests.gatewaycase import GatewayCase, Got
 from walnutquay.state.process.ids import EndpointName
+from walnutquay.state.requests.endpoints import FAILED_RATIO
 from walnutquay.transport.timers import monotonic
 
 ENGINES = ("e1", "e2")
@@ -53,6 +54,18 @@
         answer = await self.stream("4000")
         self.assertEqual((answer.status, answer.whole), (200, True))
 
+    async def test_failures_make_no_prompt_hopeless(self):
+        work, table = self.gateway.path.admission.work, self.gateway.path.parts.table
+        now = monotonic()
+        # Reading takes three quarters of the time that is left, at best.
+        work.rates["tiny"] = 0.003
+        for name in ENGINES:
+            work.busy_until[EndpointName(name)] = now
+            for _ in range(10):
+                table.state_of(name).learn_speed(FAILED_RATIO, now)
+        answer = await self.stream("4000")
+        self.assertEqual((answer.status, answer.whole), (200, True))
+
 
 class WithoutPaceTest(ProspectsCase):
     """Where endpoints tell no pace, prompts are sent as before."""
--- a/tests/state/routed/test_overloadscope.py
+++ b/tests/state/routed/test_overloadscope.py
@@ -31,6 +31,11 @@
         self.assertEqual({PACED}, self.covered(Coverage.PACED))
         self.assertEqual({LOADED, PACED}, self.covered(Coverage.ALWAYS))
 
+    def test_never_uses_no_pace(self):
+        used = {item: OverloadScope(item).uses_paces for item in Coverage}
+        unused = [item for item, uses in used.items() if not uses]
+        self.assertEqual([Coverage.NEVER], unused)
+
     def test_memory_is_bounded(self):
         scope = OverloadScope(Coverage.PACED)
         for number in range(2 * MAX_SERVICES):
--- a/walnutquay/coordination/routed/admission.py
+++ b/walnutquay/coordination/routed/admission.py
@@ -285,7 +285,8 @@
             self.sharing.on_answer(endpoint, head)
         if head.running is not None:
             load = head.running + head.waiting
-            self.table.report(grant.name, load, "", monotonic(), head.pace)
+            pace = head.pace if self.scope.uses_paces else None
+            self.table.report(grant.name, load, "", monotonic(), pace)
 
     def answer_began(self, grant: Grant, seconds: float) -> None:
         """Update the reading estimates when an answer begins.
--- a/walnutquay/coordination/routed/prospects.py
+++ b/walnutquay/coordination/routed/prospects.py
@@ -38,7 +38,8 @@
         names = [item.name for item in self.admission.candidates.of_service(service)]
         waits = self.admission.work.waits(names, now)
         states = map(self.admission.table.state_of, names)
-        paces = [state.usual_pace(now) for state in states]
+        # Not the observed slowness, which failures raise: this is the time at best.
+        paces = [s.told_pace.usual if s.has_pace(now) else 1.0 for s in states]
         rate = self.admission.work.rate(work.model)
         begin = earliest_begin(work, rate, zip(waits, paces, strict=True))
         left = turn.seconds_left()
--- a/walnutquay/coordination/routed/slotchoice.py
+++ b/walnutquay/coordination/routed/slotchoice.py
@@ -148,6 +148,9 @@
         remaining = self.reachability.exclude_unreachable(open_ones)
         if ticket is not None and ticket.endpoint is not None:
             slot = ticket.endpoint
+            # Meanwhile it may have failed or refused others of this VM's requests.
+            table, now = self.choice.table, monotonic()
+            remaining = table.accepting(remaining, now, need.tried) or remaining
             return next((i for i in remaining if i.name == slot.name), None)
         chosen = self.choice.choose(remaining, need)
         if chosen is None:
--- a/walnutquay/state/routed/overloadscope.py
+++ b/walnutquay/state/routed/overloadscope.py
@@ -46,6 +46,11 @@
         if pace is not None and len(self.paced) < MAX_SERVICES:
             self.paced.add(service)
 
+    @property
+    def uses_paces(self) -> bool:
+        """Whether endpoints are chosen by how long work takes there."""
+        return self.coverage is not Coverage.NEVER
+
     def covers(self, service: ServiceName) -> bool:
         """Return whether a service is covered.
 
