Take out the permit of rate limits where it stands now

Cause: the choice of an endpoint moved from admission.py to slotchoice.py, and the entry of the mutation stayed behind; test_mutations failed for it.

--- a/lab/mutants/limits.py
+++ b/lab/mutants/limits.py
@@ -9,7 +9,7 @@
 MUTATIONS = [
     Mutation(
         "rate limits: requests need no permit",
-        "coordination/routed/admission.py",
+        "coordination/routed/slotchoice.py",
         "if not self.limits.needs_permit(chosen):",
         "if True:",
         "tests.coordination.routed.test_ratelimits.LimitExceededTest",
