Test urgency at the queue, and that a request asks two silent keepers

Cause: two mutations passed unnoticed: a question's priority could be ignored by the queue, and a request could ask more VMs than two that do not answer. Change: GrantTest.test_the_more_urgent_first and SilentTest.test_a_request_asks_two_and_goes_by_its_own_share.

--- a/tests/coordination/routed/test_slotasks.py
+++ b/tests/coordination/routed/test_slotasks.py
@@ -5,10 +5,12 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from tests.slotcase import EXTRA_APART, FULL_INTERVAL, REQUESTS, TWICE, SlotCase
 from tests.slotworld import SERVICE, SlotVm, SlotWorld
 from tests.virtualtime import play
+from walnutquay.coordination.routed.slotasks import MAX_SILENT
 from walnutquay.protocol.messages import Message
 from walnutquay.protocol.slotmessages import (
     AskSlot,
@@ -19,6 +21,7 @@
 )
 from walnutquay.state.process.ids import EndpointName, OrganisationName
 from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.routed.ownslots import OwnSlots
 from walnutquay.transport.timers import monotonic
 
 
@@ -179,3 +182,21 @@
             self.assertTrue(any(time is not None for time in times))
 
         play(story())
+
+
+class SilentTest(SlotCase):
+    """Keepers that do not answer."""
+
+    def test_a_request_asks_two_and_goes_by_its_own_share(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(vms=8)
+            vm = world.vms[world.keeper().sharing.ranking._order(SERVICE)[-1]]
+            world.dead = set(world.vms) - {vm.name}
+            world.start_scarce()
+            with mock.patch.object(OwnSlots, "next_send", return_value=0.0):
+                result = await vm.request()
+            self.assertTrue(result.served)
+            self.assertEqual(vm.counters["slot_keepers_silent"], MAX_SILENT)
+            self.assertEqual(vm.counters["slots_own_share"], 1)
+
+        play(story())
--- a/tests/state/routed/test_slotqueue.py
+++ b/tests/state/routed/test_slotqueue.py
@@ -99,6 +99,14 @@
         self.queue.release(first, WORK_SECONDS, 0.1)
         self.assertEqual(self.granted(0.1), [second])
 
+    def test_the_more_urgent_first(self):
+        taken = self.fill()
+        later, urgent = self.ask(priority=2), self.ask(priority=0)
+        self.queue.release(taken[0], WORK_SECONDS, 0.1)
+        self.assertEqual(self.granted(0.1), [urgent])
+        self.queue.release(taken[1], WORK_SECONDS, 0.2)
+        self.assertEqual(self.granted(0.2), [later])
+
     def test_a_doubled_question_changes_nothing(self):
         key = self.ask()
         request = self.queue.waiting[key].request
