List the mutations of overload and of stalled requests

Cause: the guarantees on scarce slots, returns, stalls and the scope had no entries in lab/mutants, so nothing showed that their proofs can fail. Change: lab/mutants/overload.py, registered with the others.

--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -21,6 +21,7 @@
     connections,
     limits,
     links,
+    overload,
     own,
     restores,
     routed,
@@ -40,6 +41,7 @@
     *announcements.MUTATIONS,
     *connections.MUTATIONS,
     *callers.MUTATIONS,
+    *overload.MUTATIONS,
 ]
 
 
