Count what telling of scarce slots costs the keeper

Cause: the keeper tells all VMs twice a second while slots are scarce, which the calculated costs left out. Change: SlotsScarce is measured, and what the keeper sends of it is added; the output says in how many cases the keeper exceeds what a VM may spend.

--- a/lab/overload/costs.py
+++ b/lab/overload/costs.py
@@ -3,8 +3,8 @@
 """What it costs to share out scarce slots: ``python -m lab.overload.costs``.
 
 Bytes and processor time of a request's messages are measured, as are the decisions of
-the keeper; what a VM spends a second is calculated from them.  Sockets and tasks, and
-what fleets pass on by relays, are not included.
+the keeper; what a VM spends a second is calculated from them, with what the keeper
+sends to tell all VMs that slots are scarce.  Sockets and tasks are not included.
 """
 
 from __future__ import annotations
@@ -20,6 +20,8 @@
 import click
 
 from lab.overload.loads import Bounds
+from walnutquay.coordination.fleet.peers import MAX_RECIPIENTS, RELAYS
+from walnutquay.coordination.routed.slotkeeper import SCARCE_SECONDS, TELL_SECONDS
 from walnutquay.coordination.routed.slotsigns import MAX_SLOTS_A_VM, SlotSigns
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.peer import PeerCodec
@@ -29,6 +31,7 @@
     SlotLoad,
     SlotNews,
     SlotReleased,
+    SlotsScarce,
     SlotState,
 )
 from walnutquay.state.process.clock import Stamp
@@ -61,9 +64,10 @@
 START = 0x0123_4567_89AB_CDEF
 NUMBER = SlotNumber(12_345)
 BOUNDS = Bounds()
+HALLS = 4
 HEADINGS = (
-    "| VMs | slots | load | requests/s | keeper KB/s | keeper core | decisions, us "
-    "| VM KB/s | VM core | keeper | within up to requests/s |"
+    "| VMs | slots | load | requests/s | telling KB/s | keeper KB/s | keeper core "
+    "| decisions, us | VM KB/s | VM core | keeper | within up to requests/s |"
 )
 
 
@@ -136,6 +140,7 @@
         "SlotReleased": cost_of(
             SlotReleased(SERVICE, NUMBER, ENDPOINT, 0.25, False, LOAD), True
         ),
+        "SlotsScarce": cost_of(SlotsScarce(SERVICE, SCARCE_SECONDS), False),
     }
 
 
@@ -234,17 +239,32 @@
     return {1.0: courses["granted at once"], 2.0: waits * 0.5 + refused * 0.5}
 
 
-def row_of(vms: int, endpoints: int, load: float, mean: Cost) -> str:
+def telling_bytes(vms: int, size: float) -> float:
+    """Calculate what the keeper sends to tell all VMs that slots are scarce.
+
+    :param vms: the number of entry VMs.
+    :param size: the bytes of the message.
+    :returns: bytes a second.
+    """
+    receivers = vms - 1
+    if receivers > MAX_RECIPIENTS:
+        receivers = vms // HALLS - 1 + RELAYS * (HALLS - 1)
+    return receivers * size / TELL_SECONDS
+
+
+def row_of(vms: int, endpoints: int, load: float, mean: Cost, telling: float) -> str:
     """:returns: what the keeper and the other VMs spend in one case."""
     keeper = Keeper(vms, endpoints)
     deciding = keeper.decision_seconds(load)
     rate = keeper.rate * load
-    size, core = rate * mean.size, rate * (mean.keeper + deciding)
-    most = min(MAX_BYTES / mean.size, MAX_CORE / (mean.keeper + deciding))
+    asked, core = rate * mean.size, rate * (mean.keeper + deciding)
+    size = asked + telling
+    left = max(0.0, MAX_BYTES - telling)
+    most = min(left / mean.size, MAX_CORE / (mean.keeper + deciding))
     return (
         f"| {vms} | {endpoints * BOUNDS.slots} | {load:g} | {rate:.0f} "
-        f"| {size / 1e3:.1f} | {core:.1%} | {deciding * MICROSECONDS:.0f} "
-        f"| {size / vms / 1e3:.2f} | {rate / vms * mean.asker:.2%} "
+        f"| {telling / 1e3:.1f} | {size / 1e3:.1f} | {core:.1%} "
+        f"| {deciding * MICROSECONDS:.0f} | {asked / vms / 1e3:.2f} | {rate / vms * mean.asker:.2%} "
         f"| {verdict(size, core)} | {most:.0f} |"
     )
 
@@ -263,25 +283,30 @@
             f"| {name} | {cost.size:.0f} | {cost.asker * MICROSECONDS:.0f} "
             f"| {cost.keeper * MICROSECONDS:.0f} |"
         )
-    never, over = (seconds * MICROSECONDS for seconds in idle_costs())
+    never, after = (seconds * MICROSECONDS for seconds in idle_costs())
     click.echo(
         f"a service that is not scarce: no message; {never:.2f} us a request, "
-        f"{over:.2f} us once it has been"
+        f"{after:.2f} us once it has been"
     )
     loads = loads_of(courses)
     for load, mean in loads.items():
         click.echo(
             f"at {load:g} times what the slots bear {mean.size:.0f} bytes a request: "
-            f"27 KB/s at {MAX_BYTES / mean.size:.0f} requests a second"
+            f"27 KB/s of them at {MAX_BYTES / mean.size:.0f} requests a second"
         )
     click.echo(HEADINGS)
     click.echo("|" + " --- |" * (HEADINGS.count("|") - 1))
     before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    rows = []
     for vms in map(int, sizes.split(",")):
+        telling = telling_bytes(vms, costs["SlotsScarce"].size)
         most = int(MAX_SLOTS_A_VM * vms) // BOUNDS.slots
         for endpoints in (BOUNDS.endpoints, most):
             for load, mean in loads.items():
-                click.echo(row_of(vms, endpoints, load, mean))
+                rows.append(row_of(vms, endpoints, load, mean, telling))
+                click.echo(rows[-1])
+    over = sum("OVER" in row for row in rows)
+    click.echo(f"the keeper exceeds what a VM may spend in {over} of {len(rows)} cases")
     grown = (resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before) / 1024
     click.echo(
         f"memory of the queues, over the process: {grown:.0f} MB of {MAX_MEGABYTES}"
--- a/tests/lab/test_overloadcosts.py
+++ b/tests/lab/test_overloadcosts.py
@@ -13,6 +13,7 @@
     Cost,
     Keeper,
     request_costs,
+    telling_bytes,
     verdict,
 )
 
@@ -42,6 +43,11 @@
         self.assertEqual(verdict(MAX_BYTES, MAX_CORE), "within")
         self.assertEqual(verdict(2 * MAX_BYTES, 0.0), "OVER: bytes 2.0 times")
 
+    def test_larger_fleets_tell_by_relays(self):
+        self.assertEqual(telling_bytes(6, 100.0), 5 * 200.0)
+        # The other 9 VMs of the hall, and 2 relays of each of 3 others.
+        self.assertEqual(telling_bytes(40, 100.0), 15 * 200.0)
+
     def test_slots_are_full_under_twice_the_load(self):
         keeper = Keeper(6, BOUNDS.endpoints)
         for _ in range(200):
