--- a/lab/overload/costs.py
+++ b/lab/overload/costs.py
@@ -264,7 +264,8 @@
     return (
         f"| {vms} | {endpoints * BOUNDS.slots} | {load:g} | {rate:.0f} "
         f"| {telling / 1e3:.1f} | {size / 1e3:.1f} | {core:.1%} "
-        f"| {deciding * MICROSECONDS:.0f} | {asked / vms / 1e3:.2f} | {rate / vms * mean.asker:.2%} "
+        f"| {deciding * MICROSECONDS:.0f} "
+        f"| {asked / vms / 1e3:.2f} | {rate / vms * mean.asker:.2%} "
         f"| {verdict(size, core)} | {most:.0f} |"
     )
 
