--- a/tests/coordination/routed/test_slotasks.py
+++ b/tests/coordination/routed/test_slotasks.py
@@ -12,7 +12,7 @@
 from tests.slotworld import SERVICE, FakeEndpoint, SlotVm, SlotWorld
 from tests.virtualtime import play
 from walnutquay.coordination.requests.slots import SlotTicket
-from walnutquay.coordination.routed.slotasks import MAX_TRIED
+from walnutquay.coordination.routed.slotasks import MAX_SILENT, MAX_TRIED
 from walnutquay.protocol.messages import Message
 from walnutquay.protocol.slotmessages import (
     AskSlot,
@@ -23,6 +23,7 @@
 )
 from walnutquay.state.process.ids import EndpointName, OrganisationName
 from walnutquay.state.requests.refusals import RefusalCode
+from walnutquay.state.routed.ownslots import OwnSlots
 from walnutquay.state.routed.slottypes import SlotNumber
 from walnutquay.transport.timers import monotonic
 
@@ -272,3 +273,21 @@
             self.assertTrue(any(time is not None for time in times))
 
         play(story())
+
+
+class SilentTest(SlotCase):
+    """Keepers that do not answer."""
+
+    def test_a_request_asks_two_and_goes_by_its_own_share(self) -> None:
+        async def story() -> None:
+            world = SlotWorld(vms=8)
+            vm = world.vms[world.keeper().sharing.ranking._order(SERVICE)[-1]]
+            world.dead = set(world.vms) - {vm.name}
+            world.start_scarce()
+            with mock.patch.object(OwnSlots, "next_send", return_value=0.0):
+                result = await vm.request()
+            self.assertTrue(result.served)
+            self.assertEqual(vm.counters["slot_keepers_silent"], MAX_SILENT)
+            self.assertEqual(vm.counters["slots_own_share"], 1)
+
+        play(story())
