Keep slots free of long work for those who cannot wait for its end

Cause: turns go by work done, but a slot that long work has is not taken back. The short held 3 to 13 of 21 places from one second to the next.

Change: a request may have no further slot for its organisation where these are needed for what others asked for lately in this rank or more urgent ones, up to their shares, if they cannot wait as long as its work takes. This holds for the reserve, late work and callers who return, too. Without others, or where others can wait, nothing changes.

--- a/walnutquay/state/routed/slotdemand.py
+++ b/walnutquay/state/routed/slotdemand.py
@@ -135,8 +135,17 @@
         demand = self.demands.get(name)
         if demand is None or len(self.demands) < 2:
             return False
-        share = demand.weight / max(self.weights, demand.weight)
-        return demand.asked.per_second(now) > share * self.capacity(now)
+        return demand.asked.per_second(now) > self.share(name) * self.capacity(now)
+
+    def share(self, name: OrganisationName) -> float:
+        """Return the part of the room that is an organisation's by its weight.
+
+        :param name: the organisation.
+        """
+        demand = self.demands.get(name)
+        return (
+            0.0 if demand is None else demand.weight / max(self.weights, demand.weight)
+        )
 
     def rank(self, priority: int, name: OrganisationName, now: float) -> int:
         """Return the rank in which a request waits.
--- a/walnutquay/state/routed/slotgrants.py
+++ b/walnutquay/state/routed/slotgrants.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 import heapq
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 from itertools import count
 
-from walnutquay.state.process.ids import EndpointName, VmName
+from walnutquay.state.process.ids import EndpointName, OrganisationName, VmName
 from walnutquay.state.routed.slotorder import Waiting
 from walnutquay.state.routed.slotrooms import SlotRooms
 from walnutquay.state.routed.slottypes import Denied, SlotKey
@@ -65,6 +65,8 @@
     def __init__(self, rooms: SlotRooms) -> None:
         self.rooms = rooms
         self.grants: dict[SlotKey, Grant] = {}
+        # The slots of each organisation, where it is known.
+        self.held: Counter[OrganisationName] = Counter()
         self.ends: list[tuple[float, int, SlotKey]] = []
         self.numbers = count()
 
@@ -75,6 +77,8 @@
         :param grant: the slot.
         """
         self.grants[key] = grant
+        if grant.waiting is not None:
+            self.held[grant.waiting.request.organisation] += 1
         self._count(key, grant)
         heapq.heappush(self.ends, (grant.until, next(self.numbers), key))
 
@@ -88,6 +92,8 @@
         grant = self.grants.pop(key, None)
         if grant is not None:
             self.rooms.end(grant.endpoint, key, now)
+            if grant.waiting is not None:
+                self.held[grant.waiting.request.organisation] -= 1
         return grant
 
     def end_due(self, now: float) -> list[SlotKey]:
@@ -125,6 +131,7 @@
 
     def compact(self) -> None:
         """Drop the ends of slots that ended before, so that memory is bounded."""
+        self.held = +self.held
         self.ends = [end for end in self.ends if end[2] in self.grants]
         heapq.heapify(self.ends)
 
--- a/walnutquay/state/routed/slotorder.py
+++ b/walnutquay/state/routed/slotorder.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from itertools import count
 
@@ -64,6 +65,13 @@
 # A heap of waiting requests by what goes first.  Requests that left stay in it until
 # they come to the top.
 WaitingHeap = list[tuple[bool, float, int, Waiting]]
+# Whether a request may have a slot at a time; monotonic seconds.
+MayHold = Callable[[Waiting, float], bool]
+
+
+def _always(waiting: Waiting, now: float) -> bool:
+    """Return that any request may have a slot."""
+    return True
 
 
 @dataclass(slots=True, eq=False)
@@ -223,17 +231,22 @@
         queue = self.queue(waiting.rank, name)
         self._charge(rank, queue, name, seconds - waiting.work)
 
-    def next(self, now: float) -> Waiting | None:
+    def next(self, now: float, may_hold: MayHold = _always) -> Waiting | None:
         """Return the request that goes next; to be granted, removed or set aside.
 
         :param now: monotonic seconds.
+        :param may_hold: tells which requests may have a slot.
         """
         if (self.grants + 1) % RESERVE_INTERVAL == 0:
-            chosen = _first(self.returned) or self._oldest(now)
-            if chosen is not None:
+            chosen = _first(self.returned)
+            if chosen is None or not may_hold(chosen, now):
+                chosen = self._oldest(now)
+            if chosen is not None and may_hold(chosen, now):
                 return chosen
         for number in self.sorted_ranks:
             head = self._head(self.ranks[number], now)
+            if head is not None and not may_hold(head, now):
+                head = self._behind(self.ranks[number], now, may_hold)
             if head is not None:
                 return head
         return None
@@ -295,6 +308,22 @@
         """Return what goes first in a rank."""
         return self._head_in_time(rank, now) or _first(rank.late)
 
+    def _behind(self, rank: Rank, now: float, may_hold: MayHold) -> Waiting | None:
+        """Return what goes first in a rank of those that may have a slot."""
+        queues = sorted(rank.queues.values(), key=lambda queue: queue.tag)
+        heads = [self._first_in_time(rank, queue, now) for queue in queues]
+        late = sorted(entry for entry in rank.late if entry[3].present)
+        refused = set()
+        for head in [*heads, *(entry[3] for entry in late)]:
+            if head is None:
+                continue
+            # Requests that are alike are asked about once: many may wait.
+            kind = head.request.organisation, head.work
+            if kind not in refused and may_hold(head, now):
+                return head
+            refused.add(kind)
+        return None
+
     def _head_in_time(self, rank: Rank, now: float) -> Waiting | None:
         """Return what goes first of what can be in time; the others become late."""
         while rank.turns:
--- a/walnutquay/state/routed/slotqueue.py
+++ b/walnutquay/state/routed/slotqueue.py
@@ -27,6 +27,7 @@
 from walnutquay.state.routed.slotorder import SlotOrder, Waiting
 from walnutquay.state.routed.slotreturns import Pool, SlotReturns
 from walnutquay.state.routed.slotrooms import SlotRooms
+from walnutquay.state.routed.slotshares import SlotShares
 from walnutquay.state.routed.slotsummary import summarize
 from walnutquay.state.routed.slottypes import (
     DenialReason,
@@ -74,6 +75,7 @@
         self.returns = SlotReturns(rng)
         self.waiting: dict[SlotKey, Waiting] = {}
         self.slots = SlotGrants(self.rooms)
+        self.shares = SlotShares(self.demand, self.slots)
         self.history = SlotHistory()
         self.pending: list[SlotDecision] = []
         # When it is too late for what waits; monotonic seconds.
@@ -257,7 +259,7 @@
             # A deadline that is over as its caller asks tells nothing.
             deadline = now + MAX_WAIT_SECONDS
         self.demand.add(request.organisation, request.weight, work, now)
-        return Waiting(
+        waiting = Waiting(
             request,
             self.demand.rank(request.priority, request.organisation, now),
             work,
@@ -266,6 +268,8 @@
             deadline,
             late=now + work > min(request.in_time_until, deadline),
         )
+        self.shares.add(waiting, now)
+        return waiting
 
     def _is_admitted(self, waiting: Waiting, turn: Turn, now: float) -> bool:
         """Return whether a request is forecast to be served, so that it may wait."""
@@ -322,7 +326,7 @@
         """Grant all slots that are free, in the order of what waits."""
         aside = []
         while self.waiting and self.rooms.has_room(now):
-            waiting = self.order.next(now)
+            waiting = self.order.next(now, self.shares.may_hold)
             if waiting is None:
                 break
             room = self.rooms.choose(waiting.request.tried, waiting.work, now)
@@ -384,6 +388,7 @@
         self.order.compact(now)
         self.slots.compact()
         self.demand.remove_idle(now)
+        self.shares.remove_idle()
         self.returns.remove_ended(now)
 
     def _note_scarce(self, now: float) -> None:
--- a/walnutquay/state/routed/slotrooms.py
+++ b/walnutquay/state/routed/slotrooms.py
@@ -41,6 +41,11 @@
         """How long work takes on average; seconds."""
         return self.times.mean if self.times.mean is not None else UNKNOWN_SECONDS
 
+    @property
+    def slots(self) -> int:
+        """The slots of all endpoints that may be sent to now."""
+        return sum(room.slots for room in self.usable())
+
     def set_endpoints(self, slots: Mapping[EndpointName, int]) -> None:
         """Replace the endpoints; what is known of those that stay is kept.
 
@@ -186,11 +191,10 @@
 
         :param now: monotonic seconds.
         """
-        rooms = self.usable()
-        slots = sum(room.slots for room in rooms)
+        slots = self.slots
         if not slots:
             return 1.0
-        return sum(room.taken(now, self.work) for room in rooms) / slots
+        return sum(room.taken(now, self.work) for room in self.usable()) / slots
 
     def next_room_at(self, now: float) -> float | None:
         """Return when an endpoint that had no room gets requests again.
