Forecast work of a route without an answer by its callers' aim

Cause: until its first answer, a route was taken to take what other routes do. Beside work of 0.01 s, work of 1 s was let in, granted and charged as a hundredth of what it took, so it had all slots for the first second.

Change: a route without an answer is forecast from its callers' aim, also when others are known. Routes beyond those that are kept apart take the mean, as before.

--- a/tests/state/routed/test_slotforecast.py
+++ b/tests/state/routed/test_slotforecast.py
@@ -63,6 +63,11 @@
             self.assertGreater(times.usual(R1, aim), 0.0)
             self.assertLessEqual(times.usual(R1, aim), 1.0)
 
+    def test_unknown_work_beside_much_shorter(self):
+        times = WorkTimes()
+        times.learn(R1, 0.01, 1.0)
+        self.assertAlmostEqual(times.usual(RouteName("r2"), 2.4), 0.8)
+
     def test_no_answer_teaches_nothing(self):
         times = WorkTimes()
         times.learn(R1, 0.0, 1.0)
@@ -74,6 +79,8 @@
         for number in range(2 * MAX_ROUTES):
             times.learn(RouteName(str(number)), 1.0, 1.0)
         self.assertEqual(len(times.seconds), MAX_ROUTES)
+        # Those that are not kept apart take what all do.
+        self.assertAlmostEqual(times.usual(RouteName("other"), 0.03), 1.0)
 
 
 class PaceTest(unittest.TestCase):
--- a/walnutquay/state/routed/slotforecast.py
+++ b/walnutquay/state/routed/slotforecast.py
@@ -97,7 +97,7 @@
 
     def __init__(self) -> None:
         self.seconds: dict[RouteName, float] = {}
-        # The mean over all routes, for those without answers; None without any.
+        # The mean over all routes, for those not kept apart; None without answers.
         self.mean: float | None = None
 
     def learn(self, route: RouteName, seconds: float, pace: float) -> None:
@@ -118,10 +118,14 @@
         """Return how long the work of a route takes; seconds.
 
         :param route: the route.
-        :param aim: the seconds in which callers want the answer; used while there has
-            been no answer at all, since callers want what can be had in the calm.
+        :param aim: the seconds in which callers want the answer; used while the route
+            has had no answer, since callers want what can be had in the calm, and
+            what other routes take tells little of it.
         """
-        known = self.seconds.get(route, self.mean)
+        known = self.seconds.get(route)
+        if known is None and len(self.seconds) >= MAX_ROUTES:
+            # It is never kept apart.
+            known = self.mean
         if known is not None:
             return known
         return clip(aim * UNKNOWN_WORK_SHARE, *UNKNOWN_WORK_SECONDS)
