Let as much short work wait at an endpoint as ends while messages pass

Cause: an end is told, and the next request granted and sent, before a slot has work again. One request beyond the slots covers that where work takes a quarter of a second; of work of 0.01 s it left slots idle nearly half of the time that the short held them.

Change: beyond the slots wait as many requests as end there in 0.01 s; never more than the slots, and one as before where work is longer.

--- a/tests/state/routed/test_slotforecast.py
+++ b/tests/state/routed/test_slotforecast.py
@@ -145,6 +145,14 @@
                 room.grant(key(number), work)
             self.assertEqual(room.has_room(0.0, work), expected)
 
+    def test_as_many_wait_as_end_while_messages_pass(self):
+        for work, extra in ((0.25, 1), (0.02, 3), (0.001, 6)):
+            room, number = EndpointRoom(E1, 6), 0
+            while room.has_room(0.0, work):
+                room.grant(key(number), work)
+                number += 1
+            self.assertEqual(number, 6 + extra)
+
     def test_the_wait_for_a_slot_is_not_work(self):
         room = EndpointRoom(E1, 1)
         room.grant(key(1), 1.0)
--- a/walnutquay/state/routed/slotforecast.py
+++ b/walnutquay/state/routed/slotforecast.py
@@ -32,9 +32,12 @@
 RATE_SECONDS = 1.5
 # A rate is calculated over this time at least: less holds too few requests.
 MIN_RATE_SECONDS = 0.1
-# One request beyond the slots waits at an endpoint, so that a slot is not idle while a
-# message passes; more would wait where nobody can order them.
+# One request beyond the slots waits at an endpoint, so that a slot is not idle while
+# messages pass; more would wait where nobody can order them.
 EXTRA_REQUESTS = 1
+# Of short work as many wait there as end in this time, in which an end is told and the
+# next request arrives: a slot would be idle for as long as its work takes otherwise.
+MESSAGES_SECONDS = 0.01
 # It waits there no longer than this: behind long work, a moment of an idle slot is
 # less than what an urgent request would lose there.
 EXTRA_WAIT_SECONDS = 0.05
@@ -264,7 +267,11 @@
             return True
         end_rate = self.end_rate or self.slots / work
         is_short = EXTRA_WAIT_SECONDS * end_rate >= 1.0
-        return is_short and taken < self.slots + EXTRA_REQUESTS
+        # Those that wait there do not end yet.
+        running = self.slots / max(self.slots, len(self.granted))
+        passing = int(MESSAGES_SECONDS * end_rate * running)
+        extra = max(EXTRA_REQUESTS, min(self.slots, passing))
+        return is_short and taken < self.slots + extra
 
     def seconds_to_finish(self, now: float, work: float) -> float:
         """Return how long one more request would take here.
