--- a/walnutquay/state/routed/slotforecast.py
+++ b/walnutquay/state/routed/slotforecast.py
@@ -32,9 +32,12 @@
 RATE_SECONDS = 1.5
 # A rate is calculated over this time at least: less holds too few requests.
 MIN_RATE_SECONDS = 0.1
-# One request beyond the slots waits at an endpoint, so that a slot is not idle while a
-# message passes; more would wait where nobody can order them.
+# One request beyond the slots waits at an endpoint, so that a slot is not idle while
+# messages pass; more would wait where nobody can order them.
 EXTRA_REQUESTS = 1
+# Of short work as many wait there as end in this time, in which an end is told and the
+# next request arrives: a slot would be idle for as long as its work takes otherwise.
+MESSAGES_SECONDS = 0.01
 # It waits there no longer than this: behind long work, a moment of an idle slot is
 # less than what an urgent request would lose there.
 EXTRA_WAIT_SECONDS = 0.05
@@ -97,7 +100,7 @@
 
     def __init__(self) -> None:
         self.seconds: dict[RouteName, float] = {}
-        # The mean over all routes, for those without answers; None without any.
+        # The mean over all routes, for those not kept apart; None without answers.
         self.mean: float | None = None
 
     def learn(self, route: RouteName, seconds: float, pace: float) -> None:
@@ -118,10 +121,14 @@
         """Return how long the work of a route takes; seconds.
 
         :param route: the route.
-        :param aim: the seconds in which callers want the answer; used while there has
-            been no answer at all, since callers want what can be had in the calm.
+        :param aim: the seconds in which callers want the answer; used while the route
+            has had no answer, since callers want what can be had in the calm, and
+            what other routes take tells little of it.
         """
-        known = self.seconds.get(route, self.mean)
+        known = self.seconds.get(route)
+        if known is None and len(self.seconds) >= MAX_ROUTES:
+            # It is never kept apart.
+            known = self.mean
         if known is not None:
             return known
         return clip(aim * UNKNOWN_WORK_SHARE, *UNKNOWN_WORK_SECONDS)
@@ -260,7 +267,11 @@
             return True
         end_rate = self.end_rate or self.slots / work
         is_short = EXTRA_WAIT_SECONDS * end_rate >= 1.0
-        return is_short and taken < self.slots + EXTRA_REQUESTS
+        # Those that wait there do not end yet.
+        running = self.slots / max(self.slots, len(self.granted))
+        passing = int(MESSAGES_SECONDS * end_rate * running)
+        extra = max(EXTRA_REQUESTS, min(self.slots, passing))
+        return is_short and taken < self.slots + extra
 
     def seconds_to_finish(self, now: float, work: float) -> float:
         """Return how long one more request would take here.
