Bound what sharing out slots costs the VM that does it

Calculated from the costs measured (lab.overload.costs), the keeper of a service of 630 slots before 79 VMs would spend two cores on questions, and at 640 VMs telling all that slots are scarce took 50 KB/s. Now services of more than 96 slots are not shared out, a VM decides at most 500 questions a second and lets the others go as before, and how often VMs are told follows their number (2 KB/s at any size). Rate limits of VMs for control (27 KB/s, 2.2 % of a core) are still exceeded at that one VM while slots are scarce: the page of capacity says so.

--- a/lab/overload/costs.py
+++ b/lab/overload/costs.py
@@ -21,8 +21,12 @@
 
 from lab.overload.loads import Bounds
 from walnutquay.coordination.fleet.peers import MAX_RECIPIENTS, RELAYS
-from walnutquay.coordination.routed.slotkeeper import SCARCE_SECONDS, TELL_SECONDS
-from walnutquay.coordination.routed.slotsigns import MAX_SLOTS_A_VM, SlotSigns
+from walnutquay.coordination.routed.slotkeeper import TOLD_PERIODS, tell_seconds
+from walnutquay.coordination.routed.slotsigns import (
+    MAX_SHARED_SLOTS,
+    MAX_SLOTS_A_VM,
+    SlotSigns,
+)
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.peer import PeerCodec
 from walnutquay.protocol.slotmessages import (
@@ -140,7 +144,7 @@
         "SlotReleased": cost_of(
             SlotReleased(SERVICE, NUMBER, ENDPOINT, 0.25, False, LOAD), True
         ),
-        "SlotsScarce": cost_of(SlotsScarce(SERVICE, SCARCE_SECONDS), False),
+        "SlotsScarce": cost_of(SlotsScarce(SERVICE, TOLD_PERIODS), False),
     }
 
 
@@ -249,7 +253,7 @@
     receivers = vms - 1
     if receivers > MAX_RECIPIENTS:
         receivers = vms // HALLS - 1 + RELAYS * (HALLS - 1)
-    return receivers * size / TELL_SECONDS
+    return receivers * size / tell_seconds(vms)
 
 
 def row_of(vms: int, endpoints: int, load: float, mean: Cost, telling: float) -> str:
@@ -301,7 +305,7 @@
     rows = []
     for vms in map(int, sizes.split(",")):
         telling = telling_bytes(vms, costs["SlotsScarce"].size)
-        most = int(MAX_SLOTS_A_VM * vms) // BOUNDS.slots
+        most = int(min(MAX_SHARED_SLOTS, MAX_SLOTS_A_VM * vms)) // BOUNDS.slots
         for endpoints in (BOUNDS.endpoints, most):
             for load, mean in loads.items():
                 rows.append(row_of(vms, endpoints, load, mean, telling))
--- a/tests/coordination/routed/test_slotsharing.py
+++ b/tests/coordination/routed/test_slotsharing.py
@@ -106,6 +106,9 @@
     def test_many_slots_for_each_vm(self) -> None:
         self.check_silent(SlotWorld(vms=2, slots=(10, 10)))
 
+    def test_many_slots_in_a_large_fleet(self) -> None:
+        self.check_silent(SlotWorld(vms=20, slots=(33, 33, 33)))
+
     def test_always_needs_no_pace(self) -> None:
         async def story() -> None:
             world = SlotWorld(paced=False, mode=Coverage.ALWAYS)
--- a/walnutquay/coordination/routed/slotkeeper.py
+++ b/walnutquay/coordination/routed/slotkeeper.py
@@ -27,6 +27,7 @@
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, ServiceName, VmName
+from walnutquay.state.routed.questionlimit import QuestionLimit
 from walnutquay.state.routed.slotqueue import SlotQueue
 from walnutquay.state.routed.slottypes import (
     Denied,
@@ -39,9 +40,12 @@
 )
 from walnutquay.transport.timers import monotonic
 
-# How often all VMs are told that slots are scarce, and for how long each time; seconds.
+# How often all VMs are told that slots are scarce, at least and for each VM, so that it
+# costs a tenth of what a VM may spend on others in any fleet; seconds.
 TELL_SECONDS = 0.5
-SCARCE_SECONDS = 1.5
+TELL_SECONDS_A_VM = 0.02
+# What they are told holds for so many of these periods: a message may be lost.
+TOLD_PERIODS = 3
 # How often the endpoints of a service are looked up; seconds.
 REFRESH_SECONDS = 0.1
 # A queue that nobody has used for this long is dropped; seconds.
@@ -51,6 +55,15 @@
 # The shortest time until a queue decides by itself again; seconds.
 MIN_PAUSE_SECONDS = 0.005
 
+
+def tell_seconds(vms: int) -> float:
+    """Return how often the VMs of a fleet are told that slots are scarce; seconds.
+
+    :param vms: the number of entry VMs.
+    """
+    return max(TELL_SECONDS, TELL_SECONDS_A_VM * vms)
+
+
 # Told of decisions on this VM's own requests.
 Listener = Callable[[SlotNumber, SlotIs], None]
 # Told that the slots of a service are scarce, and for how long; seconds.
@@ -130,6 +143,7 @@
         self.slots_of = slots_of
         self.peers = peers
         self.kept: dict[ServiceName, KeptQueue] = {}
+        self.questions = QuestionLimit()
         # Tells other VMs whether this process still knows what it knew.
         self.start = xxhash.xxh3_64_intdigest(context.incarnation.encode())
         self.listener: Listener = lambda number, answer: None
@@ -168,6 +182,9 @@
             is_new = now - kept.created_at < NEW_SECONDS
             if not is_new and not queue.is_scarce(now):
                 return SlotIs(SlotState.FREE, start=self.start)
+            if not self.questions.take(now):
+                self.context.metrics.count("slot_questions_undecided")
+                return SlotIs(SlotState.FREE, start=self.start)
             queue.ask(self._waiting(key, body, now), now)
             if not queue.knows(key):
                 # It is over already: its withdrawal came before the question.
@@ -295,17 +312,19 @@
 
     def _tell(self, kept: KeptQueue, now: float) -> None:
         """Tell all VMs from time to time that slots are scarce."""
-        if now - kept.told_at < TELL_SECONDS or not kept.queue.is_scarce(now):
+        period = tell_seconds(self.peers.size)
+        if now - kept.told_at < period or not kept.queue.is_scarce(now):
             return
-        if now - kept.told_at > SCARCE_SECONDS:
+        told_for = TOLD_PERIODS * period
+        if now - kept.told_at > told_for:
             self.context.timeline.emit(
                 EventKind.SLOTS_SCARCE,
                 version=kept.service,
                 slots=sum(kept.slots.values()),
             )
         kept.told_at = now
-        self.scarce_listener(kept.service, SCARCE_SECONDS)
-        self.peers.broadcast_by_relays(SlotsScarce(kept.service, SCARCE_SECONDS))
+        self.scarce_listener(kept.service, told_for)
+        self.peers.broadcast_by_relays(SlotsScarce(kept.service, told_for))
 
     def _arm(self, kept: KeptQueue, now: float) -> None:
         """Call again when the queue has something to decide by itself."""
--- a/walnutquay/coordination/routed/slotsigns.py
+++ b/walnutquay/coordination/routed/slotsigns.py
@@ -22,9 +22,11 @@
 SIGN_SECONDS = 1.0
 # Another VM's word holds for this long at most; seconds.
 MAX_TOLD_SECONDS = 5.0
-# Services with more slots for each VM than this go by each VM's own requests; a
-# question for each would cost more than what VMs may spend on each other.
+# Services with more slots for each VM than this go by each VM's own requests, of which
+# there are enough to fill its part of the slots evenly.
 MAX_SLOTS_A_VM = 8.0
+# Services with more slots than this do too: one VM could not decide for them.
+MAX_SHARED_SLOTS = 96
 # The number of loads that go with one question.
 MAX_LOADS = 32
 
@@ -61,7 +63,8 @@
         if not self.scope.covers(service):
             return False
         slots = sum(self.slots_of(service).values())
-        return 0 < slots <= MAX_SLOTS_A_VM * self.vm_count()
+        most = min(MAX_SHARED_SLOTS, MAX_SLOTS_A_VM * self.vm_count())
+        return 0 < slots <= most
 
     def are_scarce(self, service: ServiceName, now: float) -> bool:
         """Return whether the slots of a service are scarce, as far as this VM knows.
