Refuse infinite weights of organisations, and escape a label of the slots' figures

Found by the review. An infinite weight was accepted, and each VM that shares out slots would have rejected the questions of that organisation and seemed silent.

--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -207,7 +207,7 @@
         for service, kept in sorted(self.sharing.keeper.kept.items()):
             found = kept.queue.summary(now)
             scarce = int(kept.queue.is_scarce(now))
-            label = f'service="{service}"'
+            label = f'service="{escaped(service)}"'
             yield f"{PREFIX}_slot_keeper_scarce{{{label}}} {scarce}"
             yield f"{PREFIX}_slot_keeper_waiting{{{label}}} {found.waiting_count}"
             yield f"{PREFIX}_slot_keeper_granted_total{{{label}}} {found.grants}"
--- a/walnutquay/state/store/parts.py
+++ b/walnutquay/state/store/parts.py
@@ -43,7 +43,7 @@
     """The cascades that its requests may use."""
     services: tuple[Name, ...] = ()
     """The plain services that it may call."""
-    weight: Annotated[float, Field(gt=0.0)] = 1.0
+    weight: Annotated[float, Field(gt=0.0, allow_inf_nan=False)] = 1.0
     """Its weight in the fair sharing of a full pool."""
     priority: int | None = None
     """Its priority, 0 being the most urgent; if unset, the route's priority applies."""
