Share scarce slots in fleets of few VMs too

The bound on slots for each VM is gone; that on the slots of the service stays, and so does that on questions a second.

--- a/walnutquay/coordination/routed/slotsigns.py
+++ b/walnutquay/coordination/routed/slotsigns.py
@@ -22,10 +22,8 @@
 SIGN_SECONDS = 1.0
 # Another VM's word holds for this long at most; seconds.
 MAX_TOLD_SECONDS = 5.0
-# Services with more slots for each VM than this go by each VM's own requests, of which
-# there are enough to fill its part of the slots evenly.
-MAX_SLOTS_A_VM = 8.0
-# Services with more slots than this do too: one VM could not decide for them.
+# Services with more slots than this go by each VM's own requests: one VM could not
+# decide for all of them.
 MAX_SHARED_SLOTS = 96
 # The number of loads that go with one question.
 MAX_LOADS = 32
@@ -36,18 +34,15 @@
 
     :param scope: the services whose slots are shared out.
     :param slots_of: returns the slots of a service's endpoints.
-    :param vm_count: returns the number of entry VMs.
     """
 
     def __init__(
         self,
         scope: OverloadScope,
         slots_of: SlotsOf,
-        vm_count: Callable[[], int],
     ) -> None:
         self.scope = scope
         self.slots_of = slots_of
-        self.vm_count = vm_count
         # Until when the slots of a service are taken to be scarce; monotonic seconds.
         self.scarce_until: dict[ServiceName, float] = {}
         # The newest load that each endpoint told this VM.
@@ -62,9 +57,7 @@
         """
         if not self.scope.covers(service):
             return False
-        slots = sum(self.slots_of(service).values())
-        most = min(MAX_SHARED_SLOTS, MAX_SLOTS_A_VM * self.vm_count())
-        return 0 < slots <= most
+        return 0 < sum(self.slots_of(service).values()) <= MAX_SHARED_SLOTS
 
     def are_scarce(self, service: ServiceName, now: float) -> bool:
         """Return whether the slots of a service are scarce, as far as this VM knows.
--- a/walnutquay/daemon/routing.py
+++ b/walnutquay/daemon/routing.py
@@ -177,7 +177,7 @@
         context, peers = self.context, self.peers
         sharing = SlotSharing(
             context,
-            SlotSigns(self.scope, slots_of, lambda: peers.size),
+            SlotSigns(self.scope, slots_of),
             SlotKeeper(context, slots_of, peers),
             KeeperRanking(context.vm, peers, context.rng),
             peers,
