Log the prompt parts and the organisation of requests whose connection broke

The lines of the incident could not tell which parts the prompts had that were at crashed engines, so that a common part could be neither shown nor refuted.

`failed` lines of broken connections name the parts but the last (bounded in number and length) and the organisation; `walnutquay trace crashes` lists parts that were at several crashes, and in how many requests.

--- a/tests/history/test_history.py
+++ b/tests/history/test_history.py
@@ -111,11 +111,11 @@
     """Endpoints that ended while they ran requests, and what ran at several ends."""
 
     LINES = (
-        broke(1.0, "i-1", "a", "f1", ran_ms=90, vm="vm-1"),
+        broke(1.0, "i-1", "a", "f1", ran_ms=90, vm="vm-1", parts="s,q"),
         broke(1.1, "i-1", "b", "f2", ran_ms=900, vm="vm-2"),
         line("failed", 1.2, "c", endpoint="i-2", step="broken", ended=False),
         broke(1.3, "i-2", "d", "f1", ran_ms=110, vm="vm-2"),
-        broke(9.0, "i-1", "e", "f3", vm="vm-2"),
+        broke(9.0, "i-1", "e", "f3", vm="vm-2", parts="s"),
     )
 
     def test_what_breaks_together_is_one_end(self):
@@ -128,6 +128,11 @@
         self.assertIn("f1 was at 2 ends, had run 90 to 110 ms: a, d", text)
         self.assertNotIn("f2 was", text)
 
+    def test_a_part_at_several_ends_is_told(self):
+        text = ends_text(self.LINES)
+        self.assertIn("part s was at 2 ends, in 2 requests", text)
+        self.assertNotIn("part q", text)
+
 
 class LostTest(unittest.TestCase):
     """Work that went with a VM: whose it was, and which endpoints had it."""
--- a/walnutquay/coordination/requests/outcomes.py
+++ b/walnutquay/coordination/requests/outcomes.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from walnutquay.protocol.chat import ChatCall
+from walnutquay.protocol.chat import ChatCall, earlier_messages
 from walnutquay.state.own.claims import WholeAnswer
-from walnutquay.state.process.ids import Fingerprint, RequestId
+from walnutquay.state.process.ids import Fingerprint, PartName, RequestId
 from walnutquay.state.requests.fingerprints import fingerprint
+from walnutquay.state.requests.promptparts import hashed_part, part_names
 from walnutquay.state.requests.stages import NotRun, OutcomeUnknown
 from walnutquay.state.store.parts import Organisation, Service
 
@@ -75,6 +76,13 @@
         caller = self.organisation.name.encode()
         return Fingerprint(fingerprint(caller, *self.identity())[:FINGERPRINT_DIGITS])
 
+    def shared_parts(self) -> tuple[PartName, ...]:
+        """Return the parts of its prompt that other requests may have as well.
+
+        The base class has no prompt.
+        """
+        return ()
+
     def note_relayed(self, now: float) -> None:
         """Record that events are being sent to the caller.
 
@@ -111,6 +119,11 @@
     token: str = ""
     reply: Reply | None = None
 
+    def shared_parts(self) -> tuple[PartName, ...]:
+        """Return the messages before the last one, which other chats may share."""
+        messages = earlier_messages(self.call.body)
+        return part_names(hashed_part(message) for message in messages)
+
 
 @dataclass(slots=True)
 class ServiceArrival(Arrival):
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -21,8 +21,9 @@
 from walnutquay.coordination.requests.slots import Grant, SlotRequest
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.events import EventKind, Facts
 from walnutquay.state.process.ids import RequestId
+from walnutquay.state.requests.promptparts import SEPARATOR
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.requests.regions import allowed_regions
 from walnutquay.state.requests.stages import (
@@ -308,7 +309,7 @@
             ran_ms=None if grant.began is None else _ms_since(grant.began),
             ended=crashed,
             own_link=own_link,
-            fingerprint=turn.arrival.fingerprint() if broke else None,
+            **(_identity_facts(turn.arrival) if broke else {}),
         )
         return own_link
 
@@ -372,5 +373,14 @@
         return self.unready()
 
 
+def _identity_facts(arrival: Arrival) -> Facts:
+    """Return the log fields that tell whether requests are alike."""
+    return {
+        "fingerprint": arrival.fingerprint(),
+        "parts": SEPARATOR.join(arrival.shared_parts()),
+        "organisation": arrival.organisation.name,
+    }
+
+
 def _ms_since(started: float) -> int:
     return round((monotonic() - started) * MILLISECONDS)
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -12,7 +12,8 @@
 from walnutquay.protocol.calls import AnswerHead, CallHead
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.own.claims import WholeAnswer
-from walnutquay.state.process.ids import ModelName, RegionName, ServiceName
+from walnutquay.state.process.ids import ModelName, PartName, RegionName, ServiceName
+from walnutquay.state.requests.promptparts import part_names
 from walnutquay.state.requests.refusals import Refusal
 from walnutquay.state.requests.regions import allowed_regions
 from walnutquay.state.routed.work import PromptWork
@@ -66,6 +67,10 @@
         request_line = f"{self.method} {self.head.host}{self.target}"
         return (request_line.encode(), self.body)
 
+    def shared_parts(self) -> tuple[PartName, ...]:
+        """Return the parts of its prompt but the last, which is its own."""
+        return part_names(part.name for part in self.head.prompt.parts[:-1])
+
     def is_late(self, now: float) -> bool:
         """Return whether the first part or a pause exceeded the route's objectives.
 
--- a/walnutquay/history/crashes.py
+++ b/walnutquay/history/crashes.py
@@ -10,6 +10,7 @@
 
 from walnutquay.history.lines import LogLine
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.requests.promptparts import SEPARATOR
 
 # What breaks within so long of the first break at an endpoint broke by the same end;
 # an endpoint is back seconds later at the soonest.
@@ -34,6 +35,12 @@
         """What tells the requests apart that broke there."""
         return {str(line.facts["fingerprint"]) for line in self.broken}
 
+    @property
+    def parts(self) -> set[str]:
+        """The parts of the prompts that broke there, without those of their own."""
+        lists = (str(line.facts.get("parts") or "") for line in self.broken)
+        return {part for text in lists for part in text.split(SEPARATOR) if part}
+
 
 def endpoint_ends(lines: Sequence[LogLine]) -> list[EndpointEnd]:
     """:param lines: lines of all VMs, in order.
@@ -63,6 +70,8 @@
     text.append(f"{len(ends)} endpoints ended while they ran requests")
     counts = Counter(name for end in ends for name in end.fingerprints)
     text += _repeated(ends, ((n, c) for n, c in counts.most_common() if c > 1))
+    parts = Counter(part for end in ends for part in end.parts)
+    text += [_part_text(ends, n, c) for n, c in parts.most_common() if c > 1]
     return "\n".join(text)
 
 
@@ -71,6 +80,17 @@
     return f"{end.at:.3f}  {end.endpoint}: {len(end.broken)} requests at {vms} VMs"
 
 
+def _part_text(ends: Sequence[EndpointEnd], part: str, count: int) -> str:
+    """Tell of a part at how many ends it was, and in how many requests."""
+    having = {
+        line.facts["fingerprint"]
+        for end in ends
+        for line in end.broken
+        if part in str(line.facts.get("parts") or "").split(SEPARATOR)
+    }
+    return f"part {part} was at {count} ends, in {len(having)} requests"
+
+
 def _repeated(
     ends: Sequence[EndpointEnd], counts: Iterable[tuple[str, int]]
 ) -> Iterable[str]:
--- a/walnutquay/protocol/chat.py
+++ b/walnutquay/protocol/chat.py
@@ -178,6 +178,17 @@
     return text[:PREFIX_CHARS]
 
 
+def earlier_messages(body: dict[str, Any]) -> list[str]:
+    """Return the messages before the last one, each as a text of its own.
+
+    :param body: a chat request's body.
+    """
+    return [
+        orjson.dumps(message, option=orjson.OPT_SORT_KEYS).decode()
+        for message in body["messages"][:-1]
+    ]
+
+
 def whole_of(events: Iterable[bytes]) -> bytes:
     """Put a streamed answer together, as it would have come in one piece.
 
