--- a/lab/crashes/fleet.py
+++ b/lab/crashes/fleet.py
@@ -11,18 +11,16 @@
 import asyncio
 import itertools
 import random
-from dataclasses import dataclass, field
 from enum import Enum
-from functools import partial
 from types import SimpleNamespace
 from unittest import mock
 
+from lab.crashes.engines import TARGET, Engine, FleetCalls, Request, Run
 from lab.crashes.virtualtime import VirtualLoop, run_virtually
 from lab.crashes.ways import WAYS, Findings, Way
 from walnutquay.coordination.process.context import Context, Timeline, new_incarnation
-from walnutquay.coordination.requests import crashes, crashnews
+from walnutquay.coordination.requests import crashblocks, crashes, crashlog, crashnews
 from walnutquay.coordination.requests.crashes import CrashWatch
-from walnutquay.coordination.requests.outcomes import FINGERPRINT_DIGITS
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.messages import Envelope, Message
 from walnutquay.protocol.peer import PeerCodec
@@ -30,17 +28,11 @@
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
     EndpointName,
-    Fingerprint,
     HallName,
-    ServiceName,
-    VersionName,
     VmName,
 )
-from walnutquay.state.requests.crashtypes import CrashTarget
-from walnutquay.state.requests.fingerprints import fingerprint
 from walnutquay.state.requests.preference import endpoints_apart, preferred_endpoint
 
-TARGET = CrashTarget(ServiceName("engine"), VersionName("v1"))
 # Datagrams and connections between machines: seconds one way, and the share lost.
 WAY_SECONDS = (0.0005, 0.002)
 LOST_SHARE = 0.005
@@ -75,38 +67,6 @@
     LATER = "after some events"
 
 
-@dataclass(eq=False)
-class Engine:
-    """An engine's start.
-
-    :param name: its name.
-    :param runs: the tries that it has, and what ends them.
-    """
-
-    name: EndpointName
-    runs: dict[asyncio.Future[None], tuple[CrashWatch, Request]] = field(
-        default_factory=dict
-    )
-    up: bool = True
-
-
-@dataclass
-class Request:
-    """A caller's request; ``organisation`` and the rest are those of an arrival.
-
-    :param name: what tells it apart.
-    :param crashes: whether it ends engines that run it.
-    """
-
-    name: str
-    crashes: bool
-    deadline: float
-
-    def fingerprint(self) -> Fingerprint:
-        """:returns: what tells it from others."""
-        return Fingerprint(fingerprint(self.name.encode())[:FINGERPRINT_DIGITS])
-
-
 class Peers:
     """The other VMs of one VM."""
 
@@ -167,6 +127,7 @@
         self.size, self.slots, self.rate = size, slots, rate
         self.crashing, self.copies, self.way_of = crashing, copies, way
         self.moment = moment
+        self.attempts = ATTEMPTS
         self.loop = VirtualLoop()
         self.numbers = itertools.count()
         self.engines = [self._engine() for _ in range(engines)]
@@ -183,26 +144,16 @@
         """:returns: what the run has shown."""
         with (
             mock.patch.object(crashes, "monotonic", self.loop.time),
+            mock.patch.object(crashblocks, "monotonic", self.loop.time),
+            mock.patch.object(crashlog, "monotonic", self.loop.time),
             mock.patch.object(crashnews, "monotonic", self.loop.time),
         ):
             return run_virtually(self.loop, self._run())
 
     async def _run(self) -> Findings:
-        for number in range(self.size):
-            vm = VmName(f"vm-{number}")
-            timeline = Timeline(vm, 1)
-            context = Context(vm, HallName("hall"), new_incarnation(), timeline)
-            watch = CrashWatch(context, Peers(self, vm))
-            self.vms.append(watch)
-            watch.start()
-            if self.way_of.stops:
-                watch.stop_callbacks.append(partial(self._stop, watch))
-        end = LEAD_SECONDS + TAIL_SECONDS
-        for number in range(self.crashing):
-            self._spawn(self._crashing_caller(f"crashing-{number}"))
-        while self.loop.time() < end:
-            await asyncio.sleep(self.rng.expovariate(self.rate))
-            self._spawn(self._innocent_caller(f"innocent-{next(self.numbers)}"))
+        for _ in range(self.size):
+            self.add_vm()
+        await self.bring_requests()
         await asyncio.sleep(3.0 * RUN_SECONDS)
         for watch in self.vms:
             watch.context.timers.stop()
@@ -211,6 +162,25 @@
             task.cancel()
         return self.found
 
+    def add_vm(self) -> None:
+        """Start a VM, which knows of no crash yet."""
+        vm = VmName(f"vm-{len(self.vms)}")
+        context = Context(vm, HallName("hall"), new_incarnation(), Timeline(vm, 1))
+        watch = CrashWatch(context, Peers(self, vm))
+        self.vms.append(watch)
+        watch.start()
+        if self.way_of.stops:
+            watch.watch_calls(FleetCalls(self.engines, watch))
+
+    async def bring_requests(self) -> None:
+        """Have all callers bring their requests."""
+        end = LEAD_SECONDS + TAIL_SECONDS
+        for number in range(self.crashing):
+            self._spawn(self._crashing_caller(f"crashing-{number}"))
+        while self.loop.time() < end:
+            await asyncio.sleep(self.rng.expovariate(self.rate))
+            self._spawn(self._innocent_caller(f"innocent-{next(self.numbers)}"))
+
     def _spawn(self, coroutine) -> None:
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
@@ -274,7 +244,7 @@
         """Serve a request at a VM, as the path of requests does."""
         tried: set[Engine] = set()
         sends = 0
-        while sends < ATTEMPTS:
+        while sends < self.attempts:
             engine = self._choose(watch, request, tried)
             if engine is None:
                 return "lost"
@@ -294,25 +264,18 @@
                 sends -= 1
                 ran = None if began is None else self.loop.time() - began
                 held = self.loop.time() - sent
-                watch.record_crash(request, TARGET, engine.name, ran, held)
+                name = engine.name
+                watch.record_crash(request, TARGET, name, ran, held, ran or 0.0)
                 await watch.await_peer_traces(request, TARGET)
         return "lost"
 
-    def _stop(self, watch: CrashWatch, blocked: frozenset[Fingerprint]) -> None:
-        """End the tries of blocked requests that engines have from a VM."""
-        for engine in self.engines:
-            for broke, (vm, request) in list(engine.runs.items()):
-                if vm is watch and request.fingerprint() in blocked:
-                    del engine.runs[broke]
-                    broke.set_result(None)
-
     def _choose(
         self, watch: CrashWatch, request: Request, tried: set[Engine]
     ) -> Engine | None:
         left = [e for e in self.engines if e.up and e not in tried]
         if not left:
             return None
-        suspect = watch.suspect_fingerprint(request)
+        suspect = watch.suspect_key(request)
         if suspect and self.way_of.apart:
             others = watch.companions(suspect)
             apart = endpoints_apart([e.name for e in left], suspect, others)
@@ -338,12 +301,12 @@
             sent = self.found.sent_after
             sent[request.name] = sent.get(request.name, 0) + 1
         broke: asyncio.Future[None] = self.loop.create_future()
-        engine.runs[broke] = (watch, request)
+        run = engine.runs[broke] = Run(watch, request, self.loop.time)
         waits = QUEUE_SECONDS * self.rng.random() * len(engine.runs) / self.slots
         await asyncio.wait([broke], timeout=QUEUE_SECONDS / 3 + waits)
         if broke.done():
             return None
-        began = self.loop.time()
+        began = run.began = self.loop.time()
         if request.crashes:
             late = self.moment is Moment.LATER
             after = self.rng.uniform(*(LATE_CRASH_SECONDS if late else CRASH_SECONDS))
@@ -366,6 +329,9 @@
         ended[request.name] = ended.get(request.name, 0) + 1
         if ended[request.name] == 3:
             self.third_at[request.name] = self.loop.time()
+        self._end(engine)
+
+    def _end(self, engine: Engine) -> None:
         engine.up = False
         self.engines.remove(engine)
         for broke in engine.runs:
--- a/lab/mutants/callers.py
+++ b/lab/mutants/callers.py
@@ -75,7 +75,7 @@
     ),
     Mutation(
         "requests that end engines: news told again move their sends as well",
-        "state/requests/crashes.py",
+        "state/requests/crashevidence.py",
         "        if sent < crash.sent[trace.fingerprint]:",
         "        if False:",
         "tests.state.requests.test_crashhistory.RepeatedTraceTest",
--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -19,6 +19,7 @@
     announcements,
     callers,
     connections,
+    crashes,
     limits,
     links,
     overload,
@@ -40,6 +41,7 @@
     *restores.MUTATIONS,
     *announcements.MUTATIONS,
     *connections.MUTATIONS,
+    *crashes.MUTATIONS,
     *callers.MUTATIONS,
     *overload.MUTATIONS,
 ]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -253,7 +253,9 @@
         left = asyncio.ensure_future(caller_ends(reader))
         for number in range(first, behaviour.events + 1):
             if behaviour.crash_after is not None and number > behaviour.crash_after:
-                self.crash()
+                # It ends once, however many of its answers end it.
+                if seen.start == self.crashes:
+                    self.crash()
                 return False
             padding = "." * behaviour.padding
             event = f"id: {number}\ndata: word {number}{padding}\n\n".encode()
--- a/tests/coordination/requests/test_companions.py
+++ b/tests/coordination/requests/test_companions.py
@@ -25,7 +25,7 @@
             seen.add(arrival.fingerprint())
             return arrival.fingerprint()
 
-        self.enterContext(mock.patch.object(crashes, "suspect_fingerprint", suspect))
+        self.enterContext(mock.patch.object(crashes, "suspect_key", suspect))
         self.enterContext(
             mock.patch.object(crashes.book, "companions", lambda one: seen - {one})
         )
--- a/tests/coordination/requests/test_crashes.py
+++ b/tests/coordination/requests/test_crashes.py
@@ -14,7 +14,7 @@
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.requests import crashes
+from walnutquay.state.requests import crashevidence
 from walnutquay.state.requests.attribution import CRASHES_TO_BLOCK
 from walnutquay.state.requests.crashes import CrashHistory
 
@@ -320,7 +320,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         # These engines restart within about 0.2 s, real ones take seconds.
-        patch = mock.patch.object(crashes, "SAME_CRASH_SECONDS", 0.05)
+        patch = mock.patch.object(crashevidence, "SAME_CRASH_SECONDS", 0.05)
         patch.start()
         self.addCleanup(patch.stop)
         self.links = {}
--- a/tests/coordination/requests/test_crashingparts.py
+++ b/tests/coordination/requests/test_crashingparts.py
@@ -4,12 +4,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 
 from standins.worker import Behaviour, Seen
 from tests.coordination.requests.test_crashes import EVENTS, CrashCase
 from tests.gatewaycase import Got
+from walnutquay.commands.fleetstate import concerns, read_figures, state_of
 from walnutquay.daemon.gateway import GatewayDaemon
+from walnutquay.state.process.events import EventKind
+from walnutquay.state.requests.crashparts import SAME_MOMENT_SECONDS
 
 # The part that crashes engines, and one that all prompts begin with.
 CRASHING_PART = "bad0"
@@ -46,6 +50,7 @@
         *shared: str,
         path: str = "/stream/x",
         gateway: GatewayDaemon | None = None,
+        **headers: str,
     ) -> Got:
         """Send a request like no other: its body and the last part are its own."""
         own = f"f{next(self.own):03x}"
@@ -56,6 +61,7 @@
             Model="tiny",
             Token_Count="1000,20",
             Prefix_Hash=prompt(*shared, own),
+            **headers,
         )
 
 
@@ -76,3 +82,138 @@
             await self.ask(*bad, gateway=next(vms))
         self.assertLessEqual(self.crashes, MAX_CRASHES)
         self.assertEqual({(got.status, got.whole) for got in sound}, {(200, True)})
+
+    async def test_refused_at_every_vm_and_shown_to_operators(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        await self.block()
+        await self.until(lambda: bool(self.book_of(second).blocked_parts))
+        for gateway in (self.gateway, second):
+            answer = await self.ask("other", CRASHING_PART, gateway=gateway)
+            self.assertEqual(answer.status, 500)
+            self.assertIn(b'"ends_endpoints"', answer.body)
+            self.assertNotIn("Retry-After", answer.headers)
+            self.assertEqual((await self.ask(FIRST_PART, gateway=gateway)).status, 200)
+        lines = list(self.gateway.metrics_api.lines())
+        label = 'service="engine",version="v1"'
+        self.assertIn(f"walnutquay_parts_blocked{{{label}}} 1", lines)
+        state = state_of("vm-1", read_figures("\n".join(lines) + "\n"))
+        self.assertIn("1 parts of prompts end", " ".join(concerns([state])))
+        [event] = [
+            event
+            for event in self.events_of(EventKind.PART_BLOCKED)
+            if event["vm"] == "vm-1"
+        ]
+        self.assertEqual(event["part"], CRASHING_PART)
+
+    async def block(self) -> None:
+        """Crash engines until the part is blocked."""
+        number = 0
+        while not self.book_of(self.gateway).blocked_parts:
+            number += 1
+            await self.ask(FIRST_PART, path="/once/x")
+            await self.ask(FIRST_PART, f"c{number}", CRASHING_PART, path="/once/x")
+            self.assertLessEqual(self.crashes, MAX_CRASHES)
+
+
+class LateVmTest(PartCase):
+    """VMs that were absent when a part was blocked learn of the block."""
+
+    async def block(self) -> None:
+        await DistinctRequestsTest.block(self)
+
+    async def test_vm_that_starts_later(self):
+        await self.block()
+        crashes = self.crashes
+        second = await self.add_gateway("vm-2", [self.gateway])
+        await self.until(lambda: bool(self.book_of(second).blocked_parts))
+        answer = await self.ask("x", CRASHING_PART, gateway=second)
+        self.assertEqual((answer.status, self.crashes), (500, crashes))
+
+    async def test_all_vms_were_lost(self):
+        await self.block()
+        crashes = self.crashes
+        record = self.gateway.crash_record
+        await self.until(lambda: record.write_count)
+        await self.close_gateway(self.gateway)
+        second = await self.add_gateway("vm-2")
+        await self.until(lambda: bool(self.book_of(second).blocked_parts))
+        answer = await self.ask("x", CRASHING_PART, gateway=second)
+        self.assertEqual((answer.status, self.crashes), (500, crashes))
+
+
+class SelfEndingEnginesTest(PartCase):
+    """Engines that crash by themselves get no part blocked that prompts share."""
+
+    async def test_sound_prompts_are_served_on(self):
+        runs = itertools.count(1)
+
+        def crash_sometimes(seen: Seen) -> Behaviour:
+            unlucky = next(runs) % 6 == 0
+            return Behaviour(events=EVENTS, crash_after=1 if unlucky else None)
+
+        for worker in self.endpoints.values():
+            worker.choose = crash_sometimes
+        for number in range(40):
+            answer = await self.ask(FIRST_PART, f"q{number % 4}")
+            self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertGreaterEqual(self.crashes, 3)
+        self.assertEqual(self.book_of(self.gateway).blocked_parts, {})
+
+
+class FirstPartTest(PartCase):
+    """The first part of a prompt, which sound ones do not have, crashes engines."""
+
+    async def test_no_more_than_five_crash(self):
+        for number in range(8):
+            await self.ask(FIRST_PART, f"q{number % 2}")
+            await self.ask(CRASHING_PART, f"q{number % 2}")
+        self.assertLessEqual(self.crashes, MAX_CRASHES)
+        self.assertEqual((await self.ask(FIRST_PART, "q0")).status, 200)
+
+
+class SuspectTest(PartCase):
+    """Requests with a part under suspicion meet at one engine, whoever sends them."""
+
+    async def test_many_at_once_crash_one_engine(self):
+        second = await self.add_gateway("vm-2", [self.gateway])
+        for number in range(2):
+            await self.ask(FIRST_PART)
+            bad = (FIRST_PART, f"b{number}", CRASHING_PART)
+            await self.ask(*bad, path="/once/x")
+            # Crashes of one moment would count once.
+            await asyncio.sleep(SAME_MOMENT_SECONDS)
+        one, other = self.book_of(self.gateway), self.book_of(second)
+        await self.until(lambda: one.digest() == other.digest())
+        before = self.crashes
+        await asyncio.gather(
+            *(
+                self.ask(FIRST_PART, CRASHING_PART, path="/once/x", gateway=vm)
+                for vm in (self.gateway, second) * 3
+            )
+        )
+        self.assertEqual(self.crashes, before + 1)
+
+
+class UnderWayTest(PartCase):
+    """Requests with the part that wait at engines are ended as it is blocked."""
+
+    async def test_one_that_waits_is_cancelled(self):
+        gate = asyncio.Event()
+        waiting = [Behaviour(events=EVENTS, gate=gate)]
+        for worker in self.endpoints.values():
+            worker.choose = lambda seen: (
+                waiting.pop() if waiting else crash_on_part(seen)
+            )
+        held = asyncio.ensure_future(
+            self.ask("x", CRASHING_PART, path="/once/x", Deadline="9000")
+        )
+        await self.until(lambda: not waiting)
+        holder = next(worker for worker in self.endpoints.values() if worker.runs)
+        table = self.gateway.path.admission.table
+        table.state_of(holder.name).ejected_until = float("inf")
+        await DistinctRequestsTest.block(self)
+        answer = await held
+        self.assertFalse(answer.whole)
+        self.assertEqual(holder.crashes, 0)
+        gate.set()
+        await self.until(lambda: holder.runs[0].left)
--- a/tests/state/requests/test_crashhistory.py
+++ b/tests/state/requests/test_crashhistory.py
@@ -17,7 +17,7 @@
     ServiceName,
     VersionName,
 )
-from walnutquay.state.requests import crashes
+from walnutquay.state.requests import crashevidence as crashes
 from walnutquay.state.requests.crashes import CrashHistory
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace
 
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -70,6 +70,7 @@
     :param endpoints: endpoints by service and state, such as ``pool/ready``.
     :param waiting: its requests without an outcome, by whose they are.
     :param blocked: requests that are held to end endpoints.
+    :param blocked_parts: parts of prompts that are.
     :param unreadable: objects of the store that cannot be read.
     :param emptied: what it still has running in each data hall that is emptied.
     :param limits: the rate limit of each endpoint that has one; requests a second.
@@ -95,6 +96,7 @@
     endpoints: dict[str, int] = field(default_factory=dict)
     waiting: tuple[Waiting, ...] = ()
     blocked: int = 0
+    blocked_parts: int = 0
     unreadable: int = 0
     emptied: dict[str, int] = field(default_factory=dict)
     limits: dict[str, float] = field(default_factory=dict)
@@ -164,6 +166,7 @@
         endpoints=endpoints,
         waiting=tuple(_waiting_of(figures)),
         blocked=_total(figures, "requests_blocked"),
+        blocked_parts=_total(figures, "parts_blocked"),
         unreadable=_total(figures, "unreadable"),
         emptied={
             one.labels["hall"]: int(one.value)
@@ -238,6 +241,9 @@
     blocked = max((one.blocked for one in up), default=0)
     if blocked:
         found.append(f"{blocked} requests end the endpoints that run them")
+    parts = max((one.blocked_parts for one in up), default=0)
+    if parts:
+        found.append(f"{parts} parts of prompts end the endpoints that answer them")
     unreadable = max((one.unreadable for one in up), default=0)
     if unreadable:
         found.append(f"{unreadable} objects of the store cannot be read")
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -10,19 +10,27 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
+from typing import Protocol
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.coordination.process.dispatcher import Dispatcher
 from walnutquay.coordination.process.tasks import Tasks
+from walnutquay.coordination.requests.crashblocks import (
+    SOUND_SECONDS,
+    CrashBlocks,
+    features_of,
+)
+from walnutquay.coordination.requests.crashlog import CrashLog
 from walnutquay.coordination.requests.crashnews import CrashExchange, Peers
+from walnutquay.coordination.requests.limits import LimitedCall
 from walnutquay.coordination.requests.outcomes import Arrival
 from walnutquay.protocol.messages import (
     AskCrashes,
     CrashDigest,
     CrashNews,
 )
-from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName, Fingerprint
 from walnutquay.state.requests.crashes import CrashHistory
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace
@@ -30,7 +38,7 @@
     InterruptedRequest,
     InterruptedRequests,
 )
-from walnutquay.state.requests.refusals import Refusal, RefusalCode
+from walnutquay.state.requests.refusals import Refusal
 from walnutquay.state.routed.links import Reach
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.parts import Endpoint
@@ -43,6 +51,21 @@
 # The interval at which VMs compare digests.  A VM that was partitioned has caught up
 # before it must enforce the blocks, which is 3 s after it is back at the earliest.
 COMPARE_SECONDS = 1.0
+# The interval at which answers in progress are checked for sound prompts.
+SOUND_CHECK_SECONDS = 0.25
+
+
+class RunningCalls(Protocol):
+    """The calls of this VM that are in progress at endpoints."""
+
+    def running(self) -> Iterable[LimitedCall]:
+        """Return the calls."""
+
+    def stop(self, is_blocked: Callable[[LimitedCall], bool]) -> None:
+        """Cancel calls that must not go on.
+
+        :param is_blocked: returns whether a call would crash its endpoint.
+        """
 
 
 class CrashWatch:
@@ -63,15 +86,18 @@
         # Port probes in progress, shared by all requests whose connection broke there.
         self.probes: dict[EndpointName, asyncio.Task[bool]] = {}
         self.exchange = CrashExchange(peers, self.book, self.apply_traces)
-        # Blocked requests that are being retested on another version, with the
-        # deadline of the retest.
-        self.retest_until: dict[Fingerprint, float] = {}
-        # The blocked requests as of the last check.
-        self.blocked: dict[CrashTarget, frozenset[Fingerprint]] = {}
+        self.blocks = CrashBlocks(self.book, peers)
+        self.log = CrashLog(context, self.book)
         # Called when this VM's own evidence blocks a request.
         self.on_blocked: Callable[[], None] = _ignore_blocked
-        # Called with requests that stay blocked, whichever VM detected them.
-        self.stop_callbacks: list[Callable[[frozenset[Fingerprint]], None]] = []
+        self.calls: list[RunningCalls] = []
+
+    def watch_calls(self, calls: RunningCalls) -> None:
+        """Cancel calls that are blocked, and learn from those that are answered.
+
+        :param calls: the calls of a request path.
+        """
+        self.calls.append(calls)
 
     def listen(self, dispatcher: Dispatcher) -> None:
         """Register the handlers for messages of other VMs.
@@ -85,6 +111,7 @@
     def start(self) -> None:
         """Start comparing with the other VMs and expiring old evidence."""
         self.context.timers.every("crashes", COMPARE_SECONDS, self._compare)
+        self.context.timers.every("answers", SOUND_CHECK_SECONDS, self._note_answering)
 
     def close(self) -> None:
         """Cancel all probes and stop sending."""
@@ -93,23 +120,30 @@
 
     # Requests.
 
-    def suspect_fingerprint(self, arrival: Arrival) -> Fingerprint | None:
-        """Return the fingerprint of a request under which an endpoint has crashed.
+    def suspect_key(self, arrival: Arrival) -> str | None:
+        """Return what identifies the requests that may crash an endpoint like this one.
 
         :param arrival: a request that needs a slot.
-        :returns: its fingerprint, or None if it is no suspect.
+        :returns: the key of its likely cause, or its fingerprint; None if it is no
+            suspect.
         """
         if not self.book.crashes_by_request:
             return None
-        fingerprint = arrival.fingerprint()
-        return fingerprint if self.book.is_suspect(fingerprint) else None
-
-    def companions(self, suspect: Fingerprint | None) -> frozenset[Fingerprint]:
+        features = features_of(arrival)
+        early = self.book.early_suspect(features.all())
+        if early is not None:
+            return early.feature
+        name = features.fingerprint
+        return name if self.book.is_suspect(name) else None
+
+    def companions(self, suspect: str | None) -> frozenset[Fingerprint]:
         """Return the requests that were at each crash of a suspect.
 
-        :param suspect: its fingerprint; None for a request that is no suspect.
+        :param suspect: its key; None for a request that is no suspect.
         """
-        return frozenset() if suspect is None else self.book.companions(suspect)
+        if suspect is None:
+            return frozenset()
+        return self.book.companions(Fingerprint(suspect))
 
     def refusal(self, arrival: Arrival, target: CrashTarget) -> Refusal | None:
         """Check whether a request is blocked from a version.
@@ -118,42 +152,7 @@
         :param target: the version that would run it.
         :returns: why it must not be sent there, or None.
         """
-        if not self.book.blocked:
-            return None
-        fingerprint = arrival.fingerprint()
-        if not self._is_blocked_for(fingerprint, target, arrival.deadline):
-            return None
-        crashes = self.book.evidence(fingerprint, target.service)
-        last = monotonic() - crashes[-1].at
-        names = ", ".join(crash.endpoint for crash in crashes)
-        return Refusal(
-            RefusalCode.ENDS_ENDPOINTS,
-            f"{len(crashes)} endpoints ended as they ran this request, the last one "
-            f"{last:.1f} s ago; it will not be tried again ({names})",
-        )
-
-    def _is_blocked_for(
-        self, fingerprint: Fingerprint, target: CrashTarget, deadline: float
-    ) -> bool:
-        """Return whether a request is blocked from a version; record a retest if not.
-
-        A version released after the one that crashed may be fixed: a single VM retests
-        it, with one request at a time.
-        """
-        if self.book.is_blocked(fingerprint, target):
-            return True
-        if not self.book.is_blocked_elsewhere(fingerprint, target):
-            return False
-        if not self.peers.is_responsible_for(fingerprint):
-            return True
-        now = monotonic()
-        if now < self.retest_until.get(fingerprint, float("-inf")):
-            return True
-        self.retest_until = {
-            name: until for name, until in self.retest_until.items() if now < until
-        }
-        self.retest_until[fingerprint] = deadline
-        return False
+        return self.blocks.refusal(arrival, target)
 
     async def has_crashed(self, endpoint: Endpoint | Instance) -> bool:
         """Probe whether the port of an endpoint is closed.
@@ -173,17 +172,9 @@
     async def _probe(self, endpoint: Endpoint | Instance) -> bool:
         crashed = await probe(endpoint.address) is Reach.REFUSED
         if crashed:
-            self._log_crash(endpoint.name, "its port is closed")
+            self.log.crashed(endpoint.name, "its port is closed")
         return crashed
 
-    def _log_crash(self, name: str, reason: str) -> None:
-        self.context.metrics.count("endpoints_ended")
-        self.context.timeline.emit(
-            EventKind.ENDPOINT_ENDED,
-            endpoint=name,
-            detail=f"connections to it broke, and {reason}",
-        )
-
     def record_interruption(
         self,
         arrival: Arrival,
@@ -202,7 +193,7 @@
         :param ran: seconds since its answer began; None if it had not begun.
         :param held: seconds since the request was sent to the endpoint.
         """
-        trace = CrashTrace(arrival.fingerprint(), target, endpoint, 0.0, ran, held=held)
+        trace = _crash_trace(arrival, target, endpoint, ran, held)
         self.interrupted.note(InterruptedRequest(monotonic(), trace))
 
     def on_endpoint_restarted(self, endpoint: EndpointName) -> None:
@@ -212,7 +203,7 @@
         """
         traces = self.interrupted.pop_crashed(endpoint, monotonic())
         if traces:
-            self._log_crash(endpoint, "it has started again")
+            self.log.crashed(endpoint, "it has started again")
         for trace in traces:
             self._record(trace)
 
@@ -223,6 +214,7 @@
         endpoint: EndpointName,
         ran: float | None,
         held: float,
+        answered_seconds: float = 0.0,
     ) -> None:
         """Record that an endpoint crashed while it had a request.
 
@@ -231,9 +223,14 @@
         :param endpoint: the endpoint.
         :param ran: seconds since its answer began; None if it had not begun.
         :param held: seconds since the request was sent to the endpoint.
+        :param answered_seconds: for how long it had been sending the answer's events.
         """
-        fingerprint = arrival.fingerprint()
-        self._record(CrashTrace(fingerprint, target, endpoint, 0.0, ran, held=held))
+        trace = _crash_trace(arrival, target, endpoint, ran, held)
+        if answered_seconds < SOUND_SECONDS:
+            self._record(trace)
+            return
+        self._record(replace(trace, parts=()))
+        self._record_sound(arrival, target, 0.0)
 
     async def await_peer_traces(self, arrival: Arrival, target: CrashTarget) -> None:
         """Wait for the traces of other VMs if a crash has blocked a request.
@@ -244,21 +241,56 @@
         :param arrival: a request that was at an endpoint that has just crashed.
         :param target: the version that the endpoint ran.
         """
-        if self.book.is_blocked(arrival.fingerprint(), target):
+        features = features_of(arrival).all()
+        if self.book.verdict_on(features, target) is not None:
             await asyncio.sleep(SETTLE_SECONDS)
 
     def record_answer(
-        self, arrival: Arrival, target: CrashTarget, endpoint: EndpointName
+        self,
+        arrival: Arrival,
+        target: CrashTarget,
+        endpoint: EndpointName,
+        written: bool = True,
     ) -> None:
         """Record that an endpoint answered a request completely and is still up.
 
         :param arrival: the request.
         :param target: the version that the endpoint runs.
         :param endpoint: the endpoint.
+        :param written: whether it wrote what was asked for, and no error.
         """
-        fingerprint = self.suspect_fingerprint(arrival)
-        if fingerprint is not None:
+        if not self.book.crashes:
+            return
+        fingerprint = arrival.fingerprint()
+        if self.book.is_suspect(fingerprint):
             self._record(CrashTrace(fingerprint, target, endpoint, 0.0, answered=True))
+        if written:
+            self._record_sound(arrival, target, 0.0)
+
+    def _record_sound(self, arrival: Arrival, target: CrashTarget, age: float) -> None:
+        """Record that a version can answer prompts with the parts of a request.
+
+        :param arrival: the request.
+        :param target: the version.
+        :param age: seconds since it is known.
+        """
+        parts = self.book.parts_in_doubt(arrival.shared_parts(), target)
+        if parts or self.book.parts.needs_answer(target):
+            nobody, nowhere = Fingerprint(""), EndpointName("")
+            self._record(
+                CrashTrace(nobody, target, nowhere, age, answered=True, parts=parts)
+            )
+
+    def _note_answering(self) -> None:
+        """Learn from the answers that endpoints have been sending for some time."""
+        if not self.book.parts.crashes_by_part:
+            return
+        now = monotonic()
+        for calls in self.calls:
+            for call in list(calls.running()):
+                if call.answered_seconds() >= SOUND_SECONDS:
+                    last = call.arrival.last_event_at or now
+                    self._record_sound(call.arrival, call.target, now - last)
 
     def _record(self, trace: CrashTrace) -> None:
         if not self.book.record(trace, monotonic()):
@@ -283,50 +315,31 @@
         """:returns: the traces of all blocked requests."""
         return list(self.book.blocked_traces(monotonic()))
 
+    def blocked_part_traces(self) -> list[CrashTrace]:
+        """:returns: the evidence against all blocked parts of prompts."""
+        return list(self.book.blocked_part_traces(monotonic()))
+
     def _handle_block_changes(self, source: str) -> None:
-        """Log requests that were blocked or freed since the last call; act on blocks.
+        """Log what was blocked or freed since the last call; act on blocks.
 
         :param source: the VM whose traces caused the changes; empty for this one.
         """
-        before, self.blocked = self.blocked, dict(self.book.blocked)
-        for target in {**before, **self.blocked}:
-            old = before.get(target, frozenset())
-            new = self.blocked.get(target, frozenset())
-            for fingerprint in sorted(old ^ new):
-                self._emit(fingerprint, target, fingerprint in new, source)
-            if new - old and not source:
-                self.on_blocked()
-            if new - old:
-                self.tasks.spawn(self._stop_requests(target, new - old))
-
-    async def _stop_requests(
-        self, target: CrashTarget, found: frozenset[Fingerprint]
-    ) -> None:
+        found = self.log.block_changes(source)
+        if not found:
+            return
+        if not source:
+            self.on_blocked()
+        self.tasks.spawn(self._stop_blocked())
+
+    async def _stop_blocked(self) -> None:
         """Cancel this VM's attempts of blocked requests that are still at endpoints.
 
         Each of them would crash another endpoint.
         """
         await asyncio.sleep(SETTLE_SECONDS)
-        still = found & self.book.blocked.get(target, frozenset())
-        for callback in self.stop_callbacks:
-            callback(still)
-
-    def _emit(
-        self, fingerprint: Fingerprint, target: CrashTarget, blocked: bool, source: str
-    ) -> None:
-        now = monotonic()
-        crashes = self.book.evidence(fingerprint, target.service)
-        kind = EventKind.REQUEST_BLOCKED if blocked else EventKind.REQUEST_FREED
-        self.context.timeline.emit(
-            kind,
-            version=target.service,
-            detail=", ".join(crash.endpoint for crash in crashes),
-            fingerprint=fingerprint,
-            runs=target.version,
-            ends=len(crashes),
-            ends_age_ms=round((now - crashes[-1].at) * 1000.0) if crashes else None,
-            told_by=source,
-        )
+        self._note_answering()
+        for calls in self.calls:
+            calls.stop(self.blocks.would_crash)
 
     def _compare(self) -> None:
         """Expire old evidence and send a digest of the rest to other VMs."""
@@ -339,3 +352,22 @@
 
 def _ignore_blocked() -> None:
     """Do nothing: without a callback, only the memory of the VMs holds the blocks."""
+
+
+def _crash_trace(
+    arrival: Arrival,
+    target: CrashTarget,
+    endpoint: EndpointName,
+    ran: float | None,
+    held: float,
+) -> CrashTrace:
+    features = features_of(arrival)
+    return CrashTrace(
+        features.fingerprint,
+        target,
+        endpoint,
+        0.0,
+        ran,
+        held=held,
+        parts=features.parts,
+    )
--- a/walnutquay/coordination/requests/crashnews.py
+++ b/walnutquay/coordination/requests/crashnews.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 from typing import Protocol
 
@@ -31,8 +31,11 @@
 BATCH_SECONDS = 0.004
 # Each batch is sent a second time after this delay, since a datagram may be lost.
 RESEND_SECONDS = 0.2
-# Traces per datagram: each takes about 100 bytes, so that a datagram fits one packet.
-BATCH_SIZE = 12
+# A datagram must fit one packet: bytes of its traces, of a trace without parts, and the
+# most parts that one trace names.
+BATCH_BYTES = 1_200
+TRACE_BYTES = 100
+PARTS_PER_TRACE = 32
 QUERY_SECONDS = 0.4
 
 # Applies traces that another VM recorded; takes the traces and the name of the VM.
@@ -118,12 +121,12 @@
 
     def _send(self, batch: Sequence[tuple[float, CrashTrace]]) -> None:
         now = monotonic()
-        traces = [
+        current = [
             replace(trace, age=trace.age + now - recorded_at)
             for recorded_at, trace in batch
         ]
-        for first in range(0, len(traces), BATCH_SIZE):
-            self.peers.broadcast(CrashNews(tuple(traces[first : first + BATCH_SIZE])))
+        for traces in packets(current):
+            self.peers.broadcast(CrashNews(traces))
 
     def receive(self, envelope: Envelope) -> None:
         """Apply the traces that another VM broadcast.
@@ -161,3 +164,28 @@
         :returns: all traces that this VM holds.
         """
         return CrashNews(tuple(self.book.traces(monotonic())))
+
+
+def packets(traces: Sequence[CrashTrace]) -> Iterator[tuple[CrashTrace, ...]]:
+    """Divide traces among datagrams.
+
+    :param traces: the traces; one with many parts is sent as several.
+    :returns: the traces of each datagram.
+    """
+    packet: list[CrashTrace] = []
+    size = 0
+    for trace in traces:
+        for piece in _pieces(trace):
+            length = TRACE_BYTES + sum(len(part) + 1 for part in piece.parts)
+            if packet and size + length > BATCH_BYTES:
+                yield tuple(packet)
+                packet, size = [], 0
+            packet.append(piece)
+            size += length
+    if packet:
+        yield tuple(packet)
+
+
+def _pieces(trace: CrashTrace) -> Iterator[CrashTrace]:
+    for first in range(0, max(1, len(trace.parts)), PARTS_PER_TRACE):
+        yield replace(trace, parts=trace.parts[first : first + PARTS_PER_TRACE])
--- a/walnutquay/coordination/requests/crashnotes.py
+++ b/walnutquay/coordination/requests/crashnotes.py
@@ -32,16 +32,21 @@
         ran = _seconds_since(grant.began)
         target = grant.target_of(turn.target)
         held = monotonic() - grant.started
-        self.parts.crashes.record_crash(turn.arrival, target, grant.name, ran, held)
+        last, began = turn.arrival.last_event_at, grant.began
+        answered = 0.0 if last is None or began is None else last - began
+        self.parts.crashes.record_crash(
+            turn.arrival, target, grant.name, ran, held, answered
+        )
 
-    def on_whole_answer(self, turn: Turn, grant: Grant) -> None:
+    def on_whole_answer(self, turn: Turn, grant: Grant, written: bool = True) -> None:
         """Record that an endpoint answered a request completely.
 
         :param turn: the request.
         :param grant: the slot at the endpoint.
+        :param written: whether it wrote what was asked for, and no error.
         """
         target = grant.target_of(turn.target)
-        self.parts.crashes.record_answer(turn.arrival, target, grant.name)
+        self.parts.crashes.record_answer(turn.arrival, target, grant.name, written)
 
     async def note_crash(self, turn: Turn, grant: Grant, error: EndpointError) -> bool:
         """Find out whether an endpoint has crashed that failed, and record it.
--- a/walnutquay/coordination/requests/crashrecord.py
+++ b/walnutquay/coordination/requests/crashrecord.py
@@ -26,13 +26,17 @@
     ServiceName,
     VersionName,
 )
-from walnutquay.state.requests.crashes import MAX_CRASHES
+from walnutquay.state.requests.crashevidence import MAX_CRASHES
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace
+from walnutquay.state.requests.promptparts import part_names
 from walnutquay.transport.timers import MICROSECONDS, unix_microseconds
 
 log = logbook.Logger(__name__)
 
+# The evidence against whole requests, and against parts of prompts.  VMs of earlier
+# releases read and write the first only.
 VALUE = "crashes/blocked"
+PARTS_VALUE = "crashes/parts"
 RETRY_SECONDS = 1.0
 
 
@@ -84,7 +88,7 @@
 
     def write_again(self) -> None:
         """Write the evidence again, as the store was restored and may have lost it."""
-        if self.watch.blocked_traces():
+        if self.watch.book.verdicts:
             self.write_due.set()
 
     def stop(self) -> None:
@@ -96,18 +100,20 @@
             return
         while True:
             try:
-                await self._read()
+                await self._read(VALUE)
+                await self._read(PARTS_VALUE)
                 return
             except PlatformError as error:
                 log.debug("cannot read the crash record; retrying: {}", error)
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def _read(self) -> int:
+    async def _read(self, name: str) -> int:
         """Apply the stored traces.
 
+        :param name: the name of the value.
         :returns: the version of the record.
         """
-        stored = await self.values.read(VALUE)
+        stored = await self.values.read(name)
         if stored.value:
             try:
                 self.watch.apply_traces(decode_traces(stored.value), "the store")
@@ -119,15 +125,23 @@
         while True:
             await self.write_due.wait()
             self.write_due.clear()
-            await self._write()
+            if self.watch.book.blocked:
+                await self._write(VALUE, self.watch.blocked_traces)
+            if self.watch.book.blocked_parts:
+                await self._write(PARTS_VALUE, self.watch.blocked_part_traces)
+            self.write_count += 1
 
-    async def _write(self) -> None:
+    async def _write(self, name: str, traces: Callable[[], list[CrashTrace]]) -> None:
+        """Merge the traces of this VM into a value.
+
+        :param name: the name of the value.
+        :param traces: returns the traces to be stored.
+        """
         while True:
             try:
-                version = await self._read()
-                traces = self.watch.blocked_traces()[-MAX_CRASHES:]
-                await self.values.write(VALUE, encode_traces(traces), version)
-                self.write_count += 1
+                version = await self._read(name)
+                newest = traces()[-MAX_CRASHES:]
+                await self.values.write(name, encode_traces(newest), version)
                 return
             except PlatformConflictError as error:
                 log.debug("another VM wrote the crash record; merging again: {}", error)
@@ -152,12 +166,22 @@
             "at": round(now - trace.age, 3),
             "ran": trace.ran,
             "held": None if math.isinf(trace.held) else round(trace.held, 3),
+            **_part_fields(trace),
         }
         for trace in traces
     ]
     return orjson.dumps(rows)
 
 
+def _part_fields(trace: CrashTrace) -> dict[str, Any]:
+    fields: dict[str, Any] = {}
+    if trace.parts:
+        fields["parts"] = list(trace.parts)
+    if trace.answered:
+        fields["answered"] = True
+    return fields
+
+
 def decode_traces(data: bytes) -> list[CrashTrace]:
     """Decode traces from the store.
 
@@ -181,5 +205,7 @@
         # The clock of the VM that wrote it may have been ahead.
         max(0.0, now - float(row["at"])),
         None if row["ran"] is None else float(row["ran"]),
+        answered=bool(row.get("answered", False)),
         held=math.inf if row.get("held") is None else float(row["held"]),
+        parts=part_names(str(name) for name in row.get("parts", ())),
     )
--- a/walnutquay/coordination/requests/limits.py
+++ b/walnutquay/coordination/requests/limits.py
@@ -5,13 +5,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 from walnutquay.coordination.requests.outcomes import Arrival
+from walnutquay.coordination.requests.slots import Grant
 from walnutquay.exceptions import EndpointError
-from walnutquay.state.process.ids import EndpointName, Fingerprint
+from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.transport.timers import monotonic
 
 # The step of the error raised for a call that was cancelled here.
@@ -23,12 +24,21 @@
     """A call in progress at an endpoint.
 
     :param arrival: the request.
+    :param grant: the slot at the endpoint.
+    :param target: the version that the endpoint runs.
     :param reason: why it is cancelled, if it is.
     """
 
     arrival: Arrival
+    grant: Grant
+    target: CrashTarget
     reason: str = "its time passed while this VM was away"
 
+    def answered_seconds(self) -> float:
+        """Return for how long the endpoint has been sending the answer's events."""
+        began, last = self.grant.began, self.arrival.last_event_at
+        return 0.0 if began is None or last is None else last - began
+
 
 class CallLimits:
     """Cancels calls to endpoints before they finish by themselves.
@@ -42,26 +52,33 @@
 
     @asynccontextmanager
     async def enforce(
-        self, arrival: Arrival, endpoint: EndpointName
+        self, arrival: Arrival, grant: Grant, target: CrashTarget
     ) -> AsyncIterator[None]:
         """Return a context manager in which a call can be cancelled.
 
         :param arrival: the request.
-        :param endpoint: the endpoint, for error messages.
+        :param grant: the slot at the endpoint.
+        :param target: the version that the endpoint runs.
         :raises EndpointError: if the call was cancelled.
         """
         limit = asyncio.timeout(None)
-        call = self.calls[limit] = LimitedCall(arrival)
+        call = self.calls[limit] = LimitedCall(arrival, grant, target)
         try:
             async with limit:
                 yield
         except TimeoutError as error:
             if not limit.expired():
                 raise
-            raise EndpointError(call.reason, step=STEP_ENDED, peer=endpoint) from error
+            raise EndpointError(
+                call.reason, step=STEP_ENDED, peer=grant.name
+            ) from error
         finally:
             del self.calls[limit]
 
+    def running(self) -> list[LimitedCall]:
+        """Return the calls in progress."""
+        return list(self.calls.values())
+
     def woke(self, away: float) -> None:
         """Reset the timeout of each call to the time left until its deadline.
 
@@ -72,13 +89,13 @@
         for limit, call in self.calls.items():
             limit.reschedule(loop_now + max(0.0, call.arrival.deadline - now))
 
-    def stop(self, blocked: frozenset[Fingerprint]) -> None:
-        """Cancel the calls of blocked requests.
+    def stop(self, is_blocked: Callable[[LimitedCall], bool]) -> None:
+        """Cancel calls that must not go on.
 
-        :param blocked: the fingerprints of the requests.
+        :param is_blocked: returns whether a call would crash its endpoint.
         """
         now = asyncio.get_running_loop().time()
         for limit, call in self.calls.items():
-            if blocked and call.arrival.fingerprint() in blocked:
+            if is_blocked(call):
                 call.reason = "it ends the endpoints that run it"
                 limit.reschedule(now)
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -64,7 +64,7 @@
         self.under_way: dict[RequestId, Arrival] = {}
         # Limits on the calls in progress at endpoints.
         self.limits = CallLimits()
-        parts.crashes.stop_callbacks.append(self.limits.stop)
+        parts.crashes.watch_calls(self.limits)
         # Set when the VM is stopping and accepts no new requests.
         self.closed = False
 
@@ -131,7 +131,7 @@
         :param turn: the request.
         """
         arrival = turn.arrival
-        suspect = self.parts.crashes.suspect_fingerprint(arrival)
+        suspect = self.parts.crashes.suspect_key(arrival)
         return SlotRequest(
             arrival.request,
             arrival.organisation.name,
@@ -239,7 +239,8 @@
         self, turn: Turn, running: Dispatched, grant: Grant
     ) -> Outcome | Received | Continuing:
         try:
-            async with self.limits.enforce(turn.arrival, grant.name):
+            target = grant.target_of(turn.target)
+            async with self.limits.enforce(turn.arrival, grant, target):
                 return await self.exchange(turn, running, grant)
         except NotStartedError as error:
             return self._not_started(turn, running, grant, error)
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -31,6 +31,7 @@
 from walnutquay.coordination.routed.turn import RoutedArrival, RoutedTurn
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.exceptions import EndpointError
+from walnutquay.protocol.calls import AnswerHead
 from walnutquay.protocol.streams import StreamProgress
 from walnutquay.state.own.claims import WholeAnswer
 from walnutquay.state.process.events import Facts
@@ -281,7 +282,7 @@
             cannot_resume = turn.progress.begun and head.status != STATUS_OK
             if head.status >= 500 or cannot_resume:
                 body = await read_body(answer, grant.name, self.memory)
-                self.on_whole_answer(turn, grant)
+                self.on_whole_answer(turn, grant, written=False)
                 overloaded = head.announced.backoff_seconds is not None
                 if not overloaded:
                     self.versions.failed(turn, grant)
@@ -298,11 +299,11 @@
                 pace_evaluated = await self.streams.forward(
                     turn, head, answer, grant, seconds
                 )
-                self._learn(turn, grant, seconds, pace_evaluated)
+                self._learn(turn, grant, head, seconds, pace_evaluated)
                 running.answered()
                 return Streamed(whole=True)
             body = await self.plain.read(turn, head, answer, grant, seconds)
-        self._learn(turn, grant, seconds)
+        self._learn(turn, grant, head, seconds)
         running.answered()
         if body is None:
             return Streamed(whole=True)
@@ -312,6 +313,7 @@
         self,
         turn: RoutedTurn,
         grant: Grant,
+        head: AnswerHead,
         seconds: float,
         pace_evaluated: bool = False,
     ) -> None:
@@ -319,7 +321,7 @@
         now = monotonic()
         grant.took = now - grant.started
         self.parts.table.succeeded(EndpointName(grant.name), kind, seconds, now)
-        self.on_whole_answer(turn, grant)
+        self.on_whole_answer(turn, grant, written=head.status == STATUS_OK)
         self.on_success(turn)
         if not pace_evaluated:
             self.versions.succeeded(turn, grant, seconds)
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -151,6 +151,10 @@
         for target, blocked in sorted(book.blocked.items()):
             label = f'service="{target.service}",version="{escaped(target.version)}"'
             yield f"{PREFIX}_requests_blocked{{{label}}} {len(blocked)}"
+        yield f"{PREFIX}_parts_suspected {len(book.parts.crashes_by_part)}"
+        for target, verdicts in sorted(book.blocked_parts.items()):
+            label = f'service="{target.service}",version="{escaped(target.version)}"'
+            yield f"{PREFIX}_parts_blocked{{{label}}} {len(verdicts)}"
 
     def _emptied(self) -> Iterator[str]:
         """Tell which data halls are emptied, and what this VM still has there."""
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -247,7 +247,8 @@
 }
 
 # That a request was at an endpoint which ended, or that one has answered it; times are
-# seconds, and one that is not known is negative.
+# seconds, and one that is not known is negative.  An answer without a request is
+# evidence for the parts only.
 struct CrashTrace {
   fingerprint @0 :Data;
   service @1 :Text;
@@ -257,6 +258,8 @@
   ran @5 :Float64;
   answered @6 :Bool;
   held @7 :Float64;
+  # The names of parts of its prompt, separated by commas.
+  parts @8 :Text;
 }
 
 # The rate limit that a start of an endpoint named last; one that is not limited is
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -37,6 +37,7 @@
 )
 from walnutquay.state.process.revisions import Era, StoreRevision
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace
+from walnutquay.state.requests.promptparts import SEPARATOR, part_names
 from walnutquay.state.routed.gains import GainCounts, GainRow, ModelPair
 from walnutquay.state.routed.links import Reach
 from walnutquay.state.trials.baseline import BaselineTime
@@ -118,6 +119,7 @@
         reader.answered,
         # A VM that does not tell it yet leaves it at nothing.
         reader.held or math.inf,
+        part_names(reader.parts.split(SEPARATOR)),
     )
 
 
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -18,6 +18,7 @@
 )
 from walnutquay.state.process.revisions import StoreRevision
 from walnutquay.state.requests.crashtypes import CrashTrace
+from walnutquay.state.requests.promptparts import SEPARATOR
 from walnutquay.state.trials.reports import AnswerCounts
 
 # Stands for a time that is not known; times that are known are not negative.
@@ -185,6 +186,7 @@
         "ran": UNKNOWN_TIME if trace.ran is None else trace.ran,
         "answered": trace.answered,
         "held": trace.held,
+        "parts": SEPARATOR.join(trace.parts),
     }
 
 
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -77,6 +77,8 @@
     LEASE = "lease"
     REQUEST_BLOCKED = "request-blocked"
     REQUEST_FREED = "request-freed"
+    PART_BLOCKED = "part-blocked"
+    PART_FREED = "part-freed"
     ORDERED = "ordered"
     STRAY = "stray"
     STARTED = "started"
--- a/walnutquay/state/process/ids.py
+++ b/walnutquay/state/process/ids.py
@@ -27,6 +27,8 @@
 RouteName = NewType("RouteName", str)
 # The hash of the content that identifies a request, in hexadecimal digits.
 Fingerprint = NewType("Fingerprint", str)
+# What requests have in common that may crash endpoints: see requests.features.
+Feature = NewType("Feature", str)
 # The name of a part of a prompt, of bounded length.
 PartName = NewType("PartName", str)
 Revision = NewType("Revision", int)
--- a/walnutquay/state/requests/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -1,82 +1,127 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""Requests that were running at endpoint crashes, and the requests that cause them.
+"""Requests that were running at endpoint crashes, and what in them causes the crashes.
 
 A request that crashes every endpoint that starts to run it is never alone there: all
 requests that ran next to it were interrupted as well and retried elsewhere along with
 it.  Evidence is therefore kept for every request that was present, and the crashes are
-attributed to as few requests as possible.
+attributed to as few features of requests as possible: whole requests, and the parts
+that prompts share.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
-import xxhash
-
-from walnutquay.state.process.ids import EndpointName, Fingerprint, ServiceName
-from walnutquay.state.requests.attribution import crashing_requests
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+
+from walnutquay.state.process.ids import (
+    Feature,
+    Fingerprint,
+    PartName,
+    ServiceName,
+)
+from walnutquay.state.requests.attribution import (
+    Suspect,
+    crashing_features,
+    fewest_explaining,
+)
+from walnutquay.state.requests.crashevidence import CrashEvidence
 from walnutquay.state.requests.crashtypes import CrashTarget, CrashTrace, EndpointCrash
+from walnutquay.state.requests.features import (
+    RequestFeatures,
+    part_of,
+    request_feature,
+)
+from walnutquay.state.requests.verdicts import Verdict
 
 # This many crashes block a request for a version if another version of the service
 # blocks it already.
 CRASHES_TO_BLOCK_ELSEWHERE = 1
-# Connections that broke at one endpoint within this time broke in the same crash.  An
-# endpoint takes seconds at least to restart, and may then have the same name.
-SAME_CRASH_SECONDS = 1.0
 # Endpoints that crash within this time of each other crash from one cause: VMs notice a
 # crash about 10 ms after it, and an endpoint starts to run a request that it is sent
 # later than that.
 SIMULTANEOUS_SECONDS = 0.05
-# A request that was interrupted once and never sent again is forgotten after this time.
-FORGOTTEN_SECONDS = 600.0
-# A blocked request is unblocked after a day, because an engine may have been fixed
-# without a new version.
-BLOCKED_SECONDS = 86_400.0
-# Memory limits, with the oldest entries evicted first: about 150 bytes for each request
-# at a crash.
-MAX_CRASHES = 500
-MAX_TRACES = 10_000
-MAX_ANSWERED = 1_000
 
 
-class CrashHistory:
-    """The known endpoint crashes, with the requests that were running at them."""
+class CrashHistory(CrashEvidence):
+    """The known endpoint crashes, and the verdicts on what causes them."""
 
     def __init__(self) -> None:
-        # In the order in which this VM learned of them.
-        self.crashes: list[EndpointCrash] = []
-        # The same crashes, by request.
-        self.crashes_by_request: dict[Fingerprint, list[EndpointCrash]] = {}
-        # When a version last answered a request completely; monotonic seconds.
-        self.answered: dict[tuple[Fingerprint, CrashTarget], float] = {}
-        # The requests blocked for each version, as last evaluated, and the versions
-        # that have new evidence since then.
-        self.last_blocked: dict[CrashTarget, frozenset[Fingerprint]] = {}
-        self.stale_targets: set[CrashTarget] = set()
+        super().__init__()
+        # The verdicts by version, as last evaluated, and the parts that are likely to
+        # become one.
+        self.last_verdicts: dict[CrashTarget, tuple[Verdict, ...]] = {}
+        self.last_early: dict[CrashTarget, tuple[Verdict, ...]] = {}
 
     @property
-    def blocked(self) -> dict[CrashTarget, frozenset[Fingerprint]]:
-        """The requests that are blocked for each version."""
+    def verdicts(self) -> dict[CrashTarget, tuple[Verdict, ...]]:
+        """What is blocked for each version."""
         for target in self.stale_targets:
-            found = crashing_requests(self._suspects(target))
-            if found:
-                self.last_blocked[target] = found
-            else:
-                self.last_blocked.pop(target, None)
+            self._evaluate(target)
         self.stale_targets.clear()
-        return self.last_blocked
+        return self.last_verdicts
+
+    @property
+    def blocked(self) -> dict[CrashTarget, frozenset[Fingerprint]]:
+        """The whole requests that are blocked for each version."""
+        found = {
+            target: frozenset(
+                Fingerprint(one.feature) for one in verdicts if one.part is None
+            )
+            for target, verdicts in self.verdicts.items()
+        }
+        return {target: requests for target, requests in found.items() if requests}
 
-    def _suspects(self, target: CrashTarget) -> dict[Fingerprint, list[EndpointCrash]]:
+    @property
+    def blocked_parts(self) -> dict[CrashTarget, tuple[Verdict, ...]]:
+        """The verdicts on parts of prompts for each version."""
+        found = {
+            target: tuple(one for one in verdicts if one.part is not None)
+            for target, verdicts in self.verdicts.items()
+        }
+        return {target: verdicts for target, verdicts in found.items() if verdicts}
+
+    def _evaluate(self, target: CrashTarget) -> None:
+        whole = self._suspects(target)
+        found = crashing_features({**whole, **self.parts.suspects(target)})
+        self.last_verdicts[target] = tuple(
+            self._verdict(target, feature, suspect)
+            for feature, suspect in found.items()
+        )
+        if not found:
+            del self.last_verdicts[target]
+        early = fewest_explaining(self.parts.early_suspects(target))
+        self.last_early[target] = tuple(
+            self._verdict(target, feature, suspect)
+            for feature, suspect in early.items()
+        )
+
+    def _verdict(
+        self, target: CrashTarget, feature: Feature, suspect: Suspect
+    ) -> Verdict:
+        part = part_of(feature)
+        features = (
+            frozenset((feature,))
+            if part is None
+            else self.parts.inseparable(part, suspect.crashes)
+        )
+        crashes = tuple(sorted(suspect.crashes, key=lambda crash: crash.at))
+        return Verdict(target, feature, features, crashes, suspect.moments)
+
+    def _suspects(self, target: CrashTarget) -> dict[Feature, Suspect]:
         """Return the requests at several crashes, with the crashes to attribute.
 
         :param target: the version whose crashes are considered.
         """
-        return {
-            fingerprint: self._attributable_crashes(fingerprint, target)
-            for fingerprint, known in self.crashes_by_request.items()
-            if len(known) > 1
-        }
+        found = {}
+        for fingerprint, known in self.crashes_by_request.items():
+            if len(known) < 2:
+                continue
+            crashes = self._attributable_crashes(fingerprint, target)
+            runtimes = tuple(_max_runtime(fingerprint, crash) for crash in crashes)
+            suspect = Suspect(frozenset(crashes), len(crashes), runtimes)
+            found[request_feature(fingerprint)] = suspect
+        return found
 
     def _attributable_crashes(
         self, fingerprint: Fingerprint, target: CrashTarget
@@ -110,6 +155,8 @@
         times = [crash.at for crash in self.crashes_by_request[fingerprint]]
         return max(times) - min(times) >= SIMULTANEOUS_SECONDS
 
+    # Suspects.
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Check whether an endpoint crashed during a request not answered since then.
 
@@ -117,6 +164,17 @@
         """
         return fingerprint in self.crashes_by_request
 
+    def early_suspect(self, features: frozenset[Feature]) -> Verdict | None:
+        """Return the likely cause of crashes that a request has, if any.
+
+        :param features: all features of the request.
+        """
+        for early in self.last_early.values():
+            for verdict in early:
+                if verdict.applies_to(features):
+                    return verdict
+        return None
+
     def companions(self, fingerprint: Fingerprint) -> frozenset[Fingerprint]:
         """Return the requests that were at each crash of a request.
 
@@ -130,36 +188,104 @@
         present = (set(crash.ran) for crash in known)
         return frozenset(set.intersection(*present) - {fingerprint})
 
+    # Blocks.
+
+    def verdict_on(
+        self, features: frozenset[Feature], target: CrashTarget
+    ) -> Verdict | None:
+        """Return why a request must not be sent to endpoints of a version.
+
+        :param features: all features of the request.
+        :param target: the version that would run it.
+        :returns: the verdict; None if there is none.
+        """
+        for verdict in self.verdicts.get(target, ()):
+            if verdict.applies_to(features):
+                return verdict
+        verdict = self.verdict_elsewhere(features, target)
+        if verdict is None:
+            return None
+        crashes = self._crashes_with(verdict, target)
+        return verdict if len(crashes) >= CRASHES_TO_BLOCK_ELSEWHERE else None
+
+    def verdict_elsewhere(
+        self, features: frozenset[Feature], target: CrashTarget
+    ) -> Verdict | None:
+        """Return why another version of the service blocks a request.
+
+        :param features: all features of the request.
+        :param target: the version that would run it.
+        :returns: the verdict for another version of the same service, if this version
+            has not answered such a request yet.
+        """
+        for other, verdicts in self.verdicts.items():
+            if other.service != target.service or other == target:
+                continue
+            for verdict in verdicts:
+                if verdict.applies_to(features) and not self._answered(verdict, target):
+                    return verdict
+        return None
+
+    def parts_in_doubt(
+        self, parts: Iterable[PartName], target: CrashTarget
+    ) -> tuple[PartName, ...]:
+        """Return the parts of a prompt whose answer by a version tells something.
+
+        :param parts: the parts.
+        :param target: the version that answered.
+        :returns: those against which crashes of it count, or that are blocked for
+            another version of its service.
+        """
+        listed = tuple(parts)
+        elsewhere = {
+            part
+            for other, verdicts in self.verdicts.items()
+            if other.service == target.service and other != target
+            for verdict in verdicts
+            for part in verdict.parts
+        }
+        suspected = set(self.parts.suspected(listed, target))
+        known = self.parts.answered
+        return tuple(
+            part
+            for part in listed
+            if part in suspected or (part in elsewhere and (part, target) not in known)
+        )
+
+    def _answered(self, verdict: Verdict, target: CrashTarget) -> bool:
+        """Return whether a version has answered what another version blocks."""
+        if verdict.part is None:
+            return (Fingerprint(verdict.feature), target) in self.answered
+        return all((part, target) in self.parts.answered for part in verdict.parts)
+
+    def _crashes_with(
+        self, verdict: Verdict, target: CrashTarget
+    ) -> list[EndpointCrash]:
+        """Return a version's crashes during what another version blocks."""
+        if verdict.part is None:
+            return self._crashes_of(Fingerprint(verdict.feature), target)
+        known = self.parts.crashes_by_part.get(verdict.part, ())
+        return [crash for crash in known if crash.target == target]
+
     def is_blocked(self, fingerprint: Fingerprint, target: CrashTarget) -> bool:
         """Check whether a request must not be sent to endpoints of a version.
 
-        :param fingerprint: the request.
+        :param fingerprint: the request; its parts are not considered.
         :param target: the version that would run it.
         """
-        if fingerprint in self.blocked.get(target, ()):
-            return True
-        if not self.is_blocked_elsewhere(fingerprint, target):
-            return False
-        return len(self._crashes_of(fingerprint, target)) >= CRASHES_TO_BLOCK_ELSEWHERE
+        features = RequestFeatures(fingerprint).all()
+        return self.verdict_on(features, target) is not None
 
     def is_blocked_elsewhere(
         self, fingerprint: Fingerprint, target: CrashTarget
     ) -> bool:
         """Check whether another version of the service blocks a request.
 
-        :param fingerprint: the request.
+        :param fingerprint: the request; its parts are not considered.
         :param target: the version that would run it.
-        :returns: whether the request is blocked for another version of the same service
-            and this version has not answered it yet.
         """
-        if (fingerprint, target) in self.answered:
-            return False
-        return any(
-            other.service == target.service
-            and other != target
-            and fingerprint in blocked
-            for other, blocked in self.blocked.items()
-        )
+        features = RequestFeatures(fingerprint).all()
+        return self.verdict_elsewhere(features, target) is not None
 
     def evidence(
         self, fingerprint: Fingerprint, service: ServiceName
@@ -184,182 +310,53 @@
         known = self.evidence(fingerprint, target.service)
         return [crash for crash in known if crash.target == target]
 
-    # Recording traces.
+    def protected(self, crash: EndpointCrash) -> frozenset[Fingerprint]:
+        """Return the requests at a crash that are blocked, or have a blocked part.
 
-    def record(self, trace: CrashTrace, now: float) -> bool:
-        """Record a trace that was observed here or received from another VM.
-
-        :param trace: the trace.
-        :param now: monotonic seconds.
-        :returns: whether the trace is new.
+        :param crash: the crash.
         """
-        at = now - max(0.0, trace.age)
-        if trace.answered:
-            return self._record_answer(trace, at)
-        key = (trace.fingerprint, trace.target)
-        if trace.age > BLOCKED_SECONDS or at <= self.answered.get(key, float("-inf")):
-            return False
-        crash = self._find_or_add_crash(trace, at)
-        if at < crash.at:
-            # Requests that seemed present may have been sent after this earlier time.
-            crash.at = at
-            self.stale_targets.add(trace.target)
-        sent = at - trace.held
-        if trace.fingerprint in crash.ran:
-            self._correct_sent_time(crash, trace, sent)
-            return False
-        crash.ran[trace.fingerprint] = trace.ran
-        crash.sent[trace.fingerprint] = sent
-        self.crashes_by_request.setdefault(trace.fingerprint, []).append(crash)
-        self._enforce_limits()
-        if len(self.crashes_by_request.get(trace.fingerprint, ())) > 1:
-            self.stale_targets.add(trace.target)
-        return True
-
-    def _correct_sent_time(
-        self, crash: EndpointCrash, trace: CrashTrace, sent: float
-    ) -> None:
-        """Keep the earlier of two times at which a request was sent to an endpoint.
-
-        A delayed trace makes both the crash and the time of sending seem later.
-        """
-        if sent < crash.sent[trace.fingerprint]:
-            crash.sent[trace.fingerprint] = sent
-            self.stale_targets.add(trace.target)
-
-    def _find_or_add_crash(self, trace: CrashTrace, at: float) -> EndpointCrash:
-        for crash in reversed(self.crashes):
-            same = crash.endpoint == trace.endpoint and crash.target == trace.target
-            if same and abs(crash.at - at) < SAME_CRASH_SECONDS:
-                return crash
-        crash = EndpointCrash(trace.endpoint, trace.target, at)
-        self.crashes.append(crash)
-        return crash
-
-    def _record_answer(self, trace: CrashTrace, at: float) -> bool:
-        key = (trace.fingerprint, trace.target)
-        if trace.age > FORGOTTEN_SECONDS:
-            return False
-        if at <= self.answered.get(key, float("-inf")):
-            return False
-        is_new = key not in self.answered
-        self.answered[key] = at
-        while len(self.answered) > MAX_ANSWERED:
-            del self.answered[next(iter(self.answered))]
-        known = self.crashes_by_request.get(trace.fingerprint, ())
-        before = [e for e in known if e.target == trace.target and e.at <= at]
-        for crash in before:
-            self._forget(trace.fingerprint, crash)
-        if before:
-            self.stale_targets.add(trace.target)
-        return is_new or bool(before)
-
-    def _forget(self, fingerprint: Fingerprint, crash: EndpointCrash) -> None:
-        del crash.ran[fingerprint]
-        del crash.sent[fingerprint]
-        remaining = [
-            other
-            for other in self.crashes_by_request[fingerprint]
-            if other is not crash
-        ]
-        if remaining:
-            self.crashes_by_request[fingerprint] = remaining
-        else:
-            del self.crashes_by_request[fingerprint]
-
-    def _enforce_limits(self) -> None:
-        """Evict the oldest crashes when a memory limit is exceeded.
+        verdicts = self.verdicts.get(crash.target, ())
+        parts = {one.part for one in verdicts if crash in one.crashes}
+        whole = {one.feature for one in verdicts if one.part is None}
+        return frozenset(
+            name
+            for name in crash.ran
+            if name in whole or parts & crash.parts.get(name, set())
+        )
 
-        Requests that are not blocked are evicted first, then blocked ones as well,
-        because there must be room to find new crashing requests.
-        """
-        traces = sum(len(crash.ran) for crash in self.crashes)
-        if len(self.crashes) <= MAX_CRASHES and traces <= MAX_TRACES:
-            return
-        older = self.crashes[: len(self.crashes) // 2]
-        for crashes, protected in (
-            (older, dict(self.blocked)),
-            (list(self.crashes), {}),
-        ):
-            for crash in crashes:
-                if len(self.crashes) <= MAX_CRASHES and traces <= MAX_TRACES:
-                    return
-                traces -= self._forget_requests(
-                    crash, protected.get(crash.target, frozenset())
-                )
-
-    def _forget_requests(
-        self, crash: EndpointCrash, protected: frozenset[Fingerprint]
-    ) -> int:
-        """Forget the requests of a crash, except for the protected ones.
-
-        :returns: the number of requests forgotten.
-        """
-        dropped = set(crash.ran) - protected
-        for fingerprint in dropped:
-            self._forget(fingerprint, crash)
-        if not crash.ran:
-            self.crashes.remove(crash)
-        self.stale_targets.add(crash.target)
-        return len(dropped)
+    # Export to the store.
 
-    def expire(self, now: float) -> None:
-        """Forget crashes and answers that are too old.
+    def blocked_traces(self, now: float) -> Iterator[CrashTrace]:
+        """Yield the traces of blocked requests, to be stored permanently.
 
         :param now: monotonic seconds.
         """
-        for key, at in list(self.answered.items()):
-            if now - at > FORGOTTEN_SECONDS:
-                del self.answered[key]
-        known = dict(self.blocked)
-        for crash in list(self.crashes):
-            blocked = known.get(crash.target, frozenset())
-            for fingerprint in list(crash.ran):
-                kept = BLOCKED_SECONDS if fingerprint in blocked else FORGOTTEN_SECONDS
-                if now - crash.at > kept:
-                    self._forget(fingerprint, crash)
-                    self.stale_targets.add(crash.target)
-            if not crash.ran:
-                self.crashes.remove(crash)
-
-    # Export to other VMs and to the store.
-
-    def traces(self, now: float) -> Iterator[CrashTrace]:
-        """Yield all known traces, to be sent to another VM.
+        for trace in self.traces(now):
+            blocked = self.blocked.get(trace.target, frozenset())
+            if trace.fingerprint in blocked and not trace.answered:
+                yield replace(trace, parts=())
+
+    def blocked_part_traces(self, now: float) -> Iterator[CrashTrace]:
+        """Yield the evidence against blocked parts, to be stored permanently.
 
         :param now: monotonic seconds.
         """
-        for crash in self.crashes:
-            for fingerprint, ran in crash.ran.items():
-                yield CrashTrace(
-                    fingerprint,
-                    crash.target,
-                    crash.endpoint,
-                    now - crash.at,
-                    ran,
-                    held=crash.at - crash.sent[fingerprint],
-                )
-        for (fingerprint, target), at in self.answered.items():
-            yield CrashTrace(
-                fingerprint, target, EndpointName(""), now - at, answered=True
-            )
+        for target, verdicts in self.blocked_parts.items():
+            blamed = set().union(*(one.parts for one in verdicts))
+            for trace in self.traces(now):
+                parts = tuple(part for part in trace.parts if part in blamed)
+                if trace.target == target and parts and not trace.answered:
+                    yield replace(trace, parts=parts)
+            yield from self.served_trace(target, now)
 
-    def digest(self) -> int:
-        """Hash the known traces; VMs with the same traces get the same digest."""
-        rows = [
-            f"{fingerprint} {crash.endpoint} {crash.target}"
-            for crash in self.crashes
-            for fingerprint in crash.ran
-        ]
-        rows += [f"{fingerprint} {target}" for fingerprint, target in self.answered]
-        return xxhash.xxh3_64_intdigest("\n".join(sorted(rows)).encode())
 
-    def blocked_traces(self, now: float) -> Iterator[CrashTrace]:
-        """Yield the traces of blocked requests, to be stored permanently.
+def _max_runtime(request: Fingerprint, crash: EndpointCrash) -> float:
+    """Return the longest time that an endpoint may have run a request before crashing.
 
-        :param now: monotonic seconds.
-        """
-        for trace in self.traces(now):
-            blocked = self.blocked.get(trace.target, frozenset())
-            if trace.fingerprint in blocked and not trace.answered:
-                yield trace
+    A request whose answer had not started may have been waiting at the endpoint, or may
+    just have started to run.
+
+    :returns: seconds.
+    """
+    ran = crash.ran[request]
+    return crash.at - crash.sent[request] if ran is None else ran
--- a/walnutquay/state/requests/crashtypes.py
+++ b/walnutquay/state/requests/crashtypes.py
@@ -10,6 +10,7 @@
 from walnutquay.state.process.ids import (
     EndpointName,
     Fingerprint,
+    PartName,
     ServiceName,
     VersionName,
 )
@@ -40,6 +41,8 @@
     :param answered: whether the request was answered and the endpoint kept running.
     :param held: seconds between sending the request to the endpoint and the crash;
         infinite if not reported.
+    :param parts: the parts of its prompt that other prompts may share; of an answer,
+        those for which it is evidence.
     """
 
     fingerprint: Fingerprint
@@ -49,6 +52,7 @@
     ran: float | None = None
     answered: bool = False
     held: float = math.inf
+    parts: tuple[PartName, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -62,6 +66,7 @@
         answer and the crash; None if no answer had started.
     :param sent: the time at which each of them was sent to the endpoint; monotonic
         seconds.
+    :param parts: the parts of their prompts that have not been answered since.
     """
 
     endpoint: EndpointName
@@ -69,6 +74,7 @@
     at: float
     ran: dict[Fingerprint, float | None] = field(default_factory=dict)
     sent: dict[Fingerprint, float] = field(default_factory=dict)
+    parts: dict[Fingerprint, set[PartName]] = field(default_factory=dict)
 
     def received_before_crash(self, fingerprint: Fingerprint) -> bool:
         """Check whether a request was sent before the crash was noticed.
