Report answers of services as unknown where their connection was reset

What callers saw: on our own interface a service's answer without a length, cut by a reset, came as a whole 200 answer.

Cause: the body was read to its end, and a reset ends it like an orderly close; only the users' platform checked which of the two it was.

The check is now part of reading a whole answer, for services and engines; answers to HEAD have no body that a reset could cut.

--- a/standins/behaviour.py
+++ b/standins/behaviour.py
@@ -41,7 +41,10 @@
     :param cut_after: events, or bytes of a plain body, after which the connection
         is reset; None for a whole answer.
     :param within: bytes of the next event that are sent before the cut.
-    :param framed: whether a plain answer says its length.
+    :param cut_orderly: whether a stream that is cut off ends by closing its
+        connection, without a reset.
+    :param framed: whether an answer says its length or comes in chunks; otherwise it
+        ends with its connection.
     :param crossed: whether the answer carries another request's id.
     :param named: whether the answer carries an id at all.
     :param not_run: whether it says that nothing was run.
@@ -73,6 +76,7 @@
     first: int | None = None
     cut_after: int | None = None
     within: int = 0
+    cut_orderly: bool = False
     framed: bool = True
     crossed: bool = False
     named: bool = True
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -247,8 +247,12 @@
         behaviour: Behaviour,
     ) -> bool:
         assert behaviour.events is not None
-        head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+        framing = "Transfer-Encoding: chunked"
+        if not behaviour.framed:
+            framing = "Connection: close"
+        head = f"Content-Type: text/event-stream\r\n{framing}"
         writer.write(self._head(seen, behaviour, head))
+        chunk = _chunk if behaviour.framed else bytes
         first = behaviour.first or int(seen.headers.get("last-event-id", "0")) + 1
         left = asyncio.ensure_future(caller_ends(reader))
         for number in range(first, behaviour.events + 1):
@@ -261,11 +265,12 @@
             event = f"id: {number}\ndata: word {number}{padding}\n\n".encode()
             if behaviour.cut_after is not None and number > behaviour.cut_after:
                 if behaviour.within:
-                    writer.write(_chunk(event[: behaviour.within]))
+                    writer.write(chunk(event[: behaviour.within]))
                 await writer.drain()
-                _reset(writer)
+                if not behaviour.cut_orderly:
+                    _reset(writer)
                 return False
-            writer.write(_chunk(event))
+            writer.write(chunk(event))
             if await _is_unread(writer, behaviour.unread_after):
                 seen.cut = True
                 return False
@@ -277,7 +282,8 @@
             if left.done():
                 seen.left = True
                 return False
-        writer.write(LAST_CHUNK)
+        if behaviour.framed:
+            writer.write(LAST_CHUNK)
         await writer.drain()
         left.cancel()
         return False
--- a/walnutquay/coordination/own/engines.py
+++ b/walnutquay/coordination/own/engines.py
@@ -17,7 +17,7 @@
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.protocol import chat
 from walnutquay.state.store.parts import Endpoint
-from walnutquay.transport.client import READ_BYTES, HttpClient
+from walnutquay.transport.client import READ_BYTES, HttpClient, read_whole
 from walnutquay.transport.timers import monotonic
 
 HEADER_REQUEST_ID = "x-request-id"
@@ -130,7 +130,9 @@
             timeout=call.remaining_seconds(),
         ) as answer:
             self._check(call, answer.status, answer.headers)
-            return _parse_answer(call, answer.status, await answer.read())
+            return _parse_answer(
+                call, answer.status, await read_whole(answer, call.endpoint.name)
+            )
 
     async def _fetch_again(self, call: EngineCall) -> EngineAnswer | None:
         """Fetch the answer to a dispatch again, as the engine may have kept it."""
@@ -146,7 +148,9 @@
                 if answer.status != 200:
                     return None
                 self._check(call, answer.status, answer.headers)
-                return _parse_answer(call, answer.status, await answer.read())
+                return _parse_answer(
+                    call, answer.status, await read_whole(answer, call.endpoint.name)
+                )
         except EndpointError:
             return None
 
@@ -224,7 +228,9 @@
         ) as answer:
             self._check(call, answer.status, answer.headers)
             if answer.status != 200:
-                raise EngineRefusalError(answer.status, await answer.read(), call)
+                raise EngineRefusalError(
+                    answer.status, await read_whole(answer, call.endpoint.name), call
+                )
             async for data in answer.content.iter_chunked(READ_BYTES):
                 for event in parser.feed(data):
                     yield event
--- a/walnutquay/coordination/own/services.py
+++ b/walnutquay/coordination/own/services.py
@@ -18,7 +18,7 @@
 from walnutquay.state.own.claims import WholeAnswer
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.requests.stages import CostLine, Dispatched, Received
-from walnutquay.transport.client import HttpClient
+from walnutquay.transport.client import HttpClient, read_whole
 from walnutquay.transport.timers import monotonic
 
 # The maximum size of an answer that is forwarded; bytes.
@@ -106,7 +106,7 @@
                 raise EndpointError(
                     "the answer is too large", step="answer", peer=grant.name
                 )
-            body = await answer.read()
+            body = await read_whole(answer, grant.name)
             served = (
                 *answer_headers(answer.headers.items()),
                 (chat.HEADER_REQUEST, arrival.request),
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -50,6 +50,7 @@
 KEEP_SECONDS = 60.0
 # Answers that have no body, whatever their headers say.
 BODILESS = (204, 304)
+HEAD = "HEAD"
 # Endpoints say by this header that they did not begin the work they refuse.
 HEADER_NOT_STARTED = "x-not-started"
 BEFORE_SENDING = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -103,6 +104,7 @@
             answer.headers.get("Content-Length") is not None
             or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
             or answer.status in BODILESS
+            or answer.method == HEAD
         )
         # The answer lets go of its connection with its last byte, which may have come
         # with its head; aiohttp offers no public way to the protocol after that.
@@ -121,6 +123,19 @@
             )
 
 
+async def read_whole(answer: aiohttp.ClientResponse, peer: str) -> bytes:
+    """Read the body of an answer to its end.
+
+    :param answer: the answer.
+    :param peer: the endpoint's name, for errors.
+    :raises EndpointError: if the body ends with a reset of its connection.
+    """
+    end = ConnectionEnd(answer)
+    body = await answer.read()
+    end.check(peer)
+    return body
+
+
 class HttpClient:
     """Calls endpoints; owns the connections to them.
 
