--- a/tests/coordination/own/test_engines.py
+++ b/tests/coordination/own/test_engines.py
@@ -38,7 +38,10 @@
         async def read() -> bytes:
             return BODY
 
-        headers = {HEADER_REQUEST_ID: self.request_id}
+        headers = {
+            HEADER_REQUEST_ID: self.request_id,
+            "Content-Length": str(len(BODY)),
+        }
         yield SimpleNamespace(status=200, headers=headers, read=read)
 
 
