Turn new connections away unread while a VM gets far more of them than others

What callers see: while a balancer hands most new connections to one VM, they wait in that VM's queue of new connections for seconds. Cause: a VM took all of them, however long they waited, while others were idle. Evidence (lab.skew.costs, real processes, 6 VMs, 95 of 100 new connections at one VM): 750 a second, median 1.77 s, 95 in 100 within 2.46 s; 400 a second, 1.14 and 1.38 s; its loop is 3 ms late, its queue has up to 553 connections.

--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -10,6 +10,7 @@
 from sanic import HTTPResponse, Request
 
 from tests.rawcaller import WAIT_SECONDS, RawCaller
+from walnutquay.transport.acceptwait import AcceptWait
 from walnutquay.transport.server import RESPONSE_SECONDS, HttpServer, ServerLimits
 
 # More than the buffers of both sides hold.
@@ -55,3 +56,54 @@
         # Sanic takes a connection for dead after this time of closing.
         closing = self.server.app.config.GRACEFUL_TCP_CLOSE_TIMEOUT
         self.assertGreaterEqual(closing, RESPONSE_SECONDS)
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that the server does not take are reset before they are read."""
+
+    async def asyncSetUp(self) -> None:
+        self.read = 0
+        self.server = HttpServer("gate", ServerLimits(), lambda request, error: None)
+        self.server.route("/large", ["GET"], self.answer, "large")
+        self.wait = AcceptWait()
+        self.server.on_listening = self.wait.listens_at
+        await self.server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.stop)
+
+    async def answer(self, request: Request) -> HTTPResponse:
+        """Count what is read."""
+        self.read += 1
+        return HTTPResponse(b"done")
+
+    async def ask(self) -> bytes:
+        """Send a request, and read until the connection ends."""
+        opened = asyncio.open_connection("127.0.0.1", self.server.port)
+        reader, writer = await opened
+        try:
+            writer.write(GET)
+            async with asyncio.timeout(WAIT_SECONDS):
+                return await reader.read()
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+
+    async def test_one_that_is_not_taken(self):
+        self.server.takes = lambda transport: False
+        self.assertEqual((await self.ask(), self.read), (b"", 0))
+        self.server.takes = lambda transport: True
+        self.assertTrue((await self.ask()).endswith(b"done"))
+
+    async def test_the_wait_of_a_connection_is_measured(self):
+        self.server.takes = lambda transport: not self.wait.is_probe(transport)
+        await self.wait.measure()
+        async with asyncio.timeout(WAIT_SECONDS):
+            while self.wait.probe is not None:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.assertGreater(self.wait.last, 0.0)
+        self.assertEqual(self.wait.seconds(0.0), self.wait.last)
+
+    async def test_a_wait_that_goes_on_is_told(self):
+        await self.wait.measure()
+        self.addCleanup(self.wait.close)
+        self.assertGreaterEqual(self.wait.seconds(self.wait.began + 5.0), 5.0)
--- a/walnutquay/coordination/fleet/peers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -126,6 +126,14 @@
         others = [place.address for place in known if place.address != self.own]
         self.node.send_all(others, body)
 
+    def answer(self, vm: VmName, body: Message) -> None:
+        """Send a message to one VM; it may be lost.
+
+        :param vm: the VM.
+        :param body: the message.
+        """
+        self.send_to([vm], body)
+
     def send_to_hall(self, hall: HallName, body: Message) -> None:
         """Send a message to all other VMs of a data hall; it may be lost.
 
--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -18,7 +18,7 @@
 from walnutquay.protocol.ownmessages import Heartbeat
 from walnutquay.state.fleet.membership import Address, MemberTable, MemberUpdate
 from walnutquay.state.process.events import EventKind
-from walnutquay.state.process.ids import MemberState
+from walnutquay.state.process.ids import MemberState, VmName
 from walnutquay.transport.client import get_json
 from walnutquay.transport.connectors import KeptConnector
 from walnutquay.transport.peers import PeerNode
@@ -159,6 +159,14 @@
         for name in self.table.targets():
             self.send(name, body)
 
+    def answer(self, vm: VmName, body: Message) -> None:
+        """Send a message to one VM; it may be lost.
+
+        :param vm: the VM.
+        :param body: the message.
+        """
+        self.send(vm, body)
+
     def is_responsible_for(self, key: str) -> bool:
         """Check whether this VM does the work that only one VM does for a key.
 
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -13,6 +13,7 @@
 import orjson
 import uvloop
 
+from walnutquay.coordination.fleet.connectiongate import CallerGate
 from walnutquay.coordination.own.parts import Parts
 from walnutquay.daemon.administration import AdministrationApi
 from walnutquay.daemon.callers import CallersApi
@@ -45,6 +46,8 @@
             self.parts.services,
             options.fleet.token_days * SECONDS_PER_DAY,
         )
+        gate = CallerGate(self.parts.context, self.parts.members, self.parts.dispatcher)
+        self.callers.server.takes = gate.takes
         self.administration = AdministrationApi(options.administration, self.parts)
         self.stopping = asyncio.Event()
 
@@ -87,6 +90,7 @@
         await parts.rollouts.lease.release()
         # The balancer goes on sending callers here until it has noticed.
         await asyncio.sleep(section.balancer_seconds)
+        self.gate.close()
         self.callers.server.close_listener()
         parts.close_requests()
         loop = asyncio.get_running_loop()
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from walnutquay.coordination.fleet.bootstrap import Bootstrap
+from walnutquay.coordination.fleet.connectiongate import CallerGate
 from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.coordination.fleet.vmlist import VmList
 from walnutquay.coordination.fleet.watchers import Watchers
@@ -156,6 +157,8 @@
         self.crash_record = routing.crash_record
         self.store.eras.restore_listeners.append(self._on_restored)
         self.api = GatewayApi(self.context, self.knowledge, self.path)
+        self.caller_gate = CallerGate(self.context, self.peers, self.dispatcher)
+        self.api.server.web.takes = self.caller_gate.takes
         self.metrics_api = MetricsApi(
             self.context, self.knowledge, self.path, self.versions, self.peers
         )
@@ -223,7 +226,9 @@
         self.metrics_api.start()
         await self.api.ready_server.start(self.listener(options.ready.address))
         await self.metrics_api.server.start(self.listener(options.metrics.address))
-        await self.api.server.start(self.listener(options.callers.address))
+        listener = self.listener(options.callers.address)
+        self.caller_gate.wait.listens_at(listener)
+        await self.api.server.start(listener)
         self.context.timeline.emit(EventKind.STARTED)
 
     def listener(self, address: str) -> socket.socket:
@@ -263,6 +268,7 @@
         self.versions.stop()
         self.path.admission.close()
         self.sharing.stop()
+        self.caller_gate.close()
         self.crash_record.stop()
         self.path.parts.crashes.close()
         # Both at once: little time is left where requests took long to end.
--- a/walnutquay/protocol/messages.py
+++ b/walnutquay/protocol/messages.py
@@ -7,6 +7,7 @@
 import math
 from dataclasses import dataclass, field
 
+from walnutquay.state.fleet.connectiongate import VmArrivals
 from walnutquay.state.fleet.membership import VmLocation
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import EndpointName, HallName, VmName
@@ -239,6 +240,18 @@
     traces: tuple[CrashTrace, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ArrivalsNews(Message):
+    """Tells of the new connections of callers.
+
+    :param arrivals: those of the sender.
+    :param asks: whether the receiver is to tell of its own.
+    """
+
+    arrivals: VmArrivals
+    asks: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashDigest(Message):
     """Lets a VM see whether the sender knows the same of such requests.
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -63,6 +63,7 @@
     slotNews @56 :SlotNews;
     slotReleased @57 :SlotReleased;
     slotsScarce @58 :SlotsScarce;
+    arrivals @59 :Arrivals;
   }
 }
 
@@ -419,3 +420,12 @@
   service @0 :Text;
   seconds @1 :Float64;
 }
+
+# The new connections of callers in the last second, and the seconds for which they wait
+# to be accepted.
+struct Arrivals {
+  perSecond @0 :Float64;
+  wait @1 :Float64;
+  # Whether the receiver is to tell the same of itself.
+  asks @2 :Bool;
+}
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -23,6 +23,7 @@
     PlacesUsed,
 )
 from walnutquay.protocol.slotpeer import SLOT_READERS
+from walnutquay.state.fleet.connectiongate import VmArrivals
 from walnutquay.state.fleet.membership import Address, VmLocation
 from walnutquay.state.process.clock import Stamp
 from walnutquay.state.process.ids import (
@@ -180,6 +181,9 @@
         bytes(r.data), r.direct, r.failing, r.whole, r.returned
     ),
     "crashes": lambda r: m.CrashNews(tuple(_trace(row) for row in r)),
+    "arrivals": lambda r: m.ArrivalsNews(
+        VmArrivals(_seconds(r.perSecond), _seconds(r.wait)), r.asks
+    ),
     "crashDigest": lambda r: m.CrashDigest(int(r)),
     "askCrashes": lambda r: m.AskCrashes(),
     "rateLimits": lambda r: m.RateLimitNews(
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -205,6 +205,17 @@
     return {"askCrashes": None}
 
 
+@body_fields.register
+def _(body: m.ArrivalsNews) -> dict[str, Any]:
+    arrivals = body.arrivals
+    fields = {
+        "perSecond": arrivals.per_second,
+        "wait": arrivals.wait,
+        "asks": body.asks,
+    }
+    return {"arrivals": fields}
+
+
 @body_fields.register
 def _(body: m.Failure) -> dict[str, Any]:
     return {"failure": body.reason}
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -69,6 +69,8 @@
     SLOT_DENIED = "slot-denied"
     SLOT_KEEPER_SILENT = "slot-keeper-silent"
     CALLER_GONE = "caller-gone"
+    CONNECTIONS_SHED = "connections-shed"
+    CONNECTIONS_TAKEN = "connections-taken"
     BROKEN = "broken"
     UNREADABLE = "unreadable"
     PLATFORM_DOWN = "platform-down"
--- /dev/null
+++ b/walnutquay/transport/acceptwait.py
@@ -0,0 +1,79 @@
+# Licensed under the Apache License 2.0: see LICENSE for details.
+
+"""Measures how long new connections wait until this process accepts them.
+
+The system queues them, and tells nothing of the queue; so a connection of this process
+to itself is timed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from walnutquay.transport.timers import monotonic
+
+ANYWHERE = "0.0.0.0"
+LOCAL = "127.0.0.1"
+
+
+class AcceptWait:
+    """The time that a new connection takes until it is accepted."""
+
+    def __init__(self) -> None:
+        # Where this process listens; None before that.
+        self.address: tuple[str, int] | None = None
+        # The connection under way, with its own address, and when it began.
+        self.probe: socket.socket | None = None
+        self.probe_address: tuple[str, int] | None = None
+        self.began = 0.0
+        # The last result; seconds.
+        self.last = 0.0
+
+    def listens_at(self, listener: socket.socket) -> None:
+        """Tell where connections are accepted.
+
+        :param listener: the listening socket.
+        """
+        host, port = listener.getsockname()
+        self.address = (LOCAL if host == ANYWHERE else host, port)
+
+    def seconds(self, now: float) -> float:
+        """Return the wait, or the time that has passed if that is longer.
+
+        :param now: monotonic seconds.
+        """
+        return self.last if self.probe is None else max(self.last, now - self.began)
+
+    async def measure(self) -> None:
+        """Begin to measure, unless that is under way."""
+        if self.address is None or self.probe is not None:
+            return
+        probe = self.probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        probe.setblocking(False)
+        self.began = monotonic()
+        try:
+            probe.bind((self.address[0], 0))
+            self.probe_address = probe.getsockname()
+            await asyncio.get_running_loop().sock_connect(probe, self.address)
+        except OSError:
+            self.close()
+
+    def is_probe(self, transport: asyncio.Transport) -> bool:
+        """Return whether an accepted connection is the one that is measured.
+
+        :param transport: the connection.
+        """
+        if self.probe_address is None:
+            return False
+        if transport.get_extra_info("peername") != self.probe_address:
+            return False
+        self.last = monotonic() - self.began
+        self.close()
+        return True
+
+    def close(self) -> None:
+        """Stop measuring."""
+        if self.probe is not None:
+            self.probe.close()
+        self.probe = self.probe_address = None
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -21,7 +21,7 @@
 from aiohttp.web_server import Server
 
 from walnutquay.transport.heads import last_bytes, split_after_heads
-from walnutquay.transport.listeners import BACKLOG
+from walnutquay.transport.listeners import BACKLOG, take_all
 from walnutquay.transport.sockets import reset_on_close
 from walnutquay.transport.timers import monotonic
 from walnutquay.transport.unread import UnreadConnections
@@ -168,6 +168,8 @@
         self.unread = UnreadConnections()
         # Whether new connections are closed at once.
         self.closed = False
+        # Decides whether a new connection is taken; others are reset unread.
+        self.takes: Callable[[asyncio.Transport], bool] = take_all
 
     def connection_made(
         self, handler: RequestHandler, transport: asyncio.Transport
@@ -181,6 +183,9 @@
         self.head_deadlines.expect_first_byte(handler, self.limits.idle_seconds)
         if self.closed:
             handler.force_close()
+        elif not self.takes(transport):
+            reset_on_close(transport.get_extra_info("socket"))
+            transport.abort()
 
     def connection_lost(
         self, handler: RequestHandler, exc: BaseException | None = None
--- a/walnutquay/transport/listeners.py
+++ b/walnutquay/transport/listeners.py
@@ -30,3 +30,11 @@
         raise
     made.setblocking(False)
     return made
+
+
+def take_all(transport: object) -> bool:
+    """Take each new connection.
+
+    :param transport: its transport.
+    """
+    return True
--- a/walnutquay/transport/server.py
+++ b/walnutquay/transport/server.py
@@ -17,8 +17,12 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.exceptions import SanicException, ServerError
 from sanic.http import Stage
+from sanic.server.protocols.http_protocol import HttpProtocol
 from sanic.signals import Event
 
+from walnutquay.transport.listeners import take_all
+from walnutquay.transport.sockets import reset_on_close
+
 log = logbook.Logger(__name__)
 
 BACKLOG = 1024
@@ -43,6 +47,20 @@
     request_seconds: float = 30.0
 
 
+class _GatedProtocol(HttpProtocol):
+    """A connection, which the server may refuse before it is read."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Close a connection that is not taken.
+
+        :param transport: its transport.
+        """
+        super().connection_made(transport)
+        if not self.app.ctx.server.takes(transport):
+            reset_on_close(transport.get_extra_info("socket"))
+            transport.abort()
+
+
 ErrorWriter = Callable[[Request, SanicException], HTTPResponse]
 
 
@@ -73,6 +91,11 @@
         self.app.middleware("response")(self._end_connection)
         self.app.exception(Exception)(self._error)
         self.app.signal(Event.HTTP_LIFECYCLE_EXCEPTION)(self._cut_answer)
+        # Decides whether a new connection is taken; others are reset unread.
+        self.takes: Callable[[asyncio.Transport], bool] = take_all
+        # Told of the listening socket.
+        self.on_listening: Callable[[socket.socket], None] = _ignore
+        self.app.ctx.server = self
         self.server = None
         self.port = 0
 
@@ -128,9 +151,11 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
         self.port = listener.getsockname()[1]
+        self.on_listening(listener)
         self.server = await self.app.create_server(
             sock=listener,
             backlog=BACKLOG,
+            protocol=_GatedProtocol,
             return_asyncio_server=True,
             access_log=False,
         )
@@ -182,3 +207,7 @@
             connection.abort()
         self.server = None
         Sanic.unregister_app(self.app)
+
+
+def _ignore(listener: socket.socket) -> None:
+    """Do nothing."""
