Refuse a blocked request before it waits for a slot

What callers saw: a request that is blocked from each version waited like others, for a rate limit, a pause or (on our own interface) in the queue, and was refused only then. Cause: blocks were asked for a granted slot only, since they hold for versions. Now a request that every listed version of its service refuses is refused first; the check before each dispatch stays.

--- a/tests/coordination/requests/test_crashingparts.py
+++ b/tests/coordination/requests/test_crashingparts.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 from standins.worker import Behaviour, Seen
 from tests.coordination.requests.test_crashes import EVENTS, CrashCase
@@ -217,3 +218,16 @@
         self.assertEqual(holder.crashes, 0)
         gate.set()
         await self.until(lambda: holder.runs[0].left)
+
+
+class FullEnginesTest(PartCase):
+    """A blocked request is refused at once, also where it would have to wait."""
+
+    async def test_it_does_not_wait_for_a_slot(self):
+        await DistinctRequestsTest.block(self)
+        admission = self.gateway.path.admission
+        waits = mock.AsyncMock(side_effect=AssertionError("it waits"))
+        with mock.patch.object(admission, "acquire", waits):
+            answer = await self.ask("x", CRASHING_PART)
+        self.assertEqual(answer.status, 500)
+        self.assertIn(b'"ends_endpoints"', answer.body)
--- a/walnutquay/coordination/requests/crashes.py
+++ b/walnutquay/coordination/requests/crashes.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import replace
 from typing import Protocol
 
@@ -154,6 +154,22 @@
         """
         return self.blocks.refusal(arrival, target)
 
+    def refusal_by_all(
+        self, arrival: Arrival, targets: Collection[CrashTarget]
+    ) -> Refusal | None:
+        """Check whether a request is blocked from each version, before it waits.
+
+        :param arrival: a request that needs a slot.
+        :param targets: the versions that may run it.
+        :returns: why none of them must be sent it, or None.
+        """
+        if not self.book.verdicts:
+            return None
+        refusals = [self.refusal(arrival, target) for target in targets]
+        if not refusals or None in refusals:
+            return None
+        return refusals[0]
+
     async def has_crashed(self, endpoint: Endpoint | Instance) -> bool:
         """Probe whether the port of an endpoint is closed.
 
--- a/walnutquay/coordination/requests/hooks.py
+++ b/walnutquay/coordination/requests/hooks.py
@@ -5,12 +5,15 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Collection
 
 from walnutquay.coordination.requests.outcomes import Arrival
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.state.process.events import Facts
+from walnutquay.state.process.ids import ServiceName, VersionName
+from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.state.requests.refusals import Refusal
 
 
@@ -96,6 +99,15 @@
         """
         return True
 
+    def targets(self, turn: Turn) -> Collection[CrashTarget]:
+        """Return what may run a request now.
+
+        In the base class the endpoints of a target have no versions.
+
+        :param turn: the request.
+        """
+        return (CrashTarget(ServiceName(turn.target), VersionName("")),)
+
     def retarget(self, turn: Turn, refusal: Refusal) -> bool:
         """Switch a request to another target, if there is one.
 
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -203,6 +203,9 @@
 
     async def _acquire_slot(self, turn: Turn) -> Result[Grant, Refusal]:
         """Acquire a slot, then check that the request may still run."""
+        blocked = self.parts.crashes.refusal_by_all(turn.arrival, self.targets(turn))
+        if blocked is not None:
+            return Error(blocked)
         acquired = await self.parts.admission.acquire(self.slot_request(turn))
         if acquired.is_error():
             return acquired
--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 from expression import Result
 
@@ -19,6 +20,7 @@
 from walnutquay.coordination.routed.stalls import OutOfTimeError, Stalls
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.exceptions import EndpointError, NotStartedError
+from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
 from walnutquay.state.requests.stages import Continuing, Dispatched
 from walnutquay.state.routed.retrypauses import QuickFailure, retry_pause
@@ -123,6 +125,14 @@
                 max(REFUSED_RETRY_SECONDS, wait),
             )
 
+    def targets(self, turn: RoutedTurn) -> Collection[CrashTarget]:
+        """Return the versions that run a request's service now.
+
+        :param turn: the request.
+        """
+        versions = self.admission.registry.versions_of(turn.service)
+        return {CrashTarget(turn.service, version) for version in versions}
+
     def count_not_reached(self, turn: RoutedTurn, grant: Grant) -> None:
         """Count nothing: an endpoint that is not reached is avoided while it is not.
 
