--- a/soak/behaviours.py
+++ b/soak/behaviours.py
@@ -13,6 +13,10 @@
 WORK_SECONDS = 0.2
 # A body that ends each engine that begins to run it.
 CRASHING = b"crash"
+# Parts of prompts whose names begin so end each engine that begins to answer them; all
+# prompts begin with the first part.
+CRASHING_PART = "bad"
+FIRST_PART = "5c1e"
 # Second answers come by themselves after so long, some on connections in use again.
 AGAIN_SECONDS = (0.001, 0.08)
 # Shares of answers: those that come twice; of these, those in the place of the next
@@ -29,7 +33,7 @@
 
 def behave(seen: Seen) -> Behaviour:
     """:returns: how endpoints answer: engines end within some bodies' answers."""
-    if seen.body == CRASHING:
+    if seen.body == CRASHING or crashing_part(seen):
         return Behaviour(events=EVENTS, crash_after=1)
     if seen.target.startswith("/stream/"):
         return Behaviour(events=EVENTS, pause=0.01)
@@ -49,6 +53,13 @@
     return behaviour
 
 
+def crashing_part(seen: Seen) -> str:
+    """:returns: the part of a prompt that ends engines; empty if it has none."""
+    shared = seen.headers.get("prefix-hash", "").split(",")[:-1]
+    names = (text.partition(":")[0] for text in shared)
+    return next((name for name in names if name.startswith(CRASHING_PART)), "")
+
+
 def _come_twice(behaviour: Behaviour, rng: random.Random) -> None:
     behaviour.extra = True
     behaviour.extra_late = rng.random() < NEXT_SHARE
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from soak.behaviours import CRASHING
+from soak.behaviours import CRASHING, CRASHING_PART, FIRST_PART
 from soak.connections import Connections, encode_request
 from soak.fleet import APP, HOST, SoakFleet, Vm
 from standins.answers import NotAnAnswerError
@@ -25,6 +25,9 @@
 LEAVE_SHARE = 0.05
 # Requests that end engines are brought again so often, and as often again.
 CRASH_TRIES = 5
+# Requests that share a part which ends engines, and parts that sound ones share.
+PART_REQUESTS = 8
+SHARED_PARTS = 5
 # Requests a second, and the weight of each kind of them, as the work changes.
 RATES = (10.0, 40.0)
 WEIGHTS = (0.1, 1.0)
@@ -163,8 +166,26 @@
             await self.send(Kind.STREAM, vm, CRASHING, path)
             await asyncio.sleep(self.rng.uniform(0.0, 1.0))
 
+    async def bring_crashing_part(self, name: str) -> None:
+        """Bring requests like no others that share a part which ends engines.
+
+        :param name: what makes it another part than the ones before.
+        """
+        for number in range(PART_REQUESTS):
+            vm = self.rng.choice(self.fleet.vms)
+            part = f"{CRASHING_PART}{name}"
+            body = f"part {name} {number}".encode()
+            await self.send(Kind.STREAM, vm, body, f"p{number}", part=part)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+
     async def send(
-        self, kind: Kind, vm: Vm, body: bytes = b"", path: str = "x", key: str = ""
+        self,
+        kind: Kind,
+        vm: Vm,
+        body: bytes = b"",
+        path: str = "x",
+        key: str = "",
+        part: str = "",
     ) -> Sent:
         """Send one request.
 
@@ -173,6 +194,7 @@
         :param body: its body; one of its own if empty.
         :param path: the rest of its path.
         :param key: the key that it carries; one that is drawn if empty.
+        :param part: a part of its prompt, besides the usual ones; none if empty.
         :returns: what came of it.
         """
         request = f"r{next(self.numbers)}"
@@ -187,7 +209,7 @@
             sent.left = True
         try:
             async with asyncio.timeout(patience):
-                await self._exchange(sent, path)
+                await self._exchange(sent, path, part)
         except (TimeoutError, OSError):
             # What came until then is kept; the judge decides what it must be.
             pass
@@ -196,7 +218,9 @@
         sent.ended_at = time.monotonic()
         return sent
 
-    async def _exchange(self, sent: Sent, path: str) -> None:
+    async def _exchange(self, sent: Sent, path: str, part: str) -> None:
+        shared = f"q{self.rng.randrange(SHARED_PARTS)}"
+        names = [FIRST_PART, shared, *([part] if part else []), f"f{sent.request}"]
         headers = {
             "Host": APP,
             "Request-Id": sent.request,
@@ -204,6 +228,7 @@
             "Authorization": f"Bearer {sent.key}",
             "Model": "*",
             "Token-Count": "100,10",
+            "Prefix-Hash": ",".join(f"{name}:20" for name in names),
         }
         target = f"/{sent.kind.value}/{path}"
         request = encode_request("POST", target, headers, sent.body)
--- a/soak/calm.py
+++ b/soak/calm.py
@@ -9,6 +9,7 @@
 
 from soak.callers import Callers, Kind, Sent
 from soak.fleet import CONTACT_SECONDS, HANG_SECONDS, PROMISES, Endpoint, SoakFleet
+from soak.judge import CRASHES_OF_PART
 from soak.overload import Overload, unheard
 from standins.worker import WorkerStandIn
 from walnutquay.state.requests.attribution import CRASHES_TO_BLOCK
@@ -41,6 +42,7 @@
             await self.fleet.until_ready(vm)
         found = await self._served()
         found += await self._crashing_found()
+        found += await self._crashing_part_found()
         found += await self._served()
         found += await self._runs_once()
         found += await self._taken_key()
@@ -91,6 +93,21 @@
             return []
         return [f"{ended} engines ended under a request when nothing else was wrong"]
 
+    async def _crashing_part_found(self) -> list[str]:
+        """Have requests brought that share a part which ends engines."""
+        workers = self.fleet.workers()
+        before = sum(worker.crashes for worker in workers)
+        bringing = asyncio.ensure_future(self.callers.bring_crashing_part("last"))
+        while not bringing.done():
+            await self.callers.send(
+                Kind.STREAM, self.callers.rng.choice(self.fleet.vms)
+            )
+        await bringing
+        ended = sum(worker.crashes for worker in workers) - before
+        if ended <= CRASHES_OF_PART:
+            return []
+        return [f"{ended} engines ended by a part when nothing else was wrong"]
+
     async def _runs_once(self) -> list[str]:
         """Have an endpoint end while it works on calls that may run once."""
         sending = asyncio.ensure_future(self._each(Kind.UNSAFE))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -88,6 +88,7 @@
             self.change_configuration,
             self.take_key,
             self.bring_crashing,
+            self.bring_crashing_part,
             self.change_work,
             self.overload,
         ]
@@ -327,6 +328,11 @@
         self.crashing += 1
         await self.callers.bring_crashing(f"crash-{self.crashing}")
 
+    async def bring_crashing_part(self) -> None:
+        """Have callers bring requests that share a part which ends engines."""
+        self.crashing += 1
+        await self.callers.bring_crashing_part(str(self.crashing))
+
     async def change_work(self) -> None:
         """Have callers bring another mix of requests, more or fewer of them."""
         self.callers.change_work(self.rng)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from soak.announcements import AnnouncementJudge
-from soak.behaviours import CRASHING, EVENTS
+from soak.behaviours import CRASHING, EVENTS, crashing_part
 from soak.callers import Callers, Kind, Sent
 from soak.faults import Faults
 from soak.fleet import (
@@ -27,6 +27,8 @@
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 # Sends of a request that has ended three endpoints, later than a VM is given to know.
 SENDS_AFTER = 3
+# The ends after which the same holds for requests that share a part.
+CRASHES_OF_PART = 5
 # Its sends in all: VMs that knew of it may be killed before they have told.
 MOST_SENDS = 3 * CRASHES_TO_BLOCK
 # What a busy machine may take over the times that VMs keep to.
@@ -64,6 +66,7 @@
         """:returns: what has not held, in words."""
         found = [words for sent in self.sent.values() for words in self._request(sent)]
         found += self._crashing()
+        found += self._crashing_parts()
         found += self.announcements.draining()
         found += self._ends()
         found += [f"{vm} sent unasked {data[:80]!r}" for vm, data in self.strays]
@@ -132,6 +135,27 @@
             if len(later) > SENDS_AFTER:
                 yield f"{path} was sent {len(later)} times after three ends"
 
+    def _crashing_parts(self) -> Iterator[str]:
+        parts: dict[str, list[tuple[float, str, int, Seen]]] = {}
+        for worker in self.fleet.workers():
+            for seen in worker.runs:
+                part = crashing_part(seen)
+                if part:
+                    row = (seen.at, worker.address, seen.start, seen)
+                    parts.setdefault(part, []).append(row)
+        for part, rows in parts.items():
+            rows.sort(key=lambda row: row[0])
+            # One start of an engine ends once, however many requests it has.
+            ends = dict.fromkeys((address, start) for _, address, start, _ in rows)
+            if len(ends) < CRASHES_OF_PART:
+                continue
+            fifth = list(ends)[CRASHES_OF_PART - 1]
+            known = next(row[0] for row in rows if (row[1], row[2]) == fifth)
+            limit = known + CONTACT_SECONDS
+            later = [s for at, _, _, s in rows if at > limit and self._in_touch(s)]
+            if len(later) > SENDS_AFTER:
+                yield f"{part} was sent {len(later)} times after five ends"
+
     def _in_touch(self, seen: Seen) -> bool:
         """Whether nothing disturbed the VM that sent it, nor shortly before."""
         return self.sent[seen.headers["request-id"]].vm.in_touch(seen.at)
--- a/walnutquay/state/requests/crashevidence.py
+++ b/walnutquay/state/requests/crashevidence.py
@@ -27,6 +27,8 @@
 MAX_TRACES = 10_000
 MAX_ANSWERED = 1_000
 PARTS_PER_TRACE = 8
+# The part of a limit that is kept when it is exceeded.
+KEPT_SHARE = 0.9
 
 
 class CrashEvidence(ABC):
@@ -42,6 +44,10 @@
         self.parts = PartEvidence()
         # The versions that have new evidence since the last evaluation.
         self.stale_targets: set[CrashTarget] = set()
+        # The most memory that all crashes may take, in units of one request.
+        self.weight_bound = 0
+        # The digest, until something changes.
+        self.known_digest: int | None = None
 
     @abstractmethod
     def protected(self, crash: EndpointCrash) -> frozenset[Fingerprint]:
@@ -60,6 +66,7 @@
         :returns: whether the trace is new.
         """
         at = now - max(0.0, trace.age)
+        self.known_digest = None
         if trace.answered:
             return self._record_answer(trace, at)
         key = (trace.fingerprint, trace.target)
@@ -79,6 +86,7 @@
         crash.sent[trace.fingerprint] = sent
         self.crashes_by_request.setdefault(trace.fingerprint, []).append(crash)
         self._add_parts(crash, trace)
+        self.weight_bound += 1 + len(trace.parts) // PARTS_PER_TRACE + 1
         self._enforce_limits()
         if len(self.crashes_by_request.get(trace.fingerprint, ())) > 1:
             self.stale_targets.add(trace.target)
@@ -156,7 +164,9 @@
         Requests that are not blocked are evicted first, then blocked ones as well,
         because there must be room to find new crashing requests.
         """
-        weight = sum(_weight(crash) for crash in self.crashes)
+        if len(self.crashes) <= MAX_CRASHES and self.weight_bound <= MAX_TRACES:
+            return
+        weight = self.weight_bound = sum(_weight(crash) for crash in self.crashes)
         if len(self.crashes) <= MAX_CRASHES and weight <= MAX_TRACES:
             return
         older = [
@@ -164,12 +174,14 @@
             for crash in self.crashes[: len(self.crashes) // 2]
         ]
         every = [(crash, frozenset()) for crash in self.crashes]
+        enough, light = KEPT_SHARE * MAX_CRASHES, KEPT_SHARE * MAX_TRACES
         for crash, protected in (*older, *every):
-            if len(self.crashes) <= MAX_CRASHES and weight <= MAX_TRACES:
-                return
+            if len(self.crashes) <= enough and weight <= light:
+                break
             before = _weight(crash)
             self._forget_requests(crash, protected)
             weight -= before - _weight(crash)
+        self.weight_bound = weight
 
     def _forget_requests(
         self, crash: EndpointCrash, protected: frozenset[Fingerprint]
@@ -189,6 +201,7 @@
         for key, at in list(self.answered.items()):
             if now - at > FORGOTTEN_SECONDS:
                 del self.answered[key]
+        self.known_digest = None
         known = [(crash, self.protected(crash)) for crash in self.crashes]
         for crash, protected in known:
             for fingerprint in list(crash.ran):
@@ -242,6 +255,11 @@
 
     def digest(self) -> int:
         """Hash the known traces; VMs with the same traces get the same digest."""
+        if self.known_digest is None:
+            self.known_digest = self._digest()
+        return self.known_digest
+
+    def _digest(self) -> int:
         rows = [
             f"{fingerprint} {crash.endpoint} {crash.target}"
             for crash in self.crashes
--- a/walnutquay/state/requests/crashparts.py
+++ b/walnutquay/state/requests/crashparts.py
@@ -36,6 +36,7 @@
 MIN_REQUESTS = 2
 # Memory limits, with the oldest entries evicted first.
 MAX_ANSWERED_PARTS = 20_000
+MAX_CRASHES_OF_PART = 20
 
 PartTarget = tuple[PartName, CrashTarget]
 
@@ -73,9 +74,10 @@
         ]
         for part in new:
             known.add(part)
-            crashes = self.crashes_by_part.setdefault(part, [])
-            if crash not in crashes:
-                crashes.append(crash)
+            requests = crash.requests.setdefault(part, set())
+            if not requests:
+                self._count(part, crash)
+            requests.add(fingerprint)
         if new:
             latest = self.last_crash.get(crash.target, -math.inf)
             self.last_crash[crash.target] = max(crash.at, latest)
@@ -88,7 +90,9 @@
         :param fingerprint: the request.
         """
         for part in crash.parts.pop(fingerprint, ()):
-            if not any(part in others for others in crash.parts.values()):
+            requests = crash.requests[part]
+            requests.discard(fingerprint)
+            if not requests:
                 self._discount(part, crash)
 
     def moved_earlier(self, crash: EndpointCrash) -> None:
@@ -96,7 +100,7 @@
 
         :param crash: a crash that turned out to be earlier than known before.
         """
-        for part in set().union(*crash.parts.values()):
+        for part in list(crash.requests):
             if self.answered.get((part, crash.target), -math.inf) >= crash.at:
                 self._clear(part, crash)
 
@@ -151,12 +155,19 @@
             )
         )
 
+    def _count(self, part: PartName, crash: EndpointCrash) -> None:
+        crashes = self.crashes_by_part.setdefault(part, [])
+        crashes.append(crash)
+        if len(crashes) > MAX_CRASHES_OF_PART:
+            self._clear(part, min(crashes, key=lambda one: one.at))
+
     def _clear(self, part: PartName, crash: EndpointCrash) -> None:
-        for known in crash.parts.values():
-            known.discard(part)
+        for fingerprint in crash.requests.get(part, ()):
+            crash.parts[fingerprint].discard(part)
         self._discount(part, crash)
 
     def _discount(self, part: PartName, crash: EndpointCrash) -> None:
+        crash.requests.pop(part, None)
         crashes = self.crashes_by_part.get(part, [])
         if crash in crashes:
             crashes.remove(crash)
@@ -232,8 +243,8 @@
     """Return the requests with a part that an endpoint may have run as it crashed."""
     return {
         fingerprint
-        for fingerprint, parts in crash.parts.items()
-        if part in parts and crash.received_before_crash(fingerprint)
+        for fingerprint in crash.requests.get(part, ())
+        if crash.received_before_crash(fingerprint)
     }
 
 
--- a/walnutquay/state/requests/crashtypes.py
+++ b/walnutquay/state/requests/crashtypes.py
@@ -67,6 +67,7 @@
     :param sent: the time at which each of them was sent to the endpoint; monotonic
         seconds.
     :param parts: the parts of their prompts that have not been answered since.
+    :param requests: the same, by part.
     """
 
     endpoint: EndpointName
@@ -75,6 +76,7 @@
     ran: dict[Fingerprint, float | None] = field(default_factory=dict)
     sent: dict[Fingerprint, float] = field(default_factory=dict)
     parts: dict[Fingerprint, set[PartName]] = field(default_factory=dict)
+    requests: dict[PartName, set[Fingerprint]] = field(default_factory=dict)
 
     def received_before_crash(self, fingerprint: Fingerprint) -> bool:
         """Check whether a request was sent before the crash was noticed.
--- a/walnutquay/state/requests/verdicts.py
+++ b/walnutquay/state/requests/verdicts.py
@@ -51,10 +51,7 @@
         if self.part is None or self.moments > CRASHES_TO_BLOCK:
             return False
         requests = {
-            name
-            for crash in self.crashes
-            for name, parts in crash.parts.items()
-            if self.part in parts
+            name for crash in self.crashes for name in crash.requests.get(self.part, ())
         }
         return len(requests) < REQUESTS_TO_CONFIRM
 
