--- a/tests/coordination/requests/test_crashingparts.py
+++ b/tests/coordination/requests/test_crashingparts.py
@@ -12,6 +12,7 @@
 from tests.coordination.requests.test_crashes import EVENTS, CrashCase
 from tests.gatewaycase import Got
 from walnutquay.commands.fleetstate import concerns, read_figures, state_of
+from walnutquay.coordination.requests.limits import STEP_ENDED
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.requests.crashparts import SAME_MOMENT_SECONDS
@@ -216,6 +217,8 @@
         answer = await held
         self.assertFalse(answer.whole)
         self.assertEqual(holder.crashes, 0)
+        steps = [line["step"] for line in self.events_of(EventKind.FAILED)]
+        self.assertEqual(steps.count(STEP_ENDED), 1)
         gate.set()
         await self.until(lambda: holder.runs[0].left)
 
--- a/tests/state/requests/test_crashparts.py
+++ b/tests/state/requests/test_crashparts.py
@@ -177,6 +177,8 @@
         for _ in range(6):
             self.crash((FIRST,), (FIRST, "q"))
         self.assertFalse(self.refused(FIRST))
+        self.assertFalse(self.refused(FIRST, "q"))
+        self.assertEqual(self.history.blocked_parts, {})
 
     def test_two_parts_that_are_always_together_are_blocked_together_only(self):
         for _ in range(3):
