Take all connections again as soon as few come

What callers see: after a storm of connections a VM that had turned some away went on to do so for 31 and 40 s, one connection here and there, with nothing to wait for. Cause: the share rose with new connections only, a twentieth each, and the last wait stayed valid without end.

Now connections are turned away only while 20 come within a second, and a wait is valid for 2 s. The new test of the gate fails on the code before.

--- a/tests/state/fleet/test_connectiongate.py
+++ b/tests/state/fleet/test_connectiongate.py
@@ -71,6 +71,13 @@
         self.connect(40 * STEP_SECONDS, SHORT, VmArrivals(FEW, SHORT))
         self.assertEqual(self.gate.share, 1.0)
 
+    def test_taken_at_once_where_few_come_after_a_storm(self):
+        self.connect(2.0, LONG, VmArrivals(FEW, SHORT))
+        self.assertLess(self.gate.share, 1.0)
+        self.now += 5.0
+        for _ in range(MEASURED_CONNECTIONS - 1):
+            self.assertTrue(self.gate.takes(LONG, 1.0, self.now))
+
     def test_wait_is_measured_for_many_connections_only(self):
         for _ in range(MEASURED_CONNECTIONS - 1):
             self.gate.takes(SHORT, 0.0, self.now)
--- a/walnutquay/state/fleet/connectiongate.py
+++ b/walnutquay/state/fleet/connectiongate.py
@@ -25,7 +25,8 @@
 # counted over the same time; seconds.
 KNOWN_SECONDS = 1.5
 COUNTED_SECONDS = 1.0
-# The wait is measured while at least so many connections came within that time.
+# The wait is measured, and connections may be turned away, while at least so many came
+# within that time.
 MEASURED_CONNECTIONS = 20
 # The interval at which the share of connections that is taken changes, what it falls to
 # and rises by, and its least value: some are always taken, as others may be full too.
@@ -68,7 +69,10 @@
         :param now: monotonic seconds.
         """
         self.times.append(now)
-        self._drop_old(now)
+        if not self.needs_wait(now):
+            # Few connections are no queue, whatever the last wait was.
+            self.share = 1.0
+            return True
         if now - self.stepped_at >= STEP_SECONDS:
             self.stepped_at = now
             self._step(wait, now)
--- a/walnutquay/transport/acceptwait.py
+++ b/walnutquay/transport/acceptwait.py
@@ -18,6 +18,8 @@
 # A connection that has not been recognised by then is given up, and no other is made:
 # its address may have been translated on the way.  Callers wait less for a connection.
 GIVE_UP_SECONDS = 5.0
+# A result is valid for so long.
+VALID_SECONDS = 2.0
 
 
 class AcceptWait:
@@ -30,8 +32,9 @@
         self.probe: socket.socket | None = None
         self.probe_address: tuple[str, int] | None = None
         self.began = 0.0
-        # The last result; seconds.
+        # The last result, in seconds, and when it came.
         self.last = 0.0
+        self.measured_at = float("-inf")
 
     def listens_at(self, listener: socket.socket) -> None:
         """Tell where connections are accepted.
@@ -46,11 +49,12 @@
 
         :param now: monotonic seconds.
         """
+        last = self.last if now - self.measured_at < VALID_SECONDS else 0.0
         if self.probe is None:
-            return self.last
+            return last
         passed = now - self.began
         if passed < GIVE_UP_SECONDS:
-            return max(self.last, passed)
+            return max(last, passed)
         self.close()
         self.address, self.last = None, 0.0
         return 0.0
@@ -78,7 +82,8 @@
             return False
         if transport.get_extra_info("peername") != self.probe_address:
             return False
-        self.last = monotonic() - self.began
+        self.measured_at = monotonic()
+        self.last = self.measured_at - self.began
         self.close()
         return True
 
