--- a/walnutquay/state/requests/crashes.py
+++ b/walnutquay/state/requests/crashes.py
@@ -342,9 +342,9 @@
         :param now: monotonic seconds.
         """
         for target, verdicts in self.blocked_parts.items():
-            blamed = set().union(*(one.parts for one in verdicts))
+            attributed = set().union(*(one.parts for one in verdicts))
             for trace in self.traces(now):
-                parts = tuple(part for part in trace.parts if part in blamed)
+                parts = tuple(part for part in trace.parts if part in attributed)
                 if trace.target == target and parts and not trace.answered:
                     yield replace(trace, parts=parts)
             yield from self.served_trace(target, now)
--- a/walnutquay/state/requests/crashparts.py
+++ b/walnutquay/state/requests/crashparts.py
@@ -180,7 +180,7 @@
         """Return the parts to which crashes of a version may be attributed.
 
         A version that has answered nothing since the first of the crashes may crash
-        under any prompt, so no part is blamed for it.
+        under any prompt, so none is attributed to a part.
 
         :param target: the version.
         """
--- a/walnutquay/state/requests/verdicts.py
+++ b/walnutquay/state/requests/verdicts.py
@@ -35,7 +35,7 @@
 
     @property
     def part(self) -> PartName | None:
-        """The part of a prompt that is blamed; None for a whole request."""
+        """The part that crashes are attributed to; None for a whole request."""
         return part_of(self.feature)
 
     @property
