Recognise a connection to itself by the address that it has once connected

Cause: there the address that a socket has before it is connected is not the one that its peer sees, so the connection to itself was never recognised, and the time since it began was taken for a wait. Evidence: the waits of the lines grow with the clock (0.363 s at 0.722 s, 0.979 s at 1.338 s).

Now the address is read when a connection is accepted, and nothing counts as a wait until one has been recognised.

--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -112,6 +112,9 @@
     async def test_a_wait_that_goes_on_is_told(self):
         await self.wait.measure()
         self.addCleanup(self.wait.close)
+        # Until one has been recognised, nothing is known.
+        self.assertEqual(self.wait.seconds(self.wait.began + 1.0), 0.0)
+        self.wait.works = True
         self.assertGreaterEqual(self.wait.seconds(self.wait.began + 1.0), 1.0)
 
     async def test_a_connection_that_is_never_recognised_is_given_up(self):
--- a/walnutquay/transport/acceptwait.py
+++ b/walnutquay/transport/acceptwait.py
@@ -28,10 +28,11 @@
     def __init__(self) -> None:
         # Where this process listens; None before that.
         self.address: tuple[str, int] | None = None
-        # The connection under way, with its own address, and when it began.
+        # The connection under way, and when it began.
         self.probe: socket.socket | None = None
-        self.probe_address: tuple[str, int] | None = None
         self.began = 0.0
+        # Whether one has been recognised so far: until then nothing is known of a wait.
+        self.works = False
         # The last result, in seconds, and when it came.
         self.last = 0.0
         self.measured_at = float("-inf")
@@ -54,7 +55,7 @@
             return last
         passed = now - self.began
         if passed < GIVE_UP_SECONDS:
-            return max(last, passed)
+            return max(last, passed) if self.works else 0.0
         self.close()
         self.address, self.last = None, 0.0
         return 0.0
@@ -67,8 +68,6 @@
         probe.setblocking(False)
         self.began = monotonic()
         try:
-            probe.bind((self.address[0], 0))
-            self.probe_address = probe.getsockname()
             await asyncio.get_running_loop().sock_connect(probe, self.address)
         except OSError:
             self.close()
@@ -78,10 +77,13 @@
 
         :param transport: the connection.
         """
-        if self.probe_address is None:
+        # Its own address is known once the system has connected it, which may be before
+        # this process is told.
+        if self.probe is None:
             return False
-        if transport.get_extra_info("peername") != self.probe_address:
+        if transport.get_extra_info("peername") != self.probe.getsockname():
             return False
+        self.works = True
         self.measured_at = monotonic()
         self.last = self.measured_at - self.began
         self.close()
@@ -91,4 +93,4 @@
         """Stop measuring."""
         if self.probe is not None:
             self.probe.close()
-        self.probe = self.probe_address = None
+        self.probe = None
