Keep the gate of connections where the stop of an entry VM finds it

What operators see: an entry VM of our own interface ended with an error at its stop, cutting what was under way, since 'Turn new connections away unread'. Cause: the gate was a local name, and the stop closes an attribute; nor was it told the listening socket, so it measured nothing. Evidence: `make demo` says that VMs ended with 1, and tests of planned stops fail; both hold now (demo exit code 0, a stopped VM 0).

--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -46,8 +46,10 @@
             self.parts.services,
             options.fleet.token_days * SECONDS_PER_DAY,
         )
-        gate = CallerGate(self.parts.context, self.parts.members, self.parts.dispatcher)
-        self.callers.server.takes = gate.takes
+        parts = self.parts
+        self.gate = CallerGate(parts.context, parts.members, parts.dispatcher)
+        self.callers.server.takes = self.gate.takes
+        self.callers.server.on_listening = self.gate.wait.listens_at
         self.administration = AdministrationApi(options.administration, self.parts)
         self.stopping = asyncio.Event()
 
