Show by a script that an answer cut off by a killed forwarding VM seems whole

Cause: an answer without a length ends with its connection, and only a reset tells that it is not whole. Where another VM forwards the connection, the death of that VM's process ends it in the same orderly way as the endpoint does.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,100 @@
+"""A VM is killed while it forwards answers that end with their connections."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path[:0] = [str(HERE.parent), str(HERE.parent.parent)]
+
+import harness  # noqa: E402
+from worker import Worker  # noqa: E402
+
+REQUESTS = 3
+KILL_AFTER_SECONDS = 1.0
+# How a VM logs that it forwards a connection.
+TUNNEL_OPENED = '"kind":"tunnel-opened"'
+# By then VMs that have just started know each other.
+ACQUAINTED_SECONDS = 4.0
+
+
+def forwarded(vm: harness.Vm) -> int:
+    """Return how many connections a VM has forwarded for others, by its log."""
+    return vm.log.read_text("utf-8").count(TUNNEL_OPENED)
+
+
+async def play(deployment: harness.Deployment) -> int:
+    """Play the case.
+
+    :returns: the exit code.
+    """
+    record = deployment.record
+    trouble = harness.troubled()
+    await deployment.start(3)
+    near, *others = deployment.vms
+    worker = Worker("i-worker-1", record.line)
+    await worker.start()
+    configuration = {
+        "version": 1,
+        "routes": [
+            harness.route("plain", "unsafe", "app"),
+            harness.route("safe", "safe", "app"),
+            harness.route("stream", "stream", "app", gapAimMs=1200),
+        ],
+        "services": [{"name": "app", "healthPath": "/healthz", "maxConns": 100}],
+    }
+    await deployment.store.put("config", "main", configuration)
+    await deployment.store.put("servers", worker.name, worker.entry("app"))
+    port, held = harness.held_port()
+    if trouble:
+        # The way from this VM to the worker is cut, and answers with a reset.
+        near.view.moved[worker.address.encode()] = f"127.0.0.1:{port}".encode()
+        record.line(f"{near.name} is cut off from the worker")
+    await deployment.start_vms()
+    await asyncio.sleep(ACQUAINTED_SECONDS)
+
+    async def call(kind: str, number: int) -> tuple[str, harness.Answer]:
+        request = f"{kind}-{number}"
+        reader, writer = await asyncio.open_connection(near.host, near.ports["callers"])
+        writer.write(harness.request_bytes("POST", f"/{kind}/a", request, b"body"))
+        record.line(f"client sends {request} to {near.name}")
+        answer = await harness.read_answer(reader)
+        record.line(
+            f"client has {request}: status {answer.status}, {len(answer.body)} bytes, "
+            f"{'whole' if answer.whole else 'broken off'}, "
+            f"seal {answer.headers.get('reply-seal')}"
+        )
+        writer.close()
+        return request, answer
+
+    calls = [
+        asyncio.ensure_future(call(kind, number))
+        for kind in ("plain", "safe", "stream")
+        for number in range(REQUESTS)
+    ]
+    await harness.until(lambda: len(worker.under_way) == len(calls))
+    if trouble:
+        await asyncio.sleep(KILL_AFTER_SECONDS)
+        helper = max(others, key=forwarded)
+        record.line(f"{helper.name}, which forwards {forwarded(helper)}, is killed")
+        await helper.end(signal.SIGKILL)
+    answers = dict(await asyncio.gather(*calls))
+    held.close()
+    worker.stop()
+    broken = False
+    for request, answer in answers.items():
+        sent = worker.bodies[request]
+        if 200 <= answer.status < 300 and answer.whole and answer.body != sent:
+            broken = True
+            record.line(
+                f"MIXED: {request} got a whole {answer.status} with "
+                f"{len(answer.body)} of the {len(sent)} bytes of the worker's answer"
+            )
+    return harness.BROKEN if broken else harness.HELD
+
+
+if __name__ == "__main__":
+    harness.run(HERE, play)
