Show by a script that VMs keep an old configuration while their watchers are turned away

Cause: one VM of each data hall watches the store for the others. Where the store turns these away and serves the others, the others take its refusal for the store's and never ask it themselves.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -19,11 +20,14 @@
 # Large requests that the tenant sends, one after the other: usually, and while it is
 # hot, which is 7.5 times as many.
 USUAL, HOT = 4, 30
+# From the begin of one to that of the next, so that they take a sixth of the machine's
+# link.
+INTERVAL_SECONDS = 0.2
 # Requests of others that are under way meanwhile, on connections that are kept.
 KEPT = 6
 # A VM that cuts more of them breaks the rule.
 CUTS_ALLOWED = 3
-WORK_PART_SECONDS = 0.8
+WORK_PART_SECONDS = 1.2
 ACQUAINTED_SECONDS = 3.0
 PLATFORM_LOOKS_SECONDS = 0.01
 TOLD_MB = 20.0
@@ -124,7 +128,10 @@
     names = [f"kept-{number}" for number in range(KEPT)]
     await harness.until(lambda: set(names) <= worker.under_way)
     record.line(f"the hot tenant sends {count} large requests, one after the other")
+    began = time.monotonic()
     for number in range(count):
+        due = began + number * INTERVAL_SECONDS
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
         try:
             streams = await asyncio.open_connection(vm.host, vm.ports["callers"])
         except OSError:
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -96,6 +97,9 @@
     def __init__(self, store: StoreStandIn) -> None:
         self.store = store
         self.moved: dict[bytes, bytes] = {}
+        # Whether the store turns this machine away, and its calls by what they were.
+        self.turned_away = False
+        self.calls: Counter[str] = Counter()
         self.app = web.Application()
         self.app.router.add_route("*", "/v1/objects/{path:.+}", self._handle)
         self.runner: web.AppRunner | None = None
@@ -110,7 +114,15 @@
         self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
+        kind = request.match_info["path"].partition("/")[0]
+        watch = " watch" if "watch" in request.query else ""
+        self.calls[f"{request.method} {kind}{watch}"] += 1
+        if self.turned_away:
+            return web.Response(status=503)
         answer = await self.store.handle(request)
+        if self.turned_away:
+            # A watch that had begun before ends like the others.
+            return web.Response(status=503)
         if isinstance(answer, web.Response) and isinstance(answer.body, bytes):
             body = answer.body
             for address, other in self.moved.items():
@@ -207,10 +219,11 @@
     store: StoreStandIn = field(default_factory=StoreStandIn)
     vms: list[Vm] = field(default_factory=list)
 
-    async def start(self, count: int, memory_mb: int = 150) -> None:
+    async def start(self, count: int, halls: int = 1) -> None:
         """Start the store, and prepare entry VMs.
 
         :param count: how many.
+        :param halls: in how many zones they are.
         """
         await self.store.start()
         hosts = [f"127.0.0.{11 + number}" for number in range(count)]
@@ -220,9 +233,13 @@
         for number, host in enumerate(hosts):
             view = StoreView(self.store)
             await view.start()
-            name = f"front-hall-a-{number + 1}"
+            names = [f"hall-{'abc'[hall]}" for hall in range(halls)]
+            hall = names[number % halls]
+            name = f"front-{hall}-{number // halls + 1}"
             settings = self.folder / f"{name}.toml"
-            settings.write_text(_settings(name, host, ports, seeds, view.address))
+            plain = _settings(name, hall, host, ports, seeds, view.address)
+            regions = "".join(f'"{one}" = "region-a"\n' for one in names)
+            settings.write_text(plain.replace("REGIONS", regions))
             log = self.folder / f"{name}.log"
             self.vms.append(Vm(name, host, ports, view, settings, log))
 
@@ -242,7 +259,7 @@
 
 
 def _settings(
-    name: str, host: str, ports: dict[str, int], seeds: str, store: str
+    name: str, hall: str, host: str, ports: dict[str, int], seeds: str, store: str
 ) -> str:
     """Return the settings of a VM, as the template of the deploy file gives them.
 
@@ -252,12 +269,11 @@
     return f"""
 [vm]
 name = "{name}"
-hall = "hall-a"
+hall = "{hall}"
 region = "region-a"
 
 [vm.regions]
-"hall-a" = "region-a"
-
+REGIONS
 [callers]
 address = "{host}:{ports["callers"]}"
 
