Give the cut-off machine of the first review case a zone of its own

The script cuts a machine off from a worker by giving it another address for that worker in its view of the store. That machine was also the one of its zone that reads the store for the others. Where they read through it they have the wrong address as well (supposed; not logged), and nobody can forward: the log shows no connection forwarded in the runs that were logged.

Change: the machine is the only one of its zone, and the workers enter themselves after the VMs know each other, so each zone reads them by a way of its own.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,9 @@
 import harness  # noqa: E402
 from worker import Worker  # noqa: E402
 
-VMS, WORKERS = 4, 5
+# The zones of the machines.  The last machine has a zone of its own, see StoreView.
+HALLS = "aaab"
+WORKERS = 5
 # Of each kind; a fifth of them goes to the worker that one VM does not reach.
 REQUESTS = 20
 # Between two requests: a VM first has to learn who forwards for it.
@@ -22,8 +24,10 @@
 KILL_AFTER_SECONDS = 0.5
 # How a VM logs that it forwards a connection.
 TUNNEL_OPENED = '"kind":"tunnel-opened"'
+# By then all VMs know the workers, whose entries they have to use within two seconds.
+LISTED_SECONDS = 2.0
 # By then VMs that have just started know each other.
-ACQUAINTED_SECONDS = 8.0
+ACQUAINTED_SECONDS = 5.0
 
 
 def forwarded(vm: harness.Vm) -> int:
@@ -38,8 +42,8 @@
     """
     record = deployment.record
     trouble = harness.troubled()
-    await deployment.start(VMS)
-    near, *others = deployment.vms
+    await deployment.start(HALLS)
+    *others, near = deployment.vms
     workers = [
         Worker(f"i-worker-{one}", record.line, PART_SECONDS)
         for one in range(1, WORKERS + 1)
@@ -54,17 +58,19 @@
         "services": [{"name": "app", "healthPath": "/healthz", "maxConns": 100}],
     }
     await deployment.store.put("config", "main", configuration)
+    await deployment.start_vms()
+    await asyncio.sleep(ACQUAINTED_SECONDS)
     for worker in workers:
         await worker.start()
-        await deployment.store.put("servers", worker.name, worker.entry("app"))
     lost = workers[0]
     port, held = harness.held_port()
     if trouble:
         # The way from this VM to the worker is cut, and answers with a reset.
         near.view.moved[lost.address.encode()] = f"127.0.0.1:{port}".encode()
         record.line(f"{near.name} has no way to {lost.name}")
-    await deployment.start_vms()
-    await asyncio.sleep(ACQUAINTED_SECONDS)
+    for worker in workers:
+        await deployment.store.put("servers", worker.name, worker.entry("app"))
+    await asyncio.sleep(LISTED_SECONDS)
 
     async def call(kind: str, number: int) -> tuple[str, harness.Answer]:
         request = f"{kind}-{number}"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -64,7 +64,7 @@
     """
     record = deployment.record
     count = HOT if harness.troubled() else USUAL
-    await deployment.start(1)
+    await deployment.start("a")
     (vm,) = deployment.vms
     worker = Worker(
         "i-worker-1", record.line, WORK_PART_SECONDS, framed=True, paused="/plain/slow"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 import harness  # noqa: E402
 from worker import Worker  # noqa: E402
 
-VMS, HALLS = 9, 3
+HALLS = "abcabcabc"
 # The share of the VMs that the store may turn away, and for how long.
 TURNED_AWAY_SHARE, TURNED_AWAY_SECONDS = 0.35, 9.0
 # Within so long a configuration has to be in force, and what an unstable store may add.
@@ -42,7 +42,7 @@
     :returns: the exit code.
     """
     record = deployment.record
-    await deployment.start(VMS, HALLS)
+    await deployment.start(HALLS)
     worker = Worker("i-worker-1", record.line, 0.0, framed=True)
     await worker.start()
     await deployment.store.put("config", "main", configuration(1, [TAKEN, KEPT]))
@@ -57,7 +57,7 @@
         if vm.view.calls["GET config watch"] > before[vm.name]
     ]
     record.line(f"VMs that watch the store: {', '.join(vm.name for vm in watching)}")
-    away = watching[: int(TURNED_AWAY_SHARE * VMS)]
+    away = watching[: int(TURNED_AWAY_SHARE * len(HALLS))]
     others = [vm for vm in deployment.vms if vm not in away]
     began = time.monotonic()
     if harness.troubled():
--- a/review/harness.py
+++ b/review/harness.py
@@ -90,6 +90,8 @@
 
     A machine whose way to a worker is cut finds nothing at the worker's address.  On
     one host all machines share the loopback, so that machine is told another address.
+    It has to be the only one of its zone: machines of a zone tell each other what they
+    have read in the store.
 
     :param store: the store.
     """
@@ -219,23 +221,22 @@
     store: StoreStandIn = field(default_factory=StoreStandIn)
     vms: list[Vm] = field(default_factory=list)
 
-    async def start(self, count: int, halls: int = 1) -> None:
+    async def start(self, halls: str) -> None:
         """Start the store, and prepare entry VMs.
 
-        :param count: how many.
-        :param halls: in how many zones they are.
+        :param halls: the letter of the zone of each.
         """
         await self.store.start()
-        hosts = [f"127.0.0.{11 + number}" for number in range(count)]
+        hosts = [f"127.0.0.{11 + number}" for number in range(len(halls))]
         kinds = ("callers", "ready", "control", "peers", "metrics")
         ports = dict(zip(kinds, common_ports(hosts, len(kinds)), strict=True))
         seeds = ",".join(f"{host}:{ports['control']}" for host in hosts[:3])
         for number, host in enumerate(hosts):
             view = StoreView(self.store)
             await view.start()
-            names = [f"hall-{'abc'[hall]}" for hall in range(halls)]
-            hall = names[number % halls]
-            name = f"front-{hall}-{number // halls + 1}"
+            names = [f"hall-{letter}" for letter in sorted(set(halls))]
+            hall = f"hall-{halls[number]}"
+            name = f"front-{hall}-{halls[: number + 1].count(halls[number])}"
             settings = self.folder / f"{name}.toml"
             plain = _settings(name, hall, host, ports, seeds, view.address)
             regions = "".join(f'"{one}" = "region-a"\n' for one in names)
