Show what a VM's network link carries, and how long bytes wait for it

The logs of the incident could not tell whether the link was full, or with what. Now [vm] link_mbps names its speed, callers' and endpoints' connections count what they carry, and lines and metrics tell it. Nothing is decided by it.

--- a/walnutquay/coordination/fleet/connectiongate.py
+++ b/walnutquay/coordination/fleet/connectiongate.py
@@ -20,6 +20,8 @@
 # The shortest time between two measurements, and between two questions to other VMs.
 MEASURE_SECONDS = 0.25
 ASK_SECONDS = 0.5
+# How often the log is told whether the VM's link is full.
+LINK_LOOK_SECONDS = 0.25
 SHARE_DIGITS = 2
 
 
@@ -57,8 +59,13 @@
         self.measured_at = self.asked_at = float("-inf")
         # Whether the log says that connections are turned away.
         self.logged = False
+        self.link_logged = False
         dispatcher.on(ArrivalsNews, self.receive)
 
+    def start(self) -> None:
+        """Start looking whether the VM's link is full."""
+        self.context.timers.every("link", LINK_LOOK_SECONDS, self._log_link)
+
     def close(self) -> None:
         """Stop measuring."""
         self.tasks.stop()
@@ -107,6 +114,21 @@
             own = self.gate.own(self.wait.seconds(now), now)
             self.peers.answer(vm, ArrivalsNews(own, False))
 
+    def _log_link(self) -> None:
+        now = monotonic()
+        link = self.context.link
+        wait = link.wait(now)
+        full = self.gate.is_busy(wait)
+        if full == self.link_logged:
+            return
+        self.link_logged = full
+        self.context.timeline.emit(
+            EventKind.LINK_FULL if full else EventKind.LINK_FREE,
+            wait_ms=round(wait * 1000.0),
+            sent_per_second=round(link.sent.per_second(now)),
+            received_per_second=round(link.received.per_second(now)),
+        )
+
     def _log_change(self, wait: float, now: float) -> None:
         shed = self.gate.share < 1.0
         if shed == self.logged:
@@ -118,5 +140,6 @@
             share=round(self.gate.share, SHARE_DIGITS),
             per_second=self.gate.own(wait, now).per_second,
             wait_ms=round(wait * 1000.0),
+            link_ms=round(self.context.link.wait(now) * 1000.0),
             asked=len(self.gate.others),
         )
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -41,10 +41,12 @@
 from walnutquay.state.own.admission import RetryBudget
 from walnutquay.state.own.sessions import PinSealer
 from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.linkload import LinkLoad, bytes_per_second
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.transport.client import HttpClient
 from walnutquay.transport.peers import PeerNode
+from walnutquay.transport.traffic import Traffic
 
 SECONDS_PER_DAY = 86400.0
 # Interval at which a planned stop checks whether all requests have ended.
@@ -72,8 +74,15 @@
         timeline = Timeline(vm, options.memory.events, event_log)
         hall = HallName(options.vm.hall)
         self.context = Context(
-            vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
+            vm,
+            hall,
+            new_incarnation(),
+            timeline,
+            metrics,
+            region=options.vm.region,
+            link=LinkLoad(bytes_per_second(options.vm.link_mbps)),
         )
+        self.traffic = Traffic(self.context.link)
         # Set by the daemon once the administration API listens.
         self.administration_port = 0
         keys = [key.get_secret_value() for key in options.fleet.keys]
@@ -112,7 +121,9 @@
         """Create the components that handle requests."""
         options = self.settings.options
         context = self.context
-        self.client = HttpClient(HEADER_REQUEST_ID, stray_reporter(context))
+        self.client = HttpClient(
+            HEADER_REQUEST_ID, stray_reporter(context), self.traffic
+        )
         self.table = EndpointTable(context.hall, context.rng)
         self.endpoint_monitor = EndpointMonitor(
             context, self.table, self.configurations, self.members, self.dispatcher
--- a/walnutquay/coordination/process/context.py
+++ b/walnutquay/coordination/process/context.py
@@ -18,6 +18,7 @@
     SessionId,
     VmName,
 )
+from walnutquay.state.process.linkload import LinkLoad
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.transport.timers import TimerService, unix_microseconds
 
@@ -102,6 +103,7 @@
     :param timers: the timer service of the process.
     :param rng: the random number generator of the process.
     :param region: the region of the data hall.
+    :param link: what the VM's network link carries.
     """
 
     vm: VmName
@@ -112,6 +114,7 @@
     timers: TimerService = field(default_factory=TimerService)
     rng: random.Random = field(default_factory=random.Random)
     region: str = ""
+    link: LinkLoad = field(default_factory=LinkLoad)
 
     def new_request_id(self) -> RequestId:
         """Return a unique id for a request."""
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -49,6 +49,7 @@
         parts = self.parts
         self.gate = CallerGate(parts.context, parts.members, parts.dispatcher)
         self.callers.server.takes = self.gate.takes
+        self.callers.server.traffic = parts.traffic
         self.callers.server.on_listening = self.gate.wait.listens_at
         self.administration = AdministrationApi(options.administration, self.parts)
         self.stopping = asyncio.Event()
@@ -65,6 +66,7 @@
         self.parts.administration_port = self.administration.server.port
         await self.parts.start()
         await self.callers.start()
+        self.gate.start()
         self.parts.context.timeline.emit(EventKind.STARTED)
         tune_collector()
         announce(self.ports())
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -50,6 +50,7 @@
 from walnutquay.state.fleet.membership import Address
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, VmName
+from walnutquay.state.process.linkload import LinkLoad, bytes_per_second
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.process.revisions import Era
 from walnutquay.transport.client import HttpClient
@@ -57,6 +58,7 @@
 from walnutquay.transport.listeners import listen
 from walnutquay.transport.loops import new_loop
 from walnutquay.transport.peers import PeerNode
+from walnutquay.transport.traffic import Traffic
 
 log = logbook.Logger(__name__)
 
@@ -88,8 +90,15 @@
         event_log = EventLog(metrics).log_event if options.log.events else None
         timeline = Timeline(vm, options.memory.events, event_log)
         self.context = Context(
-            vm, hall, new_incarnation(), timeline, metrics, region=options.vm.region
+            vm,
+            hall,
+            new_incarnation(),
+            timeline,
+            metrics,
+            region=options.vm.region,
+            link=LinkLoad(bytes_per_second(options.vm.link_mbps)),
         )
+        traffic = Traffic(self.context.link)
         on_stray = stray_reporter(self.context)
         self.store = StoreClient(
             options.store.address, count=metrics.count, on_stray=on_stray
@@ -121,7 +130,7 @@
         self.knowledge = links.knowledge(options.promises, first_start)
         self.dispatcher.on(AskKnown, self.knowledge.answer)
         self.dispatcher.on(AskChanges, Relay(self.knowledge).answer)
-        self.client = HttpClient(names.REQUEST_ID, on_stray)
+        self.client = HttpClient(names.REQUEST_ID, on_stray, traffic)
         self.versions = VersionTrials(
             self.context,
             self.knowledge,
@@ -159,6 +168,7 @@
         self.api = GatewayApi(self.context, self.knowledge, self.path)
         self.caller_gate = CallerGate(self.context, self.peers, self.dispatcher)
         self.api.server.web.takes = self.caller_gate.takes
+        self.api.server.web.traffic = traffic
         self.metrics_api = MetricsApi(
             self.context, self.knowledge, self.path, self.versions, self.peers
         )
@@ -228,6 +238,7 @@
         await self.metrics_api.server.start(self.listener(options.metrics.address))
         listener = self.listener(options.callers.address)
         self.caller_gate.wait.listens_at(listener)
+        self.caller_gate.start()
         await self.api.server.start(listener)
         self.context.timeline.emit(EventKind.STARTED)
 
--- a/walnutquay/daemon/metricsapi.py
+++ b/walnutquay/daemon/metricsapi.py
@@ -107,6 +107,7 @@
                 yield f"{PREFIX}_unreadable{label} {len(follower.feed.unreadable)}"
         yield f"{PREFIX}_entry_vms {self.peers.size}"
         yield f"{PREFIX}_requests_in_flight {self.path.in_flight}"
+        yield from self._link()
         yield from self._waiting()
         dropped = self.writer.dropped if self.writer is not None else 0
         yield f"{PREFIX}_log_lines_dropped_total {dropped}"
@@ -131,6 +132,16 @@
                 yield f"{PREFIX}_trial_good{labels} {counts.good}"
                 yield f"{PREFIX}_trial_bad{labels} {counts.bad}"
 
+    def _link(self) -> Iterator[str]:
+        """Tell what this VM's network link carries."""
+        now = monotonic()
+        link = self.context.link
+        yield f"{PREFIX}_link_wait_seconds {link.wait(now):.3f}"
+        rates = {"sent": link.sent, "received": link.received}
+        for direction, rate in rates.items():
+            label = f'{{direction="{direction}"}}'
+            yield f"{PREFIX}_link_bytes_per_second{label} {rate.per_second(now):.0f}"
+
     def _waiting(self) -> Iterator[str]:
         """Tell whose requests wait for an outcome here, and since when the oldest."""
         now = monotonic()
--- a/walnutquay/state/process/events.py
+++ b/walnutquay/state/process/events.py
@@ -71,6 +71,8 @@
     CALLER_GONE = "caller-gone"
     CONNECTIONS_SHED = "connections-shed"
     CONNECTIONS_TAKEN = "connections-taken"
+    LINK_FULL = "link-full"
+    LINK_FREE = "link-free"
     BROKEN = "broken"
     UNREADABLE = "unreadable"
     PLATFORM_DOWN = "platform-down"
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -38,6 +38,7 @@
     on_connection,
 )
 from walnutquay.transport.timers import monotonic
+from walnutquay.transport.traffic import Traffic
 
 # A connection within a region is up after some milliseconds; a lost packet of its
 # opening is sent again only a second later, when a new attempt would be up already.
@@ -145,14 +146,26 @@
 
     :param id_header: the header of requests that their answers repeat.
     :param on_stray: told of bytes and answers that belong to no request.
+    :param traffic: counts what the connections carry.
     """
 
-    def __init__(self, id_header: str = "", on_stray: OnStray = ignore_stray) -> None:
+    def __init__(
+        self,
+        id_header: str = "",
+        on_stray: OnStray = ignore_stray,
+        traffic: Traffic | None = None,
+    ) -> None:
         self.id_header = id_header
         kept = KeptConnector(
-            on_stray, id_header, limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
+            on_stray,
+            id_header,
+            traffic,
+            limit=CONNECTIONS,
+            keepalive_timeout=KEEP_SECONDS,
+        )
+        fresh = KeptConnector(
+            on_stray, id_header, traffic, limit=CONNECTIONS, force_close=True
         )
-        fresh = KeptConnector(on_stray, id_header, limit=CONNECTIONS, force_close=True)
         plain = {
             "auto_decompress": False,
             "cookie_jar": aiohttp.DummyCookieJar(),
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -24,6 +24,7 @@
 
 from walnutquay.transport.heads import HEAD_END, last_bytes, split_after_heads
 from walnutquay.transport.sockets import reset_on_close, was_reset
+from walnutquay.transport.traffic import CountedTransport, Traffic
 
 # Requests that one connection carries; it remembers their ids.
 MAX_CARRIED = 256
@@ -84,32 +85,6 @@
     )
 
 
-class NotedTransport:
-    """A transport that notes writes, which aiohttp offers no public way to do.
-
-    :param transport: the transport.
-    """
-
-    __slots__ = ("transport", "was_written")
-
-    def __init__(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
-        self.was_written = False
-
-    def write(self, data: Any) -> None:
-        """:param data: bytes to send."""
-        self.was_written = True
-        self.transport.write(data)
-
-    def writelines(self, parts: Any) -> None:
-        """:param parts: bytes to send, in order."""
-        self.was_written = True
-        self.transport.writelines(parts)
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.transport, name)
-
-
 class KeptProtocol(ResponseHandler):
     """An aiohttp connection that closes when bytes come unasked, and notices resets.
 
@@ -121,11 +96,15 @@
 
     :param loop: the loop.
     :param on_stray: told of bytes that belong to no request.
+    :param traffic: counts what the connection carries.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, on_stray: OnStray) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_stray: OnStray, traffic: Traffic
+    ) -> None:
         super().__init__(loop)
         self.on_stray = on_stray
+        self.traffic = traffic
         # Whether a request was sent, and one is under way, whose answer has not ended.
         self.used = False
         self.under_way = False
@@ -133,7 +112,7 @@
         self.head_due = False
         self.behind_head = 0
         # Notes what is written to the connection.
-        self.noted: NotedTransport | None = None
+        self.noted: CountedTransport | None = None
         # The last bytes that have come.
         self.before = b""
         # How the library has answers read.
@@ -147,7 +126,7 @@
         """:param transport: the connection's."""
         super().connection_made(transport)
         assert self.transport is not None
-        self.transport = self.noted = NotedTransport(self.transport)
+        self.transport = self.noted = CountedTransport(self.transport, self.traffic)
 
     @property
     def was_written(self) -> bool:
@@ -196,6 +175,7 @@
             # The library goes on with what it has read already.
             super().data_received(data)
             return
+        self.traffic.received(len(data))
         for part in split_after_heads(self.before, data):
             # Some endpoints refuse a connection before they have read a request.
             if self.used and not self.under_way:
@@ -301,13 +281,18 @@
 
     :param loop: the loop.
     :param on_stray: told of answers that belong to no request under way.
+    :param traffic: counts what the connection carries.
     :param id_header: the header that holds the id.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, on_stray: OnStray, id_header: str
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_stray: OnStray,
+        traffic: Traffic,
+        id_header: str,
     ) -> None:
-        super().__init__(loop, on_stray)
+        super().__init__(loop, on_stray, traffic)
         self.id_header = id_header
         self.request = ""
         # The ids that were sent here: each might be answered once more.
--- a/walnutquay/transport/connectors.py
+++ b/walnutquay/transport/connectors.py
@@ -22,6 +22,7 @@
     ignore_stray,
 )
 from walnutquay.transport.sockets import limited_socket
+from walnutquay.transport.traffic import Traffic
 
 # Asked when a request has its connection, right before it is sent: whether it may still
 # be sent.
@@ -62,6 +63,7 @@
     :param on_stray: told of bytes that belong to no request.
     :param id_header: the header by which answers are matched to requests; None
         where answers repeat none.
+    :param traffic: counts what the connections carry.
     :param options: the library's own.
     """
 
@@ -69,14 +71,16 @@
         self,
         on_stray: OnStray = ignore_stray,
         id_header: str | None = None,
+        traffic: Traffic | None = None,
         **options: Any,
     ) -> None:
         super().__init__(socket_factory=limited_socket, **options)
         self.id_header = id_header
-        factory = functools.partial(KeptProtocol, self._loop, on_stray)
+        counted = traffic or Traffic()
+        factory = functools.partial(KeptProtocol, self._loop, on_stray, counted)
         if id_header is not None:
             factory = functools.partial(
-                MatchingProtocol, self._loop, on_stray, id_header
+                MatchingProtocol, self._loop, on_stray, counted, id_header
             )
         # aiohttp offers no public way to a protocol of one's own.
         self._factory = factory
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -24,6 +24,7 @@
 from walnutquay.transport.listeners import BACKLOG, take_all
 from walnutquay.transport.sockets import reset_on_close
 from walnutquay.transport.timers import monotonic
+from walnutquay.transport.traffic import CountedTransport, Traffic
 from walnutquay.transport.unread import UnreadConnections
 
 log = logbook.Logger(__name__)
@@ -69,11 +70,18 @@
         # The last bytes that have come, which a head's end may begin with.
         self.read_before = b""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """:param transport: the connection's."""
+        super().connection_made(transport)
+        if self.transport is not None:
+            self.transport = CountedTransport(self.transport, self._manager.traffic)
+
     def data_received(self, data: bytes) -> None:
         """Parse what has come, one head at a time.
 
         :param data: what has come.
         """
+        self._manager.traffic.received(len(data))
         if not self.has_unanswered_request():
             self._manager.head_data_received(self)
         for part in split_after_heads(self.read_before, data):
@@ -166,6 +174,8 @@
         # Those of which much is unsent.
         self.paused: set[RequestHandler] = set()
         self.unread = UnreadConnections()
+        # Counts what the connections carry.
+        self.traffic = Traffic()
         # Whether new connections are closed at once.
         self.closed = False
         # Decides whether a new connection is taken; others are reset unread.
--- a/walnutquay/transport/server.py
+++ b/walnutquay/transport/server.py
@@ -22,6 +22,7 @@
 
 from walnutquay.transport.listeners import take_all
 from walnutquay.transport.sockets import reset_on_close
+from walnutquay.transport.traffic import CountedTransport, Traffic
 
 log = logbook.Logger(__name__)
 
@@ -48,7 +49,7 @@
 
 
 class _GatedProtocol(HttpProtocol):
-    """A connection, which the server may refuse before it is read."""
+    """A connection, which the server may refuse before it is read, and counts."""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Close a connection that is not taken.
@@ -56,10 +57,17 @@
         :param transport: its transport.
         """
         super().connection_made(transport)
-        if not self.app.ctx.server.takes(transport):
+        server = self.app.ctx.server
+        self.transport = CountedTransport(transport, server.traffic)
+        if not server.takes(transport):
             reset_on_close(transport.get_extra_info("socket"))
             transport.abort()
 
+    def data_received(self, data: bytes) -> None:
+        """:param data: what has come."""
+        self.app.ctx.server.traffic.received(len(data))
+        super().data_received(data)
+
 
 ErrorWriter = Callable[[Request, SanicException], HTTPResponse]
 
@@ -93,6 +101,8 @@
         self.app.signal(Event.HTTP_LIFECYCLE_EXCEPTION)(self._cut_answer)
         # Decides whether a new connection is taken; others are reset unread.
         self.takes: Callable[[asyncio.Transport], bool] = take_all
+        # Counts what callers' connections carry.
+        self.traffic = Traffic()
         # Told of the listening socket.
         self.on_listening: Callable[[socket.socket], None] = _ignore
         self.app.ctx.server = self
