--- a/standins/link.py
+++ b/standins/link.py
@@ -159,7 +159,8 @@
             return
         self.writers.update((writer, back))
         await asyncio.gather(
-            self._pump(reader, writer, back), self._pump(there, back, writer)
+            self._pump(reader, writer, back, True),
+            self._pump(there, back, writer, False),
         )
         self.writers.difference_update((writer, back))
 
@@ -168,12 +169,14 @@
         reader: asyncio.StreamReader,
         sender: asyncio.StreamWriter,
         writer: asyncio.StreamWriter,
+        forth: bool,
     ) -> None:
         """Forward one direction.
 
         :param reader: what comes.
         :param sender: the other direction of the stream that it comes by.
         :param writer: where it goes to.
+        :param forth: whether that is the target.
         """
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
@@ -181,11 +184,19 @@
                     continue
                 if not await self._pass(reader, sender):
                     break
+                await self._carry(len(data), forth)
                 writer.write(data)
                 await writer.drain()
         if writer not in self.silenced:
             writer.close()
 
+    async def _carry(self, count: int, forth: bool) -> None:
+        """Wait until bytes have crossed; this link has no limit.
+
+        :param count: how many.
+        :param forth: whether they go to the target.
+        """
+
     async def _pass(
         self, reader: asyncio.StreamReader, sender: asyncio.StreamWriter
     ) -> bool:
