Refuse new connections while a VM's link is full and others are idle

What callers see: while most new connections go to a VM with a narrow link, next to nothing that it reads is served (of 366 requests read in nine seconds 6 begun). Cause: a caller sends its request as soon as the system has accepted its connection, whether or not the VM then takes it, so resetting connections after that relieves no link; and the sign that the gate goes by, the wait until a connection is accepted, stays short while bytes wait in the link. Class: a shortage that is looked for at one place only, and relieved behind the place where it arises.

The speed of the link is not configured.

--- a/tests/daemon/test_full_links.py
+++ b/tests/daemon/test_full_links.py
@@ -7,6 +7,7 @@
 import asyncio
 from contextlib import AbstractAsyncContextManager
 from typing import Any
+from unittest import mock
 
 import aiohttp
 from yarl import URL
@@ -14,12 +15,14 @@
 from standins.narrowlink import Bandwidth, NarrowLink
 from tests.gatewaycase import GatewayCase
 from walnutquay.daemon.gateway import GatewayDaemon
+from walnutquay.protocol.messages import Message
 from walnutquay.state.process.events import EventKind
 
 LOCAL = "127.0.0.1"
 # What the narrow link carries each way: some 24 of the callers' requests a second.
 LINK_BYTES_PER_SECOND = 200_000.0
 BODY = b"b" * 8_000
+MESSAGE_BYTES = 200
 CALLERS_PER_SECOND = 80
 SECONDS = 7.0
 # From when on callers are counted: a VM is given so long to adapt.
@@ -29,11 +32,53 @@
 LEAST_SHARE = 0.75
 
 
+class RefusedConnectionTest(GatewayCase):
+    """A VM that refuses new connections serves the open ones, and listens again."""
+
+    def url(self) -> str:
+        """:returns: where the VM listens."""
+        return f"http://{LOCAL}:{self.gateway.api.server.port}/safe/x"
+
+    async def test_open_connections_are_served_meanwhile(self):
+        server = self.gateway.api.server
+        self.assertEqual((await self.call("/safe/x")).status, 200)
+        server.refuse()
+        self.assertEqual((await self.call("/safe/x")).status, 200)
+        async with aiohttp.ClientSession() as other:
+            with self.assertRaises(aiohttp.ClientConnectorError):
+                await other.get(self.url(), headers=self.head())
+            await server.listen_again()
+            async with other.get(self.url(), headers=self.head()) as answer:
+                self.assertEqual(answer.status, 200)
+
+    async def test_a_port_that_is_taken_is_tried_again(self):
+        server = self.gateway.api.server
+        server.refuse()
+        with mock.patch("walnutquay.transport.gateway.listen", side_effect=OSError):
+            await server.listen_again()
+        self.assertTrue(server.is_refusing())
+        await server.listen_again()
+        self.assertFalse(server.is_refusing())
+
+    async def test_a_vm_that_stops_does_not_listen_again(self):
+        server = self.gateway.api.server
+        server.refuse()
+        server.close_listener()
+        await server.listen_again()
+        self.assertIsNone(server.server)
+
+    async def test_a_vm_that_is_not_watched_any_more_listens(self):
+        gate = self.gateway.caller_gate
+        server = self.gateway.api.server
+        server.refuse()
+        gate.watch = gate.tasks.spawn(gate._watch())
+        await self.until(lambda: gate.watch is None)
+        self.assertFalse(server.is_refusing())
+
+
 class FullLinkTest(GatewayCase):
     """Callers whom a VM with a narrow link does not send away are served."""
 
-    link_mbps = LINK_BYTES_PER_SECOND * 8 / 1_000_000
-
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.inward = Bandwidth(LINK_BYTES_PER_SECOND)
@@ -45,6 +90,7 @@
         self.send_through_links(self.gateway)
         callers = self.gateway.api.server.port
         self.door = await self.linked(callers, self.inward, self.outward)
+        self.carry_questions(self.gateway)
         self.second = await self.add_gateway("vm-2", [self.gateway])
         # How many callers were served, and how many were not, of those that were
         # neither refused nor sent away unread.
@@ -71,6 +117,18 @@
 
         gateway.client.request = request
 
+    def carry_questions(self, gateway: GatewayDaemon) -> None:
+        """Let a VM's questions to the others, and answers, cross the narrow link."""
+        call = gateway.peers.call
+
+        async def carried(name: str, body: Message, timeout: float) -> Message:
+            await self.outward.carry(MESSAGE_BYTES)
+            answer = await call(name, body, timeout)
+            await self.inward.carry(MESSAGE_BYTES)
+            return answer
+
+        gateway.peers.call = carried
+
     def was_read(self, request: str) -> bool:
         """:returns: whether the VM has read a request."""
         return any(
--- a/tests/gatewaycase.py
+++ b/tests/gatewaycase.py
@@ -94,8 +94,6 @@
     # Endpoints by name, with the service that each runs.
     workers: Mapping[str, str] = {"p1": "plain", "p2": "plain", "e1": "engine"}
     configured = True
-    # What each gateway is told of its link's speed; 0 where it is not told.
-    link_mbps = 0.0
 
     async def asyncSetUp(self) -> None:
         self.store = StoreStandIn()
@@ -132,11 +130,7 @@
         """
         options = GatewayOptions.model_validate(
             {
-                "vm": {
-                    "name": name,
-                    "hall": "hall-a",
-                    "link_mbps": self.link_mbps,
-                },
+                "vm": {"name": name, "hall": "hall-a"},
                 "callers": {"address": ANYWHERE},
                 "ready": {"address": ANYWHERE},
                 "metrics": {"address": ANYWHERE},
--- a/walnutquay/coordination/fleet/peers.py
+++ b/walnutquay/coordination/fleet/peers.py
@@ -116,6 +116,18 @@
             ) + self._sample(far, FAR_RECIPIENTS)
         self.node.send_all(addresses, body)
 
+    def choose_near(self, count: int) -> list[VmName]:
+        """Choose some other VMs, of this data hall if it has others.
+
+        :param count: how many at the most.
+        """
+        others = [
+            (vm, place) for vm, place in self.known.items() if vm != self.context.vm
+        ]
+        near = [vm for vm, place in others if place.hall == self.context.hall]
+        found = near or [vm for vm, _ in others]
+        return self.context.rng.sample(found, min(count, len(found)))
+
     def send_to(self, vms: Iterable[VmName], body: Message) -> None:
         """Send a message to some VMs; it may be lost.
 
@@ -126,14 +138,6 @@
         others = [place.address for place in known if place.address != self.own]
         self.node.send_all(others, body)
 
-    def answer(self, vm: VmName, body: Message) -> None:
-        """Send a message to one VM; it may be lost.
-
-        :param vm: the VM.
-        :param body: the message.
-        """
-        self.send_to([vm], body)
-
     def send_to_hall(self, hall: HallName, body: Message) -> None:
         """Send a message to all other VMs of a data hall; it may be lost.
 
--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -159,13 +159,12 @@
         for name in self.table.targets():
             self.send(name, body)
 
-    def answer(self, vm: VmName, body: Message) -> None:
-        """Send a message to one VM; it may be lost.
+    def choose_near(self, count: int) -> list[VmName]:
+        """Choose some of the targets of one round of heartbeats.
 
-        :param vm: the VM.
-        :param body: the message.
+        :param count: how many at the most.
         """
-        self.send(vm, body)
+        return list(self.table.targets())[:count]
 
     def is_responsible_for(self, key: str) -> bool:
         """Check whether this VM does the work that only one VM does for a key.
--- a/walnutquay/coordination/own/parts.py
+++ b/walnutquay/coordination/own/parts.py
@@ -41,7 +41,6 @@
 from walnutquay.state.own.admission import RetryBudget
 from walnutquay.state.own.sessions import PinSealer
 from walnutquay.state.process.ids import HallName, VmName
-from walnutquay.state.process.linkload import LinkLoad, bytes_per_second
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.transport.client import HttpClient
@@ -80,7 +79,6 @@
             timeline,
             metrics,
             region=options.vm.region,
-            link=LinkLoad(bytes_per_second(options.vm.link_mbps)),
         )
         self.traffic = Traffic(self.context.link)
         # Set by the daemon once the administration API listens.
--- a/walnutquay/daemon/entry.py
+++ b/walnutquay/daemon/entry.py
@@ -66,7 +66,6 @@
         self.parts.administration_port = self.administration.server.port
         await self.parts.start()
         await self.callers.start()
-        self.gate.start()
         self.parts.context.timeline.emit(EventKind.STARTED)
         tune_collector()
         announce(self.ports())
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -50,7 +50,6 @@
 from walnutquay.state.fleet.membership import Address
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import HallName, VmName
-from walnutquay.state.process.linkload import LinkLoad, bytes_per_second
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.process.revisions import Era
 from walnutquay.transport.client import HttpClient
@@ -96,7 +95,6 @@
             timeline,
             metrics,
             region=options.vm.region,
-            link=LinkLoad(bytes_per_second(options.vm.link_mbps)),
         )
         traffic = Traffic(self.context.link)
         on_stray = stray_reporter(self.context)
@@ -166,7 +164,9 @@
         self.crash_record = routing.crash_record
         self.store.eras.restore_listeners.append(self._on_restored)
         self.api = GatewayApi(self.context, self.knowledge, self.path)
-        self.caller_gate = CallerGate(self.context, self.peers, self.dispatcher)
+        self.caller_gate = CallerGate(
+            self.context, self.peers, self.dispatcher, self.api.server
+        )
         self.api.server.web.takes = self.caller_gate.takes
         self.api.server.web.traffic = traffic
         self.metrics_api = MetricsApi(
@@ -238,7 +238,6 @@
         await self.metrics_api.server.start(self.listener(options.metrics.address))
         listener = self.listener(options.callers.address)
         self.caller_gate.wait.listens_at(listener)
-        self.caller_gate.start()
         await self.api.server.start(listener)
         self.context.timeline.emit(EventKind.STARTED)
 
--- a/walnutquay/sections.py
+++ b/walnutquay/sections.py
@@ -43,9 +43,6 @@
     regions: dict[Name, Name] = {}
     """The region of each data hall, where the platform's callers are served; a request
     that may run in some regions only runs in no hall that is missing here."""
-    link_mbps: NotNegative = 0.0
-    """Mbit/s that the VM's network link carries in each direction; 0 where that is not
-    known, and nothing is decided by it."""
 
 
 class CallersSection(Section):
--- a/walnutquay/state/fleet/connectiongate.py
+++ b/walnutquay/state/fleet/connectiongate.py
@@ -112,13 +112,27 @@
         return wait >= BUSY_SECONDS
 
     def _step(self, wait: float, now: float) -> None:
-        if self.is_busy(wait) and self._is_skewed(now):
+        if self.is_busy(wait) and self.is_skewed(now):
             self.share = max(LEAST_SHARE, FALL * self.share)
         elif not self.is_busy(wait):
             self.share = min(1.0, self.share + RISE)
 
-    def _is_skewed(self, now: float) -> bool:
-        """Return whether others are idle, and get far fewer connections."""
+    def is_skewed(self, now: float) -> bool:
+        """Return whether others are idle, and get far fewer connections.
+
+        :param now: monotonic seconds.
+        """
+        if not self.others_are_idle(now):
+            return False
+        told = [arrivals for arrivals, _ in self.others.values()]
+        usual = statistics.median(one.per_second for one in told)
+        return len(self.times) / COUNTED_SECONDS > SKEW_FACTOR * usual
+
+    def others_are_idle(self, now: float) -> bool:
+        """Return whether others have told lately that they can take connections.
+
+        :param now: monotonic seconds.
+        """
         self.others = {
             vm: told
             for vm, told in self.others.items()
@@ -127,10 +141,8 @@
         told = [arrivals for arrivals, _ in self.others.values()]
         if not told:
             return False
-        usual = statistics.median(one.per_second for one in told)
         wait = statistics.median(one.wait for one in told)
-        own = len(self.times) / COUNTED_SECONDS
-        return own > SKEW_FACTOR * usual and wait < IDLE_SHARE * BUSY_SECONDS
+        return wait < IDLE_SHARE * BUSY_SECONDS
 
     def _drop_old(self, now: float) -> None:
         while self.times and now - self.times[0] > COUNTED_SECONDS:
--- a/walnutquay/state/process/linkload.py
+++ b/walnutquay/state/process/linkload.py
@@ -3,29 +3,17 @@
 """What a VM's network link carries, and how long bytes wait for it.
 
 Nothing on a VM tells how full its link is: what it writes is taken at once and waits
-in the system's queues.  The link's speed is known from the settings, and what waits
-follows from what was written.
+in the system's queues, and what it is sent waits elsewhere.
 """
 
 from __future__ import annotations
 
+from walnutquay.state.process.roundtrips import RoundTrips
+
 # What the link carries is counted over this time; seconds.
 COUNTED_SECONDS = 1.0
 
 
-# Bits in a megabit, and in a byte.
-MEGABIT = 1_000_000
-BYTE_BITS = 8
-
-
-def bytes_per_second(mbps: float) -> float:
-    """Return what a link carries.
-
-    :param mbps: its speed in Mbit/s.
-    """
-    return mbps * MEGABIT / BYTE_BITS
-
-
 class FlowRate:
     """Bytes a second in one direction, averaged over the last second or so."""
 
@@ -52,19 +40,12 @@
 
 
 class LinkLoad:
-    """Estimates how long bytes that are sent now wait for the VM's link.
-
-    :param capacity: bytes a second that the link carries in each direction; 0 where
-        that is not known, and nothing is estimated.
-    """
+    """What callers' and endpoints' connections carry, and how late other VMs answer."""
 
-    def __init__(self, capacity: float = 0.0) -> None:
-        self.capacity = capacity
+    def __init__(self) -> None:
         self.sent = FlowRate()
         self.received = FlowRate()
-        # Bytes that had been sent and not yet carried, and when; monotonic seconds.
-        self.backlog = 0.0
-        self.at = 0.0
+        self.trips = RoundTrips()
 
     def send(self, count: int, now: float) -> None:
         """Count bytes that this VM has handed to the system.
@@ -73,8 +54,6 @@
         :param now: monotonic seconds.
         """
         self.sent.add(count, now)
-        self._carry(now)
-        self.backlog += count
 
     def receive(self, count: int, now: float) -> None:
         """Count bytes that have arrived.
@@ -85,16 +64,8 @@
         self.received.add(count, now)
 
     def wait(self, now: float) -> float:
-        """Return for how many seconds bytes that are sent now wait.
+        """Return for how many seconds bytes wait, both ways together.
 
         :param now: monotonic seconds.
         """
-        if not self.capacity:
-            return 0.0
-        self._carry(now)
-        return self.backlog / self.capacity
-
-    def _carry(self, now: float) -> None:
-        carried = self.capacity * max(0.0, now - self.at)
-        self.backlog = max(0.0, self.backlog - carried)
-        self.at = now
+        return self.trips.wait(now)
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -21,7 +21,7 @@
 from aiohttp.web_server import Server
 
 from walnutquay.transport.heads import last_bytes, split_after_heads
-from walnutquay.transport.listeners import BACKLOG, take_all
+from walnutquay.transport.listeners import BACKLOG, listen, take_all
 from walnutquay.transport.sockets import reset_on_close
 from walnutquay.transport.timers import monotonic
 from walnutquay.transport.traffic import CountedTransport, Traffic
@@ -254,6 +254,7 @@
         # The connections that they came by.
         self.busy: set[RequestHandler] = set()
         self.server: asyncio.Server | None = None
+        self.host = ""
         self.port = 0
         self.web = CallerConnections(
             limits,
@@ -270,19 +271,38 @@
         :param listener: a socket that listens; see
             :mod:`walnutquay.transport.listeners`.
         """
-        self.port = listener.getsockname()[1]
+        self.host, self.port = listener.getsockname()
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(self.web, sock=listener, backlog=BACKLOG)
 
+    def refuse(self) -> None:
+        """Refuse new connections; those that are open go on."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def is_refusing(self) -> bool:
+        """:returns: whether new connections are refused, though it is not closed."""
+        return self.server is None and not self.web.closed
+
+    async def listen_again(self) -> None:
+        """Accept new connections again, if the system allows it."""
+        if not self.is_refusing():
+            return
+        try:
+            listener = listen(self.host, self.port)
+        except OSError as error:
+            log.warning("cannot listen again yet: {}", error)
+            return
+        await self.start(listener)
+
     def close_listener(self) -> None:
         """Take no new connections; those that are open go on.
 
         One that has been accepted, and is not open yet, is closed unread.
         """
         self.web.closed = True
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        self.refuse()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is under way.
