Count answers of a version on trial that callers gave up on as slow

Cause: a request that ended before its answer began was forgotten. Only requests under way counted as overdue, and only if their endpoint had begun another answer since, which an endpoint of a version on trial, with a request a second for all VMs, has not.

Change: a request that is given up at its endpoint counts by the time that it took, unless the endpoint accepts no connection, which is no fault of its version.

--- a/tests/coordination/trials/test_evaluation.py
+++ b/tests/coordination/trials/test_evaluation.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -23,6 +24,7 @@
     VmName,
 )
 from walnutquay.state.requests.durations import MIN_SAMPLES
+from walnutquay.state.routed.links import Reach
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.store.orders import OrderState, RolloutOrder
 from walnutquay.state.trials.baseline import BaselineTime, BaselineTimes, kind_hash
@@ -33,6 +35,8 @@
 SERVICE = ServiceName("s")
 BASELINE = 0.1
 KIND = "head/r/0"
+# Turns of the loop in which a background task ends.
+STEPS = 5
 ORDER = RolloutOrder(
     "s", revision_at(1), SERVICE, VersionName("v2"), 60.0, OrderState.RUNNING
 )
@@ -153,6 +157,59 @@
         self.assertEqual(self.counts(Measure.SLUGGISH), (0, 1))
 
 
+class GivenUpRequestTest(EvaluatorCase, unittest.IsolatedAsyncioTestCase):
+    """A slow version whose callers give up before its answers come is withdrawn."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.learn_baseline()
+        self.reach = Reach.REACHED
+        patch = mock.patch.object(evaluation, "probe", self.probe, create=True)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def probe(self, url: str) -> Reach:
+        """Return whether an endpoint accepts connections."""
+        return self.reach
+
+    async def give_up(self, factor: float, *grants: SimpleNamespace) -> None:
+        """Let callers give up on requests at endpoints that answer nothing meanwhile.
+
+        :param factor: how long they wait, as a multiple of the baseline time.
+        :param grants: the slot of each.
+        """
+        for number, one in enumerate(grants):
+            request = turn(f"given-up-{number}")
+            self.evaluator.sent(request, one)
+            self.now += factor * BASELINE + 0.001
+            self.evaluator.check_overdue()
+            self.evaluator.left(request)
+        for _ in range(STEPS):
+            await asyncio.sleep(0)
+
+    async def test_slow_answers_that_nobody_waits_for_count(self):
+        await self.give_up(SLOW_FACTOR, self.new, grant("v2", "new-2"), self.new)
+        self.assertEqual(self.counts(Measure.SLOW), (0, 3))
+        self.assertIs(self.trial.fault(), Fault.SLOW)
+
+    async def test_callers_who_leave_early_do_not_count(self):
+        await self.give_up(SLUGGISH_FACTOR / 2, self.new, grant("v2", "new-2"))
+        self.assertEqual(self.counts(Measure.SLUGGISH), (0, 0))
+
+    async def test_endpoints_that_are_down_do_not_count(self):
+        self.reach = Reach.SILENT
+        await self.give_up(SLOW_FACTOR, self.new, grant("v2", "new-2"), self.new)
+        self.assertEqual(self.counts(Measure.SLOW), (0, 0))
+
+    async def test_one_endpoint_that_hangs_is_not_enough(self):
+        await self.give_up(SLOW_FACTOR, self.new, self.new, self.new)
+        self.assertIsNone(self.trial.fault())
+
+    async def test_the_old_version_is_counted_alike(self):
+        await self.give_up(SLOW_FACTOR, grant("v1", "old-1"))
+        self.assertEqual(self.trial.old.total(Measure.SLOW).bad, 1)
+
+
 class OneEndpointTest(unittest.TestCase):
     """A single endpoint may be faulty by itself, without a fault of its version."""
 
--- a/walnutquay/coordination/trials/evaluation.py
+++ b/walnutquay/coordination/trials/evaluation.py
@@ -7,14 +7,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.state.process.counts import LruTable
 from walnutquay.state.process.ids import EndpointName, RequestId, ServiceName
+from walnutquay.state.routed.links import Reach
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.trials.baseline import BaselineTimes
 from walnutquay.state.trials.counts import Measure
 from walnutquay.state.trials.trial import Trial
+from walnutquay.transport.client import probe
 from walnutquay.transport.timers import monotonic
 
 # The multiple of the baseline time from which an answer counts as slow.  The platform's
@@ -25,6 +28,7 @@
 # The multiple of the baseline pause between events from which an answer counts as slow.
 # It is lower because pauses vary less than the wait for the first event.
 SLOW_PAUSE_FACTOR = 2.5
+OVERDUE_FACTORS = {Measure.SLUGGISH: SLUGGISH_FACTOR, Measure.SLOW: SLOW_FACTOR}
 # The most endpoints for which the time of the last answer is kept.
 MAX_ENDPOINTS = 1000
 
@@ -67,6 +71,7 @@
         self.trial_of = trial_of
         self.on_bad = on_bad
         self.baseline = BaselineTimes()
+        self.tasks = Tasks()
         # The requests in progress for services with a version on trial.
         self.running: dict[RequestId, RunningRequest] = {}
         # When each endpoint last began an answer; monotonic seconds.
@@ -146,9 +151,29 @@
     def left(self, turn: RoutedTurn) -> None:
         """Remove a request that has ended at its endpoint, for whatever reason.
 
+        One that was given up before its answer began counts by the time that it took.
+
         :param turn: the request.
         """
-        self.running.pop(turn.arrival.request, None)
+        running_request = self.running.pop(turn.arrival.request, None)
+        if running_request is None or running_request.answer_began:
+            return
+        seconds = monotonic() - running_request.sent_at
+        if self._new_faults(running_request, seconds):
+            self.tasks.spawn(self._count_unanswered(running_request, seconds))
+
+    async def _count_unanswered(
+        self, running_request: RunningRequest, seconds: float
+    ) -> None:
+        """Count a request that was never answered, unless its endpoint is down.
+
+        :param running_request: the request.
+        :param seconds: how long it was at the endpoint.
+        """
+        endpoint = running_request.grant.endpoint
+        assert isinstance(endpoint, Instance)
+        if await probe(endpoint.address) is Reach.REACHED:
+            self._count_overdue(running_request, seconds)
 
     def check_overdue(self) -> None:
         """Count the requests whose answers should have begun by now."""
@@ -170,14 +195,24 @@
         ) > running_request.sent_at
 
     def _count_overdue(self, running_request: RunningRequest, seconds: float) -> None:
+        for measure in self._new_faults(running_request, seconds):
+            running_request.overdue.add(measure)
+            self._count(running_request.turn, running_request.grant, measure, True)
+
+    def _new_faults(
+        self, running_request: RunningRequest, seconds: float
+    ) -> list[Measure]:
+        """Return the measures by which a request is bad and did not count yet.
+
+        :param running_request: the request.
+        :param seconds: how long it has been at the endpoint without an answer.
+        """
         ratio = self._ratio("head", running_request.turn, seconds) or 0.0
-        for measure, factor in (
-            (Measure.SLUGGISH, SLUGGISH_FACTOR),
-            (Measure.SLOW, SLOW_FACTOR),
-        ):
-            if ratio > factor and measure not in running_request.overdue:
-                running_request.overdue.add(measure)
-                self._count(running_request.turn, running_request.grant, measure, True)
+        return [
+            measure
+            for measure, factor in OVERDUE_FACTORS.items()
+            if ratio > factor and measure not in running_request.overdue
+        ]
 
     # Counts.
 
