End answers that never end, wherever they do not

What callers saw (and what tests.daemon.test_endless_answers shows on the code before): an endpoint that sends interim answers, a chunk line or chunk extensions without end is read until the caller's deadline (504, and over 25 MB read of trailers); a body without a length goes on after the deadline as long as its caller reads; a stream of bytes that are no events raises an error that nothing handles, and is not resumed. Cause: only the time of an answer was bounded, and the parser of events raised an error that is meant for callers' bodies.

Change: each connection to endpoints and to the store compares what has come with the body in it, and is ended with an answer that cannot be read beyond 64 KB and 16 bytes for each byte of the body, or 100 interim answers. What a parser of events refuses is a failure of the endpoint, so streams go on elsewhere. A body without a length has 8 MB after its deadline; bodies that are held whole have 32 MB on our own interface, of the store and of the rater too. An event's id of thousands of digits is no number.

Measured: each variety on fails, or passes, as listed in the message of the test; now 502 at once (plain), or the answer of another endpoint, and less than 4 MB read. Answers through another VM are read by the same code; not tested by themselves.

--- a/standins/behaviour.py
+++ b/standins/behaviour.py
@@ -25,6 +25,8 @@
     at: float = field(default_factory=time.monotonic)
     # How often the endpoint had ended by then.
     start: int = 0
+    # Bytes that were sent without end, until the caller closed.
+    endless: int = 0
     # What else its answer's head said, besides what all answers say.
     announced: dict[str, str] = field(default_factory=dict)
 
@@ -66,6 +68,8 @@
         its connections; None where it goes on.
     :param gate: waited for after the first event, if there is one.
     :param padding: bytes that are added to each event.
+    :param endless: sent in the place of an answer: first bytes, then others again and
+        again until the caller closes; None for an answer.
     :param unread_after: seconds for which an answer may stay unread before it is cut
         off; None without a limit.
     """
@@ -96,3 +100,4 @@
     gate: asyncio.Event | None = None
     padding: int = 0
     unread_after: float | None = None
+    endless: tuple[bytes, bytes] | None = None
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -167,6 +167,9 @@
         if behaviour.mute:
             await self._until_left(reader, seen)
             return False
+        if behaviour.endless is not None:
+            await _send_endless(writer, seen, *behaviour.endless)
+            return False
         if behaviour.events is not None:
             return await self._stream(reader, writer, seen, behaviour)
         return await self._plain(writer, seen, behaviour)
@@ -301,6 +304,18 @@
     await writer.drain()
 
 
+async def _send_endless(
+    writer: asyncio.StreamWriter, seen: Seen, first: bytes, again: bytes
+) -> None:
+    """Send bytes until the caller closes."""
+    writer.write(first)
+    while not writer.is_closing():
+        writer.write(again)
+        await writer.drain()
+        seen.endless += len(again)
+        await asyncio.sleep(0)
+
+
 async def _is_unread(writer: asyncio.StreamWriter, seconds: float | None) -> bool:
     """:returns: whether an answer stayed unread for so long, and was cut off."""
     try:
--- a/tests/coordination/own/test_engines.py
+++ b/tests/coordination/own/test_engines.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from tests.fakeanswers import fake_answer
 from walnutquay.coordination.own.engines import (
     HEADER_REQUEST_ID,
     EngineCall,
@@ -34,15 +35,7 @@
     @asynccontextmanager
     async def request(self, *args: Any, **more: Any) -> AsyncIterator[SimpleNamespace]:
         """Return an answer."""
-
-        async def read() -> bytes:
-            return BODY
-
-        headers = {
-            HEADER_REQUEST_ID: self.request_id,
-            "Content-Length": str(len(BODY)),
-        }
-        yield SimpleNamespace(status=200, headers=headers, read=read)
+        yield fake_answer(BODY, **{HEADER_REQUEST_ID: self.request_id})
 
 
 class ForeignAnswerTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/coordination/own/test_rater.py
+++ b/tests/coordination/own/test_rater.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from tests.fakeanswers import fake_answer
 from walnutquay.coordination.own.rater import Rater
 
 # Replies that contain no rating from 0 to 1.
@@ -40,11 +41,7 @@
     @asynccontextmanager
     async def request(self, *args: Any, **more: Any) -> AsyncIterator[SimpleNamespace]:
         """Return the reply."""
-
-        async def read() -> bytes:
-            return self.reply
-
-        yield SimpleNamespace(read=read)
+        yield fake_answer(self.reply)
 
 
 class RaterTest(unittest.IsolatedAsyncioTestCase):
--- a/walnutquay/coordination/own/engines.py
+++ b/walnutquay/coordination/own/engines.py
@@ -216,7 +216,7 @@
     async def _stream(
         self, call: EngineCall, method: str, url: str
     ) -> AsyncIterator[bytes]:
-        parser = chat.StreamParser()
+        parser = chat.StreamParser(peer=call.endpoint.name)
         async with self.client.request(
             method,
             url,
--- a/walnutquay/coordination/own/rater.py
+++ b/walnutquay/coordination/own/rater.py
@@ -9,7 +9,7 @@
 
 from walnutquay.exceptions import EndpointError
 from walnutquay.sections import RaterSection
-from walnutquay.transport.client import HttpClient
+from walnutquay.transport.client import HttpClient, read_whole
 
 log = logbook.Logger(__name__)
 
@@ -54,7 +54,7 @@
                 headers={"content-type": "application/json"},
                 timeout=self.section.timeout_seconds,
             ) as reply:
-                return _rating(orjson.loads(await reply.read()))
+                return _rating(orjson.loads(await read_whole(reply, "rater")))
         except (EndpointError, ValueError) as error:
             log.debug(
                 "request for a rating failed; the answer stays unrated: {}", error
--- a/walnutquay/coordination/own/services.py
+++ b/walnutquay/coordination/own/services.py
@@ -8,7 +8,6 @@
 from walnutquay.coordination.own.turns import ServiceTurn
 from walnutquay.coordination.requests.outcomes import Outcome, ServiceArrival, Whole
 from walnutquay.coordination.requests.slots import Grant
-from walnutquay.exceptions import EndpointError
 from walnutquay.protocol import chat
 from walnutquay.protocol.services import (
     HEADER_ORGANISATION,
@@ -21,9 +20,6 @@
 from walnutquay.transport.client import HttpClient, read_whole
 from walnutquay.transport.timers import monotonic
 
-# The maximum size of an answer that is forwarded; bytes.
-MAX_ANSWER = 32 << 20
-
 
 class ServicePath(KeyedPath):
     """Serves calls to plain services.
@@ -102,10 +98,6 @@
             timeout=max(0.05, left),
             repeatable=turn.repeatable,
         ) as answer:
-            if (answer.content_length or 0) > MAX_ANSWER:
-                raise EndpointError(
-                    "the answer is too large", step="answer", peer=grant.name
-                )
             body = await read_whole(answer, grant.name)
             served = (
                 *answer_headers(answer.headers.items()),
--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -15,6 +15,7 @@
 from walnutquay.exceptions import EndpointError
 from walnutquay.transport.client import (
     READ_BYTES,
+    STEP_ANSWER,
     STEP_SILENT,
     STEP_STREAM,
     ConnectionEnd,
@@ -26,6 +27,9 @@
 MAX_ANSWER = 32 << 20
 # What an endpoint has ready comes within this time, once there is room for it.
 LATE_READ_SECONDS = 1.0
+# The most of an answer without a length that an endpoint has ready at its deadline, in
+# the buffers of both sides; bytes.
+MAX_LATE_BYTES = 8 << 20
 
 
 class WatchedBody:
@@ -182,8 +186,9 @@
         A caller may take what its endpoint has ready after the deadline, too.
 
         :param deadline: until when the endpoint is waited for; monotonic seconds.
-        :raises EndpointError: if the body is incomplete.
+        :raises EndpointError: if the body is incomplete, or does not end.
         """
+        late = 0
         # The library's limit would include the time that the caller takes.
         self.answer.content._timer = TimerNoop()
         while True:
@@ -192,6 +197,12 @@
                 data = await self.answer.content.read(READ_BYTES)
             if not data:
                 break
+            if monotonic() > deadline and self.answer.content_length is None:
+                late += len(data)
+            if late > MAX_LATE_BYTES:
+                raise EndpointError(
+                    "the answer does not end", step=STEP_ANSWER, peer=self.peer
+                )
             yield data
         self.end.check(self.peer)
 
--- a/walnutquay/coordination/routed/streaming.py
+++ b/walnutquay/coordination/routed/streaming.py
@@ -88,7 +88,7 @@
         watched = ConnectionEnd(answer)
         if self.stalls.applies_to(turn):
             lift_read_limit(answer)
-        parser = StreamParser()
+        parser = StreamParser(peer=grant.name)
         if not turn.progress.begun:
             turn.progress.begun = True
             self.context.timeline.emit(
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -14,6 +14,7 @@
 
 from walnutquay.exceptions import (
     EarlierEraError,
+    EndpointError,
     HistoryGoneError,
     MissingObjectError,
     PlatformBusyError,
@@ -32,6 +33,7 @@
     read_named,
 )
 from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
+from walnutquay.transport.client import read_whole
 from walnutquay.transport.connections import OnStray, ignore_stray
 from walnutquay.transport.connectors import KeptConnector
 
@@ -277,12 +279,12 @@
                 headers={"Content-Type": JSON_TYPE} if body is not None else None,
                 timeout=timeout,
             ) as answer:
-                content = await answer.read()
+                content = await read_whole(answer, place)
                 status = answer.status
                 named = _era(answer.headers.get(ERA), place)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise PlatformUnavailableError(str(error), step=step, peer=place) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, EndpointError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformUnclearError(reason, step=step, peer=place) from error
         era = era if named is None else named
--- a/walnutquay/protocol/chat.py
+++ b/walnutquay/protocol/chat.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-from walnutquay.exceptions import WalnutquayError
+from walnutquay.exceptions import EndpointError, WalnutquayError
 from walnutquay.state.requests.refusals import Refusal
 
 STREAM_TYPE = "text/event-stream"
@@ -130,9 +130,11 @@
     """Cuts a stream of server-sent events into whole events.
 
     :param max_event: bytes that one event may have.
+    :param peer: who sends it, for errors.
     """
 
-    def __init__(self, max_event: int = 1 << 20) -> None:
+    def __init__(self, max_event: int = 1 << 20, peer: str = "") -> None:
+        self.peer = peer
         self.buffer = b""
         self.max_event = max_event
 
@@ -140,6 +142,7 @@
         """Take in bytes and yield the events that they complete.
 
         :param data: the bytes that came.
+        :raises EndpointError: if they are no events.
         """
         self.buffer += data
         while (end := self.buffer.find(EVENT_END)) >= 0:
@@ -147,7 +150,9 @@
             event, self.buffer = self.buffer[:end], self.buffer[end:]
             yield event
         if len(self.buffer) > self.max_event:
-            raise BadBodyError("an event of the stream is too large", step="stream")
+            raise EndpointError(
+                "an event of the stream is too large", step="answer", peer=self.peer
+            )
 
 
 def event_json(event: bytes) -> dict[str, Any] | None:
--- a/walnutquay/protocol/streams.py
+++ b/walnutquay/protocol/streams.py
@@ -5,6 +5,8 @@
 from __future__ import annotations
 
 ID_FIELD = b"id:"
+# More digits than any number of events has; Python refuses thousands of them.
+MAX_ID_DIGITS = 18
 
 
 def event_id(event: bytes) -> int | None:
@@ -15,7 +17,8 @@
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_number else None
     return None
 
 
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -46,6 +46,8 @@
 CONNECTIONS = 2048
 # A request has this long at least; seconds.
 MIN_SECONDS = 0.001
+# The largest body that is held whole.
+MAX_WHOLE_BYTES = 32 << 20
 READ_BYTES = 1 << 16
 # Endpoints close idle connections too, and say after how long.
 KEEP_SECONDS = 60.0
@@ -129,12 +131,20 @@
 
     :param answer: the answer.
     :param peer: the endpoint's name, for errors.
-    :raises EndpointError: if the body ends with a reset of its connection.
+    :raises EndpointError: if the body ends with a reset of its connection, or is larger
+        than any that is held whole.
     """
     end = ConnectionEnd(answer)
-    body = await answer.read()
+    parts = []
+    size = 0
+    async for data in answer.content.iter_chunked(READ_BYTES):
+        parts.append(data)
+        size += len(data)
+        if size > MAX_WHOLE_BYTES:
+            answer.close()
+            raise EndpointError("the answer is too large", step=STEP_ANSWER, peer=peer)
     end.check(peer)
-    return body
+    return b"".join(parts)
 
 
 class HttpClient:
@@ -373,7 +383,7 @@
     try:
         async with session.get(url, timeout=limits) as answer:
             answer.raise_for_status()
-            return orjson.loads(await answer.read())
+            return orjson.loads(await read_whole(answer, url))
     except (
         TimeoutError,
         aiohttp.ClientError,
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -19,13 +19,15 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 
+from walnutquay.transport.framing import FramingMeter
 from walnutquay.transport.heads import HEAD_END, last_bytes, split_after_heads
 from walnutquay.transport.sockets import reset_on_close, was_reset
 from walnutquay.transport.traffic import CountedTransport, Traffic
 
+ENDLESS = "bytes without end that are no answer"
 # Requests that one connection carries; it remembers their ids.
 MAX_CARRIED = 256
 
@@ -111,6 +113,9 @@
         # Whether the head of an answer is due, and how many bytes have come behind it.
         self.head_due = False
         self.behind_head = 0
+        self.framing = FramingMeter()
+        # Whether the connection was ended as what came was no answer, and did not end.
+        self.endless = False
         # Notes what is written to the connection.
         self.noted: CountedTransport | None = None
         # The last bytes that have come.
@@ -145,6 +150,7 @@
         self.used = True
         self.under_way = True
         self.head_due = True
+        self.framing.restart()
         self.before = b""
         if self.noted is not None:
             self.noted.was_written = False
@@ -156,7 +162,15 @@
     async def read(self) -> Message:
         """:returns: the next answer's head and body, for the library."""
         while True:
-            message, payload = await super().read()
+            try:
+                message, payload = await super().read()
+            except aiohttp.EofStream as error:
+                # Interim answers were left to read as the connection ended.
+                if self.endless:
+                    raise GarbledBodyError(ENDLESS) from error
+                raise aiohttp.ServerDisconnectedError from error
+            if self.endless:
+                raise GarbledBodyError(ENDLESS)
             if is_interim(message):
                 return message, payload
             if await self._is_awaited(message, payload):
@@ -184,10 +198,13 @@
                 return
             within_head = self.head_due
             self._renew_parser()
+            self.framing.add(len(part))
             super().data_received(part)
             self.behind_head = 0 if within_head else self.behind_head + len(part)
         self.before = last_bytes(self.before, data)
-        if self._is_overlong():
+        if self.framing.is_endless(self._body_bytes()):
+            self._end_endless()
+        elif self._is_overlong():
             self.on_stray(Stray(StrayKind.IDLE, self.address(), len(data)))
             self.force_close()
 
@@ -221,6 +238,18 @@
         if garbled and body is not None and not body.is_eof():
             body.set_exception(GarbledBodyError(str(exc)), exc)
 
+    def _body_bytes(self) -> int:
+        """Return how much of the body of the answer under way has come."""
+        if self.head_due or self._payload is None:
+            return 0
+        return self._payload.total_bytes
+
+    def _end_endless(self) -> None:
+        """End a connection on which no answer comes, only bytes without end."""
+        self.endless = True
+        self.set_exception(BadHttpMessage(ENDLESS))
+        self.abort()
+
     def _is_overlong(self) -> bool:
         """:returns: whether more bytes have come than the answer that has ended.
 
@@ -240,6 +269,10 @@
         :param size: the library's.
         """
         self.head_due = is_interim(data[0])
+        if self.head_due:
+            self.framing.add_interim()
+        else:
+            self.framing.restart()
         super().feed_data(data, size)
 
     def address(self) -> str:
