--- a/soak/callers.py
+++ b/soak/callers.py
@@ -139,19 +139,24 @@
         return task
 
     async def burst(
-        self, kinds: Sequence[Kind], seconds: float, rate: float
+        self,
+        kinds: Sequence[Kind],
+        seconds: float,
+        rate: float,
+        favourite: Vm | None = None,
     ) -> list[Sent]:
         """Send more requests for some time, and wait for their answers.
 
         :param kinds: what is sent.
         :param seconds: for how long.
         :param rate: requests a second.
+        :param favourite: the VM that gets all of them; None for any.
         :returns: those whose callers stayed.
         """
         tasks = []
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            vm = self.rng.choice(self.fleet.vms)
+            vm = favourite or self.rng.choice(self.fleet.vms)
             tasks.append(self.spawn(self.rng.choice(kinds), vm))
             await asyncio.sleep(self.rng.expovariate(rate))
         return [one for one in await asyncio.gather(*tasks) if not one.left]
--- a/soak/connections.py
+++ b/soak/connections.py
@@ -75,13 +75,15 @@
     def __init__(self, host: str, port: int) -> None:
         self.place = (host, port)
         self.idle: list[CallerConnection] = []
+        # Whether each request has a connection of its own.
+        self.fresh = False
         # What came on connections on which no request was waiting.
         self.strays: list[bytes] = []
 
     async def take(self) -> CallerConnection:
         """:returns: a connection that nobody uses; a new one if there is none."""
         self._drop_ended()
-        if self.idle:
+        if self.idle and not self.fresh:
             return self.idle.pop()
         loop = asyncio.get_running_loop()
         _, made = await loop.create_connection(CallerConnection, *self.place)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
 from soak.callers import Callers
 from soak.fleet import HALLS, SoakFleet, Vm
 from soak.overload import Overload
+from soak.skew import Skew
 from walnutquay.platform import names
 
 log = logbook.Logger(__name__)
@@ -66,6 +67,7 @@
         # Keys that were taken away, with when the store acknowledged it.
         self.revoked: dict[str, float] = {}
         self.overloading = Overload(fleet, callers, self.rng)
+        self.skew = Skew(fleet, callers, self.rng)
         self.kinds: list[Fault] = [
             self.kill_vm,
             self.stop_vm,
@@ -91,6 +93,7 @@
             self.bring_crashing_part,
             self.change_work,
             self.overload,
+            self.skew_callers,
         ]
 
     async def run(self, seconds: float) -> None:
@@ -170,6 +173,10 @@
         await self._disturb(vm, seconds)
         vm.signal(signal.SIGCONT)
 
+    async def skew_callers(self) -> None:
+        """Hand most new connections to a VM that gets a third of a processor."""
+        await self.skew.play()
+
     # The store.
 
     async def cut_store(self) -> None:
