Try a connection again where this VM itself was late

What callers saw: requests refused or unknown though their endpoints were fine, while their VM was busy or its link full: a connection that had not come up within 0.3 s counted as an endpoint that does not answer, and two of these used up a request.

--- a/walnutquay/transport/connectors.py
+++ b/walnutquay/transport/connectors.py
@@ -22,8 +22,13 @@
     ignore_stray,
 )
 from walnutquay.transport.sockets import limited_socket
+from walnutquay.transport.timers import monotonic
 from walnutquay.transport.traffic import Traffic
 
+# A VM whose timers are later than this, or whose bytes wait longer for its link, cannot
+# tell that an endpoint has not answered in time.
+LATE_SECONDS = 0.05
+LATE_TRIES = 2
 # Asked when a request has its connection, right before it is sent: whether it may still
 # be sent.
 may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=lambda: True)
@@ -76,7 +81,7 @@
     ) -> None:
         super().__init__(socket_factory=limited_socket, **options)
         self.id_header = id_header
-        counted = traffic or Traffic()
+        self.traffic = counted = traffic or Traffic()
         factory = functools.partial(KeptProtocol, self._loop, on_stray, counted)
         if id_header is not None:
             factory = functools.partial(
@@ -137,7 +142,7 @@
             if forwarded is not None:
                 return forwarded
         try:
-            return await super()._create_connection(req, traces, timeout)
+            return await self._connect(req, traces, timeout)
         except (aiohttp.ClientConnectorError, TimeoutError) as error:
             silent = isinstance(error, TimeoutError)
             forwarded = await self._forward(through, silent)
@@ -145,6 +150,27 @@
                 raise
             return forwarded
 
+    async def _connect(
+        self,
+        req: ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Make a connection directly, and try again if this VM itself was late.
+
+        The endpoint may have accepted it before this VM came to look.
+        """
+        for _ in range(LATE_TRIES):
+            began = monotonic()
+            try:
+                return await super()._create_connection(req, traces, timeout)
+            except TimeoutError:
+                limit = timeout.sock_connect or 0.0
+                late = monotonic() - began - limit > LATE_SECONDS
+                if not late and self.traffic.wait() <= LATE_SECONDS:
+                    raise
+        return await super()._create_connection(req, traces, timeout)
+
     async def _forward(
         self, through: Dialer | None, silent: bool
     ) -> ResponseHandler | None:
--- a/walnutquay/transport/traffic.py
+++ b/walnutquay/transport/traffic.py
@@ -26,6 +26,10 @@
         if self.load is not None:
             self.load.send(count, monotonic())
 
+    def wait(self) -> float:
+        """Return for how many seconds bytes wait for this VM's link."""
+        return 0.0 if self.load is None else self.load.wait(monotonic())
+
     def received(self, count: int) -> None:
         """:param count: bytes that have arrived."""
         if self.load is not None:
