Bound the time of a body without a length after its deadline too

Cause: only bytes were bounded (8 MB), and an endpoint that sends on without end may take long over them: 5.5 MB in the 9.5 s after the deadline until the test gave up. The test had passed without the bound, as a mutation showed: it did not reach the part that passes answers on. It does now, failed, and passes with a second of waiting in all.

--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -26,6 +26,7 @@
     own,
     restores,
     routed,
+    skew,
 )
 from lab.mutants.mutation import Mutation
 
@@ -44,6 +45,7 @@
     *crashes.MUTATIONS,
     *callers.MUTATIONS,
     *overload.MUTATIONS,
+    *skew.MUTATIONS,
 ]
 
 
--- a/tests/daemon/test_endless_answers.py
+++ b/tests/daemon/test_endless_answers.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from standins.behaviour import Behaviour
-from tests.gatewaycase import GatewayCase
+from tests.gatewaycase import WAIT_SECONDS, GatewayCase
 from walnutquay.state.process.events import EventKind
 
 # Far more than any of these answers may take, and far less than comes in a second.
@@ -68,10 +68,13 @@
                 self.assertEqual(answer.status, 200)
 
     async def test_a_body_without_a_length_ends_after_the_deadline(self):
+        # Little is held of it, so it is passed on as it comes.
+        self.gateway.path.memory.limit = BLOCK
         self.break_all(HEAD + b"Connection: close\r\n\r\n", b"x" * BLOCK)
         calls = [self.call("/unsafe/x", b"b", Deadline="500") for _ in range(CALLERS)]
-        for answer in await asyncio.gather(*calls):
-            self.assertFalse(answer.status == 200 and answer.whole)
+        async with asyncio.timeout(WAIT_SECONDS):
+            for answer in await asyncio.gather(*calls):
+                self.assertFalse(answer.status == 200 and answer.whole)
 
 
 class EndlessStreamTest(EndlessAnswerCase):
--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -25,7 +25,8 @@
 
 # Larger answers are not held whole; bytes.
 MAX_ANSWER = 32 << 20
-# What an endpoint has ready comes within this time, once there is room for it.
+# What an endpoint has ready comes within this time, once there is room for it; all of
+# an answer without a length, which may never end.
 LATE_READ_SECONDS = 1.0
 # The most of an answer without a length that an endpoint has ready at its deadline, in
 # the buffers of both sides; bytes.
@@ -189,17 +190,20 @@
         :raises EndpointError: if the body is incomplete, or does not end.
         """
         late = 0
+        waited = 0.0
         # The library's limit would include the time that the caller takes.
         self.answer.content._timer = TimerNoop()
         while True:
             left = max(deadline - monotonic(), LATE_READ_SECONDS)
+            began = monotonic()
             async with asyncio.timeout(left):
                 data = await self.answer.content.read(READ_BYTES)
             if not data:
                 break
             if monotonic() > deadline and self.answer.content_length is None:
                 late += len(data)
-            if late > MAX_LATE_BYTES:
+                waited += monotonic() - began
+            if late > MAX_LATE_BYTES or waited > LATE_READ_SECONDS:
                 raise EndpointError(
                     "the answer does not end", step=STEP_ANSWER, peer=self.peer
                 )
