Take the outcome of a wait that is given up just as it ends

Cause: give_up cancels a wait for an answer's head and asks nothing more; a wait whose own time is over just then ends with a timeout, and one whose answer has come ends with it, and its endpoint works on for nobody. Now the wait is asked once it has ended.

--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -125,9 +125,16 @@
 
     :param connecting: the wait; None if its answer is used.
     """
-    if connecting is None or connecting.cancel() or connecting.cancelled():
+    if connecting is None:
         return
-    if connecting.exception() is None:
+    connecting.cancel()
+    # A wait that is over as it is cancelled ends with its answer or its error.
+    connecting.add_done_callback(_close_answer)
+
+
+def _close_answer(connecting: asyncio.Future[aiohttp.ClientResponse]) -> None:
+    """Close the answer that a wait has ended with, if any."""
+    if not connecting.cancelled() and connecting.exception() is None:
         connecting.result().close()
 
 
