Do not listen again once a VM has begun to stop

Cause: listening again takes a turn of the loop, in which a planned stop may close the port; it was open again then, and took connections that were closed unread. Found by reading the change; the new test failed before.

--- a/tests/daemon/test_full_links.py
+++ b/tests/daemon/test_full_links.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import AbstractAsyncContextManager
 from typing import Any
 from unittest import mock
@@ -67,6 +68,19 @@
         await server.listen_again()
         self.assertIsNone(server.server)
 
+    async def test_a_vm_that_begins_to_stop_as_it_listens_again(self):
+        server = self.gateway.api.server
+        server.refuse()
+        start = server.start
+
+        async def stop_then_start(listener: socket.socket) -> None:
+            server.close_listener()
+            await start(listener)
+
+        with mock.patch.object(server, "start", stop_then_start):
+            await server.listen_again()
+        self.assertIsNone(server.server)
+
     async def test_a_vm_that_is_not_watched_any_more_listens(self):
         gate = self.gateway.caller_gate
         server = self.gateway.api.server
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -295,6 +295,9 @@
             log.warning("cannot listen again yet: {}", error)
             return
         await self.start(listener)
+        if self.web.closed:
+            # The VM has begun to stop meanwhile.
+            self.refuse()
 
     def close_listener(self) -> None:
         """Take no new connections; those that are open go on.
