Test answers without end on our own interface, and from slow senders

The client and the engines of our own interface: interim answers, header fields, a chunk line and a body, read whole and as a stream, fast and with a pause after each block. All end with an EndpointError within 4 MB.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -22,6 +22,8 @@
 MUTE_SECONDS = 60.0
 # Seconds between two pieces of an answer.
 PIECE_SECONDS = 0.01
+# Seconds between two blocks of bytes without end.
+ENDLESS_PAUSE_SECONDS = 0.0
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -313,7 +315,7 @@
         writer.write(again)
         await writer.drain()
         seen.endless += len(again)
-        await asyncio.sleep(0)
+        await asyncio.sleep(ENDLESS_PAUSE_SECONDS)
 
 
 async def _is_unread(writer: asyncio.StreamWriter, seconds: float | None) -> bool:
