Replay bursts that are not skewed, and the rule of what is skewed, in the simulation

New: callers come evenly, at 0.9 and twice of what the links carry, and nobody is refused (6 and 61 VMs). No code changed.

--- a/tests/state/fleet/test_intake.py
+++ b/tests/state/fleet/test_intake.py
@@ -7,6 +7,10 @@
 import random
 import unittest
 
+from walnutquay.state.fleet.connectiongate import (
+    MEASURED_CONNECTIONS,
+    SKEW_FACTOR,
+)
 from walnutquay.state.fleet.intake import (
     FULL_SECONDS,
     LEAST_PER_SECOND,
@@ -111,15 +115,27 @@
             self.waits.append(self.wait())
         return True
 
-    def tick(self, told: float, skewed: bool, now: float) -> None:
+    def rate(self, now: float) -> int:
+        """:returns: connections taken in the last second."""
+        return sum(at > now - 1.0 for at in self.taken[-1000:])
+
+    def tick(self, told: float, idle: bool, usual_rate: float, now: float) -> None:
+        """:param told: the wait that is known.
+
+        :param idle: whether the other VMs are idle.
+        :param usual_rate: their connections in the last second.
+        :param now: monotonic seconds.
+        """
         self.queue = max(0.0, self.queue - self.capacity * TICK_SECONDS)
-        rate = sum(at > now - 1.0 for at in self.taken[-1000:])
+        rate = self.rate(now)
+        many = rate >= MEASURED_CONNECTIONS and rate > SKEW_FACTOR * usual_rate
+        skewed = idle and (many or self.intake.is_limited)
         self.intake.tick(told, rate, skewed, now)
         self.listens = self.intake.listens
 
 
 class FleetReplayTest(unittest.TestCase):
-    """Nine of ten new connections come to one VM, then to the next one."""
+    """New connections come evenly, or most to one VM and then to the next one."""
 
     # What one VM's link carries, relative to its even share of all callers.
     ROOM = 4.0
@@ -131,30 +147,40 @@
     PATIENCE_SECONDS = 0.5
     LAG_SECONDS = 0.15
 
-    def replay(self, size: int, seed: int) -> tuple[float, float]:
-        """:returns: the share of those who were taken that waited little, and of
-        callers who were refused twice.
+    def replay(
+        self, size: int, seed: int, skew: float = 0.9, factor: float = 1.0
+    ) -> tuple[float, float]:
+        """:param size: the number of VMs.
+
+        :param seed: of all chance.
+        :param skew: the share of new connections that one VM gets.
+        :param factor: how much more often callers come.
+        :returns: the share of those who were taken that waited little, and of callers
+            who were refused twice.
         """
         rng = random.Random(seed)
         vms = [Vm(self.ROOM * self.EVEN_RATE) for _ in range(size)]
         lag = int(self.LAG_SECONDS / TICK_SECONDS)
         told = [[0.0] * lag for _ in vms]
         tries = refused = 0
+        self.refused_once = 0
         for step in range(int(2 * self.SECONDS / TICK_SECONDS)):
             now = step * TICK_SECONDS
             favourite = vms[int(now / self.SECONDS)]
-            for _ in range(int(size * self.EVEN_RATE * TICK_SECONDS)):
+            for _ in range(int(factor * size * self.EVEN_RATE * TICK_SECONDS)):
                 tries += 1
-                first = favourite if rng.random() < 0.9 else rng.choice(vms)
+                first = favourite if rng.random() < skew else rng.choice(vms)
                 second = rng.choice(vms)
                 while second is first:
                     second = rng.choice(vms)
+                self.refused_once += not first.listens
                 if not first.connect(now) and not second.connect(now):
                     refused += 1
-            usual = sorted(one.wait() for one in vms)[size // 2]
+            idle = sorted(vm.wait() for vm in vms)[size // 2] < FULL_SECONDS / 2
+            usual_rate = sorted(vm.rate(now) for vm in vms)[size // 2]
             for vm, waits in zip(vms, told, strict=True):
                 waits.append(vm.wait())
-                vm.tick(waits.pop(0), usual < FULL_SECONDS / 2, now)
+                vm.tick(waits.pop(0), idle, usual_rate, now)
         late = served = 0
         for vm in vms:
             for at, wait in zip(vm.taken, vm.waits, strict=True):
@@ -170,3 +196,10 @@
                 share, refused_twice = self.replay(size, seed=size)
                 self.assertGreaterEqual(share, LEAST_SERVED)
                 self.assertLessEqual(refused_twice, MOST_REFUSED_TWICE)
+
+    def test_nobody_is_refused_in_a_burst_that_is_not_skewed(self):
+        for size in (6, 61):
+            for factor in (0.9 * self.ROOM, 2.0 * self.ROOM):
+                with self.subTest(size=size, factor=factor):
+                    self.replay(size, size, skew=0.0, factor=factor)
+                    self.assertEqual(self.refused_once, 0)
