Name a VM's full link as the cause of its requests' failures in traces

Cause: the lines link-full and link-free were no belief of the VM for the trace. Four new cases of the cause finder.

--- a/tests/history/test_history.py
+++ b/tests/history/test_history.py
@@ -50,6 +50,7 @@
 ORDER = line("ordered", 0.1, "", version="v2", detail="s: running, revision 3")
 RESTART = line("started", 5.0, "")
 OLD = line("configured", 0.2, "", version="4")
+LINK_FULL = line("link-full", 1.1, "", wait_ms=200)
 NEW = line("configured", 0.9, "", version="5", vm="vm-2")
 
 # what the logs have -> why the request failed or was late
@@ -57,6 +58,13 @@
     ([RECEIVED, SENT, line("answered", 1.1, status=200, late=False)], None),
     ([RECEIVED, SENT, RESTART], Cause.VM_LOST),
     ([RECEIVED, SENT], Cause.UNTOLD),
+    ([RECEIVED, SENT, LINK_FULL, TIMEOUT, UNKNOWN], Cause.LINK_FULL),
+    ([RECEIVED, SENT, LINK_FULL, CONNECT, NO_PLACE], Cause.LINK_FULL),
+    (
+        [RECEIVED, SENT, LINK_FULL, line("link-free", 1.2, ""), TIMEOUT, UNKNOWN],
+        Cause.NO_TIME,
+    ),
+    ([RECEIVED, SENT, LINK_FULL, ERROR, UNKNOWN], Cause.ENDPOINT_ERROR),
     ([RECEIVED, line("refused", 1.0, detail="not_ready")], Cause.VM_STARTING),
     ([RECEIVED, line("refused", 1.0, detail="stopping")], Cause.VM_STOPPING),
     ([RECEIVED, line("refused", 1.0, detail="body_too_large")], Cause.CALLER),
--- a/walnutquay/history/beliefs.py
+++ b/walnutquay/history/beliefs.py
@@ -37,6 +37,8 @@
     :param trials: versions on trial, by what the order's line begins with.
     :param started: the line of the process's start.
     :param stopping: the line that says that the VM stops.
+    :param link: the line that says that the VM's network link is full; None if it is
+        not known to be.
     """
 
     configuration: LogLine | None = None
@@ -45,6 +47,7 @@
     trials: dict[str, str] = field(default_factory=dict)
     started: LogLine | None = None
     stopping: LogLine | None = None
+    link: LogLine | None = None
 
     def take(self, line: LogLine) -> None:
         """:param line: a line of this VM."""
@@ -56,6 +59,10 @@
             self.store = self.store or line
         elif line.kind is EventKind.PLATFORM_UP:
             self.store = None
+        elif line.kind is EventKind.LINK_FULL:
+            self.link = line
+        elif line.kind is EventKind.LINK_FREE:
+            self.link = None
         elif line.kind in ENDPOINT_STATES:
             self.endpoints[line.endpoint] = line
         elif line.kind is EventKind.ORDERED:
--- a/walnutquay/history/causes.py
+++ b/walnutquay/history/causes.py
@@ -32,6 +32,7 @@
     VM_STARTING = "the VM had just started"
     VM_STOPPING = "the VM was stopping"
     VM_LOST = "the VM was lost"
+    LINK_FULL = "the VM's own network link was full"
     ENDPOINTS_UNREACHED = "the endpoints could not be reached"
     ENDPOINTS_FULL = "the endpoints were full"
     ENDPOINTS_LIMITED = "the endpoints were at the rate limits that they name"
@@ -77,6 +78,19 @@
 PLACES = frozenset({RefusalCode.NO_ENDPOINT.value, RefusalCode.QUEUE_FULL.value})
 
 
+# What a full link of the VM brings about, and its endpoints seem to.
+BY_FULL_LINKS = frozenset(
+    {
+        Cause.ENDPOINTS_UNREACHED,
+        Cause.ENDPOINT_LOST,
+        Cause.NO_TIME,
+        Cause.CALLER_LEFT,
+        Cause.LATE_AFTER_FAILURE,
+        Cause.LATE_ENDPOINT,
+    }
+)
+
+
 class CauseFinder:
     """Finds causes.
 
@@ -91,6 +105,16 @@
 
         :returns: why it failed or was late; None where it was answered in time.
         """
+        finding = self._find(history)
+        if finding is None or finding.cause not in BY_FULL_LINKS:
+            return finding
+        link = self.beliefs.at(history.vm, history.lines[-1].at).link
+        if link is None:
+            return finding
+        waited = f"other VMs' answers took {link.number('wait_ms'):.0f} ms"
+        return Finding(Cause.LINK_FULL, link, f"{waited}; {finding.cause.value}")
+
+    def _find(self, history: RequestHistory) -> Finding | None:
         end = history.end
         if end is None:
             return self._without_end(history)
--- a/walnutquay/history/report.py
+++ b/walnutquay/history/report.py
@@ -97,6 +97,11 @@
         text.append(f"  the store had not answered for {age:.1f} s")
     for service, version in belief.trials.items():
         text.append(f"  version {version} of {service} was on trial")
+    last = history.lines[-1]
+    link = beliefs.at(history.vm, last.at).link
+    if link is not None:
+        age = last.seconds - link.seconds
+        text.append(f"  its own network link had been full for {age:.1f} s at the end")
     for line in history.lines:
         if line.endpoint:
             state = beliefs.at(line.vm, line.at).state_of(line.endpoint)
