Keep the connect limit out of the tests of slow readers

Endpoints, VM and callers share a loop there, and how fast it connects is not what these tests are of.

--- a/tests/daemon/test_slow_readers.py
+++ b/tests/daemon/test_slow_readers.py
@@ -14,6 +14,7 @@
 from tests.scriptedendpoint import DaemonLoops
 from walnutquay.coordination.routed.bodies import MAX_ANSWER
 from walnutquay.daemon.gateway import GatewayDaemon
+from walnutquay.transport import client
 from walnutquay.transport import gateway as caller_side
 from walnutquay.transport.client import READ_BYTES
 from walnutquay.transport.timers import monotonic
@@ -80,6 +81,12 @@
         asyncio.set_event_loop_policy(DaemonLoops())
         cls.addClassCleanup(asyncio.set_event_loop_policy, None)
 
+    async def asyncSetUp(self) -> None:
+        # How fast a busy machine makes connections decides nothing here.
+        patient = mock.patch.object(client, "CONNECT_SECONDS", WAIT_SECONDS)
+        self.enterContext(patient)
+        await super().asyncSetUp()
+
     async def prepare(self, gateway: GatewayDaemon) -> None:
         """Limit what it keeps of answers."""
         gateway.path.memory.limit = LIMIT
