Count a forwarded answer as whole only if the endpoint's end was told on

Cause: the system closes the sockets of a killed process in order, and an orderly end of the connection between two VMs was taken for the endpoint's own end.

Change: the forwarding VM puts what comes from the endpoint into frames, and tells of its end by an empty one. Without that, the attempt fails at the step "forwarder", which is nobody's fault: safe requests are sent again, streams resumed, others end as unknown. VMs of older builds neither ask for frames nor send them.

Why it works: only the VM that has the connection to the endpoint sees how that ended, and a process that is killed sends no frame.

Answers with a length and chunks are read beside older builds on either side (OlderBuildTest).

--- a/lab/mutants/links.py
+++ b/lab/mutants/links.py
@@ -10,11 +10,18 @@
 TUNNELS = "tests.coordination.routed.test_tunnels"
 
 MUTATIONS = [
+    Mutation(
+        "links: an end between two VMs is taken for the endpoint's",
+        "transport/connections.py",
+        "return self.forwarded and (",
+        "return False and (",
+        f"{TUNNELS}.KilledHelperTest",
+    ),
     Mutation(
         "links: no other VM is asked",
         "coordination/routed/tunnels.py",
-        "                return bound\n        return None",
-        "                bound.close()\n        return None",
+        "                return forwarded\n        return None",
+        "                forwarded.bound.close()\n        return None",
         f"{PARTITIONS}.PartitionedVmTest",
     ),
     Mutation(
--- a/tests/coordination/routed/test_tunnels.py
+++ b/tests/coordination/routed/test_tunnels.py
@@ -5,21 +5,27 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from unittest import mock
 
 import aiohttp
 
 from standins.worker import Behaviour
+from tests.gatewaycase import Got
 from tests.partitioncase import PartitionCase
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.exceptions import PeerError
 from walnutquay.protocol.linkmessages import AskReach, OpenTunnel, ReachIs
-from walnutquay.protocol.messages import Failure, Message
+from walnutquay.protocol.messages import Envelope, Failure, Message
 from walnutquay.protocol.peer import PeerCodec
+from walnutquay.state.fleet.membership import Address
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import EndpointName
 from walnutquay.state.routed.links import Reach
+from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.tunnels import TunnelEnd, request_tunnel
 
 # More than all buffers of a connection hold.
@@ -195,6 +201,123 @@
         self.assertNotIn(EventKind.ENDPOINT_ENDED, kinds)
 
 
+class KilledHelperTest(TunnelCase):
+    """A VM is killed while it forwards answers without a length.
+
+    Guards against parts of answers that seem whole: the system closes the connections
+    of a process that ends as an endpoint closes its own.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.gate = asyncio.Event()
+        self.addCleanup(self.gate.set)
+
+    async def cut_within(self, path: str) -> Got:
+        """Have the first answer cut between two events, and return what came of it."""
+        first = Behaviour(events=4, framed=False, gate=self.gate)
+        left = [first]
+        for worker in self.endpoints.values():
+            worker.choose = lambda _: left.pop() if left else replace(first, gate=None)
+        call = self.track(self.call(path, b"b", Model="tiny", Deadline="9000"))
+        with self.watch_data() as passed_on:
+            await self.until(lambda: bool(passed_on))
+        for near in list(self.helper.tunnels.forwarded):
+            near.close()
+        return await call
+
+    @contextmanager
+    def watch_data(self) -> Iterator[list[bytes]]:
+        """Collect what comes from endpoints and is passed on."""
+        passed_on = []
+        receive = TunnelEnd.data_received
+
+        def watched(end: TunnelEnd, data: bytes) -> None:
+            receive(end, data)
+            if end not in self.helper.tunnels.forwarded:
+                passed_on.append(data)
+
+        with mock.patch.object(TunnelEnd, "data_received", watched):
+            yield passed_on
+
+    async def test_plain_answer_is_not_whole(self) -> None:
+        answer = await self.cut_within("/unsafe/x")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.runs("p1", "p2"), 1)
+
+    async def test_safe_request_is_sent_again(self) -> None:
+        answer = await self.cut_within("/safe/x")
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body.count(b"id:"), 4)
+
+    async def test_stream_is_resumed(self) -> None:
+        answer = await self.cut_within("/stream/x")
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        self.assertEqual(answer.body.count(b"id:"), 4)
+
+    async def test_stream_that_may_not_be_resumed_is_not_whole(self) -> None:
+        answer = await self.cut_within("/once/x")
+        self.assertFalse(answer.status == 200 and answer.whole)
+
+    async def test_endpoint_is_not_blamed(self) -> None:
+        await self.cut_within("/unsafe/x")
+        events = self.gateway.context.timeline.ring.events
+        failed = [event for event in events if event.kind is EventKind.FAILED]
+        facts = [dict(event.facts) for event in failed]
+        self.assertEqual([one["step"] for one in facts], ["forwarder"])
+        self.assertEqual([one["own_link"] for one in facts], [True])
+
+
+class OlderBuildTest(TunnelCase):
+    """One of the two VMs is of a build whose tunnels have no frames.
+
+    Guards against a part that seems whole, and against answers that neither could read.
+    """
+
+    def answer_framed(self, framed: bool) -> None:
+        for name in ("p1", "p2"):
+            self.endpoints[name].default = Behaviour(body=b"all of it", framed=framed)
+
+    def age_helper(self) -> None:
+        """Have the VM that forwards ignore that frames are asked for."""
+        serve = self.helper.tunnels.serve
+
+        async def older(envelope: Envelope, writer: asyncio.StreamWriter) -> bool:
+            body = replace(envelope.body, framed=False)
+            return await serve(replace(envelope, body=body), writer)
+
+        self.helper.node.tunnel_handler = older
+
+    def age_caller(self) -> None:
+        """Have the VM that asks not know of frames."""
+
+        async def older(
+            node: PeerNode, address: Address, body: OpenTunnel, timeout: float
+        ) -> tuple[Message, socket.socket]:
+            return await request_tunnel(
+                node, address, replace(body, framed=False), timeout
+            )
+
+        name = "walnutquay.coordination.routed.tunnels.request_tunnel"
+        self.enterContext(mock.patch(name, older))
+
+    async def test_answer_with_a_length_is_read(self) -> None:
+        self.answer_framed(True)
+        for age in (self.age_helper, self.age_caller):
+            with self.subTest(age=age.__name__):
+                age()
+                answer = await self.call("/unsafe/x", b"b")
+                self.assertEqual((answer.status, answer.body), (200, b"all of it"))
+
+    async def test_answer_without_a_length_never_seems_whole(self) -> None:
+        self.answer_framed(False)
+        for age in (self.age_helper, self.age_caller):
+            with self.subTest(age=age.__name__):
+                age()
+                answer = await self.call("/unsafe/x", b"b")
+                self.assertEqual(answer.status, 502)
+
+
 class TunnelEndTest(TunnelCase):
     """How the two connections of a tunnel follow each other."""
 
--- a/tests/scriptedendpoint.py
+++ b/tests/scriptedendpoint.py
@@ -11,8 +11,8 @@
 from unittest import mock
 
 from walnutquay.transport.client import HttpClient
-from walnutquay.transport.connections import Stray, StrayKind
 from walnutquay.transport.loops import new_loop
+from walnutquay.transport.strays import Stray, StrayKind
 
 ID = "x-id"
 # What a test waits for has come long before.
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -18,7 +18,7 @@
 )
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.transport.client import STEP_ANSWER
-from walnutquay.transport.connections import StrayKind
+from walnutquay.transport.strays import StrayKind
 
 # Bytes that do not fit into the buffers between two processes.
 LONG_BODY = 32 << 20
--- a/walnutquay/coordination/own/endpoints.py
+++ b/walnutquay/coordination/own/endpoints.py
@@ -23,8 +23,8 @@
 from walnutquay.state.process.ids import EndpointName, LeavingSource
 from walnutquay.state.requests.endpoints import EndpointTable
 from walnutquay.state.store.parts import Endpoint
-from walnutquay.transport.client import get_json
 from walnutquay.transport.connectors import KeptConnector
+from walnutquay.transport.jsoncalls import get_json
 from walnutquay.transport.timers import monotonic
 
 log = logbook.Logger(__name__)
--- a/walnutquay/coordination/own/members.py
+++ b/walnutquay/coordination/own/members.py
@@ -19,8 +19,8 @@
 from walnutquay.state.fleet.membership import Address, MemberTable, MemberUpdate
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import MemberState, VmName
-from walnutquay.transport.client import get_json
 from walnutquay.transport.connectors import KeptConnector
+from walnutquay.transport.jsoncalls import get_json
 from walnutquay.transport.peers import PeerNode
 from walnutquay.transport.timers import monotonic
 
--- a/walnutquay/coordination/process/strays.py
+++ b/walnutquay/coordination/process/strays.py
@@ -6,7 +6,7 @@
 
 from walnutquay.coordination.process.context import Context
 from walnutquay.state.process.events import EventKind
-from walnutquay.transport.connections import OnStray, Stray
+from walnutquay.transport.strays import OnStray, Stray
 
 
 def stray_reporter(context: Context) -> OnStray:
--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -29,6 +29,7 @@
     STEP_BROKEN,
     STEP_CONNECT,
     STEP_EXCHANGE,
+    STEP_FORWARDER,
     STEP_REACH,
     STEP_SILENT,
     STEP_STREAM,
@@ -151,6 +152,8 @@
         :param grant: the slot at the endpoint.
         :param error: how it failed.
         """
+        if error.step == STEP_FORWARDER:
+            return True
         if error.step not in LINK_STEPS or not self.is_current(grant):
             return False
         if grant.via is not None and error.step != STEP_BROKEN:
--- a/walnutquay/coordination/routed/plainanswers.py
+++ b/walnutquay/coordination/routed/plainanswers.py
@@ -17,7 +17,12 @@
 from walnutquay.protocol.calls import AnswerHead
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.routed.callerpace import CallerPace
-from walnutquay.transport.client import FAILURES, STEP_ANSWER, STEP_BROKEN
+from walnutquay.transport.client import (
+    FAILURES,
+    STEP_ANSWER,
+    STEP_BROKEN,
+    STEP_FORWARDER,
+)
 from walnutquay.transport.connections import GarbledBodyError
 from walnutquay.transport.timers import monotonic
 
@@ -99,6 +104,15 @@
                 pace.passed_on(monotonic())
         except (EndpointError, *FAILURES) as error:
             reason = str(error) or type(error).__name__
-            garbled = isinstance(error, GarbledBodyError)
-            step = STEP_ANSWER if garbled else STEP_BROKEN
-            raise BegunAnswerError(reason, step=step, peer=body.peer) from error
+            raise BegunAnswerError(
+                reason, step=_step_of(error), peer=body.peer
+            ) from error
+
+
+def _step_of(error: Exception) -> str:
+    """Return the step of an error that has broken an answer in passing."""
+    if isinstance(error, GarbledBodyError):
+        return STEP_ANSWER
+    if isinstance(error, EndpointError) and error.step == STEP_FORWARDER:
+        return STEP_FORWARDER
+    return STEP_BROKEN
--- a/walnutquay/coordination/routed/tunnels.py
+++ b/walnutquay/coordination/routed/tunnels.py
@@ -21,6 +21,7 @@
 from walnutquay.state.routed.links import Helper, LostLink, Reach
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.client import CONNECT_SECONDS
+from walnutquay.transport.connectors import Forwarded
 from walnutquay.transport.timers import monotonic
 from walnutquay.transport.tunnels import (
     TunnelEnd,
@@ -59,7 +60,7 @@
         """Return whether the connection is to be made by this VM itself."""
         return self.tunnels.reachability.is_direct(self.endpoint)
 
-    async def forward(self, silent: bool) -> socket.socket | None:
+    async def forward(self, silent: bool) -> Forwarded | None:
         """Open a connection through another VM.
 
         :param silent: whether the endpoint has not responded to this VM at all.
@@ -68,10 +69,10 @@
         reachability = self.tunnels.reachability
         lost = await reachability.find_helpers(self.endpoint, silent)
         for helper in lost.ranked(self.tunnels.context.hall)[:TRIED_HELPERS]:
-            bound = await self.tunnels.open(lost, helper, self.request)
-            if bound is not None:
+            forwarded = await self.tunnels.open(lost, helper, self.request)
+            if forwarded is not None:
                 self.grant.via = helper.vm
-                return bound
+                return forwarded
         return None
 
 
@@ -118,7 +119,7 @@
 
     async def open(
         self, lost: LostLink, helper: Helper, request: RequestId
-    ) -> socket.socket | None:
+    ) -> Forwarded | None:
         """Open a connection to an endpoint through another VM.
 
         :param lost: the endpoint.
@@ -126,9 +127,10 @@
         :param request: the request that the connection is for.
         :returns: the connection; None if there is none.
         """
-        message = OpenTunnel(lost.endpoint.name, lost.endpoint.born, request)
+        message = OpenTunnel(lost.endpoint.name, lost.endpoint.born, request, True)
         answer, bound = await self._request(helper.vm, message)
-        if not isinstance(answer, ReachIs) or answer.reach is not Reach.REACHED:
+        reached = isinstance(answer, ReachIs) and answer.reach is Reach.REACHED
+        if bound is None or not reached:
             lost.helpers.pop(helper.vm, None)
             self.context.metrics.count("tunnels_failed")
             if bound is not None:
@@ -144,7 +146,7 @@
             detail=f"by {helper.vm}",
             via=helper.vm,
         )
-        return bound
+        return Forwarded(bound, answer.framed)
 
     async def _request(
         self, vm: VmName, message: OpenTunnel
@@ -203,7 +205,8 @@
             self.context.metrics.count(f"tunnels_{reach.value}")
             node.write(writer, ReachIs(reach, len(self.forwarded)), envelope.call)
             return False
-        node.write(writer, ReachIs(reach, len(self.forwarded) + 1), envelope.call)
+        answer = ReachIs(reach, len(self.forwarded) + 1, body.framed)
+        node.write(writer, answer, envelope.call)
         self._join(writer, end)
         self.context.metrics.count("tunnels_forwarded")
         self.context.timeline.emit(
@@ -223,7 +226,7 @@
         if endpoint.name in self.reachability.unreachable:
             return Reach.SILENT, None
         try:
-            end = await connect_end(endpoint.address, CONNECT_SECONDS)
+            end = await connect_end(endpoint.address, CONNECT_SECONDS, body.framed)
         except TimeoutError:
             return Reach.SILENT, None
         except OSError:
--- a/walnutquay/platform/store.py
+++ b/walnutquay/platform/store.py
@@ -34,8 +34,8 @@
 )
 from walnutquay.state.process.revisions import Era, EraTracker, StoreRevision
 from walnutquay.transport.client import read_whole
-from walnutquay.transport.connections import OnStray, ignore_stray
 from walnutquay.transport.connectors import KeptConnector
+from walnutquay.transport.strays import OnStray, ignore_stray
 
 log = logbook.Logger(__name__)
 
--- a/walnutquay/protocol/linkmessages.py
+++ b/walnutquay/protocol/linkmessages.py
@@ -33,11 +33,14 @@
     :param endpoint: the endpoint.
     :param born: when it started, in Unix milliseconds; None if not known.
     :param request: the id of the request that it is for.
+    :param framed: whether the sender reads what comes from the endpoint in frames; VMs
+        of older builds don't.
     """
 
     endpoint: EndpointName
     born: int | None
     request: str
+    framed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +49,9 @@
 
     :param reach: whether it is.
     :param tunnels: the connections that the sender forwards.
+    :param framed: whether what it passes on of the endpoint comes in frames.
     """
 
     reach: Reach
     tunnels: int
+    framed: bool = False
--- a/walnutquay/protocol/peer.capnp
+++ b/walnutquay/protocol/peer.capnp
@@ -315,6 +315,8 @@
   born @1 :Int64;
   # The request that a tunnel is for.
   request @2 :Text;
+  # Whether the sender reads frames from a tunnel.
+  framed @3 :Bool;
 }
 
 struct Reach {
@@ -322,6 +324,8 @@
   reach @0 :Text;
   # The connections that the sender forwards.
   tunnels @1 :UInt32;
+  # Whether what it passes on of the endpoint comes in frames.
+  framed @2 :Bool;
 }
 
 # The requests of the sender at a brittle endpoint; a time of its start that is not known
--- a/walnutquay/protocol/peer.py
+++ b/walnutquay/protocol/peer.py
@@ -201,8 +201,10 @@
         _rate_limit(r.limit), r.granted, r.issuer, _seconds(r.wait)
     ),
     "askReach": lambda r: AskReach(EndpointName(r.endpoint), _born(r)),
-    "openTunnel": lambda r: OpenTunnel(EndpointName(r.endpoint), _born(r), r.request),
-    "reach": lambda r: ReachIs(Reach(r.reach), r.tunnels),
+    "openTunnel": lambda r: OpenTunnel(
+        EndpointName(r.endpoint), _born(r), r.request, r.framed
+    ),
+    "reach": lambda r: ReachIs(Reach(r.reach), r.tunnels, r.framed),
     "askPlace": lambda r: AskPlace(
         EndpointName(r.endpoint), _born(r), r.requests, r.running, r.number
     ),
--- a/walnutquay/protocol/peerfields.py
+++ b/walnutquay/protocol/peerfields.py
@@ -286,7 +286,7 @@
 
 @body_fields.register
 def _(body: ReachIs) -> dict[str, Any]:
-    return {"reach": {"reach": body.reach.value, "tunnels": body.tunnels}}
+    return {"reach": {**flat_fields(body), "reach": body.reach.value}}
 
 
 @body_fields.register
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -16,19 +16,12 @@
 from types import TracebackType
 
 import aiohttp
-import orjson
 from multidict import CIMultiDict
 from yarl import URL
 
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.state.routed.links import Reach
-from walnutquay.transport.connections import (
-    GarbledBodyError,
-    KeptProtocol,
-    OnStray,
-    StrayAnswerError,
-    ignore_stray,
-)
+from walnutquay.transport.connections import GarbledBodyError, KeptProtocol
 from walnutquay.transport.connectors import (
     Dialer,
     KeptConnector,
@@ -37,6 +30,7 @@
     may_send,
     on_connection,
 )
+from walnutquay.transport.strays import OnStray, StrayAnswerError, ignore_stray
 from walnutquay.transport.timers import monotonic
 from walnutquay.transport.traffic import Traffic
 
@@ -67,6 +61,8 @@
 STEP_SILENT = "silent"
 # The step of an error by which the connection ended after something was sent.
 STEP_BROKEN = "broken"
+# The step of an error by which the VM that forwards the connection was lost.
+STEP_FORWARDER = "forwarder"
 # The step of an error by which no answer came in time.
 STEP_EXCHANGE = "exchange"
 # The step of an error by which a stream has been silent for too long.
@@ -116,14 +112,23 @@
     def check(self, peer: str) -> None:
         """:param peer: the endpoint's name, for errors.
 
-        :raises EndpointError: if the connection was reset, not closed.
+        :raises EndpointError: if the connection was reset, or if it was not the
+            endpoint that has closed it.
         """
-        if isinstance(self.protocol, KeptProtocol) and self.protocol.was_reset:
+        if not isinstance(self.protocol, KeptProtocol):
+            return
+        if self.protocol.was_reset:
             raise EndpointError(
                 "the connection was reset within the answer",
                 step=STEP_BROKEN,
                 peer=peer,
             )
+        if self.protocol.forwarder_was_lost:
+            raise EndpointError(
+                "the VM that forwards the connection has not told that it ended",
+                step=STEP_FORWARDER,
+                peer=peer,
+            )
 
 
 async def read_whole(answer: aiohttp.ClientResponse, peer: str) -> bytes:
@@ -369,25 +374,3 @@
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in answer.raw_headers
     ]
-
-
-async def get_json(session: aiohttp.ClientSession, url: str, timeout: float) -> object:
-    """Get a small JSON answer.
-
-    :param session: the session to use.
-    :param url: where from.
-    :param timeout: seconds in all.
-    :raises EndpointError: if none comes.
-    """
-    limits = aiohttp.ClientTimeout(total=timeout)
-    try:
-        async with session.get(url, timeout=limits) as answer:
-            answer.raise_for_status()
-            return orjson.loads(await read_whole(answer, url))
-    except (
-        TimeoutError,
-        aiohttp.ClientError,
-        OSError,
-        orjson.JSONDecodeError,
-    ) as error:
-        raise EndpointError(str(error), step="get", peer=url) from error
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -11,9 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
 from http import HTTPStatus
 from typing import Any
 
@@ -22,10 +19,18 @@
 from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 
+from walnutquay.exceptions import MessageError
 from walnutquay.transport.framing import FramingMeter
 from walnutquay.transport.heads import HEAD_END, last_bytes, split_after_heads
 from walnutquay.transport.sockets import reset_on_close, was_reset
+from walnutquay.transport.strays import (
+    OnStray,
+    Stray,
+    StrayAnswerError,
+    StrayKind,
+)
 from walnutquay.transport.traffic import CountedTransport, Traffic
+from walnutquay.transport.tunnelframes import FrameReader
 
 ENDLESS = "bytes without end that are no answer"
 # Requests that one connection carries; it remembers their ids.
@@ -34,48 +39,6 @@
 Message = tuple[RawResponseMessage, aiohttp.StreamReader]
 
 
-class StrayKind(Enum):
-    """How it is known that bytes are no answer to the request under way."""
-
-    # No request was under way.
-    IDLE = "idle"
-    # It names an earlier request of the connection.
-    EARLIER = "earlier"
-    # It names a request that the connection has never carried.
-    FOREIGN = "foreign"
-    # It names no request, though earlier answers on the connection did.
-    UNNAMED = "unnamed"
-
-
-@dataclass(frozen=True, slots=True)
-class Stray:
-    """Bytes on a connection that belong to no request.
-
-    :param kind: how that is known.
-    :param address: ``IP:port`` of who sent them.
-    :param size: how many bytes came at once; 0 for an answer.
-    :param request: the request that was under way.
-    :param named: the request that an answer names.
-    """
-
-    kind: StrayKind
-    address: str
-    size: int = 0
-    request: str = ""
-    named: str = ""
-
-
-OnStray = Callable[[Stray], None]
-
-
-def ignore_stray(stray: Stray) -> None:
-    """:param stray: bytes that nobody is told of."""
-
-
-class StrayAnswerError(aiohttp.ClientError):
-    """An answer that is not the one to the request under way."""
-
-
 class GarbledBodyError(aiohttp.ClientPayloadError):
     """A body that holds bytes which cannot belong to it."""
 
@@ -124,8 +87,9 @@
         self.params: dict[str, Any] = {}
         # Whether the peer has reset the connection.
         self.was_reset = False
-        # Whether another VM forwards the connection.
+        # Whether another VM forwards the connection, and what takes its frames off.
         self.forwarded = False
+        self.frames: FrameReader | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """:param transport: the connection's."""
@@ -133,6 +97,19 @@
         assert self.transport is not None
         self.transport = self.noted = CountedTransport(self.transport, self.traffic)
 
+    def forward(self, framed: bool) -> None:
+        """Note that another VM forwards the connection.
+
+        :param framed: whether what comes from the endpoint is in frames.
+        """
+        self.forwarded = True
+        self.frames = FrameReader() if framed else None
+
+    @property
+    def forwarder_was_lost(self) -> bool:
+        """Whether it is not known that the endpoint itself has ended the connection."""
+        return self.forwarded and (self.frames is None or not self.frames.ended)
+
     @property
     def was_written(self) -> bool:
         """Whether anything of the request under way has been written."""
@@ -190,6 +167,20 @@
             super().data_received(data)
             return
         self.traffic.received(len(data))
+        if self.frames is None:
+            self._received(data)
+            return
+        try:
+            pieces = self.frames.feed(data)
+        except MessageError as error:
+            self.set_exception(error)
+            self.abort()
+            return
+        for piece in pieces:
+            self._received(piece)
+
+    def _received(self, data: bytes) -> None:
+        """:param data: what has come from the endpoint."""
         for part in split_after_heads(self.before, data):
             # Some endpoints refuse a connection before they have read a request.
             if self.used and not self.under_way:
--- a/walnutquay/transport/connectors.py
+++ b/walnutquay/transport/connectors.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 from contextvars import ContextVar
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 import aiohttp
@@ -15,13 +16,9 @@
 from aiohttp.client_reqrep import ClientRequest
 from aiohttp.connector import Connection
 
-from walnutquay.transport.connections import (
-    KeptProtocol,
-    MatchingProtocol,
-    OnStray,
-    ignore_stray,
-)
+from walnutquay.transport.connections import KeptProtocol, MatchingProtocol
 from walnutquay.transport.sockets import limited_socket
+from walnutquay.transport.strays import OnStray, ignore_stray
 from walnutquay.transport.timers import monotonic
 from walnutquay.transport.traffic import Traffic
 
@@ -40,13 +37,25 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Forwarded:
+    """A connection to an endpoint that another VM forwards.
+
+    :param bound: its socket.
+    :param framed: whether what comes from the endpoint is in frames.
+    """
+
+    bound: socket.socket
+    framed: bool
+
+
 class Dialer(Protocol):
     """Makes connections to one endpoint where this VM cannot."""
 
     def is_direct(self) -> bool:
         """Return whether the connection is to be made by this VM itself."""
 
-    async def forward(self, silent: bool) -> socket.socket | None:
+    async def forward(self, silent: bool) -> Forwarded | None:
         """Make a connection through another VM.
 
         :param silent: whether the endpoint has not responded to this VM at all.
@@ -174,9 +183,10 @@
     async def _forward(
         self, through: Dialer | None, silent: bool
     ) -> ResponseHandler | None:
-        bound = await through.forward(silent) if through is not None else None
-        if bound is None:
+        made = await through.forward(silent) if through is not None else None
+        if made is None:
             return None
-        _, protocol = await self._loop.create_connection(self._factory, sock=bound)
-        protocol.forwarded = True
+        protocol = self._factory()
+        protocol.forward(made.framed)
+        await self._loop.create_connection(lambda: protocol, sock=made.bound)
         return protocol
--- a/walnutquay/transport/tunnels.py
+++ b/walnutquay/transport/tunnels.py
@@ -21,6 +21,7 @@
 from walnutquay.state.fleet.membership import Address
 from walnutquay.transport.peers import LENGTH_BYTES, MAX_FRAME, PeerNode
 from walnutquay.transport.sockets import limit_silence, reset_on_close, was_reset
+from walnutquay.transport.tunnelframes import END_FRAME, frame_header
 
 # The number of a tunnel's only call.
 CALL = 1
@@ -30,9 +31,13 @@
 
 
 class TunnelEnd(asyncio.Protocol):
-    """One of the two connections of a tunnel."""
+    """One of the two connections of a tunnel.
 
-    def __init__(self) -> None:
+    :param framed: whether what comes here is passed on in frames.
+    """
+
+    def __init__(self, framed: bool = False) -> None:
+        self.framed = framed
         # Called when the connection has ended.
         self.on_lost: Callable[[], None] = _ignore_lost
         self.transport: asyncio.Transport | None = None
@@ -78,6 +83,8 @@
         if self.other is None:
             self.early += data
         elif self.other.transport is not None:
+            if self.framed:
+                self.other.transport.write(frame_header(len(data)))
             self.other.transport.write(data)
 
     def eof_received(self) -> bool:
@@ -92,10 +99,13 @@
         if was_reset(self.transport.get_extra_info("socket")):
             other.reset()
             return False
+        is_open = other.transport is not None and not other.transport.is_closing()
+        if is_open and self.framed:
+            other.transport.write(END_FRAME)
         if other.at_eof:
             other.close()
             return False
-        if other.transport is not None and not other.transport.is_closing():
+        if is_open:
             other.transport.write_eof()
         return True
 
@@ -136,18 +146,21 @@
     """Do nothing: nobody counts this end."""
 
 
-async def connect_end(url: str, timeout: float) -> TunnelEnd:
+async def connect_end(url: str, timeout: float, framed: bool) -> TunnelEnd:
     """Connect to an endpoint.
 
     :param url: ``http://IP:port``.
     :param timeout: seconds in all.
+    :param framed: whether what the endpoint sends is passed on in frames.
     :raises OSError: if it is not reached.
     :raises TimeoutError: if it does not answer in time.
     """
     place = URL(url)
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
-        _, end = await loop.create_connection(TunnelEnd, place.host, place.port)
+        _, end = await loop.create_connection(
+            lambda: TunnelEnd(framed), place.host, place.port
+        )
     limit_silence(end.transport.get_extra_info("socket"))
     return end
 
