Keep nothing of a request in reference cycles

Cause: a connection keeps the context in which it was made. That held the request's exchange, and by it the body; the exchange held the connection. Only the garbage collector frees such a cycle, once in some 300 requests. Connections that are kept held the request they were made for, and timers of the library any request, for up to a minute. Failed attempts had a second cycle: the library's readers, and our tasks that wait for heads and parts, keep the error that ended them, its traceback the frames of the request path, and these the body.

Change: connections are made in a context without the request; what notes the connection of a request refers to nothing else; tracebacks of the library's errors are dropped where their meaning is told; the waits drop their tasks. A request's progress holds the number of its stage in place of the stage.

Why it works: counts of references free everything then, at once.

--- a/lab/mutants/own.py
+++ b/lab/mutants/own.py
@@ -104,7 +104,7 @@
     Mutation(
         "the true refusal: a stage that was left is of no use",
         "state/requests/stages.py",
-        "if self.progress.stage is not self:",
+        "if self.progress.stage_number != self.number:",
         "if False:",
         "tests.state.requests.test_requests",
     ),
--- a/walnutquay/coordination/routed/bodies.py
+++ b/walnutquay/coordination/routed/bodies.py
@@ -69,6 +69,8 @@
             return reading.result()
         finally:
             reading.cancel()
+            # Its error would keep this frame, and this frame the error.
+            del reading
 
 
 class WatchedExchange:
@@ -108,6 +110,8 @@
             return answer
         finally:
             give_up(connecting)
+            # Its error would keep this frame, and this frame the error.
+            del connecting
 
     async def __aexit__(
         self,
--- a/walnutquay/coordination/routed/stalls.py
+++ b/walnutquay/coordination/routed/stalls.py
@@ -324,6 +324,8 @@
             give_up(connecting)
             if connecting is not None:
                 self.stalls.under_way -= 1
+            # Its error would keep this frame, and this frame the error.
+            del connecting
 
     def _interval(self) -> float:
         """Return the time until the next check: at the latest when time is up."""
--- a/walnutquay/state/requests/stages.py
+++ b/walnutquay/state/requests/stages.py
@@ -26,8 +26,9 @@
 
     def __init__(self, request: RequestId) -> None:
         self.request = request
-        # The current stage, which is the only one that may still be used.
-        self.stage: Stage | None = None
+        # The number of the current stage, the only one that may still be used.  The
+        # stage itself would make a reference cycle of each request.
+        self.stage_number = 0
         # Whether any endpoint may have started work on this request.
         self.may_have_run = False
         # The number of times that the request has been sent to an endpoint.
@@ -39,7 +40,8 @@
 
     def __init__(self, progress: RequestProgress) -> None:
         self.progress = progress
-        progress.stage = self
+        progress.stage_number += 1
+        self.number = progress.stage_number
 
     def leave(self) -> RequestProgress:
         """Check that the request is still in this stage.
@@ -47,7 +49,7 @@
         :returns: the request's progress, for the next stage.
         :raises SpentStageError: if the request has left this stage.
         """
-        if self.progress.stage is not self:
+        if self.progress.stage_number != self.number:
             raise SpentStageError(
                 f"request {self.progress.request} has left this stage",
                 step=type(self).__name__.lower(),
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -24,11 +24,12 @@
 from walnutquay.transport.connections import GarbledBodyError, KeptProtocol
 from walnutquay.transport.connectors import (
     Dialer,
+    GivenConnection,
     KeptConnector,
     WithheldError,
     dialer,
+    given_connection,
     may_send,
-    on_connection,
 )
 from walnutquay.transport.strays import OnStray, StrayAnswerError, ignore_stray
 from walnutquay.transport.timers import monotonic
@@ -281,8 +282,7 @@
         self.peer = peer
         self.still_allowed = still_allowed
         self.through = through
-        # The connection that the request got; None before that.
-        self.protocol: KeptProtocol | None = None
+        self.given = GivenConnection()
 
     async def __aenter__(self) -> aiohttp.ClientResponse:
         token = None
@@ -315,25 +315,23 @@
 
         The other side may close a kept connection at any time.
         """
-        given = on_connection.set(self._on_connection)
+        token = given_connection.set(self.given)
         try:
             try:
                 return await self.manager.__aenter__()
             except aiohttp.ClientError:
                 if not self._is_unwritten():
                     raise
-            self.protocol = None
+            self.given.protocol = None
             self.manager = self.send(True)
             return await self.manager.__aenter__()
         finally:
-            on_connection.reset(given)
-
-    def _on_connection(self, protocol: KeptProtocol) -> None:
-        self.protocol = protocol
+            given_connection.reset(token)
 
     def _is_unwritten(self) -> bool:
         """Return whether the request had a connection, and was not written to it."""
-        return self.protocol is not None and not self.protocol.was_written
+        protocol = self.given.protocol
+        return protocol is not None and not protocol.was_written
 
     async def __aexit__(
         self,
@@ -348,8 +346,9 @@
     def meaning(self, error: BaseException) -> EndpointError:
         """Tell whether an error proves that nothing was sent.
 
-        :param error: the library's error.
+        :param error: the library's error; its traceback is dropped.
         """
+        _forget_frames(error)
         reason = str(error) or type(error).__name__
         if isinstance(error, aiohttp.ConnectionTimeoutError):
             return NotStartedError(reason, step=STEP_REACH, peer=self.peer)
@@ -365,6 +364,20 @@
         return EndpointError(reason, step=STEP_EXCHANGE, peer=self.peer)
 
 
+def _forget_frames(error: BaseException) -> None:
+    """Drop the tracebacks of an error and of what brought it about.
+
+    The library's readers keep the error that ended them.  Its traceback refers to them
+    and, by the frames of the request path, to the request's body.
+    """
+    left: list[BaseException | None] = [error]
+    while left:
+        one = left.pop()
+        if one is not None and one.__traceback__ is not None:
+            one.__traceback__ = None
+            left += [one.__cause__, one.__context__]
+
+
 def header_pairs(answer: aiohttp.ClientResponse) -> list[tuple[str, str]]:
     """:param answer: an answer.
 
--- a/walnutquay/transport/connectors.py
+++ b/walnutquay/transport/connectors.py
@@ -6,7 +6,8 @@
 
 import functools
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -26,14 +27,33 @@
 # tell that an endpoint has not answered in time.
 LATE_SECONDS = 0.05
 LATE_TRIES = 2
+
+
+def _may() -> bool:
+    """Return that nothing keeps a request from being sent."""
+    return True
+
+
 # Asked when a request has its connection, right before it is sent: whether it may still
 # be sent.
-may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=lambda: True)
+may_send: ContextVar[Callable[[], bool]] = ContextVar("may_send", default=_may)
+
+
+class GivenConnection:
+    """The connection that a request has been given.
+
+    Timers of the library keep the context that they were set in for up to a minute, so
+    this refers neither to the request nor to its body.
+    """
+
+    def __init__(self) -> None:
+        # None until the request has one.
+        self.protocol: KeptProtocol | None = None
 
 
-# Told of the connection that a request is given, right before it is sent.
-on_connection: ContextVar[Callable[[KeptProtocol], None]] = ContextVar(
-    "on_connection", default=lambda protocol: None
+# Notes the connection that a request is given, right before it is sent.
+given_connection: ContextVar[GivenConnection | None] = ContextVar(
+    "given_connection", default=None
 )
 
 
@@ -65,6 +85,27 @@
 
 # Makes the connections of the request that is sent now; None if nothing does.
 dialer: ContextVar[Dialer | None] = ContextVar("dialer", default=None)
+# What holds where no request says otherwise.
+DEFAULTS: tuple[tuple[ContextVar[Any], Any], ...] = (
+    (may_send, _may),
+    (given_connection, None),
+    (dialer, None),
+)
+
+
+@contextmanager
+def no_request() -> Iterator[None]:
+    """Make a connection that knows nothing of the request it is made for.
+
+    A connection keeps the context that it was made in, and would keep the request, its
+    body too, for as long as it lasts; by way of the request it would also keep itself.
+    """
+    tokens = [(one, one.set(default)) for one, default in DEFAULTS]
+    try:
+        yield
+    finally:
+        for one, token in tokens:
+            one.reset(token)
 
 
 class WithheldError(Exception):
@@ -122,7 +163,9 @@
                 raise WithheldError
             if self._may_use(protocol) and protocol.may_carry(request):
                 protocol.begin(request)
-                on_connection.get()(protocol)
+                given = given_connection.get()
+                if given is not None:
+                    given.protocol = protocol
                 if req.method == "HEAD" or protocol.forwarded:
                     # To HEAD, a second answer would be read as one with a body.  A
                     # VM that forwards the connection waits for its end as it stops.
@@ -169,16 +212,17 @@
 
         The endpoint may have accepted it before this VM came to look.
         """
-        for _ in range(LATE_TRIES):
-            began = monotonic()
-            try:
-                return await super()._create_connection(req, traces, timeout)
-            except TimeoutError:
-                limit = timeout.sock_connect or 0.0
-                late = monotonic() - began - limit > LATE_SECONDS
-                if not late and self.traffic.wait() <= LATE_SECONDS:
-                    raise
-        return await super()._create_connection(req, traces, timeout)
+        with no_request():
+            for _ in range(LATE_TRIES):
+                began = monotonic()
+                try:
+                    return await super()._create_connection(req, traces, timeout)
+                except TimeoutError:
+                    limit = timeout.sock_connect or 0.0
+                    late = monotonic() - began - limit > LATE_SECONDS
+                    if not late and self.traffic.wait() <= LATE_SECONDS:
+                        raise
+            return await super()._create_connection(req, traces, timeout)
 
     async def _forward(
         self, through: Dialer | None, silent: bool
@@ -188,5 +232,6 @@
             return None
         protocol = self._factory()
         protocol.forward(made.framed)
-        await self._loop.create_connection(lambda: protocol, sock=made.bound)
+        with no_request():
+            await self._loop.create_connection(lambda: protocol, sock=made.bound)
         return protocol
