Tell what is gone of a list that was looked at for changes

Callers would have seen: requests that go to an endpoint that has left, for as long as the VM lives, where a watcher had lost the store and another one sent its whole list in the place of changes.

Cause: a VM whose first watcher fails looks at the others' answers for changes before it takes one. Reading a list replaces what the feed holds, so that the second reading, which is applied, found nothing gone.

Change: an answer is read once.

--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -98,6 +98,9 @@
         self.kind = direct.kind
         # Whether the last watch was of the store itself.
         self.watching = True
+        # The last answer of a watcher that was read, and what it contains.
+        self.last_answer: ChangesAre | None = None
+        self.last_changes: Changes[Item] | None = None
 
     async def list(self) -> Listing[Item]:
         """Return all objects, from another VM or from the store itself.
@@ -149,9 +152,13 @@
         return self._decode(answer)
 
     def _decode(self, answer: ChangesAre) -> Changes[Item]:
-        if answer.whole:
-            return self.direct.read_whole(answer.data)
-        return self.direct.read_changes(answer.data)
+        """Read an answer, once: a list that was read has nothing new any more."""
+        if self.last_answer is not answer or self.last_changes is None:
+            whole = answer.whole
+            read = self.direct.read_whole if whole else self.direct.read_changes
+            self.last_changes = read(answer.data)
+            self.last_answer = answer
+        return self.last_changes
 
     def _has_changes(self, answer: ChangesAre) -> bool:
         try:
