Learn of changes though the store turns away the VMs that watch it

Cause: a watcher that answers that it is not served kept its place, and the others took that for a failure of the store, which they never asked themselves.

Evidence: a trial that counted calls by VM: the healthy ones made none in that time, and logged "the store does not answer the VMs that watch it". In one trial a fourth VM watched, in place of a silent one; then the case held.

Change: an unserved watcher loses its place for a while to the next in the ranking; a VM without any news asks the store itself, at a moment drawn between 1 and 4 s. After a watch has failed a list is tried, as a store may answer reads only.

Why it works: one VM that the store serves is enough for its hall and the others, and no VM depends on what others say of the store for longer than some seconds.

--- a/walnutquay/coordination/fleet/watchers.py
+++ b/walnutquay/coordination/fleet/watchers.py
@@ -36,6 +36,17 @@
 ANSWER_SECONDS = 0.4
 # The time for which a VM that did not answer is not chosen as a watcher.
 SILENT_SECONDS = 3.0
+# The time for which a VM that the store does not serve is not chosen as a watcher.  The
+# next VM in the ranking watches the store in its place.
+FAILING_SECONDS = 2.0
+# A VM that stands in for others, and is not served either, pauses for a time in this
+# range: while the store serves nobody, few VMs call it.
+STAND_IN_PAUSE_SECONDS = (1.0, 2.0)
+# A VM whose watchers are of no use for a time in this range asks the store itself,
+# whoever else does.  The range spreads the calls of a large fleet.
+OWN_CALL_SECONDS = (1.0, 4.0)
+# The same after the store has not served it either.
+OWN_RETRY_SECONDS = (4.0, 8.0)
 # The longest time for which a starting VM waits for the list of VMs, from which it
 # chooses the watchers.
 VMS_SECONDS = 2.0
@@ -56,6 +67,12 @@
         # The time until which each VM that did not answer is not chosen; monotonic
         # seconds.
         self.silent_until: dict[VmName, float] = {}
+        # The time until which each VM that the store does not serve is not chosen;
+        # monotonic seconds.
+        self.failing_until: dict[VmName, float] = {}
+        # When this VM asks the store itself, by kind of objects; monotonic seconds.
+        # Only kinds for which no watcher is of use.
+        self.own_calls: dict[str, float] = {}
         # The ranked VMs of each data hall, and the list of VMs that was ranked.  They
         # are cached because a VM sends some ten queries a second.
         self.ranked: dict[HallName, list[VmName]] = {}
@@ -72,14 +89,17 @@
         return self._candidates(hall)[:WATCHERS_OF_HALL]
 
     def _candidates(self, hall: HallName) -> list[VmName]:
-        """Return the VMs of a data hall by rank, without those that did not answer."""
+        """Return the VMs of a data hall by rank.
+
+        Those that did not answer, or whom the store does not serve, are left out.
+        """
         now = monotonic()
         own = self.context.vm
-        silent = self.silent_until
+        silent, failing = self.silent_until, self.failing_until
         return [
             vm
             for vm in self._ranks().get(hall, [])
-            if vm == own or silent.get(vm, 0.0) <= now
+            if (vm == own or silent.get(vm, 0.0) <= now) and failing.get(vm, 0.0) <= now
         ]
 
     def _ranks(self) -> dict[HallName, list[VmName]]:
@@ -104,6 +124,54 @@
         self.context.rng.shuffle(far)
         return [vm for vm in near if vm != self.context.vm], far
 
+    # The store's service.
+
+    def note_unserved(self) -> None:
+        """Note that the store does not serve this VM.
+
+        A VM that watches the store in the place of others lets the next one try.  The
+        first of a data hall goes on: it has nobody to take its place from.
+        """
+        now = monotonic()
+        pause = self.context.rng.uniform(*OWN_RETRY_SECONDS)
+        for other in self.own_calls:
+            self.own_calls[other] = max(self.own_calls[other], now + pause)
+        own = self.context.vm
+        if own not in self._ranks()[self.context.hall][:WATCHERS_OF_HALL]:
+            pause = self.context.rng.uniform(*STAND_IN_PAUSE_SECONDS)
+            self.failing_until[own] = now + pause
+
+    def note_served(self, kind: str) -> None:
+        """Note that a watcher has told what the store holds.
+
+        :param kind: the kind of objects.
+        """
+        self.own_calls.pop(kind, None)
+
+    def is_own_call_due(self, kind: str) -> bool:
+        """Return whether this VM should ask the store itself, as no watcher can.
+
+        :param kind: the kind of objects.
+        """
+        now = monotonic()
+        due = self.own_calls.get(kind)
+        if due is not None and now < due:
+            return False
+        pause = self.context.rng.uniform(*OWN_CALL_SECONDS)
+        self.own_calls[kind] = now + pause
+        return due is not None
+
+    def _mark_failing(self, vm: VmName) -> None:
+        self.context.metrics.count("watchers_unserved")
+        self.failing_until[vm] = monotonic() + FAILING_SECONDS
+
+    def _any_failing(self) -> bool:
+        """Return whether the store does not serve some VMs, as far as is known."""
+        now = monotonic()
+        return any(until > now for until in self.failing_until.values())
+
+    # Queries.
+
     async def query(
         self,
         kind: str,
@@ -113,36 +181,58 @@
     ) -> ChangesAre | None:
         """Wait for changes from a watcher that receives them from the store.
 
-        After a watcher has failed, another one that has no changes may have lost the
-        store too, and not noticed it yet.  The others are queried as well then.
+        While the store does not serve some VMs, a watcher that has no changes may have
+        lost it too, and not noticed it yet.  The others are queried as well then.
 
         :param kind: the kind of objects.
         :param revision: the newest revision of this VM.
         :param seconds: the time to wait for a change.
         :param has_changes: returns whether an answer contains changes.
         :returns: the answer; a failing one only if the store serves none of the
-            watchers; None if none of them answers.
+            watchers, as far as is known; None if none of them answers.
         """
         failing = unchanged = None
         silent = False
+        # Only the first answer is waited for then.
+        in_doubt, waited = self._any_failing(), False
         near, far = self._choose_watchers()
         for number, vm in enumerate(near + far):
             if silent and number >= len(near) + FAR_WATCHERS:
                 break
             # Once a watcher has failed, the others answer at once whether the store
             # serves them.
-            wait = seconds if failing is None else 0.0
+            wait = 0.0 if failing is not None or (in_doubt and waited) else seconds
             answer = await self._query_one(vm, AskChanges(kind, revision, wait))
             if answer is None or not answer.direct:
                 silent = silent or answer is None
                 continue
             if answer.failing:
+                self._mark_failing(vm)
                 failing = answer
-            elif failing is None or has_changes(answer):
+            elif not (failing or in_doubt) or has_changes(answer):
                 return answer
             else:
                 unchanged = answer
-        return unchanged or failing
+            waited = True
+        if unchanged is not None or not (failing or in_doubt):
+            return unchanged
+        return await self._wait_at_first(AskChanges(kind, revision, seconds))
+
+    async def _wait_at_first(self, query: AskChanges) -> ChangesAre:
+        """Wait until the store serves the first watcher of this data hall again.
+
+        :param query: what is waited for.
+        :returns: its answer, or one that nobody is served.
+        """
+        unserved = ChangesAre(failing=True)
+        first = self._ranks()[self.context.hall][0]
+        if self.includes_this() or self.silent_until.get(first, 0.0) > monotonic():
+            return unserved
+        answer = await self._query_one(first, query)
+        if answer is None or answer.failing or not answer.direct:
+            return unserved
+        self.failing_until.pop(first, None)
+        return answer
 
     async def query_near(self, query: Message) -> Message | None:
         """Query the VM of this data hall that watches the store.
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -181,6 +181,8 @@
         # When the store last answered, and when it began to fail; monotonic seconds.
         self.confirmed_at = float("-inf")
         self.failing_since: float | None = None
+        # Whether the last watch failed: a store may answer reads, and watches never.
+        self.doubts_watches = False
         # The revision of the last change, for VMs that wait here for changes.
         self.changed_revision = NOTHING_STORED
         # Set and replaced whenever an object changes or the store's availability does.
@@ -256,7 +258,22 @@
         await asyncio.sleep(self.queried_at + self.gap - monotonic())
         self.queried_at = monotonic()
         failing = self.failing_since is not None
-        await self._watch(PROBE_SECONDS if failing else self.seconds)
+        if failing and self.doubts_watches and self.feed.watching:
+            await self._list_in_doubt()
+            return
+        doubtful = failing or self.doubts_watches
+        try:
+            await self._watch(PROBE_SECONDS if doubtful else self.seconds)
+        except PlatformError:
+            self.doubts_watches = True
+            raise
+        self.doubts_watches = False
+
+    async def _list_in_doubt(self) -> None:
+        """List after a watch has failed; a watch is next, whether this fails or not."""
+        self.doubts_watches = False
+        await self.relist()
+        self.doubts_watches = True
 
     async def refresh(self) -> None:
         """Apply changes at once, concurrently with the step in progress."""
--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -22,8 +22,10 @@
 from walnutquay.coordination.store.following import Feed, Follower
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.exceptions import (
+    EarlierEraError,
     HistoryGoneError,
     MessageError,
+    PlatformError,
     PlatformUnavailableError,
 )
 from walnutquay.protocol.messages import (
@@ -132,24 +134,47 @@
             answer = await self.watchers.query(
                 self.kind, revision, wait, self._has_changes
             )
+            if answer is not None and answer.failing:
+                return await self._watch_unserved(revision)
             if answer is not None:
                 try:
                     return self._read(answer)
                 except MessageError as error:
                     log.info("a watcher's answer is of no use: {}", error)
             self.watching = True
-        return await self.direct.watch(revision, seconds)
+        return await self._watch_store(revision, seconds)
 
-    def _read(self, answer: ChangesAre) -> Changes[Item]:
-        if answer.failing:
+    async def _watch_unserved(self, revision: StoreRevision) -> Changes[Item]:
+        """Ask the store itself, though not all VMs of a data hall at once.
+
+        The store may turn away just those VMs that watch it.
+        """
+        if not self.watchers.is_own_call_due(self.kind):
             raise PlatformUnavailableError(
                 "the store does not answer the VMs that watch it",
                 step="watch",
                 peer=self.kind,
             )
+        self.watching = True
+        return await self._watch_store(revision, 0.0)
+
+    async def _watch_store(
+        self, revision: StoreRevision, seconds: float
+    ) -> Changes[Item]:
+        try:
+            return await self.direct.watch(revision, seconds)
+        except (HistoryGoneError, EarlierEraError):
+            raise
+        except PlatformError:
+            self.watchers.note_unserved()
+            raise
+
+    def _read(self, answer: ChangesAre) -> Changes[Item]:
         if math.isfinite(answer.returned):
             self.on_store_returned(answer.returned)
-        return self._decode(answer)
+        changes = self._decode(answer)
+        self.watchers.note_served(self.kind)
+        return changes
 
     def _decode(self, answer: ChangesAre) -> Changes[Item]:
         """Read an answer, once: a list that was read has nothing new any more."""
