Read our own head where nobody confirms it

Change: a VM whose revision nobody has confirmed for 6 to 9.5 s, a limit drawn for each, reads the head itself. Heartbeats confirm it each second otherwise.

--- a/walnutquay/coordination/own/configurations.py
+++ b/walnutquay/coordination/own/configurations.py
@@ -51,6 +51,10 @@
 WATCHERS = 2
 WATCH_PAUSE = 1.0
 RANK_PAUSE = 1.0
+# A VM whose revision nobody has confirmed for a time in this range reads the head
+# itself: the platform may turn away just those VMs that watch it.  The range spreads
+# the reads of a large fleet.
+UNCONFIRMED_SECONDS = (6.0, 9.5)
 PEER_SECONDS = 2.0
 
 
@@ -81,6 +85,9 @@
         self.parts: dict[str, bytes] = {}
         # When this VM's revision was last confirmed to be the newest.
         self.confirmed_at = float("-inf")
+        # After how long without that this VM reads the head itself, and when it did.
+        self.unconfirmed_limit = context.rng.uniform(*UNCONFIRMED_SECONDS)
+        self.last_own_read = float("-inf")
         # Called when another configuration comes into force.
         self.listeners: list[Callable[[Configuration], None]] = []
         self.adopt_lock = asyncio.Lock()
@@ -129,6 +136,7 @@
             if not self.is_watcher():
                 stored_version = None
                 await asyncio.sleep(RANK_PAUSE)
+                await self._read_unconfirmed()
                 continue
             asked_at = monotonic()
             try:
@@ -147,6 +155,17 @@
             stored_version = stored.version
             await self._apply_stored(stored, asked_at)
 
+    async def _read_unconfirmed(self) -> None:
+        """Read the head if nobody has confirmed this VM's revision for too long."""
+        if self.confirmed_age() < self.unconfirmed_limit:
+            self.last_own_read = float("-inf")
+            return
+        if monotonic() < self.last_own_read + self.unconfirmed_limit:
+            return
+        self.last_own_read = monotonic()
+        self.unconfirmed_limit = self.context.rng.uniform(*UNCONFIRMED_SECONDS)
+        await self.read_head()
+
     def _on_restored(self, era: Era) -> None:
         """Read the head at once, as the store was restored and may have lost it."""
         if self.is_watcher() or self._repairs():
