Count answers of a version on trial that break off

Cause: only answers with 500 counted as failures of a version.

Change: an answer that breaks off, while neither this VM's link nor a crash of the endpoint explains it, counts against its version. A path that is reset breaks the answers of all versions at one moment, so breaks within half a second of one of another version do not count, nor does a single moment at one VM.

--- a/lab/mutants/routed.py
+++ b/lab/mutants/routed.py
@@ -48,7 +48,7 @@
     Mutation(
         "relays: a watcher that has not noticed its failure is believed",
         "coordination/fleet/watchers.py",
-        "elif failing is None or has_changes(answer):",
+        "elif not (failing or in_doubt) or has_changes(answer):",
         "elif True:",
         "tests.coordination.store.test_relaying.WatchersTest."
         "test_a_watcher_that_has_not_noticed_its_failure_is_no_last_word",
--- a/lab/mutants/run.py
+++ b/lab/mutants/run.py
@@ -27,6 +27,7 @@
     restores,
     routed,
     skew,
+    unserved,
 )
 from lab.mutants.mutation import Mutation
 
@@ -46,6 +47,7 @@
     *callers.MUTATIONS,
     *overload.MUTATIONS,
     *skew.MUTATIONS,
+    *unserved.MUTATIONS,
 ]
 
 
--- a/tests/coordination/trials/test_evaluation.py
+++ b/tests/coordination/trials/test_evaluation.py
@@ -79,6 +79,40 @@
         return total.good, total.bad
 
 
+class BrokenAnswerTest(EvaluatorCase):
+    """Answers that break off count against the version that breaks them.
+
+    Guards against a version that resets half of its answers and is rolled out fully.
+    """
+
+    def break_answers(self, count: int, beside_old: bool) -> None:
+        """Break answers of the new version, one a second."""
+        for number in range(count):
+            self.now += 1.0
+            self.evaluator.broke(turn(f"n{number}"), grant("v2", f"new-{number % 2}"))
+            if beside_old:
+                self.evaluator.broke(turn(f"o{number}"), grant("v1", "old-1"))
+        self.now += 1.0
+        self.evaluator.check_overdue()
+
+    def test_version_is_rejected(self) -> None:
+        self.break_answers(8, beside_old=False)
+        self.assertEqual(self.counts(Measure.FAILED), (0, 8))
+        self.assertIs(self.trial.fault(), Fault.FAILS)
+
+    def test_version_is_not_blamed_for_a_path(self) -> None:
+        self.break_answers(8, beside_old=True)
+        self.assertEqual(self.counts(Measure.FAILED), (0, 0))
+        self.assertEqual(self.trial.old.total(Measure.FAILED).bad, 8)
+        self.assertIsNone(self.trial.fault())
+
+    def test_nothing_is_kept_without_a_trial(self) -> None:
+        self.break_answers(1, beside_old=False)
+        self.evaluator.trial_of = lambda service: None
+        self.evaluator.broke(turn(), self.new)
+        self.assertEqual(self.evaluator.breaks, {})
+
+
 class NoBaselineTest(EvaluatorCase):
     """Without a baseline, an answer's times count neither as good nor as bad."""
 
--- a/walnutquay/coordination/requests/hooks.py
+++ b/walnutquay/coordination/requests/hooks.py
@@ -77,6 +77,16 @@
         """
         return
 
+    def on_broken(self, turn: Turn, grant: Grant) -> None:
+        """Record that an answer broke off; the base class does nothing.
+
+        Neither this VM's link nor a crash of the endpoint was the cause.
+
+        :param turn: the request.
+        :param grant: the slot at the endpoint.
+        """
+        return
+
     async def link_is_lost(
         self, turn: Turn, grant: Grant, error: EndpointError
     ) -> bool:
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -301,6 +301,8 @@
         if not own_link:
             crashed = await self.note_crash(turn, grant, error)
         broke = error.step == STEP_BROKEN
+        if broke and not (own_link or crashed):
+            self.on_broken(turn, grant)
         self.context.timeline.emit(
             EventKind.FAILED,
             request=turn.arrival.request,
--- a/walnutquay/coordination/routed/path.py
+++ b/walnutquay/coordination/routed/path.py
@@ -197,6 +197,14 @@
         turn.note_sent()
         self.versions.began(turn, grant)
 
+    def on_broken(self, turn: RoutedTurn, grant: Grant) -> None:
+        """Report an answer that broke off to the version policy.
+
+        :param turn: the request.
+        :param grant: the slot at the endpoint.
+        """
+        self.versions.failed(turn, grant, broke=True)
+
     async def abandon(
         self, turn: RoutedTurn, running: Dispatched, error: EndpointError
     ) -> Outcome:
--- a/walnutquay/coordination/routed/ports.py
+++ b/walnutquay/coordination/routed/ports.py
@@ -92,11 +92,12 @@
         :param grant: the slot at the endpoint.
         """
 
-    def failed(self, turn: RoutedTurn, grant: Grant) -> None:
+    def failed(self, turn: RoutedTurn, grant: Grant, broke: bool = False) -> None:
         """Record that an endpoint ran a request and failed.
 
         :param turn: the request.
         :param grant: the slot at the endpoint.
+        :param broke: whether the answer broke off; else it said that it failed.
         """
 
 
--- a/walnutquay/coordination/trials/evaluation.py
+++ b/walnutquay/coordination/trials/evaluation.py
@@ -11,10 +11,16 @@
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.routed.turn import RoutedTurn
 from walnutquay.state.process.counts import LruTable
-from walnutquay.state.process.ids import EndpointName, RequestId, ServiceName
+from walnutquay.state.process.ids import (
+    EndpointName,
+    RequestId,
+    RouteName,
+    ServiceName,
+)
 from walnutquay.state.routed.links import Reach
 from walnutquay.state.store.instances import Instance
 from walnutquay.state.trials.baseline import BaselineTimes
+from walnutquay.state.trials.breaks import Breaks
 from walnutquay.state.trials.counts import Measure
 from walnutquay.state.trials.trial import Trial
 from walnutquay.transport.client import probe
@@ -51,6 +57,18 @@
     overdue: set[Measure] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAnswer:
+    """An answer of the version on trial that broke off.
+
+    :param route: the request's route.
+    :param endpoint: the endpoint that answered.
+    """
+
+    route: RouteName
+    endpoint: EndpointName
+
+
 class AnswerEvaluator:
     """Counts good and bad answers while a version is on trial.
 
@@ -74,6 +92,8 @@
         self.tasks = Tasks()
         # The requests in progress for services with a version on trial.
         self.running: dict[RequestId, RunningRequest] = {}
+        # The answers that broke off, by service.
+        self.breaks: dict[ServiceName, Breaks[BrokenAnswer]] = {}
         # When each endpoint last began an answer; monotonic seconds.
         self.last_answer_began: LruTable[EndpointName, float] = LruTable(
             MAX_ENDPOINTS, float
@@ -148,6 +168,30 @@
         """
         self._count(turn, grant, Measure.FAILED, True)
 
+    def broke(self, turn: RoutedTurn, grant: Grant) -> None:
+        """Note an answer that broke off; it may count against its version later.
+
+        :param turn: the request.
+        :param grant: the endpoint's slot.
+        """
+        if self.trial_of(turn.service) is None:
+            self.breaks.pop(turn.service, None)
+            return
+        breaks = self.breaks.setdefault(turn.service, Breaks())
+        if self.is_on_trial(grant):
+            broken = BrokenAnswer(turn.arrival.route.name, grant.name)
+            breaks.add(broken, monotonic())
+        else:
+            breaks.add_other(monotonic())
+            self._count(turn, grant, Measure.FAILED, True)
+
+    def _count_broken(self, service: ServiceName, broken: BrokenAnswer) -> None:
+        trial = self.trial_of(service)
+        if trial is not None:
+            subject = (Measure.FAILED, broken.route)
+            trial.own.add(subject, True, broken.endpoint)
+            self.on_bad(trial)
+
     def left(self, turn: RoutedTurn) -> None:
         """Remove a request that has ended at its endpoint, for whatever reason.
 
@@ -176,8 +220,11 @@
             self._count_overdue(running_request, seconds)
 
     def check_overdue(self) -> None:
-        """Count the requests whose answers should have begun by now."""
+        """Count the requests whose answers should have begun, and those that broke."""
         now = monotonic()
+        for service, breaks in self.breaks.items():
+            for broken in breaks.take_counted(now):
+                self._count_broken(service, broken)
         for running_request in list(self.running.values()):
             if not running_request.answer_began and self._answers_other_requests(
                 running_request
--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -331,15 +331,15 @@
         """
         self.evaluator.paced(turn, grant, seconds, pause)
 
-    def failed(self, turn: RoutedTurn, grant: Grant) -> None:
-        """Count a request whose endpoint answered that it failed.
-
-        A retry does not go to the version on trial if that is the one that failed.
+    def failed(self, turn: RoutedTurn, grant: Grant, broke: bool = False) -> None:
+        """Count a failed request; its retry does not go to the version on trial again.
 
         :param turn: the request.
         :param grant: the endpoint's slot.
+        :param broke: whether the answer broke off; else it said that it failed.
         """
-        self.evaluator.failed(turn, grant)
+        count = self.evaluator.broke if broke else self.evaluator.failed
+        count(turn, grant)
         if self.evaluator.is_on_trial(grant):
             turn.avoid_new = True
 
