End an order as done only if its version runs and has answered

Cause: ready_to_end() asked for the time and the share alone.

Change: the version needs endpoints, and good answers if the service answered anything in the trial. The order stays active otherwise.

Not replayed with real processes.

--- a/lab/mutants/unserved.py
+++ b/lab/mutants/unserved.py
@@ -17,7 +17,7 @@
         "coordination/fleet/watchers.py",
         "        self.failing_until[vm] = monotonic() + FAILING_SECONDS\n",
         "",
-        f"{UNSERVED}.test_all_watchers_by_each_way",
+        f"{UNSERVED}.test_next_in_the_ranking_takes_their_place",
     ),
     Mutation(
         "unserved: no VM asks the store itself",
@@ -38,7 +38,7 @@
         "transport/connectors.py",
         "    tokens = [(one, one.set(default)) for one, default in DEFAULTS]",
         "    tokens = []",
-        f"{HELD}.test_whatever_the_answer",
+        f"{HELD}.test_connections_to_endpoints_are_freed",
     ),
     Mutation(
         "held: errors keep the request path",
--- a/tests/coordination/store/test_unserved_watchers.py
+++ b/tests/coordination/store/test_unserved_watchers.py
@@ -65,6 +65,12 @@
                     _, late = play(story(size, 1, way, 3 / size, True))
                     self.assert_in_force(late)
 
+    def test_next_in_the_ranking_takes_their_place(self):
+        for size in (9, *SIZES):
+            with self.subTest(size=size):
+                _, late = play(story(size, 1, Way.REFUSED, 3 / size, True))
+                self.assertLessEqual(max(late.values()), CONFIG_SECONDS)
+
     def test_a_third_of_all(self):
         for way in AWAY:
             for size in SIZES:
--- a/tests/state/trials/test_trials.py
+++ b/tests/state/trials/test_trials.py
@@ -54,6 +54,10 @@
     return next(name for name in names if not is_assigned_to_new(name, "v2", share))
 
 
+# The versions that have endpoints.
+RUNNING = {"v1", "v2"}
+
+
 def answers(
     good: int, bad: int, *endpoints: str, route: str = "r"
 ) -> TrialOutcomeCounts:
@@ -255,8 +259,8 @@
         shares = [trial.share(now) for now in range(101)]
         self.assertEqual(shares, sorted(shares))
         self.assertEqual(trial.share(RAMP_END * SECONDS), 1.0)
-        self.assertFalse(trial.ready_to_end(RAMP_END * SECONDS))
-        self.assertTrue(trial.ready_to_end(0.9 * SECONDS))
+        self.assertFalse(trial.ready_to_end(RAMP_END * SECONDS, RUNNING))
+        self.assertTrue(trial.ready_to_end(0.9 * SECONDS, RUNNING))
 
     def test_share_of_a_bad_version_does_not_grow(self):
         trial = make_trial()
--- a/walnutquay/coordination/trials/versions.py
+++ b/walnutquay/coordination/trials/versions.py
@@ -267,9 +267,7 @@
         if version not in self.knowledge.instances.registry.versions_of(turn.service):
             return False, ChoiceReason.NONE_RUNS
         on_new = session_record is not None and session_record.version == version
-        seen_on_new = (
-            session_record.at if session_record is not None and on_new else -math.inf
-        )
+        seen_on_new = session_record.at if on_new else -math.inf
         # The session's other requests may have arrived at any VM.  With 6 VMs, four of
         # five consecutive requests arrived at different ones.
         if turn.session and trial.must_stay_on_old(turn.session, seen_on_new, now):
@@ -389,7 +387,9 @@
             # A VM that has only adopted this from others lets them write it first.
             if task.found_bad or monotonic() >= task.write_at:
                 await self.order_status.write(task.trial, OrderState.WITHDRAWN)
-        elif trial.ready_to_end(now):
+        elif trial.ready_to_end(
+            now, self.knowledge.instances.registry.versions_of(order.service)
+        ):
             if monotonic() >= task.write_at:
                 await self.order_status.write(task.trial, OrderState.DONE)
         elif order.state is OrderState.NEW and monotonic() >= task.write_at:
--- a/walnutquay/state/trials/trial.py
+++ b/walnutquay/state/trials/trial.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import replace
 
-from walnutquay.state.process.ids import HallName, VmProcess
+from walnutquay.state.process.ids import HallName, VersionName, VmProcess
 from walnutquay.state.store.orders import RolloutOrder
 from walnutquay.state.trials.counts import Measure
 from walnutquay.state.trials.evidence import LOST_VMS, TrialEvidence
@@ -364,9 +365,19 @@
         """
         return self.ramping(now)
 
-    def ready_to_end(self, now: float) -> bool:
+    def ready_to_end(self, now: float, running: Collection[VersionName]) -> bool:
         """Return whether the order is done, as far as this VM can tell.
 
+        The old version's endpoints are stopped then, so the new one must run, and must
+        have answered if there was anything to answer.
+
         :param now: monotonic seconds.
+        :param running: the versions of the service that have endpoints.
         """
-        return self.share(now) >= 1.0 and self.progress(now) >= DONE_AT
+        if self.share(now) < 1.0 or self.progress(now) < DONE_AT:
+            return False
+        return self.order.version in running and (
+            self.trusted
+            or self.outcome_counts().total(Measure.FAILED).good > 0
+            or not self.old_total(Measure.FAILED).seen
+        )
