Answer requests that cannot be read or passed on as they are with 400

Callers saw: 500 for a Last-Event-Id of 5,000 digits, or a superscript digit in Token-Count; and an endpoint that got /a for /a?

Cause: isdigit() is true for digits that int() does not read, and int() reads no more than 4,300; the HTTP client leaves out an empty query, and a fragment.

Change: whole numbers of callers are ASCII and have at most 18 digits; a path with an empty query or a fragment is refused. Other text in the place of a number says nothing, as before.

--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -98,3 +98,44 @@
         self.endpoints["p1"].default = Behaviour(status=101)
         for _ in range(4):
             self.assertEqual((await self.call("/safe/x")).status, 200)
+
+
+class UnreadableRequestTest(GatewayCase):
+    """Requests that cannot be read or passed on as they are get a clear 400.
+
+    Guards against 500 for numbers in headers, and against paths that were altered.
+    """
+
+    async def status_of(self, path: str, *headers: str) -> int:
+        """Send a request, and return the status of its answer."""
+
+        def talk() -> ReadAnswer | None:
+            with RawCaller(self.gateway.api.server.port) as caller:
+                caller.send(request("GET", path, "1.1", *headers))
+                return caller.answer("GET")
+
+        answer = await asyncio.to_thread(talk)
+        return answer.status
+
+    async def test_numbers_that_are_none_or_too_long(self):
+        for name in ("Last-Event-Id", "Length-Hint", "Token-Count"):
+            for value in ("9" * 5000, "9" * 19, "\N{SUPERSCRIPT TWO}"):
+                with self.subTest(name=name, value=value[:20]):
+                    header = f"{name}: {value}"
+                    self.assertEqual(await self.status_of("/stream/x", header), 400)
+        parts = "Prefix-Hash: 5c1e:\N{SUPERSCRIPT TWO}"
+        self.assertEqual(await self.status_of("/stream/x", parts), 400)
+        self.assertEqual(self.runs(), 0)
+
+    async def test_paths_that_could_not_be_passed_on_as_they_are(self):
+        for path in ("/safe/x?", "/safe/x#part"):
+            with self.subTest(path=path):
+                self.assertEqual(await self.status_of(path), 400)
+        self.assertEqual(self.runs(), 0)
+
+    async def test_others_are_passed_on(self):
+        for path in ("/safe/x?a", "/safe/x?a=%3F", "/safe/x?a=", "/safe/x"):
+            with self.subTest(path=path):
+                self.assertEqual(await self.status_of(path), 200)
+        seen = [run.target for w in self.endpoints.values() for run in w.runs]
+        self.assertIn("/safe/x?a=%3F", seen)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -252,8 +252,12 @@
     hosts = request.headers.getall("Host", [])
     if len(hosts) != 1:
         raise bad_request("a request names one host")
-    if not request.raw_path.startswith("/"):
+    path = request.raw_path
+    if not path.startswith("/"):
         raise bad_request("a request names a path")
+    if path.endswith("?") or "#" in path:
+        # The HTTP client would leave a part of it out.
+        raise bad_request("a path has neither an empty query nor a fragment")
     try:
         raw = [(n.decode("ascii"), v.decode("utf-8")) for n, v in request.raw_headers]
         return decode_call(request.headers, raw)
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -20,6 +20,8 @@
 # How endpoints write that work takes there as long as usual.
 USUAL_PACE = 100.0
 MAX_EVENT_ID = 1 << 62
+# Whole numbers of callers have at most so many digits, so that they fit into 64 bits.
+MAX_DIGITS = 18
 # No endpoint has as many digits of requests; a longer figure is unreadable.
 MAX_LOAD_DIGITS = 6
 # Statuses below it announce an answer; a caller would wait for that one.
@@ -74,8 +76,23 @@
 
 
 def _whole(headers: Mapping[str, str], name: str) -> int | None:
-    text = headers.get(name, "").strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    return _digits(name, headers.get(name, ""))
+
+
+def _digits(name: str, text: str) -> int | None:
+    """Read a whole number.
+
+    :param name: the header that it is from.
+    :param text: the text; spaces around it do not count.
+    :returns: the number; None if the text is anything else.
+    :raises MessageError: if it is too long, or not in ASCII digits.
+    """
+    text = text.strip()
+    if not text.isdigit():
+        return None
+    if not text.isascii() or len(text) > MAX_DIGITS:
+        raise MessageError(f"{name} is out of range", step="decode")
+    return int(text)
 
 
 def _prompt(headers: Mapping[str, str]) -> Prompt:
@@ -84,11 +101,12 @@
     parts = []
     for text in headers.get(names.PROMPT_PARTS, "").split(","):
         name, _, tokens = text.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(name, int(tokens)))
+        number = _digits(names.PROMPT_PARTS, tokens)
+        if name and number is not None:
+            parts.append(PromptPart(name, number))
     return Prompt(
-        tokens=int(read) if read.strip().isdigit() else 0,
-        max_output_tokens=int(written) if written.strip().isdigit() else 0,
+        tokens=_digits(names.TOKENS, read) or 0,
+        max_output_tokens=_digits(names.TOKENS, written) or 0,
         expected_output_tokens=_whole(headers, names.LENGTH_HINT) or 0,
         parts=tuple(parts),
     )
