Let no key in where the list of organisations is empty

Cause: an empty list was taken for none, in which case no keys are used.

Change: keys are needed where there is a list.

Result: NoOrganisationsTest failed before (200 for 401, three times), and passes.

--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -9,7 +9,7 @@
 
 from standins.answers import ReadAnswer
 from standins.worker import Behaviour
-from tests.gatewaycase import HOST, KEY, GatewayCase
+from tests.gatewaycase import HOST, KEY, GatewayCase, catalogue
 from tests.rawcaller import RawCaller
 
 EVENTS = 3
@@ -139,3 +139,28 @@
                 self.assertEqual(await self.status_of(path), 200)
         seen = [run.target for w in self.endpoints.values() for run in w.runs]
         self.assertIn("/safe/x?a=%3F", seen)
+
+
+class NoOrganisationsTest(GatewayCase):
+    """A configuration whose list of organisations is empty lets no key in.
+
+    Guards against callers whose keys were all taken away, and who were served without.
+    """
+
+    async def configure(self, **more: object) -> None:
+        """Bring another configuration into force."""
+        await self.store.put("config", "main", catalogue(2, **more))
+        known = self.gateway.knowledge.catalogue
+        await self.until(lambda: known.current.version == 2)
+
+    async def test_no_key_is_accepted(self):
+        await self.configure(tenants=[])
+        for headers in ({}, {"Authorization": ""}, {"Authorization": "Bearer other"}):
+            with self.subTest(headers=headers):
+                self.assertEqual((await self.call("/safe/x", **headers)).status, 401)
+        self.assertEqual(self.runs(), 0)
+        self.assertEqual((await self.call("/open/x")).status, 200)
+
+    async def test_none_is_needed_where_there_is_no_list(self):
+        await self.configure(tenants=None)
+        self.assertEqual((await self.call("/safe/x", Authorization="")).status, 200)
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -173,7 +173,7 @@
             route=route,
             catalogue_version=catalogue.version,
             arrived_at=arrived_at,
-            found_by_key=bool(catalogue.organisations),
+            found_by_key=catalogue.needs_keys,
             reply=StreamReply(request, self.server),
         )
 
@@ -202,7 +202,7 @@
         route = catalogue.route_for(head.host, request.raw_path)
         if route is None:
             return Refusal(RefusalCode.UNKNOWN_SERVICE, "no route has this path")
-        if route.public or not catalogue.organisations:
+        if route.public or not catalogue.needs_keys:
             return route, PUBLIC, catalogue
         organisation = catalogue.by_key_hash.get(key_hash(head.key))
         if not head.key or organisation is None:
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -77,6 +77,7 @@
         },
         organisations={item.name: item for item in organisations},
         limits=_limits(read.limits or LimitsSpec()),
+        needs_keys=read.tenants is not None,
     )
 
 
--- a/walnutquay/state/store/catalogue.py
+++ b/walnutquay/state/store/catalogue.py
@@ -161,9 +161,10 @@
     :param version: the operators' version number, which only increases.
     :param routes: the routes.
     :param services: the services by name.
-    :param organisations: the organisations by name, with the hashes of their keys;
-        empty if no keys are used.
+    :param organisations: the organisations by name, with the hashes of their keys.
     :param limits: the limits on callers' requests.
+    :param needs_keys: whether requests on routes that are not public need a key; also
+        where there is no organisation to have one.
     """
 
     version: int = 0
@@ -171,6 +172,7 @@
     services: dict[ServiceName, RoutedService] = field(default_factory=dict)
     organisations: dict[str, Organisation] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    needs_keys: bool = False
 
     @cached_property
     def by_key_hash(self) -> dict[str, Organisation]:
