Keep SIGHUP from ending a daemon that is still being imported

Cause: the signal is taken once all is imported and the loop runs; until then it ends the process. The daemon of our own interface never took it.

Change: the command line ignores it for both daemons before its first large import. Settings are read once, so there is nothing else to do.

The time before Python runs our first line stays open.

--- a/walnutquay/cmdline.py
+++ b/walnutquay/cmdline.py
@@ -4,11 +4,13 @@
 
 from __future__ import annotations
 
+import sys
 from importlib import import_module
 
-from walnutquay.env import forbid_io_uring
+from walnutquay.env import forbid_io_uring, ignore_hangup
 
 forbid_io_uring()
+ignore_hangup(sys.argv[1:])
 
 import click  # noqa: E402
 
--- a/walnutquay/env.py
+++ b/walnutquay/env.py
@@ -5,6 +5,11 @@
 from __future__ import annotations
 
 import os
+import signal
+from collections.abc import Sequence
+
+# The commands that run until they are stopped.
+DAEMONS = ("entry", "gateway")
 
 
 def forbid_io_uring() -> None:
@@ -15,6 +20,17 @@
     os.environ["UV_USE_IO_URING"] = "0"
 
 
+def ignore_hangup(arguments: Sequence[str]) -> None:
+    """Keep SIGHUP from ending a daemon that is still being imported.
+
+    Settings are read once, so there is nothing else to do for it.
+
+    :param arguments: those of the command line, without the program.
+    """
+    if arguments and arguments[0] in DAEMONS:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def skip_certificates() -> None:
     """Keep aiohttp from reading all certificate authorities as it is imported.
 
