Compare the configuration until another VM has told its own

Callers would have seen: a revoked key accepted by a VM that started after the store had been restored from a backup, until operators wrote the next configuration.

Cause: such a VM asks the others once, within 0.1 to 0.4 s a step. Where none answers in time it knows what the store has, and nothing tells it of a version that the store has lost: that has no revision there.

Change: it goes on asking, at 0.5 s and then at growing pauses, until one answers.

Result: test_it_comes_into_force_where_peers_answer_late failed before (never within 10 s) and passes.

--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -4,13 +4,15 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
+from typing import Any, ClassVar
 from unittest import mock
 
 from standins.store import Backup
 from tests.restorecase import ADDED_ROUTE, REVOKED_KEY, RestoreCase
+from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.coordination.store import knowledge
 from walnutquay.daemon.gateway import GatewayDaemon
+from walnutquay.protocol.messages import Message
 
 
 class ChangesCase(RestoreCase):
@@ -251,6 +253,24 @@
                 started = await self.add_gateway(name, peers)
                 self.assertEqual(started.knowledge.catalogue.current.version, 3)
 
+    async def test_it_comes_into_force_where_peers_answer_late(self):
+        # The VM kept what the store had, and accepted a revoked key, for good.
+        query = FleetPeers.query_each
+        is_late = True
+
+        async def late(peers: FleetPeers, *more: Any) -> Message | None:
+            return None if is_late else await query(peers, *more)
+
+        self.enterContext(mock.patch.object(FleetPeers, "query_each", late))
+        for name, peers in (("vm-8", [self.gateway]), ("vm-9", [])):
+            with self.subTest(name):
+                is_late = True
+                started = await self.add_gateway(name, peers)
+                catalogue = started.knowledge.catalogue
+                self.assertEqual(catalogue.current.version, 2)
+                is_late = False
+                await self.until(lambda one=catalogue: one.current.version == 3)
+
     async def test_a_newer_one_comes_into_force(self):
         await self.put_catalogue(4, revoked=False, added=False)
         await self.until_version(4)
--- a/walnutquay/coordination/store/following.py
+++ b/walnutquay/coordination/store/following.py
@@ -95,6 +95,8 @@
     kind: str
     # Whether the last answer came from the store itself rather than from another VM.
     watching: bool
+    # Whether the first list came from another VM.
+    was_told: bool
 
     @property
     def unreadable(self) -> Mapping[str, StoreRevision]:
--- a/walnutquay/coordination/store/knowledge.py
+++ b/walnutquay/coordination/store/knowledge.py
@@ -44,6 +44,10 @@
 MILLISECONDS = 1000.0
 # The time for which a request that would be denied waits for the store to confirm that.
 CONFIRM_SECONDS = 0.4
+# The first pause before the configuration is compared again, if no other VM has told
+# its own, and the longest one.
+LATER_COMPARE_SECONDS = 0.5
+MAX_COMPARE_PAUSE = 30.0
 # The interval at which readiness is checked after a start.
 READY_POLL_SECONDS = 0.01
 # The longest time for which a VM that starts waits for another VM's configuration.
@@ -66,6 +70,7 @@
     :param eras: the store's era.
     :param compares: whether this VM reads its first configuration from the store while
         others may know a newer one, which a restored store has lost.
+    :param others_run: whether other VMs may have been running before this one.
     """
 
     def __init__(
@@ -79,11 +84,13 @@
         times: WatchTimes,
         eras: EraTracker,
         compares: bool = False,
+        others_run: bool = False,
     ) -> None:
         self.context = context
         self.query_peers = query_peers
         # Whether another VM's configuration still has to be compared.
         self.compares = compares
+        self.others_run = others_run
         self.eras = eras
         eras.restore_listeners.append(self._on_restored)
         self.catalogue = CatalogueSink(context)
@@ -142,6 +149,8 @@
         self.follow()
         if self.compares:
             self.tasks.spawn(self._compare_with_peers())
+        if self.others_run:
+            self.tasks.spawn(self._compare_until_told())
         self.context.timers.on_wake(self._on_wake)
         self.context.timers.every(
             "overdue endpoints", OVERDUE_CHECK_SECONDS, self.instances.drop_overdue
@@ -157,20 +166,41 @@
 
     async def _compare_with_peers(self) -> None:
         """Apply another VM's configuration, if it is newer than the store's."""
-        kind = self.catalogue_follower.feed.kind
         try:
             async with asyncio.timeout(COMPARE_SECONDS):
-                data = await self.query_peers(kind, NOTHING_STORED)
-            if data:
-                listing = self.catalogue_follower.feed.read_export(data)
-                self.catalogue.apply_listing(listing)
+                await self._compare()
         except TimeoutError:
             log.info("no other VM told its configuration in time")
-        except MessageError as error:
-            log.warn("ignored a list from a peer that cannot be read: {}", error)
         finally:
             self.compares = False
 
+    async def _compare(self) -> bool:
+        """Apply another VM's configuration, if it is newer than the store's.
+
+        :returns: whether another VM has told it.
+        """
+        feed = self.catalogue_follower.feed
+        data = await self.query_peers(feed.kind, NOTHING_STORED)
+        if not data:
+            return False
+        try:
+            self.catalogue.apply_listing(feed.read_export(data))
+        except MessageError as error:
+            log.warn("ignored a list from a peer that cannot be read: {}", error)
+            return False
+        return True
+
+    async def _compare_until_told(self) -> None:
+        """Compare again where no other VM has answered at the start.
+
+        A restored store would never tell of the configuration that it has lost.
+        """
+        pause = LATER_COMPARE_SECONDS
+        await asyncio.sleep(pause)
+        while not (self.catalogue_follower.feed.was_told or await self._compare()):
+            await asyncio.sleep(pause)
+            pause = min(2.0 * pause, MAX_COMPARE_PAUSE)
+
     def _on_wake(self, seconds: float) -> None:
         """Confirm all state, which has not been updated while this VM was suspended.
 
--- a/walnutquay/coordination/store/relaying.py
+++ b/walnutquay/coordination/store/relaying.py
@@ -98,6 +98,8 @@
         self.poll = POLL_SECONDS if poll is None else poll
         self.starting = starting
         self.kind = direct.kind
+        # Whether another VM has told its list at the start.
+        self.was_told = False
         # Whether the last watch was of the store itself.
         self.watching = True
         # The last answer of a watcher that was read, and what it contains.
@@ -114,9 +116,12 @@
         data = b"" if starting is None else await starting.list_of(self.kind)
         if data:
             try:
-                return self.direct.read_export(data)
+                listing = self.direct.read_export(data)
             except MessageError as error:
                 log.warn("ignored a list from a peer that cannot be read: {}", error)
+            else:
+                self.was_told = True
+                return listing
         return await self.direct.list()
 
     async def watch(self, revision: StoreRevision, seconds: float) -> Changes[Item]:
--- a/walnutquay/daemon/storefeeds.py
+++ b/walnutquay/daemon/storefeeds.py
@@ -88,6 +88,7 @@
             times,
             self.store.eras,
             compares=self.peers.is_seed and not first_start,
+            others_run=not first_start,
         )
         return made
 
--- a/walnutquay/platform/feeds.py
+++ b/walnutquay/platform/feeds.py
@@ -102,6 +102,7 @@
 
     # What it tells always comes from the store itself.
     watching = True
+    was_told = False
 
     def __init__(
         self,
