--- a/tests/coordination/store/test_restores.py
+++ b/tests/coordination/store/test_restores.py
@@ -9,10 +9,21 @@
 
 from standins.store import Backup
 from tests.restorecase import ADDED_ROUTE, REVOKED_KEY, RestoreCase
+from walnutquay.coordination.fleet import bootstrap, peers
 from walnutquay.coordination.fleet.peers import FleetPeers
 from walnutquay.coordination.store import knowledge
 from walnutquay.daemon.gateway import GatewayDaemon
 from walnutquay.protocol.messages import Message
+from walnutquay.transport import peers as transport_peers
+
+# What a VM that starts waits for the others.
+PATIENT = (
+    (knowledge, "COMPARE_SECONDS"),
+    (peers, "QUERY_SECONDS"),
+    (bootstrap, "ATTEMPT_SECONDS"),
+    (bootstrap, "BOOTSTRAP_SECONDS"),
+    (transport_peers, "CONNECT_SECONDS"),
+)
 
 
 class ChangesCase(RestoreCase):
@@ -223,7 +234,8 @@
 
     async def asyncSetUp(self) -> None:
         # A busy machine must not decide whether an answer comes in time.
-        self.enterContext(mock.patch.object(knowledge, "COMPARE_SECONDS", 9.0))
+        for module, name in PATIENT:
+            self.enterContext(mock.patch.object(module, name, 9.0))
         await super().asyncSetUp()
         await self.put_catalogue(2, revoked=False, added=False)
         self.backup = self.store.copy()
@@ -248,9 +260,9 @@
 
     async def test_it_is_in_force_at_a_vm_that_starts(self):
         # From other VMs, and from the store while others know more.
-        for name, peers in (("vm-8", [self.gateway]), ("vm-9", [])):
+        for name, known in (("vm-8", [self.gateway]), ("vm-9", [])):
             with self.subTest(name):
-                started = await self.add_gateway(name, peers)
+                started = await self.add_gateway(name, known)
                 self.assertEqual(started.knowledge.catalogue.current.version, 3)
 
     async def test_it_comes_into_force_where_peers_answer_late(self):
@@ -258,14 +270,14 @@
         query = FleetPeers.query_each
         is_late = True
 
-        async def late(peers: FleetPeers, *more: Any) -> Message | None:
-            return None if is_late else await query(peers, *more)
+        async def late(asked: FleetPeers, *more: Any) -> Message | None:
+            return None if is_late else await query(asked, *more)
 
         self.enterContext(mock.patch.object(FleetPeers, "query_each", late))
-        for name, peers in (("vm-8", [self.gateway]), ("vm-9", [])):
+        for name, known in (("vm-8", [self.gateway]), ("vm-9", [])):
             with self.subTest(name):
                 is_late = True
-                started = await self.add_gateway(name, peers)
+                started = await self.add_gateway(name, known)
                 catalogue = started.knowledge.catalogue
                 self.assertEqual(catalogue.current.version, 2)
                 is_late = False
