--- a/tests/daemon/test_caller_bodies.py
+++ b/tests/daemon/test_caller_bodies.py
@@ -241,3 +241,50 @@
         ]
         self.assertLess(max(unsent), 4 * PART)
         sender.writer.close()
+
+
+class EarlyAnswerTest(LargeBodiesCase):
+    """An endpoint that answers before it has read the body gets all of that.
+
+    Guards against a part of it, and against other bytes in the place of the rest.
+    """
+
+    async def test_body_is_sent_to_its_end(self) -> None:
+        got: list[bytes] = []
+        answered = asyncio.Event()
+
+        async def answer_first(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode().lower().split("\r\n")
+            request = next(one for one in lines if one.startswith("request-id"))
+            writer.write(
+                b"HTTP/1.1 200 OK\r\n" + request.encode() + b"\r\n"
+                b"Reply-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+            )
+            await answered.wait()
+            got.append(await reader.read(-1))
+            writer.close()
+
+        server = await asyncio.start_server(answer_first, "127.0.0.1", 0, limit=1 << 12)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        for name in ("p1", "p2"):
+            spec = self.endpoints[name].spec("plain")
+            moved = {**spec, "address": f"127.0.0.1:{port}"}
+            await self.store.put("servers", name, moved)
+        known = self.gateway.knowledge.instances.registry.known
+        await self.until(
+            lambda: all(str(port) in known[name].address for name in ("p1", "p2"))
+        )
+        for number, path in enumerate(("/unsafe/x", "/safe/x")):
+            with self.subTest(path=path):
+                answered.clear()
+                sender = await self.sender(path)
+                await sender.send(LARGE)
+                answer = await sender.finish()
+                self.assertEqual((answer.status, answer.body), (200, b"ok"))
+                answered.set()
+                await self.until(lambda number=number: len(got) > number)
+                self.assertEqual(got[number], b"." * LARGE)
--- a/walnutquay/transport/payloads.py
+++ b/walnutquay/transport/payloads.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_writer import StreamWriter
@@ -37,10 +39,16 @@
         """
         view = memoryview(self._value)[:content_length]
         for start in range(0, len(view), SLICE_BYTES):
-            if isinstance(writer, StreamWriter):
-                # The limit between two reads holds while the endpoint takes nothing.
-                writer.protocol.start_timeout()
-            await writer.write(view[start : start + SLICE_BYTES])
+            assert isinstance(writer, StreamWriter)
+            # The limit between two reads holds while the endpoint takes nothing.
+            writer.protocol.start_timeout()
+            try:
+                await writer.write(view[start : start + SLICE_BYTES])
+            except asyncio.CancelledError:
+                # An endpoint that has answered early may still read the body.
+                if writer.transport is not None:
+                    writer.transport.write(view[start + SLICE_BYTES :])
+                raise
 
     async def write(self, writer: AbstractStreamWriter) -> None:
         """Write all of the body.
