Let the test of SIGHUP hold wherever the tests are started

The test's program sets it back before it begins.

Result: passes under nohup, and without; its checks are unchanged.

--- a/tests/test_env.py
+++ b/tests/test_env.py
@@ -12,6 +12,8 @@
 # Stops at the first import that takes long, and gets the signal there.
 PROGRAM = """
 import os, signal, sys
+# What the tests were started by may have had it ignored already.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 sys.argv = ["walnutquay", *sys.argv[1:]]
 sys.modules["click"] = None
 try:
