--- a/review/stage.py
+++ b/review/stage.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -152,6 +152,7 @@
     :param zone: its zone.
     :param settings: its settings file.
     :param log: where its lines go.
+    :param process: its process; None before it is started.
     """
 
     name: str
@@ -160,7 +161,6 @@
     settings: Path
     log: Path
     process: asyncio.subprocess.Process | None = None
-    pids: list[int] = field(default_factory=list)
 
     @property
     def port(self) -> int:
@@ -232,7 +232,6 @@
             vm.process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=env, stdout=log, stderr=log
             )
-        vm.pids.append(vm.process.pid)
 
     async def start_all(self) -> None:
         """Start all VMs, and wait until they are ready."""
