--- a/review/client.py
+++ b/review/client.py
@@ -25,12 +25,14 @@
     :param headers: its headers, by name in lower case.
     :param body: its body.
     :param whole: whether it ended as its framing says.
+    :param earlier: how many answers had come by its connection before.
     """
 
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     whole: bool = False
+    earlier: int = 0
 
 
 def request_bytes(
@@ -101,10 +103,11 @@
                 self.outcomes["no connection"] += 1
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            goes_on = True
+            goes_on, answers = True, 0
             try:
                 while goes_on:
-                    goes_on = await self._one(reader, writer)
+                    goes_on = await self._one(reader, writer, answers)
+                    answers += 1
                     await asyncio.sleep(PAUSE_SECONDS)
             except (OSError, EOFError):
                 await asyncio.sleep(PAUSE_SECONDS)
@@ -112,15 +115,16 @@
                 writer.close()
 
     async def _one(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, earlier: int
     ) -> bool:
         """Send one request.
 
+        :param earlier: how many answers have come by the connection.
         :returns: whether the connection goes on.
         """
         request = secrets.token_hex(8)
         sent_at = time.monotonic()
-        got = Got()
+        got = Got(earlier=earlier)
         try:
             writer.write(request_bytes(request, self.target, self.body, self.deadline))
             await read_answer(reader, got)
