Let callers without a known key act for no organisation

What callers saw: on public routes requests without a key ran at endpoints under the name "public".

Cause: callers without a key stood for an organisation that had a name of its own, and whether endpoints are told an organisation was decided by the configuration, not by the request.

Change: callers without a known key stand for an organisation without a name. Names of configurations have at least one character (schema, now with a test), so none can be the same. Endpoints are told an organisation only if it has a name. A known key on a public route names its organisation; it was passed over.

--- a/lab/capacity/costvm.py
+++ b/lab/capacity/costvm.py
@@ -55,7 +55,7 @@
 from walnutquay.state.routed.modelchoice import ModelChoice
 from walnutquay.state.routed.prompts import Prompt, PromptPart
 from walnutquay.state.store.catalogue import (
-    PUBLIC,
+    ANONYMOUS,
     Destination,
     EngineModel,
     Route,
@@ -312,7 +312,7 @@
         )
         arrival = RoutedArrival(
             head.request,
-            PUBLIC,
+            ANONYMOUS,
             b"",
             monotonic() + 20.0,
             head=head,
--- a/tests/commands/test_slotstate.py
+++ b/tests/commands/test_slotstate.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from walnutquay.commands.fleetstate import (
     VmState,
@@ -41,6 +42,11 @@
         self.assertEqual(state.slot_grants, (grants,))
         self.assertEqual(state.slots_denied, {"no_room": 4})
 
+    def test_callers_without_a_key_are_named_so(self) -> None:
+        waiting = SlotWaiting("plain", "", 0, "hall-a", 2, 0.25)
+        [line] = slots_text([replace(self.state(), slot_waiting=(waiting,))])[1:2]
+        self.assertIn("2 of (no key) for plain", line)
+
     def test_vms_are_added_up(self) -> None:
         text = "\n".join(slots_text([self.state(), self.state()]))
         self.assertIn("waiting for slots: 4 of org-a for plain, priority 0", text)
--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -164,3 +164,58 @@
     async def test_none_is_needed_where_there_is_no_list(self):
         await self.configure(tenants=None)
         self.assertEqual((await self.call("/safe/x", Authorization="")).status, 200)
+
+
+class AnonymousCallerTest(GatewayCase):
+    """Callers without a known key act for no organisation.
+
+    Guards against requests without a key that ran under an organisation's name, which
+    was the one that callers without a key had here.
+    """
+
+    async def set_organisations(self, *organisations: dict[str, object]) -> None:
+        """Bring a configuration with these organisations as well into force."""
+        current = catalogue(2)
+        current["tenants"] += organisations
+        await self.store.put("config", "main", current)
+        known = self.gateway.knowledge.catalogue
+        await self.until(lambda: known.current.version == 2)
+
+    async def named(self, path: str, **headers: str) -> str | None:
+        """Return the organisation that an endpoint is told of a request."""
+        before = {name: len(one.runs) for name, one in self.endpoints.items()}
+        self.assertEqual((await self.call(path, **headers)).status, 200)
+        [seen] = [
+            run for n, one in self.endpoints.items() for run in one.runs[before[n] :]
+        ]
+        return seen.headers.get("tenant")
+
+    async def test_public_routes_name_no_organisation(self):
+        self.assertIsNone(await self.named("/open/x", Authorization=""))
+
+    async def test_public_routes_name_no_organisation_whatever_names_there_are(self):
+        names = ("public", "PUBLIC", "anonymous", "none", "None", "nobody", "-", " ")
+        await self.set_organisations(
+            *({"name": name, "apiKeys": [f"key {name}"]} for name in names)
+        )
+        self.assertIsNone(await self.named("/open/x", Authorization=""))
+
+    async def test_callers_cannot_name_one_themselves(self):
+        named = await self.named("/open/x", Authorization="", Tenant="org-a")
+        self.assertIsNone(named)
+
+    async def test_unknown_and_empty_keys_name_no_organisation(self):
+        await self.set_organisations({"name": "org-c", "apiKeys": [""]})
+        for key in ("", "Bearer ", "Bearer other", "Basic other", "Bearer org-a"):
+            with self.subTest(key=key):
+                self.assertIsNone(await self.named("/open/x", Authorization=key))
+
+    async def test_a_known_key_names_its_organisation_on_public_routes_too(self):
+        self.assertEqual(await self.named("/open/x"), "org-a")
+
+    async def test_an_organisation_called_public_is_named_by_its_key(self):
+        await self.set_organisations({"name": "public", "apiKeys": ["its-key"]})
+        for path in ("/safe/x", "/unsafe/x", "/open/x"):
+            with self.subTest(path=path):
+                named = await self.named(path, Authorization="Bearer its-key")
+                self.assertEqual(named, "public")
--- a/tests/platform/test_unreadable.py
+++ b/tests/platform/test_unreadable.py
@@ -128,6 +128,13 @@
             with self.subTest(name):
                 self.assertIn(name, decode_catalogue(spec).organisations)
 
+    def test_no_organisation_is_without_a_name(self):
+        """Guards against one that callers without a key would act for."""
+        spec = catalogue()
+        spec["tenants"][0]["name"] = ""
+        with self.assertRaises(MessageError):
+            decode_catalogue(spec)
+
     @SEARCH
     @given(JSON, JSON)
     def test_any_content(self, spec, status):
--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -16,6 +16,7 @@
 from walnutquay.commands.slotstate import (
     SlotGrants,
     SlotWaiting,
+    shown,
     slot_grants,
     slot_waiting,
     slots_denied,
@@ -300,7 +301,7 @@
     if waiting:
         text.append("waiting:")
     text += [
-        f"    {row.organisation:<20}{row.route:<24}{row.count:>6}"
+        f"    {shown(row.organisation):<20}{row.route:<24}{row.count:>6}"
         f"  oldest {row.oldest:.1f} s"
         for row in waiting
     ]
--- a/walnutquay/commands/slotstate.py
+++ b/walnutquay/commands/slotstate.py
@@ -120,6 +120,14 @@
     }
 
 
+def shown(organisation: str) -> str:
+    """Return how people are told whose requests they are.
+
+    :param organisation: its name; empty for callers without a known key.
+    """
+    return organisation or "(no key)"
+
+
 class VmSlots(Protocol):
     """What one VM's figures say of scarce slots."""
 
@@ -144,7 +152,8 @@
         if row.granted
     ]
     lines += [
-        f"waiting for slots: {row.count} of {row.organisation} for {row.service}, "
+        f"waiting for slots: {row.count} of {shown(row.organisation)} for "
+        f"{row.service}, "
         f"priority {row.priority}, in {row.hall}, the oldest for {row.oldest:.1f} s"
         for row in _added(row for one in states for row in one.slot_waiting)
     ]
--- a/walnutquay/coordination/routed/calls.py
+++ b/walnutquay/coordination/routed/calls.py
@@ -89,7 +89,7 @@
         remaining = turn.seconds_left()
         order = SendOrder(
             instance=grant.name,
-            organisation=arrival.organisation.name if arrival.found_by_key else None,
+            organisation=arrival.organisation.name or None,
             seconds_left=remaining,
             model=turn.model_name,
             last_event=turn.progress.last_event,
--- a/walnutquay/coordination/routed/turn.py
+++ b/walnutquay/coordination/routed/turn.py
@@ -49,7 +49,6 @@
     :param route: its route.
     :param catalogue_version: the version of the configuration that contains the route.
     :param arrived_at: when it was received; monotonic seconds.
-    :param found_by_key: whether a key identified the organisation.
     :param reply: the response, if it is sent while the answer comes.
     """
 
@@ -59,7 +58,6 @@
     route: Route = field(kw_only=True)
     catalogue_version: int = field(kw_only=True)
     arrived_at: float = field(default_factory=monotonic, kw_only=True)
-    found_by_key: bool = True
     reply: RoutedReply | None = None
 
     def identity(self) -> tuple[bytes, ...]:
--- a/walnutquay/daemon/callerbodies.py
+++ b/walnutquay/daemon/callerbodies.py
@@ -14,17 +14,14 @@
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.daemon.denials import BadCallError, bad_request
 from walnutquay.state.process.ids import OrganisationName
-from walnutquay.state.process.keys import key_hash
 from walnutquay.state.process.metrics import Metrics
 from walnutquay.state.requests.bodymemory import SMALL_BYTES, BodyMemory, LargeBody
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
-from walnutquay.state.store.catalogue import Catalogue
+from walnutquay.state.store.catalogue import ANONYMOUS, Catalogue
 from walnutquay.transport.timers import monotonic
 
 # A body that is sent must have come within this time of its head.
 BODY_SECONDS = 10.0
-# Whose bodies without a known key are; they share one part of the memory.
-NOBODY = OrganisationName("")
 
 
 class CallerBodies:
@@ -55,10 +52,9 @@
         :param key: a caller's key.
         """
         catalogue = self.knowledge.catalogue.current
-        if catalogue is None or not key:
-            return NOBODY
-        found = catalogue.by_key_hash.get(key_hash(key))
-        return found.name if found is not None else NOBODY
+        found = catalogue.organisation_with(key) if catalogue is not None else None
+        # Bodies without a known key share one part of the memory.
+        return OrganisationName((found or ANONYMOUS).name)
 
 
 class BodyHold:
--- a/walnutquay/daemon/gatewayapi.py
+++ b/walnutquay/daemon/gatewayapi.py
@@ -35,9 +35,8 @@
 from walnutquay.state.own.claims import WholeAnswer
 from walnutquay.state.process.events import EventKind
 from walnutquay.state.process.ids import RequestId
-from walnutquay.state.process.keys import key_hash
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
-from walnutquay.state.store.catalogue import PUBLIC, Catalogue, Route
+from walnutquay.state.store.catalogue import ANONYMOUS, Catalogue, Route
 from walnutquay.state.store.parts import Organisation
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.timers import monotonic
@@ -173,7 +172,6 @@
             route=route,
             catalogue_version=catalogue.version,
             arrived_at=arrived_at,
-            found_by_key=catalogue.needs_keys,
             reply=StreamReply(request, self.server),
         )
 
@@ -202,11 +200,11 @@
         route = catalogue.route_for(head.host, request.raw_path)
         if route is None:
             return Refusal(RefusalCode.UNKNOWN_SERVICE, "no route has this path")
-        if route.public or not catalogue.needs_keys:
-            return route, PUBLIC, catalogue
-        organisation = catalogue.by_key_hash.get(key_hash(head.key))
-        if not head.key or organisation is None:
-            return Refusal(RefusalCode.NO_KEY, "no organisation has this key")
+        organisation = catalogue.organisation_with(head.key)
+        if organisation is None:
+            if catalogue.needs_keys and not route.public:
+                return Refusal(RefusalCode.NO_KEY, "no organisation has this key")
+            organisation = ANONYMOUS
         return route, organisation, catalogue
 
     # Answering.
--- a/walnutquay/protocol/calls.py
+++ b/walnutquay/protocol/calls.py
@@ -113,7 +113,7 @@
     """What an endpoint is told besides the caller's own head.
 
     :param instance: the name of the instance that is to run it.
-    :param organisation: whose request it is; None where keys are not used.
+    :param organisation: whose request it is; None if no known key came with it.
     :param seconds_left: how long it may work.
     :param model: the model to use, where we choose it.
     :param last_event: the event after which to go on, if any was passed on.
--- a/walnutquay/state/store/catalogue.py
+++ b/walnutquay/state/store/catalogue.py
@@ -14,10 +14,12 @@
     RouteName,
     ServiceName,
 )
+from walnutquay.state.process.keys import key_hash
 from walnutquay.state.store.parts import Organisation
 
-# The organisation of requests without a key, on routes that need none.
-PUBLIC = Organisation.model_construct(name="public")
+# Stands for callers without a known key, on routes that need none.  No organisation
+# can have its name: names have at least one character.
+ANONYMOUS = Organisation.model_construct(name="")
 
 
 class RouteKind(Enum):
@@ -180,6 +182,13 @@
         all_organisations = self.organisations.values()
         return {key: item for item in all_organisations for key in item.keys}
 
+    def organisation_with(self, key: str) -> Organisation | None:
+        """Return the organisation to which a key belongs, or None.
+
+        :param key: the key that a caller presented; empty if none.
+        """
+        return self.by_key_hash.get(key_hash(key)) if key else None
+
     @cached_property
     def routes_of_host(self) -> dict[str, list[Route]]:
         """The routes by host, each list sorted by prefix length, longest first."""
