Take only statuses from 200 to 599 for those of an answer

What callers saw: an endpoint's answer with the status 600, 799 or 999 was passed on as it came; on our own interface those with 000, 001, 099 and 101 too. With the header that says "not started" such an answer was believed to have run nothing.

Cause: the library's parser takes any three digits. The platform's decoder asked for 200 and more only, and our own interface asked nothing.

Change: the connection that both interfaces use ends an answer with another status as it ends other bytes that are no answer. Safe requests go elsewhere, others end as unknown.

--- a/lab/mutants/callers.py
+++ b/lab/mutants/callers.py
@@ -53,11 +53,11 @@
         "test_a_stream_that_a_stop_cuts_is_not_whole",
     ),
     Mutation(
-        "answers: a status that announces another one is a failure",
-        "platform/calls.py",
-        "    if status < FIRST_FINAL_STATUS:",
-        "    if False:",
-        "tests.daemon.test_gatewayapi.InterimTest",
+        "answers: a status that none has is a failure",
+        "transport/connections.py",
+        "            check_status(message)\n",
+        "",
+        "tests.transport.test_statuses.InvalidStatusTest",
     ),
     Mutation(
         "own streams: one that is not whole ends with its connection",
--- a/tests/daemon/test_gatewayapi.py
+++ b/tests/daemon/test_gatewayapi.py
@@ -100,6 +100,32 @@
             self.assertEqual((await self.call("/safe/x")).status, 200)
 
 
+class InvalidStatusTest(GatewayCase):
+    """An answer whose status is none is not a caller's answer.
+
+    Guards against a status of 000 that a caller got for an answer.
+    """
+
+    invalid = ("000", "020", "0", "2000", "+200", "600", "999")
+    workers = {"p1": "plain", "p2": "plain", "e1": "engine", "e2": "engine"}
+
+    async def test_callers_get_none_of_it(self):
+        for status in self.invalid:
+            for worker in self.endpoints.values():
+                worker.default = Behaviour(status=status)
+            for path in ("/unsafe/x", "/safe/x", "/once/x", "/stream/x"):
+                with self.subTest(status=status, path=path):
+                    answer = await self.call(path, b"b", Model="*")
+                    self.assertIn(answer.status, (502, 503))
+                    self.assertNotIn("Reply-Seal", answer.headers)
+
+    async def test_another_endpoint_is_asked_where_that_may_be(self):
+        for status in self.invalid:
+            with self.subTest(status):
+                self.endpoints["p1"].default = Behaviour(status=status)
+                self.assertEqual((await self.call("/safe/x")).status, 200)
+
+
 class UnreadableRequestTest(GatewayCase):
     """Requests that cannot be read or passed on as they are get a clear 400.
 
--- a/walnutquay/platform/calls.py
+++ b/walnutquay/platform/calls.py
@@ -7,7 +7,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
-from walnutquay.exceptions import EndpointError, MessageError
+from walnutquay.exceptions import MessageError
 from walnutquay.platform import names
 from walnutquay.platform.announcements import decode_announcements
 from walnutquay.protocol.calls import AnswerHead, CallHead, SendOrder
@@ -24,8 +24,6 @@
 MAX_DIGITS = 18
 # No endpoint has as many digits of requests; a longer figure is unreadable.
 MAX_LOAD_DIGITS = 6
-# Statuses below it announce an answer; a caller would wait for that one.
-FIRST_FINAL_STATUS = 200
 
 
 def decode_call(headers: Mapping[str, str], raw: Iterable[tuple[str, str]]) -> CallHead:
@@ -144,10 +142,7 @@
 
     :param headers: the answer's headers, by name without regard to case.
     :param raw: the same in order, as they came.
-    :raises EndpointError: if another answer must follow it.
     """
-    if status < FIRST_FINAL_STATUS:
-        raise EndpointError(f"{status} is no final answer", step="answer")
     load = [part.strip() for part in headers.get(names.LOAD, "").split(",")]
     known = len(load) >= 3 and all(map(_is_count, load[:3]))
     confidence = headers.get(names.CONFIDENCE, "")
--- a/walnutquay/transport/connections.py
+++ b/walnutquay/transport/connections.py
@@ -16,7 +16,11 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http_exceptions import BadHttpMessage, HttpProcessingError
+from aiohttp.http_exceptions import (
+    BadHttpMessage,
+    BadStatusLine,
+    HttpProcessingError,
+)
 from aiohttp.http_parser import RawResponseMessage
 
 from walnutquay.exceptions import MessageError
@@ -33,6 +37,7 @@
 from walnutquay.transport.tunnelframes import FrameReader
 
 ENDLESS = "bytes without end that are no answer"
+LAST_STATUS = 599
 # Requests that one connection carries; it remembers their ids.
 MAX_CARRIED = 256
 
@@ -44,12 +49,26 @@
 
 
 def is_interim(message: RawResponseMessage) -> bool:
-    """:returns: whether another head follows; no request asks to switch protocols."""
+    """:returns: whether another head follows."""
+    code = message.code
     return (
-        message.code < HTTPStatus.OK and message.code != HTTPStatus.SWITCHING_PROTOCOLS
+        HTTPStatus.CONTINUE <= code < HTTPStatus.OK
+        and code != HTTPStatus.SWITCHING_PROTOCOLS
     )
 
 
+def check_status(message: RawResponseMessage) -> None:
+    """Check that a status is one of a final answer.
+
+    No request asks to switch protocols.
+
+    :param message: the head of an answer.
+    :raises BadStatusLine: if it is not.
+    """
+    if not HTTPStatus.OK <= message.code <= LAST_STATUS:
+        raise BadStatusLine(f"{message.code:03} is no status of an answer")
+
+
 class KeptProtocol(ResponseHandler):
     """An aiohttp connection that closes when bytes come unasked, and notices resets.
 
@@ -150,6 +169,7 @@
                 raise GarbledBodyError(ENDLESS)
             if is_interim(message):
                 return message, payload
+            check_status(message)
             if await self._is_awaited(message, payload):
                 payload.on_eof(self._end)
                 return message, payload
