Read whole numbers of any length in objects of the store

What was seen: one entry with a number of 5,000 digits, in any field, and no VM followed the list of endpoints any more; new ones got nothing, gone ones were still sent requests.

Cause: what the fast parser refuses is read by Python's, which makes a whole number of any length and refuses more than 4,300 digits. The error made the whole answer unreadable, a list as well as a watch, so no VM got past it.

Change: whole numbers of more than 18 digits are read as fractions, as the fast parser does. No field of ours takes them, so the entry alone is not used.

--- a/tests/platform/test_unreadable.py
+++ b/tests/platform/test_unreadable.py
@@ -189,6 +189,13 @@
             with self.subTest(content[:20]), self.assertRaises(ValueError):
                 read_json(content)
 
+    def test_whole_numbers_of_any_length(self):
+        digits = "9" * 5000
+        for text in (digits, f"-{digits}", f'["\\udcff", {digits}]'):
+            with self.subTest(text[:20]):
+                found = read_json(f'{{"a": {text}, "b": 7, "c": {"9" * 18}}}'.encode())
+                self.assertEqual((found["b"], found["c"]), (7, int("9" * 18)))
+
     def test_what_is_not_deep_is_kept(self):
         for depth in (1, MAX_DEPTH):
             text = b"[" * depth + b'"]]"' + b"]" * depth
--- a/walnutquay/platform/lenient.py
+++ b/walnutquay/platform/lenient.py
@@ -19,6 +19,9 @@
 TOKENS = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
 OPENING = frozenset("[{")
 CLOSING = frozenset("]}")
+# A whole number of so many digits fits into 64 bits; longer ones are read as fractions,
+# and Python reads none of some thousand digits.
+MAX_WHOLE_DIGITS = 18
 
 
 def read_json(content: bytes) -> Any:
@@ -32,11 +35,17 @@
     except orjson.JSONDecodeError:
         text = content.decode("utf-8", "replace")
     try:
-        return json.loads(_without_depth(text))
+        return json.loads(_without_depth(text), parse_int=_whole)
     except RecursionError as error:
         raise ValueError("it is too deep, and not whole") from error
 
 
+def _whole(digits: str) -> int | float:
+    """Read a whole number, which may have any number of digits."""
+    is_short = len(digits.lstrip("-")) <= MAX_WHOLE_DIGITS
+    return int(digits) if is_short else float(digits)
+
+
 def _without_depth(text: str) -> str:
     """Put null in the place of what lies too deep for a parser."""
     kept = []
