Tell other VMs nothing of objects that are too deep for a list

What was seen: one entry of 251 levels or more, up to 1,000, and each question of another VM for the list failed with an error that nobody foresaw ("a peer's call failed"). Those VMs had to read the store themselves.

Cause: the encoder writes 254 levels, and the parser reads 1,024. Whether an object can be written for other VMs was tried with the object alone, but it is written within a list, which has levels of its own.

Change: the object must be writable with as many levels around it as any list of ours has.

--- a/tests/platform/test_unreadable.py
+++ b/tests/platform/test_unreadable.py
@@ -15,7 +15,9 @@
 from tests.gatewaycase import GatewayCase, catalogue
 from walnutquay.commands.fleetstate import concerns, read_figures, state_of
 from walnutquay.exceptions import MessageError
-from walnutquay.platform.lenient import MAX_DEPTH, read_json
+from walnutquay.platform.exports import exported_object, packed_export
+from walnutquay.platform.lenient import MAX_DEPTH, is_plain, read_json
+from walnutquay.platform.objects import StoredObject
 from walnutquay.platform.records import (
     decode_catalogue,
     decode_instance,
@@ -23,6 +25,7 @@
     decode_vm,
 )
 from walnutquay.state.process.events import EventKind
+from walnutquay.state.process.revisions import StoreRevision
 
 ENDPOINT = {
     "service": "plain",
@@ -196,6 +199,14 @@
                 found = read_json(f'{{"a": {text}, "b": 7, "c": {"9" * 18}}}'.encode())
                 self.assertEqual((found["b"], found["c"]), (7, int("9" * 18)))
 
+    def test_what_other_vms_can_be_told(self):
+        self.assertTrue(is_plain(read_json(b"[" * 200 + b"]" * 200)))
+        for levels in range(240, 300):
+            value = read_json(b"[" * levels + b"]" * levels)
+            if is_plain(value):
+                exported_object(StoredObject("e", StoreRevision(1, 1), value))
+                packed_export(StoreRevision(1, 1), events=[{"stored": {"spec": value}}])
+
     def test_what_is_not_deep_is_kept(self):
         for depth in (1, MAX_DEPTH):
             text = b"[" * depth + b'"]]"' + b"]" * depth
--- a/walnutquay/platform/lenient.py
+++ b/walnutquay/platform/lenient.py
@@ -22,6 +22,8 @@
 # A whole number of so many digits fits into 64 bits; longer ones are read as fractions,
 # and Python reads none of some thousand digits.
 MAX_WHOLE_DIGITS = 18
+# The levels that lists for other VMs put around an object.
+LEVELS_AROUND = 8
 
 
 def read_json(content: bytes) -> Any:
@@ -68,6 +70,8 @@
 
     :returns: whether it can be written as JSON again, for other VMs.
     """
+    for _ in range(LEVELS_AROUND):
+        value = [value]
     try:
         orjson.dumps(value)
     except (orjson.JSONEncodeError, RecursionError):
