Use no endpoint whose name fits into no header

What callers saw: 500 for each request that was sent to an endpoint whose entry is called with control characters.

Cause: requests name the endpoint in a header, and the HTTP library refuses to write such a header, with an error that nobody foresaw.

Evidence: entries of eleven names at three VMs; test_names_that_no_header_can_carry failed before for nine of its names.

Change: an entry is not used if its name has control characters or blanks at its ends, is empty, or has more than 500 characters, as other names may not.

--- a/tests/platform/test_unreadable.py
+++ b/tests/platform/test_unreadable.py
@@ -93,6 +93,14 @@
                     decode_instance("e", spec)
         self.assertGreater(tried, 80)
 
+    def test_names_that_no_header_can_carry(self):
+        for name in ("", " ", "\x00", "a\r\nb", "a\n", " a", "a ", "\udcff", "x" * 501):
+            with self.subTest(name), self.assertRaises(MessageError):
+                decode_instance(name, ENDPOINT)
+        for name in ("i-7f3a91c2", "a b", "ü", '"', "x" * 500):
+            with self.subTest(name):
+                self.assertEqual(decode_instance(name, ENDPOINT).name, name)
+
     def test_a_time_of_start_of_another_kind(self):
         for value in ("1700000000000", 1.5, True, -1, [], 1 << 60):
             with self.subTest(value), self.assertRaises(MessageError):
--- a/walnutquay/platform/records.py
+++ b/walnutquay/platform/records.py
@@ -7,8 +7,10 @@
 from collections.abc import Mapping
 from typing import Any
 
+from walnutquay.exceptions import MessageError
 from walnutquay.platform.names import CONFIGURATION_NAME
 from walnutquay.platform.schemas import (
+    MAX_NAME,
     CatalogueSpec,
     EndpointSpec,
     EndpointState,
@@ -154,6 +156,8 @@
     :param spec: its content.
     :raises MessageError: if it is not what the platform describes.
     """
+    if not _fits_header(name):
+        raise MessageError("its name fits into no header", step="decode", peer=name)
     read = read_spec(EndpointSpec, spec, name)
     return Instance(
         name=EndpointName(name),
@@ -168,6 +172,12 @@
     )
 
 
+def _fits_header(name: str) -> bool:
+    """Return whether requests can name an endpoint as it is called."""
+    is_written = name.isprintable() and name == name.strip()
+    return is_written and 0 < len(name) <= MAX_NAME
+
+
 def decode_emptied(name: str, revision: StoreRevision) -> EmptiedHall:
     """:param name: the object's name, which is the data hall's; it has no content.
 
