Use no endpoint without an address

What callers saw: 500 for each request that was sent to an endpoint whose entry names a port above 65535; with port 0 requests went to port 80.

Cause: the schema took any text of four numbers and up to five digits, in any script. The HTTP library finds a port out of range only as it connects, and the error was none that anybody foresaw, at requests and at the check whether an endpoint is reached.

Change: addresses in the store are read as an IP number and a port from 1 to 65535; an entry with another one is not used. For both interfaces, a request to an endpoint without an address is not started, and asking whether it is reached is no error.

--- a/standins/store.py
+++ b/standins/store.py
@@ -125,6 +125,9 @@
         self.late_tasks: set[asyncio.Task[None]] = set()
         # Items that lists show besides, as other programs may have written them.
         self.foreign_items: list[Any] = []
+        # Texts that answers hold in the place of the values that are their names, as
+        # no encoder would write them.
+        self.raw: dict[str, str] = {}
         # Rises with each restore; 0 for a store that names none.
         self.era = era
         # What answers name instead of the era; None for what is true.
@@ -215,11 +218,18 @@
         """
         era = self.era
         answer = await self._answer(request)
+        if self.raw and isinstance(answer, web.Response) and answer.body:
+            answer.body = self._with_raw(answer.body)
         named = str(era) if self.named_era is None else self.named_era
         if era and named and not answer.prepared:
             answer.headers[ERA_HEADER] = named
         return answer
 
+    def _with_raw(self, body: bytes) -> bytes:
+        for name, text in self.raw.items():
+            body = body.replace(json.dumps(name).encode(), text.encode("latin-1"))
+        return body
+
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         kind, rest = _split(request)
         watching = "watch" in request.query
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -5,11 +5,13 @@
 from __future__ import annotations
 
 import asyncio
+import unittest
 from collections.abc import AsyncIterator
 
 from tests.scriptedendpoint import ID, Asked, ScriptedEndpointCase, answer
 from walnutquay.exceptions import EndpointError, NotStartedError
-from walnutquay.transport.client import STEP_BROKEN
+from walnutquay.state.routed.links import Reach
+from walnutquay.transport.client import STEP_BROKEN, HttpClient, probe
 
 
 class OnceTest(ScriptedEndpointCase):
@@ -58,6 +60,28 @@
                 self.assertEqual(caught.exception.step, STEP_BROKEN)
 
 
+class NoAddressTest(unittest.IsolatedAsyncioTestCase):
+    """An endpoint without an address gets nothing, and can tell nothing.
+
+    Guards against errors that nobody foresaw, and that failed each request.
+    """
+
+    addresses = ("127.0.0.1:65536", "127.0.0.1:99999", "127.0.0.1:-1", ":80", "")
+
+    async def test_requests_are_not_started(self):
+        client = HttpClient("")
+        self.addAsyncCleanup(client.close)
+        for address in self.addresses:
+            with self.subTest(address), self.assertRaises(NotStartedError):
+                async with client.request("GET", f"http://{address}/x", peer="e"):
+                    self.fail("it was answered")
+
+    async def test_nobody_is_reached(self):
+        for address in self.addresses:
+            with self.subTest(address):
+                self.assertIs(await probe(f"http://{address}"), Reach.SILENT)
+
+
 class ClosedBeforeSendingTest(ScriptedEndpointCase):
     """An endpoint closes a kept connection just before a request is sent on it."""
 
--- a/walnutquay/platform/schemas.py
+++ b/walnutquay/platform/schemas.py
@@ -10,9 +10,11 @@
 
 from collections.abc import Iterable
 from enum import Enum
+from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Any, TypeVar
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     BeforeValidator,
     ConfigDict,
@@ -30,15 +32,34 @@
 MAX_NAME = 500
 MAX_COUNT = 1 << 31
 MAX_MILLISECONDS = 1 << 53
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 # Problems of one object that are told.
 PROBLEMS_TOLD = 3
 
 Text = Annotated[str, StringConstraints(max_length=MAX_NAME)]
 Name = Annotated[str, StringConstraints(min_length=1, max_length=MAX_NAME)]
-# Of four numbers of up to three digits, and a port.
-Address = Annotated[
-    str, StringConstraints(pattern=r"^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$")
-]
+
+
+def _as_host(value: str) -> str:
+    """Check that a text is an IP number."""
+    try:
+        return str(IPv4Address(value))
+    except AddressValueError as error:
+        raise ValueError("it is no IP number") from error
+
+
+def _as_address(value: str) -> str:
+    """Check that a text is an IP number and a port."""
+    host, _, port = value.partition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_port or not 0 < int(port) <= MAX_PORT:
+        raise ValueError("it names no port")
+    return f"{_as_host(host)}:{int(port)}"
+
+
+Host = Annotated[str, AfterValidator(_as_host)]
+Address = Annotated[str, AfterValidator(_as_address)]
 Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 Slots = Annotated[int, Field(ge=1, le=MAX_COUNT)]
 UnixMs = Annotated[int, Field(ge=0, le=MAX_MILLISECONDS)]
@@ -195,8 +216,8 @@
 class VmSpec(Spec):
     """An entry VM's own entry."""
 
-    host: Annotated[str, StringConstraints(pattern=r"^(?:\d{1,3}\.){3}\d{1,3}$")]
-    port: Annotated[int, Field(ge=1, le=65_535)]
+    host: Host
+    port: Annotated[int, Field(ge=1, le=MAX_PORT)]
     hall: Name
 
 
--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -80,18 +80,34 @@
 
     :param url: ``http://IP:port``.
     """
-    place = URL(url)
     try:
+        place = URL(url)
         async with asyncio.timeout(CONNECT_SECONDS):
             _, writer = await asyncio.open_connection(place.host, place.port)
     except ConnectionRefusedError:
         return Reach.REFUSED
-    except (TimeoutError, OSError):
+    except (TimeoutError, OSError, ValueError):
         return Reach.SILENT
     writer.close()
     return Reach.REACHED
 
 
+def _target(url: str, peer: str) -> URL:
+    """Read where a request goes; the caller's escapes are passed on as they are.
+
+    :raises NotStartedError: if there is no such place.
+    """
+    target = URL(url, encoded=True)
+    try:
+        # The library checks a port only as it is used.
+        has_place = bool(target.host and target.port)
+    except ValueError:
+        has_place = False
+    if not has_place:
+        raise NotStartedError("it has no address", step=STEP_CONNECT, peer=peer)
+    return target
+
+
 class ConnectionEnd:
     """Tells whether an answer that ends with its connection is whole.
 
@@ -239,8 +255,7 @@
         matched = bool(sent.get(self.id_header))
         first = self.kept if repeatable and matched else self.fresh
         end = monotonic() + timeout
-        # The caller's escapes are passed on as they are.
-        target = URL(url, encoded=True)
+        target = _target(url, peer)
 
         def send(again: bool) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
             session = self.fresh if again else first
