--- a/walnutquay/transport/client.py
+++ b/walnutquay/transport/client.py
@@ -33,6 +33,7 @@
 )
 from walnutquay.transport.payloads import payload_of
 from walnutquay.transport.strays import OnStray, StrayAnswerError, ignore_stray
+from walnutquay.transport.targets import STEP_CONNECT, read_target
 from walnutquay.transport.timers import monotonic
 from walnutquay.transport.traffic import Traffic
 
@@ -53,10 +54,8 @@
 # Endpoints say by this header that they did not begin the work they refuse.
 HEADER_NOT_STARTED = "x-not-started"
 BEFORE_SENDING = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-# The steps of errors before anything was sent: no answer at all from the other
-# side, or a refusal by it.
+# The step of an error before anything was sent, without an answer of the other side.
 STEP_REACH = "reach"
-STEP_CONNECT = "connect"
 # The step of an error as the request was not allowed any more when it had a connection.
 STEP_WITHHELD = "withheld"
 # The step of an error after the other side has acknowledged nothing for a while.
@@ -92,22 +91,6 @@
     return Reach.REACHED
 
 
-def _target(url: str, peer: str) -> URL:
-    """Read where a request goes; the caller's escapes are passed on as they are.
-
-    :raises NotStartedError: if there is no such place.
-    """
-    target = URL(url, encoded=True)
-    try:
-        # The library checks a port only as it is used.
-        has_place = bool(target.host and target.port)
-    except ValueError:
-        has_place = False
-    if not has_place:
-        raise NotStartedError("it has no address", step=STEP_CONNECT, peer=peer)
-    return target
-
-
 class ConnectionEnd:
     """Tells whether an answer that ends with its connection is whole.
 
@@ -255,7 +238,7 @@
         matched = bool(sent.get(self.id_header))
         first = self.kept if repeatable and matched else self.fresh
         end = monotonic() + timeout
-        target = _target(url, peer)
+        target = read_target(url, peer)
 
         def send(again: bool) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
             session = self.fresh if again else first
