Begin no request any more once a VM that stops takes no connections

What callers saw: a request whose body ended late in a planned stop was sent on, and cut without an answer at the end of the stop if its work took longer than what was left; unsafe ones too. Requests that waited for a slot waited on.

Cause: the daemon for the platform's routes closed its listener and its idle connections, and never told the request path that it stops, though the path can refuse what comes then and our own interface uses that.

Evidence: bodies that end after the listener has closed, unsafe, safe, in chunks and of streams: all ran.

Change: from then on bodies that come in are refused before they have come, and requests that wait and that no endpoint can have begun are refused: 503 "stopping", not run.

--- a/walnutquay/coordination/own/keyed.py
+++ b/walnutquay/coordination/own/keyed.py
@@ -13,7 +13,7 @@
 from walnutquay.coordination.process.tasks import Tasks
 from walnutquay.coordination.requests.outcomes import Arrival, Outcome, Unknown, Whole
 from walnutquay.coordination.requests.pathparts import PathParts
-from walnutquay.coordination.requests.paths import STOPPING_RETRY, RequestPath
+from walnutquay.coordination.requests.paths import RequestPath
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.requests.turn import Turn
 from walnutquay.exceptions import NotStartedError
@@ -24,6 +24,7 @@
 
 CLAIM_RETRY = 2.0
 IN_PROGRESS_RETRY = 1.0
+NOT_READY_RETRY = 1.0
 
 
 @dataclass
@@ -71,7 +72,7 @@
         return Refusal(
             RefusalCode.NOT_READY,
             "this entry VM has no configuration yet",
-            STOPPING_RETRY,
+            NOT_READY_RETRY,
         )
 
     def on_dispatch(self, turn: Turn, grant: Grant) -> None:
--- a/walnutquay/coordination/requests/paths.py
+++ b/walnutquay/coordination/requests/paths.py
@@ -42,7 +42,8 @@
 )
 from walnutquay.transport.timers import monotonic
 
-STOPPING_RETRY = 1.0
+# Other VMs take the callers of one that stops at once.
+STOPPING_RETRY = 0.1
 MILLISECONDS = 1000.0
 
 
@@ -163,7 +164,7 @@
         :param stage: its stage.
         """
         while True:
-            acquired = await self._acquire_slot(turn)
+            acquired = await self._acquire_slot(turn, stage)
             if acquired.is_error():
                 if self.retarget(turn, acquired.error):
                     continue
@@ -201,7 +202,9 @@
             retry_after=refusal.retry_after,
         )
 
-    async def _acquire_slot(self, turn: Turn) -> Result[Grant, Refusal]:
+    async def _acquire_slot(
+        self, turn: Turn, stage: Received | Continuing
+    ) -> Result[Grant, Refusal]:
         """Acquire a slot, then check that the request may still run."""
         blocked = self.parts.crashes.refusal_by_all(turn.arrival, self.targets(turn))
         if blocked is not None:
@@ -372,11 +375,12 @@
 
     def not_accepting(self) -> Refusal | None:
         """Return why this VM accepts no requests at present, or None."""
-        if self.closed:
-            return Refusal(
-                RefusalCode.STOPPING, "this entry VM is stopping", STOPPING_RETRY
-            )
-        return self.unready()
+        return stopping_refusal() if self.closed else self.unready()
+
+
+def stopping_refusal() -> Refusal:
+    """Return the refusal of a request that this VM does not begin any more."""
+    return Refusal(RefusalCode.STOPPING, "this entry VM is stopping", STOPPING_RETRY)
 
 
 def _identity_facts(arrival: Arrival) -> Facts:
--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -7,11 +7,11 @@
 import asyncio
 from collections.abc import Collection
 
-from expression import Result
+from expression import Error, Result
 
 from walnutquay.coordination.requests.outcomes import Outcome
 from walnutquay.coordination.requests.pathparts import PathParts
-from walnutquay.coordination.requests.paths import RequestPath
+from walnutquay.coordination.requests.paths import RequestPath, stopping_refusal
 from walnutquay.coordination.requests.slots import Grant
 from walnutquay.coordination.routed.admission import RoutedAdmission
 from walnutquay.coordination.routed.answers import FailedAnswerError
@@ -22,7 +22,7 @@
 from walnutquay.exceptions import EndpointError, NotStartedError
 from walnutquay.state.requests.crashtypes import CrashTarget
 from walnutquay.state.requests.refusals import Refusal, RefusalCode
-from walnutquay.state.requests.stages import Continuing, Dispatched
+from walnutquay.state.requests.stages import Continuing, Dispatched, Received
 from walnutquay.state.routed.retrypauses import QuickFailure, retry_pause
 from walnutquay.state.store.instances import Instance
 from walnutquay.transport.client import (
@@ -59,6 +59,18 @@
         super().__init__(parts)
         self.admission = admission
         self.stalls = Stalls(self.context, admission, budgets)
+        # The waits for slots of requests that no endpoint can have begun.
+        self.first_waits: set[asyncio.Timeout] = set()
+
+    def stop_sending(self) -> None:
+        """Begin no further request, and refuse those that wait for their first slot.
+
+        They could outlast the time that this VM has left.
+        """
+        self.closed = True
+        now = asyncio.get_running_loop().time()
+        for wait in self.first_waits:
+            wait.reschedule(now)
 
     async def _failed(
         self, turn: RoutedTurn, running: Dispatched, grant: Grant, error: EndpointError
@@ -73,12 +85,26 @@
             turn.retry_pause = self._retry_pause(turn, grant, took)
         return result
 
-    async def _acquire_slot(self, turn: RoutedTurn) -> Result[Grant, Refusal]:
+    async def _acquire_slot(
+        self, turn: RoutedTurn, stage: Received | Continuing
+    ) -> Result[Grant, Refusal]:
         """Acquire a slot, after the pause that the last attempt calls for."""
         pause, turn.retry_pause = turn.retry_pause, 0.0
         if pause:
             await asyncio.sleep(pause)
-        return await super()._acquire_slot(turn)
+        if isinstance(stage, Continuing):
+            return await super()._acquire_slot(turn, stage)
+        if self.closed:
+            return Error(stopping_refusal())
+        try:
+            async with asyncio.timeout(None) as wait:
+                self.first_waits.add(wait)
+                try:
+                    return await super()._acquire_slot(turn, stage)
+                finally:
+                    self.first_waits.discard(wait)
+        except TimeoutError:
+            return Error(stopping_refusal())
 
     def _retry_pause(self, turn: RoutedTurn, grant: Grant, took: float) -> float:
         """Return how long to wait before the next attempt; seconds."""
--- a/walnutquay/daemon/callerbodies.py
+++ b/walnutquay/daemon/callerbodies.py
@@ -11,6 +11,7 @@
 from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
 
+from walnutquay.coordination.requests.paths import stopping_refusal
 from walnutquay.coordination.store.knowledge import Knowledge
 from walnutquay.daemon.denials import BadCallError, bad_request
 from walnutquay.state.process.ids import OrganisationName
@@ -36,6 +37,16 @@
         self.memory = BodyMemory(limit, BODY_SECONDS)
         self.knowledge = knowledge
         self.metrics = metrics
+        # The reads that are under way, and whether no more is read.
+        self.reads: set[asyncio.Timeout] = set()
+        self.closed = False
+
+    def close(self) -> None:
+        """Read no further body, and refuse the requests whose bodies come in."""
+        self.closed = True
+        now = asyncio.get_running_loop().time()
+        for read in self.reads:
+            read.reschedule(now)
 
     @contextmanager
     def hold(self) -> Iterator[BodyHold]:
@@ -76,27 +87,38 @@
         :param key: its caller's key.
         :raises BadCallError: if the body is not read.
         """
+        if self.bodies.closed:
+            raise BadCallError(stopping_refusal())
         catalogue = self.bodies.knowledge.catalogue.current
         most = (catalogue or Catalogue()).limits.body_bytes
         announced = request.content_length or 0
         _check_size(announced, most)
         if announced > SMALL_BYTES:
             self._become_large(announced, key)
-        parts = []
-        size = 0
         try:
-            async with asyncio.timeout(BODY_SECONDS):
-                async for data in request.content.iter_any():
-                    size += len(data)
-                    _check_size(size, most)
-                    self._add(len(data), size, key)
-                    parts.append(data)
+            async with asyncio.timeout(BODY_SECONDS) as limit:
+                self.bodies.reads.add(limit)
+                try:
+                    return await self._read_all(request, most, key)
+                finally:
+                    self.bodies.reads.discard(limit)
         except TimeoutError as error:
+            if self.bodies.closed:
+                raise BadCallError(stopping_refusal()) from error
             raise BadCallError(
                 Refusal(RefusalCode.SLOW_BODY, "the body did not come in time", 1.0)
             ) from error
         except (RequestPayloadError, ValueError) as error:
             raise bad_request(f"the body cannot be read: {error}") from error
+
+    async def _read_all(self, request: BaseRequest, most: int, key: str) -> bytes:
+        parts = []
+        size = 0
+        async for data in request.content.iter_any():
+            size += len(data)
+            _check_size(size, most)
+            self._add(len(data), size, key)
+            parts.append(data)
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     def release(self) -> None:
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -269,6 +269,9 @@
         await asyncio.sleep(self.options.promises.balancer_seconds)
         self.api.server.close_listener()
         self.api.server.close_idle()
+        # What begins now could outlast the time that is left.
+        self.api.bodies.close()
+        self.path.stop_sending()
         if not await self.api.server.idle(end - loop.time()):
             log.error("{} requests did not end in time", self.api.server.in_flight)
         if not await self.tunnels.idle(end - loop.time()):
