Keep no body in a reference cycle with its connection

Cause: has a connection keep the body that comes in, and a body refers to its connection.

Change: a connection drops a body when it has ended, or the connection has.

--- a/tests/transport/test_callerconnection.py
+++ b/tests/transport/test_callerconnection.py
@@ -11,7 +11,7 @@
 
 from standins.answers import ReadAnswer
 from tests.clientforms import Form, head, head_forms, request_forms
-from tests.rawcaller import RawCaller
+from tests.rawcaller import WAIT_SECONDS, RawCaller
 from walnutquay.transport.callerconnection import PendingHeads
 from walnutquay.transport.gateway import GatewayLimits, GatewayServer
 from walnutquay.transport.listeners import listen
@@ -118,6 +118,26 @@
     return hasattr(message, "message")
 
 
+class EndedConnectionTest(ConnectionCase):
+    """A connection that has ended parses no more.
+
+    Guards against an error in handlers that read the rest of a body then.
+    """
+
+    async def test_what_was_left_is_dropped(self):
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not self.server.web.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            [connection] = self.server.web.connections
+            writer.transport.abort()
+            while self.server.web.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        connection.data_received(b"")
+        connection.data_received(GET)
+        self.assertFalse(connection.has_unanswered_request())
+
+
 class SoundRequestTest(ConnectionCase):
     """What clients inside the limits send meets none of this."""
 
--- a/walnutquay/transport/callerconnection.py
+++ b/walnutquay/transport/callerconnection.py
@@ -56,12 +56,18 @@
         if self.transport is not None:
             self.transport = CountedTransport(self.transport, self._manager.traffic)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """:param exc: how the connection broke; None where it was closed."""
+        super().connection_lost(exc)
+        self._forget_body()
+
     def data_received(self, data: bytes) -> None:
         """Parse what has come, one head at a time.
 
         :param data: what has come; empty to go on with what was read before.
         """
-        if self.refused:
+        # A handler may read what is left of a body after the connection has ended.
+        if self.refused or self._manager is None:
             return
         if not data:
             self._parse(data)
@@ -92,7 +98,7 @@
             self._note_request()
             self._decline_upgrade()
         elif self.in_body and self.body.is_eof():
-            self.in_body = False
+            self._forget_body()
             self.framing.restart()
         if not self.refused and self._is_endless():
             self._refuse()
@@ -110,8 +116,13 @@
             self._messages[-1] = (small, payload)
             self._stop_reading()
             return
-        self.body = payload
-        self.in_body = not payload.is_eof()
+        self._forget_body()
+        if not payload.is_eof():
+            self.body, self.in_body = payload, True
+
+    def _forget_body(self) -> None:
+        """Drop a body that refers to this connection."""
+        self.body, self.in_body = EMPTY_PAYLOAD, False
 
     def _decline_upgrade(self) -> None:
         """Go on in the same protocol, whatever a request asks for.
