--- a/walnutquay/commands/fleetstate.py
+++ b/walnutquay/commands/fleetstate.py
@@ -16,7 +16,7 @@
 from walnutquay.commands.slotstate import (
     SlotGrants,
     SlotWaiting,
-    shown,
+    organisation_label,
     slot_grants,
     slot_waiting,
     slots_denied,
@@ -301,7 +301,7 @@
     if waiting:
         text.append("waiting:")
     text += [
-        f"    {shown(row.organisation):<20}{row.route:<24}{row.count:>6}"
+        f"    {organisation_label(row.organisation):<20}{row.route:<24}{row.count:>6}"
         f"  oldest {row.oldest:.1f} s"
         for row in waiting
     ]
--- a/walnutquay/commands/slotstate.py
+++ b/walnutquay/commands/slotstate.py
@@ -120,8 +120,8 @@
     }
 
 
-def shown(organisation: str) -> str:
-    """Return how people are told whose requests they are.
+def organisation_label(organisation: str) -> str:
+    """Return the text that stands for an organisation.
 
     :param organisation: its name; empty for callers without a known key.
     """
@@ -152,7 +152,7 @@
         if row.granted
     ]
     lines += [
-        f"waiting for slots: {row.count} of {shown(row.organisation)} for "
+        f"waiting for slots: {row.count} of {organisation_label(row.organisation)} for "
         f"{row.service}, "
         f"priority {row.priority}, in {row.hall}, the oldest for {row.oldest:.1f} s"
         for row in _added(row for one in states for row in one.slot_waiting)
--- a/walnutquay/coordination/routed/failures.py
+++ b/walnutquay/coordination/routed/failures.py
@@ -63,9 +63,9 @@
         self.first_waits: set[asyncio.Timeout] = set()
 
     def stop_sending(self) -> None:
-        """Begin no further request, and refuse those that wait for their first slot.
+        """Refuse new requests, and those that still wait for their first slot.
 
-        They could outlast the time that this VM has left.
+        They could take longer than the time until this VM exits.
         """
         self.closed = True
         now = asyncio.get_running_loop().time()
--- a/walnutquay/daemon/callerbodies.py
+++ b/walnutquay/daemon/callerbodies.py
@@ -42,7 +42,7 @@
         self.closed = False
 
     def close(self) -> None:
-        """Read no further body, and refuse the requests whose bodies come in."""
+        """Refuse requests whose bodies are being received, and all later ones."""
         self.closed = True
         now = asyncio.get_running_loop().time()
         for read in self.reads:
--- a/walnutquay/daemon/gateway.py
+++ b/walnutquay/daemon/gateway.py
@@ -270,7 +270,7 @@
         await asyncio.sleep(self.options.promises.balancer_seconds)
         self.api.server.close_listener()
         self.api.server.close_idle()
-        # What begins now could outlast the time that is left.
+        # Requests that start now could take longer than the time until the exit.
         self.api.bodies.close()
         self.path.stop_sending()
         if not await self.api.server.idle(end - loop.time()):
--- a/walnutquay/transport/callerconnection.py
+++ b/walnutquay/transport/callerconnection.py
@@ -1,6 +1,6 @@
 # Licensed under the Apache License 2.0: see LICENSE for details.
 
-"""A caller's connection, by aiohttp: its heads, what it may send, and its refusals."""
+"""A caller's connection, by aiohttp, with limits on what it may send."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 # The request line and all headers together have at most so many times the bytes that
 # one of them may have.
 HEAD_FACTOR = 2
-# Bodies are parsed in pieces of this size: the parser's errors quote a whole piece.
+# The size of the pieces in which bodies are parsed; bytes.
 BODY_PIECE = 64 << 10
 # Characters of a refusal's reason.
 REASON_LENGTH = 200
@@ -33,8 +33,8 @@
     """A connection whose requests are answered up to the first that cannot be read.
 
     aiohttp drops the requests that come in one piece with bytes that it cannot read:
-    the first of them would get the refusal of those bytes for its answer.  It also
-    reads on behind what it cannot read, and keeps an error for each piece.
+    the first of them would get the refusal of those bytes for its answer.  It also goes
+    on parsing after an error, and queues one more error for each piece.
     """
 
     __slots__ = ("body", "framing", "in_body", "read_before", "refused")
@@ -43,7 +43,7 @@
         super().__init__(*args, **options)
         # The last bytes that have come, which a head's end may begin with.
         self.read_before = b""
-        # Bytes since the last head or body has ended; the body that comes in.
+        # Bytes since the last head or body ended, and the body that is being received.
         self.framing = FramingMeter()
         self.body: StreamReader = EMPTY_PAYLOAD
         self.in_body = False
@@ -83,7 +83,7 @@
         self.read_before = last_bytes(self.read_before, data)
 
     def _pieces(self, part: bytes) -> Iterator[bytes]:
-        """Cut what has come, so that the parser's errors stay small."""
+        """Split data into pieces, as the parser's errors quote a whole piece."""
         start = 0
         while start < len(part):
             end = start + (BODY_PIECE if self.in_body else self.max_field_size)
@@ -107,11 +107,11 @@
             self._refuse()
 
     def _note_request(self) -> None:
-        """Note that a head has ended, or that what came is none."""
+        """Note that a head is complete, or that the parser has failed."""
         message, payload = self._messages[-1]
         self.framing.restart()
         if isinstance(message, _ErrInfo):
-            # The error and its frames refer to what has come.
+            # The error and its traceback refer to all the data.
             small = _ErrInfo(message.status, None, message.message[:REASON_LENGTH])
             self._messages[-1] = (small, payload)
             self._stop_reading()
@@ -125,9 +125,9 @@
         self.body, self.in_body = EMPTY_PAYLOAD, False
 
     def _decline_upgrade(self) -> None:
-        """Go on in the same protocol, whatever a request asks for.
+        """Continue in the same protocol after a request to upgrade.
 
-        aiohttp holds what follows until the answer has been sent.
+        aiohttp buffers what follows until the answer has been sent.
         """
         if self.refused or not self._upgraded:
             return
@@ -138,9 +138,9 @@
             self._parse(behind)
 
     def _is_endless(self) -> bool:
-        """Return whether more has come than a head, or what frames a body, may have.
+        """Return whether a head, or the framing of a body, exceeds its limit.
 
-        What is read and not parsed yet, as there is no room, does not count.
+        Data that the parser has not processed yet does not count.
         """
         if self._buffer_paused or self._reading_paused:
             return False
@@ -149,7 +149,7 @@
         return self.framing.received > HEAD_FACTOR * self.max_field_size
 
     def _refuse(self) -> None:
-        """Answer no more than what was read before, and read nothing more."""
+        """Fail the request that is being received, and stop reading."""
         if self.in_body:
             self.body.set_exception(RequestPayloadError(ENDLESS))
         else:
@@ -176,12 +176,12 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> StreamResponse:
-        """Answer what could not be read; aiohttp writes a traceback to the log.
+        """Answer a request that cannot be parsed, without logging a traceback.
 
-        :param request: stands for what could not be read.
+        :param request: a placeholder for the request.
         :param status: the status of the answer.
-        :param exc: why, if it is not what the caller sent.
-        :param message: why.
+        :param exc: the error, if it is not a parser's.
+        :param message: the parser's message.
         """
         if exc is not None and not isinstance(exc, HttpProcessingError):
             return super().handle_error(request, status, exc, message)
@@ -215,7 +215,7 @@
 
 
 class PendingHeads:
-    """Bounds what the heads that have not ended hold, over all connections.
+    """Limits the memory of incomplete heads over all connections.
 
     :param limit: bytes of all of them together.
     """
@@ -227,12 +227,12 @@
         self.held: dict[CallerConnection, int] = {}
 
     def note(self, connection: CallerConnection, size: int) -> bool:
-        """Note how much of a head a connection has sent.
+        """Record the size of a connection's incomplete head.
 
         :param connection: the connection.
-        :param size: bytes; 0 if no head is under way.
-        :returns: whether there is room for them: connections with more than others are
-            refused first.
+        :param size: bytes; 0 if no head is incomplete.
+        :returns: whether it may go on; beyond the limit, connections that hold more
+            than the average may not.
         """
         if not size:
             self.forget(connection)
--- a/walnutquay/transport/gateway.py
+++ b/walnutquay/transport/gateway.py
@@ -39,7 +39,7 @@
 # What is still under way when the server is closed; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 0.05
 
-# What the heads that have not ended hold, over all connections of a listener; bytes.
+# The most that the incomplete heads of all connections of a listener may hold; bytes.
 HEADS_BYTES = 8 << 20
 
 Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
@@ -131,7 +131,7 @@
         self.paused: set[RequestHandler] = set()
         self.unread = UnreadConnections()
         self.heads = PendingHeads(HEADS_BYTES)
-        # Connections on which bytes came that cannot be read, since that was asked.
+        # Connections that sent unreadable bytes, since the last take_unreadable.
         self.unreadable = 0
         # Counts what the connections carry.
         self.traffic = Traffic()
--- a/walnutquay/transport/server.py
+++ b/walnutquay/transport/server.py
@@ -30,8 +30,8 @@
 KEEP_ALIVE_SECONDS = 75
 # A connection whose answer has run for this long is taken for dead.
 RESPONSE_SECONDS = 3600
-# Chunks of a body that are joined before other connections have a turn.
-READS_IN_TURN = 64
+# Chunks of a body that are joined before the event loop serves other connections.
+MAX_JOINED_CHUNKS = 64
 # How often the end of open connections is looked for at a stop.
 POLL_SECONDS = 0.01
 
@@ -50,11 +50,11 @@
     request_seconds: float = 30.0
 
 
-class _FairHttp(Http):
-    """Parses requests, joins small chunks, and gives other connections a turn.
+class _YieldingHttp(Http):
+    """Joins small chunks of a body and yields to the event loop between them.
 
-    Sanic parses the chunks that it has read in one turn of the loop, and keeps each by
-    itself: small ones would hold up all others, and take many times their size.
+    Sanic parses all buffered chunks without yielding and keeps each as an object of its
+    own: small chunks would block the loop and take many times their size in memory.
     """
 
     __slots__ = ()
@@ -62,7 +62,7 @@
     async def read(self) -> bytes | None:
         """:returns: the next part of the body; None at its end."""
         part = bytearray()
-        for _ in range(READS_IN_TURN):
+        for _ in range(MAX_JOINED_CHUNKS):
             data = await super().read()
             part += data or b""
             if not (self.request_body and self.recv_buffer):
@@ -74,7 +74,7 @@
 class _GatedProtocol(HttpProtocol):
     """A connection, which the server may refuse before it is read, and counts."""
 
-    HTTP_CLASS = _FairHttp
+    HTTP_CLASS = _YieldingHttp
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Close a connection that is not taken.
